Set down the packages, the core types and the request path

One request goes from cherrypy through an entry and an agent to an endpoint and back.

Not covered yet: the table service, jobs, bundles.

--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Run the agent beside an endpoint or a worker."""
--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -0,0 +1,77 @@
+"""Wire the actors of an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.permit import attempt_chart, PermitState
+from wasabispur_core.protocol import Announce, Heartbeat
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.log import configure_log, log
+
+from .agent_settings import AgentSettings
+from .endpoint_client import EndpointClient
+from .endpoint_runner import EndpointRunner
+from .entry_link import EntryLink
+
+
+async def run_agent(
+    settings: AgentSettings, timers: TimerService, stop: asyncio.Event
+) -> None:
+    """Run an agent until stop is set, then finish what is in progress."""
+    configure_log(settings.agent_id, settings.log_level)
+    # Wall-clock time orders the starts of one agent; it is compared with nothing else.
+    incarnation = time.time_ns()
+    state = PermitState(settings.slots, attempt_chart(ChartCatalogue()))
+    client = EndpointClient(settings.local_url, settings.connections)
+    runner = EndpointRunner(timers, state, client)
+    for address in settings.entries:
+        runner.links[address] = EntryLink(
+            address,
+            timers,
+            announce=lambda: describe(settings, incarnation),
+            heartbeat=lambda sequence: beat(sequence, state),
+            receiver=runner.post,
+            random=Random(),
+        )
+    runner.start()
+    for link in runner.links.values():
+        link.start()
+    log(PROCESS_STARTED, process=settings.agent_id)
+    await stop.wait()
+    log(PROCESS_DRAINING, process=settings.agent_id)
+    await runner.drain()
+    await runner.close()
+    await asyncio.gather(*(link.close() for link in runner.links.values()))
+    log(PROCESS_STOPPED, process=settings.agent_id)
+
+
+def describe(settings: AgentSettings, incarnation: int) -> Announce:
+    """Return the announcement of an agent."""
+    return Announce(
+        agent_id=settings.agent_id,
+        incarnation=incarnation,
+        role=settings.role,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        rack=settings.rack,
+        service=settings.service,
+        slots=settings.slots,
+        accelerators=settings.accelerators,
+        cores=settings.cores,
+        memory=settings.memory,
+    )
+
+
+def beat(sequence: int, state: PermitState) -> Heartbeat:
+    """Return the next heartbeat of an agent."""
+    return Heartbeat(
+        sequence=sequence,
+        bundle_version=0,
+        in_flight=len(state.attempts),
+        free_slots=state.free_slots,
+    )
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what wasabispur does, without input or output."""
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/chart.py
@@ -0,0 +1,221 @@
+"""Load state charts from files and interpret them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any
+
+from ruamel.yaml.error import YAMLError
+from sismic.code import Evaluator
+from sismic.exceptions import StatechartError
+from sismic.interpreter import Interpreter
+from sismic.io import import_from_yaml
+from sismic.model import Event, Statechart
+
+from .action import Action, Guard, holds, perform
+from .command import Command
+from .error import ChartError, UnexpectedEventError
+from .message import event_name, Message, snake_case
+
+CHART_DIRECTORY = Path(__file__).parent / "charts"
+
+ActionClass = type[Action[Any, Any]]
+GuardClass = type[Guard[Any, Any]]
+
+
+def split_names(code: str | None) -> list[str]:
+    """Return the names in the text of an action or a guard."""
+    return (code or "").replace(",", " ").split()
+
+
+class Chart:
+    """Hold one chart together with the bodies of its actions and guards."""
+
+    def __init__(
+        self,
+        name: str,
+        statechart: Statechart,
+        actions: Iterable[ActionClass],
+        guards: Iterable[GuardClass],
+    ) -> None:
+        self.name = name
+        self.statechart = statechart
+        self.actions = {snake_case(cls.__name__): cls for cls in actions}
+        self.guards = {snake_case(cls.__name__): cls for cls in guards}
+        self.check_names()
+
+    def check_names(self) -> None:
+        """Raise ChartError for an action or guard that Python doesn't define."""
+        for name in self.action_names():
+            if name not in self.actions:
+                raise self.missing_name_error("action", name)
+        for transition in self.statechart.transitions:
+            for name in split_names(transition.guard):
+                if name != "not" and name not in self.guards:
+                    raise self.missing_name_error("guard", name)
+
+    def missing_name_error(self, what: str, name: str) -> ChartError:
+        """Return the error for a name without a class."""
+        return ChartError(
+            f"chart {self.name} names the unknown {what} {name!r}",
+            f"correct the name in the chart file or define the {what}",
+        )
+
+    def action_names(self) -> list[str]:
+        """Return the names of all actions in the chart."""
+        names: list[str] = []
+        for transition in self.statechart.transitions:
+            names += split_names(transition.action)
+        for state_name in self.statechart.states:
+            state = self.statechart.state_for(state_name)
+            names += split_names(getattr(state, "on_entry", None))
+            names += split_names(getattr(state, "on_exit", None))
+        return names
+
+    def start(self) -> Lifecycle:
+        """Return a new lifecycle in the chart's initial state."""
+        return Lifecycle(self)
+
+
+class _BodyEvaluator(Evaluator):  # type: ignore[misc]
+    """Run the bodies of named actions and guards for sismic."""
+
+    def __init__(
+        self,
+        interpreter: Interpreter | None = None,
+        *,
+        initial_context: Mapping[str, Any] | None = None,
+    ) -> None:
+        self.lifecycle: Lifecycle = (initial_context or {})["lifecycle"]
+
+    @property
+    def context(self) -> Mapping[str, Any]:
+        return {}
+
+    def execute_statechart(self, statechart: Statechart) -> None:
+        """Skip the preamble, which charts of this project don't use."""
+
+    def execute_on_entry(self, state: Any) -> list[Event]:
+        self.lifecycle.state = state.name
+        return self._execute_code(getattr(state, "on_entry", None))
+
+    def _evaluate_code(
+        self, code: str, *, additional_context: Mapping[str, Any] | None = None
+    ) -> bool:
+        negated = False
+        for name in split_names(code):
+            if name == "not":
+                negated = True
+                continue
+            if self.lifecycle.check(name) == negated:
+                return False
+            negated = False
+        return True
+
+    def _execute_code(
+        self,
+        code: str | None,
+        *,
+        additional_context: Mapping[str, Any] | None = None,
+    ) -> list[Event]:
+        for name in split_names(code):
+            self.lifecycle.run(name)
+        return []
+
+
+class Lifecycle:
+    """Hold the state of one object that a chart governs."""
+
+    __slots__ = ("chart", "commands", "interpreter", "scope", "state")
+
+    def __init__(self, chart: Chart) -> None:
+        self.chart = chart
+        self.state = ""
+        self.scope: tuple[Any, Any, Message, float] | None = None
+        self.commands: list[Command] = []
+        self.interpreter = Interpreter(
+            chart.statechart,
+            evaluator_klass=_BodyEvaluator,
+            initial_context={"lifecycle": self},
+            ignore_contract=True,
+        )
+        self.interpreter.execute()
+
+    @property
+    def final(self) -> bool:
+        """Return whether the lifecycle has ended."""
+        return bool(self.interpreter.final)
+
+    def handle(
+        self, message: Message, component: Any, subject: Any, now: float
+    ) -> list[Command]:
+        """Fire the message's event and return the commands of its actions."""
+        name = event_name(message)
+        state = self.state
+        self.scope = (component, subject, message, now)
+        self.commands = []
+        step = self.interpreter.queue(Event(name)).execute_once()
+        if step is None or not step.transitions:
+            raise UnexpectedEventError(
+                f"chart {self.chart.name} has no transition for {name} in {state}",
+                "add a transition to the chart, or ignore the event there by name",
+            )
+        self.interpreter.execute()
+        self.scope = None
+        return self.commands
+
+    def check(self, name: str) -> bool:
+        """Evaluate one guard by name."""
+        if self.scope is None:
+            raise ChartError(
+                f"guard {name!r} of chart {self.chart.name} runs without an event",
+                "use guards on transitions only",
+            )
+        return holds(self.chart.guards[name](*self.scope))
+
+    def run(self, name: str) -> None:
+        """Perform one action by name."""
+        if self.scope is None:
+            raise ChartError(
+                f"action {name!r} of chart {self.chart.name} runs without an event",
+                "move it from the initial state to a transition",
+            )
+        self.commands += perform(self.chart.actions[name](*self.scope))
+
+
+class ChartCatalogue:
+    """Load charts by name from one directory."""
+
+    def __init__(self, directory: Path | None = None) -> None:
+        self.directory = directory or CHART_DIRECTORY
+
+    def names(self) -> list[str]:
+        """Return the names of all charts in the directory."""
+        return sorted(path.stem for path in self.directory.glob("*.yaml"))
+
+    def read(self, name: str) -> Statechart:
+        """Return the parsed chart; raise ChartError if it can't be used."""
+        path = self.directory / f"{name}.yaml"
+        try:
+            return import_from_yaml(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            raise ChartError(
+                f"chart file {path} can't be read: {error.strerror}",
+                "restore the file or correct the chart directory",
+            ) from error
+        except (StatechartError, ValueError, YAMLError) as error:
+            raise ChartError(
+                f"chart file {path} is not a valid chart: {error}",
+                "correct the file",
+            ) from error
+
+    def bind(
+        self,
+        name: str,
+        *,
+        actions: Iterable[ActionClass] = (),
+        guards: Iterable[GuardClass] = (),
+    ) -> Chart:
+        """Return the chart bound to the classes that give its names a body."""
+        return Chart(name, self.read(name), actions, guards)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -0,0 +1,47 @@
+"""Catalogue the numbered log events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """Describe one kind of log record.
+
+    The level is one of loguru's; the text may name fields in braces.
+    """
+
+    number: int
+    level: str
+    text: str
+
+
+# 1xx processes, 2xx streams and members, 3xx requests, 4xx jobs,
+# 5xx bundles, 6xx platform clients
+PROCESS_STARTED = LogEvent(101, "INFO", "process {process} started")
+PROCESS_DRAINING = LogEvent(102, "INFO", "process {process} is draining")
+PROCESS_STOPPED = LogEvent(103, "INFO", "process {process} stopped")
+HANDLER_FAILED = LogEvent(104, "ERROR", "{actor} failed on {message_name}: {error}")
+MESSAGE_REJECTED = LogEvent(105, "WARNING", "{actor} rejected {message_name}: {error}")
+MAILBOX_FULL = LogEvent(
+    106, "ERROR", "mailbox of {actor} is full; dropped {message_name}"
+)
+HTTP_FAILED = LogEvent(107, "ERROR", "request for {path} failed: {error}")
+AGENT_ATTACHED = LogEvent(201, "INFO", "agent {agent} attached")
+AGENT_DETACHED = LogEvent(202, "WARNING", "agent {agent} detached: {reason}")
+STREAM_SILENT = LogEvent(203, "WARNING", "stream to {peer} is silent; closing it")
+STREAM_OPENED = LogEvent(204, "INFO", "stream to {peer} opened")
+STREAM_FAILED = LogEvent(205, "WARNING", "stream to {peer} failed: {reason}")
+MESSAGE_MALFORMED = LogEvent(206, "WARNING", "malformed message from {peer}: {error}")
+AGENT_LEAVING = LogEvent(207, "INFO", "agent {agent} is leaving")
+REQUEST_RECEIVED = LogEvent(301, "DEBUG", "request {request} received")
+REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
+ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
+ATTEMPT_ENDED = LogEvent(304, "DEBUG", "attempt {attempt} ended: {result}")
+
+
+def catalogue() -> dict[int, LogEvent]:
+    """Return all log events by number."""
+    events = [value for value in globals().values() if isinstance(value, LogEvent)]
+    return {event.number: event for event in sorted(events, key=lambda e: e.number)}
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/message.py
@@ -0,0 +1,25 @@
+"""Define the base of every typed message."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from functools import cache
+
+WORD_BOUNDARY = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Message:
+    """Carry typed fields from one component to another."""
+
+
+@cache
+def snake_case(class_name: str) -> str:
+    """Return a class name in snake case."""
+    return WORD_BOUNDARY.sub("_", class_name).lower()
+
+
+def event_name(message: Message) -> str:
+    """Return the name under which charts and actors handle the message."""
+    return snake_case(type(message).__name__)
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Share actors, transport, platform clients, settings and logs."""
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/codec.py
@@ -0,0 +1,96 @@
+"""Encode and validate the messages between processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgpack
+from grpclib.encoding.base import CodecBase
+from pydantic import TypeAdapter, ValidationError
+
+from wasabispur_core.error import ProtocolError
+from wasabispur_core.message import Message
+from wasabispur_core.protocol import (
+    AGENT_TO_ENTRY,
+    ENTRY_TO_AGENT,
+    ENTRY_TO_ENTRY,
+    FRAME_LIMIT_BYTES,
+)
+
+SAME_VERSION_REMEDY = "run the same release of wasabispur on both sides"
+
+
+class MessageSet:
+    """Hold the message classes that one direction of a stream may carry."""
+
+    def __init__(self, classes: Iterable[type[Message]]) -> None:
+        self.adapters: dict[str, TypeAdapter[Any]] = {
+            cls.__name__: TypeAdapter(cls) for cls in classes
+        }
+
+    def encode(self, message: Message) -> bytes:
+        """Return the encoded message; raise ProtocolError if it is foreign or large."""
+        name = type(message).__name__
+        adapter = self.adapters.get(name)
+        if adapter is None:
+            raise ProtocolError(
+                f"a {name} message can't be sent on this stream",
+                "send it on a stream that carries it",
+            )
+        data: bytes = msgpack.packb(
+            [name, adapter.dump_python(message, mode="python")], default=_plain
+        )
+        _check_size(data)
+        return data
+
+    def decode(self, data: bytes) -> Message:
+        """Return the validated message; raise ProtocolError if it is malformed."""
+        _check_size(data)
+        try:
+            name, fields = msgpack.unpackb(data)
+            adapter = self.adapters[name]
+        except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+            raise ProtocolError(
+                f"the peer sent a frame that is no known message: {error!r}",
+                SAME_VERSION_REMEDY,
+            ) from error
+        try:
+            message: Message = adapter.validate_python(fields)
+        except ValidationError as error:
+            raise ProtocolError(
+                f"the peer sent an invalid {name} message: {error.errors()[0]['msg']}",
+                SAME_VERSION_REMEDY,
+            ) from error
+        return message
+
+
+FROM_AGENT = MessageSet(AGENT_TO_ENTRY)
+TO_AGENT = MessageSet(ENTRY_TO_AGENT)
+BETWEEN_ENTRIES = MessageSet(ENTRY_TO_ENTRY)
+
+
+class MessageCodec(CodecBase):
+    """Let grpclib carry messages as msgpack."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Message, message_type: MessageSet) -> bytes:
+        """Return the bytes of a message."""
+        return message_type.encode(message)
+
+    def decode(self, data: bytes, message_type: MessageSet) -> Message:
+        """Return the message in the bytes."""
+        return message_type.decode(data)
+
+
+def _plain(value: Any) -> Any:
+    return value.value
+
+
+def _check_size(data: bytes) -> None:
+    if len(data) > FRAME_LIMIT_BYTES:
+        raise ProtocolError(
+            f"a message of {len(data)} bytes exceeds {FRAME_LIMIT_BYTES}",
+            "send a smaller body",
+        )
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/decision_actor.py
@@ -0,0 +1,60 @@
+"""Connect a decision component of the core to its actor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Any
+
+from wasabispur_core.command import CancelTimer, Command, SetTimer, WriteLog
+from wasabispur_core.error import UnhandledMessageError
+from wasabispur_core.log_event import catalogue
+from wasabispur_core.message import Message
+from wasabispur_core.timer import TimerService
+
+from .actor import Actor
+from .log import log
+
+Decide = Callable[[Message, Any, float], list[Command]]
+
+LOG_EVENTS = catalogue()
+
+
+class DecisionActor(Actor):
+    """Own one decision state: pass messages to it and execute its commands."""
+
+    def __init__(
+        self, name: str, timers: TimerService, state: Any, decide: Decide
+    ) -> None:
+        super().__init__(name, timers)
+        self.state = state
+        self.decide = decide
+
+    def on_message(self, message: Message) -> None:
+        """Decide on the message and execute the resulting commands in order."""
+        for command in self.decide(message, self.state, self.timers.now()):
+            execute(command, self)
+
+
+@singledispatch
+def execute(command: Command, actor: Any) -> None:
+    """Carry out one command on behalf of the actor."""
+    raise UnhandledMessageError(
+        f"{actor.name} can't execute {type(command).__name__}",
+        "register a body with execute.register",
+    )
+
+
+@execute.register
+def _(command: SetTimer, actor: Any) -> None:
+    actor.set_timer(command.timer_id, command.delay, command.message)
+
+
+@execute.register
+def _(command: CancelTimer, actor: Any) -> None:
+    actor.cancel_timer(command.timer_id)
+
+
+@execute.register
+def _(command: WriteLog, actor: Any) -> None:
+    log(LOG_EVENTS[command.number], **command.fields)
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
@@ -0,0 +1,63 @@
+"""Run the main coroutine of a process with signals and exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+
+from wasabispur_core.error import (
+    AddressInUseError,
+    SettingsError,
+    StoreError,
+    WasabispurError,
+)
+
+from .timer_service import LoopTimerService
+
+
+class ExitCode(IntEnum):
+    """List the exit codes of both binaries; click uses 2 for wrong usage."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    SETTINGS = 3
+    ADDRESS_IN_USE = 4
+    UNAVAILABLE = 5
+
+
+EXIT_CODES: dict[type[WasabispurError], ExitCode] = {
+    SettingsError: ExitCode.SETTINGS,
+    AddressInUseError: ExitCode.ADDRESS_IN_USE,
+    StoreError: ExitCode.UNAVAILABLE,
+}
+
+Main = Callable[[LoopTimerService, asyncio.Event], Awaitable[None]]
+
+
+def run_process(main: Main) -> None:
+    """Run main until it returns; its event is set by SIGTERM or SIGINT.
+
+    Leaves the process with the error's exit code after one line on stderr.
+    """
+    try:
+        asyncio.run(_run(main))
+    except WasabispurError as error:
+        fail(error)
+
+
+def fail(error: WasabispurError) -> None:
+    """Print the error and its remedy, and exit with its code."""
+    print(f"error: {error}", file=sys.stderr)
+    sys.exit(EXIT_CODES.get(type(error), ExitCode.FAILED))
+
+
+async def _run(main: Main) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await main(LoopTimerService(loop), stop)
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, endpoints and workers in development."""
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/__init__.py
@@ -0,0 +1,1 @@
+"""Run entry instances and the operators' command line."""
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -0,0 +1,39 @@
+"""Define the wasabispur command."""
+
+from __future__ import annotations
+
+from functools import partial
+from pathlib import Path
+
+import click
+
+from wasabispur_core.error import WasabispurError
+from wasabispur_runtime.process import fail, run_process
+from wasabispur_runtime.settings import load_settings
+
+from .entry import run_entry
+from .entry_settings import EntrySettings
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="wasabispur")
+def main() -> None:
+    """Run an entry instance, or operate a wasabispur system."""
+
+
+@main.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="JSON settings file of the entry.",
+)
+def entry(path: Path) -> None:
+    """Run an entry instance until SIGTERM."""
+    try:
+        settings = load_settings(EntrySettings, path)
+    except WasabispurError as error:
+        fail(error)
+    else:
+        run_process(partial(run_entry, settings))
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -0,0 +1,25 @@
+"""Define the settings of an entry instance."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import Field
+
+from wasabispur_runtime.settings import Settings
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+
+
+class EntrySettings(Settings):
+    """Settings of one entry instance; durations are in seconds."""
+
+    entry_id: Annotated[str, Field(min_length=1, max_length=64)]
+    region: Annotated[str, Field(min_length=1)]
+    data_centre: Annotated[str, Field(min_length=1)]
+    host: str = "127.0.0.1"
+    http_port: Port
+    control_port: Port
+    http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
+    heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
+    log_level: str = "INFO"
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -0,0 +1,47 @@
+"""Assemble the HTTP interface of an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cherrypy
+
+from .bridge import Bridge
+from .http_error import handle_error, handle_http_error
+from .request_dispatcher import RequestDispatcher
+from .service_resource import ServiceResource
+
+CONFIGURATION = {
+    "/": {
+        "request.error_response": handle_error,
+        "request.show_tracebacks": False,
+        "request.process_request_body": False,
+        "error_page.default": handle_http_error,
+        "tools.trailing_slash.on": False,
+        "tools.encode.on": False,
+    }
+}
+
+
+class RootResource:
+    """Serve the health checks; v1 holds the versioned resources."""
+
+    def __init__(self, version_1: VersionOneResource) -> None:
+        self.v1 = version_1
+
+    @cherrypy.expose
+    def healthz(self) -> bytes:
+        """Return 200 while the process lives."""
+        return b"ok\n"
+
+
+class VersionOneResource:
+    """Hold the resources under /v1."""
+
+    def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
+        self.services = ServiceResource(bridge, dispatcher)
+
+
+def build_application(version_1: VersionOneResource) -> Any:
+    """Return the WSGI application of an entry."""
+    return cherrypy.Application(RootResource(version_1), "", CONFIGURATION)
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/http_request.py
@@ -0,0 +1,45 @@
+"""Read and validate what callers and operators send."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import cherrypy
+from pydantic import BaseModel, ValidationError
+
+from wasabispur_core.protocol import BODY_LIMIT_BYTES
+
+from .http_error import BadRequestError, BodyTooLargeError
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
+
+def read_body() -> bytes:
+    """Return the body of the current request; raise BodyTooLargeError."""
+    body: bytes = cherrypy.request.rfile.read(BODY_LIMIT_BYTES + 1)
+    if len(body) > BODY_LIMIT_BYTES:
+        raise BodyTooLargeError(
+            f"the body exceeds {BODY_LIMIT_BYTES} bytes", "send a smaller body"
+        )
+    return body
+
+
+def read_model(model: type[ModelT]) -> ModelT:
+    """Return the validated JSON body; raise BadRequestError."""
+    try:
+        return model.model_validate_json(read_body())
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        field = ".".join(str(part) for part in problem["loc"]) or "body"
+        raise BadRequestError(
+            f"{field} is not valid: {problem['msg']}",
+            "correct the field and send the request again",
+        ) from error
+
+
+def required_header(name: str) -> str:
+    """Return a header's value; raise BadRequestError if it is missing."""
+    value = cherrypy.request.headers.get(name)
+    if not value:
+        raise BadRequestError(f"header {name} is missing", f"send the {name} header")
+    return str(value)
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -0,0 +1,41 @@
+"""Run the HTTP server of an entry on its own threads."""
+
+from __future__ import annotations
+
+from threading import Thread
+from typing import Any
+
+import cherrypy
+from cheroot.wsgi import Server
+
+from wasabispur_core.error import AddressInUseError
+from wasabispur_core.protocol import BODY_LIMIT_BYTES
+
+cherrypy.config.update({"environment": "embedded", "log.screen": False})
+
+
+class HttpServer:
+    """Serve one WSGI application on one port."""
+
+    def __init__(self, application: Any, host: str, port: int, threads: int) -> None:
+        self.address = (host, port)
+        self.server = Server(self.address, application, numthreads=threads)
+        self.server.max_request_body_size = BODY_LIMIT_BYTES
+        self.thread = Thread(target=self.server.serve, name="http", daemon=True)
+
+    def start(self) -> None:
+        """Bind the port and begin to serve; raise AddressInUseError."""
+        try:
+            self.server.prepare()
+        except OSError as error:
+            host, port = self.address
+            raise AddressInUseError(
+                f"HTTP address {host}:{port} can't be bound: {error}",
+                "choose a free port in http_port or stop its holder",
+            ) from error
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop to accept, finish the requests in progress, and join the threads."""
+        self.server.stop()
+        self.thread.join()
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -0,0 +1,95 @@
+"""Own the streams of the attached agents and route their messages."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from wasabispur_core.command import SendToAgent
+from wasabispur_core.log_event import AGENT_ATTACHED, AGENT_DETACHED
+from wasabispur_core.member import FromAgent
+from wasabispur_core.message import Message
+from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Role
+from wasabispur_core.request import AgentAttached, AgentDetached
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import execute
+from wasabispur_runtime.log import log
+from wasabispur_runtime.stream import Outgoing
+
+from .agent_session import AgentSession, SessionEnded, SessionOpened
+
+
+class Membership(Actor):
+    """Own the table of attached agents."""
+
+    def __init__(self, timers: TimerService) -> None:
+        super().__init__("membership", timers)
+        self.sessions: dict[str, AgentSession] = {}
+        self.dispatcher: Actor | None = None
+
+    def on_session_opened(self, message: SessionOpened) -> None:
+        """Take a new session; an older one of the same agent is ended."""
+        announce = message.announce
+        previous = self.sessions.get(announce.agent_id)
+        if previous is not None:
+            previous.end("replaced by a newer stream")
+        self.sessions[announce.agent_id] = message.session
+        log(AGENT_ATTACHED, agent=announce.agent_id)
+        if announce.role is Role.ENDPOINT and self.dispatcher is not None:
+            self.dispatcher.post(
+                AgentAttached(
+                    agent_id=announce.agent_id,
+                    service=announce.service,
+                    region=announce.region,
+                    slots=announce.slots,
+                )
+            )
+
+    def on_session_ended(self, message: SessionEnded) -> None:
+        """Forget an agent whose current session ended."""
+        agent_id = message.session.announce.agent_id
+        if self.sessions.get(agent_id) is not message.session:
+            return
+        del self.sessions[agent_id]
+        log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
+        if self.dispatcher is not None:
+            self.dispatcher.post(AgentDetached(agent_id=agent_id))
+
+    def on_send_to_agent(self, message: SendToAgent) -> None:
+        """Send a message on the agent's stream if there is one."""
+        session = self.sessions.get(message.agent_id)
+        if session is not None:
+            session.post(Outgoing(message=message.message))
+
+    def on_from_agent(self, message: FromAgent) -> None:
+        """Pass an agent's message to the actor that handles its kind."""
+        route(message.message, message, self)
+
+
+@singledispatch
+def route(content: Message, message: FromAgent, membership: Membership) -> None:
+    """Pass a message from an agent to the actor that handles its kind."""
+    if membership.dispatcher is not None:
+        membership.dispatcher.post(message)
+
+
+@route.register
+def _(content: Heartbeat, message: FromAgent, membership: Membership) -> None:
+    pass
+
+
+@route.register
+def _(content: Announce, message: FromAgent, membership: Membership) -> None:
+    pass
+
+
+@route.register
+def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
+    if membership.dispatcher is not None:
+        membership.dispatcher.post(AgentDetached(agent_id=message.agent_id))
+
+
+@execute.register
+def _(command: SendToAgent, actor: Any) -> None:
+    actor.membership.post(command)
--- /dev/null
+++ b/tests/chart/test_core_purity.py
@@ -0,0 +1,30 @@
+"""Guard the core package against input and output."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import wasabispur_core
+
+FORBIDDEN = {"socket", "cherrypy", "cheroot", "grpclib", "urllib3", "http", "asyncio"}
+FORBIDDEN |= {"wasabispur", "wasabispur_agent", "wasabispur_runtime", "requests"}
+SOURCES = sorted(Path(wasabispur_core.__file__).parent.glob("*.py"))
+
+
+def imported_packages(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            names |= {alias.name.split(".")[0] for alias in node.names}
+        if isinstance(node, ast.ImportFrom) and node.level == 0:
+            names.add((node.module or "").split(".")[0])
+    return names
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: path.stem)
+def test_core_imports_no_input_or_output(path):
+    """Guard against decisions that depend on sockets, servers or clients."""
+    assert not imported_packages(path) & FORBIDDEN
