Rest the proof of "not run" on permits, and resolve after a lost stream

Cause: an agent answered "not run" for every attempt that it did not know. After a restart, or after it dropped a tombstone at its limit, such an attempt may have run. Permits now carry the agent's incarnation and a growing number. Dropping the tombstone of a run raises a mark to its permit number; only an unknown permit of the same incarnation above the mark proves "not run". A start needs the permit that is in force, so a withdrawn one can't start later.

A lost stream ended a running request as unknown at once. A replaced stream without a reported end counts as lost, and an agent that leaves no longer ends its running requests.

The endpoint client accepted short bodies: a single bounded read returns them without an error. It now reads until the end, requires a declared length, uses one connection per attempt and never raises, which would have kept the slot.

Retries need a proof of "not run" or an idempotent class, and a budget.

--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -8,7 +8,8 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.permit import attempt_chart, PermitState
+from wasabispur_core.permit import PermitState
+from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import Announce, Heartbeat
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
@@ -24,9 +25,9 @@
 ) -> None:
     """Run an agent until stop is set, then finish what is in progress."""
     configure_log(settings.agent_id, settings.log_level)
-    # Wall-clock time orders the starts of one agent; it is compared with nothing else.
+    # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
-    state = PermitState(settings.slots, attempt_chart(ChartCatalogue()))
+    state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
     for address in settings.entries:
--- a/packages/wasabispur-agent/src/wasabispur_agent/endpoint_client.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/endpoint_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import urllib3
 
 from wasabispur_core.message import Message
@@ -15,6 +17,23 @@
 )
 
 CONNECT_TIMEOUT = 1.0
+"""Seconds within which the endpoint has to accept a connection."""
+
+HEADER_LIMIT_BYTES = 32 * 1024
+"""Largest headers of a response; they have to fit into a frame beside the body."""
+
+READ_SIZE_BYTES = 64 * 1024
+
+BODILESS_STATUSES = frozenset((204, 304))
+
+# A connection serves one attempt only, so that surplus or late bytes of one
+# response can't become the start of another caller's response.
+CONNECTION_HEADERS = {"Connection": "close"}
+
+NEVER_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 
 
 class EndpointClient:
@@ -24,41 +43,82 @@
         self.pool = urllib3.connection_from_url(url, maxsize=connections, block=True)
 
     def call(self, start: StartAttempt) -> Message:
-        """Return how the attempt ended; takes at most start.remaining seconds."""
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT, total=start.remaining)
-        try:
-            response = self.pool.urlopen(
-                start.method,
-                start.path,
-                body=start.body,
-                headers=start.headers,
-                timeout=timeout,
-                retries=False,
-                redirect=False,
-                preload_content=False,
+        """Return how the attempt ended; takes about start.remaining seconds."""
+        if start.remaining <= 0:
+            return AttemptNotRun(
+                attempt_id=start.attempt_id, reason=Reason.DEADLINE_EXCEEDED
             )
-            body = response.read(BODY_LIMIT_BYTES + 1, decode_content=False)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ):
+        try:
+            return self._exchange(start)
+        except NEVER_SENT:
             return AttemptNotRun(
                 attempt_id=start.attempt_id, reason=Reason.CONNECT_FAILED
             )
         except urllib3.exceptions.HTTPError as error:
             return AttemptUnknown(attempt_id=start.attempt_id, reason=_reason(error))
-        if len(body) > BODY_LIMIT_BYTES:
-            response.close()
+        except (OSError, ValueError):
+            # Part of the request may have been sent before the failure.
             return AttemptUnknown(
-                attempt_id=start.attempt_id, reason=Reason.RESPONSE_TOO_LARGE
+                attempt_id=start.attempt_id, reason=Reason.RESPONSE_LOST
             )
-        response.release_conn()
-        return AttemptCompleted(
-            attempt_id=start.attempt_id,
-            status=response.status,
-            headers=dict(response.headers),
-            body=body,
+
+    def _exchange(self, start: StartAttempt) -> Message:
+        deadline = time.monotonic() + start.remaining
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT, total=start.remaining)
+        response = self.pool.urlopen(
+            start.method,
+            start.path,
+            body=start.body,
+            headers=start.headers | CONNECTION_HEADERS,
+            timeout=timeout,
+            retries=False,
+            redirect=False,
+            preload_content=False,
         )
+        try:
+            return _read(start, response, deadline)
+        finally:
+            response.close()
+            response.release_conn()
+
+
+def _read(
+    start: StartAttempt, response: urllib3.BaseHTTPResponse, deadline: float
+) -> Message:
+    attempt_id = start.attempt_id
+    headers = dict(response.headers)
+    if sum(len(name) + len(headers[name]) for name in headers) > HEADER_LIMIT_BYTES:
+        return AttemptUnknown(attempt_id=attempt_id, reason=Reason.RESPONSE_TOO_LARGE)
+    if not _length_declared(start.method, response):
+        return AttemptUnknown(attempt_id=attempt_id, reason=Reason.LENGTH_UNDECLARED)
+    body = bytearray()
+    # The read that returns nothing raises IncompleteRead if bytes are missing; a
+    # single read of the limit returns a shorter body without an error.
+    while chunk := response.read(READ_SIZE_BYTES, decode_content=False):
+        body += chunk
+        if len(body) > BODY_LIMIT_BYTES:
+            return AttemptUnknown(
+                attempt_id=attempt_id, reason=Reason.RESPONSE_TOO_LARGE
+            )
+        if time.monotonic() > deadline:
+            return AttemptUnknown(
+                attempt_id=attempt_id, reason=Reason.DEADLINE_EXCEEDED
+            )
+    return AttemptCompleted(
+        attempt_id=attempt_id,
+        status=response.status,
+        headers=headers,
+        body=bytes(body),
+    )
+
+
+def _length_declared(method: str, response: urllib3.BaseHTTPResponse) -> bool:
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return True
+    length = response.headers.get("Content-Length", "")
+    return length.isascii() and length.isdigit()
 
 
 def _reason(error: urllib3.exceptions.HTTPError) -> Reason:
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/outcome.py
@@ -0,0 +1,28 @@
+"""Define how requests end and what callers are told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .command import Command
+
+
+class Outcome(Enum):
+    """Tell how a request ended."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplyToCaller(Command):
+    """Give the caller the outcome and, if completed, the endpoint's response."""
+
+    request_id: str
+    outcome: Outcome
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    reason: str = ""
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -25,6 +25,11 @@
     """Tell why an attempt or a task did not start or did not finish."""
 
     NO_FREE_SLOT = "no free slot"
+    NO_ENDPOINT = "no endpoint can take the request"
+    STREAM_LOST = "stream to the agent lost before the start"
+    AGENT_RESTARTED = "agent restarted after it granted the permit"
+    ATTEMPT_FORGOTTEN = "agent no longer remembers the attempt"
+    LENGTH_UNDECLARED = "response without a declared length"
     LEAVING = "agent is leaving"
     PERMIT_EXPIRED = "start permit expired"
     PERMIT_UNKNOWN = "start permit unknown"
@@ -124,12 +129,20 @@
     """Announce a planned stop; no new work may be sent."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitId:
+    """Name one permit by the agent's incarnation and a number that grows in it."""
+
+    incarnation: int
+    number: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PermitGranted(Message):
     """Allow one start within lifetime seconds of the agent's clock."""
 
     attempt_id: str
-    permit_id: str
+    permit_id: PermitId
     lifetime: float
 
 
@@ -262,7 +275,7 @@
     """Start an attempt under a permit; remaining is in seconds."""
 
     attempt_id: str
-    permit_id: str
+    permit_id: PermitId
     method: str
     path: str
     headers: dict[str, str]
@@ -282,6 +295,7 @@
     """Ask how an attempt ended after the stream that carried it was lost."""
 
     attempt_id: str
+    permit_id: PermitId
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/request.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request.py
@@ -3,33 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 from functools import singledispatch
 from random import Random
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue, Lifecycle
-from .command import CancelTimer, Command, SendToAgent, SetTimer
+from .chart import Chart, Lifecycle
+from .command import Command, SetTimer
 from .error import UnhandledMessageError
 from .member import FromAgent
 from .message import Message
-from .protocol import (
-    AttemptCompleted,
-    CancelAttempt,
-    PermitGranted,
-    Reason,
-    RequestPermit,
-    StartAttempt,
-)
-from .routing import choose_endpoint, EndpointView
-
-
-class Outcome(Enum):
-    """Tell how a request ended."""
-
-    COMPLETED = "completed"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
+from .protocol import PermitId
+from .retry import RetryBudget
+from .routing import EndpointView
+from .work_class import default_classes, WorkClass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +39,21 @@
     request_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryDue(Message):
+    """Report that the delay before the next attempt is over."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ResolveTimedOut(Message):
+    """Report that an agent did not come back to tell how an attempt ended."""
+
+    request_id: str
+    attempt_id: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentAttached(Message):
     """Report an endpoint that can take requests."""
@@ -72,26 +72,29 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ReplyToCaller(Command):
-    """Give the caller the outcome and, if completed, the endpoint's response."""
+class AgentLeaving(Message):
+    """Report that an agent takes no new work but finishes what it runs."""
 
-    request_id: str
-    outcome: Outcome
-    status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
-    reason: str = ""
+    agent_id: str
 
 
 @dataclass(slots=True)
 class Request:
-    """Hold the state of one request in progress."""
+    """Hold the state of one request in progress.
+
+    The deadline is in monotonic seconds of this process.
+    """
 
     received: RequestReceived
+    work_class: WorkClass
     lifecycle: Lifecycle
     deadline: float
     agent_id: str = ""
+    permit_id: PermitId | None = None
     attempts: int = 0
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+    holds_endpoint: bool = False
 
     @property
     def attempt_id(self) -> str:
@@ -99,60 +102,6 @@
         return f"{self.received.request_id}.{self.attempts}"
 
 
-class RequestAction(Action["RequestState", Request]):
-    """Name an effect in the request chart."""
-
-    __slots__ = ()
-
-
-class RequestGuard(Guard["RequestState", Request]):
-    """Name a condition in the request chart."""
-
-    __slots__ = ()
-
-
-class AskPermit(RequestAction):
-    """Choose an endpoint and ask its agent for a start permit."""
-
-    __slots__ = ()
-
-
-class SendStart(RequestAction):
-    """Start the attempt under the granted permit."""
-
-    __slots__ = ()
-
-
-class SendCancel(RequestAction):
-    """Tell the agent to give up the attempt."""
-
-    __slots__ = ()
-
-
-class ReportCompleted(RequestAction):
-    """Reply to the caller with the endpoint's response."""
-
-    __slots__ = ()
-
-
-class ReportNotRun(RequestAction):
-    """Tell the caller that the request did not run."""
-
-    __slots__ = ()
-
-
-class ReportUnknown(RequestAction):
-    """Tell the caller that the request may have run."""
-
-    __slots__ = ()
-
-
-class EndpointAvailable(RequestGuard):
-    """Hold if some endpoint of the service can take the request."""
-
-    __slots__ = ()
-
-
 @dataclass(slots=True)
 class RequestState:
     """Own the requests in progress and the view of the endpoints."""
@@ -162,15 +111,16 @@
     random: Random
     requests: dict[str, Request] = field(default_factory=dict)
     endpoints: dict[str, EndpointView] = field(default_factory=dict)
+    classes: dict[str, WorkClass] = field(default_factory=default_classes)
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
-
-def request_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the request chart bound to its actions and guards."""
-    return catalogue.bind(
-        "request",
-        actions=RequestAction.__subclasses__(),
-        guards=RequestGuard.__subclasses__(),
-    )
+    def budget(self, work_class: WorkClass) -> RetryBudget:
+        """Return the retry budget of a class."""
+        budget = self.budgets.get(work_class.name)
+        if budget is None:
+            budget = RetryBudget(work_class.retry_budget)
+            self.budgets[work_class.name] = budget
+        return budget
 
 
 @singledispatch
@@ -184,7 +134,12 @@
 
 @decide.register
 def _(message: RequestReceived, state: RequestState, now: float) -> list[Command]:
-    request = Request(message, state.chart.start(), now + message.deadline)
+    request = Request(
+        received=message,
+        work_class=state.classes[message.work_class],
+        lifecycle=state.chart.start(),
+        deadline=now + message.deadline,
+    )
     state.requests[message.request_id] = request
     timer = SetTimer(
         timer_id=message.request_id,
@@ -194,14 +149,25 @@
     return [timer, *request.lifecycle.handle(message, state, request, now)]
 
 
-@decide.register
-def _(message: DeadlineReached, state: RequestState, now: float) -> list[Command]:
+@decide.register(DeadlineReached)
+@decide.register(RetryDue)
+def _(
+    message: DeadlineReached | RetryDue, state: RequestState, now: float
+) -> list[Command]:
     request = state.requests.get(message.request_id)
     if request is None:
         return []
     return request.lifecycle.handle(message, state, request, now)
 
 
+@decide.register
+def _(message: ResolveTimedOut, state: RequestState, now: float) -> list[Command]:
+    request = state.requests.get(message.request_id)
+    if request is None or request.attempt_id != message.attempt_id:
+        return []
+    return request.lifecycle.handle(message, state, request, now)
+
+
 @decide.register
 def _(message: FromAgent, state: RequestState, now: float) -> list[Command]:
     reply = message.message
@@ -217,118 +183,44 @@
 
 @decide.register
 def _(message: AgentAttached, state: RequestState, now: float) -> list[Command]:
+    # A new stream may replace one whose end was not reported; what was under way
+    # on the former stream is lost.
+    detached = AgentDetached(agent_id=message.agent_id)
+    commands = _tell_requests(detached, message.agent_id, state, now)
     state.endpoints[message.agent_id] = EndpointView(
         agent_id=message.agent_id,
         service=message.service,
         region=message.region,
         slots=message.slots,
+        in_flight=_count_running(state, message.agent_id),
     )
-    return []
+    return commands + _tell_requests(message, message.agent_id, state, now)
 
 
 @decide.register
 def _(message: AgentDetached, state: RequestState, now: float) -> list[Command]:
     state.endpoints.pop(message.agent_id, None)
-    commands: list[Command] = []
-    for request in list(state.requests.values()):
-        if request.agent_id == message.agent_id:
-            commands += request.lifecycle.handle(message, state, request, now)
-    return commands
-
-
-@holds.register
-def _(guard: EndpointAvailable) -> bool:
-    return _choose(guard.state, guard.subject) is not None
-
-
-@perform.register
-def _(action: AskPermit) -> list[Command]:
-    request = action.subject
-    endpoint = _choose(action.state, request)
-    if endpoint is None:
-        return []
-    endpoint.in_flight += 1
-    request.agent_id = endpoint.agent_id
-    request.attempts += 1
-    permit = RequestPermit(
-        attempt_id=request.attempt_id,
-        request_id=request.received.request_id,
-        remaining=request.deadline - action.now,
-    )
-    return [SendToAgent(agent_id=request.agent_id, message=permit)]
-
-
-@perform.register
-def _(action: SendStart) -> list[Command]:
-    request, message = action.subject, action.message
-    if not isinstance(message, PermitGranted):
-        return []
-    received = request.received
-    start = StartAttempt(
-        attempt_id=request.attempt_id,
-        permit_id=message.permit_id,
-        method=received.method,
-        path=received.path,
-        headers=received.headers,
-        body=received.body,
-        remaining=request.deadline - action.now,
-    )
-    return [SendToAgent(agent_id=request.agent_id, message=start)]
-
-
-@perform.register
-def _(action: SendCancel) -> list[Command]:
-    request = action.subject
-    cancel = CancelAttempt(attempt_id=request.attempt_id)
-    return [SendToAgent(agent_id=request.agent_id, message=cancel)]
-
-
-@perform.register
-def _(action: ReportCompleted) -> list[Command]:
-    message = action.message
-    if not isinstance(message, AttemptCompleted):
-        return []
-    reply = ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=Outcome.COMPLETED,
-        status=message.status,
-        headers=message.headers,
-        body=message.body,
-    )
-    return _end(action, reply)
-
-
-@perform.register
-def _(action: ReportNotRun) -> list[Command]:
-    return _end(action, _failure(action, Outcome.NOT_RUN))
-
+    return _tell_requests(message, message.agent_id, state, now)
 
-@perform.register
-def _(action: ReportUnknown) -> list[Command]:
-    return _end(action, _failure(action, Outcome.UNKNOWN))
 
-
-def _choose(state: RequestState, request: Request) -> EndpointView | None:
-    return choose_endpoint(
-        state.endpoints.values(), request.received.service, state.region, state.random
-    )
+@decide.register
+def _(message: AgentLeaving, state: RequestState, now: float) -> list[Command]:
+    endpoint = state.endpoints.get(message.agent_id)
+    if endpoint is not None:
+        endpoint.leaving = True
+    return []
 
 
-def _failure(action: RequestAction, outcome: Outcome) -> ReplyToCaller:
-    reason = getattr(action.message, "reason", None)
-    if not isinstance(reason, Reason):
-        reason = Reason.DEADLINE_EXCEEDED
-    return ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=outcome,
-        reason=reason.value,
-    )
+def _tell_requests(
+    message: Message, agent_id: str, state: RequestState, now: float
+) -> list[Command]:
+    commands: list[Command] = []
+    for request in list(state.requests.values()):
+        if request.agent_id == agent_id:
+            commands += request.lifecycle.handle(message, state, request, now)
+    return commands
 
 
-def _end(action: RequestAction, reply: ReplyToCaller) -> list[Command]:
-    state, request = action.state, action.subject
-    state.requests.pop(reply.request_id, None)
-    endpoint = state.endpoints.get(request.agent_id)
-    if endpoint is not None:
-        endpoint.in_flight -= 1
-    return [CancelTimer(timer_id=reply.request_id), reply]
+def _count_running(state: RequestState, agent_id: str) -> int:
+    requests = state.requests.values()
+    return sum(r.holds_endpoint and r.agent_id == agent_id for r in requests)
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -10,7 +10,8 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.request import request_chart, RequestState
+from wasabispur_core.request import RequestState
+from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -10,7 +10,7 @@
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Role
-from wasabispur_core.request import AgentAttached, AgentDetached
+from wasabispur_core.request import AgentAttached, AgentDetached, AgentLeaving
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import execute
@@ -87,7 +87,7 @@
 @route.register
 def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
     if membership.dispatcher is not None:
-        membership.dispatcher.post(AgentDetached(agent_id=message.agent_id))
+        membership.dispatcher.post(AgentLeaving(agent_id=message.agent_id))
 
 
 @execute.register
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -6,12 +6,8 @@
 from typing import Any
 
 from wasabispur_core.log_event import REQUEST_ANSWERED, REQUEST_RECEIVED
-from wasabispur_core.request import (
-    decide,
-    ReplyToCaller,
-    RequestReceived,
-    RequestState,
-)
+from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.request import decide, RequestReceived, RequestState
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/service_resource.py
+++ b/packages/wasabispur/src/wasabispur/service_resource.py
@@ -7,7 +7,8 @@
 
 import cherrypy
 
-from wasabispur_core.request import Outcome, ReplyToCaller, RequestReceived
+from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.request import RequestReceived
 
 from .bridge import Bridge
 from .http_error import BadRequestError, error_body
--- a/tests/chart/test_chart.py
+++ b/tests/chart/test_chart.py
@@ -15,15 +15,15 @@
 from wasabispur_core.chart import Chart, CHART_DIRECTORY, ChartCatalogue
 from wasabispur_core.error import ChartError, UnexpectedEventError
 from wasabispur_core.message import Message, snake_case
-from wasabispur_core.protocol import PermitGranted
+from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.protocol import PermitGranted, PermitId
 from wasabispur_core.request import (
     AgentAttached,
     decide,
-    ReplyToCaller,
-    request_chart,
     RequestReceived,
     RequestState,
 )
+from wasabispur_core.request_action import request_chart
 
 CATALOGUE = ChartCatalogue()
 
@@ -154,6 +154,10 @@
     request = state.requests["r1"]
     with pytest.raises(UnexpectedEventError, match="request_received"):
         request.lifecycle.handle(received(), state, request, 0.0)
-    granted = PermitGranted(attempt_id="r1.1", permit_id="p", lifetime=2.0)
+    granted = PermitGranted(
+        attempt_id="r1.1",
+        permit_id=PermitId(incarnation=1, number=1),
+        lifetime=2.0,
+    )
     request.lifecycle.handle(granted, state, request, 0.0)
     assert request.lifecycle.state == "running"
