--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/json_http.py
@@ -0,0 +1,33 @@
+"""Write JSON answers of the stand-ins."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import cherrypy
+
+from wasabispur.http_error import error_body
+
+
+def json_answer(value: Any, status: int = 200) -> bytes:
+    """Set the status and return the value as a JSON body."""
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return json.dumps(value).encode()
+
+
+def error_answer(status: int, kind: str, message: str, remedy: str) -> bytes:
+    """Set the status and return an error as a JSON body."""
+    cherrypy.response.status = status
+    return error_body(kind, message, remedy)
+
+
+def method_refused() -> bytes:
+    """Answer a method that the resource doesn't have."""
+    return error_answer(
+        405,
+        "MethodNotAllowed",
+        f"{cherrypy.request.method} is not possible here",
+        "see section 4.2 of the design page",
+    )
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/object_store.py
@@ -0,0 +1,122 @@
+"""Stand in for the platform's object store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import cherrypy
+
+from wasabispur.bridge import Bridge
+from wasabispur_core.message import Message
+from wasabispur_runtime.actor import Actor
+
+from .json_http import error_answer, json_answer, method_refused
+from .stand_in import answer, BODY_LIMIT_BYTES, REPLY_TIMEOUT
+
+STORE_LIMIT_BYTES = 256 * 1024 * 1024
+"""Bytes that the stand-in holds in memory."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PutObject(Message):
+    """Store bytes under a key."""
+
+    key: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GetObject(Message):
+    """Return the bytes under a key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeleteObject(Message):
+    """Drop the bytes under a key."""
+
+    key: str
+
+
+@dataclass(slots=True)
+class ObjectState:
+    """Own the objects."""
+
+    objects: dict[str, bytes] = field(default_factory=dict)
+    size: int = 0
+
+
+@answer.register
+def _(message: PutObject, state: ObjectState, now: float) -> bool:
+    size = state.size + len(message.data) - len(state.objects.get(message.key, b""))
+    if size > STORE_LIMIT_BYTES:
+        return False
+    state.objects[message.key] = message.data
+    state.size = size
+    return True
+
+
+@answer.register
+def _(message: GetObject, state: ObjectState, now: float) -> bytes | None:
+    return state.objects.get(message.key)
+
+
+@answer.register
+def _(message: DeleteObject, state: ObjectState, now: float) -> bool:
+    data = state.objects.pop(message.key, None)
+    state.size -= len(data or b"")
+    return data is not None
+
+
+class ObjectResource:
+    """Serve the objects under their keys."""
+
+    def __init__(self, bridge: Bridge, store: Actor) -> None:
+        self.bridge = bridge
+        self.store = store
+
+    @cherrypy.expose
+    def default(self, *path: str) -> bytes:
+        """Answer PUT, GET and DELETE."""
+        key = "/".join(path)
+        method = cherrypy.request.method
+        if method == "PUT":
+            return self.put(key)
+        if method == "GET":
+            return self.get(key)
+        if method == "DELETE":
+            self.bridge.ask(self.store, DeleteObject(key=key), REPLY_TIMEOUT)
+            return json_answer({})
+        return method_refused()
+
+    def put(self, key: str) -> bytes:
+        """Store the body."""
+        data = cherrypy.request.rfile.read(BODY_LIMIT_BYTES)
+        if self.bridge.ask(self.store, PutObject(key=key, data=data), REPLY_TIMEOUT):
+            return json_answer({})
+        return error_answer(507, "Full", "the store is full", "delete objects")
+
+    def get(self, key: str) -> bytes:
+        """Return the stored bytes."""
+        data: bytes | None = self.bridge.ask(
+            self.store, GetObject(key=key), REPLY_TIMEOUT
+        )
+        if data is None:
+            return error_answer(404, "NotFound", f"no object {key}", "check the key")
+        cherrypy.response.headers["Content-Type"] = "application/octet-stream"
+        return data
+
+
+class ObjectVersion:
+    """Hold the resources under /v1."""
+
+    def __init__(self, bridge: Bridge, store: Actor) -> None:
+        self.objects = ObjectResource(bridge, store)
+
+
+class ObjectRoot:
+    """Hold the resources of the object store."""
+
+    def __init__(self, bridge: Bridge, store: Actor) -> None:
+        self.v1 = ObjectVersion(bridge, store)
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker.py
@@ -0,0 +1,170 @@
+"""Stand in for a worker of the platform."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import Annotated, Any
+
+import cherrypy
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from wasabispur.bridge import Bridge
+from wasabispur.http_error import BadRequestError, http_status, NotFoundError
+from wasabispur.http_request import read_model
+from wasabispur_core.message import Message
+from wasabispur_runtime.actor import Actor
+
+from .json_http import json_answer, method_refused
+from .stand_in import REPLY_TIMEOUT
+from .worker_message import (
+    CheckpointCall,
+    ReadStarts,
+    ReadTask,
+    ReadTasks,
+    ReadUsage,
+    RenewCall,
+    StartTaskCall,
+    StopCall,
+    TaskCommand,
+    ThrottleCall,
+)
+from .worker_state import NoCapacityError, TaskConflictError, UnknownTaskError
+
+LEASE_LIMIT = 3600.0
+
+Lease = Annotated[float, Field(gt=0, le=LEASE_LIMIT)]
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+
+class StartBody(_Body):
+    """Validate the start of a task; lease is in seconds, memory in bytes."""
+
+    task_id: Annotated[str, Field(min_length=1, max_length=128)]
+    accelerators: Annotated[int, Field(ge=0)] = 0
+    cores: Annotated[int, Field(ge=0)] = 0
+    memory: Annotated[int, Field(ge=0)] = 0
+    command: Annotated[str, Field(max_length=64 * 1024)] = "{}"
+    lease: Lease
+    checkpoint: str = ""
+
+    def call(self) -> StartTaskCall:
+        """Return the typed call; raise BadRequestError for a bad command."""
+        try:
+            command = TaskCommand.model_validate_json(self.command)
+        except ValidationError as error:
+            raise BadRequestError(
+                f"command is not valid: {error.errors(include_url=False)[0]['msg']}",
+                'send a JSON text such as {"run_time": 1.5, "result": "..."}',
+            ) from error
+        return StartTaskCall(
+            task_id=self.task_id,
+            accelerators=self.accelerators,
+            command=command,
+            lease=self.lease,
+            checkpoint=self.checkpoint,
+        )
+
+
+class RenewBody(_Body):
+    """Validate a renewal; lease is in seconds."""
+
+    lease: Lease
+
+
+class ThrottleBody(_Body):
+    """Validate a throttle; share is the part of the full speed."""
+
+    share: Annotated[float, Field(ge=0, le=1)]
+
+
+@http_status.register
+def _(error: UnknownTaskError) -> int:
+    return 404
+
+
+@http_status.register
+def _(error: TaskConflictError) -> int:
+    return 409
+
+
+@http_status.register
+def _(error: NoCapacityError) -> int:
+    return 409
+
+
+class TasksResource:
+    """Serve /v1/tasks."""
+
+    def __init__(self, bridge: Bridge, tasks: Actor) -> None:
+        self.bridge = bridge
+        self.tasks = tasks
+
+    def ask(self, message: Message) -> Any:
+        """Return the worker's reply."""
+        return self.bridge.ask(self.tasks, message, REPLY_TIMEOUT)
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Start a task, or list all."""
+        if cherrypy.request.method == "POST":
+            return json_answer(asdict(self.ask(read_model(StartBody).call())))
+        if cherrypy.request.method == "GET":
+            return json_answer({"tasks": [asdict(t) for t in self.ask(ReadTasks())]})
+        return method_refused()
+
+    @cherrypy.expose
+    def default(self, task_id: str, command: str = "") -> bytes:
+        """Show a task or command it."""
+        method = cherrypy.request.method
+        if not command and method == "GET":
+            return json_answer(asdict(self.ask(ReadTask(task_id=task_id))))
+        if method != "POST":
+            return method_refused()
+        return json_answer(asdict(self.ask(read_command(task_id, command))))
+
+
+def read_command(task_id: str, command: str) -> Message:
+    """Return the typed call for a command on a task; raise NotFoundError."""
+    match command:
+        case "renew":
+            return RenewCall(task_id=task_id, lease=read_model(RenewBody).lease)
+        case "throttle":
+            return ThrottleCall(task_id=task_id, share=read_model(ThrottleBody).share)
+        case "checkpoint":
+            return CheckpointCall(task_id=task_id)
+        case "stop":
+            return StopCall(task_id=task_id)
+        case _:
+            raise NotFoundError(
+                f"{command!r} is no command for a task",
+                "use renew, checkpoint, throttle or stop",
+            )
+
+
+class WorkerVersion:
+    """Hold the resources under /v1."""
+
+    def __init__(self, bridge: Bridge, tasks: Actor) -> None:
+        self.tasks = TasksResource(bridge, tasks)
+
+    @cherrypy.expose
+    def usage(self) -> bytes:
+        """Return the usage as it was some time ago, or null before that."""
+        sample = self.tasks.ask(ReadUsage())
+        return json_answer({"usage": None if sample is None else asdict(sample)})
+
+
+class WorkerRoot:
+    """Hold the resources of a worker."""
+
+    def __init__(self, bridge: Bridge, tasks: Actor) -> None:
+        self.v1 = WorkerVersion(bridge, tasks)
+
+    @cherrypy.expose
+    def starts(self) -> bytes:
+        """Return every start of a task."""
+        starts = self.v1.tasks.ask(ReadStarts())
+        return json_answer({"starts": [asdict(start) for start in starts]})
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker_state.py
@@ -0,0 +1,291 @@
+"""Hold the tasks of the worker stand-in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from wasabispur_core.error import WasabispurError
+
+from .fault import FailTasks, FaultList, IgnoreStops
+from .stand_in import answer
+from .worker_message import (
+    CheckpointCall,
+    ReadStarts,
+    ReadTask,
+    ReadTasks,
+    ReadUsage,
+    RenewCall,
+    StartTaskCall,
+    StopCall,
+    TaskCommand,
+    ThrottleCall,
+)
+
+RUNNING = "running"
+FINISHED = "finished"
+FAILED = "failed"
+STOPPED = "stopped"
+LAPSED = "lapsed"
+
+TASK_LIMIT = 10_000
+"""Tasks that a worker remembers, ended ones included."""
+
+USAGE_LAG = 2.0
+"""Default age in seconds of the reported usage."""
+
+
+class UnknownTaskError(WasabispurError):
+    """Report a task that the worker doesn't know."""
+
+
+class TaskConflictError(WasabispurError):
+    """Report a task that is not in a state for the command."""
+
+
+class NoCapacityError(WasabispurError):
+    """Report a worker without enough free accelerators."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Task:
+    """Hold one task; progress is in seconds of its run time."""
+
+    task_id: str
+    accelerators: int
+    command: TaskCommand
+    started: float
+    updated: float
+    lease_end: float
+    progress: float = 0.0
+    share: float = 1.0
+    state: str = RUNNING
+    stopping_at: float | None = None
+    checkpoint: str = ""
+    result: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TaskView:
+    """Show one task to the caller; times are in seconds."""
+
+    task_id: str
+    state: str
+    accelerators: int
+    progress: float
+    share: float
+    lease_remaining: float
+    checkpoint: str
+    result: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Start:
+    """Record one start; at is in seconds on the worker's clock."""
+
+    task_id: str
+    accelerators: int
+    at: float
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UsageSample:
+    """Record the accelerators in use at a time."""
+
+    at: float
+    accelerators: int
+    tasks: int
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """Own the tasks; everything due is applied before each message."""
+
+    accelerators: int = 8
+    usage_lag: float = USAGE_LAG
+    tasks: dict[str, Task] = field(default_factory=dict)
+    starts: list[Start] = field(default_factory=list)
+    samples: list[UsageSample] = field(default_factory=list)
+    fail_tasks: bool = False
+    ignore_stops: bool = False
+
+    def observe(self, faults: FaultList) -> None:
+        """Note the faults that act on tasks."""
+        kinds = {type(fault) for fault in faults.faults}
+        self.fail_tasks = FailTasks in kinds
+        self.ignore_stops = IgnoreStops in kinds
+
+    def used(self) -> int:
+        """Return the accelerators in use."""
+        running = (task for task in self.tasks.values() if task.state == RUNNING)
+        return sum(task.accelerators for task in running)
+
+    def running(self, task_id: str) -> Task:
+        """Return a running task; raise if it is unknown or has ended."""
+        task = self.tasks.get(task_id)
+        if task is None:
+            raise UnknownTaskError(f"there is no task {task_id}", "start it first")
+        if task.state != RUNNING:
+            raise TaskConflictError(
+                f"task {task_id} is {task.state}", "read it for its result"
+            )
+        return task
+
+    def advance(self, now: float) -> None:
+        """Apply ends of run times, stops and lapsed leases up to now."""
+        for task in self.tasks.values():
+            if task.state == RUNNING:
+                self.advance_task(task, now)
+        self.record_usage(now)
+
+    def record_usage(self, now: float) -> None:
+        """Take a sample and drop those that are older than the lag needs."""
+        sample = UsageSample(
+            at=now,
+            accelerators=self.used(),
+            tasks=sum(task.state == RUNNING for task in self.tasks.values()),
+        )
+        self.samples.append(sample)
+        while len(self.samples) > 1 and self.samples[1].at <= now - self.usage_lag:
+            del self.samples[0]
+
+    def advance_task(self, task: Task, now: float) -> None:
+        """Bring one running task up to now; what falls due first decides."""
+        rest = task.command.run_time - task.progress
+        done = task.updated + rest / task.share if task.share else float("inf")
+        stopped = float("inf") if task.stopping_at is None else task.stopping_at
+        first = min(done, stopped, task.lease_end)
+        until = min(first, now)
+        task.progress += (until - task.updated) * task.share
+        task.updated = now
+        if first > now:
+            return
+        if first == done:
+            failed = self.fail_tasks or not task.command.succeeds
+            task.state = FAILED if failed else FINISHED
+            task.result = "" if failed else task.command.result
+            return
+        task.state = STOPPED if first == stopped else LAPSED
+
+
+def view(task: Task, now: float) -> TaskView:
+    """Return what a caller sees of a task."""
+    return TaskView(
+        task_id=task.task_id,
+        state=task.state,
+        accelerators=task.accelerators,
+        progress=task.progress,
+        share=task.share,
+        lease_remaining=max(task.lease_end - now, 0.0),
+        checkpoint=task.checkpoint,
+        result=task.result,
+    )
+
+
+def checkpoint_progress(checkpoint: str) -> float:
+    """Return the progress saved in a checkpoint's name, or 0."""
+    text = checkpoint.rpartition(":")[2]
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        return 0.0
+
+
+@answer.register
+def _(message: StartTaskCall, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    known = state.tasks.get(message.task_id)
+    if known is not None:
+        return view(known, now)
+    if state.used() + message.accelerators > state.accelerators:
+        raise NoCapacityError(
+            f"{state.accelerators - state.used()} accelerators are free",
+            "start the task elsewhere",
+        )
+    if len(state.tasks) >= TASK_LIMIT:
+        raise NoCapacityError(f"{TASK_LIMIT} tasks are recorded", "restart the worker")
+    task = Task(
+        task_id=message.task_id,
+        accelerators=message.accelerators,
+        command=message.command,
+        started=now,
+        updated=now,
+        lease_end=now + message.lease,
+        progress=checkpoint_progress(message.checkpoint),
+        checkpoint=message.checkpoint,
+    )
+    state.tasks[task.task_id] = task
+    state.starts.append(
+        Start(
+            task_id=task.task_id,
+            accelerators=task.accelerators,
+            at=now,
+            checkpoint=message.checkpoint,
+        )
+    )
+    state.record_usage(now)
+    return view(task, now)
+
+
+@answer.register
+def _(message: RenewCall, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    task = state.running(message.task_id)
+    task.lease_end = now + message.lease
+    return view(task, now)
+
+
+@answer.register
+def _(message: CheckpointCall, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    task = state.running(message.task_id)
+    task.checkpoint = f"checkpoint:{task.task_id}:{task.progress:.3f}"
+    return view(task, now)
+
+
+@answer.register
+def _(message: ThrottleCall, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    task = state.running(message.task_id)
+    task.share = message.share
+    return view(task, now)
+
+
+@answer.register
+def _(message: StopCall, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    known = state.tasks.get(message.task_id)
+    if known is not None and known.state != RUNNING:
+        return view(known, now)
+    task = state.running(message.task_id)
+    if not state.ignore_stops and task.stopping_at is None:
+        task.stopping_at = now + task.command.stop_time
+        state.advance_task(task, now)
+    return view(task, now)
+
+
+@answer.register
+def _(message: ReadTask, state: WorkerState, now: float) -> TaskView:
+    state.advance(now)
+    task = state.tasks.get(message.task_id)
+    if task is None:
+        raise UnknownTaskError(f"there is no task {message.task_id}", "start it first")
+    return view(task, now)
+
+
+@answer.register
+def _(message: ReadTasks, state: WorkerState, now: float) -> list[TaskView]:
+    state.advance(now)
+    return [view(task, now) for task in state.tasks.values()]
+
+
+@answer.register
+def _(message: ReadStarts, state: WorkerState, now: float) -> list[Start]:
+    return list(state.starts)
+
+
+@answer.register
+def _(message: ReadUsage, state: WorkerState, now: float) -> UsageSample | None:
+    state.advance(now)
+    oldest = state.samples[0]
+    return oldest if oldest.at <= now - state.usage_lag else None
--- /dev/null
+++ b/tests/platform/test_worker_state.py
@@ -0,0 +1,124 @@
+"""Check the worker stand-in's tasks on the fake clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabispur_standins.fault import FaultList
+from wasabispur_standins.stand_in import answer
+from wasabispur_standins.worker_message import (
+    CheckpointCall,
+    ReadTask,
+    ReadUsage,
+    RenewCall,
+    StartTaskCall,
+    StopCall,
+    TaskCommand,
+    ThrottleCall,
+)
+from wasabispur_standins.worker_state import (
+    NoCapacityError,
+    TaskConflictError,
+    WorkerState,
+)
+
+
+def start(state, task_id="t", accelerators=2, now=0.0, lease=10.0, checkpoint="", **c):
+    """Start a task and return its view."""
+    call = StartTaskCall(
+        task_id=task_id,
+        accelerators=accelerators,
+        command=TaskCommand(**c),
+        lease=lease,
+        checkpoint=checkpoint,
+    )
+    return answer(call, state, now)
+
+
+def read(state, now, task_id="t"):
+    """Return the view of a task."""
+    return answer(ReadTask(task_id=task_id), state, now)
+
+
+def test_a_repeated_start_is_one_start():
+    """Guards against a stand-in that hides a double start or causes one."""
+    state = WorkerState()
+    start(state)
+    start(state, now=0.5)
+    assert len(state.starts) == 1
+
+
+def test_a_task_finishes_after_its_run_time_with_its_result():
+    """Guards against a task that ends early or loses its result."""
+    state = WorkerState()
+    start(state, run_time=3.0, result="done")
+    assert read(state, 2.9).state == "running"
+    assert (read(state, 3.1).state, read(state, 3.1).result) == ("finished", "done")
+
+
+def test_a_lease_lapses_on_the_workers_clock_even_if_read_late():
+    """Guards against a task that outlives its lease and then counts as finished."""
+    state = WorkerState()
+    start(state, run_time=5.0, lease=2.0)
+    assert read(state, 100.0).state == "lapsed"
+    with pytest.raises(TaskConflictError):
+        answer(RenewCall(task_id="t", lease=5.0), state, 101.0)
+
+
+def test_renewal_keeps_a_task_running():
+    """Guards against a renewal without effect."""
+    state = WorkerState()
+    start(state, run_time=9.0, lease=2.0)
+    answer(RenewCall(task_id="t", lease=2.0), state, 1.9)
+    assert read(state, 3.8).state == "running"
+
+
+def test_throttle_slows_and_a_checkpoint_saves_the_progress():
+    """Guards against progress that a restart from a checkpoint loses."""
+    state = WorkerState()
+    start(state, run_time=4.0)
+    answer(ThrottleCall(task_id="t", share=0.5), state, 1.0)
+    saved = answer(CheckpointCall(task_id="t"), state, 3.0).checkpoint
+    other = WorkerState()
+    start(other, now=100.0, run_time=4.0, checkpoint=saved)
+    assert read(other, 101.9).state == "running"
+    assert read(other, 102.1).state == "finished"
+
+
+def test_stop_time_and_ignored_stops():
+    """Guards against tests of reclaim that only meet obedient workers."""
+    state = WorkerState()
+    start(state, run_time=9.0, stop_time=1.0)
+    assert answer(StopCall(task_id="t"), state, 1.0).state == "running"
+    assert read(state, 2.0).state == "stopped"
+    stubborn = WorkerState()
+    stubborn.observe(FaultList(faults=[{"kind": "ignore_stops"}]))
+    start(stubborn, run_time=9.0, lease=4.0)
+    answer(StopCall(task_id="t"), stubborn, 1.0)
+    assert read(stubborn, 3.9).state == "running"
+    assert read(stubborn, 4.0).state == "lapsed"
+
+
+def test_failing_worker_fails_every_task():
+    """Guards against a quarantine test that a healthy task would pass."""
+    state = WorkerState()
+    state.observe(FaultList(faults=[{"kind": "fail_tasks"}]))
+    start(state, run_time=1.0, result="x")
+    assert (read(state, 1.0).state, read(state, 1.0).result) == ("failed", "")
+
+
+def test_accelerators_are_never_oversubscribed():
+    """Guards against two tasks on the same accelerators."""
+    state = WorkerState(accelerators=3)
+    start(state, "a")
+    with pytest.raises(NoCapacityError):
+        start(state, "b")
+    start(state, "b", now=1.0)
+
+
+def test_usage_is_reported_with_the_lag():
+    """Guards against decisions that are only tried with fresh usage."""
+    state = WorkerState(usage_lag=2.0)
+    start(state, run_time=9.0)
+    assert answer(ReadUsage(), state, 1.0) is None
+    assert answer(ReadUsage(), state, 2.5).accelerators == 2
