Bound the control stream and detect every fault of its link

Contract tests of the stream between agent and entry found these causes:

- grpclib reads a frame of any announced length (up to 4 GiB) before the codec sees its size; the length is now checked first.
- A truncated or compressed frame killed the reader task without a record.
- A full mailbox killed the reader, and dropped timers, the close message and the ends of sessions for good.
These now pass the limit, and a full mailbox is recorded once until it has room again.
- A full membership mailbox kept heartbeats from being answered, so a loaded entry looked silent.
The answer now goes first.
- A planned stop of an agent cancelled its stream with messages queued.
- A silent link left the entry's socket open, and connections without a stream stayed open without a bound.
- Two processes with one id replaced each other for ever; the older incarnation is now refused.
- A heartbeat interval of zero made the agent send without pause, and NaN passed as a lease; both are refused.
- An integer over 64 bits or a lone surrogate raised an untyped error.

The fake timer service drives all time limits of a stream, so no verdict depends on the machine's speed.

--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -11,20 +11,25 @@
 from grpclib.client import Channel, StreamStreamMethod
 
 from wasabispur_core.error import ProtocolError
-from wasabispur_core.log_event import STREAM_FAILED, STREAM_OPENED
+from wasabispur_core.log_event import HANDLER_FAILED, STREAM_FAILED, STREAM_OPENED
 from wasabispur_core.message import Message
 from wasabispur_core.permit import FromEntry, SendToEntryLink
 from wasabispur_core.protocol import Announce, Heartbeat, Welcome
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.codec import FROM_AGENT, MessageCodec, TO_AGENT
-from wasabispur_runtime.log import log
+from wasabispur_runtime.log import log, log_failure
 from wasabispur_runtime.stream import (
     ATTACH_METHOD,
+    FRAME_ERRORS,
+    INTERVAL_MAXIMUM,
+    INTERVAL_MINIMUM,
+    limit_frames,
     MessageStream,
     Outgoing,
     STREAM_ERRORS,
 )
+from wasabispur_runtime.timer_service import time_limit
 
 CONNECT_TIMEOUT = 3.0
 """Seconds within which an entry has to welcome the agent."""
@@ -33,6 +38,12 @@
 BACKOFF_LIMIT = 5.0
 """Bounds in seconds of the jittered delay before the next dial."""
 
+STABLE_AFTER = 5.0
+"""Seconds after which a stream counts as good and the backoff starts anew."""
+
+CLOSE_TIMEOUT = 3.0
+"""Seconds that a planned stop waits for the entry to take the last messages."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DialDue(Message):
@@ -65,6 +76,7 @@
         self.receiver = receiver
         self.random = random
         self.failures = 0
+        self.closing = False
         self.stream: MessageStream | None = None
         self.session: asyncio.Task[None] | None = None
 
@@ -73,10 +85,15 @@
         self.post(DialDue())
 
     async def closed(self) -> None:
-        """End the stream."""
-        if self.session is not None:
+        """Send what is queued, and end the stream."""
+        if self.session is None:
+            return
+        self.closing = True
+        if self.stream is None:
             self.session.cancel()
-            await asyncio.gather(self.session, return_exceptions=True)
+        else:
+            self.stream.end("planned stop")
+        await asyncio.wait([self.session])
 
     def on_dial_due(self, message: DialDue) -> None:
         """Open a stream in a task of its own, so that messages go on."""
@@ -103,36 +120,63 @@
             reason = await self._attach(channel)
         except TimeoutError:
             reason = "the entry did not welcome the agent in time"
-        except (ProtocolError, *STREAM_ERRORS) as error:
+        except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
+            reason = f"{type(error).__name__}: {error}"
+        except Exception as error:
+            # The link has to dial again after any failure.
             reason = f"{type(error).__name__}: {error}"
+            log_failure(
+                HANDLER_FAILED, actor=self.name, message_name="dial_due", error=reason
+            )
         finally:
+            self.stream = None
             channel.close()
-        self.post(LinkEnded(reason=reason))
+        self.post_urgent(LinkEnded(reason=reason))
 
     async def _attach(self, channel: Channel) -> str:
         method: Any = StreamStreamMethod(
             channel, ATTACH_METHOD, cast(Any, FROM_AGENT), cast(Any, TO_AGENT)
         )
         async with method.open() as stream:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
+            async with time_limit(self.timers, CONNECT_TIMEOUT):
                 await stream.send_message(self.announce())
+                limit_frames(stream)
                 welcome = await stream.recv_message()
             if not isinstance(welcome, Welcome):
                 return "the entry sent no Welcome"
-            self.failures = 0
+            interval = welcome.heartbeat_interval
+            if not INTERVAL_MINIMUM <= interval <= INTERVAL_MAXIMUM:
+                return f"the entry asked for heartbeats every {interval:g} s"
             log(STREAM_OPENED, peer=welcome.entry_id)
-            self.stream = MessageStream(
-                self.address,
-                self.timers,
-                stream,
-                receiver=self._forward,
-                heartbeat=self.heartbeat,
-                interval=welcome.heartbeat_interval,
-                initiator=True,
-            )
+            opened = self.timers.now()
+            self.stream = self._open_stream(stream, interval)
             reason = await self.stream.serve()
-            await stream.cancel()
+            if self.timers.now() - opened >= STABLE_AFTER:
+                self.failures = 0
+            await self._finish(stream)
             return reason
 
+    def _open_stream(self, stream: Any, interval: float) -> MessageStream:
+        return MessageStream(
+            self.address,
+            self.timers,
+            stream,
+            receiver=self._forward,
+            heartbeat=self.heartbeat,
+            interval=interval,
+            initiator=True,
+        )
+
+    async def _finish(self, stream: Any) -> None:
+        if not self.closing:
+            await stream.cancel()
+            return
+        # The entry ends its side after it has read everything; a connection
+        # closed earlier may discard the last messages.
+        async with time_limit(self.timers, CLOSE_TIMEOUT):
+            await stream.end()
+            while await stream.recv_message() is not None:
+                continue
+
     def _forward(self, message: Message) -> None:
         self.receiver(FromEntry(entry_id=self.address, message=message))
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -35,6 +35,18 @@
 STREAM_FAILED = LogEvent(205, "WARNING", "stream to {peer} failed: {reason}")
 MESSAGE_MALFORMED = LogEvent(206, "WARNING", "malformed message from {peer}: {error}")
 AGENT_LEAVING = LogEvent(207, "INFO", "agent {agent} is leaving")
+SESSIONS_FULL = LogEvent(
+    221, "ERROR", "refused a stream: {limit} agents are attached already"
+)
+AGENT_DUPLICATE = LogEvent(
+    222, "ERROR", "refused a second process that announced itself as {agent}"
+)
+CONNECTIONS_FULL = LogEvent(
+    223, "ERROR", "refused a connection: {limit} are open already"
+)
+CONNECTION_UNUSED = LogEvent(
+    224, "WARNING", "closed a connection on which no stream was opened"
+)
 REQUEST_RECEIVED = LogEvent(301, "DEBUG", "request {request} received")
 REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
--- a/packages/wasabispur-core/src/wasabispur_core/message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/message.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 from functools import cache
+from typing import ClassVar
 
 WORD_BOUNDARY = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
 
@@ -13,6 +14,10 @@
 class Message:
     """Carry typed fields from one component to another."""
 
+    # Read by pydantic, which validates decoded messages. A lease or interval that
+    # is not a number would compare false with every limit.
+    __pydantic_config__: ClassVar[dict[str, bool]] = {"allow_inf_nan": False}
+
 
 @cache
 def snake_case(class_name: str) -> str:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/actor.py
@@ -6,14 +6,18 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from inspect import isawaitable
-from typing import Any
+from typing import Any, NoReturn
 
 from wasabispur_core.error import (
     MailboxFullError,
     UnhandledMessageError,
     WasabispurError,
 )
-from wasabispur_core.log_event import HANDLER_FAILED, MESSAGE_REJECTED
+from wasabispur_core.log_event import (
+    HANDLER_FAILED,
+    MAILBOX_FULL,
+    MESSAGE_REJECTED,
+)
 from wasabispur_core.message import event_name, Message
 from wasabispur_core.timer import Subscription, TimerService
 
@@ -38,10 +42,13 @@
     closed() to acquire and release what they own.
     """
 
+    mailbox_limit = MAILBOX_LIMIT
+
     def __init__(self, name: str, timers: TimerService) -> None:
         self.name = name
         self.timers = timers
-        self.mailbox: asyncio.Queue[Message] = asyncio.Queue(MAILBOX_LIMIT)
+        self.mailbox: asyncio.Queue[Message] = asyncio.Queue()
+        self.refusing = False
         self.subscriptions: dict[str, Subscription] = {}
         self.task: asyncio.Task[None] | None = None
 
@@ -51,13 +58,17 @@
 
     def post(self, message: Message) -> None:
         """Queue a message; raise MailboxFullError at the limit."""
-        try:
-            self.mailbox.put_nowait(message)
-        except asyncio.QueueFull as error:
-            raise MailboxFullError(
-                f"mailbox of {self.name} holds {MAILBOX_LIMIT} messages",
-                "send less, or retry after a delay",
-            ) from error
+        if self.mailbox.qsize() >= self.mailbox_limit:
+            self._refuse(message)
+        self.mailbox.put_nowait(message)
+
+    def post_urgent(self, message: Message) -> None:
+        """Queue a message even at the limit.
+
+        Only for messages whose number is bounded elsewhere, such as timers and
+        the ends of sessions: to lose one would leave state behind for ever.
+        """
+        self.mailbox.put_nowait(message)
 
     def set_timer(self, timer_id: str, delay: float, message: Message) -> None:
         """Post the message to this actor after delay seconds."""
@@ -76,7 +87,7 @@
         """Handle what is queued, release what is owned, and stop."""
         if self.task is None or self.task.done():
             return
-        self.post(Close())
+        self.post_urgent(Close())
         await self.task
 
     async def run(self) -> None:
@@ -87,6 +98,7 @@
                 message = await self.mailbox.get()
                 if isinstance(message, Close):
                     break
+                self._note_room()
                 await self.handle(message)
         finally:
             for subscription in self.subscriptions.values():
@@ -102,6 +114,9 @@
             result = handler(message)
             if isawaitable(result):
                 await result
+        except MailboxFullError:
+            # The actor that refused the message has logged it.
+            return
         except WasabispurError as error:
             log(MESSAGE_REJECTED, actor=self.name, message_name=name, error=str(error))
         except Exception as error:
@@ -122,11 +137,27 @@
             f"define on_{event_name(message)} or send it elsewhere",
         )
 
+    def _refuse(self, message: Message) -> NoReturn:
+        name = event_name(message)
+        # One record for each time the mailbox fills up: a record for every
+        # dropped message would multiply the overload.
+        if not self.refusing:
+            self.refusing = True
+            log(MAILBOX_FULL, actor=self.name, message_name=name)
+        raise MailboxFullError(
+            f"mailbox of {self.name} holds {self.mailbox_limit} messages",
+            "send less, or retry after a delay",
+        )
+
+    def _note_room(self) -> None:
+        if self.refusing and self.mailbox.qsize() <= self.mailbox_limit // 2:
+            self.refusing = False
+
     def _receive_timer(self, message: Message) -> None:
         if not isinstance(message, _TimerFired):
             return
         self.subscriptions.pop(message.timer_id, None)
-        self.post(message.message)
+        self.post_urgent(message.message)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/codec.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import Enum
 from typing import Any
 
 import msgpack
@@ -38,9 +39,15 @@
                 f"a {name} message can't be sent on this stream",
                 "send it on a stream that carries it",
             )
-        data: bytes = msgpack.packb(
-            [name, adapter.dump_python(message, mode="python")], default=_plain
-        )
+        try:
+            data: bytes = msgpack.packb(
+                [name, adapter.dump_python(message, mode="python")], default=_plain
+            )
+        except (TypeError, ValueError, OverflowError) as error:
+            raise ProtocolError(
+                f"a field of a {name} message can't be encoded: {error}",
+                "use integers of 64 bits and valid text",
+            ) from error
         _check_size(data)
         return data
 
@@ -85,7 +92,9 @@
 
 
 def _plain(value: Any) -> Any:
-    return value.value
+    if isinstance(value, Enum):
+        return value.value
+    raise TypeError(f"{value!r} has no encoding")
 
 
 def _check_size(data: bytes) -> None:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import struct
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from h2.exceptions import H2Error
 
-from wasabispur_core.error import ProtocolError
+from wasabispur_core.error import MailboxFullError, ProtocolError
 from wasabispur_core.log_event import MESSAGE_MALFORMED, STREAM_SILENT
 from wasabispur_core.message import Message
-from wasabispur_core.protocol import Heartbeat, HeartbeatAck
+from wasabispur_core.protocol import FRAME_LIMIT_BYTES, Heartbeat, HeartbeatAck
 from wasabispur_core.timer import TimerService
 
 from .actor import Actor, Close
 from .log import log
+from .timer_service import time_limit
 
 ATTACH_METHOD = "/wasabispur.v1.Control/Attach"
 PEER_METHOD = "/wasabispur.v1.Control/Peer"
@@ -24,7 +28,20 @@
 SILENCE_INTERVALS = 3
 """Heartbeat intervals without any message after which a stream is given up."""
 
-STREAM_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError)
+INTERVAL_MINIMUM = 0.01
+INTERVAL_MAXIMUM = 60.0
+"""Bounds in seconds of the heartbeat interval; zero would keep the loop busy."""
+
+READ_BACKLOG = 64
+"""Received messages that may wait; beyond it flow control holds the sender back."""
+
+OUTGOING_LIMIT = 4_096
+"""Messages that may wait in one stream's mailbox."""
+
+STREAM_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, H2Error)
+
+FRAME_ERRORS = (AssertionError, NotImplementedError, struct.error)
+"""What grpclib raises on a truncated frame and on a compressed one."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,6 +61,13 @@
     """Tell a stream to check when the other process was last heard."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Received(Message):
+    """Carry a message that arrived from the other process."""
+
+    message: Message
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _ReadEnded(Message):
     """Report that nothing more will arrive on the stream."""
@@ -58,6 +82,8 @@
     heartbeats goes to the receiver. serve() returns when the stream has ended.
     """
 
+    mailbox_limit = OUTGOING_LIMIT
+
     def __init__(
         self,
         peer: str,
@@ -77,16 +103,26 @@
         self.initiator = initiator
         self.sequence = 0
         self.last_received = timers.now()
+        limit_frames(stream)
         self.end_reason = ""
+        self.broken = False
+        self.backlog = asyncio.Semaphore(READ_BACKLOG)
 
     async def serve(self) -> str:
-        """Run until the stream ends and return the reason."""
+        """Run until the stream ends and return the reason.
+
+        A broken stream's connection is dropped: each connection carries one
+        stream, and a silent link would keep the socket open for ever.
+        """
         reader = asyncio.get_running_loop().create_task(self._read())
         try:
             self.task = asyncio.current_task()
             await self.run()
         finally:
             reader.cancel()
+            self._deliver_rest()
+            if self.broken:
+                abort_connection(self.stream)
         return self.end_reason
 
     async def opened(self) -> None:
@@ -103,7 +139,7 @@
     def end(self, reason: str) -> None:
         """Stop the stream after the message in hand."""
         self.end_reason = self.end_reason or reason
-        self.post(Close())
+        self.post_urgent(Close())
 
     async def on_outgoing(self, message: Outgoing) -> None:
         """Send one message."""
@@ -119,19 +155,29 @@
         """End the stream if nothing arrived for too long."""
         quiet = self.timers.now() - self.last_received
         if quiet >= self.silence_limit:
-            log(STREAM_SILENT, peer=self.peer)
-            self.end("silent")
+            self._end_silent()
             return
         self.set_timer("silence", self.silence_limit - quiet, SilenceDue())
 
+    async def on__received(self, message: _Received) -> None:
+        """Handle a received message and make room for another."""
+        try:
+            await self.handle(message.message)
+        finally:
+            self.backlog.release()
+
     async def on_heartbeat(self, message: Heartbeat) -> None:
-        """Answer a heartbeat, and pass it on for the figures it carries."""
-        self.receiver(message)
+        """Answer a heartbeat, and pass it on for the figures it carries.
+
+        The answer goes first: a receiver that is full must not make the link
+        look silent.
+        """
         await self._send(
             HeartbeatAck(
                 sequence=message.sequence, bundle_version=message.bundle_version
             )
         )
+        self.receiver(message)
 
     def on_heartbeat_ack(self, message: HeartbeatAck) -> None:
         """Drop the acknowledgement; its arrival was noted by the reader."""
@@ -145,14 +191,17 @@
         self.end(message.reason)
 
     async def _send(self, message: Message) -> None:
+        if self.broken:
+            return
         try:
-            # A silent link fills the flow-control window; without the timeout the
+            # A silent link fills the flow-control window; without the limit the
             # actor would block here and never check for silence.
-            async with asyncio.timeout(self.silence_limit):
+            async with time_limit(self.timers, self.silence_limit):
                 await self.stream.send_message(message)
         except TimeoutError:
-            self.end("silent")
+            self._end_silent()
         except STREAM_ERRORS as error:
+            self.broken = True
             self.end(_describe(error))
 
     async def _read(self) -> None:
@@ -160,13 +209,66 @@
         try:
             while (message := await self.stream.recv_message()) is not None:
                 self.last_received = self.timers.now()
-                self.post(message)
+                await self.backlog.acquire()
+                self.post_urgent(_Received(message=message))
         except ProtocolError as error:
-            log(MESSAGE_MALFORMED, peer=self.peer, error=str(error))
-            reason = str(error)
+            reason = self._malformed(str(error))
+        except FRAME_ERRORS as error:
+            reason = self._malformed(_describe(error))
         except STREAM_ERRORS as error:
             reason = _describe(error)
-        self.post(_ReadEnded(reason=reason))
+        self.post_urgent(_ReadEnded(reason=reason))
+
+    def _malformed(self, reason: str) -> str:
+        log(MESSAGE_MALFORMED, peer=self.peer, error=reason)
+        self.broken = True
+        return reason
+
+    def _end_silent(self) -> None:
+        if not self.broken:
+            log(STREAM_SILENT, peer=self.peer)
+        self.broken = True
+        self.end("silent")
+
+    def _deliver_rest(self) -> None:
+        # A response that arrived before the stream broke still counts.
+        while not self.mailbox.empty():
+            message = self.mailbox.get_nowait()
+            if isinstance(message, _Received) and not isinstance(
+                message.message, (Heartbeat, HeartbeatAck)
+            ):
+                with suppress(MailboxFullError):
+                    self.receiver(message.message)
+
+
+def limit_frames(stream: Any) -> None:
+    """Make the stream refuse a frame over the limit before it is read.
+
+    grpclib collects a frame of any announced length, up to 4 GiB, in memory.
+    """
+    transport = stream._stream
+    if "recv_data" in vars(transport):
+        return
+    receive = transport.recv_data
+
+    async def receive_limited(size: int) -> bytes:
+        if size > FRAME_LIMIT_BYTES:
+            raise ProtocolError(
+                f"the peer announced a frame of {size} bytes, over the limit of "
+                f"{FRAME_LIMIT_BYTES}",
+                "send a smaller body",
+            )
+        data: bytes = await receive(size)
+        return data
+
+    transport.recv_data = receive_limited
+
+
+def abort_connection(stream: Any) -> None:
+    """Drop the connection under a stream without waiting for unsent data."""
+    transport = getattr(stream._stream, "_transport", None)
+    if transport is not None:
+        transport.abort()
 
 
 def _describe(error: BaseException) -> str:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/timer_service.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/timer_service.py
@@ -3,9 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from wasabispur_core.message import Message
-from wasabispur_core.timer import Receiver
+from wasabispur_core.timer import Receiver, TimerService
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimeLimitReached(Message):
+    """Report that the body of time_limit() took too long."""
+
+
+@asynccontextmanager
+async def time_limit(timers: TimerService, seconds: float) -> AsyncIterator[None]:
+    """Cancel the body and raise TimeoutError after seconds of the timer service."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as timeout:
+        subscription = timers.subscribe(
+            seconds, lambda _: timeout.reschedule(loop.time()), TimeLimitReached()
+        )
+        try:
+            yield
+        finally:
+            subscription.cancel()
 
 
 class LoopTimerService:
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/control_server.py
@@ -0,0 +1,71 @@
+"""Bound the connections to the control port of an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+
+from wasabispur_core.log_event import CONNECTION_UNUSED, CONNECTIONS_FULL
+from wasabispur_core.message import Message
+from wasabispur_core.timer import Subscription, TimerService
+from wasabispur_runtime.codec import MessageCodec
+from wasabispur_runtime.log import log
+
+from .agent_session import ANNOUNCE_TIMEOUT
+
+SPARE_CONNECTIONS = 64
+"""Connections beyond the session limit: peers, and streams being opened."""
+
+
+class ControlServer(Server):
+    """Serve control streams on a bounded number of connections."""
+
+    def __init__(self, service: Any, timers: TimerService, session_limit: int) -> None:
+        super().__init__([service], codec=MessageCodec())
+        self.timers = timers
+        self.limit = session_limit + SPARE_CONNECTIONS
+        self.connections: set[ControlConnection] = set()
+
+    def _protocol_factory(self) -> ControlConnection:
+        plain = super()._protocol_factory()
+        return ControlConnection(self, plain.handler, plain.config, plain.h2_config)
+
+
+class ControlConnection(H2Protocol):
+    """Close a connection that is over the limit or opens no stream."""
+
+    def __init__(
+        self, server: ControlServer, handler: Any, config: Any, h2_config: Any
+    ) -> None:
+        super().__init__(handler, config, h2_config)
+        self.server = server
+        self.transport: Any = None
+        self.deadline: Subscription | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Accept the connection if the limit allows it."""
+        super().connection_made(transport)
+        self.transport = transport
+        if len(self.server.connections) >= self.server.limit:
+            log(CONNECTIONS_FULL, limit=self.server.limit)
+            transport.abort()
+            return
+        self.server.connections.add(self)
+        self.deadline = self.server.timers.subscribe(
+            ANNOUNCE_TIMEOUT, self._check_use, Message()
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release the place of the connection."""
+        if self.deadline is not None:
+            self.deadline.cancel()
+        self.server.connections.discard(self)
+        super().connection_lost(exc)
+
+    def _check_use(self, message: Message) -> None:
+        if self.connection.streams_started:
+            return
+        log(CONNECTION_UNUSED)
+        self.transport.abort()
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -5,18 +5,16 @@
 import asyncio
 from random import Random
 
-from grpclib.server import Server
-
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.request import RequestState
 from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
 
 from .bridge import Bridge
+from .control_server import ControlServer
 from .control_service import ControlService
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
@@ -36,8 +34,8 @@
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
-    control = Server(
-        [ControlService(settings, timers, membership)], codec=MessageCodec()
+    control = ControlServer(
+        ControlService(settings, timers, membership), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
     http = HttpServer(
@@ -58,7 +56,7 @@
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
-async def start_control(server: Server, settings: EntrySettings) -> None:
+async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
         await server.start(settings.host, settings.control_port)
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -21,5 +21,6 @@
     http_port: Port
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
-    heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
+    heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 1.0
+    session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
     log_level: str = "INFO"
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -6,7 +6,11 @@
 from typing import Any
 
 from wasabispur_core.command import SendToAgent
-from wasabispur_core.log_event import AGENT_ATTACHED, AGENT_DETACHED
+from wasabispur_core.log_event import (
+    AGENT_ATTACHED,
+    AGENT_DETACHED,
+    AGENT_DUPLICATE,
+)
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Role
@@ -29,15 +33,21 @@
         self.dispatcher: Actor | None = None
 
     def on_session_opened(self, message: SessionOpened) -> None:
-        """Take a new session; an older one of the same agent is ended."""
+        """Take a new session; the older process or stream of the agent is ended."""
         announce = message.announce
         previous = self.sessions.get(announce.agent_id)
         if previous is not None:
+            if previous.announce.incarnation > announce.incarnation:
+                # Two processes with one id would otherwise take turns for ever.
+                log(AGENT_DUPLICATE, agent=announce.agent_id)
+                message.session.end("a newer process has announced the same id")
+                return
+            previous.superseded = True
             previous.end("replaced by a newer stream")
         self.sessions[announce.agent_id] = message.session
         log(AGENT_ATTACHED, agent=announce.agent_id)
         if announce.role is Role.ENDPOINT and self.dispatcher is not None:
-            self.dispatcher.post(
+            self.dispatcher.post_urgent(
                 AgentAttached(
                     agent_id=announce.agent_id,
                     service=announce.service,
@@ -54,7 +64,7 @@
         del self.sessions[agent_id]
         log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
         if self.dispatcher is not None:
-            self.dispatcher.post(AgentDetached(agent_id=agent_id))
+            self.dispatcher.post_urgent(AgentDetached(agent_id=agent_id))
 
     def on_send_to_agent(self, message: SendToAgent) -> None:
         """Send a message on the agent's stream if there is one."""
@@ -87,7 +97,7 @@
 @route.register
 def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
     if membership.dispatcher is not None:
-        membership.dispatcher.post(AgentLeaving(agent_id=message.agent_id))
+        membership.dispatcher.post_urgent(AgentLeaving(agent_id=message.agent_id))
 
 
 @execute.register
--- /dev/null
+++ b/tests/stream/harness.py
@@ -0,0 +1,168 @@
+"""Run entry, relay and agent link in one event loop on the fake timer service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from random import Random
+
+from loguru import logger
+
+from wasabispur.control_server import ControlServer
+from wasabispur.control_service import ControlService
+from wasabispur.entry_settings import EntrySettings
+from wasabispur.membership import Membership
+from wasabispur_agent.entry_link import EntryLink
+from wasabispur_core.protocol import Announce, Heartbeat, Role
+from wasabispur_core.timer import FakeTimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_standins.relay import Fault, Relay, SetFault
+
+TIME_LIMIT = 30.0
+INTERVAL = 1.0
+
+
+def run(main) -> None:
+    """Run a test coroutine; it fails instead of hanging."""
+    asyncio.run(asyncio.wait_for(main, TIME_LIMIT))
+
+
+async def until(predicate) -> None:
+    """Wait for a condition; the time limit of run() bounds it."""
+    while not predicate():
+        await asyncio.sleep(0.001)
+
+
+def announce(agent_id="agent-1", incarnation=1) -> Announce:
+    """Return an announcement with the fields that streams look at."""
+    return Announce(
+        agent_id=agent_id,
+        incarnation=incarnation,
+        role=Role.ENDPOINT,
+        region="Atlanta",
+        data_centre="a1",
+        rack="r1",
+        service="tags",
+        slots=8,
+    )
+
+
+class EventCount:
+    """Count log records by event number."""
+
+    def __init__(self) -> None:
+        self.numbers: Counter[int] = Counter()
+        logger.remove()
+        self.sink = logger.add(self.take, level="DEBUG")
+
+    def take(self, record) -> None:
+        self.numbers[record.record["extra"]["event"]] += 1
+
+    def of(self, event) -> int:
+        return self.numbers[event.number]
+
+
+class Recorder(Actor):
+    """Keep every message."""
+
+    def __init__(self, timers) -> None:
+        super().__init__("recorder", timers)
+        self.messages: list = []
+
+    def on_message(self, message) -> None:
+        self.messages.append(message)
+
+    def of(self, cls) -> list:
+        contents = [getattr(message, "message", message) for message in self.messages]
+        return [content for content in contents if isinstance(content, cls)]
+
+
+class Rig:
+    """Own one entry's control port behind a relay, and any number of links."""
+
+    def __init__(self, session_limit=10) -> None:
+        self.events = EventCount()
+        self.timers = FakeTimerService()
+        self.settings = EntrySettings(
+            entry_id="entry-1",
+            region="Atlanta",
+            data_centre="a1",
+            http_port=1,
+            control_port=1,
+            heartbeat_interval=INTERVAL,
+            session_limit=session_limit,
+        )
+        self.membership = Membership(self.timers)
+        self.dispatcher = Recorder(self.timers)
+        self.membership.dispatcher = self.dispatcher
+        self.links: list[EntryLink] = []
+        self.received = Recorder(self.timers)
+
+    async def __aenter__(self) -> Rig:
+        for actor in (self.membership, self.dispatcher, self.received):
+            actor.start()
+        service = ControlService(self.settings, self.timers, self.membership)
+        self.server = ControlServer(service, self.timers, self.settings.session_limit)
+        await self.server.start("127.0.0.1", 0)
+        self.port = self.server._server.sockets[0].getsockname()[1]
+        self.relay = Relay(self.timers, self.port)
+        self.relay.start()
+        await until(lambda: self.relay.port)
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.fault(Fault.NONE)
+        await asyncio.gather(*(link.close() for link in self.links))
+        await self.relay.close()
+        self.server.close()
+        await self.server.wait_closed()
+        for actor in (self.membership, self.dispatcher, self.received):
+            await actor.close()
+        await until(lambda: len(asyncio.all_tasks()) <= 2)
+
+    def link(self, agent_id="agent-1", incarnation=1, port=None) -> EntryLink:
+        """Start a link to the relay, or to another port."""
+        link = EntryLink(
+            f"127.0.0.1:{port or self.relay.port}",
+            self.timers,
+            announce=lambda: announce(agent_id, incarnation),
+            heartbeat=lambda sequence: Heartbeat(sequence=sequence, bundle_version=0),
+            receiver=self.received.post,
+            random=Random(7),
+        )
+        self.links.append(link)
+        link.start()
+        return link
+
+    async def attached(self, count=1) -> None:
+        """Wait until that many agents are attached on both sides."""
+        await until(lambda: len(self.membership.sessions) == count)
+        await until(lambda: sum(link.stream is not None for link in self.links) >= 1)
+
+    async def fault(self, fault, delay=0.0) -> None:
+        """Switch the relay and wait until it has done so."""
+        self.relay.post(SetFault(fault=fault, delay=delay))
+        await until(lambda: self.relay.fault is fault and self.relay.mailbox.empty())
+
+    async def beat(self, count) -> None:
+        """Let heartbeats pass and wait for each to arrive on both sides."""
+        for _ in range(count):
+            self.timers.advance(INTERVAL)
+            streams = [link.stream for link in self.links if link.stream]
+            streams += self.membership.sessions.values()
+            now = self.timers.now()
+            await until(
+                lambda s=streams, n=now: all(
+                    x.end_reason or x.last_received >= n for x in s
+                )
+            )
+
+    async def silence(self) -> None:
+        """Let the time pass after which a silent stream is given up."""
+        for _ in range(4):
+            self.timers.advance(INTERVAL)
+            await asyncio.sleep(0.01)
+
+    async def redial(self) -> None:
+        """Let the time pass after which a link has dialled again."""
+        self.timers.advance(5.0)
