--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/fleet.py
@@ -0,0 +1,105 @@
+"""Describe the workers of a data centre and who holds their accelerators."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .message import Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Worker:
+    """Describe one worker; the memory is in bytes."""
+
+    worker_id: str
+    region: str
+    data_centre: str
+    rack: str
+    accelerators: int
+    cores: int = 1
+    memory: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerAttached(Message):
+    """Report a worker whose agent opened a stream; clock is the agent's own."""
+
+    worker: Worker
+    clock: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerDetached(Message):
+    """Report that the stream to a worker's agent is gone."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerLeaving(Message):
+    """Report that a worker takes no new tasks."""
+
+    worker_id: str
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Own the known workers and the holder of each accelerator.
+
+    The holders outlive a worker's stream, because its tasks may do so too.
+    """
+
+    workers: dict[str, Worker] = field(default_factory=dict)
+    available: set[str] = field(default_factory=set)
+    holders: dict[str, dict[int, str]] = field(default_factory=dict)
+    plain_tasks: dict[str, set[str]] = field(default_factory=dict)
+
+    def attach(self, worker: Worker) -> None:
+        """Add a worker, or replace what is known of it."""
+        self.workers[worker.worker_id] = worker
+        self.available.add(worker.worker_id)
+
+    def detach(self, worker_id: str) -> None:
+        """Take a worker out of placement and keep what it holds."""
+        self.available.discard(worker_id)
+
+    def free(self, worker_id: str) -> tuple[int, ...]:
+        """Return the indices of a worker's free accelerators."""
+        held = self.holders.get(worker_id, {})
+        count = self.workers[worker_id].accelerators
+        return tuple(index for index in range(count) if index not in held)
+
+    def free_cores(self, worker_id: str) -> int:
+        """Return how many tasks without accelerators the worker can still take."""
+        used = len(self.plain_tasks.get(worker_id, ()))
+        return max(self.workers[worker_id].cores - used, 0)
+
+    def is_free(self, worker_id: str, accelerators: Iterable[int]) -> bool:
+        """Return whether nobody holds any of the accelerators."""
+        held = self.holders.get(worker_id, {})
+        return not any(index in held for index in accelerators)
+
+    def hold(self, worker_id: str, accelerators: Iterable[int], task_id: str) -> None:
+        """Record a task as the holder of accelerators, or of a core if of none."""
+        indices = tuple(accelerators)
+        if not indices:
+            self.plain_tasks.setdefault(worker_id, set()).add(task_id)
+            return
+        held = self.holders.setdefault(worker_id, {})
+        for index in indices:
+            held[index] = task_id
+
+    def release(self, worker_id: str, task_id: str) -> None:
+        """Free whatever the task holds on the worker."""
+        self.plain_tasks.get(worker_id, set()).discard(task_id)
+        held = self.holders.get(worker_id, {})
+        for index in [index for index, holder in held.items() if holder == task_id]:
+            del held[index]
+
+    def racks(self) -> dict[str, list[str]]:
+        """Return the ids of the available workers by rack."""
+        racks: dict[str, list[str]] = {}
+        for worker_id in sorted(self.available):
+            racks.setdefault(self.workers[worker_id].rack, []).append(worker_id)
+        return racks
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/gang.py
@@ -0,0 +1,83 @@
+"""Build the commands and rows that a change of a gang causes."""
+
+from __future__ import annotations
+
+from .command import CancelTimer, Command, SendToAgent, SetTimer
+from .job import ENDED_PHASES, Job, JobBoard, Member, ReservationExpired
+from .job_record import cancel_key, ended_key, job_key, JobRecord, to_value
+from .ownership import WriteRow
+from .placement import Seat
+from .protocol import Reason, StopTask
+
+RESERVATION_TIME = 5.0
+"""Seconds within which a gang has to reserve, and again to start."""
+
+
+def stop_commands(
+    board: JobBoard, job: Job, reason: Reason, now: float
+) -> list[Command]:
+    """Return the commands that stop the members which may still run."""
+    if not board.lease.may_renew(now):
+        return []
+    commands: list[Command] = []
+    for member in job.members.values():
+        if member.phase in ENDED_PHASES:
+            continue
+        stop = StopTask(
+            task_id=member.task_id,
+            shard=board.shard,
+            shard_epoch=board.lease.epoch,
+            gang_epoch=job.record.gang_epoch,
+            reason=reason,
+        )
+        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=stop))
+    return commands
+
+
+def write_record(board: JobBoard, job: Job, record: JobRecord) -> list[Command]:
+    """Change a job's record and write its row."""
+    board.writes += 1
+    job.record, job.write_number = record, board.writes
+    key = job_key(board.shard, record.job_id)
+    return [WriteRow(key=key, value=to_value(record), number=board.writes)]
+
+
+def end_record(board: JobBoard, job: Job, record: JobRecord) -> list[Command]:
+    """Move a job's row to the ended jobs, so that the owner lists it no more."""
+    board.writes += 1
+    job.record, job.write_number = record, board.writes
+    kept = WriteRow(key=ended_key(board.shard, record.job_id), value=to_value(record))
+    commands: list[Command] = [cancel_gang_timer(job), kept]
+    if job.cancelled:
+        key = cancel_key(board.shard, record.job_id)
+        commands.append(WriteRow(key=key, value=None))
+    key = job_key(board.shard, record.job_id)
+    return [*commands, WriteRow(key=key, value=None, number=board.writes)]
+
+
+def take_seats(
+    board: JobBoard,
+    job: Job,
+    seats: tuple[Seat, ...],
+    deadline: float,
+    bound: float,
+) -> None:
+    job.members = {}
+    for index, seat in enumerate(seats):
+        task_id = f"{job.record.job_id}.{job.record.gang_epoch}.{index}"
+        job.members[task_id] = Member(seat, task_id, deadline, bound)
+        board.fleet.hold(seat.worker_id, seat.accelerators, task_id)
+
+
+def set_gang_timer(job: Job) -> SetTimer:
+    return SetTimer(
+        timer_id=f"gang:{job.record.job_id}",
+        delay=RESERVATION_TIME,
+        message=ReservationExpired(
+            job_id=job.record.job_id, gang_epoch=job.record.gang_epoch
+        ),
+    )
+
+
+def cancel_gang_timer(job: Job) -> CancelTimer:
+    return CancelTimer(timer_id=f"gang:{job.record.job_id}")
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -0,0 +1,234 @@
+"""Decide the life of the jobs of one shard at its owner."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import singledispatch
+
+from .action import Action, Guard
+from .chart import Chart, Lifecycle
+from .command import Command
+from .error import UnhandledMessageError
+from .fleet import Fleet, WorkerAttached, WorkerDetached, WorkerLeaving
+from .job_record import job_key, JobRecord
+from .message import Message
+from .ownership import RowCommitted, ShardLease
+from .placement import Seat
+
+ENDED_LIMIT = 10_000
+"""Jobs that ended in this tenure, kept so that a late read revives none."""
+
+
+class Phase(Enum):
+    """Tell what the owner knows of one member of a gang."""
+
+    PLACED = "placed"
+    RESERVED = "reserved"
+    STARTED = "started"
+    FINISHED = "finished"
+    GONE = "gone"
+
+
+ENDED_PHASES = (Phase.FINISHED, Phase.GONE)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobLoaded(Message):
+    """Report that a job's row was read for the first time."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GangPlaced(Message):
+    """Report that there is room for the whole gang."""
+
+    seats: tuple[Seat, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobRejected(Message):
+    """Report that the job can never run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CancelRequested(Message):
+    """Report that a caller cancelled the job."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservationExpired(Message):
+    """Report that a gang took too long to reserve or to start."""
+
+    job_id: str
+    gang_epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberLost(Message):
+    """Report that a member's lease is over on every clock."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GangEnded(Message):
+    """Report that no member of the gang can run any more."""
+
+
+@dataclass(slots=True)
+class Member:
+    """Hold one task of a gang; deadline and bound are on the owner's clock.
+
+    Past the deadline the rest of the gang is stopped. Past the bound the task
+    can't run, whatever its agent does.
+    """
+
+    seat: Seat
+    task_id: str
+    deadline: float
+    bound: float
+    phase: Phase = Phase.PLACED
+    lost: bool = False
+    succeeded: bool = False
+    result: str = ""
+
+    def extend(self, until: float) -> None:
+        """Note a command that lets the task run until a time."""
+        self.deadline = max(self.deadline, until)
+        self.bound = max(self.bound, until)
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold the state of one job."""
+
+    record: JobRecord
+    lifecycle: Lifecycle
+    members: dict[str, Member] = field(default_factory=dict)
+    cancelled: bool = False
+    write_number: int = 0
+    stop_reason: str = ""
+
+    @property
+    def needs_proof(self) -> bool:
+        """Return whether only the agents' word shows that the gang ended."""
+        return self.record.spec.at_most_once and self.record.start_possible
+
+    def has_ended(self, member: Member, now: float) -> bool:
+        """Return whether the member can't run any more."""
+        if member.phase in ENDED_PHASES:
+            return True
+        return now >= member.bound and not self.needs_proof
+
+
+@dataclass(frozen=True, slots=True)
+class AgentClock:
+    """Hold the clock in an agent's last heartbeat and when it arrived."""
+
+    clock: float
+    received: float
+
+
+@dataclass(slots=True)
+class JobBoard:
+    """Own the jobs of one shard while this entry owns the shard."""
+
+    shard: str
+    chart: Chart
+    lease: ShardLease
+    fleet: Fleet = field(default_factory=Fleet)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    ended: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    clocks: dict[str, AgentClock] = field(default_factory=dict)
+    owning: bool = False
+    acquired: float = 0.0
+    writes: int = 0
+    next_renewal: float = 0.0
+    next_listing: float = 0.0
+
+
+class JobAction(Action[JobBoard, Job]):
+    """Name an effect in the job chart."""
+
+    __slots__ = ()
+
+
+class JobGuard(Guard[JobBoard, Job]):
+    """Name a condition in the job chart."""
+
+    __slots__ = ()
+
+
+def fire(message: Message, board: JobBoard, job: Job, now: float) -> list[Command]:
+    """Pass an event to a job and follow up if its gang or the job ended."""
+    commands = job.lifecycle.handle(message, board, job, now)
+    if job.lifecycle.state == "placing":
+        return commands
+    ended = [m for m in job.members.values() if job.has_ended(m, now)]
+    for member in ended:
+        board.fleet.release(member.seat.worker_id, member.task_id)
+    if job.lifecycle.state == "stopping" and len(ended) == len(job.members):
+        commands += job.lifecycle.handle(GangEnded(), board, job, now)
+    if job.lifecycle.state == "ended":
+        forget(board, job)
+    return commands
+
+
+def forget(board: JobBoard, job: Job) -> None:
+    """Drop an ended job and remember its id."""
+    board.jobs.pop(job.record.job_id, None)
+    board.ended[job.record.job_id] = None
+    while len(board.ended) > ENDED_LIMIT:
+        board.ended.popitem(last=False)
+
+
+@singledispatch
+def decide(message: Message, board: JobBoard, now: float) -> list[Command]:
+    """Return the commands that a message to the job component causes."""
+    raise UnhandledMessageError(
+        f"the job component does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: WorkerAttached, board: JobBoard, now: float) -> list[Command]:
+    worker = message.worker
+    board.fleet.attach(worker)
+    board.clocks[worker.worker_id] = AgentClock(message.clock, now)
+    # The next tick asks the agent at once for the tasks that it holds.
+    board.next_renewal = now
+    return []
+
+
+@decide.register
+def _(message: WorkerDetached, board: JobBoard, now: float) -> list[Command]:
+    board.fleet.detach(message.worker_id)
+    board.clocks.pop(message.worker_id, None)
+    return []
+
+
+@decide.register
+def _(message: WorkerLeaving, board: JobBoard, now: float) -> list[Command]:
+    board.fleet.detach(message.worker_id)
+    return []
+
+
+@decide.register
+def _(message: ReservationExpired, board: JobBoard, now: float) -> list[Command]:
+    job = board.jobs.get(message.job_id)
+    if job is None or job.record.gang_epoch != message.gang_epoch:
+        return []
+    if job.lifecycle.state in ("queued", "placing"):
+        return []
+    return fire(message, board, job, now)
+
+
+@decide.register
+def _(message: RowCommitted, board: JobBoard, now: float) -> list[Command]:
+    for job in list(board.jobs.values()):
+        latest = job.write_number == message.number
+        if latest and job_key(board.shard, job.record.job_id) == message.key:
+            return fire(message, board, job, now)
+    return []
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -0,0 +1,292 @@
+"""Define what the job chart does at the shard's owner."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from . import job_guard as job_guard
+from .action import perform
+from .chart import Chart, ChartCatalogue
+from .command import Command, SendToAgent
+from .gang import (
+    cancel_gang_timer,
+    end_record,
+    set_gang_timer,
+    stop_commands,
+    take_seats,
+    write_record,
+)
+from .job import (
+    GangPlaced,
+    JobAction,
+    JobGuard,
+    JobRejected,
+    MemberLost,
+    Phase,
+)
+from .job_lease import adoption_deadline, lease_bound, TASK_LEASE, unheard_bound
+from .job_record import JobState
+from .protocol import (
+    Reason,
+    ReserveTask,
+    StartTask,
+    TaskFinished,
+    TaskRefused,
+    TaskStopped,
+)
+
+
+class AdoptGang(JobAction):
+    """Take over the gang that a former owner placed."""
+
+    __slots__ = ()
+
+
+class RecordPlacement(JobAction):
+    """Hold the accelerators and write the placement under a new gang epoch."""
+
+    __slots__ = ()
+
+
+class RecordRejected(JobAction):
+    """Write that the job can never run."""
+
+    __slots__ = ()
+
+
+class RecordCancelled(JobAction):
+    """Write that the job was cancelled."""
+
+    __slots__ = ()
+
+
+class RecordStart(JobAction):
+    """Write that the job may run from now on."""
+
+    __slots__ = ()
+
+
+class RecordRunning(JobAction):
+    """Write that the whole gang runs."""
+
+    __slots__ = ()
+
+
+class RecordCompleted(JobAction):
+    """Write the results of all members."""
+
+    __slots__ = ()
+
+
+class RecordFailed(JobAction):
+    """Write that a member failed."""
+
+    __slots__ = ()
+
+
+class Requeue(JobAction):
+    """Write that the job waits for a new placement."""
+
+    __slots__ = ()
+
+
+class SendReserves(JobAction):
+    """Ask all members for a reservation and arm the reservation timer."""
+
+    __slots__ = ()
+
+
+class SendStarts(JobAction):
+    """Start all members and arm the timer again."""
+
+    __slots__ = ()
+
+
+class StopMembers(JobAction):
+    """Stop every member that may still run or hold accelerators."""
+
+    __slots__ = ()
+
+
+class DiscardMembers(JobAction):
+    """Give up a gang of which no member was told anything."""
+
+    __slots__ = ()
+
+
+def job_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the job chart bound to its actions and guards."""
+    return catalogue.bind(
+        "job",
+        actions=JobAction.__subclasses__(),
+        guards=JobGuard.__subclasses__(),
+    )
+
+
+@perform.register
+def _(action: AdoptGang) -> list[Command]:
+    board, job = action.state, action.subject
+    deadline, bound = adoption_deadline(board), unheard_bound(board)
+    take_seats(board, job, job.record.seats, deadline, bound)
+    return []
+
+
+@perform.register
+def _(action: RecordPlacement) -> list[Command]:
+    board, job, message = action.state, action.subject, action.message
+    if not isinstance(message, GangPlaced):
+        return []
+    job.record = replace(job.record, gang_epoch=job.record.gang_epoch + 1)
+    job.stop_reason = ""
+    take_seats(board, job, message.seats, action.now, action.now)
+    return write_record(
+        board,
+        job,
+        replace(
+            job.record,
+            state=JobState.PLACED,
+            seats=message.seats,
+            start_possible=False,
+            reason="",
+        ),
+    )
+
+
+@perform.register
+def _(action: RecordStart) -> list[Command]:
+    record = replace(
+        action.subject.record, state=JobState.STARTING, start_possible=True
+    )
+    return write_record(action.state, action.subject, record)
+
+
+@perform.register
+def _(action: RecordRunning) -> list[Command]:
+    record = replace(action.subject.record, state=JobState.RUNNING, start_possible=True)
+    written = write_record(action.state, action.subject, record)
+    return [cancel_gang_timer(action.subject), *written]
+
+
+@perform.register
+def _(action: RecordCompleted) -> list[Command]:
+    job = action.subject
+    results = tuple(member.result for member in job.members.values())
+    record = replace(job.record, state=JobState.COMPLETED, results=results, reason="")
+    return end_record(action.state, job, record)
+
+
+@perform.register
+def _(action: RecordFailed) -> list[Command]:
+    job = action.subject
+    results = tuple(member.result for member in job.members.values())
+    record = replace(
+        job.record,
+        state=JobState.FAILED,
+        results=results,
+        reason=Reason.TASK_FAILED.value,
+    )
+    return end_record(action.state, job, record)
+
+
+@perform.register
+def _(action: RecordCancelled) -> list[Command]:
+    job = action.subject
+    record = replace(job.record, state=JobState.CANCELLED, reason="cancelled")
+    return end_record(action.state, job, record)
+
+
+@perform.register
+def _(action: RecordRejected) -> list[Command]:
+    job, message = action.subject, action.message
+    reason = message.reason if isinstance(message, JobRejected) else ""
+    record = replace(job.record, state=JobState.REJECTED, reason=reason)
+    return end_record(action.state, job, record)
+
+
+@perform.register
+def _(action: Requeue) -> list[Command]:
+    job = action.subject
+    job.members = {}
+    record = replace(
+        job.record,
+        state=JobState.QUEUED,
+        seats=(),
+        start_possible=False,
+        reason=job.stop_reason,
+    )
+    return [cancel_gang_timer(job), *write_record(action.state, job, record)]
+
+
+@perform.register
+def _(action: SendReserves) -> list[Command]:
+    board, job, spec = action.state, action.subject, action.subject.record.spec
+    commands: list[Command] = [set_gang_timer(job)]
+    for member in job.members.values():
+        clock = board.clocks.get(member.seat.worker_id)
+        if clock is None:
+            # The timer ends the reservation; nothing was sent to this member.
+            member.phase = Phase.GONE
+            continue
+        member.extend(lease_bound(clock))
+        reserve = ReserveTask(
+            task_id=member.task_id,
+            job_id=job.record.job_id,
+            shard=board.shard,
+            shard_epoch=board.lease.epoch,
+            gang_epoch=job.record.gang_epoch,
+            accelerators=spec.accelerators,
+            command=spec.command,
+            lease=TASK_LEASE,
+            anchor=clock.clock,
+            accelerator_ids=member.seat.accelerators,
+        )
+        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=reserve))
+    return commands
+
+
+@perform.register
+def _(action: SendStarts) -> list[Command]:
+    board, job = action.state, action.subject
+    commands: list[Command] = [set_gang_timer(job)]
+    for member in job.members.values():
+        clock = board.clocks.get(member.seat.worker_id)
+        if clock is None:
+            continue
+        member.extend(lease_bound(clock))
+        start = StartTask(
+            task_id=member.task_id,
+            shard=board.shard,
+            shard_epoch=board.lease.epoch,
+            gang_epoch=job.record.gang_epoch,
+            lease=TASK_LEASE,
+            anchor=clock.clock,
+        )
+        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=start))
+    return commands
+
+
+@perform.register
+def _(action: StopMembers) -> list[Command]:
+    job = action.subject
+    job.stop_reason = _stop_reason(action)
+    stops = stop_commands(action.state, job, Reason.GANG_INCOMPLETE, action.now)
+    return [cancel_gang_timer(job), *stops]
+
+
+@perform.register
+def _(action: DiscardMembers) -> list[Command]:
+    for member in action.subject.members.values():
+        member.phase = Phase.GONE
+    action.subject.stop_reason = _stop_reason(action)
+    return []
+
+
+def _stop_reason(action: JobAction) -> str:
+    message = action.message
+    if isinstance(message, TaskRefused | TaskStopped):
+        return message.reason.value
+    if isinstance(message, TaskFinished):
+        return Reason.TASK_FAILED.value
+    if isinstance(message, MemberLost):
+        return Reason.LEASE_EXPIRED.value
+    return Reason.GANG_INCOMPLETE.value
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/job_report.py
@@ -0,0 +1,138 @@
+"""Decide on what the workers' agents report of their tasks."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from .command import Command, SendToAgent
+from .job import AgentClock, decide, ENDED_PHASES, fire, JobBoard, Member, Phase
+from .member import FromAgent
+from .message import Message
+from .protocol import (
+    Heartbeat,
+    Reason,
+    StopTask,
+    TaskFinished,
+    TaskInventory,
+    TaskRefused,
+    TaskReserved,
+    TaskStarted,
+    TaskStatus,
+    TaskStopped,
+)
+
+TaskReport = TaskReserved | TaskRefused | TaskStarted | TaskFinished | TaskStopped
+
+
+@decide.register
+def _(message: FromAgent, board: JobBoard, now: float) -> list[Command]:
+    if not board.owning:
+        return _note_heartbeat(message, board, now)
+    return decide_report(message.message, message.agent_id, board, now)
+
+
+@singledispatch
+def decide_report(
+    message: Message, worker_id: str, board: JobBoard, now: float
+) -> list[Command]:
+    """Return the commands that a report from a worker's agent causes."""
+    return []
+
+
+@decide_report.register
+def _(message: Heartbeat, worker_id: str, board: JobBoard, now: float) -> list[Command]:
+    if worker_id in board.clocks:
+        board.clocks[worker_id] = AgentClock(message.clock, now)
+    return []
+
+
+@decide_report.register
+def _(
+    message: TaskInventory, worker_id: str, board: JobBoard, now: float
+) -> list[Command]:
+    commands: list[Command] = []
+    if message.shard != board.shard:
+        return commands
+    for status in message.tasks:
+        report = _report_of(status)
+        commands += decide_report(report, worker_id, board, now)
+    return commands
+
+
+@decide_report.register(TaskReserved)
+@decide_report.register(TaskRefused)
+@decide_report.register(TaskStarted)
+@decide_report.register(TaskFinished)
+@decide_report.register(TaskStopped)
+def _(
+    message: TaskReport, worker_id: str, board: JobBoard, now: float
+) -> list[Command]:
+    if isinstance(message, TaskRefused) and message.reason is Reason.STALE_EPOCH:
+        # Another entry owns the shard; this says nothing about the task.
+        return []
+    job = board.jobs.get(message.task_id.rsplit(".", 2)[0])
+    member = job.members.get(message.task_id) if job else None
+    if job is None or member is None or member.seat.worker_id != worker_id:
+        return stop_orphan(message, worker_id, board, now)
+    if member.phase in ENDED_PHASES:
+        return []
+    note(message, member)
+    return fire(message, board, job, now)
+
+
+def stop_orphan(
+    message: TaskReport, worker_id: str, board: JobBoard, now: float
+) -> list[Command]:
+    """Stop a task that belongs to no gang in progress."""
+    ended = isinstance(message, TaskRefused | TaskFinished | TaskStopped)
+    if ended or not board.lease.may_renew(now):
+        return []
+    stop = StopTask(
+        task_id=message.task_id,
+        shard=board.shard,
+        shard_epoch=board.lease.epoch,
+        gang_epoch=message.gang_epoch,
+        reason=Reason.GANG_INCOMPLETE,
+    )
+    return [SendToAgent(agent_id=worker_id, message=stop)]
+
+
+@singledispatch
+def note(message: Message, member: Member) -> None:
+    """Record what a report says about its member."""
+
+
+@note.register
+def _(message: TaskReserved, member: Member) -> None:
+    if member.phase is Phase.PLACED:
+        member.phase = Phase.RESERVED
+
+
+@note.register
+def _(message: TaskStarted, member: Member) -> None:
+    member.phase = Phase.STARTED
+
+
+@note.register(TaskRefused)
+@note.register(TaskStopped)
+def _(message: TaskRefused | TaskStopped, member: Member) -> None:
+    member.phase = Phase.GONE
+
+
+@note.register
+def _(message: TaskFinished, member: Member) -> None:
+    member.phase = Phase.FINISHED
+    member.succeeded = message.succeeded
+    member.result = message.result
+
+
+def _report_of(status: TaskStatus) -> TaskReserved | TaskStarted:
+    kind = TaskStarted if status.started else TaskReserved
+    return kind(task_id=status.task_id, gang_epoch=status.gang_epoch)
+
+
+def _note_heartbeat(message: FromAgent, board: JobBoard, now: float) -> list[Command]:
+    content = message.message
+    if isinstance(content, Heartbeat):
+        return decide_report(content, message.agent_id, board, now)
+    return []
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -0,0 +1,166 @@
+"""Decide which entry owns a shard, and fence the writes of the owner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any
+
+from .action import Action, Guard
+from .chart import Lifecycle
+from .command import Command
+from .message import Message
+from .store import ABSENT, Row, RowsRead, StoreResult, Transaction
+
+SHARD_LEASE = 6.0
+SHARD_RENEWAL = 2.0
+"""Seconds of the shard lease, and between its renewals."""
+
+DRIFT = 0.02
+"""Largest relative error of one clock against another."""
+
+OUTAGE_GRACE = 600.0
+"""Seconds after its last confirmed lease in which an owner that can't reach the
+table service still renews tasks that run. A new owner waits as long for agents
+that it can't reach, because the former one may still renew them."""
+
+OBSERVATION_GAP = 3.0
+"""Seconds without a read after which an observer starts to count again."""
+
+RESEND_DELAY = 1.0
+BATCH_LIMIT = 50
+"""Job rows in one transaction."""
+
+SHARD_SCHEMA = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipTick(Message):
+    """Tell the ownership component that time has passed."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardRowRead(Message):
+    """Deliver the shard's row, or None if it doesn't exist."""
+
+    row: Row | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteRow(Command):
+    """Write a row under the shard's fence; number identifies the write."""
+
+    key: str
+    value: dict[str, Any] | None
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowCommitted(Message):
+    """Report that a fenced write took effect."""
+
+    key: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardAcquired(Message):
+    """Report that this entry owns the shard from now on."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardLost(Message):
+    """Report that another entry owns the shard."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Notify(Command):
+    """Pass a message to the job component of the same shard."""
+
+    message: Message
+
+
+@dataclass(slots=True)
+class ShardLease:
+    """Hold the owner's right to command agents, on the owner's own clock."""
+
+    epoch: int = 0
+    held_until: float = -inf
+    grace_until: float = -inf
+    outage: bool = False
+
+    def may_start(self, now: float) -> bool:
+        """Return whether the owner may reserve and start tasks."""
+        return now < self.held_until
+
+    def may_renew(self, now: float) -> bool:
+        """Return whether the owner may renew tasks that run."""
+        return self.may_start(now) or (self.outage and now < self.grace_until)
+
+
+@dataclass(slots=True)
+class Ownership:
+    """Own one entry's claim to one shard and its fenced writes.
+
+    At most one transaction is under way. It always rewrites the shard's row, so
+    that the row's operation id tells whether the last transaction took effect.
+    """
+
+    entry_id: str
+    shard: str
+    lifecycle: Lifecycle
+    new_operation_id: Callable[[], str]
+    lease: ShardLease = field(default_factory=ShardLease)
+    version: int = ABSENT
+    observed: Row | None = None
+    observed_since: float = inf
+    last_read: float = -inf
+    in_flight: Transaction | None = None
+    in_flight_rows: list[WriteRow] = field(default_factory=list)
+    first_sent: float = -inf
+    last_sent: float = -inf
+    pending: list[WriteRow] = field(default_factory=list)
+
+    @property
+    def key(self) -> str:
+        """Return the key of the shard's row."""
+        return f"shard/{self.shard}"
+
+
+class OwnershipAction(Action[Ownership, Ownership]):
+    """Name an effect in the ownership chart."""
+
+    __slots__ = ()
+
+
+class OwnershipGuard(Guard[Ownership, Ownership]):
+    """Name a condition in the ownership chart."""
+
+    __slots__ = ()
+
+
+def decide(message: Message, state: Ownership, now: float) -> list[Command]:
+    """Return the commands that a message to the ownership component causes."""
+    event = _translate(message, state)
+    return state.lifecycle.handle(event, state, state, now) if event else []
+
+
+def _translate(message: Message, state: Ownership) -> Message | None:
+    if isinstance(message, RowsRead):
+        # A read that was sent for an earlier transaction proves nothing.
+        if message.read_id != read_id(state):
+            return None
+        rows = [row for row in message.rows if row.key == state.key]
+        return ShardRowRead(row=rows[0] if rows else None)
+    if isinstance(message, StoreResult):
+        expected = state.in_flight.operation_id if state.in_flight else ""
+        return message if message.operation_id == expected else None
+    return message
+
+
+def read_id(state: Ownership) -> str:
+    operation_id = state.in_flight.operation_id if state.in_flight else ""
+    return f"{state.key}:{operation_id}"
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -0,0 +1,290 @@
+"""Define what the ownership chart does."""
+
+from __future__ import annotations
+
+from math import inf
+
+from .action import holds, perform
+from .chart import Chart, ChartCatalogue
+from .command import Command, ReadRows, Transact
+from .ownership import (
+    BATCH_LIMIT,
+    DRIFT,
+    Notify,
+    OBSERVATION_GAP,
+    OUTAGE_GRACE,
+    Ownership,
+    OwnershipAction,
+    OwnershipGuard,
+    read_id,
+    RESEND_DELAY,
+    RowCommitted,
+    SHARD_LEASE,
+    SHARD_RENEWAL,
+    SHARD_SCHEMA,
+    ShardAcquired,
+    ShardLost,
+    ShardRowRead,
+    WriteRow,
+)
+from .store import ABSENT, Committed, Condition, Transaction, Write
+
+
+class NoteVersion(OwnershipAction):
+    """Restart the count if the row changed since the last read."""
+
+    __slots__ = ()
+
+
+class RestartObservation(OwnershipAction):
+    """Forget the count, since the owner may have been unable to renew."""
+
+    __slots__ = ()
+
+
+class ReadRow(OwnershipAction):
+    """Read the shard's row."""
+
+    __slots__ = ()
+
+
+class Claim(OwnershipAction):
+    """Write this entry as the owner with the next epoch."""
+
+    __slots__ = ()
+
+
+class AcceptCommit(OwnershipAction):
+    """Extend the lease after a confirmed transaction."""
+
+    __slots__ = ()
+
+
+class AcceptRow(OwnershipAction):
+    """Extend the lease after a transaction whose answer was lost."""
+
+    __slots__ = ()
+
+
+class AnnounceAcquired(OwnershipAction):
+    """Tell the job component that the shard is owned."""
+
+    __slots__ = ()
+
+
+class AnnounceLost(OwnershipAction):
+    """Tell the job component that the shard is lost."""
+
+    __slots__ = ()
+
+
+class DropClaim(OwnershipAction):
+    """Forget the lease and all unwritten rows."""
+
+    __slots__ = ()
+
+
+class NoteOutage(OwnershipAction):
+    """Note that the table service does not answer."""
+
+    __slots__ = ()
+
+
+class Resend(OwnershipAction):
+    """Send the unanswered transaction again."""
+
+    __slots__ = ()
+
+
+class QueueWrite(OwnershipAction):
+    """Add a row to the next transaction."""
+
+    __slots__ = ()
+
+
+class SendBatch(OwnershipAction):
+    """Send waiting rows or a due renewal if no transaction is under way."""
+
+    __slots__ = ()
+
+
+class LeaseLapsed(OwnershipGuard):
+    """Hold if the row is absent or stayed unchanged for the whole lease."""
+
+    __slots__ = ()
+
+
+class OwnOperation(OwnershipGuard):
+    """Hold if this entry's transaction produced the row."""
+
+    __slots__ = ()
+
+
+def ownership_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the ownership chart bound to its actions and guards."""
+    return catalogue.bind(
+        "ownership",
+        actions=OwnershipAction.__subclasses__(),
+        guards=OwnershipGuard.__subclasses__(),
+    )
+
+
+@holds.register
+def _(guard: LeaseLapsed) -> bool:
+    state, message = guard.state, guard.message
+    if not isinstance(message, ShardRowRead):
+        return False
+    if message.row is None:
+        return True
+    if message.row.value.get("schema", 0) > SHARD_SCHEMA:
+        return False
+    unchanged = state.observed is not None and (
+        state.observed.version == message.row.version
+    )
+    steady = guard.now - state.last_read <= OBSERVATION_GAP
+    waited = guard.now - state.observed_since
+    return unchanged and steady and waited > SHARD_LEASE * (1 + DRIFT)
+
+
+@holds.register
+def _(guard: OwnOperation) -> bool:
+    state, message = guard.state, guard.message
+    if not isinstance(message, ShardRowRead) or message.row is None:
+        return False
+    if state.in_flight is None:
+        return message.row.version == state.version
+    return message.row.operation_id == state.in_flight.operation_id
+
+
+@perform.register
+def _(action: NoteVersion) -> list[Command]:
+    state, message = action.state, action.message
+    if not isinstance(message, ShardRowRead) or message.row is None:
+        return []
+    same = state.observed is not None and state.observed.version == message.row.version
+    steady = action.now - state.last_read <= OBSERVATION_GAP
+    if not (same and steady):
+        state.observed_since = action.now
+    state.observed = message.row
+    state.last_read = action.now
+    return []
+
+
+@perform.register
+def _(action: RestartObservation) -> list[Command]:
+    action.state.observed = None
+    action.state.observed_since = inf
+    return []
+
+
+@perform.register
+def _(action: ReadRow) -> list[Command]:
+    state = action.state
+    return [ReadRows(read_id=read_id(state), prefix=state.key)]
+
+
+@perform.register
+def _(action: Claim) -> list[Command]:
+    state, message = action.state, action.message
+    row = message.row if isinstance(message, ShardRowRead) else None
+    state.version = row.version if row else ABSENT
+    state.lease.epoch = int(row.value["epoch"]) + 1 if row else 1
+    return _send(state, [], action.now)
+
+
+@perform.register
+def _(action: AcceptCommit) -> list[Command]:
+    message = action.message
+    if not isinstance(message, Committed):
+        return []
+    return _accept(action.state, message.versions[action.state.key])
+
+
+@perform.register
+def _(action: AcceptRow) -> list[Command]:
+    message = action.message
+    if not isinstance(message, ShardRowRead) or message.row is None:
+        return []
+    return _accept(action.state, message.row.version)
+
+
+@perform.register
+def _(action: AnnounceAcquired) -> list[Command]:
+    return [Notify(message=ShardAcquired(epoch=action.state.lease.epoch))]
+
+
+@perform.register
+def _(action: AnnounceLost) -> list[Command]:
+    return [Notify(message=ShardLost())]
+
+
+@perform.register
+def _(action: DropClaim) -> list[Command]:
+    state = action.state
+    state.lease.held_until = state.lease.grace_until = -inf
+    state.in_flight = state.observed = None
+    state.in_flight_rows, state.pending = [], []
+    state.observed_since = inf
+    return []
+
+
+@perform.register
+def _(action: NoteOutage) -> list[Command]:
+    action.state.lease.outage = True
+    return []
+
+
+@perform.register
+def _(action: Resend) -> list[Command]:
+    state = action.state
+    if state.in_flight is None or action.now - state.last_sent < RESEND_DELAY:
+        return []
+    state.last_sent = action.now
+    return [Transact(transaction=state.in_flight)]
+
+
+@perform.register
+def _(action: QueueWrite) -> list[Command]:
+    if isinstance(action.message, WriteRow):
+        action.state.pending.append(action.message)
+    return []
+
+
+@perform.register
+def _(action: SendBatch) -> list[Command]:
+    state = action.state
+    due = action.now - state.first_sent >= SHARD_RENEWAL
+    if state.in_flight is not None or not (state.pending or due):
+        return []
+    rows, state.pending = state.pending[:BATCH_LIMIT], state.pending[BATCH_LIMIT:]
+    return _send(state, rows, action.now)
+
+
+def _send(state: Ownership, rows: list[WriteRow], now: float) -> list[Command]:
+    shard_row = {
+        "schema": SHARD_SCHEMA,
+        "owner": state.entry_id,
+        "epoch": state.lease.epoch,
+        "lease": SHARD_LEASE,
+    }
+    # A later write of the same row replaces an earlier one in the batch.
+    values = {row.key: row.value for row in rows}
+    writes = [Write(key=key, value=value) for key, value in values.items()]
+    state.in_flight = Transaction(
+        operation_id=state.new_operation_id(),
+        conditions=(Condition(key=state.key, version=state.version),),
+        writes=(Write(key=state.key, value=shard_row), *writes),
+    )
+    state.in_flight_rows = rows
+    state.first_sent = state.last_sent = now
+    return [Transact(transaction=state.in_flight)]
+
+
+def _accept(state: Ownership, version: int) -> list[Command]:
+    rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
+    state.version = version
+    state.lease.outage = False
+    # The lease counts from before the write was first sent.
+    state.lease.held_until = state.first_sent + SHARD_LEASE
+    state.lease.grace_until = state.first_sent + OUTAGE_GRACE
+    return [Notify(message=RowCommitted(key=r.key, number=r.number)) for r in rows]
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -49,12 +49,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat(Message):
-    """Probe the stream; the other side answers with the same sequence."""
+    """Probe the stream; the other side answers with the same sequence.
+
+    The clock is the sender's; only the sender compares it with anything.
+    """
 
     sequence: int
     bundle_version: int
     in_flight: int = 0
     free_slots: int = 0
+    clock: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +121,7 @@
     cores: int = 0
     memory: int = 0
     bundle_version: int = 0
+    clock: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -286,7 +291,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveTask(Message):
-    """Hold accelerators for a task for lease seconds of the agent's clock."""
+    """Hold accelerators for a task until lease seconds after the anchor.
+
+    The anchor is the clock in the agent's last heartbeat, so that a message that
+    arrives late gives no longer lease.
+    """
 
     task_id: str
     job_id: str
@@ -296,6 +305,8 @@
     accelerators: int
     command: str
     lease: float
+    anchor: float
+    accelerator_ids: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -307,16 +318,22 @@
     shard_epoch: int
     gang_epoch: int
     lease: float
+    anchor: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RenewTasks(Message):
-    """Extend the leases of tasks by lease seconds of the agent's clock."""
+    """Extend the leases of tasks to lease seconds after the anchor.
+
+    The agent answers with its TaskInventory and with the end of each named task
+    that it does not hold.
+    """
 
     shard: str
     shard_epoch: int
     task_ids: tuple[str, ...]
     lease: float
+    anchor: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -0,0 +1,247 @@
+"""Decide at the agent which tasks the worker runs, and for how long."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from .action import Action, Guard
+from .chart import Chart, Lifecycle
+from .command import Command
+from .error import UnhandledMessageError
+from .message import Message
+from .permit import FromEntry, SendToEntryLink
+from .protocol import (
+    Reason,
+    RenewTasks,
+    ReserveTask,
+    StartTask,
+    StopTask,
+    TaskFinished,
+    TaskInventory,
+    TaskRefused,
+    TaskStarted,
+    TaskStatus,
+    TaskStopped,
+    Welcome,
+)
+
+TASK_TOMBSTONE_LIMIT = 10_000
+"""Ended tasks whose end an agent remembers."""
+
+FromOwner = ReserveTask | StartTask | RenewTasks | StopTask
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseExpired(Message):
+    """Report that a task's lease may be over."""
+
+    task_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunAtWorker(Command):
+    """Start a task at the worker; the lease is in seconds from now."""
+
+    reserve: ReserveTask
+    lease: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RenewAtWorker(Command):
+    """Extend a task's lease at the worker to lease seconds from now."""
+
+    task_id: str
+    lease: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopAtWorker(Command):
+    """Stop a task at the worker, after a checkpoint if asked."""
+
+    task_id: str
+    checkpoint: bool
+
+
+@dataclass(slots=True)
+class Task:
+    """Hold the state of one task at the agent; expiry is on the agent's clock."""
+
+    reserve: ReserveTask
+    lifecycle: Lifecycle
+    expiry: float
+    stop_reason: Reason = Reason.LEASE_EXPIRED
+    checkpoint: bool = False
+
+
+class TaskAction(Action["TaskState", Task]):
+    """Name an effect in the task chart."""
+
+    __slots__ = ()
+
+
+class TaskGuard(Guard["TaskState", Task]):
+    """Name a condition in the task chart."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True)
+class TaskState:
+    """Own the tasks of one worker, their leases and their tombstones."""
+
+    data_centre: str
+    accelerators: int
+    chart: Chart
+    leaving: bool = False
+    tasks: dict[str, Task] = field(default_factory=dict)
+    tombstones: OrderedDict[str, Message] = field(default_factory=OrderedDict)
+    epochs: dict[str, int] = field(default_factory=dict)
+    owners: dict[str, str] = field(default_factory=dict)
+
+    def holder(self, accelerator: int) -> Task | None:
+        """Return the task that holds an accelerator."""
+        for task in self.tasks.values():
+            if accelerator in task.reserve.accelerator_ids:
+                return task
+        return None
+
+
+@singledispatch
+def decide(message: Message, state: TaskState, now: float) -> list[Command]:
+    """Return the commands that a message to the task component causes."""
+    raise UnhandledMessageError(
+        f"the task component does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: FromEntry, state: TaskState, now: float) -> list[Command]:
+    command = message.message
+    if isinstance(command, Welcome):
+        inventory = task_inventory(state, state.data_centre)
+        return [SendToEntryLink(entry_id=message.entry_id, message=inventory)]
+    if not isinstance(command, FromOwner):
+        return []
+    # The epoch is checked before any effect, so that a former owner has none.
+    if command.shard_epoch < state.epochs.get(command.shard, 0):
+        return refuse_stale(command, message.entry_id)
+    state.epochs[command.shard] = command.shard_epoch
+    state.owners[command.shard] = message.entry_id
+    return decide_for_owner(command, state, now)
+
+
+@decide.register(LeaseExpired)
+@decide.register(TaskStarted)
+@decide.register(TaskFinished)
+@decide.register(TaskStopped)
+def _(
+    message: LeaseExpired | TaskStarted | TaskFinished | TaskStopped,
+    state: TaskState,
+    now: float,
+) -> list[Command]:
+    task = state.tasks.get(message.task_id)
+    if task is None:
+        return []
+    return task.lifecycle.handle(message, state, task, now)
+
+
+@singledispatch
+def decide_for_owner(message: Message, state: TaskState, now: float) -> list[Command]:
+    """Return the commands that a message from the shard's owner causes."""
+    raise UnhandledMessageError(
+        f"the task component does not take {type(message).__name__} from an owner",
+        "send it to the component that handles it",
+    )
+
+
+@decide_for_owner.register
+def _(message: ReserveTask, state: TaskState, now: float) -> list[Command]:
+    if message.task_id in state.tombstones:
+        return [to_owner(state, message.shard, state.tombstones[message.task_id])]
+    task = state.tasks.get(message.task_id)
+    if task is None:
+        expiry = message.anchor + message.lease
+        task = Task(message, state.chart.start(), expiry)
+    return task.lifecycle.handle(message, state, task, now)
+
+
+@decide_for_owner.register(StartTask)
+@decide_for_owner.register(StopTask)
+def _(
+    message: StartTask | StopTask,
+    state: TaskState,
+    now: float,
+) -> list[Command]:
+    task = state.tasks.get(message.task_id)
+    if task is None:
+        return [report_end(message.task_id, message.shard, state)]
+    return task.lifecycle.handle(message, state, task, now)
+
+
+@decide_for_owner.register
+def _(message: RenewTasks, state: TaskState, now: float) -> list[Command]:
+    commands: list[Command] = []
+    for task_id in message.task_ids:
+        task = state.tasks.get(task_id)
+        if task is None:
+            commands.append(report_end(task_id, message.shard, state))
+        else:
+            commands += task.lifecycle.handle(message, state, task, now)
+    inventory = task_inventory(state, message.shard)
+    return [*commands, to_owner(state, message.shard, inventory)]
+
+
+def task_inventory(state: TaskState, shard: str) -> TaskInventory:
+    """Return the list of all tasks that the agent holds for a shard."""
+    tasks = [task for task in state.tasks.values() if task.reserve.shard == shard]
+    return TaskInventory(
+        shard=shard,
+        shard_epoch=state.epochs.get(shard, 0),
+        tasks=tuple(
+            TaskStatus(
+                task_id=task.reserve.task_id,
+                gang_epoch=task.reserve.gang_epoch,
+                started=task.lifecycle.state == "running",
+            )
+            for task in tasks
+        ),
+    )
+
+
+def refuse_stale(command: FromOwner, entry_id: str) -> list[Command]:
+    """Return the reply to a command of a former owner."""
+    if not isinstance(command, ReserveTask):
+        return []
+    refused = TaskRefused(
+        task_id=command.task_id,
+        gang_epoch=command.gang_epoch,
+        reason=Reason.STALE_EPOCH,
+    )
+    return [SendToEntryLink(entry_id=entry_id, message=refused)]
+
+
+def report_end(task_id: str, shard: str, state: TaskState) -> Command:
+    """Return the report on a task that is not held, and keep it from starting."""
+    end = state.tombstones.get(task_id)
+    if end is None:
+        epoch = int(task_id.rsplit(".", 2)[1])
+        end = TaskStopped(
+            task_id=task_id, gang_epoch=epoch, reason=Reason.NEVER_STARTED
+        )
+        remember_end(state, task_id, end)
+    return to_owner(state, shard, end)
+
+
+def remember_end(state: TaskState, task_id: str, end: Message) -> None:
+    """Keep a tombstone, dropping the oldest beyond the limit."""
+    state.tombstones[task_id] = end
+    while len(state.tombstones) > TASK_TOMBSTONE_LIMIT:
+        state.tombstones.popitem(last=False)
+
+
+def to_owner(state: TaskState, shard: str, message: Message) -> Command:
+    """Return the command that sends a message to the shard's latest owner."""
+    return SendToEntryLink(entry_id=state.owners.get(shard, ""), message=message)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/task_action.py
@@ -0,0 +1,253 @@
+"""Define what the task chart does at the agent."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .action import holds, perform
+from .chart import Chart, ChartCatalogue
+from .command import CancelTimer, Command, SetTimer
+from .protocol import (
+    Reason,
+    RenewTasks,
+    ReserveTask,
+    StartTask,
+    StopTask,
+    TaskFinished,
+    TaskRefused,
+    TaskReserved,
+    TaskStarted,
+    TaskStopped,
+)
+from .task import (
+    LeaseExpired,
+    remember_end,
+    RenewAtWorker,
+    RunAtWorker,
+    StopAtWorker,
+    TaskAction,
+    TaskGuard,
+    to_owner,
+)
+
+
+class HoldAccelerators(TaskAction):
+    """Hold the accelerators and arm the lease timer."""
+
+    __slots__ = ()
+
+
+class SendReserved(TaskAction):
+    """Confirm the reservation to the owner."""
+
+    __slots__ = ()
+
+
+class RefuseTask(TaskAction):
+    """Refuse the reservation."""
+
+    __slots__ = ()
+
+
+class ExtendLease(TaskAction):
+    """Move the expiry and arm the lease timer anew."""
+
+    __slots__ = ()
+
+
+class RunTask(TaskAction):
+    """Start the task at the worker."""
+
+    __slots__ = ()
+
+
+class PassLeaseOn(TaskAction):
+    """Pass the lease on to the worker."""
+
+    __slots__ = ()
+
+
+class SendStarted(TaskAction):
+    """Tell the owner that the worker runs the task."""
+
+    __slots__ = ()
+
+
+class NoteStop(TaskAction):
+    """Remember why the task is being stopped."""
+
+    __slots__ = ()
+
+
+class AskWorkerToStop(TaskAction):
+    """Stop the task at the worker."""
+
+    __slots__ = ()
+
+
+class RecordStopped(TaskAction):
+    """Record the end of a task that never reached the worker."""
+
+    __slots__ = ()
+
+
+class RecordWorkerEnd(TaskAction):
+    """Record the end that the worker reported."""
+
+    __slots__ = ()
+
+
+class CapacityFree(TaskGuard):
+    """Hold if the agent is not leaving and the accelerators are free."""
+
+    __slots__ = ()
+
+
+class LeaseValid(TaskGuard):
+    """Hold if the lease has not expired on the agent's clock."""
+
+    __slots__ = ()
+
+
+def task_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the task chart bound to its actions and guards."""
+    return catalogue.bind(
+        "task",
+        actions=TaskAction.__subclasses__(),
+        guards=TaskGuard.__subclasses__(),
+    )
+
+
+@holds.register
+def _(guard: CapacityFree) -> bool:
+    state, reserve = guard.state, guard.subject.reserve
+    if state.leaving or guard.now >= guard.subject.expiry:
+        return False
+    indices = reserve.accelerator_ids
+    known = all(index < state.accelerators for index in indices)
+    return known and not any(state.holder(index) for index in indices)
+
+
+@holds.register
+def _(guard: LeaseValid) -> bool:
+    return guard.now < guard.subject.expiry
+
+
+@perform.register
+def _(action: HoldAccelerators) -> list[Command]:
+    task = action.subject
+    action.state.tasks[task.reserve.task_id] = task
+    return [_lease_timer(action)]
+
+
+@perform.register
+def _(action: SendReserved) -> list[Command]:
+    reserve = action.subject.reserve
+    reserved = TaskReserved(task_id=reserve.task_id, gang_epoch=reserve.gang_epoch)
+    return [to_owner(action.state, reserve.shard, reserved)]
+
+
+@perform.register
+def _(action: RefuseTask) -> list[Command]:
+    reserve = action.subject.reserve
+    refused = TaskRefused(
+        task_id=reserve.task_id,
+        gang_epoch=reserve.gang_epoch,
+        reason=Reason.LEAVING if action.state.leaving else Reason.NO_CAPACITY,
+    )
+    # The tombstone keeps a duplicate of the refused command from reserving.
+    stopped = TaskStopped(
+        task_id=reserve.task_id,
+        gang_epoch=reserve.gang_epoch,
+        reason=refused.reason,
+    )
+    remember_end(action.state, reserve.task_id, stopped)
+    return [to_owner(action.state, reserve.shard, refused)]
+
+
+@perform.register
+def _(action: ExtendLease) -> list[Command]:
+    task, message = action.subject, action.message
+    if isinstance(message, StartTask | RenewTasks):
+        task.expiry = max(task.expiry, message.anchor + message.lease)
+    return [_lease_timer(action)]
+
+
+@perform.register
+def _(action: RunTask) -> list[Command]:
+    task = action.subject
+    return [RunAtWorker(reserve=task.reserve, lease=task.expiry - action.now)]
+
+
+@perform.register
+def _(action: PassLeaseOn) -> list[Command]:
+    task = action.subject
+    lease = task.expiry - action.now
+    return [RenewAtWorker(task_id=task.reserve.task_id, lease=lease)]
+
+
+@perform.register
+def _(action: SendStarted) -> list[Command]:
+    reserve = action.subject.reserve
+    started = TaskStarted(task_id=reserve.task_id, gang_epoch=reserve.gang_epoch)
+    return [to_owner(action.state, reserve.shard, started)]
+
+
+@perform.register
+def _(action: NoteStop) -> list[Command]:
+    if isinstance(action.message, StopTask):
+        action.subject.stop_reason = action.message.reason
+        action.subject.checkpoint = action.message.checkpoint
+    return []
+
+
+@perform.register
+def _(action: AskWorkerToStop) -> list[Command]:
+    task = action.subject
+    stop = StopAtWorker(task_id=task.reserve.task_id, checkpoint=task.checkpoint)
+    return [stop]
+
+
+@perform.register
+def _(action: RecordStopped) -> list[Command]:
+    reserve = action.subject.reserve
+    message = action.message
+    reason = message.reason if isinstance(message, StopTask) else Reason.LEASE_EXPIRED
+    stopped = TaskStopped(
+        task_id=reserve.task_id, gang_epoch=reserve.gang_epoch, reason=reason
+    )
+    return _end(action, stopped)
+
+
+@perform.register
+def _(action: RecordWorkerEnd) -> list[Command]:
+    task, message = action.subject, action.message
+    if isinstance(message, TaskFinished):
+        return _end(action, replace(message, gang_epoch=task.reserve.gang_epoch))
+    if not isinstance(message, TaskStopped):
+        return []
+    in_stop = task.lifecycle.state == "stopping"
+    reason = task.stop_reason if in_stop else message.reason
+    end = replace(message, gang_epoch=task.reserve.gang_epoch, reason=reason)
+    return _end(action, end)
+
+
+def _end(action: TaskAction, end: TaskFinished | TaskStopped) -> list[Command]:
+    reserve = action.subject.reserve
+    action.state.tasks.pop(reserve.task_id, None)
+    remember_end(action.state, reserve.task_id, end)
+    report = to_owner(action.state, reserve.shard, end)
+    return [CancelTimer(timer_id=_timer_id(reserve)), report]
+
+
+def _lease_timer(action: TaskAction) -> SetTimer:
+    task = action.subject
+    return SetTimer(
+        timer_id=_timer_id(task.reserve),
+        delay=task.expiry - action.now,
+        message=LeaseExpired(task_id=task.reserve.task_id),
+    )
+
+
+def _timer_id(reserve: ReserveTask) -> str:
+    return f"lease:{reserve.task_id}"
