--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -39,6 +39,12 @@
 REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
 ATTEMPT_ENDED = LogEvent(304, "DEBUG", "attempt {attempt} ended: {result}")
+JOB_ROW_MALFORMED = LogEvent(401, "ERROR", "job row {key} can't be used: {error}")
+SHARD_OWNED = LogEvent(402, "INFO", "this entry owns shard {shard} in epoch {epoch}")
+SHARD_GIVEN_UP = LogEvent(403, "WARNING", "another entry owns shard {shard}")
+TASK_STARTED = LogEvent(404, "INFO", "task {task} started")
+TASK_ENDED = LogEvent(405, "INFO", "task {task} ended: {result}")
+WORKER_FAILED = LogEvent(406, "WARNING", "the worker failed on {path}: {error}")
 
 
 def catalogue() -> dict[int, LogEvent]:
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -126,7 +126,7 @@
     if not isinstance(command, FromOwner):
         return []
     # The epoch is checked before any effect, so that a former owner has none.
-    if command.shard_epoch < state.epochs.get(command.shard, 0):
+    if is_stale(command, state):
         return refuse_stale(command, message.entry_id)
     state.epochs[command.shard] = command.shard_epoch
     state.owners[command.shard] = message.entry_id
@@ -211,6 +211,11 @@
     )
 
 
+def is_stale(command: FromOwner, state: TaskState) -> bool:
+    """Return whether a newer owner of the shard has been heard."""
+    return command.shard_epoch < state.epochs.get(command.shard, 0)
+
+
 def refuse_stale(command: FromOwner, entry_id: str) -> list[Command]:
     """Return the reply to a command of a former owner."""
     if not isinstance(command, ReserveTask):
