Test silent links and a paused entry with the real binaries

A relay stops forwarding in mid-request, once for a run that ends during the silence and once for a run that outlasts it; an entry is stopped and continued with a request in progress. The outcome that the caller gets is compared with the endpoint's own record of its runs. An idle entry and an idle agent stay within 2.2% of a core for 3 s.

--- /dev/null
+++ b/tests/process/test_link_process.py
@@ -0,0 +1,71 @@
+"""Guard real processes against silent links and paused entries."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+import psutil
+import pytest
+from tests.process.link_system import LinkSystem, wait_for
+
+from wasabispur_core.log_event import AGENT_ATTACHED, STREAM_SILENT
+from wasabispur_standins.relay import Fault
+
+INTERVAL = 0.3
+BUDGET_OF_A_CORE = 0.022
+"""Share of a core that the control plane may use on a node."""
+
+
+@pytest.mark.parametrize("delay", [400, 3000])
+def test_silent_link_in_mid_request_is_reported_truthfully(tmp_path, delay):
+    """Guard against a request that hangs, or is misreported, on a silent link.
+
+    The short run ends while the link is silent, the long one after it is back.
+    """
+    with LinkSystem(tmp_path, INTERVAL) as system:
+        path = f"/proof-{delay}"
+        reply = system.call_later(f"{path}?delay_ms={delay}")
+        wait_for(lambda: system.runs(path))
+        system.relay.fault(Fault.ESTABLISHED_SILENT)
+        wait_for(lambda: system.events("entry", STREAM_SILENT.number) == 1)
+        wait_for(lambda: system.events("agent", STREAM_SILENT.number) == 1)
+        wait_for(lambda: system.events("entry", AGENT_ATTACHED.number) == 2)
+        response = reply.result(30)
+        assert response.headers["Wasabispur-Outcome"] in ("completed", "unknown")
+        runs = system.runs(path)
+        assert len(runs) == 1
+        if response.headers["Wasabispur-Outcome"] == "completed":
+            assert response.data == f"{path}?delay_ms={delay}".encode()
+        assert system.call("/after").status == 200
+
+
+def test_paused_entry_resumes_and_reports_truthfully(tmp_path):
+    """Guard against an entry that misreports what happened while it was paused."""
+    with LinkSystem(tmp_path, INTERVAL) as system:
+        reply = system.call_later("/paused?delay_ms=500")
+        wait_for(lambda: system.runs("/paused"))
+        entry = system.processes["entry"]
+        entry.send_signal(signal.SIGSTOP)
+        wait_for(lambda: system.events("agent", STREAM_SILENT.number) == 1)
+        entry.send_signal(signal.SIGCONT)
+        response = reply.result(30)
+        assert response.headers["Wasabispur-Outcome"] in ("completed", "unknown")
+        assert len(system.runs("/paused")) == 1
+        wait_for(lambda: system.events("entry", AGENT_ATTACHED.number) == 2)
+        wait_for(lambda: system.call("/after").status == 200)
+
+
+def test_idle_processes_stay_within_the_budget(tmp_path):
+    """Guard against a thread or task that spins while nothing happens."""
+    with LinkSystem(tmp_path, 1.0) as system:
+        for name in ("entry", "agent"):
+            process = psutil.Process(system.processes[name].pid)
+            before = process.cpu_times()
+            started = time.monotonic()
+            time.sleep(3.0)
+            after = process.cpu_times()
+            used = after.user + after.system - before.user - before.system
+            share = used / (time.monotonic() - started)
+            # CPU times have a resolution of 10 ms.
+            assert share <= BUDGET_OF_A_CORE, name
