--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -0,0 +1,81 @@
+"""Catalogue the metrics."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class MetricKind(Enum):
+    """Tell how a metric's values combine."""
+
+    COUNTER = "counter"
+    HISTOGRAM = "histogram"
+    GAUGE = "gauge"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Metric:
+    """Describe one metric; bounds are the upper bounds of histogram buckets."""
+
+    name: str
+    kind: MetricKind
+    unit: str
+    text: str
+    labels: tuple[str, ...] = ()
+    bounds: tuple[float, ...] = ()
+
+
+SECONDS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.4, 5.0, 10.0, 30.0, 120.0)
+"""Bucket bounds of durations; 3.4 s is the target for the start of urgent work."""
+
+REQUESTS = Metric(
+    name="requests",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="requests that ended",
+    labels=("class", "organisation", "outcome"),
+)
+START_WAIT = Metric(
+    name="request.start_wait",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    text="time from the receipt of a request to the first start sent to an agent",
+    labels=("class", "organisation"),
+    bounds=SECONDS,
+)
+REQUEST_TIME = Metric(
+    name="request.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    text="time from the receipt of a request to its answer",
+    labels=("class", "outcome"),
+    bounds=SECONDS,
+)
+ATTEMPTS = Metric(
+    name="attempts",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="permits that were asked for",
+    labels=("class",),
+)
+STREAM_LOSSES = Metric(
+    name="stream.losses",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="streams that ended",
+    labels=("cause",),
+)
+MAILBOX_DEPTH = Metric(
+    name="mailbox.depth",
+    kind=MetricKind.GAUGE,
+    unit="1",
+    text="messages that wait in a mailbox",
+    labels=("actor",),
+)
+
+
+def metric_catalogue() -> dict[str, Metric]:
+    """Return all metrics by name."""
+    metrics = [value for value in globals().values() if isinstance(value, Metric)]
+    return {metric.name: metric for metric in sorted(metrics, key=lambda m: m.name)}
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/decision_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/decision_actor.py
@@ -16,6 +16,7 @@
 from .log import log
 
 Decide = Callable[[Message, Any, float], list[Command]]
+Observer = Callable[[Message, list[Command], float], None]
 
 LOG_EVENTS = catalogue()
 
@@ -29,10 +30,15 @@
         super().__init__(name, timers)
         self.state = state
         self.decide = decide
+        self.observer: Observer | None = None
 
     def on_message(self, message: Message) -> None:
         """Decide on the message and execute the resulting commands in order."""
-        for command in self.decide(message, self.state, self.timers.now()):
+        now = self.timers.now()
+        commands = self.decide(message, self.state, now)
+        if self.observer is not None:
+            self.observer(message, commands, now)
+        for command in commands:
             execute(command, self)
 
 
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
@@ -15,11 +15,13 @@
 from wasabispur_core.error import MailboxFullError, ProtocolError
 from wasabispur_core.log_event import MESSAGE_MALFORMED, STREAM_SILENT
 from wasabispur_core.message import Message
+from wasabispur_core.metric import STREAM_LOSSES
 from wasabispur_core.protocol import FRAME_LIMIT_BYTES, Heartbeat, HeartbeatAck
 from wasabispur_core.timer import TimerService
 
 from .actor import Actor, Close
 from .log import log
+from .metrics import registry
 from .timer_service import time_limit
 
 ATTACH_METHOD = "/wasabispur.v1.Control/Attach"
@@ -106,6 +108,7 @@
         limit_frames(stream)
         self.end_reason = ""
         self.broken = False
+        self.cause = "closed"
         self.backlog = asyncio.Semaphore(READ_BACKLOG)
 
     async def serve(self) -> str:
@@ -118,8 +121,13 @@
         try:
             self.task = asyncio.current_task()
             await self.run()
+        except asyncio.CancelledError:
+            # grpclib cancels the handler of a stream whose connection is lost.
+            self.cause = "lost"
+            raise
         finally:
             reader.cancel()
+            registry.count(STREAM_LOSSES, cause=self.cause)
             self._deliver_rest()
             if self.broken:
                 abort_connection(self.stream)
@@ -202,6 +210,7 @@
             self._end_silent()
         except STREAM_ERRORS as error:
             self.broken = True
+            self.cause = "lost"
             self.end(_describe(error))
 
     async def _read(self) -> None:
@@ -216,17 +225,20 @@
         except FRAME_ERRORS as error:
             reason = self._malformed(_describe(error))
         except STREAM_ERRORS as error:
+            self.cause = "lost"
             reason = _describe(error)
         self.post_urgent(_ReadEnded(reason=reason))
 
     def _malformed(self, reason: str) -> str:
         log(MESSAGE_MALFORMED, peer=self.peer, error=reason)
         self.broken = True
+        self.cause = "malformed"
         return reason
 
     def _end_silent(self) -> None:
         if not self.broken:
             log(STREAM_SILENT, peer=self.peer)
+            self.cause = "silent"
         self.broken = True
         self.end("silent")
 
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -12,6 +12,7 @@
 from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.metrics import registry
 
 from .bridge import Bridge
 from .control_server import ControlServer
@@ -20,7 +21,10 @@
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
 from .membership import Membership
+from .metrics_reader import MetricsReader
+from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
+from .request_metrics import RequestMetrics
 
 
 async def run_entry(
@@ -28,9 +32,11 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
+    registry.configure(settings.entry_id)
     membership = Membership(timers)
     state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, state, membership)
+    dispatcher.observer = RequestMetrics(registry).observe
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
@@ -38,8 +44,17 @@
         ControlService(settings, timers, membership), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
+    metrics = MetricsReader(
+        timers,
+        registry,
+        settings.entry_id,
+        {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+    )
+    metrics.start()
+    version_1 = VersionOneResource(bridge, dispatcher)
+    version_1.metrics = MetricsResource(bridge, metrics)
     http = HttpServer(
-        build_application(VersionOneResource(bridge, dispatcher)),
+        build_application(version_1),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -51,6 +66,7 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
+    await metrics.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -10,6 +10,7 @@
     AGENT_ATTACHED,
     AGENT_DETACHED,
     AGENT_DUPLICATE,
+    AGENT_LEAVING,
 )
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
@@ -96,6 +97,7 @@
 
 @route.register
 def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
+    log(AGENT_LEAVING, agent=message.agent_id)
     if membership.dispatcher is not None:
         membership.dispatcher.post_urgent(AgentLeaving(agent_id=message.agent_id))
 
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/request_metrics.py
@@ -0,0 +1,99 @@
+"""Measure requests from the messages and commands of their decisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from wasabispur_core.command import Command, SendToAgent
+from wasabispur_core.message import Message
+from wasabispur_core.metric import ATTEMPTS, REQUEST_TIME, REQUESTS, START_WAIT
+from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.protocol import RequestPermit, StartAttempt
+from wasabispur_core.request import RequestReceived
+from wasabispur_runtime.metrics import MetricRegistry
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestTimes:
+    """Hold what the metrics need of a request in progress."""
+
+    organisation: str
+    work_class: str
+    received: float
+    started: bool = False
+
+
+@dataclass(slots=True)
+class RequestMetrics:
+    """Own the times of the requests in progress."""
+
+    registry: MetricRegistry
+    requests: dict[str, RequestTimes] = field(default_factory=dict)
+
+    def observe(self, message: Message, commands: list[Command], now: float) -> None:
+        """Note one decision: its message and the commands that it caused."""
+        note(message, self, now)
+        for command in commands:
+            note(command, self, now)
+
+    def find(self, attempt_id: str) -> RequestTimes | None:
+        """Return the times of the request that an attempt belongs to."""
+        return self.requests.get(attempt_id.rpartition(".")[0])
+
+
+@singledispatch
+def note(message: Message, metrics: RequestMetrics, now: float) -> None:
+    """Record what a message or a command tells about a request."""
+
+
+@note.register
+def _(message: RequestReceived, metrics: RequestMetrics, now: float) -> None:
+    metrics.requests[message.request_id] = RequestTimes(
+        organisation=message.organisation,
+        work_class=message.work_class,
+        received=now,
+    )
+
+
+@note.register
+def _(command: SendToAgent, metrics: RequestMetrics, now: float) -> None:
+    note(command.message, metrics, now)
+
+
+@note.register
+def _(message: RequestPermit, metrics: RequestMetrics, now: float) -> None:
+    times = metrics.find(message.attempt_id)
+    if times is not None:
+        metrics.registry.count(ATTEMPTS, class_=times.work_class)
+
+
+@note.register
+def _(message: StartAttempt, metrics: RequestMetrics, now: float) -> None:
+    times = metrics.find(message.attempt_id)
+    if times is None or times.started:
+        return
+    times.started = True
+    metrics.registry.record(
+        START_WAIT,
+        now - times.received,
+        class_=times.work_class,
+        organisation=times.organisation,
+    )
+
+
+@note.register
+def _(command: ReplyToCaller, metrics: RequestMetrics, now: float) -> None:
+    times = metrics.requests.pop(command.request_id, None)
+    if times is None:
+        return
+    outcome = command.outcome.value
+    metrics.registry.count(
+        REQUESTS,
+        class_=times.work_class,
+        organisation=times.organisation,
+        outcome=outcome,
+    )
+    metrics.registry.record(
+        REQUEST_TIME, now - times.received, class_=times.work_class, outcome=outcome
+    )
--- a/tests/actor/test_codec.py
+++ b/tests/actor/test_codec.py
@@ -13,6 +13,7 @@
     ENTRY_TO_ENTRY,
     FRAME_LIMIT_BYTES,
     Heartbeat,
+    PermitId,
     StartAttempt,
     Welcome,
 )
@@ -71,7 +72,7 @@
     """Guard against frames that fill the memory of the receiver."""
     start = StartAttempt(
         attempt_id="a",
-        permit_id="p",
+        permit_id=PermitId(incarnation=1, number=1),
         method="POST",
         path="/",
         headers={},
--- a/tests/process/link_system.py
+++ b/tests/process/link_system.py
@@ -168,3 +168,8 @@
         """Return the endpoint's own record of the runs of a path."""
         url = f"http://{HOST}:{self.endpoint_port}/runs?path={path}"
         return self.http.request("GET", url).json()["runs"]
+
+    def metrics(self) -> list[dict]:
+        """Return the series that the entry reports."""
+        url = f"http://{HOST}:{self.http_port}/v1/metrics"
+        return self.http.request("GET", url).json()["series"]
--- a/tests/process/test_link_process.py
+++ b/tests/process/test_link_process.py
@@ -56,6 +56,22 @@
         wait_for(lambda: system.call("/after").status == 200)
 
 
+def test_metrics_agree_with_the_endpoint(tmp_path):
+    """Guard against figures that differ from what the endpoint really ran."""
+    with LinkSystem(tmp_path, INTERVAL) as system:
+        replies = [system.call_later(f"/count/{number}") for number in range(20)]
+        assert {reply.result(30).status for reply in replies} == {200}
+        series = system.metrics()
+        completed = sum(
+            one["value"]
+            for one in series
+            if one["name"] == "requests" and one["labels"]["outcome"] == "completed"
+        )
+        assert completed == len(system.runs("/"))
+        waits = [one for one in series if one["name"] == "request.start_wait"]
+        assert sum(one["count"] for one in waits) == completed
+
+
 def test_idle_processes_stay_within_the_budget(tmp_path):
     """Guard against a thread or task that spins while nothing happens."""
     with LinkSystem(tmp_path, 1.0) as system:
--- a/tests/stream/harness.py
+++ b/tests/stream/harness.py
@@ -13,9 +13,11 @@
 from wasabispur.entry_settings import EntrySettings
 from wasabispur.membership import Membership
 from wasabispur_agent.entry_link import EntryLink
+from wasabispur_core.metric import STREAM_LOSSES
 from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.metrics import registry
 from wasabispur_standins.relay import Fault, Relay, SetFault
 
 TIME_LIMIT = 30.0
@@ -82,6 +84,7 @@
 
     def __init__(self, session_limit=10) -> None:
         self.events = EventCount()
+        registry.configure("test")
         self.timers = FakeTimerService()
         self.settings = EntrySettings(
             entry_id="entry-1",
@@ -163,6 +166,11 @@
             self.timers.advance(INTERVAL)
             await asyncio.sleep(0.01)
 
+    def losses(self) -> dict[str, float]:
+        """Return the counted ends of streams by cause."""
+        series = [one for one in registry.read() if one.name == STREAM_LOSSES.name]
+        return {one.labels["cause"]: one.value for one in series}
+
     async def redial(self) -> None:
         """Let the time pass after which a link has dialled again."""
         self.timers.advance(5.0)
--- a/tests/stream/test_link_faults.py
+++ b/tests/stream/test_link_faults.py
@@ -17,17 +17,17 @@
 from wasabispur_standins.relay import Fault
 
 # fault, whether it has to be lifted before the agent can attach again,
-# records of STREAM_SILENT on both sides together
+# records of STREAM_SILENT on both sides together, cause counted at the entry
 LINK_FAULTS = [
-    (Fault.CUT, False, 0),
-    (Fault.REFUSED, True, 0),
-    (Fault.SILENT, True, 2),
-    (Fault.ESTABLISHED_SILENT, False, 2),
+    (Fault.CUT, False, 0, "lost"),
+    (Fault.REFUSED, True, 0, "lost"),
+    (Fault.SILENT, True, 2, "silent"),
+    (Fault.ESTABLISHED_SILENT, False, 2, "silent"),
 ]
 
 
-@pytest.mark.parametrize(("fault", "lift", "silent"), LINK_FAULTS)
-def test_fault_ends_stream_on_both_sides_and_link_redials(fault, lift, silent):
+@pytest.mark.parametrize(("fault", "lift", "silent", "cause"), LINK_FAULTS)
+def test_fault_ends_stream_on_both_sides_and_link_redials(fault, lift, silent, cause):
     """Guard against a lost link that either side keeps as if it were alive."""
 
     async def main() -> None:
@@ -41,6 +41,7 @@
             await until(lambda: rig.events.of(AGENT_DETACHED) == 1)
             await until(lambda: rig.events.of(STREAM_FAILED) >= 1)
             assert rig.events.of(STREAM_SILENT) == silent
+            assert rig.losses()[cause] >= 1
             if lift:
                 await rig.redial()
                 assert rig.events.of(STREAM_OPENED) == 1
