Add the clients of the table service and the object store

Bundles, jobs and claims need conditional writes whose outcome is known even when the response is lost. The decisions are in the core: charts for the transaction, the paged read, the object call and the circuit breaker. A lost response is resolved by the operation ids in the written rows; the same conditional transaction is sent again only if no row carries the id and a condition on a written row keeps a second copy from taking effect. Where the proof has been overwritten, the result says that it is uncertain.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -40,6 +40,10 @@
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
 ATTEMPT_ENDED = LogEvent(304, "DEBUG", "attempt {attempt} ended: {result}")
 
+STORE_DOWN = LogEvent(601, "ERROR", "{store} gets no answers; calls are held back")
+STORE_ANSWERS = LogEvent(602, "INFO", "{store} gets answers again")
+RESULT_UNDELIVERED = LogEvent(603, "ERROR", "{store} can't deliver {result}: {error}")
+
 
 def catalogue() -> dict[int, LogEvent]:
     """Return all log events by number."""
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/object_access.py
@@ -0,0 +1,255 @@
+"""Decide how calls go to the object store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from functools import singledispatch
+from hashlib import sha256
+from random import Random
+from typing import Any
+
+from .action import Action, Guard, holds, perform
+from .chart import Chart, ChartCatalogue
+from .circuit import CircuitDue
+from .command import Command
+from .error import UnhandledMessageError
+from .message import Message
+from .store_access import (
+    BackOff,
+    begin,
+    CALL_DEADLINE,
+    Expired,
+    finish,
+    LaneDue,
+    new_access,
+    NoteReason,
+    pump,
+    retry_circuit,
+    SetExpiry,
+    settle,
+    StoreAccess,
+    wake,
+)
+from .store_call import (
+    Call,
+    CallAnswer,
+    CallExpired,
+    CallMessage,
+    RetryDue,
+    SendCall,
+)
+
+OBJECT_LIMIT_BYTES = 16 * 1024 * 1024
+"""Largest object."""
+
+CALLS_PER_SECOND = 50.0
+"""Share of one process in the object store's rate."""
+
+OBJECT_CALL = "object_call"
+
+DIGEST_PREFIX = "sha256-"
+
+
+def digest_key(prefix: str, data: bytes) -> str:
+    """Return a key that lets a reader check the object."""
+    return f"{prefix}/{DIGEST_PREFIX}{sha256(data).hexdigest()}"
+
+
+def matches(key: str, data: bytes) -> bool:
+    """Return whether an object fits the digest in its key, if there is one."""
+    name = key.rpartition("/")[2]
+    if not name.startswith(DIGEST_PREFIX):
+        return True
+    return name.removeprefix(DIGEST_PREFIX) == sha256(data).hexdigest()
+
+
+class ObjectMethod(Enum):
+    """Tell what a call does with an object."""
+
+    PUT = "PUT"
+    GET = "GET"
+    DELETE = "DELETE"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectRequested(CallMessage):
+    """Ask for a call; data is what PUT stores."""
+
+    method: ObjectMethod
+    key: str
+    data: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectAnswered(CallAnswer):
+    """Report that the store answered; data is None for an absent object."""
+
+    data: bytes | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectDone(Message):
+    """Deliver the result of a call; data is None for an absent object."""
+
+    key: str
+    data: bytes | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectUnavailable(Message):
+    """Report that the object store can't serve a call."""
+
+    key: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendObjectCall(SendCall):
+    """Send a call to the object store."""
+
+    method: ObjectMethod
+    key: str
+    data: bytes
+
+
+@dataclass(slots=True, kw_only=True)
+class ObjectCall(Call):
+    """Hold one call to the object store."""
+
+    request: ObjectRequested
+
+
+class ObjectAction(Action[StoreAccess, ObjectCall]):
+    """Name an effect in the object_call chart."""
+
+    __slots__ = ()
+
+
+class QueueObjectCall(ObjectAction):
+    """Let the call wait to be sent."""
+
+    __slots__ = ()
+
+
+class DeliverObject(ObjectAction):
+    """Deliver the store's answer."""
+
+    __slots__ = ()
+
+
+class DeliverObjectUnavailable(ObjectAction):
+    """Deliver that the store can't serve the call."""
+
+    __slots__ = ()
+
+
+class ObjectAdmissible(Guard[StoreAccess, ObjectCall]):
+    """Hold if the store takes calls and the object is not too large."""
+
+    __slots__ = ()
+
+
+def object_call_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the object_call chart bound to its actions and guards."""
+    return catalogue.bind(
+        OBJECT_CALL,
+        actions=[*ObjectAction.__subclasses__(), SetExpiry, BackOff, NoteReason],
+        guards=[ObjectAdmissible, Expired],
+    )
+
+
+def new_object_access(
+    catalogue: ChartCatalogue,
+    random: Random,
+    calls_per_second: float = CALLS_PER_SECOND,
+) -> StoreAccess:
+    """Return the state of the calls to the object store."""
+    charts = {OBJECT_CALL: object_call_chart(catalogue)}
+    return new_access(catalogue, charts, random, calls_per_second, calls_per_second)
+
+
+def object_refusal(state: StoreAccess, request: ObjectRequested) -> str:
+    """Return why a call can't be sent, or an empty string."""
+    if len(request.data) > OBJECT_LIMIT_BYTES:
+        return f"object {request.key} exceeds {OBJECT_LIMIT_BYTES} bytes"
+    return state.closed_to_new
+
+
+@holds.register
+def _(guard: ObjectAdmissible) -> bool:
+    return not object_refusal(guard.state, guard.subject.request)
+
+
+@perform.register
+def _(action: QueueObjectCall) -> list[Command]:
+    request = action.subject.request
+    send = SendObjectCall(
+        call_id=request.call_id,
+        method=request.method,
+        key=request.key,
+        data=request.data,
+    )
+    reading = request.method is ObjectMethod.GET
+    lane = action.state.reads if reading else action.state.writes
+    lane.queue.append(send)
+    return []
+
+
+@perform.register
+def _(action: DeliverObject) -> list[Command]:
+    message = action.message
+    data = message.data if isinstance(message, ObjectAnswered) else None
+    result = ObjectDone(key=action.subject.request.key, data=data)
+    return finish(action.state, action.subject, result)
+
+
+@perform.register
+def _(action: DeliverObjectUnavailable) -> list[Command]:
+    call = action.subject
+    reason = call.reason or object_refusal(action.state, call.request)
+    result = ObjectUnavailable(
+        key=call.request.key, reason=reason or "the time for the call is over"
+    )
+    return finish(action.state, call, result)
+
+
+@singledispatch
+def decide(message: Message, state: StoreAccess, now: float) -> list[Command]:
+    """Return the commands that a message about the object store causes."""
+    raise UnhandledMessageError(
+        f"the object access does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: ObjectRequested, state: StoreAccess, now: float) -> list[Command]:
+    call = ObjectCall(
+        call_id=message.call_id,
+        lifecycle=state.call_charts[OBJECT_CALL].start(),
+        deadline=now + CALL_DEADLINE,
+        request=message,
+    )
+    return begin(message, call, state, now)
+
+
+@decide.register
+def _(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
+    return settle(message, state, now)
+
+
+@decide.register(CallExpired)
+@decide.register(RetryDue)
+def _(message: Any, state: StoreAccess, now: float) -> list[Command]:
+    return wake(message, state, now)
+
+
+@decide.register
+def _(message: CircuitDue, state: StoreAccess, now: float) -> list[Command]:
+    return retry_circuit(message, state, now)
+
+
+@decide.register
+def _(message: LaneDue, state: StoreAccess, now: float) -> list[Command]:
+    return pump(state, now)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/row_read.py
@@ -0,0 +1,139 @@
+"""Decide how the rows under a prefix are read, page by page."""
+
+from __future__ import annotations
+
+from .action import Action, Guard, holds, perform
+from .chart import Chart, ChartCatalogue
+from .command import Command
+from .store import RowsRead, RowsUnavailable
+from .store_access import BackOff, Expired, finish, NoteReason, SetExpiry, StoreAccess
+from .store_call import PageRead, ReadCall, SendPageRead
+
+ROWS_LIMIT = 50_000
+"""Rows that one read may return."""
+
+
+class ReadAction(Action[StoreAccess, ReadCall]):
+    """Name an effect in the row_read chart."""
+
+    __slots__ = ()
+
+
+class ReadGuard(Guard[StoreAccess, ReadCall]):
+    """Name a condition in the row_read chart."""
+
+    __slots__ = ()
+
+
+class QueuePage(ReadAction):
+    """Let the read of the next page wait to be sent."""
+
+    __slots__ = ()
+
+
+class KeepPage(ReadAction):
+    """Add the rows of the page that arrived."""
+
+    __slots__ = ()
+
+
+class NoteTooManyRows(ReadAction):
+    """Remember that the prefix holds more rows than one read may return."""
+
+    __slots__ = ()
+
+
+class DeliverRows(ReadAction):
+    """Deliver all rows."""
+
+    __slots__ = ()
+
+
+class DeliverRowsUnavailable(ReadAction):
+    """Deliver that the service can't serve the read."""
+
+    __slots__ = ()
+
+
+class ServiceOpen(ReadGuard):
+    """Hold if the service takes calls."""
+
+    __slots__ = ()
+
+
+class LastPage(ReadGuard):
+    """Hold if no page follows."""
+
+    __slots__ = ()
+
+
+class TooManyRows(ReadGuard):
+    """Hold if the rows so far exceed what one read may return."""
+
+    __slots__ = ()
+
+
+def row_read_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the row_read chart bound to its actions and guards."""
+    return catalogue.bind(
+        "row_read",
+        actions=[*ReadAction.__subclasses__(), SetExpiry, BackOff, NoteReason],
+        guards=[*ReadGuard.__subclasses__(), Expired],
+    )
+
+
+@holds.register
+def _(guard: ServiceOpen) -> bool:
+    return not guard.state.closed_to_new
+
+
+@holds.register
+def _(guard: LastPage) -> bool:
+    return isinstance(guard.message, PageRead) and guard.message.next_key is None
+
+
+@holds.register
+def _(guard: TooManyRows) -> bool:
+    message = guard.message
+    added = len(message.rows) if isinstance(message, PageRead) else 0
+    return len(guard.subject.rows) + added > ROWS_LIMIT
+
+
+@perform.register
+def _(action: QueuePage) -> list[Command]:
+    call = action.subject
+    send = SendPageRead(call_id=call.call_id, prefix=call.prefix, after=call.after)
+    action.state.reads.queue.append(send)
+    return []
+
+
+@perform.register
+def _(action: KeepPage) -> list[Command]:
+    message = action.message
+    if isinstance(message, PageRead):
+        action.subject.rows += message.rows
+        action.subject.after = message.next_key or ""
+    return []
+
+
+@perform.register
+def _(action: NoteTooManyRows) -> list[Command]:
+    action.subject.reason = f"the prefix holds more than {ROWS_LIMIT} rows"
+    return []
+
+
+@perform.register
+def _(action: DeliverRows) -> list[Command]:
+    call = action.subject
+    result = RowsRead(read_id=call.read_id, rows=tuple(call.rows))
+    return finish(action.state, call, result)
+
+
+@perform.register
+def _(action: DeliverRowsUnavailable) -> list[Command]:
+    call = action.subject
+    reason = call.reason or action.state.closed_to_new
+    result = RowsUnavailable(
+        read_id=call.read_id, reason=reason or "the time for the call is over"
+    )
+    return finish(action.state, call, result)
--- a/packages/wasabispur-core/src/wasabispur_core/store.py
+++ b/packages/wasabispur-core/src/wasabispur_core/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,7 +11,14 @@
 ABSENT = 0
 """Version of a row that does not exist."""
 
+SUPERSEDED = -1
+"""Version of a row that another write has replaced since; it matches no row."""
+
 ROW_LIMIT_BYTES = 64 * 1024
+"""Largest value of a row, encoded as JSON."""
+
+KEY_LIMIT = 512
+"""Longest key of a row in characters."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,6 +56,11 @@
     writes: tuple[Write, ...]
 
 
+def row_size(value: dict[str, Any] | None) -> int:
+    """Return the bytes of a row's value, encoded as JSON."""
+    return len(json.dumps(value).encode())
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreResult(Message):
     """Report how a transaction ended."""
@@ -57,7 +70,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Committed(StoreResult):
-    """Report that the transaction took effect; versions are the new ones."""
+    """Report that the transaction took effect; versions are the new ones.
+
+    After a lost response, a row that was replaced meanwhile has SUPERSEDED.
+    """
 
     versions: dict[str, int]
 
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/store_access.py
@@ -0,0 +1,304 @@
+"""Bound the rate and the number of calls to a store of the platform."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from functools import singledispatch
+from random import Random
+
+from .action import Action, Guard, holds, perform
+from .chart import Chart, ChartCatalogue
+from .circuit import (
+    CallFailed,
+    CallSucceeded,
+    Circuit,
+    circuit_chart,
+    CircuitDue,
+    CLOSED,
+    HALF_OPEN,
+    OPEN,
+)
+from .command import CancelTimer, Command, SetTimer
+from .message import Message
+from .store_call import (
+    Call,
+    CallAnswer,
+    CallExpired,
+    CallLost,
+    CallRefused,
+    CallRejected,
+    CallSent,
+    CallThrottled,
+    CircuitOpened,
+    DeliverResult,
+    RetryDue,
+    SendCall,
+)
+from .token_bucket import TokenBucket
+
+CALL_DEADLINE = 5.0
+"""Seconds after which a call is given up."""
+
+RETRY_BASE = 0.05
+RETRY_LIMIT = 1.0
+"""Bounds in seconds of the jittered delay before a call is tried again."""
+
+CALLS_LIMIT = 2000
+"""Calls that may wait or be in progress at once."""
+
+IN_FLIGHT_LIMIT = 16
+"""Calls that are sent at once; each takes a thread."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LaneDue(Message):
+    """Report that the rate allows one more call."""
+
+
+@dataclass(slots=True)
+class Lane:
+    """Hold the calls of one kind that wait, and the rate for them."""
+
+    name: str
+    bucket: TokenBucket
+    queue: deque[SendCall] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class StoreAccess:
+    """Own the calls to one store."""
+
+    call_charts: dict[str, Chart]
+    circuit: Circuit
+    random: Random
+    writes: Lane
+    reads: Lane
+    calls: dict[int, Call] = field(default_factory=dict)
+    in_flight: int = 0
+
+    def may_send(self) -> bool:
+        """Return whether the circuit and the bound on sent calls allow one more."""
+        if self.circuit.state == HALF_OPEN:
+            return self.in_flight == 0
+        return self.circuit.state == CLOSED and self.in_flight < IN_FLIGHT_LIMIT
+
+    @property
+    def closed_to_new(self) -> str:
+        """Return why no new call is taken, or an empty string."""
+        if self.circuit.state == OPEN:
+            return "the service does not answer; it is tried again soon"
+        if len(self.calls) > CALLS_LIMIT:
+            return f"{CALLS_LIMIT} calls are waiting"
+        return ""
+
+
+def new_access(
+    catalogue: ChartCatalogue,
+    call_charts: dict[str, Chart],
+    random: Random,
+    writes_per_second: float,
+    reads_per_second: float,
+) -> StoreAccess:
+    """Return the state for one store, with this process's share of its rate."""
+    return StoreAccess(
+        call_charts,
+        Circuit(circuit_chart(catalogue).start(), random),
+        random,
+        Lane("writes", TokenBucket(writes_per_second, writes_per_second)),
+        Lane("reads", TokenBucket(reads_per_second, reads_per_second)),
+    )
+
+
+class CallAction(Action[StoreAccess, Call]):
+    """Name an effect that the charts of several kinds of calls share."""
+
+    __slots__ = ()
+
+
+class CallGuard(Guard[StoreAccess, Call]):
+    """Name a condition that the charts of several kinds of calls share."""
+
+    __slots__ = ()
+
+
+class SetExpiry(CallAction):
+    """Bound the time of the call."""
+
+    __slots__ = ()
+
+
+class BackOff(CallAction):
+    """Try again after a jittered delay that grows with each failure."""
+
+    __slots__ = ()
+
+
+class NoteReason(CallAction):
+    """Remember why the service did not serve the call."""
+
+    __slots__ = ()
+
+
+class Expired(CallGuard):
+    """Hold if the call's time is over."""
+
+    __slots__ = ()
+
+
+@holds.register
+def _(guard: Expired) -> bool:
+    return guard.now >= guard.subject.deadline
+
+
+@perform.register
+def _(action: SetExpiry) -> list[Command]:
+    call = action.subject
+    expired = CallExpired(call_id=call.call_id)
+    return [
+        SetTimer(
+            timer_id=_expiry_timer(call),
+            delay=call.deadline - action.now,
+            message=expired,
+        )
+    ]
+
+
+@perform.register
+def _(action: BackOff) -> list[Command]:
+    call = action.subject
+    call.retries += 1
+    limit = min(RETRY_LIMIT, RETRY_BASE * 2**call.retries)
+    return [
+        SetTimer(
+            timer_id=_retry_timer(call),
+            delay=action.state.random.uniform(RETRY_BASE, limit),
+            message=RetryDue(call_id=call.call_id),
+        )
+    ]
+
+
+@perform.register
+def _(action: NoteReason) -> list[Command]:
+    action.subject.reason = failure_reason(action.message)
+    return []
+
+
+@singledispatch
+def failure_reason(message: Message) -> str:
+    """Return why a sent call failed."""
+    return ""
+
+
+@failure_reason.register(CallRejected)
+@failure_reason.register(CallThrottled)
+@failure_reason.register(CallRefused)
+@failure_reason.register(CallLost)
+def _(message: CallRejected | CallThrottled | CallRefused | CallLost) -> str:
+    return message.reason
+
+
+def finish(state: StoreAccess, call: Call, result: Message) -> list[Command]:
+    """Forget a call and deliver its result."""
+    state.calls.pop(call.call_id, None)
+    return [
+        CancelTimer(timer_id=_expiry_timer(call)),
+        CancelTimer(timer_id=_retry_timer(call)),
+        DeliverResult(call_id=call.call_id, result=result),
+    ]
+
+
+def begin(
+    message: Message, call: Call, state: StoreAccess, now: float
+) -> list[Command]:
+    """Take a new call."""
+    state.calls[call.call_id] = call
+    return call.lifecycle.handle(message, state, call, now) + pump(state, now)
+
+
+def settle(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
+    """Take the answer to a call that was sent."""
+    state.in_flight -= 1
+    commands: list[Command] = []
+    call = state.calls.get(message.call_id)
+    if call is not None:
+        commands += call.lifecycle.handle(message, state, call, now)
+    commands += _note_health(message, state, now)
+    return commands + pump(state, now)
+
+
+def wake(
+    message: CallExpired | RetryDue, state: StoreAccess, now: float
+) -> list[Command]:
+    """Take a timer of one call."""
+    call = state.calls.get(message.call_id)
+    if call is None:
+        return []
+    return call.lifecycle.handle(message, state, call, now) + pump(state, now)
+
+
+def retry_circuit(message: CircuitDue, state: StoreAccess, now: float) -> list[Command]:
+    """Let one call through to see whether the service is back."""
+    return state.circuit.handle(message, now) + pump(state, now)
+
+
+def pump(state: StoreAccess, now: float) -> list[Command]:
+    """Send what the circuit, the rate and the bound on sent calls allow."""
+    commands: list[Command] = []
+    for lane in (state.writes, state.reads):
+        commands += _pump_lane(lane, state, now)
+    return commands
+
+
+def _pump_lane(lane: Lane, state: StoreAccess, now: float) -> list[Command]:
+    commands: list[Command] = []
+    while lane.queue and state.may_send():
+        send = lane.queue[0]
+        call = state.calls.get(send.call_id)
+        if call is None:
+            lane.queue.popleft()
+            continue
+        if not lane.bucket.take(now):
+            delay = lane.bucket.delay(now)
+            due = SetTimer(timer_id=lane.name, delay=delay, message=LaneDue())
+            return [*commands, due]
+        lane.queue.popleft()
+        state.in_flight += 1
+        sent = CallSent(call_id=send.call_id)
+        commands += [*call.lifecycle.handle(sent, state, call, now), send]
+    return commands
+
+
+def _note_health(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
+    before = state.circuit.state
+    commands = state.circuit.handle(_health(message), now)
+    after = state.circuit.state
+    if after == OPEN and before != OPEN:
+        for call in list(state.calls.values()):
+            opened = CircuitOpened(call_id=call.call_id)
+            commands += call.lifecycle.handle(opened, state, call, now)
+    if after == CLOSED and before != CLOSED:
+        # Without saved-up tokens, what waited for the outage's end goes out at
+        # the rate and not at once.
+        state.writes.bucket.tokens = state.reads.bucket.tokens = 0.0
+        state.writes.bucket.updated = state.reads.bucket.updated = now
+    return commands
+
+
+@singledispatch
+def _health(message: CallAnswer) -> Message:
+    return CallSucceeded()
+
+
+@_health.register(CallRefused)
+@_health.register(CallLost)
+def _(message: CallAnswer) -> Message:
+    return CallFailed()
+
+
+def _expiry_timer(call: Call) -> str:
+    return f"expiry:{call.call_id}"
+
+
+def _retry_timer(call: Call) -> str:
+    return f"retry:{call.call_id}"
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/store_call.py
@@ -0,0 +1,182 @@
+"""Define the calls to the platform's stores and the messages about them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .chart import Lifecycle
+from .command import Command
+from .message import Message
+from .store import Row, Transaction
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallMessage(Message):
+    """Base of the messages that concern one call."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionRequested(CallMessage):
+    """Ask for a transaction."""
+
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowsRequested(CallMessage):
+    """Ask for all rows under a prefix."""
+
+    read_id: str
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallSent(CallMessage):
+    """Report that a call left the queue."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallExpired(CallMessage):
+    """Report that a call's time is over."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryDue(CallMessage):
+    """Report that a call may be tried again."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CircuitOpened(CallMessage):
+    """Report that the service is taken to be down."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallAnswer(CallMessage):
+    """Base of the ways in which a sent call ends."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionApplied(CallAnswer):
+    """Report that the service applied the transaction."""
+
+    versions: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionRefused(CallAnswer):
+    """Report that conditions of the transaction don't hold."""
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowsFound(CallAnswer):
+    """Deliver those of the looked-up rows that exist."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PageRead(CallAnswer):
+    """Deliver one page of rows; next_key is None on the last one."""
+
+    rows: tuple[Row, ...]
+    next_key: str | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRejected(CallAnswer):
+    """Report that the service will never accept the call."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallThrottled(CallAnswer):
+    """Report that the call was over the service's rate and had no effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRefused(CallAnswer):
+    """Report that the service is down and the call had no effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallLost(CallAnswer):
+    """Report that no usable answer came; the call may have taken effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendCall(Command):
+    """Base of the commands that call the service."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendTransaction(SendCall):
+    """Send a transaction."""
+
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendLookup(SendCall):
+    """Read single rows."""
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendPageRead(SendCall):
+    """Read the page of rows under a prefix that follows a key."""
+
+    prefix: str
+    after: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeliverResult(Command):
+    """Pass a call's result to whoever asked for it."""
+
+    call_id: int
+    result: Message
+
+
+@dataclass(slots=True, kw_only=True)
+class Call:
+    """Hold the state of one call; the deadline is in monotonic seconds."""
+
+    call_id: int
+    lifecycle: Lifecycle
+    deadline: float
+    retries: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class TransactionCall(Call):
+    """Hold a transaction; uncertain once an answer to it was lost."""
+
+    transaction: Transaction
+    uncertain: bool = False
+    conflicts: tuple[str, ...] = ()
+    found: tuple[Row, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True)
+class ReadCall(Call):
+    """Hold a read and the pages that have arrived."""
+
+    read_id: str
+    prefix: str
+    after: str = ""
+    rows: list[Row] = field(default_factory=list)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/table_access.py
@@ -0,0 +1,112 @@
+"""Decide how transactions and reads go to the table service."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from random import Random
+from typing import Any
+
+from .chart import ChartCatalogue
+from .circuit import CircuitDue
+from .command import Command
+from .error import UnhandledMessageError
+from .message import Message
+from .row_read import row_read_chart
+from .store_access import (
+    begin,
+    CALL_DEADLINE,
+    LaneDue,
+    new_access,
+    pump,
+    retry_circuit,
+    settle,
+    StoreAccess,
+    wake,
+)
+from .store_call import (
+    CallAnswer,
+    CallExpired,
+    ReadCall,
+    RetryDue,
+    RowsRequested,
+    TransactionCall,
+    TransactionRequested,
+)
+from .transaction import transaction_chart
+
+WRITES_PER_SECOND = 50.0
+READS_PER_SECOND = 200.0
+"""Share of one process in the several hundred writes and 2,000 reads a second.
+
+Eight entries at these rates still leave headroom at the table service.
+"""
+
+TRANSACTION = "transaction"
+ROW_READ = "row_read"
+
+
+def new_table_access(
+    catalogue: ChartCatalogue,
+    random: Random,
+    writes_per_second: float = WRITES_PER_SECOND,
+    reads_per_second: float = READS_PER_SECOND,
+) -> StoreAccess:
+    """Return the state of the calls to the table service."""
+    charts = {
+        TRANSACTION: transaction_chart(catalogue),
+        ROW_READ: row_read_chart(catalogue),
+    }
+    return new_access(catalogue, charts, random, writes_per_second, reads_per_second)
+
+
+@singledispatch
+def decide(message: Message, state: StoreAccess, now: float) -> list[Command]:
+    """Return the commands that a message about the table service causes."""
+    raise UnhandledMessageError(
+        f"the table access does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: TransactionRequested, state: StoreAccess, now: float) -> list[Command]:
+    call = TransactionCall(
+        call_id=message.call_id,
+        lifecycle=state.call_charts[TRANSACTION].start(),
+        deadline=now + CALL_DEADLINE,
+        transaction=message.transaction,
+    )
+    return begin(message, call, state, now)
+
+
+@decide.register
+def _(message: RowsRequested, state: StoreAccess, now: float) -> list[Command]:
+    call = ReadCall(
+        call_id=message.call_id,
+        lifecycle=state.call_charts[ROW_READ].start(),
+        deadline=now + CALL_DEADLINE,
+        read_id=message.read_id,
+        prefix=message.prefix,
+    )
+    return begin(message, call, state, now)
+
+
+@decide.register
+def _(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
+    return settle(message, state, now)
+
+
+@decide.register(CallExpired)
+@decide.register(RetryDue)
+def _(message: Any, state: StoreAccess, now: float) -> list[Command]:
+    return wake(message, state, now)
+
+
+@decide.register
+def _(message: CircuitDue, state: StoreAccess, now: float) -> list[Command]:
+    return retry_circuit(message, state, now)
+
+
+@decide.register
+def _(message: LaneDue, state: StoreAccess, now: float) -> list[Command]:
+    return pump(state, now)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/transaction.py
@@ -0,0 +1,289 @@
+"""Decide how a transaction is sent, and whether it took effect."""
+
+from __future__ import annotations
+
+from .action import Action, Guard, holds, perform
+from .chart import Chart, ChartCatalogue
+from .command import Command
+from .store import (
+    ABSENT,
+    Committed,
+    Conflicted,
+    ROW_LIMIT_BYTES,
+    row_size,
+    StoreUnavailable,
+    SUPERSEDED,
+    Transaction,
+)
+from .store_access import (
+    BackOff,
+    Expired,
+    failure_reason,
+    finish,
+    NoteReason,
+    SetExpiry,
+    StoreAccess,
+)
+from .store_call import (
+    RowsFound,
+    SendLookup,
+    SendTransaction,
+    TransactionApplied,
+    TransactionCall,
+    TransactionRefused,
+)
+
+
+class TransactionAction(Action[StoreAccess, TransactionCall]):
+    """Name an effect in the transaction chart."""
+
+    __slots__ = ()
+
+
+class TransactionGuard(Guard[StoreAccess, TransactionCall]):
+    """Name a condition in the transaction chart."""
+
+    __slots__ = ()
+
+
+class QueueTransaction(TransactionAction):
+    """Let the transaction wait to be sent."""
+
+    __slots__ = ()
+
+
+class QueueLookup(TransactionAction):
+    """Let the read of the written rows wait to be sent."""
+
+    __slots__ = ()
+
+
+class NoteLost(TransactionAction):
+    """Remember that the transaction may have taken effect."""
+
+    __slots__ = ()
+
+
+class NoteConflict(TransactionAction):
+    """Remember which conditions did not hold."""
+
+    __slots__ = ()
+
+
+class DeliverCommitted(TransactionAction):
+    """Deliver the new versions."""
+
+    __slots__ = ()
+
+
+class DeliverResolved(TransactionAction):
+    """Deliver the versions found in the rows."""
+
+    __slots__ = ()
+
+
+class DeliverConflict(TransactionAction):
+    """Deliver the conflict, or uncertainty if an earlier answer was lost."""
+
+    __slots__ = ()
+
+
+class DeliverFailure(TransactionAction):
+    """Deliver that the service can't serve the transaction."""
+
+    __slots__ = ()
+
+
+class Admissible(TransactionGuard):
+    """Hold if the service takes calls and no row is too large."""
+
+    __slots__ = ()
+
+
+class Uncertain(TransactionGuard):
+    """Hold if the transaction may have taken effect."""
+
+    __slots__ = ()
+
+
+class Repeatable(TransactionGuard):
+    """Hold if at most one of several sent copies can take effect."""
+
+    __slots__ = ()
+
+
+class Refused(TransactionGuard):
+    """Hold if the service refused the transaction for its conditions."""
+
+    __slots__ = ()
+
+
+class Written(TransactionGuard):
+    """Hold if one of the rows found carries the transaction's operation id."""
+
+    __slots__ = ()
+
+
+def transaction_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the transaction chart bound to its actions and guards."""
+    return catalogue.bind(
+        "transaction",
+        actions=[
+            *TransactionAction.__subclasses__(),
+            SetExpiry,
+            BackOff,
+            NoteReason,
+        ],
+        guards=[*TransactionGuard.__subclasses__(), Expired],
+    )
+
+
+def oversized_row(transaction: Transaction) -> str:
+    """Return the key of a row over the size limit, or an empty string."""
+    for write in transaction.writes:
+        if row_size(write.value) > ROW_LIMIT_BYTES:
+            return write.key
+    return ""
+
+
+def refusal(state: StoreAccess, transaction: Transaction) -> str:
+    """Return why a transaction can't be sent, or an empty string."""
+    key = oversized_row(transaction)
+    if key:
+        return f"row {key} exceeds {ROW_LIMIT_BYTES} bytes; put it in the object store"
+    return state.closed_to_new
+
+
+def written_keys(transaction: Transaction) -> tuple[str, ...]:
+    """Return the keys of the written rows."""
+    return tuple(write.key for write in transaction.writes)
+
+
+@holds.register
+def _(guard: Admissible) -> bool:
+    return not refusal(guard.state, guard.subject.transaction)
+
+
+@holds.register
+def _(guard: Uncertain) -> bool:
+    return guard.subject.uncertain
+
+
+@holds.register
+def _(guard: Repeatable) -> bool:
+    transaction = guard.subject.transaction
+    conditioned = {condition.key for condition in transaction.conditions}
+    return not conditioned.isdisjoint(written_keys(transaction))
+
+
+@holds.register
+def _(guard: Refused) -> bool:
+    return bool(guard.subject.conflicts)
+
+
+@holds.register
+def _(guard: Written) -> bool:
+    message = guard.message
+    if not isinstance(message, RowsFound):
+        return False
+    operation_id = guard.subject.transaction.operation_id
+    return any(row.operation_id == operation_id for row in message.rows)
+
+
+@perform.register
+def _(action: QueueTransaction) -> list[Command]:
+    call = action.subject
+    send = SendTransaction(call_id=call.call_id, transaction=call.transaction)
+    action.state.writes.queue.append(send)
+    return []
+
+
+@perform.register
+def _(action: QueueLookup) -> list[Command]:
+    call = action.subject
+    send = SendLookup(call_id=call.call_id, keys=written_keys(call.transaction))
+    action.state.reads.queue.append(send)
+    return []
+
+
+@perform.register
+def _(action: NoteLost) -> list[Command]:
+    action.subject.uncertain = True
+    action.subject.reason = failure_reason(action.message)
+    return []
+
+
+@perform.register
+def _(action: NoteConflict) -> list[Command]:
+    if isinstance(action.message, TransactionRefused):
+        action.subject.conflicts = action.message.keys
+    return []
+
+
+@perform.register
+def _(action: DeliverCommitted) -> list[Command]:
+    message = action.message
+    versions = message.versions if isinstance(message, TransactionApplied) else {}
+    return _deliver_versions(action, versions)
+
+
+@perform.register
+def _(action: DeliverResolved) -> list[Command]:
+    call = action.subject
+    rows = action.message.rows if isinstance(action.message, RowsFound) else ()
+    operation_id = call.transaction.operation_id
+    versions = dict.fromkeys(written_keys(call.transaction), ABSENT)
+    for write in call.transaction.writes:
+        if write.value is not None:
+            versions[write.key] = SUPERSEDED
+    for row in rows:
+        ours = row.operation_id == operation_id
+        versions[row.key] = row.version if ours else SUPERSEDED
+    return _deliver_versions(action, versions)
+
+
+@perform.register
+def _(action: DeliverConflict) -> list[Command]:
+    call = action.subject
+    if call.uncertain and not _untouched(action):
+        call.reason = "a response was lost and the rows have been replaced since"
+        return _deliver_failure(action)
+    result = Conflicted(operation_id=call.transaction.operation_id, keys=call.conflicts)
+    return finish(action.state, call, result)
+
+
+@perform.register
+def _(action: DeliverFailure) -> list[Command]:
+    return _deliver_failure(action)
+
+
+def _untouched(action: DeliverConflict) -> bool:
+    """Return whether a row that the transaction writes still has its old version."""
+    rows = action.message.rows if isinstance(action.message, RowsFound) else ()
+    versions = {row.key: row.version for row in rows}
+    transaction = action.subject.transaction
+    written = written_keys(transaction)
+    return any(
+        versions.get(condition.key, ABSENT) == condition.version
+        for condition in transaction.conditions
+        if condition.key in written and condition.key not in action.subject.conflicts
+    )
+
+
+def _deliver_versions(
+    action: TransactionAction, versions: dict[str, int]
+) -> list[Command]:
+    call = action.subject
+    result = Committed(operation_id=call.transaction.operation_id, versions=versions)
+    return finish(action.state, call, result)
+
+
+def _deliver_failure(action: TransactionAction) -> list[Command]:
+    call = action.subject
+    reason = call.reason or refusal(action.state, call.transaction)
+    result = StoreUnavailable(
+        operation_id=call.transaction.operation_id,
+        reason=reason or "the time for the call is over",
+        uncertain=call.uncertain or bool(call.conflicts),
+    )
+    return finish(action.state, call, result)
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -0,0 +1,158 @@
+"""Own the calls to one service of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatch
+from itertools import count
+
+from wasabispur_core.error import WasabispurError
+from wasabispur_core.log_event import RESULT_UNDELIVERED, STORE_ANSWERS, STORE_DOWN
+from wasabispur_core.message import event_name, Message
+from wasabispur_core.store_access import IN_FLIGHT_LIMIT, StoreAccess
+from wasabispur_core.store_call import (
+    CallAnswer,
+    CallLost,
+    CallRefused,
+    CallRejected,
+    CallThrottled,
+    DeliverResult,
+    SendCall,
+)
+from wasabispur_core.timer import TimerService
+
+from .decision_actor import Decide, DecisionActor, execute
+from .http_call import CALL_TIMEOUT, HttpAnswer, HttpCaller, HttpResult, Lost, NotSent
+from .log import log
+
+Receiver = Callable[[Message], None]
+
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+CLIENT_ERRORS = range(400, 500)
+REASON_CHARACTERS = 200
+
+
+class StoreActor(DecisionActor):
+    """Own the connection pool, the threads and the calls in progress."""
+
+    def __init__(
+        self,
+        name: str,
+        timers: TimerService,
+        url: str,
+        state: StoreAccess,
+        decide: Decide,
+        call_timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        super().__init__(name, timers, state, decide)
+        self.caller = HttpCaller(url, IN_FLIGHT_LIMIT, call_timeout)
+        self.threads = ThreadPoolExecutor(IN_FLIGHT_LIMIT, thread_name_prefix=name)
+        self.call_ids = count(1)
+        self.receivers: dict[int, Receiver] = {}
+        self.sent: set[asyncio.Task[None]] = set()
+        self.circuit = state.circuit.state
+
+    def register_call(self, receiver: Receiver) -> int:
+        """Return the id of a new call whose result goes to the receiver."""
+        call_id = next(self.call_ids)
+        self.receivers[call_id] = receiver
+        return call_id
+
+    def on_message(self, message: Message) -> None:
+        """Decide, and log when the service goes down or comes back."""
+        super().on_message(message)
+        circuit = self.state.circuit.state
+        if circuit == self.circuit:
+            return
+        if circuit == "open" and self.circuit == "closed":
+            log(STORE_DOWN, store=self.name)
+        if circuit == "closed":
+            log(STORE_ANSWERS, store=self.name)
+        self.circuit = circuit
+
+    def deliver(self, command: DeliverResult) -> None:
+        """Pass a result on; a receiver that can't take it is logged."""
+        receiver = self.receivers.pop(command.call_id, None)
+        if receiver is None:
+            return
+        try:
+            receiver(command.result)
+        except WasabispurError as error:
+            log(
+                RESULT_UNDELIVERED,
+                store=self.name,
+                result=event_name(command.result),
+                error=str(error),
+            )
+
+    def send(self, command: SendCall) -> None:
+        """Call the service on a thread and post its answer to this actor."""
+        task = asyncio.get_running_loop().create_task(self._call(command))
+        self.sent.add(task)
+        task.add_done_callback(self.sent.discard)
+
+    async def _call(self, command: SendCall) -> None:
+        loop = asyncio.get_running_loop()
+        answer: CallAnswer
+        try:
+            answer = await loop.run_in_executor(
+                self.threads, call_service, command, self.caller
+            )
+        except RuntimeError:
+            answer = CallLost(call_id=command.call_id, reason="the process is stopping")
+        self.post(answer)
+
+    async def closed(self) -> None:
+        """Stop the threads and close the connections."""
+        self.threads.shutdown(wait=False, cancel_futures=True)
+        self.caller.close()
+
+
+@singledispatch
+def call_service(command: SendCall, caller: HttpCaller) -> CallAnswer:
+    """Make one blocking call and return its answer."""
+    return CallRejected(
+        call_id=command.call_id, reason=f"{type(command).__name__} has no body"
+    )
+
+
+@singledispatch
+def failed_answer(result: HttpResult, call_id: int) -> CallAnswer:
+    """Return the answer for a call that the service did not serve."""
+    return CallLost(call_id=call_id, reason="no answer")
+
+
+@failed_answer.register
+def _(result: NotSent, call_id: int) -> CallAnswer:
+    return CallRefused(call_id=call_id, reason=result.reason)
+
+
+@failed_answer.register
+def _(result: Lost, call_id: int) -> CallAnswer:
+    return CallLost(call_id=call_id, reason=result.reason)
+
+
+@failed_answer.register
+def _(result: HttpAnswer, call_id: int) -> CallAnswer:
+    reason = f"status {result.status}"
+    if result.status == TOO_MANY_REQUESTS:
+        return CallThrottled(call_id=call_id, reason=reason)
+    if result.status == UNAVAILABLE:
+        return CallRefused(call_id=call_id, reason=reason)
+    if result.status in CLIENT_ERRORS:
+        detail = result.body[:REASON_CHARACTERS].decode(errors="replace")
+        return CallRejected(call_id=call_id, reason=f"{reason}: {detail}")
+    return CallLost(call_id=call_id, reason=reason)
+
+
+@execute.register
+def _(command: SendCall, actor: StoreActor) -> None:
+    actor.send(command)
+
+
+@execute.register
+def _(command: DeliverResult, actor: StoreActor) -> None:
+    actor.deliver(command)
--- a/packages/wasabispur-standins/src/wasabispur_standins/fault.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fault.py
@@ -7,6 +7,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from wasabispur_core.token_bucket import TokenBucket
+
 Seconds = Annotated[float, Field(ge=0, le=3600)]
 Status = Annotated[int, Field(ge=400, le=599)]
 
@@ -162,25 +164,6 @@
     faults: Annotated[list[AnyFault], Field(max_length=64)] = []
 
 
-@dataclass(slots=True)
-class TokenBucket:
-    """Limit a rate; a second's worth of calls may come at once."""
-
-    per_second: float
-    tokens: float
-    updated: float
-
-    def take(self, now: float) -> bool:
-        """Return whether one more call fits the rate."""
-        refill = (now - self.updated) * self.per_second
-        self.tokens = min(max(self.per_second, 1.0), self.tokens + refill)
-        self.updated = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 @dataclass(slots=True)
 class _Rule:
     fault: Fault
--- a/packages/wasabispur-standins/src/wasabispur_standins/table_state.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/table_state.py
@@ -8,8 +8,8 @@
 
 from wasabispur_core.message import Message
 from wasabispur_core.store import ABSENT, Row, Transaction
+from wasabispur_core.token_bucket import TokenBucket
 
-from .fault import TokenBucket
 from .stand_in import answer
 
 WRITES_PER_SECOND = 400.0
@@ -72,10 +72,10 @@
     rows: dict[str, Row] = field(default_factory=dict)
     sequence: int = 0
     writes: TokenBucket = field(
-        default_factory=lambda: TokenBucket(WRITES_PER_SECOND, WRITES_PER_SECOND, 0.0)
+        default_factory=lambda: TokenBucket(WRITES_PER_SECOND, WRITES_PER_SECOND)
     )
     reads: TokenBucket = field(
-        default_factory=lambda: TokenBucket(READS_PER_SECOND, READS_PER_SECOND, 0.0)
+        default_factory=lambda: TokenBucket(READS_PER_SECOND, READS_PER_SECOND)
     )
 
     def version(self, key: str) -> int:
--- /dev/null
+++ b/tests/platform/test_table_contract.py
@@ -0,0 +1,241 @@
+"""Check the table client against the table service stand-in with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from tests.platform.harness import connected, running, set_faults
+
+from wasabispur_core.store import (
+    Committed,
+    Condition,
+    Conflicted,
+    ROW_LIMIT_BYTES,
+    RowsRead,
+    RowsUnavailable,
+    StoreUnavailable,
+    SUPERSEDED,
+    Transaction,
+    Write,
+)
+from wasabispur_runtime.table_client import ApplyTransaction, FetchRows, TableClient
+from wasabispur_standins.table_service import TableRoot
+from wasabispur_standins.table_state import TableState
+
+SINGLE_FAULTS = {
+    "none": None,
+    "outage": {"kind": "outage"},
+    "throttled": {"kind": "outage", "status": 429},
+    "cut before the effect": {"kind": "cut"},
+    "answer lost": {"kind": "lose_answer"},
+    "error after the effect": {"kind": "fail"},
+    "slow": {"kind": "slow", "seconds": 1.0},
+    "paused": {"kind": "pause", "seconds": 1.0},
+    "request duplicated": {"kind": "duplicate_request"},
+    "answer duplicated": {"kind": "duplicate_answer"},
+    "truncated": {"kind": "truncate"},
+    "garbage": {"kind": "garbage"},
+    "oversize": {"kind": "oversize"},
+    "silent": {"kind": "silent"},
+    "silent after the effect": {"kind": "silent", "effect": True},
+}
+
+LASTING_FAULTS = {
+    "outage": ({"kind": "outage"}, False),
+    "throttled": ({"kind": "outage", "status": 429}, False),
+    "cut": ({"kind": "cut"}, True),
+    "answer lost": ({"kind": "lose_answer"}, True),
+    "truncated": ({"kind": "truncate"}, True),
+    "garbage": ({"kind": "garbage"}, True),
+    "oversize": ({"kind": "oversize"}, True),
+    "silent": ({"kind": "silent"}, True),
+}
+
+
+def put(receiver, operation="op", key="k", version=0, value=1) -> ApplyTransaction:
+    """Return a conditional write of one row."""
+    return ApplyTransaction(
+        transaction=Transaction(
+            operation_id=operation,
+            conditions=(Condition(key=key, version=version),),
+            writes=(Write(key=key, value={"value": value}),),
+        ),
+        receiver=receiver,
+    )
+
+
+def fetch(receiver, prefix="") -> FetchRows:
+    """Return a read of all rows under a prefix."""
+    return FetchRows(read_id="read", prefix=prefix, receiver=receiver)
+
+
+def table_test(scenario):
+    """Run a scenario with a stand-in, its state and a client."""
+
+    async def main():
+        state = TableState()
+        async with (
+            running("table-service", state, TableRoot) as stand_in,
+            connected(TableClient, stand_in.listener.port) as client,
+        ):
+            await scenario(stand_in, state, client)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", SINGLE_FAULTS)
+def test_a_write_survives_one_fault_and_takes_effect_once(name):
+    """Guard against a lost, repeated or misreported write after a fault."""
+
+    async def scenario(stand_in, state, client):
+        fault = SINGLE_FAULTS[name]
+        if fault is not None:
+            set_faults(stand_in, {**fault, "count": 1, "method": "POST"})
+        result = (await client.ask(put(client.results_to)))[0]
+        assert result == Committed(operation_id="op", versions={"k": 1})
+        assert state.sequence == 1
+        again = put(client.results_to, operation="op2", version=1, value=2)
+        result = (await client.ask(again))[0]
+        assert isinstance(result, Committed)
+
+    table_test(scenario)
+
+
+@pytest.mark.parametrize("name", LASTING_FAULTS)
+def test_a_lasting_fault_is_reported_with_its_certainty(name):
+    """Guard against "had no effect" for a write that may have had one."""
+
+    async def scenario(stand_in, state, client):
+        fault, uncertain = LASTING_FAULTS[name]
+        set_faults(stand_in, fault)
+        result = (await client.ask(put(client.results_to)))[0]
+        assert isinstance(result, StoreUnavailable)
+        assert result.uncertain is uncertain
+        assert result.reason
+        if not uncertain:
+            assert state.sequence == 0
+
+    table_test(scenario)
+
+
+@pytest.mark.parametrize("name", SINGLE_FAULTS)
+def test_a_read_survives_one_fault(name):
+    """Guard against missing, doubled or foreign rows after a fault."""
+
+    async def scenario(stand_in, state, client):
+        for number in range(250):
+            state.sequence += 1
+            state.put(f"row/{number:03}", {"value": number}, "setup")
+        fault = SINGLE_FAULTS[name]
+        if fault is not None:
+            set_faults(stand_in, {**fault, "skip": 1, "count": 1, "method": "GET"})
+        result = (await client.ask(fetch(client.results_to, "row/")))[0]
+        assert isinstance(result, RowsRead)
+        assert [row.value["value"] for row in result.rows] == list(range(250))
+
+    table_test(scenario)
+
+
+def test_a_refused_connection_is_certain_to_have_had_no_effect():
+    """Guard against uncertainty, or a hang, when nothing listens."""
+
+    async def main():
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            async with connected(TableClient, probe.getsockname()[1]) as client:
+                write, read = await client.ask(
+                    put(client.results_to), fetch(client.results_to)
+                )
+        assert isinstance(write, StoreUnavailable)
+        assert not write.uncertain
+        assert isinstance(read, RowsUnavailable)
+
+    asyncio.run(main())
+
+
+def test_a_conflict_names_the_keys():
+    """Guard against a conditional write that overwrites another's row."""
+
+    async def scenario(stand_in, state, client):
+        state.sequence = 5
+        state.put("k", {"value": 0}, "other")
+        result = (await client.ask(put(client.results_to)))[0]
+        assert result == Conflicted(operation_id="op", keys=("k",))
+        assert state.rows["k"].operation_id == "other"
+
+    table_test(scenario)
+
+
+def test_a_lost_answer_whose_row_was_replaced_is_uncertain():
+    """Guard against a guess where the proof has been overwritten."""
+
+    async def scenario(stand_in, state, client):
+        set_faults(
+            stand_in,
+            {"kind": "lose_answer", "method": "POST", "count": 1},
+            {"kind": "outage", "method": "GET", "path": "/v1/row", "count": 1},
+        )
+        client.actor.post(put(client.results_to))
+        while client.actor.state.in_flight or not state.sequence:
+            await client.step()
+        state.sequence = 9
+        state.put("k", {"value": 3}, "other")
+        result = (await client.wait(1))[0]
+        assert isinstance(result, StoreUnavailable)
+        assert result.uncertain
+
+    table_test(scenario)
+
+
+def test_a_row_of_a_lost_transaction_that_was_replaced_is_marked():
+    """Guard against an overwrite of another's row with its own version."""
+
+    async def scenario(stand_in, state, client):
+        set_faults(
+            stand_in,
+            {"kind": "lose_answer", "method": "POST", "count": 1},
+            {"kind": "outage", "method": "GET", "path": "/v1/row", "count": 1},
+        )
+        transaction = Transaction(
+            operation_id="op",
+            conditions=(Condition(key="a", version=0),),
+            writes=(Write(key="a", value={}), Write(key="b", value={})),
+        )
+        message = ApplyTransaction(transaction=transaction, receiver=client.results_to)
+        client.actor.post(message)
+        while client.actor.state.in_flight or not state.sequence:
+            await client.step()
+        state.sequence = 9
+        state.put("b", {"value": 3}, "other")
+        result = (await client.wait(1))[0]
+        assert result.versions == {"a": 1, "b": SUPERSEDED}
+
+    table_test(scenario)
+
+
+def test_an_oversize_row_is_refused_before_it_is_sent():
+    """Guard against a row that the table service would refuse for ever."""
+
+    async def scenario(stand_in, state, client):
+        message = put(client.results_to, value="x" * ROW_LIMIT_BYTES)
+        result = (await client.ask(message))[0]
+        assert isinstance(result, StoreUnavailable)
+        assert "object store" in result.reason
+        assert not result.uncertain
+
+    table_test(scenario)
+
+
+def test_the_client_keeps_to_its_share_of_the_rate():
+    """Guard against a client that takes more than its share of the table service."""
+
+    async def scenario(stand_in, state, client):
+        writes = [put(client.results_to, f"op{n}", f"k{n}") for n in range(120)]
+        results = await client.ask(*writes)
+        assert all(isinstance(result, Committed) for result in results)
+        # 50 a second with one second's worth at once: 120 take 1.4 s.
+        assert client.timers.now() >= 1.4
+
+    table_test(scenario)
