--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -25,6 +25,11 @@
     """Tell why an attempt or a task did not start or did not finish."""
 
     NO_FREE_SLOT = "no free slot"
+    NO_ENDPOINT = "no endpoint can take the request"
+    STREAM_LOST = "stream to the agent lost before the start"
+    AGENT_RESTARTED = "agent restarted after it granted the permit"
+    ATTEMPT_FORGOTTEN = "agent no longer remembers the attempt"
+    LENGTH_UNDECLARED = "response without a declared length"
     LEAVING = "agent is leaving"
     PERMIT_EXPIRED = "start permit expired"
     PERMIT_UNKNOWN = "start permit unknown"
@@ -49,12 +54,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Heartbeat(Message):
-    """Probe the stream; the other side answers with the same sequence."""
+    """Probe the stream; the other side answers with the same sequence.
+
+    The clock is the sender's; only the sender compares it with anything.
+    """
 
     sequence: int
     bundle_version: int
     in_flight: int = 0
     free_slots: int = 0
+    clock: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +126,7 @@
     cores: int = 0
     memory: int = 0
     bundle_version: int = 0
+    clock: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,12 +134,20 @@
     """Announce a planned stop; no new work may be sent."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PermitId:
+    """Name one permit by the agent's incarnation and a number that grows in it."""
+
+    incarnation: int
+    number: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PermitGranted(Message):
     """Allow one start within lifetime seconds of the agent's clock."""
 
     attempt_id: str
-    permit_id: str
+    permit_id: PermitId
     lifetime: float
 
 
@@ -262,7 +280,7 @@
     """Start an attempt under a permit; remaining is in seconds."""
 
     attempt_id: str
-    permit_id: str
+    permit_id: PermitId
     method: str
     path: str
     headers: dict[str, str]
@@ -282,11 +300,16 @@
     """Ask how an attempt ended after the stream that carried it was lost."""
 
     attempt_id: str
+    permit_id: PermitId
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveTask(Message):
-    """Hold accelerators for a task for lease seconds of the agent's clock."""
+    """Hold accelerators for a task until lease seconds after the anchor.
+
+    The anchor is the clock in the agent's last heartbeat, so that a message that
+    arrives late gives no longer lease.
+    """
 
     task_id: str
     job_id: str
@@ -296,6 +319,8 @@
     accelerators: int
     command: str
     lease: float
+    anchor: float
+    accelerator_ids: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -307,16 +332,22 @@
     shard_epoch: int
     gang_epoch: int
     lease: float
+    anchor: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RenewTasks(Message):
-    """Extend the leases of tasks by lease seconds of the agent's clock."""
+    """Extend the leases of tasks to lease seconds after the anchor.
+
+    The agent answers with its TaskInventory and with the end of each named task
+    that it does not hold.
+    """
 
     shard: str
     shard_epoch: int
     task_ids: tuple[str, ...]
     lease: float
+    anchor: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
