Measure the slopes of CPU time, memory and traffic

The command 'python -m wasabispur_standins measure' measures an idle entry against attached agents, an idle agent against its entries, both against requests a second, and the cost of messages and objects. Each slope is fitted to three sizes or more.

--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -0,0 +1,88 @@
+"""Define the command that measures slopes for docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import click
+from loguru import logger
+
+from .measure_fit import print_lines
+from .measure_object import all_objects
+from .measure_request import measure_requests
+from .measure_stream import measure_agent, measure_entry
+
+AGENT_LIMIT = 300
+"""Streams that one measurement opens at most."""
+
+Decorator = Callable[[Callable[..., Any]], Callable[..., Any]]
+
+SECONDS = click.option(
+    "--seconds",
+    type=click.FloatRange(1, 60),
+    default=10.0,
+    show_default=True,
+    help="Length of one sample.",
+)
+
+
+def sizes_option(default: str, largest: int) -> Decorator:
+    """Return the option for the measured sizes."""
+    return click.option(
+        "--sizes",
+        default=default,
+        show_default=True,
+        callback=lambda context, option, text: parse_sizes(text, largest),
+        help="At least three sizes, separated by commas.",
+    )
+
+
+def parse_sizes(text: str, largest: int) -> list[int]:
+    """Return the sizes in the text; raise click.BadParameter."""
+    try:
+        sizes = [int(part) for part in text.split(",")]
+    except ValueError as error:
+        raise click.BadParameter(f"{text!r} is no list of whole numbers") from error
+    if len(sizes) < 3 or not all(0 <= size <= largest for size in sizes):
+        raise click.BadParameter(f"name three sizes or more, from 0 to {largest}")
+    return sizes
+
+
+@click.group()
+def measure() -> None:
+    """Measure the slopes of CPU time, memory and traffic."""
+    logger.remove()
+
+
+@measure.command()
+@sizes_option("10,30,100,300", AGENT_LIMIT)
+@SECONDS
+@click.option("--seed", type=int, default=1, show_default=True)
+def entry(sizes: list[int], seconds: float, seed: int) -> None:
+    """Measure an idle entry against the number of attached agents."""
+    print_lines(asyncio.run(measure_entry(sizes, seconds, Random(seed))))
+
+
+@measure.command()
+@sizes_option("1,3,10,30", 64)
+@SECONDS
+def agent(sizes: list[int], seconds: float) -> None:
+    """Measure an idle agent against the number of its entries."""
+    print_lines(asyncio.run(measure_agent(sizes, seconds)))
+
+
+@measure.command()
+@sizes_option("0,20,50,100", 500)
+@SECONDS
+def requests(sizes: list[int], seconds: float) -> None:
+    """Measure entry and agent against the requests a second."""
+    print_lines(measure_requests(sizes, seconds))
+
+
+@measure.command()
+def objects() -> None:
+    """Measure the cost of messages, and the memory of objects."""
+    print_lines(all_objects())
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_process.py
@@ -0,0 +1,92 @@
+"""Start the processes under measurement and sample their use of resources."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import psutil
+
+HOST = "127.0.0.1"
+STOP_LIMIT = 20.0
+"""Seconds after which a process that does not stop is killed."""
+
+START_LIMIT = 20.0
+"""Seconds within which a process has to listen."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Usage:
+    """Hold a process's CPU seconds and resident bytes at one moment."""
+
+    time: float
+    cpu: float
+    memory: int
+
+
+def usage(pid: int) -> Usage:
+    """Return the use of resources of a process until now."""
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    return Usage(
+        time=time.monotonic(),
+        cpu=times.user + times.system,
+        memory=process.memory_info().rss,
+    )
+
+
+def share_of_core(before: Usage, after: Usage) -> float:
+    """Return the share of one core that a process used between two moments."""
+    return (after.cpu - before.cpu) / (after.time - before.time)
+
+
+def free_port() -> int:
+    """Return a port that the system chose."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@contextmanager
+def started(settings: dict[str, object], *arguments: str) -> Iterator[int]:
+    """Run a module with a settings file, and give its process id."""
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        process = subprocess.Popen(
+            [sys.executable, "-m", *arguments, "--settings", str(path)],
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            yield process.pid
+        finally:
+            _stop(process)
+
+
+def wait_until_listening(port: int) -> None:
+    """Return when a process listens on the port; raise TimeoutError."""
+    deadline = time.monotonic() + START_LIMIT
+    while time.monotonic() < deadline:
+        with socket.socket() as probe:
+            if probe.connect_ex((HOST, port)) == 0:
+                return
+        time.sleep(0.05)
+    raise TimeoutError(f"nothing listens on port {port} after {START_LIMIT:g} s")
+
+
+def _stop(process: subprocess.Popen[bytes]) -> None:
+    process.terminate()
+    try:
+        process.wait(STOP_LIMIT)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_stream.py
@@ -0,0 +1,192 @@
+"""Measure a real entry with many real streams, and a real agent with many entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, AsyncExitStack
+from functools import partial
+from random import Random
+
+from wasabispur.control_server import ControlServer
+from wasabispur.control_service import ControlService
+from wasabispur.entry_settings import EntrySettings
+from wasabispur.membership import Membership
+from wasabispur_agent.entry_link import EntryLink
+from wasabispur_core.protocol import Announce, Heartbeat, Role
+from wasabispur_runtime.timer_service import LoopTimerService
+
+from .measure_fit import fit, Line, Sample
+from .measure_process import (
+    free_port,
+    HOST,
+    share_of_core,
+    started,
+    usage,
+    wait_until_listening,
+)
+from .relay import Relay
+
+SETTLE = 2.0
+"""Seconds between the last attachment and the first sample."""
+
+ATTACH_LIMIT = 60.0
+"""Seconds within which all agents have to attach."""
+
+
+def entry_settings(http_port: int, control_port: int) -> dict[str, object]:
+    """Return the settings of the entry under measurement."""
+    return {
+        "entry_id": "entry-1",
+        "region": "Atlanta",
+        "data_centre": "a1",
+        "http_port": http_port,
+        "control_port": control_port,
+        "log_level": "ERROR",
+    }
+
+
+def agent_settings(entries: Sequence[str], url: str, slots: int) -> dict[str, object]:
+    """Return the settings of the agent under measurement."""
+    return {
+        "agent_id": "agent-1",
+        "role": "endpoint",
+        "region": "Atlanta",
+        "data_centre": "a1",
+        "entries": list(entries),
+        "local_url": url,
+        "service": "tags",
+        "slots": slots,
+        "log_level": "ERROR",
+    }
+
+
+async def measure_entry(
+    sizes: Sequence[int], seconds: float, random: Random
+) -> list[Line]:
+    """Return the cost of an idle entry against the number of attached agents."""
+    cpu, memory, traffic = [], [], []
+    for size in sizes:
+        http_port, control_port = free_port(), free_port()
+        settings = entry_settings(http_port, control_port)
+        with started(settings, "wasabispur", "entry") as pid:
+            wait_until_listening(control_port)
+            async with links(control_port, size, random) as relay:
+                await asyncio.sleep(SETTLE)
+                bytes_before, before = relay.forwarded_bytes, usage(pid)
+                await asyncio.sleep(seconds)
+                after, bytes_after = usage(pid), relay.forwarded_bytes
+        elapsed = after.time - before.time
+        sent = (bytes_after - bytes_before) / elapsed
+        cpu.append(Sample(size=size, value=100 * share_of_core(before, after)))
+        memory.append(Sample(size=size, value=after.memory / 2**20))
+        traffic.append(Sample(size=size, value=sent / 1024))
+    return [
+        fit("idle entry: CPU time", "% of a core", "agent", cpu),
+        fit("idle entry: memory", "MB", "agent", memory),
+        fit("idle entry: TCP payload, both ways", "KB/s", "agent", traffic),
+    ]
+
+
+async def measure_agent(sizes: Sequence[int], seconds: float) -> list[Line]:
+    """Return the cost of an idle agent against the number of its entries."""
+    cpu, memory, traffic = [], [], []
+    for size in sizes:
+        async with AsyncExitStack() as stack:
+            relays = [await stack.enter_async_context(entry()) for _ in range(size)]
+            entries = [f"{HOST}:{relay.port}" for relay in relays]
+            settings = agent_settings(entries, "http://127.0.0.1:9", slots=8)
+            pid = stack.enter_context(started(settings, "wasabispur_agent"))
+            await _until(partial(_all_connected, relays))
+            await asyncio.sleep(SETTLE)
+            bytes_before = sum(relay.forwarded_bytes for relay in relays)
+            before = usage(pid)
+            await asyncio.sleep(seconds)
+            after = usage(pid)
+            sent = sum(relay.forwarded_bytes for relay in relays) - bytes_before
+        elapsed = after.time - before.time
+        cpu.append(Sample(size=size, value=100 * share_of_core(before, after)))
+        memory.append(Sample(size=size, value=after.memory / 2**20))
+        traffic.append(Sample(size=size, value=sent / elapsed / 1024))
+    return [
+        fit("idle agent: CPU time", "% of a core", "entry", cpu),
+        fit("idle agent: memory", "MB", "entry", memory),
+        fit("idle agent: TCP payload, both ways", "KB/s", "entry", traffic),
+    ]
+
+
+@asynccontextmanager
+async def links(port: int, count: int, random: Random) -> AsyncIterator[Relay]:
+    """Attach agents to an entry through a relay that counts the bytes."""
+    timers = LoopTimerService(asyncio.get_running_loop())
+    relay = Relay(timers, port)
+    relay.start()
+    await _until(lambda: relay.port > 0)
+    opened = [_link(relay.port, number, timers, random) for number in range(count)]
+    for link in opened:
+        link.start()
+        # Spreads the heartbeats over the interval, as agents that start by
+        # themselves do.
+        await asyncio.sleep(1 / count)
+    try:
+        await _until(lambda: all(link.stream is not None for link in opened))
+        yield relay
+    finally:
+        await asyncio.gather(*(link.close() for link in opened))
+        await relay.close()
+
+
+@asynccontextmanager
+async def entry() -> AsyncIterator[Relay]:
+    """Run the control port of an entry in this process, behind a relay."""
+    timers = LoopTimerService(asyncio.get_running_loop())
+    membership = Membership(timers)
+    membership.start()
+    port = free_port()
+    settings = EntrySettings.model_validate(entry_settings(port, port))
+    service = ControlService(settings, timers, membership)
+    server = ControlServer(service, timers, settings.session_limit)
+    await server.start(HOST, port)
+    relay = Relay(timers, port)
+    relay.start()
+    await _until(lambda: relay.port > 0)
+    try:
+        yield relay
+    finally:
+        await relay.close()
+        server.close()
+        await server.wait_closed()
+        await membership.close()
+
+
+def _link(
+    port: int, number: int, timers: LoopTimerService, random: Random
+) -> EntryLink:
+    announce = Announce(
+        agent_id=f"agent-{number}",
+        incarnation=1,
+        role=Role.ENDPOINT,
+        region="Atlanta",
+        data_centre="a1",
+        rack="r1",
+        service="tags",
+        slots=8,
+    )
+    return EntryLink(
+        f"{HOST}:{port}",
+        timers,
+        announce=lambda: announce,
+        heartbeat=lambda sequence: Heartbeat(sequence=sequence, bundle_version=0),
+        receiver=lambda message: None,
+        random=random,
+    )
+
+
+def _all_connected(relays: Sequence[Relay]) -> bool:
+    return all(relay.connections for relay in relays)
+
+
+async def _until(predicate: Callable[[], bool]) -> None:
+    async with asyncio.timeout(ATTACH_LIMIT):
+        while not predicate():
+            await asyncio.sleep(0.01)
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -10,6 +10,7 @@
 from wasabispur_runtime.process import run_process
 
 from .endpoint import EndpointRoot, EndpointState
+from .measure_command import measure
 from .object_store import ObjectRoot, ObjectState
 from .stand_in import BuildRoot, run_stand_in
 from .table_service import TableRoot
@@ -69,3 +70,6 @@
     """Run a worker."""
     state = WorkerState(accelerators=accelerators, usage_lag=usage_lag)
     serve("worker", state, WorkerRoot, port)
+
+
+main.add_command(measure)
