Accept jobs at any entry and run their tasks at workers

The worker runner calls the worker in order for each task and stops what a former agent left there before it announces itself, so that its word on an unknown task is proof.

--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -10,7 +10,7 @@
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
 from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.protocol import Announce, Heartbeat
+from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 
@@ -18,6 +18,7 @@
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
+from .worker_agent import run_worker_agent
 
 
 async def run_agent(
@@ -27,6 +28,11 @@
     configure_log(settings.agent_id, settings.log_level)
     # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
+    if settings.role is Role.WORKER:
+        await run_worker_agent(
+            settings, timers, stop, lambda: describe(settings, incarnation, timers)
+        )
+        return
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
@@ -34,7 +40,7 @@
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation),
+            announce=lambda: describe(settings, incarnation, timers),
             heartbeat=lambda sequence: beat(sequence, state),
             receiver=runner.post,
             random=Random(),
@@ -51,7 +57,9 @@
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
-def describe(settings: AgentSettings, incarnation: int) -> Announce:
+def describe(
+    settings: AgentSettings, incarnation: int, timers: TimerService
+) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
         agent_id=settings.agent_id,
@@ -65,6 +73,7 @@
         accelerators=settings.accelerators,
         cores=settings.cores,
         memory=settings.memory,
+        clock=timers.now(),
     )
 
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -130,6 +130,7 @@
                 interval=welcome.heartbeat_interval,
                 initiator=True,
             )
+            self._forward(welcome)
             reason = await self.stream.serve()
             await stream.cancel()
             return reason
--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_client.py
@@ -0,0 +1,137 @@
+"""Call the worker beside the agent."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import urllib3
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from wasabispur_core.log_event import WORKER_FAILED
+from wasabispur_core.protocol import ReserveTask
+from wasabispur_runtime.log import log
+
+CONNECT_TIMEOUT = 1.0
+CALL_TIMEOUT = 2.0
+"""Seconds that one call to the worker may take."""
+
+CONNECTIONS = 8
+CHECKPOINT_LIMIT = 4096
+ENDED_STATES = frozenset(("finished", "failed", "stopped", "lapsed"))
+
+
+class TaskView(BaseModel):
+    """Validate what the worker shows of a task."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    task_id: str
+    state: str
+    result: str = ""
+    checkpoint: Annotated[str, Field(max_length=CHECKPOINT_LIMIT)] = ""
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the task runs no more."""
+        return self.state in ENDED_STATES
+
+
+class TaskList(BaseModel):
+    """Validate the worker's list of tasks."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    tasks: tuple[TaskView, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Tell that the worker answered with an error."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """Tell that the worker did not answer; sent says that the call may count."""
+
+    sent: bool
+
+
+Answer = TaskView | Refused | Unanswered
+
+VIEW = TypeAdapter(TaskView)
+LIST = TypeAdapter(TaskList)
+
+
+class WorkerClient:
+    """Own the HTTP connection pool to one worker."""
+
+    def __init__(self, url: str) -> None:
+        self.pool = urllib3.connection_from_url(url, maxsize=CONNECTIONS, block=True)
+
+    def start(self, reserve: ReserveTask, lease: float) -> Answer:
+        """Start a task under a lease in seconds; a repeated call starts none."""
+        body = {
+            "task_id": reserve.task_id,
+            "accelerators": reserve.accelerators,
+            "command": reserve.command,
+            "lease": lease,
+            "checkpoint": reserve.checkpoint,
+        }
+        return self._task("POST", "/v1/tasks", body)
+
+    def renew(self, task_id: str, lease: float) -> Answer:
+        """Let a task's lease end lease seconds from now."""
+        return self._task("POST", f"/v1/tasks/{task_id}/renew", {"lease": lease})
+
+    def stop(self, task_id: str) -> Answer:
+        """Stop a task; it may take some time to end."""
+        return self._task("POST", f"/v1/tasks/{task_id}/stop", {})
+
+    def checkpoint(self, task_id: str) -> Answer:
+        """Save a task's progress."""
+        return self._task("POST", f"/v1/tasks/{task_id}/checkpoint", {})
+
+    def tasks(self) -> dict[str, TaskView] | None:
+        """Return all tasks by id, or None if the worker gave no valid answer."""
+        answer = self._call("GET", "/v1/tasks", None, LIST)
+        if not isinstance(answer, TaskList):
+            return None
+        return {task.task_id: task for task in answer.tasks}
+
+    def _task(self, method: str, path: str, body: dict[str, Any]) -> Answer:
+        answer: Answer = self._call(method, path, body, VIEW)
+        return answer
+
+    def _call(
+        self, method: str, path: str, body: dict[str, Any] | None, form: Any
+    ) -> Any:
+        try:
+            response = self.pool.urlopen(
+                method,
+                path,
+                body=None if body is None else json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, total=CALL_TIMEOUT),
+                retries=False,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            log(WORKER_FAILED, path=path, error=str(error))
+            return Unanswered(sent=False)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            log(WORKER_FAILED, path=path, error=str(error))
+            return Unanswered(sent=True)
+        if response.status != 200:
+            return Refused(response.status)
+        try:
+            return form.validate_json(response.data)
+        except ValidationError as error:
+            log(WORKER_FAILED, path=path, error=str(error))
+            return Unanswered(sent=True)
--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -0,0 +1,262 @@
+"""Own the tasks of the worker beside the agent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
+from wasabispur_core.message import event_name, Message
+from wasabispur_core.permit import SendToEntryLink
+from wasabispur_core.protocol import (
+    Leaving,
+    Reason,
+    TaskFinished,
+    TaskStarted,
+    TaskStopped,
+)
+from wasabispur_core.task import (
+    decide,
+    RenewAtWorker,
+    RunAtWorker,
+    stop_all,
+    StopAtWorker,
+    TaskState,
+)
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.log import log
+
+from .worker_client import Answer, Refused, TaskView, WorkerClient
+
+THREADS = 8
+POLL_INTERVAL = 0.5
+"""Seconds between two readings of the worker's tasks."""
+
+DRAIN_TIME = 10.0
+"""Seconds that a planned stop waits for the worker to stop its tasks."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PollDue(Message):
+    """Tell the runner to read the worker's tasks."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TasksRead(Message):
+    """Deliver the worker's tasks, or None if it did not answer.
+
+    The asked tasks ran before the reading was sent.
+    """
+
+    asked: frozenset[str]
+    views: dict[str, TaskView] | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartAnswered(Message):
+    """Deliver the worker's answer to a start."""
+
+    command: RunAtWorker
+    answer: Answer
+
+
+class WorkerRunner(DecisionActor):
+    """Own the task state and the threads that call the worker."""
+
+    def __init__(
+        self, timers: TimerService, state: TaskState, client: WorkerClient
+    ) -> None:
+        super().__init__("worker-runner", timers, state, decide)
+        self.client = client
+        self.links: dict[str, Actor] = {}
+        self.threads = ThreadPoolExecutor(THREADS, thread_name_prefix="worker")
+        # The calls for one task are made in order, so that a stop can't overtake
+        # the start.
+        self.last_calls: dict[str, asyncio.Task[None]] = {}
+
+    async def opened(self) -> None:
+        """Begin to read the worker's tasks."""
+        self.post(PollDue())
+
+    async def clear_worker(self) -> None:
+        """Stop what a former agent left at the worker; return when nothing runs."""
+        while not await asyncio.to_thread(stop_leftovers, self.client):
+            await asyncio.sleep(POLL_INTERVAL)
+
+    def on_poll_due(self, message: PollDue) -> None:
+        """Read the worker's tasks."""
+        tasks = self.state.tasks.items()
+        asked = frozenset(
+            task_id for task_id, task in tasks if task.lifecycle.state != "starting"
+        )
+        self.call("", lambda: TasksRead(asked=asked, views=self.client.tasks()))
+
+    def on_tasks_read(self, message: TasksRead) -> None:
+        """Report tasks that ended at the worker, and read again later."""
+        self.set_timer("poll", POLL_INTERVAL, PollDue())
+        if message.views is None:
+            return
+        for task_id in list(self.state.tasks):
+            view = message.views.get(task_id)
+            if view is not None and view.ended:
+                self.report(end_of(view))
+            elif view is None and self.is_missing(task_id, message.asked):
+                self.report(stopped(task_id, Reason.WORKER_UNREACHABLE))
+
+    def is_missing(self, task_id: str, asked: frozenset[str]) -> bool:
+        """Return whether the worker has forgotten a task that it ran."""
+        state = self.state.tasks[task_id].lifecycle.state
+        return task_id in asked and state in ("running", "stopping")
+
+    def on_start_answered(self, message: StartAnswered) -> None:
+        """Report a start, or repeat it while the outcome is open."""
+        task_id = message.command.reserve.task_id
+        answer = message.answer
+        if isinstance(answer, TaskView):
+            self.report(TaskStarted(task_id=task_id, gang_epoch=0))
+            if answer.ended:
+                self.report(end_of(answer))
+        elif isinstance(answer, Refused):
+            self.report(stopped(task_id, Reason.NO_CAPACITY))
+        elif not answer.sent:
+            self.report(stopped(task_id, Reason.WORKER_UNREACHABLE))
+        else:
+            self.repeat_start(message.command)
+
+    def repeat_start(self, command: RunAtWorker) -> None:
+        """Send a start again whose answer was lost; the worker starts it once."""
+        task = self.state.tasks.get(command.reserve.task_id)
+        if task is None or task.lifecycle.state != "starting":
+            return
+        lease = task.expiry - self.timers.now()
+        if lease > 0:
+            execute(RunAtWorker(reserve=command.reserve, lease=lease), self)
+
+    def report(self, message: TaskStarted | TaskFinished | TaskStopped) -> None:
+        """Pass what happened at the worker to the decisions."""
+        if isinstance(message, TaskStarted):
+            log(TASK_STARTED, task=message.task_id)
+        else:
+            log(TASK_ENDED, task=message.task_id, result=event_name(message))
+        self.on_message(message)
+
+    def call(self, task_id: str, function: Callable[[], Message | None]) -> None:
+        """Call the worker on a thread after the earlier calls for the task."""
+        previous = self.last_calls.get(task_id)
+        loop = asyncio.get_running_loop()
+        call = loop.create_task(self._call(previous, function))
+        self.last_calls[task_id] = call
+        call.add_done_callback(lambda done: self._forget(task_id, done))
+
+    async def _call(
+        self,
+        previous: asyncio.Task[None] | None,
+        function: Callable[[], Message | None],
+    ) -> None:
+        if previous is not None:
+            await asyncio.wait([previous])
+        loop = asyncio.get_running_loop()
+        message = await loop.run_in_executor(self.threads, function)
+        if message is not None:
+            self.post(message)
+
+    def _forget(self, task_id: str, call: asyncio.Task[None]) -> None:
+        if self.last_calls.get(task_id) is call:
+            del self.last_calls[task_id]
+
+    async def drain(self) -> None:
+        """Take no more tasks, tell the entries, and stop what runs."""
+        self.state.leaving = True
+        for address, link in self.links.items():
+            link.post(SendToEntryLink(entry_id=address, message=Leaving()))
+        for command in stop_all(self.state, self.timers.now()):
+            execute(command, self)
+        end = self.timers.now() + DRAIN_TIME
+        while self.state.tasks and self.timers.now() < end:
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def closed(self) -> None:
+        """Stop the threads."""
+        self.threads.shutdown(wait=False, cancel_futures=True)
+
+
+@execute.register
+def _(command: RunAtWorker, actor: WorkerRunner) -> None:
+    reserve = command.reserve
+    expiry = actor.timers.now() + command.lease
+    actor.call(
+        reserve.task_id,
+        lambda: StartAnswered(
+            command=command,
+            answer=actor.client.start(reserve, expiry - actor.timers.now()),
+        ),
+    )
+
+
+@execute.register
+def _(command: RenewAtWorker, actor: WorkerRunner) -> None:
+    expiry = actor.timers.now() + command.lease
+
+    def renew() -> None:
+        lease = expiry - actor.timers.now()
+        if lease > 0:
+            actor.client.renew(command.task_id, lease)
+
+    actor.call(command.task_id, renew)
+
+
+@execute.register
+def _(command: StopAtWorker, actor: WorkerRunner) -> None:
+    def stop() -> Message | None:
+        if command.checkpoint:
+            actor.client.checkpoint(command.task_id)
+        return stop_result(command.task_id, actor.client.stop(command.task_id))
+
+    actor.call(command.task_id, stop)
+
+
+def stop_result(task_id: str, answer: Answer) -> Message | None:
+    """Return the proof in the worker's answer to a stop, if there is one."""
+    if isinstance(answer, TaskView) and answer.ended:
+        return end_of(answer)
+    if isinstance(answer, Refused) and answer.status == 404:
+        return stopped(task_id, Reason.NEVER_STARTED)
+    return None
+
+
+def end_of(view: TaskView) -> TaskFinished | TaskStopped:
+    """Return the report on a task that ended at the worker."""
+    if view.state in ("finished", "failed"):
+        return TaskFinished(
+            task_id=view.task_id,
+            gang_epoch=0,
+            succeeded=view.state == "finished",
+            result=view.result,
+        )
+    reason = Reason.LEASE_EXPIRED if view.state == "lapsed" else Reason.CANCELLED
+    return TaskStopped(
+        task_id=view.task_id,
+        gang_epoch=0,
+        reason=reason,
+        checkpoint=view.checkpoint,
+    )
+
+
+def stopped(task_id: str, reason: Reason) -> TaskStopped:
+    """Return the report on a task that the worker does not run."""
+    return TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
+
+
+def stop_leftovers(client: WorkerClient) -> bool:
+    """Stop all tasks at the worker; return whether none was running."""
+    tasks = client.tasks()
+    if tasks is None:
+        return False
+    running = [task_id for task_id, view in tasks.items() if not view.ended]
+    for task_id in running:
+        client.stop(task_id)
+    return not running
--- a/packages/wasabispur-core/src/wasabispur_core/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_record.py
@@ -88,7 +88,22 @@
 
 def ended_key(shard: str, job_id: str) -> str:
     """Return the key under which an ended job's row is kept."""
-    return f"ended/{shard}/{job_id}"
+    return f"{ended_prefix(shard)}{job_id}"
+
+
+def ended_prefix(shard: str) -> str:
+    """Return the prefix of a shard's ended jobs."""
+    return f"ended/{shard}/"
+
+
+def new_job_id(shard: str, text: str) -> str:
+    """Return the id of a job of the shard."""
+    return f"{shard}-{text}"
+
+
+def shard_of(job_id: str) -> str:
+    """Return the shard that a job id names."""
+    return job_id.rpartition("-")[0]
 
 
 def to_value(record: JobRecord) -> dict[str, Any]:
--- a/packages/wasabispur-core/src/wasabispur_core/permit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/permit.py
@@ -18,6 +18,7 @@
     RequestPermit,
     ResolveAttempt,
     StartAttempt,
+    Welcome,
 )
 from .tombstone import TombstoneStore
 
@@ -143,6 +144,11 @@
     )
 
 
+@decide_for_entry.register
+def _(message: Welcome, entry_id: str, state: PermitState, now: float) -> list[Command]:
+    return []
+
+
 @decide_for_entry.register
 def _(
     message: RequestPermit, entry_id: str, state: PermitState, now: float
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -321,6 +321,7 @@
     lease: float
     anchor: float
     accelerator_ids: tuple[int, ...] = ()
+    checkpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -250,3 +250,19 @@
 def to_owner(state: TaskState, shard: str, message: Message) -> Command:
     """Return the command that sends a message to the shard's latest owner."""
     return SendToEntryLink(entry_id=state.owners.get(shard, ""), message=message)
+
+
+def stop_all(state: TaskState, now: float) -> list[Command]:
+    """Return the commands that stop all tasks before a planned stop."""
+    commands: list[Command] = []
+    for task_id, task in list(state.tasks.items()):
+        stop = StopTask(
+            task_id=task_id,
+            shard=task.reserve.shard,
+            shard_epoch=task.reserve.shard_epoch,
+            gang_epoch=task.reserve.gang_epoch,
+            reason=Reason.LEAVING,
+            checkpoint=True,
+        )
+        commands += task.lifecycle.handle(stop, state, task, now)
+    return commands
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -22,4 +22,6 @@
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
+    table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
+    shards: list[str] = Field(default_factory=list, max_length=64)
     log_level: str = "INFO"
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/job_command.py
@@ -0,0 +1,134 @@
+"""Define the command group for jobs."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import click
+
+from wasabispur_core.error import WasabispurError
+from wasabispur_runtime.process import fail
+
+from .api_client import ApiClient
+
+COLUMNS = ("job_id", "state", "organisation", "class", "tasks", "accelerators")
+
+ENTRY = click.option(
+    "--entry",
+    "url",
+    envvar="WASABISPUR_ENTRY",
+    default="http://127.0.0.1:8080",
+    show_default=True,
+    help="Address of an entry.",
+)
+OUTPUT = click.option(
+    "--output", type=click.Choice(["table", "json"]), default="table", show_default=True
+)
+
+
+@click.group()
+def job() -> None:
+    """Submit, show, list and cancel jobs."""
+
+
+@job.command()
+@ENTRY
+@OUTPUT
+@click.option("--organisation", required=True)
+@click.option("--class", "work_class", required=True, help="Workload class.")
+@click.option("--command", required=True, help="Command that the workers run.")
+@click.option("--tasks", type=int, default=1, help="Size of the gang.")
+@click.option("--accelerators", type=int, default=0, help="Accelerators per task.")
+@click.option(
+    "--at-most-once", is_flag=True, help="Never start again without proof of the end."
+)
+@click.option("--estimate", type=float, default=0.0, help="Run time in seconds.")
+@click.option("--data-centre", default=None)
+def submit(
+    url: str,
+    output: str,
+    organisation: str,
+    work_class: str,
+    command: str,
+    tasks: int,
+    accelerators: int,
+    at_most_once: bool,
+    estimate: float,
+    data_centre: str | None,
+) -> None:
+    """Submit a job."""
+    body = {
+        "organisation": organisation,
+        "class": work_class,
+        "command": command,
+        "tasks": tasks,
+        "accelerators": accelerators,
+        "run": "at-most-once" if at_most_once else "restartable",
+        "estimate": estimate,
+        "data_centre": data_centre,
+    }
+    show_answer(url, output, "POST", "/v1/jobs", body)
+
+
+@job.command()
+@ENTRY
+@OUTPUT
+@click.argument("job_id")
+def show(url: str, output: str, job_id: str) -> None:
+    """Show a job."""
+    show_answer(url, output, "GET", f"/v1/jobs/{quote(job_id, safe='')}")
+
+
+@job.command("list")
+@ENTRY
+@OUTPUT
+@click.option("--data-centre", default=None)
+def list_jobs(url: str, output: str, data_centre: str | None) -> None:
+    """List the jobs of a data centre."""
+    query = f"?{urlencode({'data_centre': data_centre})}" if data_centre else ""
+    show_answer(url, output, "GET", f"/v1/jobs{query}")
+
+
+@job.command()
+@ENTRY
+@OUTPUT
+@click.argument("job_id")
+def cancel(url: str, output: str, job_id: str) -> None:
+    """Cancel a job."""
+    show_answer(url, output, "DELETE", f"/v1/jobs/{quote(job_id, safe='')}")
+
+
+def show_answer(
+    url: str, output: str, method: str, path: str, body: Any = None
+) -> None:
+    """Call the entry and print its answer, or fail with the error's exit code."""
+    try:
+        answer = ApiClient(url).call(method, path, body)
+    except WasabispurError as error:
+        fail(error)
+        return
+    if output == "json":
+        click.echo(json.dumps(answer, indent=2))
+    elif "jobs" in answer:
+        print_table(answer["jobs"])
+    else:
+        print_fields(answer)
+
+
+def print_table(jobs: list[dict[str, Any]]) -> None:
+    """Print one line for each job."""
+    rows = [COLUMNS, *(tuple(str(entry[name]) for name in COLUMNS) for entry in jobs)]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    for row in rows:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        click.echo("  ".join(cells).rstrip())
+
+
+def print_fields(fields: dict[str, Any]) -> None:
+    """Print one line for each field."""
+    width = max(len(name) for name in fields)
+    for name, value in fields.items():
+        text = ", ".join(map(str, value)) if isinstance(value, list) else value
+        click.echo(f"{name.ljust(width)}  {text}")
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/job_desk.py
@@ -0,0 +1,73 @@
+"""Own the calls of callers about jobs."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from typing import Any
+
+from wasabispur_core.command import SendToEntry
+from wasabispur_core.job_register import (
+    AnswerCall,
+    decide,
+    JobCall,
+    JobRegister,
+    RecordsRead,
+    TellOwner,
+)
+from wasabispur_core.store import RowsRead
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+
+from .bridge import Ask
+from .job_rows import read_record
+
+
+class JobDesk(DecisionActor):
+    """Own the job register and the callers that wait."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        table: Actor,
+        membership: Actor,
+        schedulers: dict[str, Actor],
+    ) -> None:
+        super().__init__("job-desk", timers, JobRegister(), decide)
+        self.table = table
+        self.membership = membership
+        self.schedulers = schedulers
+        self.waiting: dict[str, Future[Any]] = {}
+
+    def on_ask(self, message: Ask) -> None:
+        """Take a call together with the future for its answer."""
+        call = message.message
+        if isinstance(call, JobCall):
+            self.waiting[call.call_id] = message.reply
+            self.on_message(call)
+
+    def on_rows_read(self, message: RowsRead) -> None:
+        """Validate the rows before the decisions see them."""
+        rows = [row for row in message.rows if not row.key.endswith("/cancel")]
+        records = [read_record(row) for row in rows]
+        self.on_message(
+            RecordsRead(
+                read_id=message.read_id,
+                records=tuple(record for record in records if record is not None),
+            )
+        )
+
+
+@execute.register
+def _(command: AnswerCall, actor: JobDesk) -> None:
+    reply = actor.waiting.pop(command.call_id, None)
+    if reply is not None and not reply.done():
+        reply.set_result(command)
+
+
+@execute.register
+def _(command: TellOwner, actor: JobDesk) -> None:
+    scheduler = actor.schedulers.get(command.shard)
+    if scheduler is not None:
+        scheduler.post(command.message)
+    actor.membership.post(SendToEntry(entry_id="", message=command.message))
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/job_wiring.py
@@ -0,0 +1,48 @@
+"""Wire the actors that serve jobs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from uuid import uuid4
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.shard import new_shard
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+
+from .entry_settings import EntrySettings
+from .job_desk import JobDesk
+from .job_scheduler import JobScheduler
+from .membership import Membership
+
+
+@dataclass(slots=True)
+class JobActors:
+    """Hold the job desk and one scheduler for each shard."""
+
+    desk: JobDesk
+    schedulers: dict[str, Actor]
+
+    def start(self) -> None:
+        """Start all of them."""
+        for actor in (self.desk, *self.schedulers.values()):
+            actor.start()
+
+    async def close(self) -> None:
+        """Stop all of them."""
+        await self.desk.close()
+        await asyncio.gather(*(actor.close() for actor in self.schedulers.values()))
+
+
+def build_job_actors(
+    settings: EntrySettings, timers: TimerService, membership: Membership, table: Actor
+) -> JobActors:
+    """Return the job actors and let the membership feed them."""
+    catalogue = ChartCatalogue()
+    schedulers: dict[str, Actor] = {}
+    for name in settings.shards or [settings.data_centre]:
+        shard = new_shard(settings.entry_id, name, catalogue, lambda: uuid4().hex)
+        schedulers[name] = JobScheduler(timers, shard, membership, table)
+    membership.schedulers = schedulers
+    return JobActors(JobDesk(timers, table, membership, schedulers), schedulers)
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -5,11 +5,28 @@
 from functools import singledispatch
 from typing import Any
 
-from wasabispur_core.command import SendToAgent
+from wasabispur_core.command import SendToAgent, SendToEntry
+from wasabispur_core.fleet import (
+    Worker,
+    WorkerAttached,
+    WorkerDetached,
+    WorkerLeaving,
+)
 from wasabispur_core.log_event import AGENT_ATTACHED, AGENT_DETACHED
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
-from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Role
+from wasabispur_core.protocol import (
+    Announce,
+    Heartbeat,
+    Leaving,
+    Role,
+    TaskFinished,
+    TaskInventory,
+    TaskRefused,
+    TaskReserved,
+    TaskStarted,
+    TaskStopped,
+)
 from wasabispur_core.request import AgentAttached, AgentDetached, AgentLeaving
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
@@ -27,6 +44,7 @@
         super().__init__("membership", timers)
         self.sessions: dict[str, AgentSession] = {}
         self.dispatcher: Actor | None = None
+        self.schedulers: dict[str, Actor] = {}
 
     def on_session_opened(self, message: SessionOpened) -> None:
         """Take a new session; an older one of the same agent is ended."""
@@ -36,6 +54,7 @@
             previous.end("replaced by a newer stream")
         self.sessions[announce.agent_id] = message.session
         log(AGENT_ATTACHED, agent=announce.agent_id)
+        report_worker(announce, worker_attached(announce), self)
         if announce.role is Role.ENDPOINT and self.dispatcher is not None:
             self.dispatcher.post(
                 AgentAttached(
@@ -53,6 +72,8 @@
             return
         del self.sessions[agent_id]
         log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
+        announce = message.session.announce
+        report_worker(announce, WorkerDetached(worker_id=agent_id), self)
         if self.dispatcher is not None:
             self.dispatcher.post(AgentDetached(agent_id=agent_id))
 
@@ -62,11 +83,35 @@
         if session is not None:
             session.post(Outgoing(message=message.message))
 
+    def on_send_to_entry(self, message: SendToEntry) -> None:
+        """Drop a message to peers while there are no peer streams."""
+
     def on_from_agent(self, message: FromAgent) -> None:
         """Pass an agent's message to the actor that handles its kind."""
         route(message.message, message, self)
 
 
+def worker_attached(announce: Announce) -> WorkerAttached:
+    """Return the report on a worker whose agent attached."""
+    worker = Worker(
+        worker_id=announce.agent_id,
+        region=announce.region,
+        data_centre=announce.data_centre,
+        rack=announce.rack,
+        accelerators=announce.accelerators,
+        cores=announce.cores,
+        memory=announce.memory,
+    )
+    return WorkerAttached(worker=worker, clock=announce.clock)
+
+
+def report_worker(announce: Announce, message: Message, membership: Membership) -> None:
+    """Pass a message about a worker to the scheduler of its data centre."""
+    scheduler = membership.schedulers.get(announce.data_centre)
+    if announce.role is Role.WORKER and scheduler is not None:
+        scheduler.post(message)
+
+
 @singledispatch
 def route(content: Message, message: FromAgent, membership: Membership) -> None:
     """Pass a message from an agent to the actor that handles its kind."""
@@ -74,9 +119,17 @@
         membership.dispatcher.post(message)
 
 
-@route.register
-def _(content: Heartbeat, message: FromAgent, membership: Membership) -> None:
-    pass
+@route.register(Heartbeat)
+@route.register(TaskReserved)
+@route.register(TaskRefused)
+@route.register(TaskStarted)
+@route.register(TaskFinished)
+@route.register(TaskStopped)
+@route.register(TaskInventory)
+def _(content: Message, message: FromAgent, membership: Membership) -> None:
+    session = membership.sessions.get(message.agent_id)
+    if session is not None:
+        report_worker(session.announce, message, membership)
 
 
 @route.register
@@ -86,6 +139,10 @@
 
 @route.register
 def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
+    session = membership.sessions.get(message.agent_id)
+    if session is not None:
+        leaving = WorkerLeaving(worker_id=message.agent_id)
+        report_worker(session.announce, leaving, membership)
     if membership.dispatcher is not None:
         membership.dispatcher.post(AgentLeaving(agent_id=message.agent_id))
 
