Settle a gang once when several members are lost in one look

A search over random fault sequences with the state machine found that the loss of the second member was reported to a job that the first had sent back to the queue, which the chart rejects. The owner now looks at the job's state before each report. Guarded by a scenario in which both workers of a gang die.

--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -16,6 +16,7 @@
     JobBoard,
     JobLoaded,
     JobRejected,
+    Member,
     MemberLost,
 )
 from .job_lease import lease_bound, TASK_LEASE, TASK_RENEWAL
@@ -123,18 +124,25 @@
     """Stop gangs with a silent member, and settle those whose bound has passed."""
     commands: list[Command] = []
     for job in list(board.jobs.values()):
-        if job.lifecycle.state in ("queued", "placing"):
-            continue
-        silent = [m for m in job.members.values() if m.phase not in ENDED_PHASES]
-        for member in silent:
-            stopping = job.lifecycle.state == "stopping"
-            newly = not member.lost and now >= member.deadline
-            if newly or (stopping and now >= member.bound):
+        for member in list(job.members.values()):
+            if is_due(job, member, now):
                 member.lost = True
                 commands += fire(MemberLost(), board, job, now)
     return commands
 
 
+def is_due(job: Job, member: Member, now: float) -> bool:
+    """Return whether a member's silence has to be dealt with now."""
+    state = job.lifecycle.state
+    # The loss of one member may have ended the gang before the next is looked at.
+    if state in ("queued", "placing", "finishing", "ended"):
+        return False
+    if member.phase in ENDED_PHASES:
+        return False
+    newly_lost = not member.lost and now >= member.deadline
+    return newly_lost or (state == "stopping" and now >= member.bound)
+
+
 def renew(board: JobBoard, now: float) -> list[Command]:
     """Extend all leases with one message per agent, and repeat pending stops."""
     if not board.lease.may_renew(now):
--- a/tests/job/test_job_path.py
+++ b/tests/job/test_job_path.py
@@ -56,3 +56,19 @@
     world.advance(10)
     assert world.ended_state(job_id) == "failed"
     assert not world.running_tasks()
+
+
+def test_gang_whose_members_are_all_lost_at_once_runs_again():
+    """Guard against a loss that is reported to a gang which already ended."""
+    world = World(agents=2)
+    job_id = world.submit(tasks=2, accelerators=4)
+    world.advance(10)
+    for agent in world.agents:
+        world.kill_agent(agent, machine=True)
+    world.advance(30)
+    for agent in world.agents:
+        world.restart_agent(agent)
+    world.advance(20)
+    assert len(world.started) == 4
+    world.settle()
+    assert world.ended_state(job_id) == "completed"
