Keep guaranteed shapes packed and reclaim them within the lease bound

Each promise has a home, a set of aligned blocks outside all other homes; work of others in a home is borrowed and can be stopped. Homes are packed again only when workers or promises change, so a placement can't break the invariant.

--- a/packages/wasabispur-core/src/wasabispur_core/gang.py
+++ b/packages/wasabispur-core/src/wasabispur_core/gang.py
@@ -29,6 +29,7 @@
             shard_epoch=board.lease.epoch,
             gang_epoch=job.record.gang_epoch,
             reason=reason,
+            checkpoint=not job.cancelled,
         )
         commands.append(SendToAgent(agent_id=member.seat.worker_id, message=stop))
     return commands
--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -12,6 +12,7 @@
 from .command import Command
 from .error import UnhandledMessageError
 from .fleet import Fleet, WorkerAttached, WorkerDetached, WorkerLeaving
+from .guarantee import GuaranteePlan
 from .job_record import job_key, JobRecord
 from .message import Message
 from .ownership import RowCommitted, ShardLease
@@ -58,6 +59,14 @@
     """Report that a caller cancelled the job."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReclaimRequested(Message):
+    """Report that an organisation needs its guarantee for a job."""
+
+    organisation: str
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReservationExpired(Message):
     """Report that a gang took too long to reserve or to start."""
@@ -92,6 +101,7 @@
     lost: bool = False
     succeeded: bool = False
     result: str = ""
+    checkpoint: str = ""
 
     def extend(self, until: float) -> None:
         """Note a command that lets the task run until a time."""
@@ -109,6 +119,8 @@
     cancelled: bool = False
     write_number: int = 0
     stop_reason: str = ""
+    started: float = 0.0
+    reclaimed: bool = False
 
     @property
     def needs_proof(self) -> bool:
@@ -146,6 +158,10 @@
     writes: int = 0
     next_renewal: float = 0.0
     next_listing: float = 0.0
+    plan: GuaranteePlan = field(default_factory=GuaranteePlan)
+    plan_stale: bool = True
+    calling: frozenset[str] = frozenset()
+    urgent_classes: frozenset[str] = frozenset()
 
 
 class JobAction(Action[JobBoard, Job]):
@@ -165,9 +181,12 @@
     commands = job.lifecycle.handle(message, board, job, now)
     if job.lifecycle.state == "placing":
         return commands
+    for member in job.members.values():
+        # Past the bound the accelerators are free, also while a job that must not
+        # start twice still waits for proof.
+        if member.phase in ENDED_PHASES or now >= member.bound:
+            board.fleet.release(member.seat.worker_id, member.task_id)
     ended = [m for m in job.members.values() if job.has_ended(m, now)]
-    for member in ended:
-        board.fleet.release(member.seat.worker_id, member.task_id)
     if job.lifecycle.state == "stopping" and len(ended) == len(job.members):
         commands += job.lifecycle.handle(GangEnded(), board, job, now)
     if job.lifecycle.state == "ended":
@@ -196,6 +215,7 @@
 def _(message: WorkerAttached, board: JobBoard, now: float) -> list[Command]:
     worker = message.worker
     board.fleet.attach(worker)
+    board.plan_stale = True
     board.clocks[worker.worker_id] = AgentClock(message.clock, now)
     # The next tick asks the agent at once for the tasks that it holds.
     board.next_renewal = now
@@ -205,6 +225,7 @@
 @decide.register
 def _(message: WorkerDetached, board: JobBoard, now: float) -> list[Command]:
     board.fleet.detach(message.worker_id)
+    board.plan_stale = True
     board.clocks.pop(message.worker_id, None)
     return []
 
@@ -212,6 +233,7 @@
 @decide.register
 def _(message: WorkerLeaving, board: JobBoard, now: float) -> list[Command]:
     board.fleet.detach(message.worker_id)
+    board.plan_stale = True
     return []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -18,11 +18,13 @@
 )
 from .job import (
     GangPlaced,
+    Job,
     JobAction,
     JobGuard,
     JobRejected,
     MemberLost,
     Phase,
+    ReclaimRequested,
 )
 from .job_lease import adoption_deadline, lease_bound, TASK_LEASE, unheard_bound
 from .job_record import JobState
@@ -138,6 +140,7 @@
         return []
     job.record = replace(job.record, gang_epoch=job.record.gang_epoch + 1)
     job.stop_reason = ""
+    job.started = action.now
     take_seats(board, job, message.seats, action.now, action.now)
     return write_record(
         board,
@@ -206,14 +209,19 @@
 @perform.register
 def _(action: Requeue) -> list[Command]:
     job = action.subject
-    job.members = {}
+    saved = tuple(member.checkpoint for member in job.members.values())
+    # A gang goes on from checkpoints only if every member has one.
+    checkpoints = saved if saved and all(saved) else job.record.checkpoints
     record = replace(
         job.record,
         state=JobState.QUEUED,
         seats=(),
         start_possible=False,
         reason=job.stop_reason,
+        checkpoints=checkpoints,
+        preemptions=job.record.preemptions + job.reclaimed,
     )
+    job.members, job.reclaimed = {}, False
     return [cancel_gang_timer(job), *write_record(action.state, job, record)]
 
 
@@ -221,7 +229,7 @@
 def _(action: SendReserves) -> list[Command]:
     board, job, spec = action.state, action.subject, action.subject.record.spec
     commands: list[Command] = [set_gang_timer(job)]
-    for member in job.members.values():
+    for index, member in enumerate(job.members.values()):
         clock = board.clocks.get(member.seat.worker_id)
         if clock is None:
             # The timer ends the reservation; nothing was sent to this member.
@@ -239,6 +247,7 @@
             lease=TASK_LEASE,
             anchor=clock.clock,
             accelerator_ids=member.seat.accelerators,
+            checkpoint=_checkpoint(job, index),
         )
         commands.append(SendToAgent(agent_id=member.seat.worker_id, message=reserve))
     return commands
@@ -269,6 +278,7 @@
 def _(action: StopMembers) -> list[Command]:
     job = action.subject
     job.stop_reason = _stop_reason(action)
+    job.reclaimed = isinstance(action.message, ReclaimRequested)
     stops = stop_commands(action.state, job, Reason.GANG_INCOMPLETE, action.now)
     return [cancel_gang_timer(job), *stops]
 
@@ -278,6 +288,7 @@
     for member in action.subject.members.values():
         member.phase = Phase.GONE
     action.subject.stop_reason = _stop_reason(action)
+    action.subject.reclaimed = isinstance(action.message, ReclaimRequested)
     return []
 
 
@@ -289,4 +300,11 @@
         return Reason.TASK_FAILED.value
     if isinstance(message, MemberLost):
         return Reason.LEASE_EXPIRED.value
+    if isinstance(message, ReclaimRequested):
+        return f"{Reason.RECLAIMED.value}: {message.organisation}"
     return Reason.GANG_INCOMPLETE.value
+
+
+def _checkpoint(job: Job, index: int) -> str:
+    checkpoints = job.record.checkpoints
+    return checkpoints[index] if index < len(checkpoints) else ""
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -11,28 +11,22 @@
     decide,
     ENDED_PHASES,
     fire,
-    GangPlaced,
     Job,
     JobBoard,
     JobLoaded,
-    JobRejected,
     Member,
     MemberLost,
 )
 from .job_lease import lease_bound, TASK_LEASE, TASK_RENEWAL
+from .job_place import place_waiting
 from .job_record import cancel_key, job_prefix, JobRecord
 from .message import Message
 from .ownership import ShardAcquired, ShardLost, WriteRow
-from .placement import impossible_reason, place_gang
 from .protocol import JobCancelled, JobSubmitted, Reason, RenewTasks
 
 LISTING_INTERVAL = 5.0
 """Seconds between two readings of the shard's rows."""
 
-SETTLE_TIME = 30.0
-"""Seconds after a takeover in which workers may still attach, so that no job is
-rejected as too large."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobTick(Message):
@@ -171,28 +165,3 @@
         )
         commands.append(SendToAgent(agent_id=worker_id, message=message))
     return commands
-
-
-def place_waiting(board: JobBoard, now: float) -> list[Command]:
-    """Place the waiting jobs that fit, in the order of their submission."""
-    if not board.lease.may_start(now):
-        return []
-    waiting = [job for job in board.jobs.values() if job.lifecycle.state == "queued"]
-    waiting.sort(key=lambda job: (job.record.sequence, job.record.job_id))
-    commands: list[Command] = []
-    for job in waiting:
-        commands += place_job(board, job, now)
-    return commands
-
-
-def place_job(board: JobBoard, job: Job, now: float) -> list[Command]:
-    """Place one job if there is room, or reject it if there never will be."""
-    size = job.record.spec.size
-    seats = place_gang(board.fleet, size)
-    if seats is not None:
-        return fire(GangPlaced(seats=seats), board, job, now)
-    settled = now - board.acquired >= SETTLE_TIME
-    reason = impossible_reason(board.fleet, size) if settled else ""
-    if reason:
-        return fire(JobRejected(reason=reason), board, job, now)
-    return []
--- a/packages/wasabispur-core/src/wasabispur_core/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_record.py
@@ -65,6 +65,8 @@
     start_possible: bool = False
     reason: str = ""
     results: tuple[str, ...] = ()
+    checkpoints: tuple[str, ...] = ()
+    preemptions: int = 0
     schema: int = JOB_SCHEMA
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_report.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_report.py
@@ -113,10 +113,15 @@
     member.phase = Phase.STARTED
 
 
-@note.register(TaskRefused)
-@note.register(TaskStopped)
-def _(message: TaskRefused | TaskStopped, member: Member) -> None:
+@note.register
+def _(message: TaskRefused, member: Member) -> None:
+    member.phase = Phase.GONE
+
+
+@note.register
+def _(message: TaskStopped, member: Member) -> None:
     member.phase = Phase.GONE
+    member.checkpoint = message.checkpoint
 
 
 @note.register
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -45,6 +45,12 @@
 TASK_STARTED = LogEvent(404, "INFO", "task {task} started")
 TASK_ENDED = LogEvent(405, "INFO", "task {task} ended: {result}")
 WORKER_FAILED = LogEvent(406, "WARNING", "the worker failed on {path}: {error}")
+GUARANTEE_LOST = LogEvent(
+    407, "ERROR", "guaranteed shape {shape} of {organisation} can't be met"
+)
+GUARANTEE_MET = LogEvent(
+    408, "INFO", "guaranteed shape {shape} of {organisation} can be met again"
+)
 
 
 def catalogue() -> dict[int, LogEvent]:
--- a/packages/wasabispur-core/src/wasabispur_core/placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/placement.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
+from .buddy import split_blocks
 from .fleet import Fleet
 
+Allowed = Callable[[str, int], bool]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Seat:
@@ -23,24 +27,64 @@
     accelerators: int
 
 
-def place_gang(fleet: Fleet, size: GangSize) -> tuple[Seat, ...] | None:
+@dataclass(slots=True)
+class Room:
+    """Hold the accelerators and cores that a placement may use."""
+
+    racks: dict[str, list[str]] = field(default_factory=dict)
+    free: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    cores: dict[str, int] = field(default_factory=dict)
+
+    def seats(self, worker_id: str, accelerators: int, limit: int) -> list[Seat]:
+        """Return up to limit seats on one worker."""
+        if accelerators == 0:
+            count = min(self.cores.get(worker_id, 0), limit)
+            return [Seat(worker_id=worker_id, accelerators=())] * count
+        blocks = split_blocks(self.free.get(worker_id, ()), accelerators, limit)
+        return [Seat(worker_id=worker_id, accelerators=block) for block in blocks]
+
+    def take(self, seats: Iterable[Seat]) -> None:
+        """Remove what the seats use."""
+        for seat in seats:
+            if not seat.accelerators:
+                self.cores[seat.worker_id] -= 1
+                continue
+            free = self.free[seat.worker_id]
+            left = tuple(index for index in free if index not in seat.accelerators)
+            self.free[seat.worker_id] = left
+
+
+def free_room(fleet: Fleet, allowed: Allowed | None = None) -> Room:
+    """Return what is free on the available workers, as far as it is allowed."""
+    room = Room(racks=fleet.racks())
+    for worker_id in fleet.available:
+        free = fleet.free(worker_id)
+        if allowed is not None:
+            free = tuple(index for index in free if allowed(worker_id, index))
+        room.free[worker_id] = free
+        room.cores[worker_id] = fleet.free_cores(worker_id)
+    return room
+
+
+def place_gang(room: Room, size: GangSize) -> tuple[Seat, ...] | None:
     """Return seats for every task on the fewest racks, or None if some don't fit."""
     seats: list[Seat] = []
-    for rack in choose_racks(fleet, size):
-        seats += fill_rack(fleet, rack, size.accelerators, size.tasks - len(seats))
+    for rack in choose_racks(room, size):
+        seats += fill_rack(room, rack, size.accelerators, size.tasks - len(seats))
     return tuple(seats) if len(seats) == size.tasks else None
 
 
-def choose_racks(fleet: Fleet, size: GangSize) -> list[list[str]]:
+def choose_racks(room: Room, size: GangSize) -> list[list[str]]:
     """Return the workers of the fewest racks that seat the gang together.
 
     The last rack is the one with the least room that still suffices, so that
     larger racks stay whole for later gangs.
     """
     rooms = [
-        (sum(room_of(fleet, worker, size.accelerators) for worker in rack), rack)
-        for rack in fleet.racks().values()
+        (sum(len(room.seats(w, size.accelerators, size.tasks)) for w in rack), rack)
+        for rack in room.racks.values()
     ]
+    rooms = [pair for pair in rooms if pair[0]]
     rooms.sort(key=lambda pair: (-pair[0], pair[1]))
     chosen: list[list[str]] = []
     missing = size.tasks
@@ -53,41 +97,35 @@
     return chosen if missing <= 0 else []
 
 
-def room_of(fleet: Fleet, worker_id: str, accelerators: int) -> int:
-    """Return how many tasks of the given size the worker can take now."""
-    if accelerators == 0:
-        return fleet.free_cores(worker_id)
-    return len(fleet.free(worker_id)) // accelerators
-
+def fill_rack(room: Room, rack: list[str], accelerators: int, tasks: int) -> list[Seat]:
+    """Return up to tasks seats in one rack, on as few workers as possible.
 
-def fill_rack(
-    fleet: Fleet, rack: list[str], accelerators: int, tasks: int
-) -> list[Seat]:
-    """Return up to tasks seats in one rack, fullest workers first."""
-    order = sorted(rack, key=lambda worker: room_of(fleet, worker, accelerators))
-    whole = [w for w in order if room_of(fleet, w, accelerators) >= tasks]
-    # One worker that seats all the tasks beats several.
-    order = whole[:1] or order[::-1]
-    seats: list[Seat] = []
-    for worker_id in order:
-        free = fleet.free(worker_id)
-        for number in range(room_of(fleet, worker_id, accelerators)):
-            if len(seats) == tasks:
-                return seats
-            start = number * accelerators
-            block = free[start : start + accelerators]
-            seats.append(Seat(worker_id=worker_id, accelerators=block))
-    return seats
+    Of the workers that seat all the tasks, the one with the least free room is
+    taken, so that whole workers stay free.
+    """
+    offers = [room.seats(worker, accelerators, tasks) for worker in rack]
+    offers = [offer for offer in offers if offer]
+    offers.sort(key=lambda offer: len(room.free.get(offer[0].worker_id, ())))
+    whole = [offer for offer in offers if len(offer) >= tasks]
+    if whole:
+        return whole[0][:tasks]
+    offers.sort(key=len, reverse=True)
+    return [seat for offer in offers for seat in offer][:tasks]
 
 
 def impossible_reason(fleet: Fleet, size: GangSize) -> str:
     """Return why the known workers can never run the gang, or an empty text."""
-    if size.accelerators == 0:
-        room = sum(max(worker.cores, 0) for worker in fleet.workers.values())
-        unit = "cores"
-    else:
-        room = sum(w.accelerators // size.accelerators for w in fleet.workers.values())
-        unit = f"places for tasks of {size.accelerators} accelerators"
-    if room >= size.tasks:
+    room = Room()
+    for worker_id, worker in fleet.workers.items():
+        room.free[worker_id] = tuple(range(worker.accelerators))
+        room.cores[worker_id] = worker.cores
+    seats = sum(
+        len(room.seats(worker_id, size.accelerators, size.tasks))
+        for worker_id in fleet.workers
+    )
+    if seats >= size.tasks:
         return ""
-    return f"the data centre has {room} {unit} and the job needs {size.tasks}"
+    unit = "cores"
+    if size.accelerators:
+        unit = f"places for tasks of {size.accelerators} accelerators"
+    return f"the data centre has {seats} {unit} and the job needs {size.tasks}"
--- a/tests/job/test_job_machine.py
+++ b/tests/job/test_job_machine.py
@@ -10,17 +10,24 @@
     RuleBasedStateMachine,
 )
 
-from .world import World
+from wasabispur_core.guarantee import Adjacency
+
+from .world import promise, World
 
 INDEX = st.integers(0, 40)
 
+PROMISES = (
+    promise("peachtree", 1, 4, Adjacency.WORKER),
+    promise("prairie", 2, 2, Adjacency.RACK),
+)
+
 
 class JobMachine(RuleBasedStateMachine):
     """Drive owners, agents and the table service through arbitrary faults."""
 
     @initialize()
     def start(self):
-        self.world = World()
+        self.world = World(promises=PROMISES)
         self.world.advance(2)
 
     def pick(self, items, index):
@@ -31,11 +38,10 @@
         tasks=st.integers(1, 4),
         accelerators=st.integers(0, 4),
         at_most_once=st.booleans(),
+        organisation=st.sampled_from(["peachtree", "prairie", "other"]),
     )
-    def submit(self, tasks, accelerators, at_most_once):
-        self.world.submit(
-            tasks=tasks, accelerators=accelerators, at_most_once=at_most_once
-        )
+    def submit(self, **fields):
+        self.world.submit(**fields)
 
     @precondition(lambda self: self.world.accepted)
     @rule(index=INDEX)
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -14,8 +14,11 @@
     SendToAgent,
     SetTimer,
     Transact,
+    WriteLog,
 )
 from wasabispur_core.fleet import Worker, WorkerAttached, WorkerDetached
+from wasabispur_core.guarantee import Adjacency, GuaranteedShape, Promise
+from wasabispur_core.job_place import PromisesChanged
 from wasabispur_core.job_record import (
     cancel_key,
     ended_key,
@@ -58,6 +61,19 @@
 SILENCE = 3.0
 
 
+def promise(
+    organisation: str, blocks: int, block_size: int, adjacency: Adjacency
+) -> Promise:
+    shape = GuaranteedShape(
+        name=f"{blocks}x{block_size}",
+        data_centre=SHARD,
+        blocks=blocks,
+        block_size=block_size,
+        adjacency=adjacency,
+    )
+    return Promise(organisation=organisation, shape=shape)
+
+
 @dataclass(eq=False)
 class Process:
     """Hold what all simulated processes share; the clock has an offset and a rate."""
@@ -89,7 +105,14 @@
 class World:
     """Run the real decisions and check the invariants after each step."""
 
-    def __init__(self, agents: int = 3, entries: int = 2, accelerators: int = 4):
+    def __init__(
+        self,
+        agents: int = 3,
+        entries: int = 2,
+        accelerators: int = 4,
+        promises: tuple = (),
+    ):
+        self.promises = promises
         self.now = 0.0
         self.ids = count(1)
         self.queue: deque = deque()
@@ -106,6 +129,7 @@
         self.reserved: set[str] = set()
         self.started: list[str] = []
         self.proved: set[str] = set()
+        self.logged: list = []
         self.entries = {f"e{i}": Entry(f"e{i}") for i in range(entries)}
         self.agents: dict[str, Agent] = {}
         for i in range(agents):
@@ -138,6 +162,7 @@
             entry.name, SHARD, CATALOGUE, lambda: f"op{next(self.ids)}"
         )
         entry.alive, entry.paused, entry.inbox, entry.timers = True, False, [], {}
+        self.post(entry, PromisesChanged(promises=self.promises))
         self.post(entry, ShardTick())
 
     def boot_agent(self, agent: Agent) -> None:
@@ -307,6 +332,8 @@
                     entry = self.entries[command.entry_id]
                     wrapped = FromAgent(agent_id=source.name, message=command.message)
                     self.carry(entry.name, source.name, entry, wrapped)
+            case WriteLog():
+                self.logged.append(command)
             case Transact():
                 self.post(source, self.transact(command.transaction, source))
             case ReadRows():
@@ -318,7 +345,8 @@
                     source.running[command.task_id] = self.local(source) + command.lease
             case StopAtWorker():
                 if not source.ignores_stops:
-                    self.end_at_worker(source, command.task_id, Reason.CANCELLED)
+                    saved = f"saved {command.task_id}" if command.checkpoint else ""
+                    self.end_at_worker(source, command.task_id, Reason.CANCELLED, saved)
             case _:
                 raise AssertionError(f"unknown command {command}")
 
@@ -331,9 +359,13 @@
         if isinstance(content, TaskStopped | TaskFinished):
             self.proved.add(content.task_id)
 
-    def end_at_worker(self, agent: Agent, task_id: str, reason: Reason) -> None:
+    def end_at_worker(
+        self, agent: Agent, task_id: str, reason: Reason, saved: str = ""
+    ) -> None:
         agent.running.pop(task_id, None)
-        stopped = TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
+        stopped = TaskStopped(
+            task_id=task_id, gang_epoch=0, reason=reason, checkpoint=saved
+        )
         self.post(agent, stopped)
 
     def run_at_worker(self, command: RunAtWorker, agent: Agent) -> None:
@@ -413,9 +445,8 @@
 
     def submit(self, **fields: object) -> str:
         job_id = f"j{next(self.ids)}"
-        spec = JobSpec(
-            organisation="peachtree", work_class="urgent", command="{}", **fields
-        )
+        fields = {"organisation": "peachtree", "work_class": "urgent"} | fields
+        spec = JobSpec(command="{}", **fields)
         record = JobRecord(
             job_id=job_id, shard=SHARD, spec=spec, sequence=next(self.ids)
         )
@@ -427,6 +458,7 @@
             value=to_value(record),
         )
         self.accepted[job_id] = spec
+        self.last_job = job_id
         return job_id
 
     def cancel(self, job_id: str) -> None:
@@ -486,17 +518,41 @@
         for entry in self.entries.values():
             if entry.alive:
                 self.check_seats(entry.shard.board)
+                self.check_guarantees(entry.shard.board)
 
     def check_seats(self, board: object) -> None:
         seats = [
             (member.seat.worker_id, index)
             for job in board.jobs.values()
             for member in job.members.values()
-            if not job.has_ended(member, self.now)
+            if self.now < member.bound or job.lifecycle.state == "placing"
             for index in member.seat.accelerators
         ]
         assert len(seats) == len(set(seats)), "accelerator: placed twice"
 
+    def check_guarantees(self, board: object) -> None:
+        plan = board.plan
+        if board.plan_stale:
+            return
+        missing = [p for p in plan.promises if p not in plan.homes]
+        assert sorted(map(repr, missing)) == sorted(map(repr, plan.lost)), (
+            "guarantee: a shape is neither packed nor reported"
+        )
+        taken = [
+            (seat.worker_id, index)
+            for seats in plan.homes.values()
+            for seat in seats
+            for index in seat.accelerators
+        ]
+        assert len(taken) == len(set(taken)), "guarantee: two shapes share a home"
+        workers = {worker for worker, _ in taken}
+        assert workers <= board.fleet.available, "guarantee: home on a lost worker"
+        for promise, seats in plan.homes.items():
+            assert len(seats) == promise.shape.blocks, "guarantee: too few blocks"
+            racks = {board.fleet.workers[s.worker_id].rack for s in seats}
+            if promise.shape.adjacency is not Adjacency.DATA_CENTRE:
+                assert len(racks) == 1, "guarantee: blocks are not adjacent"
+
     def heal(self) -> None:
         """End all faults."""
         self.store_cut.clear()
