Wire jobs into the entry and prove them on the real binaries

Two entries, two agents, two workers and a table service run as processes. The starts counted at the workers show one run per gang epoch after the owner was killed or paused, one live run after an agent slept past its lease, and no second run when the table service was down for more than two lease times.

--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -15,12 +15,15 @@
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
 from .control_service import ControlService
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
+from .job_resource import JobResource
+from .job_wiring import build_job_actors, JobActors
 from .membership import Membership
 from .request_dispatcher import RequestDispatcher
 
@@ -40,8 +43,10 @@
         [ControlService(settings, timers, membership)], codec=MessageCodec()
     )
     bridge = Bridge(asyncio.get_running_loop())
+    resources = VersionOneResource(bridge, dispatcher)
+    jobs = start_jobs(settings, timers, membership, bridge, resources)
     http = HttpServer(
-        build_application(VersionOneResource(bridge, dispatcher)),
+        build_application(resources),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -53,11 +58,30 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
+    if jobs is not None:
+        await jobs.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
+def start_jobs(
+    settings: EntrySettings,
+    timers: TimerService,
+    membership: Membership,
+    bridge: Bridge,
+    resources: VersionOneResource,
+) -> JobActors | None:
+    """Start the actors that serve jobs if the settings name a table service."""
+    if settings.table_url is None:
+        return None
+    table = TableClient(timers, settings.table_url, Random())
+    jobs = build_job_actors(settings, timers, membership, table)
+    resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+    jobs.start()
+    return jobs
+
+
 async def start_control(server: Server, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -8,6 +8,7 @@
 
 from .bridge import Bridge
 from .http_error import handle_error, handle_http_error
+from .job_resource import JobResource
 from .request_dispatcher import RequestDispatcher
 from .service_resource import ServiceResource
 
@@ -38,6 +39,8 @@
 class VersionOneResource:
     """Hold the resources under /v1."""
 
+    jobs: JobResource | None = None
+
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
         self.services = ServiceResource(bridge, dispatcher)
 
--- a/packages/wasabispur/src/wasabispur/job_wiring.py
+++ b/packages/wasabispur/src/wasabispur/job_wiring.py
@@ -19,20 +19,22 @@
 
 @dataclass(slots=True)
 class JobActors:
-    """Hold the job desk and one scheduler for each shard."""
+    """Hold the table client, the job desk and one scheduler for each shard."""
 
+    table: Actor
     desk: JobDesk
     schedulers: dict[str, Actor]
 
     def start(self) -> None:
         """Start all of them."""
-        for actor in (self.desk, *self.schedulers.values()):
+        for actor in (self.table, self.desk, *self.schedulers.values()):
             actor.start()
 
     async def close(self) -> None:
         """Stop all of them."""
         await self.desk.close()
         await asyncio.gather(*(actor.close() for actor in self.schedulers.values()))
+        await self.table.close()
 
 
 def build_job_actors(
@@ -45,4 +47,4 @@
         shard = new_shard(settings.entry_id, name, catalogue, lambda: uuid4().hex)
         schedulers[name] = JobScheduler(timers, shard, membership, table)
     membership.schedulers = schedulers
-    return JobActors(JobDesk(timers, table, membership, schedulers), schedulers)
+    return JobActors(table, JobDesk(timers, table, membership, schedulers), schedulers)
--- /dev/null
+++ b/tests/process/job_system.py
@@ -0,0 +1,178 @@
+"""Start real entries, agents and stand-ins for the process tests of jobs."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+START_TIMEOUT = 20.0
+POLL = 0.1
+
+
+def free_port() -> int:
+    """Return a loopback port that the system chose."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_for(condition: Callable[[], Any], seconds: float, what: str) -> Any:
+    """Return the first true value of the condition; fail after some seconds."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL)
+    raise AssertionError(f"{what} did not happen within {seconds} s")
+
+
+class JobSystem:
+    """Own the processes of one test and end each of them by its id."""
+
+    def __init__(self, directory: Path, entries: int = 2, workers: int = 2) -> None:
+        self.directory = directory
+        self.pool = urllib3.PoolManager(timeout=5.0, retries=False)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.table = self.stand_in("table-service", "table")
+        self.workers = {
+            f"w{i}": self.stand_in("worker", f"worker{i}", "--accelerators", "4")
+            for i in range(workers)
+        }
+        self.http = {f"e{i}": free_port() for i in range(entries)}
+        self.control = {f"e{i}": free_port() for i in range(entries)}
+        for name in self.http:
+            self.start_entry(name)
+        for name in self.workers:
+            self.start_agent(name)
+
+    def spawn(self, name: str, *command: str, **options: Any) -> None:
+        output = (self.directory / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", *command], stderr=output, **options
+        )
+        output.close()
+
+    def stand_in(self, kind: str, name: str, *options: str) -> int:
+        """Start a stand-in and return the port that it printed."""
+        self.spawn(name, "wasabispur_standins", kind, *options, stdout=subprocess.PIPE)
+        stdout = self.processes[name].stdout
+        assert stdout is not None
+        return int(stdout.readline().split()[-1])
+
+    def start_entry(self, name: str) -> None:
+        settings = {
+            "entry_id": name,
+            "region": "Savannah",
+            "data_centre": "dc1",
+            "http_port": self.http[name],
+            "control_port": self.control[name],
+            "http_threads": 8,
+            "table_url": f"http://127.0.0.1:{self.table}",
+        }
+        self.spawn(
+            name, "wasabispur", "entry", "--settings", self.write(name, settings)
+        )
+
+    def start_agent(self, name: str) -> None:
+        settings = {
+            "agent_id": name,
+            "role": "worker",
+            "region": "Savannah",
+            "data_centre": "dc1",
+            "rack": "rack0",
+            "entries": [f"127.0.0.1:{port}" for port in self.control.values()],
+            "local_url": f"http://127.0.0.1:{self.workers[name]}",
+            "accelerators": 4,
+            "cores": 8,
+        }
+        self.spawn(name, "wasabispur_agent", "--settings", self.write(name, settings))
+
+    def write(self, name: str, settings: dict[str, Any]) -> str:
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return str(path)
+
+    def call(self, port: int, method: str, path: str, body: Any = None) -> Any:
+        """Return the JSON answer, or None without a good one."""
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            answer = self.pool.request(
+                method, f"http://127.0.0.1:{port}{path}", body=data
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return json.loads(answer.data) if answer.status < 300 else None
+
+    def submit(self, entry: str, run_time: float, **fields: Any) -> str:
+        """Submit a job as soon as the entry and its store take it."""
+        body = {
+            "organisation": "peachtree",
+            "class": "deferrable",
+            "command": json.dumps({"run_time": run_time, "result": "printed"}),
+        } | fields
+        answer = wait_for(
+            lambda: self.call(self.http[entry], "POST", "/v1/jobs", body),
+            START_TIMEOUT,
+            "the acceptance of the job",
+        )
+        return str(answer["job_id"])
+
+    def job(self, entry: str, job_id: str) -> dict[str, Any]:
+        """Return what an entry shows of a job, or nothing."""
+        return self.call(self.http[entry], "GET", f"/v1/jobs/{job_id}") or {}
+
+    def wait_state(self, entry: str, job_id: str, state: str, seconds: float) -> Any:
+        return wait_for(
+            lambda: self.job(entry, job_id).get("state") == state,
+            seconds,
+            f"state {state} of the job",
+        )
+
+    def starts(self, job_id: str) -> list[str]:
+        """Return the task ids that the workers started for a job."""
+        started = []
+        for port in self.workers.values():
+            answer = wait_for(
+                lambda port=port: self.call(port, "GET", "/starts"), 10, "starts"
+            )
+            started += [start["task_id"] for start in answer["starts"]]
+        return [task_id for task_id in started if task_id.startswith(f"{job_id}.")]
+
+    def running(self, job_id: str) -> list[str]:
+        """Return the tasks of a job that run at a worker now."""
+        found = []
+        for port in self.workers.values():
+            answer = self.call(port, "GET", "/v1/tasks") or {"tasks": []}
+            found += [t["task_id"] for t in answer["tasks"] if t["state"] == "running"]
+        return [task_id for task_id in found if task_id.startswith(f"{job_id}.")]
+
+    def owner(self) -> str:
+        """Return the entry that the shard's row names."""
+        row = self.call(self.table, "GET", "/v1/row?key=shard/dc1")
+        return str(row["value"]["owner"]) if row else ""
+
+    def set_faults(self, port: int, *faults: dict[str, Any]) -> None:
+        assert self.call(port, "PUT", "/faults", {"faults": list(faults)}) is not None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        os.kill(self.processes[name].pid, number)
+
+    def close(self) -> None:
+        """End every process of this test."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait(10)
+            if process.stdout is not None:
+                process.stdout.close()
--- /dev/null
+++ b/tests/process/test_job_process.py
@@ -0,0 +1,90 @@
+"""Guard jobs against the death and the pause of real processes."""
+
+from __future__ import annotations
+
+import signal
+
+import pytest
+
+from .job_system import JobSystem, wait_for
+
+TAKEOVER = 30.0
+"""Seconds within which another entry has to own the shard; the lease is 6 s."""
+
+REPLACED = 90.0
+"""Seconds within which a gang runs again after a worker was lost."""
+
+
+@pytest.fixture
+def system(tmp_path):
+    """Start two entries, two workers with agents and a table service."""
+    jobs = JobSystem(tmp_path)
+    try:
+        yield jobs
+    finally:
+        jobs.close()
+
+
+def test_job_completes_and_is_read_through_another_entry(system):
+    """Guard against a path with a gap between the real processes."""
+    job_id = system.submit("e0", 1.0, tasks=2, accelerators=4)
+    system.wait_state("e1", job_id, "completed", 40)
+    assert system.job("e1", job_id)["results"] == ["printed", "printed"]
+    assert len(system.starts(job_id)) == 2
+
+
+def test_owner_killed_in_mid_placement_loses_and_repeats_nothing(system):
+    """Guard against a job that is lost or run twice when its owner dies."""
+    owner = wait_for(system.owner, 30, "an owner")
+    other = "e1" if owner == "e0" else "e0"
+    job_id = system.submit(other, 3.0, tasks=2, accelerators=4)
+    wait_for(
+        lambda: system.job(other, job_id).get("state") in ("placed", "running"),
+        20,
+        "the placement",
+    )
+    system.signal(owner, signal.SIGKILL)
+    wait_for(lambda: system.owner() == other, TAKEOVER, "the takeover")
+    system.wait_state(other, job_id, "completed", REPLACED)
+    started = system.starts(job_id)
+    assert len(started) == len(set(started))
+    assert system.owner() == other
+
+
+def test_paused_owner_changes_nothing_after_the_takeover(system):
+    """Guard against an owner that wakes up and acts on a lease it has lost."""
+    owner = wait_for(system.owner, 30, "an owner")
+    other = "e1" if owner == "e0" else "e0"
+    job_id = system.submit(other, 30.0, tasks=2, accelerators=4)
+    system.wait_state(other, job_id, "running", 30)
+    system.signal(owner, signal.SIGSTOP)
+    wait_for(lambda: system.owner() == other, TAKEOVER, "the takeover")
+    system.signal(owner, signal.SIGCONT)
+    system.wait_state(other, job_id, "completed", 60)
+    assert len(system.starts(job_id)) == 2
+    assert system.owner() == other
+
+
+def test_paused_agent_leaves_no_second_run_behind(system):
+    """Guard against two live runs when an agent sleeps past its lease."""
+    job_id = system.submit("e0", 60.0, tasks=1, accelerators=4)
+    system.wait_state("e0", job_id, "running", 30)
+    worker = system.job("e0", job_id)["workers"][0]
+    system.signal(worker, signal.SIGSTOP)
+    wait_for(lambda: len(system.starts(job_id)) == 2, REPLACED, "the second run")
+    assert len(system.running(job_id)) == 1
+    system.signal(worker, signal.SIGCONT)
+    wait_for(lambda: system.job("e0", job_id).get("state") == "running", 20, "the run")
+    assert len(system.running(job_id)) == 1
+    assert len(system.starts(job_id)) == 2
+
+
+def test_gang_outlives_an_outage_of_the_table_service(system):
+    """Guard against leases that end because the store can't be written."""
+    job_id = system.submit("e0", 32.0, tasks=2, accelerators=4)
+    system.wait_state("e0", job_id, "running", 30)
+    system.set_faults(system.table, {"kind": "outage"})
+    wait_for(lambda: not system.running(job_id), 60, "the end of the tasks")
+    system.set_faults(system.table)
+    system.wait_state("e0", job_id, "completed", 60)
+    assert len(system.starts(job_id)) == 2
