Queue jobs by quota, reservation and learnt run time

A gang of the whole fleet, which small jobs starved without the reservation, now runs. A failed job is tried on other workers and held after three; a worker that fails everything is quarantined.

Two faults found by random fault sequences are corrected: a restarted agent that refuses a late reservation ends the gang instead of raising, and one that takes it no longer counts as running the task.

--- a/packages/wasabispur-core/src/wasabispur_core/fleet.py
+++ b/packages/wasabispur-core/src/wasabispur_core/fleet.py
@@ -52,6 +52,7 @@
 
     workers: dict[str, Worker] = field(default_factory=dict)
     available: set[str] = field(default_factory=set)
+    quarantined: frozenset[str] = frozenset()
     holders: dict[str, dict[int, str]] = field(default_factory=dict)
     plain_tasks: dict[str, set[str]] = field(default_factory=dict)
 
@@ -64,6 +65,11 @@
         """Take a worker out of placement and keep what it holds."""
         self.available.discard(worker_id)
 
+    @property
+    def usable(self) -> frozenset[str]:
+        """Return the workers that may get tasks."""
+        return frozenset(self.available - self.quarantined)
+
     def free(self, worker_id: str) -> tuple[int, ...]:
         """Return the indices of a worker's free accelerators."""
         held = self.holders.get(worker_id, {})
@@ -98,8 +104,8 @@
             del held[index]
 
     def racks(self) -> dict[str, list[str]]:
-        """Return the ids of the available workers by rack."""
+        """Return the ids of the usable workers by rack."""
         racks: dict[str, list[str]] = {}
-        for worker_id in sorted(self.available):
+        for worker_id in sorted(self.usable):
             racks.setdefault(self.workers[worker_id].rack, []).append(worker_id)
         return racks
--- a/packages/wasabispur-core/src/wasabispur_core/gang.py
+++ b/packages/wasabispur-core/src/wasabispur_core/gang.py
@@ -3,16 +3,29 @@
 from __future__ import annotations
 
 from .command import CancelTimer, Command, SendToAgent, SetTimer
-from .job import ENDED_PHASES, Job, JobBoard, Member, ReservationExpired
+from .job import ENDED_PHASES, Job, JobBoard, Member, Phase, ReservationExpired
 from .job_record import cancel_key, ended_key, job_key, JobRecord, to_value
 from .ownership import WriteRow
 from .placement import Seat
 from .protocol import Reason, StopTask
 
+FAILED_WORKERS_LIMIT = 3
+"""Workers on which a job fails before it is held."""
+
 RESERVATION_TIME = 5.0
 """Seconds within which a gang has to reserve, and again to start."""
 
 
+def failed_workers(job: Job) -> tuple[str, ...]:
+    """Return the workers on which the job has failed, this run included."""
+    failed = {
+        member.seat.worker_id
+        for member in job.members.values()
+        if member.phase is Phase.FINISHED and not member.succeeded
+    }
+    return tuple(sorted({*job.record.failed_workers, *failed}))
+
+
 def stop_commands(
     board: JobBoard, job: Job, reason: Reason, now: float
 ) -> list[Command]:
--- a/packages/wasabispur-core/src/wasabispur_core/guarantee.py
+++ b/packages/wasabispur-core/src/wasabispur_core/guarantee.py
@@ -116,7 +116,7 @@
 
 def _stands(seats: tuple[Seat, ...], fleet: Fleet) -> bool:
     return all(
-        seat.worker_id in fleet.available
+        seat.worker_id in fleet.usable
         and max(seat.accelerators) < fleet.workers[seat.worker_id].accelerators
         for seat in seats
     )
@@ -125,7 +125,7 @@
 def _whole_room(fleet: Fleet, homes: dict[Promise, tuple[Seat, ...]]) -> Room:
     """Return all accelerators outside the homes, whoever holds them."""
     room = Room(racks=fleet.racks())
-    for worker_id in fleet.available:
+    for worker_id in fleet.usable:
         room.free[worker_id] = tuple(range(fleet.workers[worker_id].accelerators))
     for seats in homes.values():
         room.take(seats)
--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import singledispatch
+from typing import Any
 
 from .action import Action, Guard
 from .chart import Chart, Lifecycle
@@ -17,6 +18,8 @@
 from .message import Message
 from .ownership import RowCommitted, ShardLease
 from .placement import Seat
+from .run_time import RunTimes
+from .worker_health import HealthBoard
 
 ENDED_LIMIT = 10_000
 """Jobs that ended in this tenure, kept so that a late read revives none."""
@@ -162,6 +165,10 @@
     plan_stale: bool = True
     calling: frozenset[str] = frozenset()
     urgent_classes: frozenset[str] = frozenset()
+    quotas: dict[str, int] = field(default_factory=dict)
+    reservations: list[Any] = field(default_factory=list)
+    run_times: RunTimes = field(default_factory=RunTimes)
+    health: HealthBoard = field(default_factory=HealthBoard)
 
 
 class JobAction(Action[JobBoard, Job]):
--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -11,6 +11,7 @@
 from .gang import (
     cancel_gang_timer,
     end_record,
+    failed_workers,
     set_gang_timer,
     stop_commands,
     take_seats,
@@ -86,6 +87,12 @@
     __slots__ = ()
 
 
+class RecordHeld(JobAction):
+    """Write that the job waits for an operator."""
+
+    __slots__ = ()
+
+
 class Requeue(JobAction):
     """Write that the job waits for a new placement."""
 
@@ -174,6 +181,7 @@
 def _(action: RecordCompleted) -> list[Command]:
     job = action.subject
     results = tuple(member.result for member in job.members.values())
+    action.state.run_times.record(job.record.spec, action.now - job.started)
     record = replace(job.record, state=JobState.COMPLETED, results=results, reason="")
     return end_record(action.state, job, record)
 
@@ -191,6 +199,21 @@
     return end_record(action.state, job, record)
 
 
+@perform.register
+def _(action: RecordHeld) -> list[Command]:
+    job = action.subject
+    workers = failed_workers(job)
+    job.members = {}
+    record = replace(
+        job.record,
+        state=JobState.HELD,
+        seats=(),
+        failed_workers=workers,
+        reason=f"failed on {', '.join(workers)}",
+    )
+    return write_record(action.state, job, record)
+
+
 @perform.register
 def _(action: RecordCancelled) -> list[Command]:
     job = action.subject
@@ -220,6 +243,7 @@
         reason=job.stop_reason,
         checkpoints=checkpoints,
         preemptions=job.record.preemptions + job.reclaimed,
+        failed_workers=failed_workers(job),
     )
     job.members, job.reclaimed = {}, False
     return [cancel_gang_timer(job), *write_record(action.state, job, record)]
--- a/packages/wasabispur-core/src/wasabispur_core/job_guard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_guard.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from .action import holds
+from .gang import failed_workers, FAILED_WORKERS_LIMIT
 from .job import JobGuard, Phase
+from .job_record import JobState
 
 
 class GangRecorded(JobGuard):
@@ -12,6 +14,12 @@
     __slots__ = ()
 
 
+class HeldRecorded(JobGuard):
+    """Hold if the row says that the job is held."""
+
+    __slots__ = ()
+
+
 class LeaseHeld(JobGuard):
     """Hold if this entry may start tasks now."""
 
@@ -30,6 +38,12 @@
     __slots__ = ()
 
 
+class MayRetry(JobGuard):
+    """Hold if a failed job may run again on other workers."""
+
+    __slots__ = ()
+
+
 class AllReserved(JobGuard):
     """Hold if every member is reserved."""
 
@@ -98,3 +112,16 @@
         member.phase is Phase.FINISHED and not member.succeeded
         for member in guard.subject.members.values()
     )
+
+
+@holds.register
+def _(guard: MayRetry) -> bool:
+    record = guard.subject.record
+    if record.spec.at_most_once:
+        return False
+    return len(failed_workers(guard.subject)) < FAILED_WORKERS_LIMIT
+
+
+@holds.register
+def _(guard: HeldRecorded) -> bool:
+    return guard.subject.record.state is JobState.HELD
--- a/packages/wasabispur-core/src/wasabispur_core/job_place.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_place.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
+from .backfill import closed_to, update_reservations
 from .command import Command, WriteLog
 from .guarantee import Promise, repack
 from .job import (
@@ -15,11 +17,16 @@
     JobRejected,
     ReclaimRequested,
 )
-from .job_record import JobSpec
+from .job_record import JobRecord, JobSpec
 from .log_event import GUARANTEE_LOST, GUARANTEE_MET
 from .message import Message
 from .placement import free_room, impossible_reason, place_gang, Seat
-from .reclaim import calling_organisations, choose_victims, relocate_homes
+from .reclaim import (
+    calling_organisations,
+    choose_victims,
+    held_by,
+    relocate_homes,
+)
 
 SETTLE_TIME = 30.0
 """Seconds after a takeover in which workers may still attach, so that no job is
@@ -31,34 +38,74 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PromisesChanged(Message):
-    """Report the guaranteed shapes of the bundle in force."""
+class PolicyChanged(Message):
+    """Report what the bundle in force says about the shard's jobs.
+
+    The quotas bound the accelerators in use by organisation.
+    """
 
-    promises: tuple[Promise, ...]
+    promises: tuple[Promise, ...] = ()
+    quotas: dict[str, int] = field(default_factory=dict)
     urgent_classes: frozenset[str] = frozenset()
 
 
 @decide.register
-def _(message: PromisesChanged, board: JobBoard, now: float) -> list[Command]:
+def _(message: PolicyChanged, board: JobBoard, now: float) -> list[Command]:
     board.plan.promises = message.promises
+    board.quotas = message.quotas
     board.urgent_classes = message.urgent_classes
     board.plan_stale = True
     return place_waiting(board, now) if board.owning else []
 
 
 def place_waiting(board: JobBoard, now: float) -> list[Command]:
-    """Place the waiting jobs that fit, in the order of their submission."""
+    """Place the waiting jobs that fit: urgent ones first, then by submission."""
+    quarantine(board, now)
     commands = refresh_plan(board)
     if not board.lease.may_start(now):
         return commands
     waiting = [job for job in board.jobs.values() if job.lifecycle.state == "queued"]
-    waiting.sort(key=lambda job: (job.record.sequence, job.record.job_id))
+    waiting.sort(key=lambda job: queue_order(board, job))
     board.calling = calling_organisations(board, waiting)
+    blocked: list[Job] = []
+    if not waiting:
+        board.reservations = []
     for job in waiting:
         commands += place_job(board, job, now)
+        if job.lifecycle.state == "queued" and within_quota(board, job.record.spec):
+            blocked.append(job)
+            update_reservations(board, blocked, now)
     return commands
 
 
+def queue_order(board: JobBoard, job: Job) -> tuple[bool, int, str]:
+    """Return the order in which jobs are placed."""
+    record = job.record
+    urgent = record.spec.work_class in board.urgent_classes
+    return (not urgent, record.sequence, record.job_id)
+
+
+def quarantine(board: JobBoard, now: float) -> None:
+    """Take workers on which everything fails out of placement for a time."""
+    quarantined = board.health.update(len(board.fleet.available), now)
+    if quarantined != board.fleet.quarantined:
+        board.fleet.quarantined = quarantined
+        board.plan_stale = True
+
+
+def within_quota(board: JobBoard, spec: JobSpec) -> bool:
+    """Return whether the organisation may use as many accelerators more."""
+    quota = board.quotas.get(spec.organisation)
+    if quota is None:
+        return True
+    used = sum(
+        len(held_by(job))
+        for job in board.jobs.values()
+        if job.record.spec.organisation == spec.organisation
+    )
+    return used + spec.tasks * spec.accelerators <= quota
+
+
 def refresh_plan(board: JobBoard) -> list[Command]:
     """Pack the guarantees again if workers or promises changed, and report."""
     if not board.plan_stale:
@@ -76,48 +123,79 @@
 def place_job(board: JobBoard, job: Job, now: float) -> list[Command]:
     """Place one job, reclaim its guarantee, or reject it if it can never run."""
     spec = job.record.spec
-    seats = choose_seats(board, spec)
+    reason = never_reason(board, spec, now)
+    if reason:
+        return fire(JobRejected(reason=reason), board, job, now)
+    if not within_quota(board, spec):
+        return []
+    seats = choose_seats(board, job, now)
     if seats is not None:
         return fire(GangPlaced(seats=seats), board, job, now)
     relocate_homes(board, spec.organisation, now)
-    victims = choose_victims(board, spec, now)
-    if victims:
-        request = ReclaimRequested(
-            organisation=spec.organisation, job_id=job.record.job_id
-        )
-        commands: list[Command] = []
-        for victim in victims:
-            if victim.lifecycle.state in STOPPABLE:
-                commands += fire(request, board, victim, now)
-        return commands
-    settled = now - board.acquired >= SETTLE_TIME
-    reason = impossible_reason(board.fleet, spec.size) if settled else ""
-    if reason:
-        return fire(JobRejected(reason=reason), board, job, now)
-    return []
+    request = ReclaimRequested(organisation=spec.organisation, job_id=job.record.job_id)
+    commands: list[Command] = []
+    for victim in choose_victims(board, spec, now):
+        if victim.lifecycle.state in STOPPABLE:
+            commands += fire(request, board, victim, now)
+    return commands
+
+
+def never_reason(board: JobBoard, spec: JobSpec, now: float) -> str:
+    """Return why the job can never run, or an empty text."""
+    quota = board.quotas.get(spec.organisation)
+    needed = spec.tasks * spec.accelerators
+    if quota is not None and needed > quota:
+        return f"the job needs {needed} accelerators and the quota is {quota}"
+    if now - board.acquired < SETTLE_TIME:
+        return ""
+    return impossible_reason(board.fleet, spec.size)
 
 
-def choose_seats(board: JobBoard, spec: JobSpec) -> tuple[Seat, ...] | None:
+def choose_seats(board: JobBoard, job: Job, now: float) -> tuple[Seat, ...] | None:
     """Return free seats: own guarantee first, then spare, then borrowed ones."""
-    owner, organisation = board.plan.owner, spec.organisation
+    spec, record = job.record.spec, job.record
+    avoided = avoided_workers(board, record)
     if not spec.accelerators:
-        return place_gang(free_room(board.fleet), spec.size)
-    choices = (
-        lambda worker, index: owner(worker, index) == organisation,
-        lambda worker, index: owner(worker, index) == "",
-        lambda worker, index: owner(worker, index) in ("", organisation),
-        # A home whose organisation waits for it is lent to nobody.
-        lambda worker, index: (
-            owner(worker, index) not in board.calling - {organisation}
-        ),
+        room = free_room(board.fleet, avoided=avoided)
+        return place_gang(room, spec.size)
+    owner, organisation = board.plan.owner, spec.organisation
+    # A home whose organisation waits for it is lent to nobody.
+    closed_homes = board.calling - {organisation}
+    # Nobody's reservation keeps an organisation out of its own home.
+    closed = {
+        held for held in closed_to(board, job, now) if owner(*held) != organisation
+    }
+    choices: tuple[Callable[[str], bool], ...] = (
+        lambda home: home == organisation,
+        lambda home: home == "",
+        lambda home: home in ("", organisation),
+        lambda home: home not in closed_homes,
     )
-    for allowed in choices:
-        seats = place_gang(free_room(board.fleet, allowed), spec.size)
+    for suits in choices:
+        room = free_room(
+            board.fleet,
+            lambda worker, index, suits=suits: (  # type: ignore[misc]
+                suits(owner(worker, index)) and (worker, index) not in closed
+            ),
+            avoided,
+        )
+        seats = place_gang(room, spec.size)
         if seats is not None:
             return seats
     return None
 
 
+def avoided_workers(board: JobBoard, record: JobRecord) -> frozenset[str]:
+    """Return the workers on which the job failed, if there are others."""
+    failed = frozenset(record.failed_workers)
+    others = board.fleet.usable - failed
+    enough = sum(
+        board.fleet.workers[worker].accelerators >= record.spec.accelerators
+        for worker in others
+    )
+    return failed if enough else frozenset()
+
+
 def _report(number: int, promise: Promise) -> WriteLog:
     fields = {"organisation": promise.organisation, "shape": promise.shape.name}
     return WriteLog(number=number, fields=fields)
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -129,7 +129,7 @@
     """Return whether a member's silence has to be dealt with now."""
     state = job.lifecycle.state
     # The loss of one member may have ended the gang before the next is looked at.
-    if state in ("queued", "placing", "finishing", "ended"):
+    if state in ("queued", "placing", "finishing", "held", "ended"):
         return False
     if member.phase in ENDED_PHASES:
         return False
--- a/packages/wasabispur-core/src/wasabispur_core/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_record.py
@@ -23,6 +23,7 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
     REJECTED = "rejected"
+    HELD = "held"
 
     @property
     def may_hold(self) -> bool:
@@ -67,6 +68,7 @@
     results: tuple[str, ...] = ()
     checkpoints: tuple[str, ...] = ()
     preemptions: int = 0
+    failed_workers: tuple[str, ...] = ()
     schema: int = JOB_SCHEMA
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_report.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_report.py
@@ -5,7 +5,16 @@
 from functools import singledispatch
 
 from .command import Command, SendToAgent
-from .job import AgentClock, decide, ENDED_PHASES, fire, JobBoard, Member, Phase
+from .job import (
+    AgentClock,
+    decide,
+    ENDED_PHASES,
+    fire,
+    JobBoard,
+    Member,
+    MemberLost,
+    Phase,
+)
 from .member import FromAgent
 from .message import Message
 from .protocol import (
@@ -54,6 +63,12 @@
     if message.shard != board.shard:
         return commands
     for status in message.tasks:
+        job = board.jobs.get(status.task_id.rsplit(".", 2)[0])
+        member = job.members.get(status.task_id) if job else None
+        if job and member and member.phase is Phase.STARTED and not status.started:
+            # A new agent took a late reservation; the task that ran there is gone.
+            commands += fire(MemberLost(), board, job, now)
+            continue
         report = _report_of(status)
         commands += decide_report(report, worker_id, board, now)
     return commands
@@ -77,6 +92,9 @@
     if member.phase in ENDED_PHASES:
         return []
     note(message, member)
+    if isinstance(message, TaskFinished):
+        job_id = job.record.job_id
+        board.health.record(worker_id, job_id, message.succeeded)
     return fire(message, board, job, now)
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/placement.py
@@ -54,10 +54,14 @@
             self.free[seat.worker_id] = left
 
 
-def free_room(fleet: Fleet, allowed: Allowed | None = None) -> Room:
-    """Return what is free on the available workers, as far as it is allowed."""
+def free_room(
+    fleet: Fleet,
+    allowed: Allowed | None = None,
+    avoided: frozenset[str] = frozenset(),
+) -> Room:
+    """Return what is free on the usable workers, as far as it is allowed."""
     room = Room(racks=fleet.racks())
-    for worker_id in fleet.available:
+    for worker_id in fleet.usable - avoided:
         free = fleet.free(worker_id)
         if allowed is not None:
             free = tuple(index for index in free if allowed(worker_id, index))
--- a/packages/wasabispur-core/src/wasabispur_core/reclaim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/reclaim.py
@@ -131,7 +131,7 @@
     """Return the whole guarantee of an organisation, whoever holds it."""
     fleet, plan = board.fleet, board.plan
     room = Room(racks=fleet.racks())
-    for worker_id in fleet.available:
+    for worker_id in fleet.usable:
         count = fleet.workers[worker_id].accelerators
         room.free[worker_id] = tuple(
             index
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/run_time.py
@@ -0,0 +1,58 @@
+"""Learn how long jobs run, since callers declare it far off."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+
+from .job_record import JobSpec
+
+UNKNOWN_RUN_TIME = 3600.0
+"""Seconds expected of a job of which neither caller nor history tells anything."""
+
+HISTORY_LIMIT = 20
+KIND_LIMIT = 1_000
+"""Remembered run times of one kind of job, and kinds of jobs."""
+
+HISTORY_NEEDED = 3
+
+Kind = tuple[str, str]
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Own the last run times by organisation and class.
+
+    Each pair holds the actual seconds and their ratio to the declared ones, or 0
+    where nothing was declared.
+    """
+
+    history: dict[Kind, deque[tuple[float, float]]] = field(default_factory=dict)
+
+    def record(self, spec: JobSpec, seconds: float) -> None:
+        """Remember the run time of a completed job."""
+        kind = (spec.organisation, spec.work_class)
+        if kind not in self.history and len(self.history) >= KIND_LIMIT:
+            return
+        ratio = seconds / spec.estimate if spec.estimate else 0.0
+        past = self.history.setdefault(kind, deque(maxlen=HISTORY_LIMIT))
+        past.append((seconds, ratio))
+
+    def expect(self, spec: JobSpec) -> float:
+        """Return the expected run time in seconds."""
+        past = self.history.get((spec.organisation, spec.work_class), ())
+        ratios = [ratio for _, ratio in past if ratio]
+        if spec.estimate and len(ratios) >= HISTORY_NEEDED:
+            return spec.estimate * median(ratios)
+        if len(past) >= HISTORY_NEEDED:
+            return median(seconds for seconds, _ in past)
+        return spec.estimate or UNKNOWN_RUN_TIME
+
+    def remaining(self, spec: JobSpec, elapsed: float) -> float:
+        """Return the seconds that a running job is expected to need yet.
+
+        A job that overran is expected to need as long again.
+        """
+        expected = self.expect(spec)
+        return expected - elapsed if elapsed < expected else max(elapsed, 1.0)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/worker_health.py
@@ -0,0 +1,81 @@
+"""Quarantine workers on which everything fails, and let them prove themselves."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+OUTCOME_LIMIT = 10
+FAILURES_NEEDED = 4
+JOBS_NEEDED = 2
+"""Outcomes remembered of a worker; failures, and jobs among them, that count."""
+
+SUCCESS_RATE_LIMIT = 0.1
+
+QUARANTINE_TIME = 600.0
+QUARANTINE_LIMIT = 6 * 3600.0
+"""Seconds of the first quarantine, which doubles after a failed probation."""
+
+QUARANTINED_SHARE = 1 / 3
+"""Largest share of the workers in quarantine; more point to another cause."""
+
+
+@dataclass(slots=True)
+class WorkerHealth:
+    """Hold the last outcomes on one worker as pairs of job and success."""
+
+    outcomes: deque[tuple[str, bool]] = field(
+        default_factory=lambda: deque(maxlen=OUTCOME_LIMIT)
+    )
+    quarantined_until: float = 0.0
+    quarantine: float = QUARANTINE_TIME
+    probation: bool = False
+
+    @property
+    def failing(self) -> bool:
+        """Return whether nearly everything of several jobs failed."""
+        failures = [job for job, succeeded in self.outcomes if not succeeded]
+        if self.probation and failures:
+            return True
+        if len(failures) < FAILURES_NEEDED or len(set(failures)) < JOBS_NEEDED:
+            return False
+        return 1 - len(failures) / len(self.outcomes) < SUCCESS_RATE_LIMIT
+
+
+@dataclass(slots=True)
+class HealthBoard:
+    """Own the health of all workers of a shard."""
+
+    workers: dict[str, WorkerHealth] = field(default_factory=dict)
+
+    def record(self, worker_id: str, job_id: str, succeeded: bool) -> None:
+        """Note the outcome of one task."""
+        health = self.workers.setdefault(worker_id, WorkerHealth())
+        health.outcomes.append((job_id, succeeded))
+        if succeeded and health.probation:
+            health.probation = False
+            health.quarantine = QUARANTINE_TIME
+
+    def update(self, worker_count: int, now: float) -> frozenset[str]:
+        """Begin and end quarantines; return the workers in quarantine."""
+        inside = {w for w, h in self.workers.items() if h.quarantined_until > now}
+        for worker_id, health in sorted(self.workers.items()):
+            if worker_id in inside:
+                continue
+            if health.quarantined_until:
+                self._begin_probation(health)
+            if health.failing and len(inside) + 1 <= worker_count * QUARANTINED_SHARE:
+                self._begin_quarantine(health, now)
+                inside.add(worker_id)
+        return frozenset(inside)
+
+    def _begin_probation(self, health: WorkerHealth) -> None:
+        health.quarantined_until = 0.0
+        health.probation = True
+        health.outcomes.clear()
+
+    def _begin_quarantine(self, health: WorkerHealth, now: float) -> None:
+        if health.probation:
+            health.quarantine = min(health.quarantine * 2, QUARANTINE_LIMIT)
+        health.quarantined_until = now + health.quarantine
+        health.probation = False
--- a/tests/job/test_job_path.py
+++ b/tests/job/test_job_path.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
+from wasabispur_core.permit import FromEntry
+
 from .world import World
 
 
@@ -49,7 +53,7 @@
 def test_failed_task_stops_the_rest():
     """Guard against a gang that goes on without one of its members."""
     world = World()
-    job_id = world.submit(tasks=2, accelerators=4)
+    job_id = world.submit(tasks=2, accelerators=4, at_most_once=True)
     world.advance(10)
     agent = next(a for a in world.agents.values() if a.running)
     world.finish(agent, next(iter(agent.running)), succeeded=False)
@@ -72,3 +76,23 @@
     assert len(world.started) == 4
     world.settle()
     assert world.ended_state(job_id) == "completed"
+
+
+@pytest.mark.parametrize("wait", [0, 20])
+def test_late_reservation_at_a_new_agent_ends_the_gang(wait):
+    """Guard against a gang that counts a restarted agent's task as running."""
+    world = World(agents=1)
+    job_id = world.submit(accelerators=4)
+    world.advance(10)
+    agent = world.agents["w0"]
+    reserve = next(iter(agent.state.tasks.values())).reserve
+    entry = next(iter(agent.state.owners.values()))
+    world.advance(wait)
+    world.kill_agent("w0")
+    world.restart_agent("w0")
+    world.post(agent, FromEntry(entry_id=entry, message=reserve))
+    world.run()
+    world.advance(20)
+    assert len(world.started) == 2
+    world.settle()
+    assert world.ended_state(job_id) == "completed"
--- /dev/null
+++ b/tests/job/test_queue.py
@@ -0,0 +1,171 @@
+"""Guard the order in which jobs run, and the treatment of what fails."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabispur_core import backfill
+from wasabispur_core.job_place import PolicyChanged
+from wasabispur_core.job_record import job_key, JobSpec
+from wasabispur_core.run_time import RunTimes, UNKNOWN_RUN_TIME
+from wasabispur_core.worker_health import HealthBoard, QUARANTINE_TIME
+
+from .world import SHARD, World
+
+
+def jobs_running(world: World) -> set[str]:
+    return {job for job, _, _ in world.running_tasks()}
+
+
+def set_quota(world: World, **quotas: int) -> None:
+    for entry in world.entries.values():
+        world.post(entry, PolicyChanged(quotas=quotas))
+    world.run()
+
+
+def test_quota_bounds_what_an_organisation_uses():
+    """Guard against an organisation that takes the whole fleet."""
+    world = World()
+    set_quota(world, peachtree=4)
+    first = world.submit(accelerators=4)
+    world.submit(accelerators=4)
+    other = world.submit(organisation="prairie", accelerators=4)
+    world.advance(10)
+    assert jobs_running(world) == {first, other}
+    world.settle()
+
+
+def test_job_above_its_quota_is_rejected():
+    """Guard against a job that waits for ever behind its own quota."""
+    world = World()
+    set_quota(world, peachtree=4)
+    job_id = world.submit(tasks=2, accelerators=4)
+    world.advance(10)
+    assert world.ended_state(job_id) == "rejected"
+
+
+def run_small_jobs_beside_a_gang(rounds: int = 12) -> tuple[World, str]:
+    """Keep the fleet full of small jobs while a gang of the whole fleet waits."""
+    world = World()
+    small = [world.submit(accelerators=4, estimate=600.0) for _ in range(3)]
+    world.advance(8)
+    gang = world.submit(tasks=3, accelerators=4, estimate=600.0)
+    world.advance(8)
+    for _ in range(rounds):
+        agent = next(a for a in world.agents.values() if a.running)
+        if gang in jobs_running(world):
+            break
+        world.finish(agent, next(iter(agent.running)))
+        small.append(world.submit(accelerators=4, estimate=600.0))
+        world.advance(10)
+        if not world.running_tasks():
+            break
+    return world, gang
+
+
+def test_large_gang_is_not_starved_by_small_jobs():
+    """Guard against a gang that waits while later small jobs run."""
+    world, gang = run_small_jobs_beside_a_gang()
+    world.advance(10)
+    assert jobs_running(world) == {gang}
+
+
+def test_large_gang_starves_without_the_reservation(monkeypatch):
+    """Show that the reservation is what lets the gang run."""
+    monkeypatch.setattr(backfill, "RESERVATION_LIMIT", 0)
+    world, gang = run_small_jobs_beside_a_gang()
+    assert gang not in jobs_running(world)
+
+
+def test_short_job_fills_the_time_before_a_reservation():
+    """Guard against accelerators that idle while a gang waits for others."""
+    world = World()
+    world.submit(tasks=2, accelerators=4, estimate=3600.0)
+    world.advance(8)
+    world.submit(tasks=3, accelerators=4, estimate=600.0)
+    short = world.submit(accelerators=4, estimate=60.0, work_class="label")
+    world.submit(accelerators=4, estimate=7200.0, work_class="batch")
+    world.advance(10)
+    assert short in jobs_running(world)
+    assert len(jobs_running(world)) == 2
+
+
+def test_run_times_are_learnt_from_what_happened():
+    """Guard against trust in declared run times that are off by ten times."""
+    spec = JobSpec(
+        organisation="peachtree", work_class="label", command="", estimate=100.0
+    )
+    times = RunTimes()
+    assert times.expect(spec) == 100.0
+    for _ in range(3):
+        times.record(spec, 1000.0)
+    assert times.expect(spec) == 1000.0
+    undeclared = JobSpec(organisation="peachtree", work_class="label", command="")
+    assert times.expect(undeclared) == 1000.0
+    unknown = JobSpec(organisation="prairie", work_class="label", command="")
+    assert times.expect(unknown) == UNKNOWN_RUN_TIME
+
+
+def fail_running(world: World, job_id: str) -> str:
+    """Fail the job's only task and return its worker."""
+    agent = next(
+        a for a in world.agents.values() if any(t.startswith(job_id) for t in a.running)
+    )
+    world.finish(agent, next(iter(agent.running)), succeeded=False)
+    world.advance(10)
+    return agent.name
+
+
+def test_failed_job_is_tried_on_other_workers_and_then_held():
+    """Guard against a job that fails for ever, or on the same worker again."""
+    world = World()
+    job_id = world.submit(accelerators=4)
+    world.advance(10)
+    workers = {fail_running(world, job_id) for _ in range(3)}
+    assert workers == {"w0", "w1", "w2"}
+    assert world.rows[job_key(SHARD, job_id)].value["state"] == "held"
+    for entry in list(world.entries):
+        world.kill_entry(entry)
+        world.restart_entry(entry)
+    world.advance(40)
+    assert not world.running_tasks()
+    world.cancel(job_id)
+    world.advance(10)
+    assert world.ended_state(job_id) == "cancelled"
+
+
+def fail(health: HealthBoard, worker: str, count: int) -> None:
+    for number in range(count):
+        health.record(worker, f"job{number}", False)
+
+
+def test_worker_that_fails_everything_is_quarantined_until_it_proves_itself():
+    """Guard against a broken worker that eats the queue, or never comes back."""
+    health = HealthBoard()
+    fail(health, "w0", 4)
+    assert health.update(6, 0.0) == {"w0"}
+    assert health.update(6, QUARANTINE_TIME + 1) == frozenset()
+    fail(health, "w0", 1)
+    now = QUARANTINE_TIME + 2
+    assert health.update(6, now) == {"w0"}
+    assert health.update(6, now + 2 * QUARANTINE_TIME - 1) == {"w0"}
+    assert health.update(6, now + 2 * QUARANTINE_TIME + 1) == frozenset()
+    health.record("w0", "job9", True)
+    fail(health, "w0", 1)
+    assert health.update(6, now + 2 * QUARANTINE_TIME + 2) == frozenset()
+
+
+@pytest.mark.parametrize("case", ["one job", "some succeed", "most workers"])
+def test_quarantine_spares_workers_that_may_be_sound(case):
+    """Guard against a bad job or a common cause that empties the fleet."""
+    health = HealthBoard()
+    if case == "one job":
+        for _ in range(8):
+            health.record("w0", "job", False)
+    if case == "some succeed":
+        fail(health, "w0", 6)
+        health.record("w0", "good", True)
+    if case == "most workers":
+        for worker in ("w0", "w1", "w2", "w3", "w4", "w5"):
+            fail(health, worker, 6)
+    assert len(health.update(6, 0.0)) <= (2 if case == "most workers" else 0)
