--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -11,6 +11,7 @@
 from .gang import (
     cancel_gang_timer,
     end_record,
+    failed_workers,
     set_gang_timer,
     stop_commands,
     take_seats,
@@ -18,11 +19,13 @@
 )
 from .job import (
     GangPlaced,
+    Job,
     JobAction,
     JobGuard,
     JobRejected,
     MemberLost,
     Phase,
+    ReclaimRequested,
 )
 from .job_lease import adoption_deadline, lease_bound, TASK_LEASE, unheard_bound
 from .job_record import JobState
@@ -84,6 +87,12 @@
     __slots__ = ()
 
 
+class RecordHeld(JobAction):
+    """Write that the job waits for an operator."""
+
+    __slots__ = ()
+
+
 class Requeue(JobAction):
     """Write that the job waits for a new placement."""
 
@@ -138,6 +147,7 @@
         return []
     job.record = replace(job.record, gang_epoch=job.record.gang_epoch + 1)
     job.stop_reason = ""
+    job.started = action.now
     take_seats(board, job, message.seats, action.now, action.now)
     return write_record(
         board,
@@ -171,6 +181,7 @@
 def _(action: RecordCompleted) -> list[Command]:
     job = action.subject
     results = tuple(member.result for member in job.members.values())
+    action.state.run_times.record(job.record.spec, action.now - job.started)
     record = replace(job.record, state=JobState.COMPLETED, results=results, reason="")
     return end_record(action.state, job, record)
 
@@ -188,6 +199,21 @@
     return end_record(action.state, job, record)
 
 
+@perform.register
+def _(action: RecordHeld) -> list[Command]:
+    job = action.subject
+    workers = failed_workers(job)
+    job.members = {}
+    record = replace(
+        job.record,
+        state=JobState.HELD,
+        seats=(),
+        failed_workers=workers,
+        reason=f"failed on {', '.join(workers)}",
+    )
+    return write_record(action.state, job, record)
+
+
 @perform.register
 def _(action: RecordCancelled) -> list[Command]:
     job = action.subject
@@ -206,14 +232,20 @@
 @perform.register
 def _(action: Requeue) -> list[Command]:
     job = action.subject
-    job.members = {}
+    saved = tuple(member.checkpoint for member in job.members.values())
+    # A gang goes on from checkpoints only if every member has one.
+    checkpoints = saved if saved and all(saved) else job.record.checkpoints
     record = replace(
         job.record,
         state=JobState.QUEUED,
         seats=(),
         start_possible=False,
         reason=job.stop_reason,
+        checkpoints=checkpoints,
+        preemptions=job.record.preemptions + job.reclaimed,
+        failed_workers=failed_workers(job),
     )
+    job.members, job.reclaimed = {}, False
     return [cancel_gang_timer(job), *write_record(action.state, job, record)]
 
 
@@ -221,7 +253,7 @@
 def _(action: SendReserves) -> list[Command]:
     board, job, spec = action.state, action.subject, action.subject.record.spec
     commands: list[Command] = [set_gang_timer(job)]
-    for member in job.members.values():
+    for index, member in enumerate(job.members.values()):
         clock = board.clocks.get(member.seat.worker_id)
         if clock is None:
             # The timer ends the reservation; nothing was sent to this member.
@@ -239,6 +271,7 @@
             lease=TASK_LEASE,
             anchor=clock.clock,
             accelerator_ids=member.seat.accelerators,
+            checkpoint=_checkpoint(job, index),
         )
         commands.append(SendToAgent(agent_id=member.seat.worker_id, message=reserve))
     return commands
@@ -269,6 +302,7 @@
 def _(action: StopMembers) -> list[Command]:
     job = action.subject
     job.stop_reason = _stop_reason(action)
+    job.reclaimed = isinstance(action.message, ReclaimRequested)
     stops = stop_commands(action.state, job, Reason.GANG_INCOMPLETE, action.now)
     return [cancel_gang_timer(job), *stops]
 
@@ -278,6 +312,7 @@
     for member in action.subject.members.values():
         member.phase = Phase.GONE
     action.subject.stop_reason = _stop_reason(action)
+    action.subject.reclaimed = isinstance(action.message, ReclaimRequested)
     return []
 
 
@@ -289,4 +324,11 @@
         return Reason.TASK_FAILED.value
     if isinstance(message, MemberLost):
         return Reason.LEASE_EXPIRED.value
+    if isinstance(message, ReclaimRequested):
+        return f"{Reason.RECLAIMED.value}: {message.organisation}"
     return Reason.GANG_INCOMPLETE.value
+
+
+def _checkpoint(job: Job, index: int) -> str:
+    checkpoints = job.record.checkpoints
+    return checkpoints[index] if index < len(checkpoints) else ""
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -80,7 +80,7 @@
         size = GangSize(tasks=8, accelerators=8)
         started = time.process_time()
         for _ in range(PLACEMENTS):
-            place_gang(fleet, size)
+            place_gang(free_room(fleet), size)
         elapsed = (time.process_time() - started) / PLACEMENTS
         samples.append(Sample(size=count, value=elapsed * 1000))
     return [fit("place a gang of 8 tasks: CPU time", "ms", "worker", samples)]
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -13,6 +13,7 @@
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 from wasabispur_runtime.metrics import registry
+from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
 from .control_server import ControlServer
@@ -20,6 +21,8 @@
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
+from .job_resource import JobResource
+from .job_wiring import build_job_actors, JobActors
 from .membership import Membership
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
@@ -51,10 +54,11 @@
         {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
     )
     metrics.start()
-    version_1 = VersionOneResource(bridge, dispatcher)
-    version_1.metrics = MetricsResource(bridge, metrics)
+    resources = VersionOneResource(bridge, dispatcher)
+    resources.metrics = MetricsResource(bridge, metrics)
+    jobs = start_jobs(settings, timers, membership, bridge, resources)
     http = HttpServer(
-        build_application(version_1),
+        build_application(resources),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -67,11 +71,30 @@
     control.close()
     await control.wait_closed()
     await metrics.close()
+    if jobs is not None:
+        await jobs.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
+def start_jobs(
+    settings: EntrySettings,
+    timers: TimerService,
+    membership: Membership,
+    bridge: Bridge,
+    resources: VersionOneResource,
+) -> JobActors | None:
+    """Start the actors that serve jobs if the settings name a table service."""
+    if settings.table_url is None:
+        return None
+    table = TableClient(timers, settings.table_url, Random())
+    jobs = build_job_actors(settings, timers, membership, table)
+    resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+    jobs.start()
+    return jobs
+
+
 async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
