--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -14,7 +14,7 @@
 from wasabispur_core.job_record import JobRecord, JobSpec
 from wasabispur_core.message import Message
 from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.placement import GangSize, place_gang, Seat
+from wasabispur_core.placement import free_room, GangSize, place_gang, Seat
 from wasabispur_core.protocol import (
     AttemptNotRun,
     Heartbeat,
