Test the clients and stand-ins against a table of faults, with behave

Contract tests cover the object store client, the endpoint's count of runs and the worker's protocol with its failures.

--- /dev/null
+++ b/tests/platform/test_features.py
@@ -0,0 +1,21 @@
+"""Run the behave features with the rest of the tests."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+
+TIME_LIMIT = 300.0
+"""Seconds after which behave counts as hung."""
+
+
+def test_features():
+    """Guard against a fault of the table service that changes an outcome."""
+    command = [sys.executable, "-m", "behave", "--no-color", "--format", "progress"]
+    run = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=TIME_LIMIT
+    )
+    assert run.returncode == 0, run.stdout + run.stderr
--- /dev/null
+++ b/tests/platform/test_object_contract.py
@@ -0,0 +1,107 @@
+"""Check the object client against the object store stand-in with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tests.platform.harness import connected, running, set_faults
+
+from wasabispur_core.object_access import (
+    digest_key,
+    OBJECT_LIMIT_BYTES,
+    ObjectDone,
+    ObjectMethod,
+    ObjectUnavailable,
+)
+from wasabispur_runtime.object_client import CallObjectStore, ObjectClient
+from wasabispur_standins.object_store import ObjectRoot, ObjectState
+
+FAULTS = {
+    "outage": {"kind": "outage"},
+    "throttled": {"kind": "outage", "status": 429},
+    "cut before the effect": {"kind": "cut"},
+    "answer lost": {"kind": "lose_answer"},
+    "error after the effect": {"kind": "fail"},
+    "slow": {"kind": "slow", "seconds": 1.0},
+    "request duplicated": {"kind": "duplicate_request"},
+    "answer duplicated": {"kind": "duplicate_answer"},
+    "truncated": {"kind": "truncate"},
+    "garbage": {"kind": "garbage"},
+    "oversize": {"kind": "oversize"},
+    "silent": {"kind": "silent"},
+}
+
+DATA = b"planogram" * 1000
+KEY = digest_key("result/j1", DATA)
+
+
+def object_test(scenario):
+    """Run a scenario with a stand-in, its state and a client."""
+
+    async def main():
+        state = ObjectState()
+        async with (
+            running("object-store", state, ObjectRoot) as stand_in,
+            connected(ObjectClient, stand_in.listener.port) as client,
+        ):
+            await scenario(stand_in, state, client)
+
+    asyncio.run(main())
+
+
+def call(client, method, key=KEY, data=b""):
+    """Return a call to the object store."""
+    return CallObjectStore(
+        method=method, key=key, data=data, receiver=client.results_to
+    )
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_objects_survive_one_fault_in_each_call(name):
+    """Guard against lost, damaged or foreign objects after a fault."""
+
+    async def scenario(stand_in, state, client):
+        for method, data, expected in (
+            (ObjectMethod.PUT, DATA, b""),
+            (ObjectMethod.GET, b"", DATA),
+            (ObjectMethod.DELETE, b"", b""),
+        ):
+            set_faults(stand_in, {**FAULTS[name], "count": 1})
+            result = (await client.ask(call(client, method, data=data)))[0]
+            assert result == ObjectDone(key=KEY, data=expected)
+        assert not state.objects
+
+    object_test(scenario)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_a_lasting_fault_ends_in_a_typed_result(name):
+    """Guard against a damaged object, or a call that never ends."""
+    harmless = ("request duplicated", "answer duplicated")
+
+    async def scenario(stand_in, state, client):
+        state.objects[KEY] = DATA
+        set_faults(stand_in, FAULTS[name])
+        result = (await client.ask(call(client, ObjectMethod.GET)))[0]
+        if name in harmless:
+            assert result == ObjectDone(key=KEY, data=DATA)
+            return
+        assert isinstance(result, ObjectUnavailable)
+        assert result.reason
+
+    object_test(scenario)
+
+
+def test_absent_and_oversize_objects():
+    """Guard against an absent object taken for an empty one, and endless uploads."""
+
+    async def scenario(stand_in, state, client):
+        absent = (await client.ask(call(client, ObjectMethod.GET, key="none")))[0]
+        assert absent == ObjectDone(key="none", data=None)
+        large = call(client, ObjectMethod.PUT, data=b"x" * (OBJECT_LIMIT_BYTES + 1))
+        refused = (await client.ask(large))[0]
+        assert isinstance(refused, ObjectUnavailable)
+        assert "exceeds" in refused.reason
+
+    object_test(scenario)
--- /dev/null
+++ b/tests/platform/test_stand_in_contract.py
@@ -0,0 +1,159 @@
+"""Check the endpoint and worker stand-ins over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+import urllib3
+from tests.platform.harness import running
+
+from wasabispur_standins.endpoint import EndpointRoot, EndpointState
+from wasabispur_standins.worker import WorkerRoot
+from wasabispur_standins.worker_state import WorkerState
+
+FIRST_RUNS = {
+    "none": (None, 200, 1),
+    "outage": ({"kind": "outage"}, 503, 0),
+    "fail": ({"kind": "fail"}, 500, 1),
+    "cut": ({"kind": "cut"}, None, 0),
+    "lose_answer": ({"kind": "lose_answer"}, None, 1),
+    "truncate": ({"kind": "truncate"}, None, 1),
+    "silent": ({"kind": "silent"}, None, 0),
+    "silent_after": ({"kind": "silent", "effect": True}, None, 1),
+    "duplicate_request": ({"kind": "duplicate_request"}, 200, 2),
+    "garbage": ({"kind": "garbage"}, 200, 1),
+}
+
+
+class Web:
+    """Call a stand-in; a call without a complete answer has the status None."""
+
+    def __init__(self, port: int) -> None:
+        self.pool = urllib3.connection_from_url(f"http://127.0.0.1:{port}")
+
+    def call(self, method, path, body=None):
+        """Return the status and the body."""
+        data = body if body is None or isinstance(body, bytes) else json.dumps(body)
+        try:
+            timeout = urllib3.Timeout(connect=5.0, read=2.0)
+            answer = self.pool.urlopen(
+                method, path, body=data, retries=False, timeout=timeout
+            )
+        except urllib3.exceptions.HTTPError:
+            return None, b""
+        return answer.status, answer.data
+
+    def json(self, method, path, body=None):
+        """Return the status and the JSON body."""
+        status, data = self.call(method, path, body)
+        return status, json.loads(data)
+
+
+def web_test(name, state, build_root, scenario):
+    """Run a scenario on a thread against a stand-in."""
+
+    async def main():
+        async with running(name, state, build_root) as stand_in:
+            web = Web(stand_in.listener.port)
+            try:
+                await asyncio.to_thread(scenario, web)
+            finally:
+                web.pool.close()
+
+    asyncio.run(main())
+
+
+def start_body(**changes):
+    """Return the body that starts a task."""
+    command = json.dumps({"run_time": 60, "result": "r"})
+    body = {"task_id": "t", "accelerators": 2, "command": command, "lease": 60}
+    return {**body, **changes}
+
+
+@pytest.mark.parametrize("name", FIRST_RUNS)
+def test_the_endpoint_counts_each_run_whatever_the_caller_sees(name):
+    """Guard against an at-most-once test that can't see a second run."""
+    fault, status, runs = FIRST_RUNS[name]
+
+    def scenario(web):
+        if fault is not None:
+            assert web.call("PUT", "/faults", {"faults": [fault]})[0] == 200
+        assert web.call("POST", "/order/1", b"part 7")[0] == status
+        web.call("PUT", "/faults", {"faults": []})
+        report = web.json("GET", "/runs?path=/order")[1]
+        assert report["total"] == runs
+        assert [run["path"] for run in report["runs"]] == ["/order/1"] * runs
+
+    web_test("endpoint", EndpointState(), EndpointRoot, scenario)
+
+
+def test_faults_are_validated_and_chosen_by_path_and_count():
+    """Guard against a misspelt fault that would make a test pass for nothing."""
+
+    def scenario(web):
+        unknown = web.json("PUT", "/faults", {"faults": [{"kind": "outagee"}]})
+        assert unknown[0] == 400
+        assert set(unknown[1]["error"]) == {"kind", "message", "remedy"}
+        fault = {"kind": "outage", "path": "/a", "skip": 1, "count": 1}
+        web.call("PUT", "/faults", {"faults": [fault]})
+        statuses = [web.call("GET", path)[0] for path in ("/a", "/b", "/a", "/a")]
+        assert statuses == [200, 200, 503, 200]
+
+    web_test("endpoint", EndpointState(), EndpointRoot, scenario)
+
+
+def test_the_workers_protocol():
+    """Guard against a worker stand-in that differs from the protocol."""
+
+    def scenario(web):
+        assert web.json("POST", "/v1/tasks", start_body())[1]["state"] == "running"
+        assert web.json("POST", "/v1/tasks", start_body())[0] == 200
+        assert len(web.json("GET", "/starts")[1]["starts"]) == 1
+        full = web.json("POST", "/v1/tasks", start_body(task_id="u", accelerators=7))
+        assert (full[0], full[1]["error"]["kind"]) == (409, "NoCapacity")
+        assert web.json("POST", "/v1/tasks/t/renew", {"lease": 30})[0] == 200
+        assert web.json("POST", "/v1/tasks/t/throttle", {"share": 0.5})[0] == 200
+        saved = web.json("POST", "/v1/tasks/t/checkpoint")[1]["checkpoint"]
+        assert saved.startswith("checkpoint:t:")
+        assert web.json("POST", "/v1/tasks/t/stop")[1]["state"] == "stopped"
+        assert web.json("POST", "/v1/tasks/t/renew", {"lease": 30})[0] == 409
+        assert len(web.json("GET", "/v1/tasks")[1]["tasks"]) == 1
+        assert web.json("GET", "/v1/tasks/none")[0] == 404
+        assert web.json("GET", "/v1/usage")[0] == 200
+
+    web_test("worker", WorkerState(), WorkerRoot, scenario)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"{", b"[]", {}, start_body(lease=-1), start_body(command="x"), start_body(x=1)],
+)
+def test_malformed_calls_to_the_worker_give_a_typed_error(body):
+    """Guard against a traceback, or a start from a body that is not valid."""
+
+    def scenario(web):
+        status, answer = web.json("POST", "/v1/tasks", body)
+        assert status == 400
+        assert answer["error"]["remedy"]
+        assert web.json("GET", "/starts")[1]["starts"] == []
+
+    web_test("worker", WorkerState(), WorkerRoot, scenario)
+
+
+def test_a_worker_can_fail_ignore_stops_and_fall_silent():
+    """Guard against reclaim and quarantine that only meet healthy workers."""
+
+    def scenario(web):
+        faults = [{"kind": "ignore_stops"}, {"kind": "fail_tasks"}]
+        web.call("PUT", "/faults", {"faults": faults})
+        quick = start_body(task_id="q", command='{"run_time": 0}')
+        web.call("POST", "/v1/tasks", quick)
+        assert web.json("GET", "/v1/tasks/q")[1]["state"] == "failed"
+        web.call("POST", "/v1/tasks", start_body())
+        assert web.json("POST", "/v1/tasks/t/stop")[1]["state"] == "running"
+        web.call("PUT", "/faults", {"faults": [{"kind": "silent"}]})
+        assert web.call("GET", "/v1/tasks")[0] is None
+
+    web_test("worker", WorkerState(), WorkerRoot, scenario)
