--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import cherrypy
-from cheroot.wsgi import Server
+from cheroot.wsgi import Gateway_10, Server
 
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.protocol import BODY_LIMIT_BYTES
@@ -14,12 +14,25 @@
 cherrypy.config.update({"environment": "embedded", "log.screen": False})
 
 
+class _Gateway(Gateway_10):
+    """Close each connection that carried a chunked request.
+
+    cheroot does not skip the unread rest of a chunked body, and would take it for
+    the next request on the connection.
+    """
+
+    def respond(self) -> None:
+        self.req.close_connection |= self.req.chunked_read
+        super().respond()
+
+
 class HttpServer:
     """Serve one WSGI application on one port."""
 
     def __init__(self, application: Any, host: str, port: int, threads: int) -> None:
         self.address = (host, port)
         self.server = Server(self.address, application, numthreads=threads)
+        self.server.gateway = _Gateway
         self.server.max_request_body_size = BODY_LIMIT_BYTES
         self.thread = Thread(target=self.server.serve, name="http", daemon=True)
 
