Add the demo and the start and end of child processes

The demo starts stand-ins, two entries and four agents in two regions, and shows what the release has: a request today; a gang job and a bundle as soon as the entry's settings know the table service, shards and operators. Process tests run it to the end, interrupt it and let it fail, and find no process with its mark afterwards.

--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -0,0 +1,236 @@
+"""Show the three paths on a small system, and end every process."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from types import FrameType
+
+import urllib3
+
+from wasabispur.entry_settings import EntrySettings
+from wasabispur_core.error import WasabispurError
+
+from .demo_system import Body, DemoSystem, Entry, run_command, SERVICE
+from .process import ProcessError, ProcessGroup
+
+ORGANISATION = "prairie-breeze"
+PROPOSER = "ana"
+REVIEWER = "ben"
+
+JOB_RUN_TIME = 0.5
+"""Seconds that each task of the demo's job runs."""
+
+JOB_LIMIT = 60.0
+IN_FORCE_LIMIT = 30.0
+"""Seconds within which the demo expects a job's end and a bundle everywhere."""
+
+EXIT_INTERRUPTED = 130
+
+Step = Callable[[DemoSystem], None]
+
+
+class Interrupted(BaseException):
+    """Report SIGTERM or SIGINT."""
+
+
+def run_demo() -> int:
+    """Run the demo and return its exit code; no process is left behind."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
+    try:
+        with (
+            tempfile.TemporaryDirectory(prefix="wasabispur-demo-") as directory,
+            ProcessGroup(Path(directory)) as group,
+        ):
+            show_paths(group)
+    except Interrupted:
+        print("interrupted; all processes have ended", file=sys.stderr)
+        return EXIT_INTERRUPTED
+    except (WasabispurError, urllib3.exceptions.HTTPError, OSError) as error:
+        print(f"error: {error}", file=sys.stderr)
+        return 1
+    print("All processes have ended.")
+    return 0
+
+
+def show_paths(group: ProcessGroup) -> None:
+    """Start the system and show each path that it has."""
+    system = DemoSystem(group)
+    fields = EntrySettings.model_fields
+    if "operators" in fields:
+        for operator in (PROPOSER, REVIEWER):
+            system.operators.append(make_key(group.directory, operator))
+    system.start()
+    say(
+        f"Started {len(group.children)} processes: {len(system.entries)} entries and "
+        f"{len(system.agents)} agents in 2 regions, with stand-ins for the platform."
+    )
+    show_request(system)
+    if "table_url" in fields and "shards" in fields:
+        show_job(system)
+    if "table_url" in fields and "operators" in fields:
+        show_bundle(system)
+
+
+def show_request(system: DemoSystem) -> None:
+    """Send one request through an entry and an agent to an endpoint."""
+    entry = system.entries[0]
+    answer = system.wait("an endpoint", lambda: try_request(system, entry))
+    if answer.data != b"truck 12 to Brandon":
+        raise ProcessError("the request got another's response", "report the fault")
+    runs = [
+        len(system.call("GET", f"{url}/runs?path=/plan")[1]["runs"])
+        for url in system.endpoint_urls
+    ]
+    if sum(runs) != 1:
+        raise ProcessError(f"the request ran {sum(runs)} times", "report the fault")
+    outcome = answer.headers["Wasabispur-Outcome"]
+    say(f"Request: {outcome} through {entry.name}; it ran once.")
+
+
+def try_request(system: DemoSystem, entry: Entry) -> urllib3.BaseHTTPResponse | None:
+    """Return the completed response, or None while no endpoint is attached."""
+    answer = system.http.request(
+        "POST",
+        f"{entry.url}/v1/services/{SERVICE}/plan",
+        body=b"truck 12 to Brandon",
+        headers={
+            "Wasabispur-Organisation": ORGANISATION,
+            "Wasabispur-Class": "urgent",
+        },
+        retries=False,
+        timeout=30.0,
+    )
+    if answer.headers.get("Wasabispur-Outcome") == "not-run":
+        return None
+    if answer.status != 200:
+        raise ProcessError(
+            f"the request got status {answer.status}: {answer.data.decode()}",
+            "see the entry's log",
+        )
+    return answer
+
+
+def show_job(system: DemoSystem) -> None:
+    """Submit a gang at one entry and look it up at the other."""
+    first, second = system.entries[0], system.entries[-1]
+    body = {
+        "organisation": ORGANISATION,
+        "class": "forecast",
+        "tasks": 2,
+        "accelerators": 4,
+        "command": json.dumps({"run_time": JOB_RUN_TIME, "result": "forecast.csv"}),
+    }
+    job_id = submit_job(system, first, body)
+    job = system.wait(
+        f"the end of job {job_id}",
+        lambda: ended_job(system, second, job_id),
+        limit=JOB_LIMIT,
+    )
+    starts = sum(
+        len(system.call("GET", f"{url}/starts")[1]["starts"])
+        for url in system.worker_urls
+    )
+    if job["state"] != "finished" or starts != body["tasks"]:
+        raise ProcessError(
+            f"job {job_id} is {job['state']} ({job['reason']}) after {starts} starts",
+            "see the entries' logs",
+        )
+    say(
+        f"Job: submitted at {first.name}, {job['state']} as {second.name} shows; "
+        f"{starts} tasks started once each on {', '.join(sorted(set(job['workers'])))}."
+    )
+
+
+def submit_job(system: DemoSystem, entry: Entry, body: Body) -> str:
+    """Return the id of a new job, once the entry takes jobs."""
+
+    def submit() -> Body | None:
+        status, answer = system.call("POST", f"{entry.url}/v1/jobs", body)
+        if status == 503:
+            return None
+        if status != 201:
+            raise ProcessError(f"the job got status {status}: {answer}", "see the log")
+        return answer
+
+    return str(system.wait("the acceptance of a job", submit)["job_id"])
+
+
+def ended_job(system: DemoSystem, entry: Entry, job_id: str) -> Body | None:
+    """Return a job that has ended, or None."""
+    status, job = system.call("GET", f"{entry.url}/v1/jobs/{job_id}")
+    if status != 200 or job["state"] not in ("finished", "failed", "cancelled"):
+        return None
+    return job
+
+
+def make_key(directory: Path, operator: str) -> Body:
+    """Create an operator's key and return its entry for the settings."""
+    path = str(directory / f"{operator}.key")
+    return run_command(["key", "generate", path, "--operator", operator])
+
+
+def show_bundle(system: DemoSystem) -> None:
+    """Bring a bundle into force with two operators."""
+    first, second = system.entries[0], system.entries[-1]
+    directory = system.group.directory
+    content = directory / "bundle.json"
+    content.write_text(json.dumps(bundle_content()), encoding="utf-8")
+    change = system.command(
+        first, "bundle", "propose", str(content), "--operator", PROPOSER
+    )
+    change_id = change["change_id"]
+    step = ("--operator", REVIEWER)
+    system.command(second, "bundle", "review", change_id, *step)
+    key = str(directory / f"{REVIEWER}.key")
+    system.command(second, "bundle", "sign-off", change_id, *step, "--key", key)
+    system.command(first, "bundle", "accept", change_id, "--operator", PROPOSER)
+    say(
+        f"Bundle: proposed and accepted by {PROPOSER} at {first.name}, reviewed and "
+        f"signed off by {REVIEWER} at {second.name}."
+    )
+    expected = {entry.name for entry in system.entries} | set(system.agents)
+    members = system.wait(
+        "the bundle in force on every process",
+        lambda: all_in_force(system, expected),
+        limit=IN_FORCE_LIMIT,
+    )
+    for member in members:
+        say(f"  version {member['bundle_version']} in force on {member['member_id']}")
+
+
+def all_in_force(system: DemoSystem, expected: set[str]) -> list[Body] | None:
+    """Return the members if the first version is in force on all of them."""
+    members = system.command(system.entries[0], "bundle", "in-force")["members"]
+    current = {m["member_id"] for m in members if m["bundle_version"] == 1}
+    return members if current >= expected else None
+
+
+def bundle_content() -> Body:
+    """Return a small bundle."""
+    return {
+        "schema": 1,
+        "organisations": [{"name": ORGANISATION}],
+        "classes": [
+            {"name": "urgent", "urgent": True, "weight": 4.0},
+            {"name": "forecast", "weight": 1.0},
+        ],
+        "reclaim_bound": 30.0,
+    }
+
+
+def say(line: str) -> None:
+    """Print one line at once."""
+    print(line, flush=True)
+
+
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    # A second signal must not stop the ending of the processes.
+    for repeated in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(repeated, signal.SIG_IGN)
+    raise Interrupted
--- a/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
@@ -31,6 +31,9 @@
 
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
+LOOK_INTERVAL = 0.1
+"""Seconds after which the server notices that its port is to be closed."""
+
 SHUTDOWN_TIMEOUT = 0.5
 """Seconds that requests in progress get when the port is closed."""
 
@@ -146,6 +149,7 @@
     """Let a port that the system chose be bound again after a refusal."""
 
     keep_alive_conn_limit = 1024
+    expiration_interval = LOOK_INTERVAL
 
     @staticmethod
     def bind_socket(socket_: socket.socket, bind_addr: Any) -> socket.socket:
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from functools import partial
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from wasabispur_runtime.process import run_process
 
+from .demo import run_demo
 from .endpoint import EndpointRoot, EndpointState
 from .object_store import ObjectRoot, ObjectState
 from .stand_in import BuildRoot, run_stand_in
@@ -69,3 +71,9 @@
     """Run a worker."""
     state = WorkerState(accelerators=accelerators, usage_lag=usage_lag)
     serve("worker", state, WorkerRoot, port)
+
+
+@main.command()
+def demo() -> None:
+    """Show a request, a job and a bundle on a small system."""
+    sys.exit(run_demo())
--- /dev/null
+++ b/tests/process/test_demo.py
@@ -0,0 +1,97 @@
+"""Run the demo as its own process and look for processes that it leaves."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from uuid import uuid4
+
+import psutil
+import pytest
+
+from wasabispur_standins.process import wait_for
+
+TIME_LIMIT = 180.0
+"""Seconds after which the demo counts as hung."""
+
+MARK = "DEMO_TEST_MARK"
+"""Environment variable by which the demo's processes are found."""
+
+
+class Demo:
+    """Hold a running demo and the mark of its processes."""
+
+    def __init__(self, tmp_path, **environment: str) -> None:
+        self.mark = uuid4().hex
+        self.output = tmp_path / "demo.out"
+        with self.output.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "wasabispur_standins", "demo"],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, MARK: self.mark, **environment},
+            )
+
+    def text(self) -> str:
+        """Return the output so far."""
+        return self.output.read_text(encoding="utf-8")
+
+    def remaining(self) -> list[psutil.Process]:
+        """Return the processes with the demo's mark."""
+        found = []
+        for process in psutil.process_iter():
+            try:
+                if process.environ().get(MARK) == self.mark:
+                    found.append(process)
+            except psutil.Error:
+                continue
+        return found
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Start demos and end, by id, whatever is left of them."""
+    demos = []
+
+    def start_demo(**environment: str) -> Demo:
+        demos.append(Demo(tmp_path, **environment))
+        return demos[-1]
+
+    yield start_demo
+    for demo in demos:
+        demo.process.kill()
+        demo.process.wait()
+        for process in demo.remaining():
+            process.kill()
+
+
+def test_the_demo_shows_its_paths_and_leaves_no_process(start):
+    """Guard against a demo that fails, hangs or leaves processes behind."""
+    demo = start()
+    assert demo.process.wait(TIME_LIMIT) == 0, demo.text()
+    assert "Request: completed" in demo.text()
+    assert "it ran once" in demo.text()
+    assert demo.text().endswith("All processes have ended.\n")
+    assert demo.remaining() == []
+
+
+def test_an_interrupted_demo_leaves_no_process(start):
+    """Guard against processes that outlive an interrupted demo."""
+    demo = start()
+    wait_for("the start", lambda: "Started" in demo.text(), limit=TIME_LIMIT)
+    assert len(demo.remaining()) > 5
+    demo.process.send_signal(signal.SIGTERM)
+    assert demo.process.wait(TIME_LIMIT) == 130, demo.text()
+    assert demo.remaining() == []
+    assert "Traceback" not in demo.text()
+
+
+def test_a_failed_demo_leaves_no_process(start):
+    """Guard against processes that outlive a demo which could not start."""
+    demo = start(WASABISPUR_HEARTBEAT_INTERVAL="-1")
+    assert demo.process.wait(TIME_LIMIT) == 1, demo.text()
+    assert "error: process entry-manitoba ended with code 3" in demo.text()
+    assert demo.remaining() == []
+    assert "Traceback" not in demo.text()
