--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -12,6 +12,7 @@
 
 from .demo import run_demo
 from .endpoint import EndpointRoot, EndpointState
+from .measure_command import measure
 from .object_store import ObjectRoot, ObjectState
 from .stand_in import BuildRoot, run_stand_in
 from .table_service import TableRoot
@@ -77,3 +78,6 @@
 def demo() -> None:
     """Show a request, a job and a bundle on a small system."""
     sys.exit(run_demo())
+
+
+main.add_command(measure)
