Send frequent heartbeats only where they are needed

Agents beside endpoints keep 1 s to every entry, since urgent requests start within seconds. Agents beside workers, whose tasks are bounded by leases, send every 5 s to two near entries and every 30 s to the others. Near entries are chosen by region and by rendezvous hashing of the data centre, so that all its workers choose the same ones. The entry sets the interval in Welcome, so both sides agree on when a stream is silent.

--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from functools import partial
 from random import Random
 
+from wasabispur_core.attachment import near_entries
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
@@ -30,11 +32,18 @@
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
+    near = near_entries(
+        settings.entries,
+        settings.entry_regions,
+        settings.region,
+        settings.data_centre,
+        settings.near_entries,
+    )
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation),
+            announce=partial(describe, settings, incarnation, address in near),
             heartbeat=lambda sequence: beat(sequence, state),
             receiver=runner.post,
             random=Random(),
@@ -51,7 +60,7 @@
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
-def describe(settings: AgentSettings, incarnation: int) -> Announce:
+def describe(settings: AgentSettings, incarnation: int, near: bool) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
         agent_id=settings.agent_id,
@@ -65,6 +74,7 @@
         accelerators=settings.accelerators,
         cores=settings.cores,
         memory=settings.memory,
+        near=near,
     )
 
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/agent_settings.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent_settings.py
@@ -21,6 +21,8 @@
     data_centre: Annotated[str, Field(min_length=1)]
     rack: str = ""
     entries: Annotated[list[Address], Field(min_length=1, max_length=64)]
+    entry_regions: dict[Address, str] = Field(default_factory=dict, max_length=64)
+    near_entries: Annotated[int, Field(ge=1, le=64)] = 2
     local_url: Annotated[str, Field(pattern=r"^http://")]
     service: str = ""
     slots: Annotated[int, Field(ge=0, le=1024)] = 8
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/attachment.py
@@ -0,0 +1,57 @@
+"""Choose how closely an agent and an entry watch each other."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from .protocol import Announce, Role
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatIntervals:
+    """Give the seconds between two heartbeats on the streams of one entry.
+
+    An agent beside an endpoint is always watched closely: urgent requests start
+    within seconds. An agent beside a worker is not, since leases bound its tasks.
+    """
+
+    endpoint: float
+    near_worker: float
+    far_worker: float
+
+
+def heartbeat_interval(announce: Announce, intervals: HeartbeatIntervals) -> float:
+    """Return the interval on the stream of an agent."""
+    if announce.role is Role.ENDPOINT:
+        return intervals.endpoint
+    if announce.near:
+        return intervals.near_worker
+    return intervals.far_worker
+
+
+def near_entries(
+    entries: Sequence[str],
+    regions: Mapping[str, str],
+    region: str,
+    key: str,
+    count: int,
+) -> frozenset[str]:
+    """Return the entries that an agent sends frequent heartbeats to.
+
+    Entries of the agent's region go first, then those of unknown region. Agents
+    with the same key choose the same entries, and a change of one entry moves
+    only the agents that had chosen it.
+    """
+
+    def rank(entry: str) -> tuple[int, int]:
+        distance = {region: 0, "": 1}.get(regions.get(entry, ""), 2)
+        return distance, -_weight(entry, key)
+
+    return frozenset(sorted(entries, key=rank)[:count])
+
+
+def _weight(entry: str, key: str) -> int:
+    digest = blake2b(f"{entry}\n{key}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -111,7 +111,8 @@
 class Announce(Message):
     """Introduce an agent; the first message on its stream.
 
-    The incarnation grows with each start of the agent. Memory is in bytes.
+    The incarnation grows with each start of the agent. Memory is in bytes. A near
+    entry is one of the few that the agent sends frequent heartbeats to.
     """
 
     agent_id: str
@@ -126,6 +127,7 @@
     cores: int = 0
     memory: int = 0
     bundle_version: int = 0
+    near: bool = True
     clock: float = 0.0
 
 
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wasabispur_core.attachment import heartbeat_interval, HeartbeatIntervals
 from wasabispur_core.error import ProtocolError
 from wasabispur_core.log_event import MESSAGE_MALFORMED
 from wasabispur_core.member import FromAgent
@@ -80,7 +81,7 @@
 async def serve_agent(
     stream: Any,
     entry_id: str,
-    interval: float,
+    intervals: HeartbeatIntervals,
     timers: TimerService,
     membership: Actor,
 ) -> None:
@@ -89,6 +90,7 @@
     if announce is None:
         abort_connection(stream)
         return
+    interval = heartbeat_interval(announce, intervals)
     session = AgentSession(announce, timers, stream, membership, interval)
     await stream.send_message(Welcome(entry_id=entry_id, heartbeat_interval=interval))
     membership.post_urgent(SessionOpened(announce=announce, session=session))
--- a/packages/wasabispur/src/wasabispur/control_service.py
+++ b/packages/wasabispur/src/wasabispur/control_service.py
@@ -40,7 +40,7 @@
             await serve_agent(
                 stream,
                 self.settings.entry_id,
-                self.settings.heartbeat_interval,
+                self.settings.intervals,
                 self.timers,
                 self.membership,
             )
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field
 
+from wasabispur_core.attachment import HeartbeatIntervals
 from wasabispur_runtime.settings import Settings
 
 Port = Annotated[int, Field(ge=1, le=65535)]
@@ -22,5 +23,16 @@
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 1.0
+    worker_heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 5.0
+    far_heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 30.0
     session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
     log_level: str = "INFO"
+
+    @property
+    def intervals(self) -> HeartbeatIntervals:
+        """Return the heartbeat intervals by kind of agent."""
+        return HeartbeatIntervals(
+            endpoint=self.heartbeat_interval,
+            near_worker=self.worker_heartbeat_interval,
+            far_worker=self.far_heartbeat_interval,
+        )
