--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -38,6 +38,7 @@
             heartbeat=lambda sequence: beat(sequence, state, timers.now()),
             receiver=runner.post,
             random=Random(),
+            welcomed=runner.post,
         )
     log(PROCESS_STARTED, process=settings.agent_id)
     # The agent announces itself only when nothing runs, so that its word on a
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -5,19 +5,18 @@
 import asyncio
 from random import Random
 
-from grpclib.server import Server
-
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.request import RequestState
 from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
+from .control_server import ControlServer
 from .control_service import ControlService
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
@@ -25,7 +24,10 @@
 from .job_resource import JobResource
 from .job_wiring import build_job_actors, JobActors
 from .membership import Membership
+from .metrics_reader import MetricsReader
+from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
+from .request_metrics import RequestMetrics
 
 
 async def run_entry(
@@ -33,20 +35,30 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
+    registry.configure(settings.entry_id)
     membership = Membership(timers)
     state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, state, membership)
+    dispatcher.observer = RequestMetrics(registry).observe
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
-    control = Server(
-        [ControlService(settings, timers, membership)], codec=MessageCodec()
+    control = ControlServer(
+        ControlService(settings, timers, membership), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
-    resources = VersionOneResource(bridge, dispatcher)
-    jobs = start_jobs(settings, timers, membership, bridge, resources)
+    version_1 = VersionOneResource(bridge, dispatcher)
+    jobs = start_jobs(settings, timers, membership, bridge, version_1)
+    metrics = MetricsReader(
+        timers,
+        registry,
+        settings.entry_id,
+        {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+    )
+    metrics.start()
+    version_1.metrics = MetricsResource(bridge, metrics)
     http = HttpServer(
-        build_application(resources),
+        build_application(version_1),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -60,6 +72,7 @@
     await control.wait_closed()
     if jobs is not None:
         await jobs.close()
+    await metrics.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
@@ -82,7 +95,7 @@
     return jobs
 
 
-async def start_control(server: Server, settings: EntrySettings) -> None:
+async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
         await server.start(settings.host, settings.control_port)
