Explain why jobs wait, run where they do, and were stopped

The owner stores a typed cause with each waiting or placed job and a row with the shard's guarantees, so any entry can explain a job or an organisation over HTTP and on the command line without asking the owner.

--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -28,7 +28,7 @@
     ReclaimRequested,
 )
 from .job_lease import adoption_deadline, lease_bound, TASK_LEASE, unheard_bound
-from .job_record import JobState
+from .job_record import Cause, JobState
 from .protocol import (
     Reason,
     ReserveTask,
@@ -37,6 +37,7 @@
     TaskRefused,
     TaskStopped,
 )
+from .reclaim import placed_cause
 
 
 class AdoptGang(JobAction):
@@ -157,7 +158,7 @@
             state=JobState.PLACED,
             seats=message.seats,
             start_possible=False,
-            reason="",
+            cause=placed_cause(board, job),
         ),
     )
 
@@ -207,6 +208,7 @@
     record = replace(
         job.record,
         state=JobState.HELD,
+        cause=Cause.HELD,
         seats=(),
         failed_workers=workers,
         reason=f"failed on {', '.join(workers)}",
@@ -325,7 +327,8 @@
     if isinstance(message, MemberLost):
         return Reason.LEASE_EXPIRED.value
     if isinstance(message, ReclaimRequested):
-        return f"{Reason.RECLAIMED.value}: {message.organisation}"
+        reclaimer = f"{message.organisation} for job {message.job_id}"
+        return f"{Reason.RECLAIMED.value}: {reclaimer}"
     return Reason.GANG_INCOMPLETE.value
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_place.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_place.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from .backfill import closed_to, update_reservations
 from .command import Command, WriteLog
-from .guarantee import Promise, repack
+from .guarantee import GuaranteePlan, Promise, repack
 from .job import (
     decide,
     fire,
@@ -17,9 +18,10 @@
     JobRejected,
     ReclaimRequested,
 )
-from .job_record import JobRecord, JobSpec
+from .job_record import guarantee_key, JobRecord, JobSpec
 from .log_event import GUARANTEE_LOST, GUARANTEE_MET
 from .message import Message
+from .ownership import WriteRow
 from .placement import free_room, impossible_reason, place_gang, Seat
 from .reclaim import (
     calling_organisations,
@@ -114,7 +116,14 @@
     before = set(board.plan.lost)
     repack(board.plan, board.fleet)
     after = set(board.plan.lost)
+    shown: list[Command] = []
+    if board.owning:
+        row = WriteRow(
+            key=guarantee_key(board.shard), value=show_guarantees(board.plan)
+        )
+        shown.append(row)
     return [
+        *shown,
         *(_report(GUARANTEE_LOST.number, promise) for promise in after - before),
         *(_report(GUARANTEE_MET.number, promise) for promise in before - after),
     ]
@@ -196,6 +205,20 @@
     return failed if enough else frozenset()
 
 
+def show_guarantees(plan: GuaranteePlan) -> dict[str, Any]:
+    """Return the row that shows which guarantees can be met, and where."""
+    shapes = [
+        {
+            "organisation": promise.organisation,
+            "shape": promise.shape.name,
+            "workers": sorted({s.worker_id for s in plan.homes.get(promise, ())}),
+            "met": promise in plan.homes,
+        }
+        for promise in plan.promises
+    ]
+    return {"schema": 1, "shapes": shapes}
+
+
 def _report(number: int, promise: Promise) -> WriteLog:
     fields = {"organisation": promise.organisation, "shape": promise.shape.name}
     return WriteLog(number=number, fields=fields)
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .command import Command, ReadRows, SendToAgent
+from .explain import record_causes
 from .gang import stop_commands
 from .job import (
     CancelRequested,
@@ -91,6 +92,7 @@
     if now >= board.next_listing:
         board.next_listing = now + LISTING_INTERVAL
         commands.append(list_jobs(board))
+        commands += record_causes(board, now)
     if now >= board.next_renewal:
         board.next_renewal = now + TASK_RENEWAL
         commands += renew(board, now)
--- a/packages/wasabispur-core/src/wasabispur_core/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_record.py
@@ -25,12 +25,40 @@
     REJECTED = "rejected"
     HELD = "held"
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the job has ended for good."""
+        return self in (
+            JobState.COMPLETED,
+            JobState.FAILED,
+            JobState.CANCELLED,
+            JobState.REJECTED,
+        )
+
     @property
     def may_hold(self) -> bool:
         """Return whether the job's members may hold accelerators."""
         return self in (JobState.PLACED, JobState.STARTING, JobState.RUNNING)
 
 
+class Cause(Enum):
+    """List why a job is where it is."""
+
+    NEW = "the shard's owner has not looked at the job yet"
+    QUOTA = "the organisation's quota is in use"
+    RECLAIMING = "borrowed work is being stopped in the guarantee"
+    RESERVED = "free accelerators are reserved for gangs that wait longer"
+    CALLED = "free accelerators are called back by their organisation"
+    FRAGMENTED = "enough accelerators are free, but not in aligned blocks"
+    FULL = "too few accelerators are free"
+    OWN_GUARANTEE = "placed in the organisation's own guarantee"
+    SPARE = "placed on accelerators that are guaranteed to nobody"
+    BORROWED = "placed on accelerators that are guaranteed to others"
+    PLAIN = "placed on a worker with a free core"
+    AWAITING_PROOF = "the first run may still be live; only its agent can tell"
+    HELD = "the job failed on several workers"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobSpec:
     """Hold what the caller asked for; the estimate is in seconds, 0 if unknown."""
@@ -69,6 +97,7 @@
     checkpoints: tuple[str, ...] = ()
     preemptions: int = 0
     failed_workers: tuple[str, ...] = ()
+    cause: Cause = Cause.NEW
     schema: int = JOB_SCHEMA
 
 
@@ -100,6 +129,11 @@
     return f"ended/{shard}/"
 
 
+def guarantee_key(shard: str) -> str:
+    """Return the key of the row that shows the shard's guarantees."""
+    return f"guarantee/{shard}"
+
+
 def new_job_id(shard: str, text: str) -> str:
     """Return the id of a job of the shard."""
     return f"{shard}-{text}"
@@ -114,4 +148,5 @@
     """Return the content of a job's row."""
     value = asdict(record)
     value["state"] = record.state.value
+    value["cause"] = record.cause.value
     return value
--- a/packages/wasabispur-core/src/wasabispur_core/job_register.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_register.py
@@ -11,6 +11,7 @@
     cancel_key,
     ended_key,
     ended_prefix,
+    guarantee_key,
     job_key,
     job_prefix,
     JobRecord,
@@ -66,12 +67,30 @@
     shard: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExplainOrganisation(JobCall):
+    """Read an organisation's jobs and the shard's guarantees."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GuaranteeShown:
+    """Hold whether a guaranteed shape can be met, and on which workers."""
+
+    organisation: str
+    shape: str
+    workers: tuple[str, ...]
+    met: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordsRead(Message):
     """Deliver the valid records in a reading."""
 
     read_id: str
     records: tuple[JobRecord, ...]
+    guarantees: tuple[GuaranteeShown, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +102,7 @@
 
     call_id: str
     records: tuple[JobRecord, ...] = ()
+    guarantees: tuple[GuaranteeShown, ...] = ()
     found: bool = True
     failure: str = ""
     uncertain: bool = False
@@ -103,6 +123,7 @@
     call: JobCall
     live_read: bool = False
     records: tuple[JobRecord, ...] = ()
+    guarantees: tuple[GuaranteeShown, ...] = ()
 
 
 @dataclass(slots=True)
@@ -144,8 +165,11 @@
     return [_read(message.call_id, job_key(shard_of(message.job_id), message.job_id))]
 
 
-@decide.register
-def _(message: ListJobs, state: JobRegister, now: float) -> list[Command]:
+@decide.register(ListJobs)
+@decide.register(ExplainOrganisation)
+def _(
+    message: ListJobs | ExplainOrganisation, state: JobRegister, now: float
+) -> list[Command]:
     state.calls[message.call_id] = OpenCall(message)
     return [_read(message.call_id, job_prefix(message.shard))]
 
@@ -156,6 +180,7 @@
     if open_call is None:
         return []
     open_call.records += message.records
+    open_call.guarantees += message.guarantees
     return follow_read(open_call.call, open_call, state)
 
 
@@ -198,6 +223,21 @@
     return _answer(state, answer)
 
 
+@follow_read.register
+def _(
+    call: ExplainOrganisation, open_call: OpenCall, state: JobRegister
+) -> list[Command]:
+    if not open_call.live_read:
+        open_call.live_read = True
+        return [_read(call.call_id, guarantee_key(call.shard))]
+    answer = AnswerCall(
+        call_id=call.call_id,
+        records=open_call.records,
+        guarantees=open_call.guarantees,
+    )
+    return _answer(state, answer)
+
+
 @decide.register
 def _(message: Committed, state: JobRegister, now: float) -> list[Command]:
     open_call = state.calls.get(message.operation_id)
--- a/packages/wasabispur-core/src/wasabispur_core/reclaim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/reclaim.py
@@ -6,7 +6,7 @@
 
 from .guarantee import candidate_homes, move_home, outside_room, Promise
 from .job import Job, JobBoard
-from .job_record import JobSpec
+from .job_record import Cause, JobSpec
 from .placement import place_gang, Room, Seat
 
 HomeCost = tuple[int, bool, float]
@@ -118,6 +118,19 @@
     )
 
 
+def placed_cause(board: JobBoard, job: Job) -> Cause:
+    """Return on whose accelerators a job was placed."""
+    held = held_by(job)
+    if not held:
+        return Cause.PLAIN
+    homes = {board.plan.owner(*accelerator) for accelerator in held}
+    if homes == {job.record.spec.organisation}:
+        return Cause.OWN_GUARANTEE
+    if homes <= {"", job.record.spec.organisation}:
+        return Cause.SPARE
+    return Cause.BORROWED
+
+
 def held_by(job: Job) -> set[tuple[str, int]]:
     """Return the accelerators that a job's members have seats on."""
     return {
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -26,6 +26,7 @@
 from .membership import Membership
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
+from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
 from .request_metrics import RequestMetrics
 
@@ -91,6 +92,7 @@
     table = TableClient(timers, settings.table_url, Random())
     jobs = build_job_actors(settings, timers, membership, table)
     resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+    resources.organisations = OrganisationResource(resources.jobs)
     jobs.start()
     return jobs
 
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -10,6 +10,7 @@
 from .http_error import handle_error, handle_http_error
 from .job_resource import JobResource
 from .metrics_resource import MetricsResource
+from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
 from .service_resource import ServiceResource
 
@@ -41,6 +42,7 @@
     """Hold the resources under /v1."""
 
     jobs: JobResource | None = None
+    organisations: OrganisationResource | None = None
     metrics: MetricsResource | None = None
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
--- a/packages/wasabispur/src/wasabispur/job_command.py
+++ b/packages/wasabispur/src/wasabispur/job_command.py
@@ -100,6 +100,30 @@
     show_answer(url, output, "DELETE", f"/v1/jobs/{quote(job_id, safe='')}")
 
 
+@job.command()
+@ENTRY
+@OUTPUT
+@click.argument("job_id")
+def explain(url: str, output: str, job_id: str) -> None:
+    """Explain why a job waits, runs where it does, or was stopped."""
+    path = f"/v1/jobs/{quote(job_id, safe='')}/explanation"
+    show_answer(url, output, "GET", path)
+
+
+@job.command("explain-organisation")
+@ENTRY
+@OUTPUT
+@click.option("--data-centre", default=None)
+@click.argument("organisation")
+def explain_organisation(
+    url: str, output: str, data_centre: str | None, organisation: str
+) -> None:
+    """Explain what an organisation uses, waits for and is promised."""
+    query = f"?{urlencode({'data_centre': data_centre})}" if data_centre else ""
+    path = f"/v1/organisations/{quote(organisation, safe='')}/explanation{query}"
+    show_answer(url, output, "GET", path)
+
+
 def show_answer(
     url: str, output: str, method: str, path: str, body: Any = None
 ) -> None:
@@ -130,5 +154,9 @@
     """Print one line for each field."""
     width = max(len(name) for name in fields)
     for name, value in fields.items():
-        text = ", ".join(map(str, value)) if isinstance(value, list) else value
+        text = value
+        if isinstance(value, list):
+            text = ", ".join(map(str, value))
+        if isinstance(value, dict):
+            text = ", ".join(f"{key}: {part}" for key, part in value.items())
         click.echo(f"{name.ljust(width)}  {text}")
--- a/packages/wasabispur/src/wasabispur/job_desk.py
+++ b/packages/wasabispur/src/wasabispur/job_desk.py
@@ -20,7 +20,7 @@
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 
 from .bridge import Ask
-from .job_rows import read_record
+from .job_rows import read_guarantees, read_record
 
 
 class JobDesk(DecisionActor):
@@ -48,12 +48,18 @@
 
     def on_rows_read(self, message: RowsRead) -> None:
         """Validate the rows before the decisions see them."""
-        rows = [row for row in message.rows if not row.key.endswith("/cancel")]
+        shown = [row for row in message.rows if row.key.startswith("guarantee/")]
+        rows = [
+            row
+            for row in message.rows
+            if row not in shown and not row.key.endswith("/cancel")
+        ]
         records = [read_record(row) for row in rows]
         self.on_message(
             RecordsRead(
                 read_id=message.read_id,
                 records=tuple(record for record in records if record is not None),
+                guarantees=read_guarantees(shown),
             )
         )
 
--- a/packages/wasabispur/src/wasabispur/job_resource.py
+++ b/packages/wasabispur/src/wasabispur/job_resource.py
@@ -13,6 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from wasabispur_core.error import WasabispurError
+from wasabispur_core.explain import remedy_of
 from wasabispur_core.job_record import JobRecord, JobSpec, new_job_id
 from wasabispur_core.job_register import (
     AnswerCall,
@@ -100,9 +101,15 @@
         return write_json({"jobs": [describe(record) for record in answer.records]})
 
     @cherrypy.expose
-    def default(self, job_id: str) -> bytes:
-        """Show or cancel a job."""
+    def default(self, job_id: str, part: str = "") -> bytes:
+        """Show, explain or cancel a job."""
         call_id = uuid4().hex
+        if part:
+            require_method("GET")
+            if part != "explanation":
+                raise NotFoundError(f"a job has no {part}", "ask for its explanation")
+            answer = self.ask(ShowJob(call_id=call_id, job_id=job_id))
+            return write_json(explain(answer.records[0]))
         if cherrypy.request.method == "DELETE":
             answer = self.ask(CancelJob(call_id=call_id, job_id=job_id))
             cherrypy.response.status = 202
@@ -183,6 +190,21 @@
     }
 
 
+def explain(record: JobRecord) -> dict[str, Any]:
+    """Return why a job is where it is and what would change it."""
+    ended = record.state.ended
+    return {
+        "job_id": record.job_id,
+        "state": record.state.value,
+        "cause": "" if ended else record.cause.value,
+        "remedy": "" if ended else remedy_of(record.cause),
+        "last_stop": record.reason,
+        "preemptions": record.preemptions,
+        "failed_workers": list(record.failed_workers),
+        "workers": [seat.worker_id for seat in record.seats],
+    }
+
+
 def write_json(value: Any) -> bytes:
     """Return a JSON body and set its content type."""
     cherrypy.response.headers["Content-Type"] = "application/json"
--- a/packages/wasabispur/src/wasabispur/job_rows.py
+++ b/packages/wasabispur/src/wasabispur/job_rows.py
@@ -8,11 +8,13 @@
 
 from wasabispur_core.job_queue import JobsRead
 from wasabispur_core.job_record import job_prefix, JOB_SCHEMA, JobRecord
+from wasabispur_core.job_register import GuaranteeShown
 from wasabispur_core.log_event import JOB_ROW_MALFORMED
 from wasabispur_core.store import Row, RowsRead
 from wasabispur_runtime.log import log
 
 RECORD = TypeAdapter(JobRecord)
+GUARANTEES = TypeAdapter(tuple[GuaranteeShown, ...])
 
 CANCEL_SUFFIX = "/cancel"
 
@@ -48,5 +50,17 @@
     )
 
 
+def read_guarantees(rows: Iterable[Row]) -> tuple[GuaranteeShown, ...]:
+    """Return what the rows show of guarantees; a malformed row shows nothing."""
+    shown: tuple[GuaranteeShown, ...] = ()
+    for row in rows:
+        try:
+            shown += GUARANTEES.validate_python(row.value.get("shapes"))
+        except ValidationError as error:
+            problem = error.errors(include_url=False)[0]["msg"]
+            log(JOB_ROW_MALFORMED, key=row.key, error=problem)
+    return shown
+
+
 def _jobs(rows: Iterable[Row]) -> list[Row]:
     return [row for row in rows if not row.key.endswith(CANCEL_SUFFIX)]
--- /dev/null
+++ b/tests/job/test_explain.py
@@ -0,0 +1,109 @@
+"""Guard the reasons that operators get."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabispur.job_rows import read_guarantees
+from wasabispur_core.explain import remedy_of
+from wasabispur_core.guarantee import Adjacency
+from wasabispur_core.job_place import PolicyChanged
+from wasabispur_core.job_record import Cause, guarantee_key, job_key
+
+from .world import promise, SHARD, World
+
+WHOLE_WORKER = promise("peachtree", 1, 4, Adjacency.WORKER)
+
+
+def cause_of(world: World, job_id: str) -> Cause:
+    return Cause(world.rows[job_key(SHARD, job_id)].value["cause"])
+
+
+def full_world(**fields) -> World:
+    world = World(**fields)
+    for _ in range(3):
+        world.submit(organisation="prairie", accelerators=4, estimate=9000.0)
+    world.advance(10)
+    return world
+
+
+def test_waiting_job_tells_that_the_fleet_is_full():
+    """Guard against a job that waits without a reason."""
+    world = full_world()
+    job_id = world.submit(accelerators=1)
+    world.advance(12)
+    assert cause_of(world, job_id) is Cause.FULL
+
+
+def test_waiting_job_tells_of_its_quota():
+    """Guard against a reason that sends the operator to the wrong place."""
+    world = World()
+    for entry in world.entries.values():
+        world.post(entry, PolicyChanged(quotas={"peachtree": 4}))
+    world.submit(accelerators=4)
+    world.advance(8)
+    job_id = world.submit(accelerators=4)
+    world.advance(12)
+    assert cause_of(world, job_id) is Cause.QUOTA
+
+
+def test_waiting_job_tells_of_fragmentation():
+    """Guard against a full fleet as the reason while accelerators are free."""
+    world = World(agents=1)
+    world.submit(accelerators=1)
+    world.submit(accelerators=1)
+    world.submit(accelerators=2)
+    world.advance(8)
+    agent = world.agents["w0"]
+    for task_id in list(agent.running):
+        if agent.state.tasks[task_id].reserve.accelerator_ids != (1,):
+            world.finish(agent, task_id)
+    job_id = world.submit(accelerators=3)
+    world.advance(12)
+    assert cause_of(world, job_id) is Cause.FRAGMENTED
+
+
+@pytest.mark.parametrize(
+    ("organisation", "cause"),
+    [("peachtree", Cause.OWN_GUARANTEE), ("prairie", Cause.SPARE)],
+)
+def test_running_job_tells_whose_accelerators_it_has(organisation, cause):
+    """Guard against a placement that nobody can explain."""
+    world = World(promises=(WHOLE_WORKER,))
+    job_id = world.submit(organisation=organisation, accelerators=4)
+    world.advance(8)
+    assert cause_of(world, job_id) is cause
+
+
+def test_reclaimed_job_tells_who_reclaimed_it():
+    """Guard against a stop without the organisation that caused it."""
+    world = full_world(promises=(WHOLE_WORKER,))
+    own = world.submit(accelerators=4)
+    world.advance(15)
+    stopped = [
+        row.value
+        for key, row in world.rows.items()
+        if key.startswith("job/") and row.value["preemptions"]
+    ]
+    assert len(stopped) == 1
+    assert "peachtree" in stopped[0]["reason"]
+    assert own in stopped[0]["reason"]
+
+
+def test_every_cause_of_waiting_has_a_remedy():
+    """Guard against a reason that leaves the operator without a next step."""
+    placed = {Cause.OWN_GUARANTEE, Cause.SPARE, Cause.BORROWED, Cause.PLAIN}
+    assert all(remedy_of(cause) for cause in set(Cause) - placed)
+
+
+def test_lost_guarantee_is_shown_to_any_entry():
+    """Guard against a guarantee whose loss only the owner knows."""
+    world = World(agents=1, promises=(WHOLE_WORKER,))
+    world.advance(8)
+    key = guarantee_key(SHARD)
+    (shown,) = read_guarantees([world.rows[key]])
+    assert shown.met
+    world.kill_agent("w0", machine=True)
+    world.advance(8)
+    (shown,) = read_guarantees([world.rows[key]])
+    assert not shown.met
