--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -167,6 +167,8 @@
     urgent_classes: frozenset[str] = frozenset()
     quotas: dict[str, int] = field(default_factory=dict)
     reservations: list[Any] = field(default_factory=list)
+    last_pass: tuple[Any, ...] = ()
+    next_pass: float = 0.0
     run_times: RunTimes = field(default_factory=RunTimes)
     health: HealthBoard = field(default_factory=HealthBoard)
 
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -48,8 +48,6 @@
         ControlService(settings, timers, membership), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
-    version_1 = VersionOneResource(bridge, dispatcher)
-    jobs = start_jobs(settings, timers, membership, bridge, version_1)
     metrics = MetricsReader(
         timers,
         registry,
@@ -57,9 +55,11 @@
         {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
     )
     metrics.start()
-    version_1.metrics = MetricsResource(bridge, metrics)
+    resources = VersionOneResource(bridge, dispatcher)
+    resources.metrics = MetricsResource(bridge, metrics)
+    jobs = start_jobs(settings, timers, membership, bridge, resources)
     http = HttpServer(
-        build_application(version_1),
+        build_application(resources),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -71,9 +71,9 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
+    await metrics.close()
     if jobs is not None:
         await jobs.close()
-    await metrics.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -150,11 +150,11 @@
 
 @route.register
 def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
+    log(AGENT_LEAVING, agent=message.agent_id)
     session = membership.sessions.get(message.agent_id)
     if session is not None:
         leaving = WorkerLeaving(worker_id=message.agent_id)
         report_worker(session.announce, leaving, membership)
-    log(AGENT_LEAVING, agent=message.agent_id)
     if membership.dispatcher is not None:
         membership.dispatcher.post_urgent(AgentLeaving(agent_id=message.agent_id))
 
