Measure the job decisions against plain schedulers

The command 'bench jobs' runs the real decisions, first fit and best fit under one load on the fake timer service, for both deployments and one data centre of the design scale, and prints the measures side by side.

--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_baseline.py
@@ -0,0 +1,123 @@
+"""Run the load under plain schedulers, for comparison."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wasabispur_core.message import Message
+from wasabispur_core.placement import GangSize
+from wasabispur_core.timer import FakeTimerService
+
+from .job_load import FleetModel, LoadedJob
+from .job_measure import Measures
+
+SAMPLE_INTERVAL = 60.0
+START_DELAY = 0.015
+"""Seconds between samples, and from the placement of a gang to its start."""
+
+Order = Callable[[dict[int, int], int], list[int]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Submitted(Message):
+    """Report a submission."""
+
+    job: LoadedJob
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Ended(Message):
+    """Report the end of a job on its workers."""
+
+    job: LoadedJob
+    workers: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _SampleDue(Message):
+    """Ask for a sample."""
+
+
+def first_fit(free: dict[int, int], accelerators: int) -> list[int]:
+    """Return the workers in the order of their numbers."""
+    return [worker for worker, count in free.items() if count >= accelerators]
+
+
+def best_fit(free: dict[int, int], accelerators: int) -> list[int]:
+    """Return the workers with the fewest free accelerators first."""
+    fitting = first_fit(free, accelerators)
+    return sorted(fitting, key=lambda worker: free[worker])
+
+
+class Baseline:
+    """Own the queue and the workers of one run without blocks or reservations.
+
+    The queue is in the order of submission; a job that doesn't fit is passed over.
+    """
+
+    def __init__(
+        self, name: str, order: Order, model: FleetModel, jobs: list[LoadedJob]
+    ) -> None:
+        self.order = order
+        self.jobs = jobs
+        self.timers = FakeTimerService()
+        self.free = dict(enumerate(model.workers))
+        self.queue: list[LoadedJob] = []
+        self.measures = Measures(name, model.accelerators)
+        self.window = 0.0
+
+    def run(self, window: float, end: float) -> Measures:
+        """Submit the jobs, run until the end, and return the measures."""
+        self.window = window
+        for job in self.jobs:
+            self.timers.subscribe(job.submitted, self.receive, _Submitted(job=job))
+        self.timers.subscribe(0.0, self.receive, _SampleDue())
+        self.timers.advance(end)
+        return self.measures
+
+    def receive(self, message: Message) -> None:
+        """Handle one event and look at the queue again."""
+        match message:
+            case _Submitted():
+                self.queue.append(message.job)
+            case _Ended():
+                self.measures.ends[message.job.job_id] = self.timers.now()
+                for worker in message.workers:
+                    self.free[worker] += message.job.spec.accelerators
+            case _SampleDue():
+                self.sample()
+                return
+        self.queue = [job for job in self.queue if not self.place(job)]
+
+    def choose(self, free: dict[int, int], size: GangSize) -> list[int] | None:
+        """Return the worker of each task, or None if some don't fit."""
+        chosen: list[int] = []
+        left = dict(free)
+        for worker in self.order(free, size.accelerators):
+            while left[worker] >= size.accelerators and len(chosen) < size.tasks:
+                left[worker] -= size.accelerators
+                chosen.append(worker)
+        return chosen if len(chosen) == size.tasks else None
+
+    def place(self, job: LoadedJob) -> bool:
+        """Start a job if it fits."""
+        workers = self.choose(self.free, job.spec.size)
+        if workers is None:
+            return False
+        for worker in workers:
+            self.free[worker] -= job.spec.accelerators
+        self.measures.starts[job.job_id] = self.timers.now() + START_DELAY
+        ended = _Ended(job=job, workers=tuple(workers))
+        self.timers.subscribe(START_DELAY + job.run_time, self.receive, ended)
+        return True
+
+    def sample(self) -> None:
+        """Note utilisation and fragmentation."""
+        self.measures.sample(
+            sum(self.free.values()),
+            lambda size: self.choose(self.free, size) is not None,
+            [job.spec.size for job in self.queue],
+        )
+        if self.timers.now() + SAMPLE_INTERVAL < self.window:
+            self.timers.subscribe(SAMPLE_INTERVAL, self.receive, _SampleDue())
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_load.py
@@ -0,0 +1,137 @@
+"""Generate the jobs and the fleets of the job benchmark."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import log
+from random import Random
+
+from wasabispur_core.fleet import Worker
+from wasabispur_core.guarantee import Adjacency, GuaranteedShape, Promise
+from wasabispur_core.job_record import JobSpec
+
+DATA_CENTRE = "dc1"
+
+MEDIAN_RUN_TIME = 1800.0
+RUN_TIME_SPREAD = 0.9
+"""Median in seconds and log-normal sigma of the run times."""
+
+ESTIMATE_ERROR = 10.0
+"""Largest factor by which a declared run time is off."""
+
+ORGANISATIONS = (("A", 0.6), ("B", 0.25), ("C", 0.1), ("D", 0.05))
+URGENT_SHARE = 0.1
+
+SIZES = ((1, 0.45), (2, 0.15), (4, 0.15), (8, 0.13), (16, 0.07), (32, 0.03), (64, 0.02))
+"""Accelerators of a job and the share of jobs that ask for them."""
+
+TASK_ACCELERATORS = 8
+"""Accelerators of each task of a gang that is larger than a worker."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetModel:
+    """Name a fleet; workers holds the accelerators of each worker."""
+
+    name: str
+    workers: tuple[int, ...]
+    load: float
+    promises: tuple[Promise, ...]
+
+    @property
+    def accelerators(self) -> int:
+        """Return the accelerators of all workers."""
+        return sum(self.workers)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedJob:
+    """Hold one job of the load; times are in seconds."""
+
+    job_id: str
+    spec: JobSpec
+    submitted: float
+    run_time: float
+
+    @property
+    def accelerators(self) -> int:
+        """Return the accelerators of the whole gang."""
+        return self.spec.tasks * self.spec.accelerators
+
+
+def promise(organisation: str, blocks: int, adjacency: Adjacency) -> Promise:
+    """Return a promise of blocks of eight accelerators."""
+    shape = GuaranteedShape(
+        name=f"{blocks}x8",
+        data_centre=DATA_CENTRE,
+        blocks=blocks,
+        block_size=8,
+        adjacency=adjacency,
+    )
+    return Promise(organisation=organisation, shape=shape)
+
+
+def fleets() -> tuple[FleetModel, ...]:
+    """Return both current deployments and one data centre of the design scale.
+
+    Most workers of the design scale have one accelerator or none.
+    """
+    promises = (promise("B", 2, Adjacency.RACK), promise("C", 1, Adjacency.WORKER))
+    design = (8,) * 12 + (1,) * 46 + (0,) * 50
+    return (
+        FleetModel("Peachtree", (8,) * 10, 0.9, promises),
+        FleetModel("Prairie", (8,) * 10, 1.1, promises),
+        FleetModel("design scale, 1 of 6", design, 0.9, promises),
+    )
+
+
+def worker_list(accelerators: tuple[int, ...]) -> list[Worker]:
+    """Return the workers of a fleet, three to a rack."""
+    return [
+        Worker(
+            worker_id=f"w{number:04}",
+            region="r",
+            data_centre=DATA_CENTRE,
+            rack=f"rack{number // 3:04}",
+            accelerators=count,
+            cores=32,
+        )
+        for number, count in enumerate(accelerators)
+    ]
+
+
+def generate_jobs(
+    model: FleetModel, random: Random, seconds: float, limit: int = 100_000
+) -> list[LoadedJob]:
+    """Return at most limit jobs whose expected work fills the fleet to the load."""
+    room = sum(count // TASK_ACCELERATORS for count in model.workers)
+    sizes = [pair for pair in SIZES if pair[0] <= TASK_ACCELERATORS * room]
+    mean_run = MEDIAN_RUN_TIME * pow(2.718281828, RUN_TIME_SPREAD**2 / 2)
+    total = sum(share for _, share in sizes)
+    mean_size = sum(size * share for size, share in sizes) / total
+    rate = model.load * model.accelerators / (mean_run * mean_size)
+    jobs: list[LoadedJob] = []
+    now = random.expovariate(rate)
+    while now < seconds and len(jobs) < limit:
+        jobs.append(_job(f"j{len(jobs):05}", now, sizes, random))
+        now += random.expovariate(rate)
+    return jobs
+
+
+def _job(
+    job_id: str, now: float, sizes: list[tuple[int, float]], random: Random
+) -> LoadedJob:
+    size = random.choices([s for s, _ in sizes], [share for _, share in sizes])[0]
+    run_time = random.lognormvariate(log(MEDIAN_RUN_TIME), RUN_TIME_SPREAD)
+    error = ESTIMATE_ERROR ** random.uniform(-1, 1)
+    names = [name for name, _ in ORGANISATIONS]
+    shares = [share for _, share in ORGANISATIONS]
+    spec = JobSpec(
+        organisation=random.choices(names, shares)[0],
+        work_class="urgent" if random.random() < URGENT_SHARE else "deferrable",
+        command="{}",
+        tasks=max(size // TASK_ACCELERATORS, 1),
+        accelerators=min(size, TASK_ACCELERATORS),
+        estimate=run_time * error,
+    )
+    return LoadedJob(job_id, spec, now, run_time)
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -9,6 +9,7 @@
 
 from wasabispur_runtime.process import run_process
 
+from .bench_command import bench
 from .endpoint import EndpointRoot, EndpointState
 from .measure_command import measure
 from .object_store import ObjectRoot, ObjectState
@@ -73,3 +74,6 @@
 
 
 main.add_command(measure)
+
+
+main.add_command(bench)
