--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import shutil
 import signal
 import sys
 import tempfile
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 from types import FrameType
 
@@ -14,8 +16,9 @@
 
 from wasabispur.entry_settings import EntrySettings
 from wasabispur_core.error import WasabispurError
+from wasabispur_core.work_class import DEFAULT_CLASSES
 
-from .demo_system import Body, DemoSystem, Entry, run_command, SERVICE
+from .demo_system import ACCELERATORS, Body, DemoSystem, Entry, run_command, SERVICE
 from .process import ProcessError, ProcessGroup
 
 ORGANISATION = "prairie-breeze"
@@ -29,6 +32,9 @@
 IN_FORCE_LIMIT = 30.0
 """Seconds within which the demo expects a job's end and a bundle everywhere."""
 
+COMPLETED = "completed"
+JOB_ENDS = (COMPLETED, "failed", "cancelled", "rejected", "held")
+
 EXIT_INTERRUPTED = 130
 
 Step = Callable[[DemoSystem], None]
@@ -42,18 +48,19 @@
     """Run the demo and return its exit code; no process is left behind."""
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _interrupt)
+    directory = Path(tempfile.mkdtemp(prefix="wasabispur-demo-"))
     try:
-        with (
-            tempfile.TemporaryDirectory(prefix="wasabispur-demo-") as directory,
-            ProcessGroup(Path(directory)) as group,
-        ):
+        with ProcessGroup(directory) as group:
             show_paths(group)
     except Interrupted:
         print("interrupted; all processes have ended", file=sys.stderr)
+        shutil.rmtree(directory)
         return EXIT_INTERRUPTED
     except (WasabispurError, urllib3.exceptions.HTTPError, OSError) as error:
         print(f"error: {error}", file=sys.stderr)
+        print(f"The output of the processes is in {directory}.", file=sys.stderr)
         return 1
+    shutil.rmtree(directory)
     print("All processes have ended.")
     return 0
 
@@ -121,9 +128,9 @@
     first, second = system.entries[0], system.entries[-1]
     body = {
         "organisation": ORGANISATION,
-        "class": "forecast",
+        "class": "deferrable",
         "tasks": 2,
-        "accelerators": 4,
+        "accelerators": ACCELERATORS,
         "command": json.dumps({"run_time": JOB_RUN_TIME, "result": "forecast.csv"}),
     }
     job_id = submit_job(system, first, body)
@@ -136,7 +143,7 @@
         len(system.call("GET", f"{url}/starts")[1]["starts"])
         for url in system.worker_urls
     )
-    if job["state"] != "finished" or starts != body["tasks"]:
+    if job["state"] != COMPLETED or starts != body["tasks"]:
         raise ProcessError(
             f"job {job_id} is {job['state']} ({job['reason']}) after {starts} starts",
             "see the entries' logs",
@@ -164,7 +171,7 @@
 def ended_job(system: DemoSystem, entry: Entry, job_id: str) -> Body | None:
     """Return a job that has ended, or None."""
     status, job = system.call("GET", f"{entry.url}/v1/jobs/{job_id}")
-    if status != 200 or job["state"] not in ("finished", "failed", "cancelled"):
+    if status != 200 or job["state"] not in JOB_ENDS:
         return None
     return job
 
@@ -216,10 +223,7 @@
     return {
         "schema": 1,
         "organisations": [{"name": ORGANISATION}],
-        "classes": [
-            {"name": "urgent", "urgent": True, "weight": 4.0},
-            {"name": "forecast", "weight": 1.0},
-        ],
+        "classes": [asdict(work_class) for work_class in DEFAULT_CLASSES],
         "reclaim_bound": 30.0,
     }
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/demo_system.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo_system.py
@@ -30,6 +30,9 @@
 
 HEARTBEAT_INTERVAL = 0.5
 ACCELERATORS = 8
+WORKERS = 2
+"""Workers of each region and accelerators of each worker."""
+
 SERVICE = "dispatch-planner"
 
 REGIONS = {"manitoba": "winnipeg", "alberta": "calgary"}
@@ -86,7 +89,8 @@
             self.start_entry(entry, table.url, objects.url)
         for region in REGIONS:
             self.start_agent_of_endpoint(region)
-            self.start_agent_of_worker(region)
+            for number in range(WORKERS):
+                self.start_agent_of_worker(region, number)
         for entry in self.entries:
             self.wait(entry.name, partial(self.healthy, entry.url))
 
@@ -120,10 +124,10 @@
         }
         self.start_agent(f"agent-endpoint-{region}", region, settings)
 
-    def start_agent_of_worker(self, region: str) -> None:
+    def start_agent_of_worker(self, region: str, number: int) -> None:
         """Start a worker with its agent."""
         stand_in = self.group.start_stand_in(
-            f"worker-{region}", "worker", "--accelerators", str(ACCELERATORS)
+            f"worker-{region}-{number}", "worker", "--accelerators", str(ACCELERATORS)
         )
         self.worker_urls.append(stand_in.url)
         settings = {
@@ -134,7 +138,7 @@
             "memory": 128 * 1024**3,
             "local_url": stand_in.url,
         }
-        self.start_agent(f"agent-worker-{region}", region, settings)
+        self.start_agent(f"agent-worker-{region}-{number}", region, settings)
 
     def start_agent(self, name: str, region: str, settings: Body) -> None:
         """Start an agent that dials every entry."""
