--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -78,9 +78,8 @@
         f"{len(system.agents)} agents in 2 regions, with stand-ins for the platform."
     )
     show_request(system)
-    if "table_url" in fields and "shards" in fields:
-        show_job(system)
-    if "table_url" in fields and "operators" in fields:
+    show_job(system)
+    if "operators" in fields:
         show_bundle(system)
 
 
--- a/tests/platform/test_object_contract.py
+++ b/tests/platform/test_object_contract.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from tests.platform.harness import connected, running, set_faults
@@ -105,3 +106,16 @@
         assert "exceeds" in refused.reason
 
     object_test(scenario)
+
+
+def test_a_refused_connection_ends_in_a_typed_result():
+    """Guard against a call that waits for ever where nothing listens."""
+
+    async def main():
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            async with connected(ObjectClient, probe.getsockname()[1]) as client:
+                (result,) = await client.ask(call(client, ObjectMethod.GET))
+        assert isinstance(result, ObjectUnavailable)
+
+    asyncio.run(main())
--- a/tests/platform/test_stand_in_contract.py
+++ b/tests/platform/test_stand_in_contract.py
@@ -10,6 +10,7 @@
 from tests.platform.harness import running
 
 from wasabispur_standins.endpoint import EndpointRoot, EndpointState
+from wasabispur_standins.process import wait_for
 from wasabispur_standins.worker import WorkerRoot
 from wasabispur_standins.worker_state import WorkerState
 
@@ -157,3 +158,26 @@
         assert web.call("GET", "/v1/tasks")[0] is None
 
     web_test("worker", WorkerState(), WorkerRoot, scenario)
+
+
+def test_a_refused_port_opens_again_by_itself():
+    """Guard against an outage that closes the port for good, or not at all."""
+
+    def scenario(web):
+        faults = [{"kind": "refuse", "seconds": 0.5}]
+        assert web.call("PUT", "/faults", {"faults": faults})[0] == 200
+        wait_for("the refusal", lambda: web.call("GET", "/runs")[0] is None)
+        wait_for("the open port", lambda: web.call("GET", "/runs")[0] == 200)
+
+    web_test("endpoint", EndpointState(), EndpointRoot, scenario)
+
+
+def test_a_rate_limit_refuses_what_exceeds_it():
+    """Guard against clients that are never tried against a limit."""
+
+    def scenario(web):
+        faults = [{"kind": "rate_limit", "per_second": 0.001}]
+        web.call("PUT", "/faults", {"faults": faults})
+        assert [web.call("GET", "/a")[0] for _ in range(3)] == [200, 429, 429]
+
+    web_test("endpoint", EndpointState(), EndpointRoot, scenario)
--- a/tests/process/test_demo.py
+++ b/tests/process/test_demo.py
@@ -73,6 +73,7 @@
     assert demo.process.wait(TIME_LIMIT) == 0, demo.text()
     assert "Request: completed" in demo.text()
     assert "it ran once" in demo.text()
+    assert "completed as entry-alberta shows; 2 tasks started once" in demo.text()
     assert demo.text().endswith("All processes have ended.\n")
     assert demo.remaining() == []
 
