Report the burn rate of service-level objectives

The command reads every entry, adds the counts up and compares a short with a long window.

Counts live in the entry's memory; rows at the table service are missing.

An error's exit code is now found through its base classes, so that an unreachable entry ends the command with the code for unavailable.

--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/burn.py
@@ -0,0 +1,166 @@
+"""Compute how fast service-level objectives use up their error budget."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+SLOT = 300
+"""Seconds of wall-clock time whose requests are counted together."""
+
+KEPT_SLOTS = 3 * 24 * 3600 // SLOT
+"""Slots that are kept; the longest window is three days."""
+
+PAIR_LIMIT = 150
+"""Pairs of class and organisation; 46 organisations with three classes fit."""
+
+OTHER = "other"
+"""Stands for all pairs beyond the limit."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Window:
+    """Pair a short and a long window in seconds with the burn rate that alerts.
+
+    The short one ends an alert soon after the errors stop. The thresholds use up
+    2%, 5% and 10% of a budget of 30 days within the long window.
+    """
+
+    name: str
+    short: int
+    long: int
+    threshold: float
+
+
+WINDOWS = (
+    Window(name="5 min/1 h", short=300, long=3600, threshold=14.4),
+    Window(name="30 min/6 h", short=1800, long=6 * 3600, threshold=6.0),
+    Window(name="6 h/3 d", short=6 * 3600, long=3 * 24 * 3600, threshold=1.0),
+)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Pair:
+    """Name one class of one organisation."""
+
+    work_class: str
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotCount:
+    """Hold the requests of a pair that ended in one slot."""
+
+    pair: Pair
+    slot: int
+    good: int
+    total: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BurnLine:
+    """Hold the burn rates of one pair in one window."""
+
+    pair: Pair
+    window: str
+    short_rate: float
+    long_rate: float
+    threshold: float
+    requests: int
+
+    @property
+    def alert(self) -> bool:
+        """Return whether both windows burn at the threshold or faster."""
+        return min(self.short_rate, self.long_rate) >= self.threshold
+
+
+@dataclass(slots=True)
+class CountTable:
+    """Own the counts of one entry, by pair and slot."""
+
+    pairs: set[Pair] = field(default_factory=set)
+    counts: dict[int, dict[Pair, list[int]]] = field(default_factory=dict)
+
+    def add(self, pair: Pair, good: bool, wall_time: float) -> None:
+        """Count a request that ended at a wall-clock time in seconds."""
+        slot = int(wall_time // SLOT)
+        if slot not in self.counts:
+            self.counts[slot] = {}
+            self._drop_old(slot)
+        count = self.counts[slot].setdefault(self._bounded(pair), [0, 0])
+        count[0] += good
+        count[1] += 1
+
+    def read(self) -> list[SlotCount]:
+        """Return all counts."""
+        return [
+            SlotCount(pair=pair, slot=slot, good=count[0], total=count[1])
+            for slot, counts in self.counts.items()
+            for pair, count in counts.items()
+        ]
+
+    def _drop_old(self, newest: int) -> None:
+        for slot in [slot for slot in self.counts if slot <= newest - KEPT_SLOTS]:
+            del self.counts[slot]
+
+    def _bounded(self, pair: Pair) -> Pair:
+        if pair in self.pairs:
+            return pair
+        if len(self.pairs) >= PAIR_LIMIT:
+            return Pair(OTHER, OTHER)
+        self.pairs.add(pair)
+        return pair
+
+
+def burn_rate(bad: int, total: int, target: float) -> float:
+    """Return how many times faster than allowed the error budget is used."""
+    if total == 0:
+        return 0.0
+    return bad / total / (1 - target)
+
+
+def burn_lines(
+    counts: Iterable[SlotCount], targets: Mapping[str, float], wall_time: float
+) -> list[BurnLine]:
+    """Return a line for each pair and window; counts of several entries add up.
+
+    Targets give the share of good requests by class; a class without one is left
+    out. A window ends now and begins with the slot in which it starts.
+    """
+    by_pair: defaultdict[Pair, list[SlotCount]] = defaultdict(list)
+    for count in counts:
+        if count.pair.work_class in targets:
+            by_pair[count.pair].append(count)
+    return [
+        _line(pair, window, by_pair[pair], targets[pair.work_class], wall_time)
+        for pair in sorted(by_pair)
+        for window in WINDOWS
+    ]
+
+
+def _line(
+    pair: Pair,
+    window: Window,
+    counts: list[SlotCount],
+    target: float,
+    wall_time: float,
+) -> BurnLine:
+    short_bad, short_total = _sum(counts, wall_time - window.short, wall_time)
+    long_bad, long_total = _sum(counts, wall_time - window.long, wall_time)
+    return BurnLine(
+        pair=pair,
+        window=window.name,
+        short_rate=burn_rate(short_bad, short_total, target),
+        long_rate=burn_rate(long_bad, long_total, target),
+        threshold=window.threshold,
+        requests=long_total,
+    )
+
+
+def _sum(counts: list[SlotCount], start: float, end: float) -> tuple[int, int]:
+    first, last = int(start // SLOT), int(end // SLOT)
+    inside = [count for count in counts if first <= count.slot <= last]
+    good = sum(count.good for count in inside)
+    total = sum(count.total for count in inside)
+    return total - good, total
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
@@ -52,7 +52,8 @@
 def fail(error: WasabispurError) -> None:
     """Print the error and its remedy, and exit with its code."""
     print(f"error: {error}", file=sys.stderr)
-    sys.exit(EXIT_CODES.get(type(error), ExitCode.FAILED))
+    codes = [EXIT_CODES[cls] for cls in type(error).__mro__ if cls in EXIT_CODES]
+    sys.exit(codes[0] if codes else ExitCode.FAILED)
 
 
 async def _run(main: Main) -> None:
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -13,6 +13,7 @@
 
 from .entry import run_entry
 from .entry_settings import EntrySettings
+from .report_command import report
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -37,3 +38,6 @@
         fail(error)
     else:
         run_process(partial(run_entry, settings))
+
+
+main.add_command(report)
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -36,7 +36,8 @@
     membership = Membership(timers)
     state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, state, membership)
-    dispatcher.observer = RequestMetrics(registry).observe
+    request_metrics = RequestMetrics(registry)
+    dispatcher.observer = request_metrics.observe
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
@@ -49,6 +50,7 @@
         registry,
         settings.entry_id,
         {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+        request_metrics.counts,
     )
     metrics.start()
     version_1 = VersionOneResource(bridge, dispatcher)
--- a/packages/wasabispur/src/wasabispur/metrics_reader.py
+++ b/packages/wasabispur/src/wasabispur/metrics_reader.py
@@ -4,7 +4,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
 
+from wasabispur_core.burn import CountTable, SlotCount
+from wasabispur_core.error import UnhandledMessageError
 from wasabispur_core.message import Message
 from wasabispur_core.metric import MAILBOX_DEPTH
 from wasabispur_core.timer import TimerService
@@ -19,6 +23,11 @@
     """Ask for the current value of every metric."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadCounts(Message):
+    """Ask for the counts of requests by slot."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MetricsReport:
     """Hold the metrics of one process."""
@@ -36,15 +45,35 @@
         registry: MetricRegistry,
         process: str,
         depths: dict[str, Callable[[], int]],
+        counts: CountTable,
     ) -> None:
         super().__init__("metrics-reader", timers)
         self.registry = registry
         self.process = process
         self.depths = depths
+        self.counts = counts
 
     def on_ask(self, message: Ask) -> None:
-        """Give the current metrics to a thread."""
-        for name, depth in self.depths.items():
-            self.registry.record(MAILBOX_DEPTH, depth(), actor=name)
-        report = MetricsReport(process=self.process, series=self.registry.read())
-        message.reply.set_result(report)
+        """Give what a thread asks for."""
+        message.reply.set_result(answer(message.message, self))
+
+
+@singledispatch
+def answer(message: Message, reader: MetricsReader) -> Any:
+    """Return the answer to a question about metrics."""
+    raise UnhandledMessageError(
+        f"{reader.name} does not take {type(message).__name__}",
+        "ask with ReadMetrics or ReadCounts",
+    )
+
+
+@answer.register
+def _(message: ReadMetrics, reader: MetricsReader) -> MetricsReport:
+    for name, depth in reader.depths.items():
+        reader.registry.record(MAILBOX_DEPTH, depth(), actor=name)
+    return MetricsReport(process=reader.process, series=reader.registry.read())
+
+
+@answer.register
+def _(message: ReadCounts, reader: MetricsReader) -> list[SlotCount]:
+    return reader.counts.read()
--- a/packages/wasabispur/src/wasabispur/request_metrics.py
+++ b/packages/wasabispur/src/wasabispur/request_metrics.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from wasabispur_core.burn import CountTable, Pair
 from wasabispur_core.command import Command, SendToAgent
 from wasabispur_core.message import Message
 from wasabispur_core.metric import ATTEMPTS, REQUEST_TIME, REQUESTS, START_WAIT
-from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import RequestPermit, StartAttempt
 from wasabispur_core.request import RequestReceived
 from wasabispur_runtime.metrics import MetricRegistry
@@ -29,6 +32,8 @@
     """Own the times of the requests in progress."""
 
     registry: MetricRegistry
+    counts: CountTable = field(default_factory=CountTable)
+    wall_clock: Callable[[], float] = time.time
     requests: dict[str, RequestTimes] = field(default_factory=dict)
 
     def observe(self, message: Message, commands: list[Command], now: float) -> None:
@@ -94,6 +99,11 @@
         organisation=times.organisation,
         outcome=outcome,
     )
+    metrics.counts.add(
+        Pair(times.work_class, times.organisation),
+        command.outcome is Outcome.COMPLETED,
+        metrics.wall_clock(),
+    )
     metrics.registry.record(
         REQUEST_TIME, now - times.received, class_=times.work_class, outcome=outcome
     )
