--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -14,6 +14,7 @@
 from .entry import run_entry
 from .entry_settings import EntrySettings
 from .job_command import job
+from .report_command import report
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -41,3 +42,4 @@
 
 
 main.add_command(job)
+main.add_command(report)
