--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -6,18 +6,23 @@
 import time
 from random import Random
 
+from wasabispur_core.bundle_version import BundleVersionState, ProcessKind
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
 from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import Announce, Heartbeat
 from wasabispur_core.timer import TimerService
+from wasabispur_runtime.bundle_codec import BundleRecords
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.signature import Ed25519Verifier
 
 from .agent_settings import AgentSettings
+from .bundle_holder import AGENT_PATIENCE, BundleHolder
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
+from .entry_routing import AgentActors
 
 
 async def run_agent(
@@ -30,16 +35,26 @@
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
+    version = BundleVersionState(
+        kind=ProcessKind.AGENT,
+        records=BundleRecords(),
+        verifier=Ed25519Verifier(settings.operators),
+        random=Random(),
+        patience=AGENT_PATIENCE,
+    )
+    bundles = BundleHolder(timers, version, runner.links)
+    actors = AgentActors(runner=runner, bundles=bundles)
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation),
-            heartbeat=lambda sequence: beat(sequence, state),
-            receiver=runner.post,
+            announce=lambda: describe(settings, incarnation, version.version),
+            heartbeat=lambda sequence: beat(sequence, state, version.version),
+            receiver=actors.post,
             random=Random(),
         )
     runner.start()
+    bundles.start()
     for link in runner.links.values():
         link.start()
     log(PROCESS_STARTED, process=settings.agent_id)
@@ -47,11 +62,14 @@
     log(PROCESS_DRAINING, process=settings.agent_id)
     await runner.drain()
     await runner.close()
+    await bundles.close()
     await asyncio.gather(*(link.close() for link in runner.links.values()))
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
-def describe(settings: AgentSettings, incarnation: int) -> Announce:
+def describe(
+    settings: AgentSettings, incarnation: int, bundle_version: int
+) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
         agent_id=settings.agent_id,
@@ -65,14 +83,15 @@
         accelerators=settings.accelerators,
         cores=settings.cores,
         memory=settings.memory,
+        bundle_version=bundle_version,
     )
 
 
-def beat(sequence: int, state: PermitState) -> Heartbeat:
+def beat(sequence: int, state: PermitState, bundle_version: int) -> Heartbeat:
     """Return the next heartbeat of an agent."""
     return Heartbeat(
         sequence=sequence,
-        bundle_version=0,
+        bundle_version=bundle_version,
         in_flight=len(state.attempts),
         free_slots=state.free_slots,
     )
--- a/packages/wasabispur-agent/src/wasabispur_agent/agent_settings.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent_settings.py
@@ -8,6 +8,7 @@
 
 from wasabispur_core.protocol import Role
 from wasabispur_runtime.settings import Settings
+from wasabispur_runtime.signature import OperatorKeys
 
 Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
 
@@ -28,6 +29,7 @@
     accelerators: Annotated[int, Field(ge=0, le=1024)] = 0
     cores: Annotated[int, Field(ge=0)] = 0
     memory: Annotated[int, Field(ge=0)] = 0
+    operators: OperatorKeys = []
     log_level: str = "INFO"
 
     @model_validator(mode="after")
--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -85,6 +85,7 @@
     def on_link_ended(self, message: LinkEnded) -> None:
         """Schedule the next dial."""
         self.stream = None
+        self._forward(message)
         self.failures += 1
         limit = min(BACKOFF_LIMIT, BACKOFF_BASE * 2**self.failures)
         log(STREAM_FAILED, peer=self.address, reason=message.reason)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle.py
@@ -0,0 +1,227 @@
+"""Define the content of a bundle, its canonical form and its checks."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from enum import Enum
+from typing import Any
+
+from .error import WasabispurError
+from .work_class import WorkClass
+
+CONTENT_SCHEMA = 1
+"""Newest schema of the content that this release understands."""
+
+CONTENT_LIMIT_BYTES = 40 * 1024
+"""Largest canonical content; escaped in a row it stays below the row limit."""
+
+SIGNATURE_CONTEXT = b"wasabispur bundle sign-off 1\n"
+"""Keeps a sign-off apart from any other use of an operator's key."""
+
+
+class BundleError(WasabispurError):
+    """Report a failure of a bundle operation."""
+
+
+class InvalidBundleError(BundleError):
+    """Report content that contradicts itself or exceeds a limit."""
+
+
+class Adjacency(Enum):
+    """Tell within what the blocks of a shape have to be."""
+
+    WORKER = "worker"
+    RACK = "rack"
+    DATA_CENTRE = "data_centre"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Quota:
+    """Bound the accelerators that an organisation uses in a data centre."""
+
+    data_centre: str
+    accelerators: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GuaranteedShape:
+    """Promise blocks of adjacent accelerators in a data centre."""
+
+    name: str
+    data_centre: str
+    blocks: int
+    block_size: int
+    adjacency: Adjacency
+
+    @property
+    def accelerators(self) -> int:
+        """Return the accelerators of all blocks."""
+        return self.blocks * self.block_size
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """Hold the quotas and guarantees of one organisation."""
+
+    name: str
+    quotas: tuple[Quota, ...] = ()
+    guarantees: tuple[GuaranteedShape, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Objective:
+    """Require a share of requests to start within threshold seconds.
+
+    An empty organisation stands for all of them.
+    """
+
+    name: str
+    work_class: str
+    organisation: str = ""
+    target: float
+    threshold: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BundleContent:
+    """Hold all settings of one bundle version; reclaim_bound is in seconds."""
+
+    schema: int = CONTENT_SCHEMA
+    organisations: tuple[Organisation, ...] = ()
+    classes: tuple[WorkClass, ...] = ()
+    reclaim_bound: float
+    objectives: tuple[Objective, ...] = ()
+
+
+def canonical_json(content: BundleContent) -> str:
+    """Return the only text that stands for the content."""
+    return json.dumps(
+        asdict(content),
+        sort_keys=True,
+        separators=(",", ":"),
+        allow_nan=False,
+        default=_plain,
+    )
+
+
+def digest_of(text: str) -> str:
+    """Return the SHA-256 digest of a content text in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def signature_payload(
+    *, change_id: str, proposer: str, base_version: int, digest: str
+) -> bytes:
+    """Return the bytes that a sign-off signs."""
+    fields = {
+        "base_version": base_version,
+        "change_id": change_id,
+        "digest": digest,
+        "proposer": proposer,
+    }
+    text = json.dumps(fields, sort_keys=True, separators=(",", ":"))
+    return SIGNATURE_CONTEXT + text.encode()
+
+
+def check_content(content: BundleContent) -> None:
+    """Raise InvalidBundleError for the first contradiction in the content."""
+    _check_schema(content)
+    _check_unique("organisation", (item.name for item in content.organisations))
+    _check_unique("class", (item.name for item in content.classes))
+    _check_unique("objective", (item.name for item in content.objectives))
+    _require(content.reclaim_bound > 0, "reclaim_bound", "set it above 0 s")
+    for organisation in content.organisations:
+        _check_organisation(organisation)
+    for rule in content.classes:
+        _check_class(rule)
+    floors = sum(rule.floor for rule in content.classes)
+    _require(floors <= 1, "the sum of the classes' floors", "lower it to at most 1")
+    for objective in content.objectives:
+        _check_objective(objective, content)
+    _check_size(canonical_json(content))
+
+
+def _check_schema(content: BundleContent) -> None:
+    if content.schema != CONTENT_SCHEMA:
+        raise InvalidBundleError(
+            f"the content has schema {content.schema}, not {CONTENT_SCHEMA}",
+            "write the content for this release, or upgrade the entries first",
+        )
+
+
+def _check_organisation(organisation: Organisation) -> None:
+    owner = f"organisation {organisation.name!r}"
+    quotas = {quota.data_centre: quota.accelerators for quota in organisation.quotas}
+    _check_unique(f"quota of {owner}", (q.data_centre for q in organisation.quotas))
+    _check_unique(f"shape of {owner}", (g.name for g in organisation.guarantees))
+    guaranteed: Counter[str] = Counter()
+    for quota in organisation.quotas:
+        _require(
+            quota.accelerators >= 0,
+            f"quota of {owner} in {quota.data_centre}",
+            "set it to 0 or more",
+        )
+    for shape in organisation.guarantees:
+        _require(
+            shape.blocks > 0 and shape.block_size > 0,
+            f"shape {shape.name!r} of {owner}",
+            "give it at least one block of at least one accelerator",
+        )
+        guaranteed[shape.data_centre] += shape.accelerators
+    for data_centre, accelerators in guaranteed.items():
+        _require(
+            accelerators <= quotas.get(data_centre, 0),
+            f"{accelerators} guaranteed accelerators of {owner} in {data_centre}",
+            f"raise the quota there from {quotas.get(data_centre, 0)}",
+        )
+
+
+def _check_class(rule: WorkClass) -> None:
+    owner = f"class {rule.name!r}"
+    _require(rule.weight > 0, f"weight of {owner}", "set it above 0")
+    _require(0 <= rule.floor <= 1, f"floor of {owner}", "set it from 0 to 1")
+    _require(rule.deadline > 0, f"deadline of {owner}", "set it above 0 s")
+    _require(rule.queue_limit > 0, f"queue limit of {owner}", "set it above 0")
+    _require(rule.retry_budget >= 0, f"retry budget of {owner}", "set it to 0 or more")
+
+
+def _check_objective(objective: Objective, content: BundleContent) -> None:
+    owner = f"objective {objective.name!r}"
+    classes = {rule.name for rule in content.classes}
+    organisations = {item.name for item in content.organisations} | {""}
+    _require(0 < objective.target < 1, f"target of {owner}", "set it between 0 and 1")
+    _require(objective.threshold > 0, f"threshold of {owner}", "set it above 0 s")
+    _require(objective.work_class in classes, f"class of {owner}", "name a class")
+    _require(
+        objective.organisation in organisations,
+        f"organisation of {owner}",
+        "name an organisation of the bundle, or none",
+    )
+
+
+def _check_unique(what: str, names: Iterable[str]) -> None:
+    for name, count in Counter(names).items():
+        _require(bool(name), f"an empty name of {what}", "give it a name")
+        _require(count == 1, f"{what} {name!r} twice", "keep one of them")
+
+
+def _check_size(text: str) -> None:
+    size = len(text.encode())
+    if size > CONTENT_LIMIT_BYTES:
+        raise InvalidBundleError(
+            f"the content takes {size} bytes, more than {CONTENT_LIMIT_BYTES}",
+            "remove organisations, shapes or objectives that are not used",
+        )
+
+
+def _require(condition: bool, what: str, remedy: str) -> None:
+    if not condition:
+        raise InvalidBundleError(f"the bundle can't have {what}", remedy)
+
+
+def _plain(value: Any) -> Any:
+    return value.value
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_action.py
@@ -0,0 +1,269 @@
+"""Define the actions of the bundle change chart."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .action import Action, perform
+from .bundle import BundleError, canonical_json, digest_of
+from .bundle_guard import ChangeGuard, signature_refusal
+from .bundle_operation import (
+    BundleChangeState,
+    BundleConflictError,
+    BundleOrderError,
+    Operation,
+    OperationFailed,
+    OwnChangeError,
+    ProposeBundle,
+    RejectBundle,
+    ReviewBundle,
+    SignOffBundle,
+    UntrustedSignatureError,
+)
+from .bundle_record import (
+    change_key,
+    ChangeRecord,
+    ChangeState,
+    ChangeStep,
+    POINTER_KEY,
+    PointerRecord,
+    row_value,
+    version_key,
+    version_record,
+)
+from .chart import Chart, ChartCatalogue
+from .command import CancelTimer, Command, Transact
+from .store import ABSENT, Condition, Transaction, Write
+
+
+class ChangeAction(Action[BundleChangeState, Operation]):
+    """Name an effect in the bundle change chart."""
+
+    __slots__ = ()
+
+
+class WriteProposal(ChangeAction):
+    """Write the row of a new change."""
+
+    __slots__ = ()
+
+
+class WriteReview(ChangeAction):
+    """Record the review in the change's row."""
+
+    __slots__ = ()
+
+
+class WriteSignOff(ChangeAction):
+    """Record the signature in the change's row."""
+
+    __slots__ = ()
+
+
+class WriteAcceptance(ChangeAction):
+    """Write the version, the pointer and the change in one transaction."""
+
+    __slots__ = ()
+
+
+class WriteRejection(ChangeAction):
+    """Record the rejection in the change's row."""
+
+    __slots__ = ()
+
+
+class RefuseOrder(ChangeAction):
+    """Refuse a step that the change's state doesn't allow."""
+
+    __slots__ = ()
+
+
+class RefuseOwnChange(ChangeAction):
+    """Refuse a step by the change's own proposer."""
+
+    __slots__ = ()
+
+
+class RefuseSignature(ChangeAction):
+    """Refuse a sign-off whose signature can't be trusted."""
+
+    __slots__ = ()
+
+
+class RefuseConflict(ChangeAction):
+    """Refuse a change whose base isn't the newest version."""
+
+    __slots__ = ()
+
+
+def bundle_change_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the bundle change chart bound to its actions and guards."""
+    return catalogue.bind(
+        "bundle_change",
+        actions=ChangeAction.__subclasses__(),
+        guards=ChangeGuard.__subclasses__(),
+    )
+
+
+@perform.register
+def _(action: WriteProposal) -> list[Command]:
+    request = action.message
+    if not isinstance(request, ProposeBundle):
+        return []
+    content = canonical_json(request.content)
+    change = ChangeRecord(
+        change_id=request.change_id,
+        state=ChangeState.PROPOSED,
+        base_version=request.base_version,
+        proposer=request.operator,
+        summary=request.summary,
+        content=content,
+        digest=digest_of(content),
+    )
+    return _write(action.subject, change, "propose", "")
+
+
+@perform.register
+def _(action: WriteReview) -> list[Command]:
+    request, change = action.message, action.subject.change
+    if not isinstance(request, ReviewBundle) or change is None:
+        return []
+    change = replace(change, state=ChangeState.REVIEWED)
+    return _write(action.subject, change, "review", request.note)
+
+
+@perform.register
+def _(action: WriteSignOff) -> list[Command]:
+    request, change = action.message, action.subject.change
+    if not isinstance(request, SignOffBundle) or change is None:
+        return []
+    change = replace(
+        change,
+        state=ChangeState.SIGNED_OFF,
+        signer=request.operator,
+        signature=request.signature,
+    )
+    return _write(action.subject, change, "sign-off", "")
+
+
+@perform.register
+def _(action: WriteRejection) -> list[Command]:
+    request, change = action.message, action.subject.change
+    if not isinstance(request, RejectBundle) or change is None:
+        return []
+    change = replace(change, state=ChangeState.REJECTED)
+    return _write(action.subject, change, "reject", request.reason)
+
+
+@perform.register
+def _(action: WriteAcceptance) -> list[Command]:
+    operation = action.subject
+    if operation.change is None:
+        return []
+    change = replace(operation.change, state=ChangeState.ACCEPTED)
+    pointer = PointerRecord(version=change.version, change_id=change.change_id)
+    return _write(
+        operation,
+        change,
+        "accept",
+        "",
+        conditions=(
+            Condition(key=POINTER_KEY, version=operation.pointer_row_version),
+            Condition(key=version_key(change.version), version=ABSENT),
+        ),
+        writes=(
+            Write(key=POINTER_KEY, value=row_value(pointer)),
+            Write(
+                key=version_key(change.version),
+                value=row_value(version_record(change)),
+            ),
+        ),
+    )
+
+
+@perform.register
+def _(action: RefuseOrder) -> list[Command]:
+    return fail(action.state, action.subject, order_error(action.subject))
+
+
+@perform.register
+def _(action: RefuseOwnChange) -> list[Command]:
+    request = action.subject.request
+    error = OwnChangeError(
+        f"change {request.change_id} was proposed by {request.operator} too",
+        "ask another operator to review it and sign it off",
+    )
+    return fail(action.state, action.subject, error)
+
+
+@perform.register
+def _(action: RefuseSignature) -> list[Command]:
+    error = UntrustedSignatureError(
+        f"the sign-off of change {action.subject.request.change_id} is refused: "
+        f"{signature_refusal(action)}",
+        "sign with a key whose public part is in the settings of all processes",
+    )
+    return fail(action.state, action.subject, error)
+
+
+@perform.register
+def _(action: RefuseConflict) -> list[Command]:
+    return fail(action.state, action.subject, conflict_error(action.subject))
+
+
+def order_error(operation: Operation) -> BundleOrderError:
+    """Return the error for a step that the change's state doesn't allow."""
+    state = operation.change.state.value if operation.change else "unknown"
+    return BundleOrderError(
+        f"change {operation.request.change_id} is {state.replace('_', ' ')}",
+        "a change is proposed, reviewed, signed off and accepted, in this order",
+    )
+
+
+def conflict_error(operation: Operation) -> BundleConflictError:
+    """Return the error for an operation that came second."""
+    return BundleConflictError(
+        f"change {operation.request.change_id} was not written, since another "
+        f"operator's write came first; the newest version read is "
+        f"{operation.current_version}",
+        "show the change, and rebase it on the newest version if that has moved",
+    )
+
+
+def fail(
+    state: BundleChangeState, operation: Operation, error: BundleError
+) -> list[Command]:
+    """End an operation without effect."""
+    operation_id = operation.request.operation_id
+    state.operations.pop(operation_id, None)
+    timer = CancelTimer(timer_id=operation_id)
+    return [timer, OperationFailed(operation_id=operation_id, error=error)]
+
+
+def _write(
+    operation: Operation,
+    change: ChangeRecord,
+    step: str,
+    note: str,
+    conditions: tuple[Condition, ...] = (),
+    writes: tuple[Write, ...] = (),
+) -> list[Command]:
+    request = operation.request
+    taken = ChangeStep(
+        operation_id=request.operation_id,
+        step=step,
+        operator=request.operator,
+        note=note,
+    )
+    change = replace(change, steps=(*change.steps, taken))
+    key = change_key(change.change_id)
+    operation.written = change
+    operation.transaction = Transaction(
+        operation_id=request.operation_id,
+        conditions=(
+            Condition(key=key, version=operation.change_version),
+            *conditions,
+        ),
+        writes=(Write(key=key, value=row_value(change)), *writes),
+    )
+    return [Transact(transaction=operation.transaction)]
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_version.py
@@ -0,0 +1,298 @@
+"""Decide which bundle version is in force in a process, and whom to offer it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import singledispatch
+from random import Random
+
+from .bundle import BundleContent, BundleError, digest_of, signature_payload
+from .bundle_operation import SignatureVerifier
+from .bundle_record import POINTER_KEY, RecordReader, version_key
+from .command import Command, ReadRows, SetTimer, WriteLog
+from .error import StoreError, UnhandledMessageError
+from .log_event import BUNDLE_IN_FORCE, BUNDLE_REFUSED, BUNDLE_ROW_REFUSED
+from .message import Message
+from .protocol import BundleInForce, OfferBundle, SignedBundle
+from .store import Row, RowsRead, RowsUnavailable
+
+POLL_INTERVAL = 2.0
+"""Longest time in seconds between two polls of the pointer."""
+
+POLL_JITTER = 0.2
+"""Share of the poll interval by which a poll may come earlier."""
+
+REPEAT_DELAY = 1.0
+"""Seconds before an offer without effect is repeated; doubles each time."""
+
+REPEAT_DELAY_LIMIT = 60.0
+
+POINTER_READ = "bundle-pointer"
+VERSION_READ = "bundle-version"
+
+
+class ProcessKind(Enum):
+    """Tell the kinds of processes apart."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Counterpart:
+    """Name a process at the other end of a stream."""
+
+    kind: ProcessKind
+    process_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BundleOffered(Message):
+    """Report a bundle from another process, or from this one's own acceptance."""
+
+    bundle: SignedBundle
+    source: Counterpart | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VersionReported(Message):
+    """Report the version in force at the other end of a stream."""
+
+    source: Counterpart
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CounterpartLost(Message):
+    """Report that the stream to a process ended."""
+
+    source: Counterpart
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PollDue(Message):
+    """Tell the component to read the pointer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendToCounterpart(Command):
+    """Send a message on the stream to a process."""
+
+    counterpart: Counterpart
+    message: Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApplyBundle(Command):
+    """Let the other actors of the process work by a bundle."""
+
+    version: int
+    content: BundleContent
+
+
+@dataclass(slots=True)
+class Offer:
+    """Hold what this process knows of the version at the other end.
+
+    Times are in seconds; offer_after is set while the other end is behind.
+    """
+
+    version: int
+    offer_after: float | None = None
+    offered: int = 0
+    repeats: int = 0
+    next_offer: float = 0.0
+
+
+@dataclass(slots=True)
+class BundleVersionState:
+    """Own the version in force in a process.
+
+    An agent leaves it to the entries to update each other, and helps only after
+    patience seconds, so that not all agents send the bundle at once.
+    """
+
+    kind: ProcessKind
+    records: RecordReader
+    verifier: SignatureVerifier
+    random: Random
+    patience: float = 0.0
+    bundle: SignedBundle | None = None
+    content: BundleContent | None = None
+    offers: dict[Counterpart, Offer] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first one."""
+        return 0 if self.bundle is None else self.bundle.version
+
+
+@singledispatch
+def decide(message: Message, state: BundleVersionState, now: float) -> list[Command]:
+    """Return the commands that a message to the bundle version component causes."""
+    raise UnhandledMessageError(
+        f"the bundle version component does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: BundleOffered, state: BundleVersionState, now: float) -> list[Command]:
+    bundle, source = message.bundle, message.source
+    # The sender has the bundle that it offers, so an older one shows it behind.
+    reported = [] if source is None else _report(source, bundle.version, state, now)
+    if not is_newer(bundle, state):
+        return reported
+    reason = refusal(bundle, state)
+    if reason:
+        fields = {"version": bundle.version, "reason": reason}
+        return [WriteLog(number=BUNDLE_REFUSED.number, fields=fields)]
+    return _put_in_force(bundle, source, state, now)
+
+
+@decide.register
+def _(message: VersionReported, state: BundleVersionState, now: float) -> list[Command]:
+    return _report(message.source, message.version, state, now)
+
+
+@decide.register
+def _(message: CounterpartLost, state: BundleVersionState, now: float) -> list[Command]:
+    state.offers.pop(message.source, None)
+    return []
+
+
+@decide.register
+def _(message: PollDue, state: BundleVersionState, now: float) -> list[Command]:
+    delay = POLL_INTERVAL * (1 - POLL_JITTER * state.random.random())
+    return [
+        SetTimer(timer_id="poll", delay=delay, message=PollDue()),
+        ReadRows(read_id=POINTER_READ, prefix=POINTER_KEY),
+    ]
+
+
+@decide.register
+def _(message: RowsRead, state: BundleVersionState, now: float) -> list[Command]:
+    commands: list[Command] = []
+    for row in message.rows:
+        try:
+            commands += _take_row(message.read_id, row, state, now)
+        except StoreError as error:
+            fields = {"key": row.key, "error": str(error)}
+            commands.append(WriteLog(number=BUNDLE_ROW_REFUSED.number, fields=fields))
+    return commands
+
+
+@decide.register
+def _(message: RowsUnavailable, state: BundleVersionState, now: float) -> list[Command]:
+    # The next poll reads again; the version in force stays.
+    return []
+
+
+def is_newer(bundle: SignedBundle, state: BundleVersionState) -> bool:
+    """Return whether a bundle is newer than the one in force."""
+    return bundle.version > state.version
+
+
+def refusal(bundle: SignedBundle, state: BundleVersionState) -> str:
+    """Return why a bundle can't come into force, or an empty text if it can."""
+    if not is_newer(bundle, state):
+        return f"version {state.version} is in force and not older"
+    if bundle.signer == bundle.proposer:
+        return f"{bundle.signer} proposed the bundle and signed it off too"
+    if digest_of(bundle.content) != bundle.digest:
+        return "the digest does not match the content"
+    payload = signature_payload(
+        change_id=bundle.change_id,
+        proposer=bundle.proposer,
+        base_version=bundle.version - 1,
+        digest=bundle.digest,
+    )
+    reason = state.verifier.refusal(
+        bundle.signer, bundle.version, payload, bundle.signature
+    )
+    if reason:
+        return reason
+    try:
+        state.records.content(bundle.content)
+    except BundleError as error:
+        return str(error)
+    return ""
+
+
+def _take_row(
+    read_id: str, row: Row, state: BundleVersionState, now: float
+) -> list[Command]:
+    if read_id == POINTER_READ and row.key == POINTER_KEY:
+        version = state.records.pointer(row.value).version
+        if version <= state.version:
+            return []
+        return [ReadRows(read_id=VERSION_READ, prefix=version_key(version))]
+    if read_id == VERSION_READ:
+        bundle = state.records.version(row.value).signed_bundle()
+        return decide(BundleOffered(bundle=bundle), state, now)
+    return []
+
+
+def _put_in_force(
+    bundle: SignedBundle,
+    source: Counterpart | None,
+    state: BundleVersionState,
+    now: float,
+) -> list[Command]:
+    state.bundle = bundle
+    state.content = state.records.content(bundle.content)
+    fields = {"version": bundle.version, "signer": bundle.signer}
+    commands: list[Command] = [
+        WriteLog(number=BUNDLE_IN_FORCE.number, fields=fields),
+        ApplyBundle(version=bundle.version, content=state.content),
+    ]
+    for counterpart, offer in state.offers.items():
+        if _offers_at_once(counterpart, source, state):
+            commands += _offer_if_behind(counterpart, offer, state, now)
+        elif counterpart.kind is ProcessKind.ENTRY:
+            report = BundleInForce(version=bundle.version)
+            commands.append(SendToCounterpart(counterpart=counterpart, message=report))
+    return commands
+
+
+def _offers_at_once(
+    counterpart: Counterpart, source: Counterpart | None, state: BundleVersionState
+) -> bool:
+    if counterpart.kind is ProcessKind.AGENT:
+        return True
+    # Entries that got the bundle from a peer leave the other peers to that one;
+    # the version in later heartbeats shows who missed it.
+    return state.kind is ProcessKind.ENTRY and source is None
+
+
+def _report(
+    source: Counterpart, version: int, state: BundleVersionState, now: float
+) -> list[Command]:
+    offer = state.offers.setdefault(source, Offer(version))
+    offer.version = max(version, 0)
+    return _offer_if_behind(source, offer, state, now)
+
+
+def _offer_if_behind(
+    counterpart: Counterpart, offer: Offer, state: BundleVersionState, now: float
+) -> list[Command]:
+    if state.bundle is None or offer.version >= state.version:
+        offer.offer_after = None
+        return []
+    if offer.offer_after is None:
+        offer.offer_after = now + state.patience * state.random.random()
+    if now < offer.offer_after:
+        return []
+    if offer.offered == state.version and now < offer.next_offer:
+        return []
+    _note_offer(offer, state.version, now)
+    message = OfferBundle(bundle=state.bundle)
+    return [SendToCounterpart(counterpart=counterpart, message=message)]
+
+
+def _note_offer(offer: Offer, version: int, now: float) -> None:
+    offer.repeats = offer.repeats + 1 if offer.offered == version else 0
+    offer.offered = version
+    delay = min(REPEAT_DELAY * 2**offer.repeats, REPEAT_DELAY_LIMIT)
+    offer.next_offer = now + delay
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -35,10 +35,26 @@
 STREAM_FAILED = LogEvent(205, "WARNING", "stream to {peer} failed: {reason}")
 MESSAGE_MALFORMED = LogEvent(206, "WARNING", "malformed message from {peer}: {error}")
 AGENT_LEAVING = LogEvent(207, "INFO", "agent {agent} is leaving")
+ENTRY_ROW_REFUSED = LogEvent(208, "WARNING", "row {key} can't be used: {error}")
+MEMBER_REFUSED = LogEvent(
+    209, "WARNING", "{member} is refused: a newer start of it is known"
+)
+PEER_CONNECTED = LogEvent(210, "INFO", "peer {entry} connected")
+PEER_LOST = LogEvent(211, "WARNING", "peer {entry} lost: {reason}")
+MESSAGE_UNROUTED = LogEvent(212, "WARNING", "no actor takes {message_name} from {peer}")
 REQUEST_RECEIVED = LogEvent(301, "DEBUG", "request {request} received")
 REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
 ATTEMPT_ENDED = LogEvent(304, "DEBUG", "attempt {attempt} ended: {result}")
+BUNDLE_IN_FORCE = LogEvent(
+    501, "INFO", "bundle version {version}, signed off by {signer}, is in force"
+)
+BUNDLE_REFUSED = LogEvent(502, "ERROR", "bundle version {version} is refused: {reason}")
+BUNDLE_ROW_REFUSED = LogEvent(503, "ERROR", "row {key} can't be used: {error}")
+BUNDLE_OPERATION_ENDED = LogEvent(504, "INFO", "bundle operation {operation} ended")
+BUNDLE_OPERATION_FAILED = LogEvent(
+    505, "WARNING", "bundle operation {operation} failed: {error}"
+)
 JOB_ROW_MALFORMED = LogEvent(401, "ERROR", "job row {key} can't be used: {error}")
 SHARD_OWNED = LogEvent(402, "INFO", "this entry owns shard {shard} in epoch {epoch}")
 SHARD_GIVEN_UP = LogEvent(403, "WARNING", "another entry owns shard {shard}")
--- a/packages/wasabispur-core/src/wasabispur_core/member.py
+++ b/packages/wasabispur-core/src/wasabispur_core/member.py
@@ -1,10 +1,28 @@
-"""Describe the agents and peers that an entry knows."""
+"""Decide the state of the agents and peers that an entry knows."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import singledispatch
 
+from .action import Action, perform
+from .chart import Chart, ChartCatalogue, Lifecycle
+from .command import CancelTimer, Command, SendToEntry, SetTimer
+from .error import UnhandledMessageError
 from .message import Message
+from .protocol import MembersDigest, MemberStatus
+
+SUSPICION_TIME = 10.0
+"""Seconds that a member without a stream may take to come back."""
+
+RETENTION_TIME = 60.0
+"""Seconds for which a dead member stays in the list."""
+
+DIGEST_INTERVAL = 1.0
+"""Least time in seconds between two digests to the peers."""
+
+STATE_RANK = ("live", "joining", "leaving", "suspect", "dead")
+"""States from the one that counts most when entries disagree on a member."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -13,3 +31,271 @@
 
     agent_id: str
     message: Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FromPeer(Message):
+    """Wrap a message with the id of the entry that sent it."""
+
+    entry_id: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberAnnounced(Message):
+    """Report an agent or a peer that opened a stream."""
+
+    member_id: str
+    kind: str
+    region: str
+    data_centre: str
+    incarnation: int
+    bundle_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberHeard(Message):
+    """Report a sign of life with the version in force there."""
+
+    member_id: str
+    bundle_version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberLost(Message):
+    """Report that the stream to a member ended."""
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberLeaving(Message):
+    """Report that a member announced its planned stop."""
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SuspicionDue(Message):
+    """Report that a suspected member did not come back in time."""
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetentionDue(Message):
+    """Report that a dead member can be forgotten."""
+
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DigestDue(Message):
+    """Tell the component to send its digest if it changed."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RefuseMember(Command):
+    """End the stream of a process that a newer start of it replaced."""
+
+    member_id: str
+
+
+@dataclass(slots=True)
+class Member:
+    """Hold one agent or peer that has or had a stream to this entry."""
+
+    announced: MemberAnnounced
+    bundle_version: int
+    lifecycle: Lifecycle
+
+
+@dataclass(slots=True)
+class MemberState:
+    """Own the members of one entry and the digests of its peers.
+
+    The epoch grows with each digest and starts at the entry's incarnation, so
+    that a digest from before a restart is recognised as old.
+    """
+
+    entry_id: str
+    chart: Chart
+    epoch: int
+    members: dict[str, Member] = field(default_factory=dict)
+    digests: dict[str, MembersDigest] = field(default_factory=dict)
+    sent: tuple[MemberStatus, ...] = ()
+
+
+class MemberAction(Action[MemberState, Member]):
+    """Name an effect in the member chart."""
+
+    __slots__ = ()
+
+
+class TakeAnnouncement(MemberAction):
+    """Keep what the member says of itself."""
+
+    __slots__ = ()
+
+
+class NoteVersion(MemberAction):
+    """Keep the version in force at the member."""
+
+    __slots__ = ()
+
+
+class StartSuspicion(MemberAction):
+    """Give the member time to come back."""
+
+    __slots__ = ()
+
+
+class StartRetention(MemberAction):
+    """Keep the dead member in the list for a while."""
+
+    __slots__ = ()
+
+
+def member_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the member chart bound to its actions."""
+    return catalogue.bind("member", actions=MemberAction.__subclasses__())
+
+
+@singledispatch
+def decide(message: Message, state: MemberState, now: float) -> list[Command]:
+    """Return the commands that a message to the member component causes."""
+    raise UnhandledMessageError(
+        f"the member component does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: MemberAnnounced, state: MemberState, now: float) -> list[Command]:
+    member = state.members.get(message.member_id)
+    if member is None or member.lifecycle.final:
+        member = Member(message, message.bundle_version, state.chart.start())
+        state.members[message.member_id] = member
+    if message.incarnation < member.announced.incarnation:
+        return [RefuseMember(member_id=message.member_id)]
+    return member.lifecycle.handle(message, state, member, now)
+
+
+@decide.register(MemberHeard)
+@decide.register(MemberLost)
+@decide.register(MemberLeaving)
+@decide.register(SuspicionDue)
+def _(
+    message: MemberHeard | MemberLost | MemberLeaving | SuspicionDue,
+    state: MemberState,
+    now: float,
+) -> list[Command]:
+    member = state.members.get(message.member_id)
+    if member is None or member.lifecycle.final:
+        return []
+    return member.lifecycle.handle(message, state, member, now)
+
+
+@decide.register
+def _(message: RetentionDue, state: MemberState, now: float) -> list[Command]:
+    member = state.members.get(message.member_id)
+    if member is not None and member.lifecycle.final:
+        del state.members[message.member_id]
+        state.digests.pop(message.member_id, None)
+    return []
+
+
+@decide.register
+def _(message: DigestDue, state: MemberState, now: float) -> list[Command]:
+    timer = SetTimer(timer_id="digest", delay=DIGEST_INTERVAL, message=DigestDue())
+    if statuses(state) == state.sent:
+        return [timer]
+    return [timer, SendToEntry(entry_id="", message=next_digest(state))]
+
+
+@decide.register
+def _(message: MembersDigest, state: MemberState, now: float) -> list[Command]:
+    known = state.digests.get(message.entry_id)
+    if known is None or message.epoch > known.epoch:
+        state.digests[message.entry_id] = message
+    return []
+
+
+@perform.register
+def _(action: TakeAnnouncement) -> list[Command]:
+    message = action.message
+    if not isinstance(message, MemberAnnounced):
+        return []
+    action.subject.announced = message
+    action.subject.bundle_version = message.bundle_version
+    return [CancelTimer(timer_id=f"suspicion/{message.member_id}")]
+
+
+@perform.register
+def _(action: NoteVersion) -> list[Command]:
+    message = action.message
+    if isinstance(message, MemberHeard):
+        action.subject.bundle_version = message.bundle_version
+    return []
+
+
+@perform.register
+def _(action: StartSuspicion) -> list[Command]:
+    member_id = action.subject.announced.member_id
+    due = SuspicionDue(member_id=member_id)
+    return [
+        SetTimer(timer_id=f"suspicion/{member_id}", delay=SUSPICION_TIME, message=due)
+    ]
+
+
+@perform.register
+def _(action: StartRetention) -> list[Command]:
+    member_id = action.subject.announced.member_id
+    due = RetentionDue(member_id=member_id)
+    return [
+        SetTimer(timer_id=f"retention/{member_id}", delay=RETENTION_TIME, message=due)
+    ]
+
+
+def next_digest(state: MemberState) -> MembersDigest:
+    """Return a digest of the attached members under a new epoch."""
+    state.epoch += 1
+    state.sent = statuses(state)
+    return MembersDigest(entry_id=state.entry_id, epoch=state.epoch, members=state.sent)
+
+
+def statuses(state: MemberState) -> tuple[MemberStatus, ...]:
+    """Return the status of each member with a stream to this entry."""
+    return tuple(_status(member, state.entry_id) for member in state.members.values())
+
+
+def all_statuses(state: MemberState, own: MemberStatus) -> tuple[MemberStatus, ...]:
+    """Return one status for each known process, the most credible one."""
+    chosen = {own.member_id: own}
+    known = list(statuses(state))
+    for digest in state.digests.values():
+        known += digest.members
+    for status in sorted(known, key=_credibility):
+        chosen.setdefault(status.member_id, status)
+    return tuple(sorted(chosen.values(), key=lambda status: status.member_id))
+
+
+def _status(member: Member, entry_id: str) -> MemberStatus:
+    return MemberStatus(
+        member_id=member.announced.member_id,
+        kind=member.announced.kind,
+        region=member.announced.region,
+        data_centre=member.announced.data_centre,
+        state=member.lifecycle.state,
+        bundle_version=member.bundle_version,
+        entry_id=entry_id,
+    )
+
+
+def _credibility(status: MemberStatus) -> tuple[int, int]:
+    rank = (
+        STATE_RANK.index(status.state)
+        if status.state in STATE_RANK
+        else len(STATE_RANK)
+    )
+    return rank, -status.bundle_version
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/peer_directory.py
@@ -0,0 +1,227 @@
+"""Decide how an entry makes itself known and which peers it connects to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from functools import singledispatch
+from random import Random
+from typing import Any
+
+from .command import Command, ReadRows, SetTimer, Transact, WriteLog
+from .error import StoreError, UnhandledMessageError
+from .log_event import ENTRY_ROW_REFUSED
+from .message import Message
+from .store import (
+    Committed,
+    Condition,
+    Conflicted,
+    Row,
+    RowsRead,
+    RowsUnavailable,
+    StoreUnavailable,
+    Transaction,
+    Write,
+)
+
+ENTRY_PREFIX = "entry/"
+ENTRY_SCHEMA = 1
+
+ENTRY_LEASE = 30.0
+"""Seconds for which an entry's row stands without being written again."""
+
+WRITE_INTERVAL = 10.0
+"""Seconds between two writes of an entry's own row."""
+
+READ_INTERVAL = 2.0
+"""Longest time in seconds between two reads of all entries' rows."""
+
+READ_JITTER = 0.2
+"""Share of the read interval by which a read may come earlier."""
+
+DRIFT_MARGIN = 0.02
+"""Share by which another process's clock may run slower."""
+
+REMOVAL_LEASES = 10
+"""Leases after which the row of a dead entry is deleted."""
+
+ROWS_READ = "entries"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryRecord:
+    """Hold the row of an entry; the lease is in seconds."""
+
+    schema: int = ENTRY_SCHEMA
+    entry_id: str
+    address: str
+    region: str
+    data_centre: str
+    incarnation: int
+    lease: float = ENTRY_LEASE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteDue(Message):
+    """Tell the component to write its own row."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadDue(Message):
+    """Tell the component to read the rows of all entries."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawEntry(Message):
+    """Tell the component to delete its own row before a planned stop."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DialPeer(Command):
+    """Keep a stream to a peer open."""
+
+    record: EntryRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DropPeer(Command):
+    """Stop dialling a peer whose row is gone or expired."""
+
+    entry_id: str
+
+
+@dataclass(slots=True)
+class SeenEntry:
+    """Hold a row of another entry and when its version was first seen."""
+
+    record: EntryRecord
+    version: int
+    since: float
+
+
+@dataclass(slots=True)
+class PeerDirectoryState:
+    """Own this entry's row and what was read of the others'."""
+
+    own: EntryRecord
+    read_record: Callable[[dict[str, Any]], EntryRecord]
+    random: Random
+    writes: int = 0
+    seen: dict[str, SeenEntry] = field(default_factory=dict)
+    dialled: dict[str, EntryRecord] = field(default_factory=dict)
+    withdrawn: bool = False
+
+
+@singledispatch
+def decide(message: Message, state: PeerDirectoryState, now: float) -> list[Command]:
+    """Return the commands that a message to the directory component causes."""
+    raise UnhandledMessageError(
+        f"the peer directory does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@decide.register
+def _(message: WriteDue, state: PeerDirectoryState, now: float) -> list[Command]:
+    if state.withdrawn:
+        return []
+    timer = SetTimer(timer_id="write", delay=WRITE_INTERVAL, message=WriteDue())
+    return [timer, _write(state, asdict(state.own))]
+
+
+@decide.register
+def _(message: WithdrawEntry, state: PeerDirectoryState, now: float) -> list[Command]:
+    state.withdrawn = True
+    return [_write(state, None)]
+
+
+@decide.register
+def _(message: ReadDue, state: PeerDirectoryState, now: float) -> list[Command]:
+    delay = READ_INTERVAL * (1 - READ_JITTER * state.random.random())
+    return [
+        SetTimer(timer_id="read", delay=delay, message=ReadDue()),
+        ReadRows(read_id=ROWS_READ, prefix=ENTRY_PREFIX),
+    ]
+
+
+@decide.register(Committed)
+@decide.register(Conflicted)
+@decide.register(StoreUnavailable)
+@decide.register(RowsUnavailable)
+def _(
+    message: Committed | Conflicted | StoreUnavailable | RowsUnavailable,
+    state: PeerDirectoryState,
+    now: float,
+) -> list[Command]:
+    # Rows are read and written again at the next interval.
+    return []
+
+
+@decide.register
+def _(message: RowsRead, state: PeerDirectoryState, now: float) -> list[Command]:
+    commands: list[Command] = []
+    present: set[str] = set()
+    for row in message.rows:
+        try:
+            record = state.read_record(row.value)
+        except StoreError as error:
+            fields = {"key": row.key, "error": str(error)}
+            commands.append(WriteLog(number=ENTRY_ROW_REFUSED.number, fields=fields))
+            continue
+        if record.entry_id == state.own.entry_id:
+            continue
+        present.add(record.entry_id)
+        commands += _take_row(row, record, state, now)
+    for entry_id in set(state.seen) - present:
+        del state.seen[entry_id]
+    for entry_id in set(state.dialled) - present:
+        commands += _drop(entry_id, state)
+    return commands
+
+
+def _take_row(
+    row: Row, record: EntryRecord, state: PeerDirectoryState, now: float
+) -> list[Command]:
+    seen = state.seen.get(record.entry_id)
+    if seen is None or seen.version != row.version:
+        seen = SeenEntry(record, row.version, now)
+        state.seen[record.entry_id] = seen
+    unchanged = now - seen.since
+    lease = record.lease * (1 + DRIFT_MARGIN)
+    if unchanged > lease * REMOVAL_LEASES:
+        return _remove(row, record, state)
+    if unchanged > lease:
+        return _drop(record.entry_id, state)
+    # One stream per pair is enough; the entry whose id sorts later dials.
+    if state.own.entry_id <= record.entry_id:
+        return []
+    known = state.dialled.get(record.entry_id)
+    state.dialled[record.entry_id] = record
+    return [] if known == record else [DialPeer(record=record)]
+
+
+def _drop(entry_id: str, state: PeerDirectoryState) -> list[Command]:
+    if state.dialled.pop(entry_id, None) is None:
+        return []
+    return [DropPeer(entry_id=entry_id)]
+
+
+def _remove(row: Row, record: EntryRecord, state: PeerDirectoryState) -> list[Command]:
+    state.seen.pop(record.entry_id, None)
+    transaction = Transaction(
+        operation_id=f"{state.own.entry_id}/remove/{record.entry_id}/{row.version}",
+        conditions=(Condition(key=row.key, version=row.version),),
+        writes=(Write(key=row.key, value=None),),
+    )
+    return [Transact(transaction=transaction)]
+
+
+def _write(state: PeerDirectoryState, value: dict[str, Any] | None) -> Transact:
+    state.writes += 1
+    own = state.own
+    transaction = Transaction(
+        operation_id=f"{own.entry_id}/{own.incarnation}/{state.writes}",
+        conditions=(),
+        writes=(Write(key=ENTRY_PREFIX + own.entry_id, value=value),),
+    )
+    return Transact(transaction=transaction)
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -407,9 +407,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MembersDigest(Message):
-    """Give a peer the agents that are attached to the sending entry."""
+    """Give a peer the members with a stream to the sending entry.
+
+    The epoch grows with each digest of the entry, also across its restarts.
+    """
 
     entry_id: str
+    epoch: int = 0
     members: tuple[MemberStatus, ...] = field(default=())
 
 
@@ -418,6 +422,7 @@
     Heartbeat,
     Leaving,
     BundleInForce,
+    OfferBundle,
     PermitGranted,
     PermitRefused,
     AttemptCompleted,
@@ -450,6 +455,7 @@
     PeerHello,
     Heartbeat,
     HeartbeatAck,
+    Leaving,
     OfferBundle,
     BundleInForce,
     JobSubmitted,
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/bundle_codec.py
@@ -0,0 +1,128 @@
+"""Validate bundle content and the rows that hold bundles."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+
+from wasabispur_core.bundle import (
+    BundleContent,
+    canonical_json,
+    InvalidBundleError,
+)
+from wasabispur_core.bundle_record import (
+    ChangeRecord,
+    PointerRecord,
+    RECORD_SCHEMA,
+    VersionRecord,
+)
+from wasabispur_core.error import StoreError
+
+CONTENT = TypeAdapter(BundleContent)
+CHANGE = TypeAdapter(ChangeRecord)
+VERSION = TypeAdapter(VersionRecord)
+POINTER = TypeAdapter(PointerRecord)
+
+RecordT = TypeVar("RecordT")
+
+
+class BundleRecords:
+    """Turn row values into the core's records."""
+
+    def change(self, value: dict[str, Any]) -> ChangeRecord:
+        """Return the change in a row; raise StoreError."""
+        return _record(CHANGE, value)
+
+    def version(self, value: dict[str, Any]) -> VersionRecord:
+        """Return the accepted version in a row; raise StoreError."""
+        record = _record(VERSION, value)
+        _check_hexadecimal(record.signature)
+        return record
+
+    def pointer(self, value: dict[str, Any]) -> PointerRecord:
+        """Return the pointer in its row; raise StoreError."""
+        return _record(POINTER, value)
+
+    def content(self, text: str) -> BundleContent:
+        """Return the content in a canonical text; raise InvalidBundleError."""
+        try:
+            content = CONTENT.validate_json(text)
+        except ValidationError as error:
+            raise _invalid_content(error) from error
+        # Fields that this release doesn't know would be lost without a trace.
+        if canonical_json(content) != text:
+            raise InvalidBundleError(
+                "the content is not canonical, or has fields that are not known",
+                "propose it again through an entry of the same release",
+            )
+        return content
+
+
+def read_content(value: Any) -> BundleContent:
+    """Return the content that an operator wrote; raise InvalidBundleError."""
+    try:
+        content = CONTENT.validate_python(value)
+    except ValidationError as error:
+        raise _invalid_content(error) from error
+    unknown = unknown_field(value, CONTENT.dump_python(content, mode="json"))
+    if unknown:
+        raise InvalidBundleError(
+            f"the content has the unknown field {unknown}",
+            "correct the field's name, or remove it",
+        )
+    return content
+
+
+def unknown_field(given: Any, understood: Any, path: str = "") -> str:
+    """Return the path of the first given field that was not understood."""
+    if isinstance(given, dict) and isinstance(understood, dict):
+        for name, value in given.items():
+            if name not in understood:
+                return f"{path}{name}"
+            found = unknown_field(value, understood[name], f"{path}{name}.")
+            if found:
+                return found
+    if isinstance(given, list) and isinstance(understood, list):
+        for index, (value, known) in enumerate(zip(given, understood, strict=True)):
+            found = unknown_field(value, known, f"{path}{index}.")
+            if found:
+                return found
+    return ""
+
+
+def _record(adapter: TypeAdapter[RecordT], value: dict[str, Any]) -> RecordT:
+    schema = value.get("schema")
+    if not isinstance(schema, int) or schema > RECORD_SCHEMA:
+        raise StoreError(
+            f"a bundle row has schema {schema!r}, newer than {RECORD_SCHEMA}",
+            "upgrade this process to the release that wrote the row",
+        )
+    try:
+        return adapter.validate_python(value)
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        field = ".".join(str(part) for part in problem["loc"])
+        raise StoreError(
+            f"a bundle row is not valid at {field}: {problem['msg']}",
+            "restore the row in the table service",
+        ) from error
+
+
+def _check_hexadecimal(text: str) -> None:
+    try:
+        bytes.fromhex(text)
+    except ValueError as error:
+        raise StoreError(
+            "the signature in a bundle row is not hexadecimal",
+            "restore the row in the table service",
+        ) from error
+
+
+def _invalid_content(error: ValidationError) -> InvalidBundleError:
+    problem = error.errors(include_url=False)[0]
+    field = ".".join(str(part) for part in problem["loc"]) or "the whole content"
+    return InvalidBundleError(
+        f"the content is not valid at {field}: {problem['msg']}",
+        "correct the field",
+    )
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
@@ -27,6 +27,10 @@
     SETTINGS = 3
     ADDRESS_IN_USE = 4
     UNAVAILABLE = 5
+    CONFLICT = 6
+    REFUSED = 7
+    NOT_FOUND = 8
+    OUTCOME_UNKNOWN = 9
 
 
 EXIT_CODES: dict[type[WasabispurError], ExitCode] = {
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
@@ -54,8 +54,8 @@
 class MessageStream(Actor):
     """Own one open stream: send, receive, probe, and detect silence.
 
-    The initiator sends heartbeats, the other side answers them. Everything but
-    heartbeats goes to the receiver. serve() returns when the stream has ended.
+    The initiator sends heartbeats, the other side answers them. Everything that
+    arrives goes to the receiver. serve() returns when the stream has ended.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         timers: TimerService,
         stream: Any,
         receiver: Callable[[Message], None],
-        heartbeat: Callable[[int], Message],
+        heartbeat: Callable[[int], Heartbeat],
         interval: float,
         initiator: bool,
     ) -> None:
@@ -127,14 +127,14 @@
     async def on_heartbeat(self, message: Heartbeat) -> None:
         """Answer a heartbeat, and pass it on for the figures it carries."""
         self.receiver(message)
+        own = self.heartbeat(message.sequence)
         await self._send(
-            HeartbeatAck(
-                sequence=message.sequence, bundle_version=message.bundle_version
-            )
+            HeartbeatAck(sequence=own.sequence, bundle_version=own.bundle_version)
         )
 
     def on_heartbeat_ack(self, message: HeartbeatAck) -> None:
-        """Drop the acknowledgement; its arrival was noted by the reader."""
+        """Pass the acknowledgement on for the bundle version that it carries."""
+        self.receiver(message)
 
     def on_message(self, message: Message) -> None:
         """Pass a received message on."""
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -30,6 +30,7 @@
         stream: Any,
         membership: Callable[[Message], None],
         interval: float,
+        bundle_version: Callable[[], int],
     ) -> None:
         self.announce = announce
         self.membership = membership
@@ -38,7 +39,9 @@
             timers,
             stream,
             receiver=self.forward,
-            heartbeat=lambda sequence: Heartbeat(sequence=sequence, bundle_version=0),
+            heartbeat=lambda sequence: Heartbeat(
+                sequence=sequence, bundle_version=bundle_version()
+            ),
             interval=interval,
             initiator=False,
         )
@@ -70,12 +73,15 @@
     interval: float,
     timers: TimerService,
     membership: Callable[[Message], None],
+    bundle_version: Callable[[], int],
 ) -> None:
     """Serve one Attach stream until it ends."""
     announce = await receive_announce(stream)
     if announce is None:
         return
-    session = AgentSession(announce, timers, stream, membership, interval)
+    session = AgentSession(
+        announce, timers, stream, membership, interval, bundle_version
+    )
     await stream.send_message(Welcome(entry_id=entry_id, heartbeat_interval=interval))
     membership(SessionOpened(announce=announce, session=session))
     reason = "cancelled"
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/bundle_manager.py
@@ -0,0 +1,130 @@
+"""Own the bundle in force and the bundle changes in progress at this entry."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import Any
+
+from wasabispur_core import bundle_change, bundle_version
+from wasabispur_core.bundle_operation import (
+    BundleAccepted,
+    BundleChangeState,
+    BundleQuery,
+    ChangeOperation,
+    OperationEnded,
+    OperationFailed,
+)
+from wasabispur_core.bundle_version import (
+    ApplyBundle,
+    BundleOffered,
+    BundleVersionState,
+    PollDue,
+    ProcessKind,
+    SendToCounterpart,
+)
+from wasabispur_core.command import SendToAgent, SendToEntry
+from wasabispur_core.log_event import BUNDLE_OPERATION_ENDED, BUNDLE_OPERATION_FAILED
+from wasabispur_core.message import Message
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.log import log
+
+from .bridge import Ask
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShowBundleInForce(Message):
+    """Ask for the signed bundle in force at this entry."""
+
+
+class BundleManager(DecisionActor):
+    """Own the version in force; offer it to agents and peers; poll the pointer."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        state: BundleVersionState,
+        membership: Actor,
+        table: Actor,
+    ) -> None:
+        super().__init__("bundle-manager", timers, state, bundle_version.decide)
+        self.membership = membership
+        self.table = table
+        self.listeners: list[Actor] = []
+
+    async def opened(self) -> None:
+        """Read the pointer at once."""
+        self.post(PollDue())
+
+    def on_ask(self, message: Ask) -> None:
+        """Reply with the signed bundle in force, or None before the first one."""
+        message.reply.set_result(self.state.bundle)
+
+
+class BundleChangeManager(DecisionActor):
+    """Own the operators' operations in progress and the futures of their replies."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        state: BundleChangeState,
+        bundles: Actor,
+        table: Actor,
+    ) -> None:
+        super().__init__("bundle-change-manager", timers, state, bundle_change.decide)
+        self.bundles = bundles
+        self.table = table
+        self.waiting: dict[str, Future[Any]] = {}
+
+    def on_ask(self, message: Ask) -> None:
+        """Take an operator's message together with the future for its reply."""
+        asked = message.message
+        if isinstance(asked, ChangeOperation | BundleQuery):
+            self.waiting[asked.operation_id] = message.reply
+        self.on_message(asked)
+
+    def take_reply(self, operation_id: str) -> Future[Any]:
+        """Return the future that waits for an operation."""
+        return self.waiting.pop(operation_id, None) or Future()
+
+
+@execute.register
+def _(command: SendToCounterpart, actor: BundleManager) -> None:
+    target = command.counterpart
+    if target.kind is ProcessKind.AGENT:
+        actor.membership.post(
+            SendToAgent(agent_id=target.process_id, message=command.message)
+        )
+        return
+    actor.membership.post(
+        SendToEntry(entry_id=target.process_id, message=command.message)
+    )
+
+
+@execute.register
+def _(command: ApplyBundle, actor: BundleManager) -> None:
+    for listener in actor.listeners:
+        listener.post(command)
+
+
+@execute.register
+def _(command: BundleAccepted, actor: BundleChangeManager) -> None:
+    actor.bundles.post(BundleOffered(bundle=command.bundle))
+
+
+@execute.register
+def _(command: OperationEnded, actor: BundleChangeManager) -> None:
+    log(BUNDLE_OPERATION_ENDED, operation=command.operation_id)
+    actor.take_reply(command.operation_id).set_result(command)
+
+
+@execute.register
+def _(command: OperationFailed, actor: BundleChangeManager) -> None:
+    log(
+        BUNDLE_OPERATION_FAILED,
+        operation=command.operation_id,
+        error=str(command.error),
+    )
+    actor.take_reply(command.operation_id).set_exception(command.error)
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -11,11 +11,17 @@
 from wasabispur_runtime.process import fail, run_process
 from wasabispur_runtime.settings import load_settings
 
+from .bundle_command import bundle_group
+from .command_line import HELP
 from .entry import run_entry
 from .entry_settings import EntrySettings
+from .key_command import key_group
+from .member_command import member_group, status
+from .request_command import request_group
+from .settings_command import check_settings
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(context_settings=HELP)
 @click.version_option(package_name="wasabispur")
 def main() -> None:
     """Run an entry instance, or operate a wasabispur system."""
@@ -37,3 +43,14 @@
         fail(error)
     else:
         run_process(partial(run_entry, settings))
+
+
+for command in (
+    bundle_group,
+    check_settings,
+    key_group,
+    member_group,
+    request_group,
+    status,
+):
+    main.add_command(command)
--- a/packages/wasabispur/src/wasabispur/control_service.py
+++ b/packages/wasabispur/src/wasabispur/control_service.py
@@ -6,24 +6,20 @@
 
 from grpclib.const import Cardinality, Handler
 
-from wasabispur_core.timer import TimerService
-from wasabispur_runtime.codec import FROM_AGENT, TO_AGENT
-from wasabispur_runtime.stream import ATTACH_METHOD
+from wasabispur_runtime.codec import BETWEEN_ENTRIES, FROM_AGENT, TO_AGENT
+from wasabispur_runtime.stream import ATTACH_METHOD, PEER_METHOD
 
 from .agent_session import serve_agent
 from .entry_settings import EntrySettings
-from .membership import Membership
+from .peer_session import PeerContext, serve_peer
 
 
 class ControlService:
     """Map the methods of wasabispur.v1.Control to their handlers."""
 
-    def __init__(
-        self, settings: EntrySettings, timers: TimerService, membership: Membership
-    ) -> None:
+    def __init__(self, settings: EntrySettings, context: PeerContext) -> None:
         self.settings = settings
-        self.timers = timers
-        self.membership = membership
+        self.context = context
 
     async def attach(self, stream: Any) -> None:
         """Serve the stream of one agent."""
@@ -31,14 +27,22 @@
             stream,
             self.settings.entry_id,
             self.settings.heartbeat_interval,
-            self.timers,
-            self.membership.post,
+            self.context.timers,
+            self.context.membership,
+            self.context.bundle_version,
         )
 
+    async def peer(self, stream: Any) -> None:
+        """Serve the stream of one peer entry."""
+        await serve_peer(stream, self.context)
+
     def __mapping__(self) -> dict[str, Handler]:
         """Return grpclib's handlers by method path."""
         return {
             ATTACH_METHOD: Handler(
                 self.attach, Cardinality.STREAM_STREAM, FROM_AGENT, TO_AGENT
             ),
+            PEER_METHOD: Handler(
+                self.peer, Cardinality.STREAM_STREAM, BETWEEN_ENTRIES, BETWEEN_ENTRIES
+            ),
         }
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -3,26 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
 
 from grpclib.server import Server
 
-from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.request import RequestState
-from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
 
 from .bridge import Bridge
 from .control_service import ControlService
+from .entry_actors import build_actors
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
-from .membership import Membership
-from .request_dispatcher import RequestDispatcher
 
 
 async def run_entry(
@@ -30,18 +26,14 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
-    membership = Membership(timers)
-    state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
-    dispatcher = RequestDispatcher(timers, state, membership)
-    membership.dispatcher = dispatcher
-    membership.start()
-    dispatcher.start()
-    control = Server(
-        [ControlService(settings, timers, membership)], codec=MessageCodec()
-    )
+    table = Actor("table-client", timers)
+    actors = build_actors(settings, timers, table)
+    table.start()
+    actors.start()
+    control = Server([ControlService(settings, actors.context)], codec=MessageCodec())
     bridge = Bridge(asyncio.get_running_loop())
     http = HttpServer(
-        build_application(VersionOneResource(bridge, dispatcher)),
+        build_application(VersionOneResource(bridge, actors)),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -53,8 +45,8 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
-    await dispatcher.close()
-    await membership.close()
+    await actors.close()
+    await table.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -7,6 +7,7 @@
 from pydantic import Field
 
 from wasabispur_runtime.settings import Settings
+from wasabispur_runtime.signature import OperatorKeys
 
 Port = Annotated[int, Field(ge=1, le=65535)]
 
@@ -22,4 +23,11 @@
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
+    operators: OperatorKeys = []
+    advertised_address: str = ""
     log_level: str = "INFO"
+
+    @property
+    def control_address(self) -> str:
+        """Return the address at which other processes reach the control port."""
+        return self.advertised_address or f"{self.host}:{self.control_port}"
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -7,8 +7,10 @@
 import cherrypy
 
 from .bridge import Bridge
+from .bundle_resource import BundleResource
+from .entry_actors import EntryActors
 from .http_error import handle_error, handle_http_error
-from .request_dispatcher import RequestDispatcher
+from .member_resource import MemberResource
 from .service_resource import ServiceResource
 
 CONFIGURATION = {
@@ -38,8 +40,10 @@
 class VersionOneResource:
     """Hold the resources under /v1."""
 
-    def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
-        self.services = ServiceResource(bridge, dispatcher)
+    def __init__(self, bridge: Bridge, actors: EntryActors) -> None:
+        self.services = ServiceResource(bridge, actors.dispatcher)
+        self.bundles = BundleResource(bridge, actors.changes, actors.bundles)
+        self.members = MemberResource(bridge, actors.membership)
 
 
 def build_application(version_1: VersionOneResource) -> Any:
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/key_command.py
@@ -0,0 +1,31 @@
+"""Define the commands for operators' keys."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from wasabispur_runtime.signature import generate_key
+
+from .command_line import HELP, operator_option, with_exit_code
+
+
+@click.group("key", context_settings=HELP)
+def key_group() -> None:
+    """Create the keys with which operators sign off."""
+
+
+@key_group.command()
+@click.argument("path", type=click.Path(path_type=Path))
+@operator_option
+def generate(path: Path, operator: str) -> None:
+    """Write a new private key to PATH and print its entry for the settings."""
+
+    def run() -> None:
+        public_key = generate_key(path)
+        entry = {"operator": operator, "public_key": public_key}
+        click.echo(json.dumps(entry, indent=2))
+
+    with_exit_code(run)
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -1,41 +1,84 @@
-"""Own the streams of the attached agents and route their messages."""
+"""Own the streams of agents and peers and route their messages."""
 
 from __future__ import annotations
 
-from functools import singledispatch
-from typing import Any
-
-from wasabispur_core.command import SendToAgent
-from wasabispur_core.log_event import AGENT_ATTACHED, AGENT_DETACHED
-from wasabispur_core.member import FromAgent
+from dataclasses import replace
+
+from wasabispur_core.bundle_version import (
+    ApplyBundle,
+    Counterpart,
+    CounterpartLost,
+    ProcessKind,
+    VersionReported,
+)
+from wasabispur_core.command import SendToAgent, SendToEntry
+from wasabispur_core.log_event import (
+    AGENT_ATTACHED,
+    AGENT_DETACHED,
+    MEMBER_REFUSED,
+    PEER_CONNECTED,
+    PEER_LOST,
+)
+from wasabispur_core.member import (
+    all_statuses,
+    decide,
+    DigestDue,
+    FromAgent,
+    FromPeer,
+    MemberAnnounced,
+    MemberLost,
+    MemberState,
+    next_digest,
+    RefuseMember,
+)
 from wasabispur_core.message import Message
-from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Role
-from wasabispur_core.request import AgentAttached, AgentDetached, AgentLeaving
+from wasabispur_core.protocol import Announce, MemberStatus, PeerHello, Role
+from wasabispur_core.request import AgentAttached, AgentDetached
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.decision_actor import execute
+from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
 from wasabispur_runtime.stream import Outgoing
 
 from .agent_session import AgentSession, SessionEnded, SessionOpened
+from .bridge import Ask
+from .member_routing import Arrival, describe_agent, describe_peer, route
+from .peer_session import PeerEnded, PeerOpened, PeerSession
 
 
-class Membership(Actor):
-    """Own the table of attached agents."""
+class Membership(DecisionActor):
+    """Own the streams of this entry and the state of all members."""
 
-    def __init__(self, timers: TimerService) -> None:
-        super().__init__("membership", timers)
+    def __init__(
+        self, timers: TimerService, state: MemberState, own: MemberStatus
+    ) -> None:
+        super().__init__("membership", timers, state, decide)
+        self.own = own
         self.sessions: dict[str, AgentSession] = {}
+        self.peers: dict[str, PeerSession] = {}
         self.dispatcher: Actor | None = None
+        self.bundles: Actor | None = None
+        self.receivers: dict[type[Message], Actor] = {}
+
+    def register(self, message_class: type[Message], actor: Actor) -> None:
+        """Let an actor get the messages of a class from agents and peers."""
+        self.receivers[message_class] = actor
+
+    async def opened(self) -> None:
+        """Begin to send digests."""
+        self.post(DigestDue())
 
     def on_session_opened(self, message: SessionOpened) -> None:
         """Take a new session; an older one of the same agent is ended."""
-        announce = message.announce
+        announce, session = message.announce, message.session
+        if not self.admits(describe_agent(announce), session):
+            return
         previous = self.sessions.get(announce.agent_id)
         if previous is not None:
             previous.end("replaced by a newer stream")
-        self.sessions[announce.agent_id] = message.session
+        self.sessions[announce.agent_id] = session
         log(AGENT_ATTACHED, agent=announce.agent_id)
+        self.report_version(ProcessKind.AGENT, announce.agent_id, announce)
         if announce.role is Role.ENDPOINT and self.dispatcher is not None:
             self.dispatcher.post(
                 AgentAttached(
@@ -53,43 +96,88 @@
             return
         del self.sessions[agent_id]
         log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
+        self.lose(ProcessKind.AGENT, agent_id)
         if self.dispatcher is not None:
             self.dispatcher.post(AgentDetached(agent_id=agent_id))
 
+    def on_peer_opened(self, message: PeerOpened) -> None:
+        """Take a new stream to a peer and give it the digest."""
+        hello, session = message.hello, message.session
+        if not self.admits(describe_peer(hello), session):
+            return
+        previous = self.peers.get(hello.entry_id)
+        if previous is not None:
+            previous.end("replaced by a newer stream")
+        self.peers[hello.entry_id] = session
+        log(PEER_CONNECTED, entry=hello.entry_id)
+        self.report_version(ProcessKind.ENTRY, hello.entry_id, hello)
+        self.post(SendToEntry(entry_id="", message=next_digest(self.state)))
+
+    def on_peer_ended(self, message: PeerEnded) -> None:
+        """Forget a peer whose current stream ended."""
+        entry_id = message.session.hello.entry_id
+        if self.peers.get(entry_id) is not message.session:
+            return
+        del self.peers[entry_id]
+        log(PEER_LOST, entry=entry_id, reason=message.reason)
+        self.lose(ProcessKind.ENTRY, entry_id)
+
     def on_send_to_agent(self, message: SendToAgent) -> None:
         """Send a message on the agent's stream if there is one."""
         session = self.sessions.get(message.agent_id)
         if session is not None:
             session.post(Outgoing(message=message.message))
 
+    def on_send_to_entry(self, message: SendToEntry) -> None:
+        """Send a message on the stream to one peer or to all of them."""
+        for entry_id, session in self.peers.items():
+            if message.entry_id in ("", entry_id):
+                session.post(Outgoing(message=message.message))
+
     def on_from_agent(self, message: FromAgent) -> None:
         """Pass an agent's message to the actor that handles its kind."""
-        route(message.message, message, self)
-
-
-@singledispatch
-def route(content: Message, message: FromAgent, membership: Membership) -> None:
-    """Pass a message from an agent to the actor that handles its kind."""
-    if membership.dispatcher is not None:
-        membership.dispatcher.post(message)
-
-
-@route.register
-def _(content: Heartbeat, message: FromAgent, membership: Membership) -> None:
-    pass
-
-
-@route.register
-def _(content: Announce, message: FromAgent, membership: Membership) -> None:
-    pass
-
-
-@route.register
-def _(content: Leaving, message: FromAgent, membership: Membership) -> None:
-    if membership.dispatcher is not None:
-        membership.dispatcher.post(AgentLeaving(agent_id=message.agent_id))
-
+        source = Counterpart(kind=ProcessKind.AGENT, process_id=message.agent_id)
+        route(message.message, Arrival(message, source), self)
+
+    def on_from_peer(self, message: FromPeer) -> None:
+        """Pass a peer's message to the actor that handles its kind."""
+        source = Counterpart(kind=ProcessKind.ENTRY, process_id=message.entry_id)
+        route(message.message, Arrival(message, source), self)
+
+    def on_ask(self, message: Ask) -> None:
+        """Reply with the status of all known processes."""
+        message.reply.set_result(all_statuses(self.state, self.own))
+
+    def on_apply_bundle(self, message: ApplyBundle) -> None:
+        """Show the bundle version in force in this entry."""
+        self.own = replace(self.own, bundle_version=message.version)
+
+    def admits(
+        self, announced: MemberAnnounced, session: AgentSession | PeerSession
+    ) -> bool:
+        """Return whether the process is the newest start of its id."""
+        commands = decide(announced, self.state, self.timers.now())
+        for command in commands:
+            if isinstance(command, RefuseMember):
+                log(MEMBER_REFUSED, member=announced.member_id)
+                session.end("a newer start of this process is known")
+                return False
+            execute(command, self)
+        return True
+
+    def report_version(
+        self, kind: ProcessKind, process_id: str, report: Announce | PeerHello
+    ) -> None:
+        """Tell the bundle manager which version a new counterpart has."""
+        if self.bundles is not None:
+            source = Counterpart(kind=kind, process_id=process_id)
+            self.bundles.post(
+                VersionReported(source=source, version=report.bundle_version)
+            )
 
-@execute.register
-def _(command: SendToAgent, actor: Any) -> None:
-    actor.membership.post(command)
+    def lose(self, kind: ProcessKind, process_id: str) -> None:
+        """Note that the stream to a process is gone."""
+        self.on_message(MemberLost(member_id=process_id))
+        if self.bundles is not None:
+            source = Counterpart(kind=kind, process_id=process_id)
+            self.bundles.post(CounterpartLost(source=source))
--- /dev/null
+++ b/tests/bundle/cluster.py
@@ -0,0 +1,370 @@
+"""Simulate several processes, their network and the table service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from functools import singledispatch
+from random import Random
+
+from wasabispur_core import bundle_change, bundle_version
+from wasabispur_core.bundle import BundleError
+from wasabispur_core.bundle_action import bundle_change_chart
+from wasabispur_core.bundle_operation import (
+    BundleAccepted,
+    BundleChangeState,
+    ChangeOperation,
+    OperationEnded,
+    OperationFailed,
+)
+from wasabispur_core.bundle_record import change_key, ChangeRecord, POINTER_KEY
+from wasabispur_core.bundle_version import (
+    ApplyBundle,
+    BundleOffered,
+    BundleVersionState,
+    Counterpart,
+    CounterpartLost,
+    PollDue,
+    ProcessKind,
+    SendToCounterpart,
+    VersionReported,
+)
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.command import (
+    CancelTimer,
+    Command,
+    ReadRows,
+    SetTimer,
+    Transact,
+    WriteLog,
+)
+from wasabispur_core.message import Message
+from wasabispur_core.protocol import BundleInForce, OfferBundle
+from wasabispur_core.store import (
+    Committed,
+    Conflicted,
+    Row,
+    RowsRead,
+    RowsUnavailable,
+    StoreUnavailable,
+    Transaction,
+)
+from wasabispur_core.timer import FakeTimerService, Subscription
+from wasabispur_runtime.bundle_codec import BundleRecords
+from wasabispur_runtime.signature import Ed25519Verifier
+
+from .operators import TRUSTED
+
+PATIENCE = 2.0
+"""Seconds of patience of the simulated agents, as in wasabispur_agent."""
+
+CHART = bundle_change_chart(ChartCatalogue())
+
+
+@dataclass
+class Node:
+    """Hold one process; given is the newest version it ever had, restarts included."""
+
+    name: str
+    kind: ProcessKind
+    region: str
+    version_state: BundleVersionState
+    change_state: BundleChangeState
+    incarnation: int = 0
+    given: int = 0
+    peak: int = 0
+    paused: bool = False
+    backlog: list[Message] = field(default_factory=list)
+    timers: dict[str, Subscription] = field(default_factory=dict)
+
+    @property
+    def counterpart(self) -> Counterpart:
+        return Counterpart(kind=self.kind, process_id=self.name)
+
+
+@dataclass(frozen=True)
+class Envelope:
+    """Hold a message on its way to a node."""
+
+    target: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class StoreRequest:
+    """Hold a transaction on its way from a node to the table service."""
+
+    source: str
+    transaction: Transaction
+
+
+class Cluster:
+    """Run the bundle components of several processes on one fake clock."""
+
+    def __init__(self, trust: object | None = None) -> None:
+        self.timers = FakeTimerService()
+        self.verifier = trust or Ed25519Verifier(TRUSTED)
+        self.rows: dict[str, Row] = {}
+        self.sequence = 0
+        self.store_up = True
+        self.check_conditions = True
+        self.poll = True
+        self.greet = True
+        self.network: list[Envelope | StoreRequest] = []
+        self.connected: set[tuple[str, str]] = set()
+        self.cut: set[str] = set()
+        self.offers: list[BundleOffered] = []
+        self.outcomes: dict[str, BundleError | None] = {}
+        self.accepted: list[tuple[int, str]] = []
+        self.nodes = {
+            name: self.new_node(name, kind, region)
+            for name, kind, region in (
+                ("entry-a", ProcessKind.ENTRY, "atlanta"),
+                ("entry-b", ProcessKind.ENTRY, "savannah"),
+                ("agent-a", ProcessKind.AGENT, "atlanta"),
+                ("agent-b", ProcessKind.AGENT, "savannah"),
+                ("agent-c", ProcessKind.AGENT, "macon"),
+            )
+        }
+        for node in self.nodes.values():
+            self.start(node)
+
+    def new_node(self, name: str, kind: ProcessKind, region: str) -> Node:
+        """Return a process with empty memory."""
+        patience = PATIENCE if kind is ProcessKind.AGENT else 0.0
+        records = BundleRecords()
+        version = BundleVersionState(
+            kind, records, self.verifier, Random(name), patience
+        )
+        change = BundleChangeState(CHART, records, self.verifier, lambda content: None)
+        return Node(name, kind, region, version, change)
+
+    def start(self, node: Node) -> None:
+        """Let a process begin to poll."""
+        if node.kind is ProcessKind.ENTRY and self.poll:
+            self.take(node, PollDue())
+
+    def restart(self, name: str) -> None:
+        """Replace a process by one with empty memory."""
+        old = self.nodes[name]
+        for subscription in old.timers.values():
+            subscription.cancel()
+        node = self.new_node(name, old.kind, old.region)
+        node.incarnation = old.incarnation + 1
+        node.given = old.given
+        self.nodes[name] = node
+        for pair in [pair for pair in self.connected if name in pair]:
+            self.disconnect(pair)
+        self.start(node)
+
+    def pairs(self) -> Iterator[tuple[str, str]]:
+        """Yield each pair of processes that keep a stream."""
+        entries = [n for n in self.nodes.values() if n.kind is ProcessKind.ENTRY]
+        for node in self.nodes.values():
+            for entry in entries:
+                if node.kind is ProcessKind.AGENT or node.name > entry.name:
+                    yield node.name, entry.name
+
+    def reachable(self, pair: tuple[str, str]) -> bool:
+        """Return whether no cut and no pause lies between two processes."""
+        first, second = (self.nodes[name] for name in pair)
+        if first.paused or second.paused:
+            return False
+        if first.region == second.region:
+            return True
+        return not {first.region, second.region} & self.cut
+
+    def disconnect(self, pair: tuple[str, str]) -> None:
+        """End a stream for both processes."""
+        self.connected.discard(pair)
+        for name, other in (pair, pair[::-1]):
+            lost = CounterpartLost(source=self.nodes[other].counterpart)
+            self.take(self.nodes[name], lost)
+
+    def beat(self) -> None:
+        """Let a heartbeat interval pass: streams open, end, or carry heartbeats."""
+        for pair in list(self.pairs()):
+            if not self.reachable(pair):
+                if pair in self.connected:
+                    self.disconnect(pair)
+                continue
+            self.connected.add(pair)
+            for name, other in (pair, pair[::-1]):
+                if self.greet:
+                    node = self.nodes[other]
+                    report = VersionReported(
+                        source=node.counterpart, version=node.version_state.version
+                    )
+                    self.network.append(Envelope(name, report))
+        self.timers.advance(1.0)
+
+    def settle(self, seconds: int) -> None:
+        """Let heartbeat intervals pass in which every message arrives in order."""
+        for _ in range(seconds):
+            self.beat()
+            while self.network:
+                self.deliver(0)
+
+    def deliver(self, index: int) -> None:
+        """Let one message arrive."""
+        arriving = self.network.pop(index % len(self.network))
+        if isinstance(arriving, StoreRequest):
+            node = self.nodes[arriving.source]
+            self.network.append(Envelope(node.name, self.transact(arriving)))
+            return
+        self.take(self.nodes[arriving.target], arriving.message)
+
+    def take(self, node: Node, message: Message) -> None:
+        """Let a process handle a message, now or when it wakes up."""
+        if node.paused:
+            node.backlog.append(message)
+            return
+        change = isinstance(message, ChangeOperation) or type(message) in CHANGE_TYPES
+        if isinstance(message, (RowsRead, RowsUnavailable)):
+            change = not message.read_id.startswith("bundle-")
+        decide, state = (
+            (bundle_change.decide, node.change_state)
+            if change
+            else (bundle_version.decide, node.version_state)
+        )
+        for command in decide(message, state, self.timers.now()):
+            execute(command, self, node)
+
+    def wake(self, node: Node) -> None:
+        """Let a paused process handle what came in meanwhile."""
+        node.paused = False
+        backlog, node.backlog = node.backlog, []
+        for message in backlog:
+            self.take(node, message)
+
+    def transact(self, request: StoreRequest) -> Message:
+        """Apply a transaction in the table service."""
+        transaction = request.transaction
+        operation_id = transaction.operation_id
+        if not self.store_up:
+            return StoreUnavailable(
+                operation_id=operation_id, reason="outage", uncertain=False
+            )
+        conflicts = tuple(
+            condition.key
+            for condition in transaction.conditions
+            if condition.version != self.row_version(condition.key)
+        )
+        if conflicts and self.check_conditions:
+            return Conflicted(operation_id=operation_id, keys=conflicts)
+        self.sequence += 1
+        for write in transaction.writes:
+            assert write.value is not None
+            self.rows[write.key] = Row(
+                key=write.key,
+                version=self.sequence,
+                operation_id=operation_id,
+                value=write.value,
+            )
+            if write.key == POINTER_KEY:
+                self.accepted.append((write.value["version"], operation_id))
+        return Committed(
+            operation_id=operation_id,
+            versions={write.key: self.sequence for write in transaction.writes},
+        )
+
+    def row_version(self, key: str) -> int:
+        """Return the version of a row, 0 if it doesn't exist."""
+        return self.rows[key].version if key in self.rows else 0
+
+    def change(self, change_id: str) -> ChangeRecord | None:
+        """Return a change as stored."""
+        row = self.rows.get(change_key(change_id))
+        return None if row is None else BundleRecords().change(row.value)
+
+    def current_version(self) -> int:
+        """Return the version that the pointer names."""
+        row = self.rows.get(POINTER_KEY)
+        return 0 if row is None else int(row.value["version"])
+
+
+CHANGE_TYPES = {
+    bundle_change.ResolveDue,
+    bundle_change.OperationDue,
+    Committed,
+    Conflicted,
+    StoreUnavailable,
+}
+
+
+@singledispatch
+def execute(command: Command, cluster: Cluster, node: Node) -> None:
+    """Carry out a command of a simulated process."""
+    raise AssertionError(f"no simulation of {type(command).__name__}")
+
+
+@execute.register
+def _(command: SetTimer, cluster: Cluster, node: Node) -> None:
+    execute(CancelTimer(timer_id=command.timer_id), cluster, node)
+
+    def fire(message: Message) -> None:
+        if cluster.nodes[node.name] is node:
+            cluster.take(node, message)
+
+    node.timers[command.timer_id] = cluster.timers.subscribe(
+        command.delay, fire, command.message
+    )
+
+
+@execute.register
+def _(command: CancelTimer, cluster: Cluster, node: Node) -> None:
+    subscription = node.timers.pop(command.timer_id, None)
+    if subscription is not None:
+        subscription.cancel()
+
+
+@execute.register
+def _(command: Transact, cluster: Cluster, node: Node) -> None:
+    cluster.network.append(StoreRequest(node.name, command.transaction))
+
+
+@execute.register
+def _(command: ReadRows, cluster: Cluster, node: Node) -> None:
+    rows = [r for k, r in sorted(cluster.rows.items()) if k.startswith(command.prefix)]
+    answer: Message = RowsRead(read_id=command.read_id, rows=tuple(rows))
+    if not cluster.store_up:
+        answer = RowsUnavailable(read_id=command.read_id, reason="outage")
+    cluster.network.append(Envelope(node.name, answer))
+
+
+@execute.register
+def _(command: SendToCounterpart, cluster: Cluster, node: Node) -> None:
+    target, content = command.counterpart.process_id, command.message
+    message: Message
+    if isinstance(content, OfferBundle):
+        message = BundleOffered(bundle=content.bundle, source=node.counterpart)
+        cluster.offers.append(message)
+    else:
+        assert isinstance(content, BundleInForce)
+        message = VersionReported(source=node.counterpart, version=content.version)
+    cluster.network.append(Envelope(target, message))
+
+
+@execute.register
+def _(command: ApplyBundle, cluster: Cluster, node: Node) -> None:
+    node.given = max(node.given, command.version)
+
+
+@execute.register
+def _(command: WriteLog, cluster: Cluster, node: Node) -> None:
+    pass
+
+
+@execute.register
+def _(command: BundleAccepted, cluster: Cluster, node: Node) -> None:
+    cluster.take(node, BundleOffered(bundle=command.bundle))
+
+
+@execute.register
+def _(command: OperationEnded, cluster: Cluster, node: Node) -> None:
+    cluster.outcomes[command.operation_id] = None
+
+
+@execute.register
+def _(command: OperationFailed, cluster: Cluster, node: Node) -> None:
+    cluster.outcomes[command.operation_id] = command.error
