--- /dev/null
+++ b/tests/member/test_member.py
@@ -0,0 +1,161 @@
+"""Guard the state of members and the digests between entries."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.command import CancelTimer, Command, SendToEntry, SetTimer
+from wasabispur_core.member import (
+    all_statuses,
+    decide,
+    DigestDue,
+    member_chart,
+    MemberAnnounced,
+    MemberHeard,
+    MemberLeaving,
+    MemberLost,
+    MemberState,
+    next_digest,
+    RefuseMember,
+    RETENTION_TIME,
+    RetentionDue,
+    SUSPICION_TIME,
+    SuspicionDue,
+)
+from wasabispur_core.message import Message
+from wasabispur_core.protocol import MembersDigest, MemberStatus
+
+CHART = member_chart(ChartCatalogue())
+OWN = MemberStatus(
+    member_id="entry-a",
+    kind="entry",
+    region="atlanta",
+    data_centre="atl-1",
+    state="live",
+    bundle_version=3,
+    entry_id="entry-a",
+)
+HEARD = MemberHeard(member_id="agent", bundle_version=2)
+LOST = MemberLost(member_id="agent")
+LEAVING = MemberLeaving(member_id="agent")
+SUSPECTED = SuspicionDue(member_id="agent")
+FORGOTTEN = RetentionDue(member_id="agent")
+
+
+def announced(incarnation: int = 1) -> MemberAnnounced:
+    return MemberAnnounced(
+        member_id="agent",
+        kind="agent",
+        region="atlanta",
+        data_centre="atl-1",
+        incarnation=incarnation,
+        bundle_version=1,
+    )
+
+
+def new_state(entry_id: str = "entry-a") -> MemberState:
+    return MemberState(entry_id, CHART, 1)
+
+
+def tell(state: MemberState, *messages: Message) -> list[Command]:
+    return [command for m in messages for command in decide(m, state, 0.0)]
+
+
+@pytest.mark.parametrize(
+    ("messages", "expected"),
+    [
+        ([announced()], "joining"),
+        ([announced(), HEARD], "live"),
+        ([announced(), HEARD, LOST], "suspect"),
+        ([announced(), HEARD, LOST, announced()], "joining"),
+        ([announced(), HEARD, LOST, SUSPECTED], "dead"),
+        ([announced(), HEARD, SUSPECTED], "live"),
+        ([announced(), HEARD, LEAVING], "leaving"),
+        ([announced(), HEARD, LEAVING, HEARD], "leaving"),
+        ([announced(), HEARD, LEAVING, LOST], "dead"),
+        ([announced(), LOST, SUSPECTED, HEARD], "dead"),
+        ([announced(), LOST, SUSPECTED, announced(2)], "joining"),
+    ],
+)
+def test_state_follows_what_is_seen(messages, expected):
+    """Guard against a member that is shown live although it is not."""
+    state = new_state()
+    tell(state, *messages)
+    assert state.members["agent"].lifecycle.state == expected
+
+
+def test_lost_member_gets_time_and_is_then_forgotten():
+    """Guard against a table that keeps every process that ever was."""
+    state = new_state()
+    commands = tell(state, announced(), HEARD, LOST, SUSPECTED)
+    delays = [c.delay for c in commands if isinstance(c, SetTimer)]
+    assert delays == [SUSPICION_TIME, RETENTION_TIME]
+    tell(state, FORGOTTEN)
+    assert not state.members
+
+
+def test_forgetting_spares_a_member_that_came_back():
+    """Guard against dropping a process that restarted within the retention."""
+    state = new_state()
+    commands = tell(state, announced(), LOST, SUSPECTED, announced(2), FORGOTTEN)
+    assert state.members["agent"].lifecycle.state == "joining"
+    assert any(isinstance(command, CancelTimer) for command in commands)
+
+
+def test_older_start_of_the_same_process_is_refused():
+    """Guard against an old process that wakes up and replaces the newer one."""
+    state = new_state()
+    commands = tell(state, announced(2), HEARD, announced(1))
+    assert RefuseMember(member_id="agent") in commands
+    assert state.members["agent"].announced.incarnation == 2
+
+
+def test_digest_is_sent_only_if_it_changed():
+    """Guard against traffic between entries that grows without any change."""
+    state = new_state()
+
+    def digests() -> list[Command]:
+        return [c for c in tell(state, DigestDue()) if isinstance(c, SendToEntry)]
+
+    tell(state, announced(), HEARD)
+    assert len(digests()) == 1
+    assert digests() == []
+    tell(state, MemberHeard(member_id="agent", bundle_version=3))
+    assert len(digests()) == 1
+
+
+@given(st.permutations(range(5)), st.lists(st.integers(0, 4), max_size=5))
+def test_digests_in_any_order_end_at_the_newest(order, repeated):
+    """Guard against a late or repeated digest that brings an old state back."""
+    sender, receiver = new_state("entry-b"), new_state()
+    tell(sender, announced())
+    digests: list[MembersDigest] = []
+    for version in range(5):
+        tell(sender, MemberHeard(member_id="agent", bundle_version=version))
+        digests.append(next_digest(sender))
+    tell(receiver, *(digests[i] for i in (*order, *repeated)))
+    shown = {s.member_id: s for s in all_statuses(receiver, OWN)}
+    assert shown["agent"].bundle_version == 4
+
+
+def test_digest_from_before_a_restart_of_the_entry_is_dropped():
+    """Guard against a restarted entry whose new digests are taken for old ones."""
+    old, receiver = new_state("entry-b"), new_state()
+    tell(old, announced(), HEARD)
+    late = [next_digest(old) for _ in range(3)]
+    restarted = MemberState("entry-b", CHART, 1_000)
+    tell(receiver, next_digest(restarted), *late)
+    assert receiver.digests["entry-b"].members == ()
+
+
+def test_live_status_outranks_the_suspicion_of_another_entry():
+    """Guard against a live process shown as suspect for one broken stream."""
+    state, other = new_state(), new_state("entry-b")
+    tell(state, announced(), HEARD, LOST)
+    tell(other, announced(), HEARD)
+    tell(state, next_digest(other))
+    shown = {status.member_id: status for status in all_statuses(state, OWN)}
+    assert shown["agent"].state == "live"
+    assert shown["entry-a"] == OWN
