--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -62,6 +62,10 @@
 TASK_ENDED = LogEvent(405, "INFO", "task {task} ended: {result}")
 WORKER_FAILED = LogEvent(406, "WARNING", "the worker failed on {path}: {error}")
 
+STORE_DOWN = LogEvent(601, "ERROR", "{store} gets no answers; calls are held back")
+STORE_ANSWERS = LogEvent(602, "INFO", "{store} gets answers again")
+RESULT_UNDELIVERED = LogEvent(603, "ERROR", "{store} can't deliver {result}: {error}")
+
 
 def catalogue() -> dict[int, LogEvent]:
     """Return all log events by number."""
