Wire bundles, peers and members into the binaries and test them as processes

The bundle decisions had no store and no streams.

Membership executes its own commands, so it needs itself as the target of SendToEntry; without it no digest left the entry, which the first process run showed as agents missing at the other entry.

--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 from grpclib.server import Server
 
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
 from .control_service import ControlService
@@ -26,7 +27,7 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
-    table = Actor("table-client", timers)
+    table = TableClient(timers, settings.table_url, Random())
     actors = build_actors(settings, timers, table)
     table.start()
     actors.start()
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -23,6 +23,7 @@
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
+    table_url: Annotated[str, Field(pattern=r"^http://")]
     operators: OperatorKeys = []
     advertised_address: str = ""
     log_level: str = "INFO"
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -54,6 +54,7 @@
     ) -> None:
         super().__init__("membership", timers, state, decide)
         self.own = own
+        self.membership: Actor = self
         self.sessions: dict[str, AgentSession] = {}
         self.peers: dict[str, PeerSession] = {}
         self.dispatcher: Actor | None = None
--- /dev/null
+++ b/tests/process/bundle_system.py
@@ -0,0 +1,230 @@
+"""Run a table service, entries and agents of three regions as real processes."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from .forwarder import Forwarder
+
+START_LIMIT = 30.0
+STOP_LIMIT = 10.0
+COMMAND_LIMIT = 30.0
+POLL_INTERVAL = 0.05
+"""Seconds."""
+
+REGION_OF = {
+    "entry-a": "atlanta",
+    "entry-b": "savannah",
+    "agent-a": "atlanta",
+    "agent-b": "savannah",
+    "agent-c": "macon",
+}
+ENTRIES = ("entry-a", "entry-b")
+AGENTS = ("agent-a", "agent-b", "agent-c")
+
+
+class BundleSystem:
+    """Hold the processes; every one is ended by its id in close()."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.children: dict[str, subprocess.Popen[bytes]] = {}
+        self.table_port = free_port()
+        self.http_ports = {name: free_port() for name in ENTRIES}
+        self.control_ports = {name: free_port() for name in ENTRIES}
+        self.peer_link = Forwarder(self.control_ports["entry-a"])
+        self.macon_link = Forwarder(self.control_ports["entry-b"])
+        self.operators = [self.generate_key(name) for name in ("ada", "ben", "cleo")]
+
+    def start(self) -> None:
+        """Start all processes and wait until the entries know all of them."""
+        self.spawn(
+            "table",
+            "wasabispur_standins",
+            "table-service",
+            "--port",
+            str(self.table_port),
+        )
+        self.wait_for(self.table_answers, START_LIMIT)
+        for name in REGION_OF:
+            self.start_member(name)
+        for name in ENTRIES:
+            self.wait_for(lambda name=name: self.sees_all(name), START_LIMIT)
+
+    def start_member(self, name: str) -> None:
+        """Start an entry or an agent."""
+        settings = self.folder / f"{name}.json"
+        if name in ENTRIES:
+            settings.write_text(json.dumps(self.entry_settings(name)))
+            self.spawn(name, "wasabispur", "entry", "--settings", str(settings))
+        else:
+            settings.write_text(json.dumps(self.agent_settings(name)))
+            self.spawn(name, "wasabispur_agent", "--settings", str(settings))
+
+    def entry_settings(self, name: str) -> dict[str, Any]:
+        """Return the settings of an entry; entry-a is dialled through a link."""
+        port = self.peer_link.port if name == "entry-a" else self.control_ports[name]
+        return {
+            "entry_id": name,
+            "region": REGION_OF[name],
+            "data_centre": f"{REGION_OF[name]}-1",
+            "http_port": self.http_ports[name],
+            "control_port": self.control_ports[name],
+            "advertised_address": f"127.0.0.1:{port}",
+            "table_url": f"http://127.0.0.1:{self.table_port}",
+            "operators": self.operators,
+        }
+
+    def agent_settings(self, name: str) -> dict[str, Any]:
+        """Return the settings of an agent; the one in Macon dials through a link."""
+        ports = {
+            "agent-a": self.control_ports["entry-a"],
+            "agent-b": self.control_ports["entry-b"],
+            "agent-c": self.macon_link.port,
+        }
+        return {
+            "agent_id": name,
+            "role": "endpoint",
+            "region": REGION_OF[name],
+            "data_centre": f"{REGION_OF[name]}-1",
+            "entries": [f"127.0.0.1:{ports[name]}"],
+            "local_url": "http://127.0.0.1:9",
+            "service": "tag-composer",
+            "operators": self.operators,
+        }
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start one process whose output goes to a file."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.children[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+
+    def kill(self, name: str) -> None:
+        """End one process at once, as a crash does."""
+        child = self.children.pop(name)
+        child.kill()
+        child.wait(STOP_LIMIT)
+
+    def close(self) -> None:
+        """End every process and link."""
+        for child in self.children.values():
+            child.terminate()
+        for child in self.children.values():
+            try:
+                child.wait(STOP_LIMIT)
+            except subprocess.TimeoutExpired:
+                child.kill()
+                child.wait(STOP_LIMIT)
+        self.peer_link.close()
+        self.macon_link.close()
+
+    def generate_key(self, operator: str) -> dict[str, Any]:
+        """Let the command line write an operator's key and return its entry."""
+        path = self.folder / f"{operator}.pem"
+        done = self.run("key", "generate", str(path), "--operator", operator)
+        entry: dict[str, Any] = json.loads(done.stdout)
+        return entry
+
+    def run(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", "wasabispur", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_LIMIT,
+            check=False,
+        )
+
+    def bundle(
+        self, *arguments: str, entry: str = "entry-a"
+    ) -> subprocess.CompletedProcess[str]:
+        """Run a bundle command against an entry."""
+        url = f"http://127.0.0.1:{self.http_ports[entry]}"
+        return self.run("bundle", *arguments, "--entry", url, "--output", "json")
+
+    def sign_off_change(self, content: dict[str, Any], entry: str = "entry-a") -> str:
+        """Take a change to its sign-off and return its id."""
+        path = self.folder / "content.json"
+        path.write_text(json.dumps(content))
+        proposed = self.bundle("propose", str(path), "--operator", "ada", entry=entry)
+        assert proposed.returncode == 0, proposed.stderr
+        change_id = str(json.loads(proposed.stdout)["change_id"])
+        reviewed = self.bundle("review", change_id, "--operator", "cleo", entry=entry)
+        assert reviewed.returncode == 0, reviewed.stderr
+        key = str(self.folder / "ben.pem")
+        signed = self.bundle(
+            "sign-off", change_id, "--operator", "ben", "--key", key, entry=entry
+        )
+        assert signed.returncode == 0, signed.stderr
+        return change_id
+
+    def accept(
+        self, change_id: str, entry: str = "entry-a"
+    ) -> subprocess.CompletedProcess[str]:
+        """Accept a change."""
+        return self.bundle("accept", change_id, "--operator", "cleo", entry=entry)
+
+    def set_faults(self, *faults: dict[str, Any]) -> None:
+        """Put faults of the table service into effect."""
+        body = json.dumps({"faults": faults})
+        url = f"http://127.0.0.1:{self.table_port}/faults"
+        assert self.http.request("PUT", url, body=body).status == 200
+
+    def versions(self, entry: str) -> dict[str, int]:
+        """Return the version in force at each process, as an entry shows it."""
+        url = f"http://127.0.0.1:{self.http_ports[entry]}/v1/members"
+        try:
+            members = self.http.request("GET", url).json()["members"]
+        except urllib3.exceptions.HTTPError:
+            return {}
+        return {
+            member["member_id"]: member["bundle_version"]
+            for member in members
+            if member["state"] == "live"
+        }
+
+    def sees_all(self, entry: str) -> bool:
+        """Return whether an entry shows every process as live."""
+        return set(self.versions(entry)) == set(REGION_OF)
+
+    def all_show(self, version: int) -> bool:
+        """Return whether both entries show the version at every process."""
+        wanted = dict.fromkeys(REGION_OF, version)
+        return all(self.versions(entry) == wanted for entry in ENTRIES)
+
+    def table_answers(self) -> bool:
+        """Return whether the table service serves."""
+        url = f"http://127.0.0.1:{self.table_port}/faults"
+        try:
+            return self.http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def wait_for(self, condition: Callable[[], bool], limit: float) -> float:
+        """Return the seconds until the condition held; fail after the limit."""
+        began = time.monotonic()
+        while not condition():
+            waited = time.monotonic() - began
+            shown = {entry: self.versions(entry) for entry in ENTRIES}
+            assert waited < limit, f"not within {limit} s: {shown}"
+            time.sleep(POLL_INTERVAL)
+        return time.monotonic() - began
+
+
+def free_port() -> int:
+    """Return a loopback port that the system chose."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/tests/process/forwarder.py
@@ -0,0 +1,77 @@
+"""Stand in for a link between regions that can be cut."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+
+START_TIMEOUT = 5.0
+CHUNK_BYTES = 64 * 1024
+
+
+class Forwarder:
+    """Forward TCP connections to one port; a cut link carries nothing."""
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.port = 0
+        self.is_cut = False
+        self.transports: set[asyncio.StreamWriter] = set()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        asyncio.run_coroutine_threadsafe(self._listen(), self.loop).result(
+            START_TIMEOUT
+        )
+
+    def cut(self) -> None:
+        """Let connections hang and carry no byte, as a broken route does."""
+        self.is_cut = True
+
+    def heal(self) -> None:
+        """Carry new connections; those from before the cut are lost."""
+        self.loop.call_soon_threadsafe(self._drop)
+        self.is_cut = False
+
+    def close(self) -> None:
+        """Close all connections and stop the thread."""
+        self.loop.call_soon_threadsafe(self._drop)
+        self.loop.call_soon_threadsafe(self.server.close)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(START_TIMEOUT)
+
+    def _drop(self) -> None:
+        for transport in self.transports:
+            transport.close()
+        self.transports.clear()
+
+    async def _listen(self) -> None:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.transports.add(writer)
+        try:
+            target = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.close()
+            return
+        self.transports.add(target[1])
+        await asyncio.gather(
+            self._carry(reader, target[1]), self._carry(target[0], writer)
+        )
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if not self.is_cut:
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
