Guard bundle content, signatures and the order of steps with contract tests

Each contradiction in the content, each step out of order, each untrusted signature and each outcome that an operator can be told has a case. The test of a content at the limit showed a row of 62 KB before notes: the limit counted plain bytes, but quotes double when the content stands in a row. The limit now counts escaped bytes and leaves room for the longest notes.

--- a/packages/wasabispur-core/src/wasabispur_core/bundle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle.py
@@ -16,8 +16,12 @@
 CONTENT_SCHEMA = 1
 """Newest schema of the content that this release understands."""
 
-CONTENT_LIMIT_BYTES = 40 * 1024
-"""Largest canonical content; escaped in a row it stays below the row limit."""
+CONTENT_LIMIT_BYTES = 44 * 1024
+"""Largest canonical content, escaped as in a row.
+
+The rest of a row takes up to 18 KiB: a summary and four notes of 500 characters,
+each of up to 6 bytes, names, digest and signature.
+"""
 
 SIGNATURE_CONTEXT = b"wasabispur bundle sign-off 1\n"
 """Keeps a sign-off apart from any other use of an operator's key."""
@@ -145,6 +149,11 @@
     _check_size(canonical_json(content))
 
 
+def escaped_size(text: str) -> int:
+    """Return the bytes that a text takes as a string in a row."""
+    return len(json.dumps(text))
+
+
 def _check_schema(content: BundleContent) -> None:
     if content.schema != CONTENT_SCHEMA:
         raise InvalidBundleError(
@@ -210,7 +219,7 @@
 
 
 def _check_size(text: str) -> None:
-    size = len(text.encode())
+    size = escaped_size(text)
     if size > CONTENT_LIMIT_BYTES:
         raise InvalidBundleError(
             f"the content takes {size} bytes, more than {CONTENT_LIMIT_BYTES}",
--- /dev/null
+++ b/tests/bundle/test_bundle_change.py
@@ -0,0 +1,262 @@
+"""Guard the order of steps, who may take them, and what operators are told."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabispur_core.bundle import InvalidBundleError
+from wasabispur_core.bundle_change import decide, OPERATION_LIMIT
+from wasabispur_core.bundle_operation import (
+    AcceptBundle,
+    BundleConflictError,
+    BundleOrderError,
+    BundleStoreError,
+    ListChanges,
+    ListVersions,
+    OperationEnded,
+    OperationFailed,
+    OperationTimeoutError,
+    OwnChangeError,
+    ProposeBundle,
+    RejectBundle,
+    ReviewBundle,
+    ShowChange,
+    SignOffBundle,
+    UnknownChangeError,
+    UntrustedSignatureError,
+)
+from wasabispur_core.bundle_record import ChangeState
+from wasabispur_core.store import RowsRead
+from wasabispur_runtime.signature import Ed25519Verifier
+
+from .cluster import Cluster
+from .operators import content, sign_change, TRUSTED
+
+CHANGE = "000000000-change"
+
+
+class Desk:
+    """Take operators' steps at one entry, one after the other."""
+
+    def __init__(self) -> None:
+        self.cluster = Cluster()
+        self.node = self.cluster.nodes["entry-a"]
+        self.number = 0
+
+    def step(self, kind, operator, change_id=CHANGE, **fields):
+        """Take a step and return its error, or None."""
+        self.number += 1
+        operation_id = f"operation-{self.number}"
+        message = kind(
+            operation_id=operation_id,
+            change_id=change_id,
+            operator=operator,
+            **fields,
+        )
+        self.cluster.take(self.node, message)
+        while self.cluster.network:
+            self.cluster.deliver(0)
+        return self.cluster.outcomes[operation_id]
+
+    def propose(self, change_id=CHANGE, base_version=0, value=None):
+        return self.step(
+            ProposeBundle,
+            "ada",
+            change_id,
+            base_version=base_version,
+            summary="",
+            content=value or content(),
+        )
+
+    def sign(self, operator="ben", signer="ben", change_id=CHANGE):
+        change = self.cluster.change(change_id)
+        signature = "00" if change is None else sign_change(change, signer)
+        return self.step(SignOffBundle, operator, change_id, signature=signature)
+
+    def take(self, name, change_id=CHANGE):
+        """Take a step by its name and return its error, or None."""
+        if name == "propose":
+            return self.propose(change_id, self.cluster.current_version())
+        if name == "sign-off":
+            return self.sign(change_id=change_id)
+        kinds = {"review": ReviewBundle, "accept": AcceptBundle, "reject": RejectBundle}
+        return self.step(kinds[name], "cleo", change_id)
+
+
+def desk(*steps: str) -> Desk:
+    new = Desk()
+    for name in steps:
+        assert new.take(name) is None
+    return new
+
+
+@pytest.mark.parametrize(
+    ("steps", "state"),
+    [
+        (["propose"], ChangeState.PROPOSED),
+        (["propose", "review"], ChangeState.REVIEWED),
+        (["propose", "review", "sign-off"], ChangeState.SIGNED_OFF),
+        (["propose", "review", "sign-off", "accept"], ChangeState.ACCEPTED),
+        (["propose", "reject"], ChangeState.REJECTED),
+        (["propose", "review", "sign-off", "reject"], ChangeState.REJECTED),
+    ],
+)
+def test_steps_in_order_are_stored(steps, state):
+    """Guard against a step that is confirmed but not written."""
+    change = desk(*steps).cluster.change(CHANGE)
+    assert change.state is state
+    assert [step.step for step in change.steps] == steps
+
+
+@pytest.mark.parametrize(
+    ("steps", "wrong"),
+    [
+        (["propose"], ["sign-off", "accept"]),
+        (["propose", "review"], ["review", "accept"]),
+        (["propose", "review", "sign-off"], ["review", "sign-off"]),
+        (
+            ["propose", "review", "sign-off", "accept"],
+            ["review", "sign-off", "accept", "reject"],
+        ),
+        (["propose", "reject"], ["review", "sign-off", "accept", "reject"]),
+    ],
+)
+def test_steps_out_of_order_are_refused(steps, wrong):
+    """Guard against an acceptance without review or sign-off."""
+    for name in wrong:
+        current = desk(*steps)
+        rows = dict(current.cluster.rows)
+        assert isinstance(current.take(name), BundleOrderError)
+        assert current.cluster.rows == rows
+
+
+def test_proposer_can_t_review_or_sign_off():
+    """Guard against a bundle that one operator alone brings into force."""
+    current = desk("propose")
+    assert isinstance(current.step(ReviewBundle, "ada"), OwnChangeError)
+    current = desk("propose", "review")
+    assert isinstance(current.sign("ada", "ada"), OwnChangeError)
+
+
+@pytest.mark.parametrize(
+    ("operator", "signer"),
+    [("ben", "cleo"), ("ben", "ada"), ("mallory", "mallory"), ("ben", "mallory")],
+)
+def test_untrusted_signature_is_refused(operator, signer):
+    """Guard against a sign-off under another operator's name."""
+    current = desk("propose", "review")
+    assert isinstance(current.sign(operator, signer), UntrustedSignatureError)
+    assert current.cluster.change(CHANGE).state is ChangeState.REVIEWED
+
+
+def test_sign_off_by_a_retired_key_can_t_be_accepted():
+    """Guard against a pointer to a bundle that every process refuses."""
+    current = desk("propose", "review", "sign-off")
+    without = [key for key in TRUSTED if key.operator != "ben"]
+    current.node.change_state.verifier = Ed25519Verifier(without)
+    assert isinstance(current.take("accept"), UntrustedSignatureError)
+    assert current.cluster.current_version() == 0
+
+
+def test_change_on_an_older_base_gets_a_conflict():
+    """Guard against an acceptance that drops another operator's change."""
+    current = desk("propose", "review", "sign-off")
+    for name in ("propose", "review", "sign-off", "accept"):
+        assert current.take(name, "000000000-other") is None
+    assert isinstance(current.take("accept"), BundleConflictError)
+    assert isinstance(current.propose("late", 0), BundleConflictError)
+    assert current.cluster.current_version() == 1
+
+
+def test_contradictory_content_is_refused_at_the_proposal():
+    """Guard against a contradiction that is found only after the sign-off."""
+    current = Desk()
+    error = current.propose(value=content(reclaim_bound=-1.0))
+    assert isinstance(error, InvalidBundleError)
+    assert current.cluster.change(CHANGE) is None
+
+
+def test_content_that_can_t_be_honoured_is_refused_again_at_the_acceptance():
+    """Guard against guarantees that stopped fitting after the proposal."""
+    current = desk("propose", "review", "sign-off")
+
+    def refuse(value):
+        raise InvalidBundleError("shape 'pair' of 'peachtree' can't be packed", "wait")
+
+    current.node.change_state.admit = refuse
+    assert isinstance(current.take("accept"), InvalidBundleError)
+    assert current.cluster.current_version() == 0
+
+
+def test_unknown_change_is_named():
+    """Guard against a step on nothing that seems to succeed."""
+    assert isinstance(Desk().take("review"), UnknownChangeError)
+
+
+def test_outage_is_reported_as_without_effect():
+    """Guard against an operator who has to guess after an outage."""
+    current = desk("propose")
+    current.cluster.store_up = False
+    assert isinstance(current.take("review"), BundleStoreError)
+
+
+def test_silent_store_ends_in_an_open_outcome():
+    """Guard against an operator who waits for ever."""
+    current = desk("propose", "review", "sign-off")
+    message = AcceptBundle(operation_id="slow", change_id=CHANGE, operator="cleo")
+    current.cluster.take(current.node, message)
+    current.cluster.network.clear()
+    current.cluster.timers.advance(60.0)
+    assert isinstance(current.cluster.outcomes["slow"], OperationTimeoutError)
+    assert not current.node.change_state.operations
+
+
+def test_operations_in_progress_are_bounded():
+    """Guard against memory that grows while the store is silent."""
+    current = Desk()
+    for number in range(OPERATION_LIMIT + 1):
+        message = AcceptBundle(
+            operation_id=str(number), change_id=CHANGE, operator="cleo"
+        )
+        current.cluster.take(current.node, message)
+    refused = current.cluster.outcomes[str(OPERATION_LIMIT)]
+    assert isinstance(refused, BundleStoreError)
+
+
+def ask(current: Desk, query):
+    """Return the reply to a query."""
+    cluster, replies = current.cluster, []
+    pending = decide(query, current.node.change_state, 0.0)
+    while pending:
+        command = pending.pop(0)
+        if isinstance(command, (OperationEnded, OperationFailed)):
+            replies.append(command)
+            continue
+        rows = tuple(
+            row
+            for key, row in sorted(cluster.rows.items())
+            if key.startswith(command.prefix)
+        )
+        read = RowsRead(read_id=command.read_id, rows=rows)
+        pending += decide(read, current.node.change_state, 0.0)
+    (reply,) = replies
+    return reply
+
+
+def test_queries_return_the_newest_records():
+    """Guard against lists that leave out the newest changes or versions."""
+    current = Desk()
+    for number in range(12):
+        change_id = f"{number:09d}-change"
+        for name in ("propose", "review", "sign-off", "accept"):
+            assert current.take(name, change_id) is None
+    versions = ask(current, ListVersions(operation_id="q1")).versions
+    assert [version.version for version in versions] == list(range(1, 13))
+    near = ask(current, ListVersions(operation_id="q2", near=3)).versions
+    assert [version.version for version in near] == list(range(1, 10))
+    changes = ask(current, ListChanges(operation_id="q3")).changes
+    assert changes[-1].change_id == "000000011-change"
+    shown = ask(current, ShowChange(operation_id="q4", change_id=changes[0].change_id))
+    assert shown.changes == (changes[0],)
+    missing = ask(current, ShowChange(operation_id="q5", change_id="none"))
+    assert isinstance(missing.error, UnknownChangeError)
