--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -36,16 +36,32 @@
 MESSAGE_MALFORMED = LogEvent(206, "WARNING", "malformed message from {peer}: {error}")
 AGENT_LEAVING = LogEvent(207, "INFO", "agent {agent} is leaving")
 ENTRY_ROW_REFUSED = LogEvent(208, "WARNING", "row {key} can't be used: {error}")
-MEMBER_REFUSED = LogEvent(
-    209, "WARNING", "{member} is refused: a newer start of it is known"
-)
 PEER_CONNECTED = LogEvent(210, "INFO", "peer {entry} connected")
 PEER_LOST = LogEvent(211, "WARNING", "peer {entry} lost: {reason}")
 MESSAGE_UNROUTED = LogEvent(212, "WARNING", "no actor takes {message_name} from {peer}")
+SESSIONS_FULL = LogEvent(
+    221, "ERROR", "refused a stream: {limit} agents are attached already"
+)
+AGENT_DUPLICATE = LogEvent(
+    222, "ERROR", "refused a second process that announced itself as {agent}"
+)
+CONNECTIONS_FULL = LogEvent(
+    223, "ERROR", "refused a connection: {limit} are open already"
+)
+CONNECTION_UNUSED = LogEvent(
+    224, "WARNING", "closed a connection on which no stream was opened"
+)
 REQUEST_RECEIVED = LogEvent(301, "DEBUG", "request {request} received")
 REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
 ATTEMPT_ENDED = LogEvent(304, "DEBUG", "attempt {attempt} ended: {result}")
+JOB_ROW_MALFORMED = LogEvent(401, "ERROR", "job row {key} can't be used: {error}")
+SHARD_OWNED = LogEvent(402, "INFO", "this entry owns shard {shard} in epoch {epoch}")
+SHARD_GIVEN_UP = LogEvent(403, "WARNING", "another entry owns shard {shard}")
+TASK_STARTED = LogEvent(404, "INFO", "task {task} started")
+TASK_ENDED = LogEvent(405, "INFO", "task {task} ended: {result}")
+WORKER_FAILED = LogEvent(406, "WARNING", "the worker failed on {path}: {error}")
+
 BUNDLE_IN_FORCE = LogEvent(
     501, "INFO", "bundle version {version}, signed off by {signer}, is in force"
 )
@@ -55,13 +71,6 @@
 BUNDLE_OPERATION_FAILED = LogEvent(
     505, "WARNING", "bundle operation {operation} failed: {error}"
 )
-JOB_ROW_MALFORMED = LogEvent(401, "ERROR", "job row {key} can't be used: {error}")
-SHARD_OWNED = LogEvent(402, "INFO", "this entry owns shard {shard} in epoch {epoch}")
-SHARD_GIVEN_UP = LogEvent(403, "WARNING", "another entry owns shard {shard}")
-TASK_STARTED = LogEvent(404, "INFO", "task {task} started")
-TASK_ENDED = LogEvent(405, "INFO", "task {task} ended: {result}")
-WORKER_FAILED = LogEvent(406, "WARNING", "the worker failed on {path}: {error}")
-
 STORE_DOWN = LogEvent(601, "ERROR", "{store} gets no answers; calls are held back")
 STORE_ANSWERS = LogEvent(602, "INFO", "{store} gets answers again")
 RESULT_UNDELIVERED = LogEvent(603, "ERROR", "{store} can't deliver {result}: {error}")
--- a/packages/wasabispur/src/wasabispur/control_service.py
+++ b/packages/wasabispur/src/wasabispur/control_service.py
@@ -4,9 +4,12 @@
 
 from typing import Any
 
-from grpclib.const import Cardinality, Handler
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError
 
+from wasabispur_core.log_event import SESSIONS_FULL
 from wasabispur_runtime.codec import BETWEEN_ENTRIES, FROM_AGENT, TO_AGENT
+from wasabispur_runtime.log import log
 from wasabispur_runtime.stream import ATTACH_METHOD, PEER_METHOD
 
 from .agent_session import serve_agent
@@ -20,17 +23,26 @@
     def __init__(self, settings: EntrySettings, context: PeerContext) -> None:
         self.settings = settings
         self.context = context
+        self.sessions = 0
 
     async def attach(self, stream: Any) -> None:
-        """Serve the stream of one agent."""
-        await serve_agent(
-            stream,
-            self.settings.entry_id,
-            self.settings.heartbeat_interval,
-            self.context.timers,
-            self.context.membership,
-            self.context.bundle_version,
-        )
+        """Serve the stream of one agent; refuse it over the limit."""
+        limit = self.settings.session_limit
+        if self.sessions >= limit:
+            log(SESSIONS_FULL, limit=limit)
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, f"{limit} agents are attached")
+        self.sessions += 1
+        try:
+            await serve_agent(
+                stream,
+                self.settings.entry_id,
+                self.settings.heartbeat_interval,
+                self.context.timers,
+                self.context.membership,
+                self.context.bundle_version,
+            )
+        finally:
+            self.sessions -= 1
 
     async def peer(self, stream: Any) -> None:
         """Serve the stream of one peer entry."""
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
-
-from grpclib.server import Server
 
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
-from wasabispur_runtime.table_client import TableClient
+from wasabispur_runtime.metrics import registry
 
 from .bridge import Bridge
+from .bundle_resource import BundleResource
+from .control_server import ControlServer
 from .control_service import ControlService
 from .entry_actors import build_actors
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
+from .member_resource import MemberResource
+from .metrics_reader import MetricsReader
+from .metrics_resource import MetricsResource
+from .request_metrics import RequestMetrics
 
 
 async def run_entry(
@@ -27,14 +29,30 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
-    table = TableClient(timers, settings.table_url, Random())
-    actors = build_actors(settings, timers, table)
-    table.start()
+    registry.configure(settings.entry_id)
+    actors = build_actors(settings, timers)
+    actors.dispatcher.observer = RequestMetrics(registry).observe
     actors.start()
-    control = Server([ControlService(settings, actors.context)], codec=MessageCodec())
+    control = ControlServer(
+        ControlService(settings, actors.context), timers, settings.session_limit
+    )
     bridge = Bridge(asyncio.get_running_loop())
+    metrics = MetricsReader(
+        timers,
+        registry,
+        settings.entry_id,
+        {actor.name: actor.mailbox.qsize for actor in actors.in_order()},
+    )
+    metrics.start()
+    version_1 = VersionOneResource(bridge, actors.dispatcher)
+    version_1.members = MemberResource(bridge, actors.membership)
+    if actors.bundles is not None:
+        version_1.bundles = BundleResource(
+            bridge, actors.bundles.changes, actors.bundles.manager
+        )
+    version_1.metrics = MetricsResource(bridge, metrics)
     http = HttpServer(
-        build_application(VersionOneResource(bridge, actors)),
+        build_application(version_1),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -46,12 +64,12 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
+    await metrics.close()
     await actors.close()
-    await table.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
-async def start_control(server: Server, settings: EntrySettings) -> None:
+async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
         await server.start(settings.host, settings.control_port)
--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -28,6 +28,7 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
 from wasabispur_runtime.signature import Ed25519Verifier
+from wasabispur_runtime.table_client import TableClient
 
 from .bundle_manager import BundleChangeManager, BundleManager
 from .entry_settings import EntrySettings
@@ -39,16 +40,24 @@
 ENTRY_RECORD = TypeAdapter(EntryRecord)
 
 
+@dataclass(slots=True, kw_only=True)
+class BundleActors:
+    """Hold the actors that need the table service for bundles and peers."""
+
+    table: TableClient
+    manager: BundleManager
+    changes: BundleChangeManager
+    directory: PeerDirectory
+
+
 @dataclass(slots=True, kw_only=True)
 class EntryActors:
-    """Hold the actors of one entry and what its streams need."""
+    """Hold the actors of one entry; without a table service there are no bundles."""
 
     membership: Membership
     dispatcher: RequestDispatcher
-    bundles: BundleManager
-    changes: BundleChangeManager
-    directory: PeerDirectory
     context: PeerContext
+    bundles: BundleActors | None = None
 
     def start(self) -> None:
         """Start the actors on the running event loop."""
@@ -62,61 +71,33 @@
 
     def in_order(self) -> list[Actor]:
         """Return the actors, each after those that it uses."""
-        return [
-            self.membership,
-            self.dispatcher,
-            self.bundles,
-            self.changes,
-            self.directory,
-        ]
-
-
-def build_actors(
-    settings: EntrySettings, timers: TimerService, table: Actor
-) -> EntryActors:
+        actors: list[Actor] = [self.membership, self.dispatcher]
+        if self.bundles is None:
+            return actors
+        parts = self.bundles
+        return [parts.table, *actors, parts.manager, parts.changes, parts.directory]
+
+
+def build_actors(settings: EntrySettings, timers: TimerService) -> EntryActors:
     """Return the connected actors of an entry."""
-    catalogue = ChartCatalogue()
     # Wall-clock time orders the starts of one entry; it is compared with nothing else.
     incarnation = time.time_ns()
-    membership = build_membership(settings, timers, catalogue, incarnation)
-    requests = RequestState(settings.region, request_chart(catalogue), Random())
+    membership = build_membership(settings, timers, incarnation)
+    requests = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, requests, membership)
-    version = build_version_state(settings)
-    bundles = BundleManager(timers, version, membership, table)
-    bundles.listeners += [membership]
-    changes = build_changes(settings, timers, catalogue, bundles, table)
     membership.dispatcher = dispatcher
-    membership.bundles = bundles
-    context = PeerContext(
-        hello=lambda: describe(settings, incarnation, version.version),
-        timers=timers,
-        membership=membership.post,
-        interval=settings.heartbeat_interval,
-        bundle_version=lambda: version.version,
-    )
-    own = EntryRecord(
-        entry_id=settings.entry_id,
-        address=settings.control_address,
-        region=settings.region,
-        data_centre=settings.data_centre,
-        incarnation=incarnation,
-    )
-    peers = PeerDirectoryState(own, read_entry, Random())
-    return EntryActors(
-        membership=membership,
-        dispatcher=dispatcher,
-        bundles=bundles,
-        changes=changes,
-        directory=PeerDirectory(timers, peers, context, table),
-        context=context,
-    )
+    version = build_version_state(settings)
+    context = build_context(settings, membership, incarnation, version)
+    actors = EntryActors(membership=membership, dispatcher=dispatcher, context=context)
+    if settings.table_url is not None:
+        table = TableClient(timers, settings.table_url, Random())
+        actors.bundles = build_bundles(settings, table, context, version)
+        membership.bundles = actors.bundles.manager
+    return actors
 
 
 def build_membership(
-    settings: EntrySettings,
-    timers: TimerService,
-    catalogue: ChartCatalogue,
-    incarnation: int,
+    settings: EntrySettings, timers: TimerService, incarnation: int = 0
 ) -> Membership:
     """Return the membership with this entry as its first member."""
     own = MemberStatus(
@@ -128,35 +109,66 @@
         bundle_version=0,
         entry_id=settings.entry_id,
     )
-    state = MemberState(settings.entry_id, member_chart(catalogue), incarnation)
-    return Membership(timers, state, own)
+    chart = member_chart(ChartCatalogue())
+    return Membership(timers, MemberState(settings.entry_id, chart, incarnation), own)
 
 
-def build_version_state(settings: EntrySettings) -> BundleVersionState:
-    """Return the state of the bundle version before the first bundle."""
-    return BundleVersionState(
-        kind=ProcessKind.ENTRY,
-        records=BundleRecords(),
-        verifier=Ed25519Verifier(settings.operators),
-        random=Random(),
+def build_context(
+    settings: EntrySettings,
+    membership: Membership,
+    incarnation: int,
+    version: BundleVersionState,
+) -> PeerContext:
+    """Return what the streams of this entry need."""
+    return PeerContext(
+        hello=lambda: describe(settings, incarnation, version.version),
+        timers=membership.timers,
+        membership=membership,
+        interval=settings.heartbeat_interval,
+        bundle_version=lambda: version.version,
     )
 
 
-def build_changes(
+def build_bundles(
     settings: EntrySettings,
-    timers: TimerService,
-    catalogue: ChartCatalogue,
-    bundles: BundleManager,
-    table: Actor,
-) -> BundleChangeManager:
-    """Return the actor for the operators' operations."""
-    state = BundleChangeState(
-        chart=bundle_change_chart(catalogue),
+    table: TableClient,
+    context: PeerContext,
+    version: BundleVersionState,
+) -> BundleActors:
+    """Return the actors for bundles and peers."""
+    timers, membership = context.timers, context.membership
+    manager = BundleManager(timers, version, membership, table)
+    manager.listeners.append(membership)
+    changes = BundleChangeState(
+        chart=bundle_change_chart(ChartCatalogue()),
         records=BundleRecords(),
         verifier=Ed25519Verifier(settings.operators),
         admit=admit,
     )
-    return BundleChangeManager(timers, state, bundles, table)
+    own = EntryRecord(
+        entry_id=settings.entry_id,
+        address=settings.control_address,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        incarnation=context.hello().incarnation,
+    )
+    peers = PeerDirectoryState(own, read_entry, Random())
+    return BundleActors(
+        table=table,
+        manager=manager,
+        changes=BundleChangeManager(timers, changes, manager, table),
+        directory=PeerDirectory(timers, peers, context, table),
+    )
+
+
+def build_version_state(settings: EntrySettings) -> BundleVersionState:
+    """Return the state of the bundle version before the first bundle."""
+    return BundleVersionState(
+        kind=ProcessKind.ENTRY,
+        records=BundleRecords(),
+        verifier=Ed25519Verifier(settings.operators),
+        random=Random(),
+    )
 
 
 def admit(content: BundleContent) -> None:
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -22,8 +22,9 @@
     http_port: Port
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
-    heartbeat_interval: Annotated[float, Field(gt=0, le=60)] = 1.0
-    table_url: Annotated[str, Field(pattern=r"^http://")]
+    heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 1.0
+    session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
+    table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
     operators: OperatorKeys = []
     advertised_address: str = ""
     log_level: str = "INFO"
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -8,9 +8,10 @@
 
 from .bridge import Bridge
 from .bundle_resource import BundleResource
-from .entry_actors import EntryActors
 from .http_error import handle_error, handle_http_error
 from .member_resource import MemberResource
+from .metrics_resource import MetricsResource
+from .request_dispatcher import RequestDispatcher
 from .service_resource import ServiceResource
 
 CONFIGURATION = {
@@ -40,10 +41,12 @@
 class VersionOneResource:
     """Hold the resources under /v1."""
 
-    def __init__(self, bridge: Bridge, actors: EntryActors) -> None:
-        self.services = ServiceResource(bridge, actors.dispatcher)
-        self.bundles = BundleResource(bridge, actors.changes, actors.bundles)
-        self.members = MemberResource(bridge, actors.membership)
+    bundles: BundleResource | None = None
+    members: MemberResource | None = None
+    metrics: MetricsResource | None = None
+
+    def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
+        self.services = ServiceResource(bridge, dispatcher)
 
 
 def build_application(version_1: VersionOneResource) -> Any:
--- a/packages/wasabispur/src/wasabispur/member_routing.py
+++ b/packages/wasabispur/src/wasabispur/member_routing.py
@@ -95,7 +95,7 @@
     log(AGENT_LEAVING, agent=process_id)
     membership.on_message(MemberLeaving(member_id=process_id))
     if arrival.source.kind is ProcessKind.AGENT and membership.dispatcher is not None:
-        membership.dispatcher.post(AgentLeaving(agent_id=process_id))
+        membership.dispatcher.post_urgent(AgentLeaving(agent_id=process_id))
 
 
 @execute.register
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -15,7 +15,7 @@
 from wasabispur_core.log_event import (
     AGENT_ATTACHED,
     AGENT_DETACHED,
-    MEMBER_REFUSED,
+    AGENT_DUPLICATE,
     PEER_CONNECTED,
     PEER_LOST,
 )
@@ -76,12 +76,13 @@
             return
         previous = self.sessions.get(announce.agent_id)
         if previous is not None:
+            previous.superseded = True
             previous.end("replaced by a newer stream")
         self.sessions[announce.agent_id] = session
         log(AGENT_ATTACHED, agent=announce.agent_id)
         self.report_version(ProcessKind.AGENT, announce.agent_id, announce)
         if announce.role is Role.ENDPOINT and self.dispatcher is not None:
-            self.dispatcher.post(
+            self.dispatcher.post_urgent(
                 AgentAttached(
                     agent_id=announce.agent_id,
                     service=announce.service,
@@ -99,7 +100,7 @@
         log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
         self.lose(ProcessKind.AGENT, agent_id)
         if self.dispatcher is not None:
-            self.dispatcher.post(AgentDetached(agent_id=agent_id))
+            self.dispatcher.post_urgent(AgentDetached(agent_id=agent_id))
 
     def on_peer_opened(self, message: PeerOpened) -> None:
         """Take a new stream to a peer and give it the digest."""
@@ -160,7 +161,7 @@
         commands = decide(announced, self.state, self.timers.now())
         for command in commands:
             if isinstance(command, RefuseMember):
-                log(MEMBER_REFUSED, member=announced.member_id)
+                log(AGENT_DUPLICATE, agent=announced.member_id)
                 session.end("a newer start of this process is known")
                 return False
             execute(command, self)
@@ -181,4 +182,4 @@
         self.on_message(MemberLost(member_id=process_id))
         if self.bundles is not None:
             source = Counterpart(kind=kind, process_id=process_id)
-            self.bundles.post(CounterpartLost(source=source))
+            self.bundles.post_urgent(CounterpartLost(source=source))
--- a/packages/wasabispur/src/wasabispur/peer_link.py
+++ b/packages/wasabispur/src/wasabispur/peer_link.py
@@ -10,7 +10,7 @@
 from grpclib.client import Channel, StreamStreamMethod
 
 from wasabispur_core.error import ProtocolError
-from wasabispur_core.log_event import STREAM_FAILED
+from wasabispur_core.log_event import HANDLER_FAILED, STREAM_FAILED
 from wasabispur_core.message import Message
 from wasabispur_core.peer_directory import (
     decide,
@@ -27,8 +27,14 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.codec import BETWEEN_ENTRIES, MessageCodec
 from wasabispur_runtime.decision_actor import DecisionActor, execute
-from wasabispur_runtime.log import log
-from wasabispur_runtime.stream import PEER_METHOD, STREAM_ERRORS
+from wasabispur_runtime.log import log, log_failure
+from wasabispur_runtime.stream import (
+    FRAME_ERRORS,
+    limit_frames,
+    PEER_METHOD,
+    STREAM_ERRORS,
+)
+from wasabispur_runtime.timer_service import time_limit
 
 from .peer_session import HELLO_TIMEOUT, PeerContext
 
@@ -91,18 +97,25 @@
             reason = await self._connect(channel)
         except TimeoutError:
             reason = "the peer did not introduce itself in time"
-        except (ProtocolError, *STREAM_ERRORS) as error:
+        except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
+            reason = f"{type(error).__name__}: {error}"
+        except Exception as error:
+            # The link has to dial again after any failure.
             reason = f"{type(error).__name__}: {error}"
+            log_failure(
+                HANDLER_FAILED, actor=self.name, message_name="dial_due", error=reason
+            )
         finally:
             channel.close()
-        self.post(LinkEnded(reason=reason))
+        self.post_urgent(LinkEnded(reason=reason))
 
     async def _connect(self, channel: Channel) -> str:
         messages = cast(Any, BETWEEN_ENTRIES)
         method: Any = StreamStreamMethod(channel, PEER_METHOD, messages, messages)
         async with method.open() as stream:
-            async with asyncio.timeout(HELLO_TIMEOUT):
+            async with time_limit(self.timers, HELLO_TIMEOUT):
                 await stream.send_message(self.context.hello())
+                limit_frames(stream)
                 hello = await stream.recv_message()
             if not isinstance(hello, PeerHello):
                 return "the peer sent no PeerHello"
--- a/packages/wasabispur/src/wasabispur/peer_session.py
+++ b/packages/wasabispur/src/wasabispur/peer_session.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,8 +12,16 @@
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Heartbeat, PeerHello
 from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.log import log
-from wasabispur_runtime.stream import MessageStream, STREAM_ERRORS
+from wasabispur_runtime.stream import (
+    abort_connection,
+    FRAME_ERRORS,
+    limit_frames,
+    MessageStream,
+    STREAM_ERRORS,
+)
+from wasabispur_runtime.timer_service import time_limit
 
 HELLO_TIMEOUT = 3.0
 """Seconds within which a new stream has to introduce the peer."""
@@ -44,7 +51,7 @@
         hello: PeerHello,
         timers: TimerService,
         stream: Any,
-        membership: Callable[[Message], None],
+        membership: Actor,
         interval: float,
         bundle_version: Callable[[], int],
         initiator: bool,
@@ -65,16 +72,16 @@
 
     def forward(self, message: Message) -> None:
         """Pass a message on with the peer's id."""
-        self.membership(FromPeer(entry_id=self.hello.entry_id, message=message))
+        self.membership.post(FromPeer(entry_id=self.hello.entry_id, message=message))
 
     async def report(self) -> str:
         """Serve the stream, tell the membership, and return why it ended."""
-        self.membership(PeerOpened(hello=self.hello, session=self))
+        self.membership.post_urgent(PeerOpened(hello=self.hello, session=self))
         reason = "cancelled"
         try:
             reason = await self.serve()
         finally:
-            self.membership(PeerEnded(session=self, reason=reason))
+            self.membership.post_urgent(PeerEnded(session=self, reason=reason))
         return reason
 
 
@@ -84,7 +91,7 @@
 
     hello: Callable[[], PeerHello]
     timers: TimerService
-    membership: Callable[[Message], None]
+    membership: Actor
     interval: float
     bundle_version: Callable[[], int]
 
@@ -103,14 +110,27 @@
 
 async def serve_peer(stream: Any, context: PeerContext) -> None:
     """Serve one Peer stream that another entry opened until it ends."""
-    try:
-        async with asyncio.timeout(HELLO_TIMEOUT):
-            hello = await stream.recv_message()
-    except (TimeoutError, ProtocolError, *STREAM_ERRORS) as error:
-        log(MESSAGE_MALFORMED, peer="new peer", error=str(error))
-        return
-    if not isinstance(hello, PeerHello):
-        log(MESSAGE_MALFORMED, peer="new peer", error="no PeerHello came first")
+    hello = await receive_hello(stream, context.timers)
+    if hello is None:
+        abort_connection(stream)
         return
     await stream.send_message(context.hello())
     await context.session(hello, stream, initiator=False).report()
+
+
+async def receive_hello(stream: Any, timers: TimerService) -> PeerHello | None:
+    """Return the first message if it is an introduction that came in time."""
+    try:
+        limit_frames(stream)
+        async with time_limit(timers, HELLO_TIMEOUT):
+            first = await stream.recv_message()
+    except TimeoutError:
+        log(MESSAGE_MALFORMED, peer="new peer", error="no PeerHello came in time")
+        return None
+    except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
+        log(MESSAGE_MALFORMED, peer="new peer", error=str(error))
+        return None
+    if not isinstance(first, PeerHello):
+        log(MESSAGE_MALFORMED, peer="new peer", error="no PeerHello came first")
+        return None
+    return first
