--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -6,23 +6,21 @@
 import time
 from random import Random
 
-from wasabispur_core.bundle_version import BundleVersionState, ProcessKind
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
 from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.protocol import Announce, Heartbeat
+from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.bundle_codec import BundleRecords
 from wasabispur_runtime.log import configure_log, log
-from wasabispur_runtime.signature import Ed25519Verifier
 
 from .agent_settings import AgentSettings
-from .bundle_holder import AGENT_PATIENCE, BundleHolder
+from .bundle_holder import build_holder
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
 from .entry_routing import AgentActors
+from .worker_agent import run_worker_agent
 
 
 async def run_agent(
@@ -32,23 +30,25 @@
     configure_log(settings.agent_id, settings.log_level)
     # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
+    if settings.role is Role.WORKER:
+        await run_worker_agent(
+            settings,
+            timers,
+            stop,
+            lambda version: describe(settings, incarnation, timers, version),
+        )
+        return
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
-    version = BundleVersionState(
-        kind=ProcessKind.AGENT,
-        records=BundleRecords(),
-        verifier=Ed25519Verifier(settings.operators),
-        random=Random(),
-        patience=AGENT_PATIENCE,
-    )
-    bundles = BundleHolder(timers, version, runner.links)
+    bundles = build_holder(settings, timers, runner.links)
+    version = bundles.state
     actors = AgentActors(runner=runner, bundles=bundles)
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation, version.version),
+            announce=lambda: describe(settings, incarnation, timers, version.version),
             heartbeat=lambda sequence: beat(sequence, state, version.version),
             receiver=actors.post,
             random=Random(),
@@ -68,7 +68,10 @@
 
 
 def describe(
-    settings: AgentSettings, incarnation: int, bundle_version: int
+    settings: AgentSettings,
+    incarnation: int,
+    timers: TimerService,
+    bundle_version: int,
 ) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
@@ -84,6 +87,7 @@
         cores=settings.cores,
         memory=settings.memory,
         bundle_version=bundle_version,
+        clock=timers.now(),
     )
 
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/bundle_holder.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/bundle_holder.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from random import Random
 
 from wasabispur_core.bundle_version import (
     ApplyBundle,
     BundleVersionState,
     decide,
+    ProcessKind,
     SendToCounterpart,
 )
 from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.bundle_codec import BundleRecords
 from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.signature import Ed25519Verifier
+
+from .agent_settings import AgentSettings
 
 AGENT_PATIENCE = 2.0
 """Seconds within which an agent leaves it to the entries to update each other."""
@@ -45,3 +51,17 @@
 def _(command: ApplyBundle, actor: BundleHolder) -> None:
     for listener in actor.listeners:
         listener.post(command)
+
+
+def build_holder(
+    settings: AgentSettings, timers: TimerService, links: Mapping[str, Actor]
+) -> BundleHolder:
+    """Return the bundle holder of an agent."""
+    state = BundleVersionState(
+        kind=ProcessKind.AGENT,
+        records=BundleRecords(),
+        verifier=Ed25519Verifier(settings.operators),
+        random=Random(),
+        patience=AGENT_PATIENCE,
+    )
+    return BundleHolder(timers, state, links)
--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -151,6 +151,7 @@
             log(STREAM_OPENED, peer=welcome.entry_id)
             opened = self.timers.now()
             self.stream = self._open_stream(stream, interval)
+            self._forward(welcome)
             reason = await self.stream.serve()
             if self.timers.now() - opened >= STABLE_AFTER:
                 self.failures = 0
--- a/packages/wasabispur-core/src/wasabispur_core/bundle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle.py
@@ -7,10 +7,10 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass
-from enum import Enum
 from typing import Any
 
 from .error import WasabispurError
+from .guarantee import GuaranteedShape
 from .work_class import WorkClass
 
 CONTENT_SCHEMA = 1
@@ -35,14 +35,6 @@
     """Report content that contradicts itself or exceeds a limit."""
 
 
-class Adjacency(Enum):
-    """Tell within what the blocks of a shape have to be."""
-
-    WORKER = "worker"
-    RACK = "rack"
-    DATA_CENTRE = "data_centre"
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Quota:
     """Bound the accelerators that an organisation uses in a data centre."""
@@ -51,22 +43,6 @@
     accelerators: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GuaranteedShape:
-    """Promise blocks of adjacent accelerators in a data centre."""
-
-    name: str
-    data_centre: str
-    blocks: int
-    block_size: int
-    adjacency: Adjacency
-
-    @property
-    def accelerators(self) -> int:
-        """Return the accelerators of all blocks."""
-        return self.blocks * self.block_size
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
     """Hold the quotas and guarantees of one organisation."""
@@ -181,7 +157,7 @@
             f"shape {shape.name!r} of {owner}",
             "give it at least one block of at least one accelerator",
         )
-        guaranteed[shape.data_centre] += shape.accelerators
+        guaranteed[shape.data_centre] += shape.blocks * shape.block_size
     for data_centre, accelerators in guaranteed.items():
         _require(
             accelerators <= quotas.get(data_centre, 0),
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -15,6 +15,7 @@
 from .command_line import HELP
 from .entry import run_entry
 from .entry_settings import EntrySettings
+from .job_command import job
 from .key_command import key_group
 from .member_command import member_group, status
 from .request_command import request_group
@@ -48,6 +49,7 @@
 for command in (
     bundle_group,
     check_settings,
+    job,
     key_group,
     member_group,
     request_group,
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -20,6 +20,8 @@
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
+from .job_resource import JobResource
+from .job_wiring import build_job_actors
 from .member_resource import MemberResource
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
@@ -46,15 +48,21 @@
         {actor.name: actor.mailbox.qsize for actor in actors.in_order()},
     )
     metrics.start()
-    version_1 = VersionOneResource(bridge, actors.dispatcher)
-    version_1.members = MemberResource(bridge, actors.membership)
+    resources = VersionOneResource(bridge, actors.dispatcher)
+    resources.members = MemberResource(bridge, actors.membership)
+    jobs = None
     if actors.bundles is not None:
-        version_1.bundles = BundleResource(
+        jobs = build_job_actors(
+            settings, timers, actors.membership, actors.bundles.table
+        )
+        resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+        jobs.start()
+        resources.bundles = BundleResource(
             bridge, actors.bundles.changes, actors.bundles.manager
         )
-    version_1.metrics = MetricsResource(bridge, metrics)
+    resources.metrics = MetricsResource(bridge, metrics)
     http = HttpServer(
-        build_application(version_1),
+        build_application(resources),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -68,6 +76,8 @@
     control.close()
     await control.wait_closed()
     await metrics.close()
+    if jobs is not None:
+        await jobs.close()
     await actors.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -25,6 +25,7 @@
     heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 1.0
     session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
     table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
+    shards: list[str] = Field(default_factory=list, max_length=64)
     operators: OperatorKeys = []
     advertised_address: str = ""
     log_level: str = "INFO"
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -9,6 +9,7 @@
 from .bridge import Bridge
 from .bundle_resource import BundleResource
 from .http_error import handle_error, handle_http_error
+from .job_resource import JobResource
 from .member_resource import MemberResource
 from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
@@ -41,6 +42,7 @@
 class VersionOneResource:
     """Hold the resources under /v1."""
 
+    jobs: JobResource | None = None
     bundles: BundleResource | None = None
     members: MemberResource | None = None
     metrics: MetricsResource | None = None
--- a/packages/wasabispur/src/wasabispur/member_routing.py
+++ b/packages/wasabispur/src/wasabispur/member_routing.py
@@ -13,6 +13,7 @@
     VersionReported,
 )
 from wasabispur_core.command import SendToAgent, SendToEntry
+from wasabispur_core.fleet import WorkerLeaving
 from wasabispur_core.log_event import AGENT_LEAVING, MESSAGE_UNROUTED
 from wasabispur_core.member import (
     FromAgent,
@@ -27,15 +28,25 @@
     BundleInForce,
     Heartbeat,
     HeartbeatAck,
+    JobCancelled,
+    JobSubmitted,
     Leaving,
     MembersDigest,
     OfferBundle,
     PeerHello,
+    TaskFinished,
+    TaskInventory,
+    TaskRefused,
+    TaskReserved,
+    TaskStarted,
+    TaskStopped,
 )
 from wasabispur_core.request import AgentLeaving
 from wasabispur_runtime.decision_actor import execute
 from wasabispur_runtime.log import log
 
+from .member_worker import report_from_worker
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -58,12 +69,36 @@
     receiver.post(arrival.wrapped)
 
 
-@route.register(Heartbeat)
-@route.register(HeartbeatAck)
-def _(content: Heartbeat | HeartbeatAck, arrival: Arrival, membership: Any) -> None:
+@route.register
+def _(content: Heartbeat, arrival: Arrival, membership: Any) -> None:
+    note_version(content.bundle_version, arrival, membership)
+    if isinstance(arrival.wrapped, FromAgent):
+        report_from_worker(arrival.wrapped.agent_id, arrival.wrapped, membership)
+
+
+@route.register
+def _(content: HeartbeatAck, arrival: Arrival, membership: Any) -> None:
     note_version(content.bundle_version, arrival, membership)
 
 
+@route.register(TaskReserved)
+@route.register(TaskRefused)
+@route.register(TaskStarted)
+@route.register(TaskFinished)
+@route.register(TaskStopped)
+@route.register(TaskInventory)
+def _(content: Message, arrival: Arrival, membership: Any) -> None:
+    report_from_worker(arrival.source.process_id, arrival.wrapped, membership)
+
+
+@route.register(JobSubmitted)
+@route.register(JobCancelled)
+def _(content: JobSubmitted | JobCancelled, arrival: Arrival, membership: Any) -> None:
+    scheduler = membership.schedulers.get(content.shard)
+    if scheduler is not None:
+        scheduler.post(content)
+
+
 @route.register
 def _(content: BundleInForce, arrival: Arrival, membership: Any) -> None:
     note_version(content.version, arrival, membership)
@@ -94,6 +129,7 @@
     process_id = arrival.source.process_id
     log(AGENT_LEAVING, agent=process_id)
     membership.on_message(MemberLeaving(member_id=process_id))
+    report_from_worker(process_id, WorkerLeaving(worker_id=process_id), membership)
     if arrival.source.kind is ProcessKind.AGENT and membership.dispatcher is not None:
         membership.dispatcher.post_urgent(AgentLeaving(agent_id=process_id))
 
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/member_worker.py
@@ -0,0 +1,37 @@
+"""Report the workers of attached agents to the schedulers of their shards."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wasabispur_core.fleet import Worker, WorkerAttached
+from wasabispur_core.message import Message
+from wasabispur_core.protocol import Announce, Role
+
+
+def worker_attached(announce: Announce) -> WorkerAttached:
+    """Return the report on a worker whose agent attached."""
+    worker = Worker(
+        worker_id=announce.agent_id,
+        region=announce.region,
+        data_centre=announce.data_centre,
+        rack=announce.rack,
+        accelerators=announce.accelerators,
+        cores=announce.cores,
+        memory=announce.memory,
+    )
+    return WorkerAttached(worker=worker, clock=announce.clock)
+
+
+def report_worker(announce: Announce, message: Message, membership: Any) -> None:
+    """Pass a message about a worker to the scheduler of its data centre."""
+    scheduler = membership.schedulers.get(announce.data_centre)
+    if announce.role is Role.WORKER and scheduler is not None:
+        scheduler.post(message)
+
+
+def report_from_worker(agent_id: str, message: Message, membership: Any) -> None:
+    """Pass a message about an attached worker to its scheduler."""
+    session = membership.sessions.get(agent_id)
+    if session is not None:
+        report_worker(session.announce, message, membership)
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -12,6 +12,7 @@
     VersionReported,
 )
 from wasabispur_core.command import SendToAgent, SendToEntry
+from wasabispur_core.fleet import WorkerDetached
 from wasabispur_core.log_event import (
     AGENT_ATTACHED,
     AGENT_DETACHED,
@@ -43,6 +44,7 @@
 from .agent_session import AgentSession, SessionEnded, SessionOpened
 from .bridge import Ask
 from .member_routing import Arrival, describe_agent, describe_peer, route
+from .member_worker import report_worker, worker_attached
 from .peer_session import PeerEnded, PeerOpened, PeerSession
 
 
@@ -59,6 +61,7 @@
         self.peers: dict[str, PeerSession] = {}
         self.dispatcher: Actor | None = None
         self.bundles: Actor | None = None
+        self.schedulers: dict[str, Actor] = {}
         self.receivers: dict[type[Message], Actor] = {}
 
     def register(self, message_class: type[Message], actor: Actor) -> None:
@@ -81,6 +84,7 @@
         self.sessions[announce.agent_id] = session
         log(AGENT_ATTACHED, agent=announce.agent_id)
         self.report_version(ProcessKind.AGENT, announce.agent_id, announce)
+        report_worker(announce, worker_attached(announce), self)
         if announce.role is Role.ENDPOINT and self.dispatcher is not None:
             self.dispatcher.post_urgent(
                 AgentAttached(
@@ -99,6 +103,8 @@
         del self.sessions[agent_id]
         log(AGENT_DETACHED, agent=agent_id, reason=message.reason)
         self.lose(ProcessKind.AGENT, agent_id)
+        announce = message.session.announce
+        report_worker(announce, WorkerDetached(worker_id=agent_id), self)
         if self.dispatcher is not None:
             self.dispatcher.post_urgent(AgentDetached(agent_id=agent_id))
 
