--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from functools import partial
 from random import Random
 
+from wasabispur_core.attachment import near_entries
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
@@ -15,7 +17,7 @@
 from wasabispur_runtime.log import configure_log, log
 
 from .agent_settings import AgentSettings
-from .bundle_holder import build_holder
+from .bundle_holder import announcer, build_holder
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
@@ -30,13 +32,16 @@
     configure_log(settings.agent_id, settings.log_level)
     # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
+    announce = partial(describe, settings, incarnation, timers)
+    near = near_entries(
+        settings.entries,
+        settings.entry_regions,
+        settings.region,
+        settings.data_centre,
+        settings.near_entries,
+    )
     if settings.role is Role.WORKER:
-        await run_worker_agent(
-            settings,
-            timers,
-            stop,
-            lambda version: describe(settings, incarnation, timers, version),
-        )
+        await run_worker_agent(settings, timers, stop, announce, near)
         return
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
@@ -48,7 +53,7 @@
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation, timers, version.version),
+            announce=announcer(announce, address in near, version),
             heartbeat=lambda sequence: beat(sequence, state, version.version),
             receiver=actors.post,
             random=Random(),
@@ -71,6 +76,7 @@
     settings: AgentSettings,
     incarnation: int,
     timers: TimerService,
+    near: bool,
     bundle_version: int,
 ) -> Announce:
     """Return the announcement of an agent."""
@@ -86,6 +92,7 @@
         accelerators=settings.accelerators,
         cores=settings.cores,
         memory=settings.memory,
+        near=near,
         bundle_version=bundle_version,
         clock=timers.now(),
     )
--- a/packages/wasabispur-agent/src/wasabispur_agent/bundle_holder.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/bundle_holder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from wasabispur_core.bundle_version import (
@@ -13,6 +13,7 @@
     SendToCounterpart,
 )
 from wasabispur_core.permit import SendToEntryLink
+from wasabispur_core.protocol import Announce
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
@@ -65,3 +66,10 @@
         patience=AGENT_PATIENCE,
     )
     return BundleHolder(timers, state, links)
+
+
+def announcer(
+    announce: Callable[[bool, int], Announce], near: bool, state: BundleVersionState
+) -> Callable[[], Announce]:
+    """Return how an agent announces itself with its bundle version on a link."""
+    return lambda: announce(near, state.version)
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -15,7 +15,7 @@
 from wasabispur_runtime.log import log
 
 from .agent_settings import AgentSettings
-from .bundle_holder import build_holder
+from .bundle_holder import announcer, build_holder
 from .entry_link import EntryLink
 from .entry_routing import AgentActors
 from .worker_client import WorkerClient
@@ -26,7 +26,8 @@
     settings: AgentSettings,
     timers: TimerService,
     stop: asyncio.Event,
-    announce: Callable[[int], Announce],
+    announce: Callable[[bool, int], Announce],
+    near: frozenset[str],
 ) -> None:
     """Run an agent beside a worker until stop is set, then stop its tasks."""
     chart = task_chart(ChartCatalogue())
@@ -39,7 +40,7 @@
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: announce(version.version),
+            announce=announcer(announce, address in near, version),
             heartbeat=lambda sequence: beat(
                 sequence, state, timers.now(), version.version
             ),
--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -136,7 +136,7 @@
         len(system.call("GET", f"{url}/starts")[1]["starts"])
         for url in system.worker_urls
     )
-    if job["state"] != "finished" or starts != body["tasks"]:
+    if job["state"] != "completed" or starts != body["tasks"]:
         raise ProcessError(
             f"job {job_id} is {job['state']} ({job['reason']}) after {starts} starts",
             "see the entries' logs",
@@ -164,7 +164,12 @@
 def ended_job(system: DemoSystem, entry: Entry, job_id: str) -> Body | None:
     """Return a job that has ended, or None."""
     status, job = system.call("GET", f"{entry.url}/v1/jobs/{job_id}")
-    if status != 200 or job["state"] not in ("finished", "failed", "cancelled"):
+    if status != 200 or job["state"] not in (
+        "completed",
+        "failed",
+        "cancelled",
+        "rejected",
+    ):
         return None
     return job
 
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wasabispur_core.attachment import heartbeat_interval, HeartbeatIntervals
 from wasabispur_core.error import ProtocolError
 from wasabispur_core.log_event import MESSAGE_MALFORMED
 from wasabispur_core.member import FromAgent
@@ -84,7 +85,7 @@
 async def serve_agent(
     stream: Any,
     entry_id: str,
-    interval: float,
+    intervals: HeartbeatIntervals,
     timers: TimerService,
     membership: Actor,
     bundle_version: Callable[[], int],
@@ -94,6 +95,7 @@
     if announce is None:
         abort_connection(stream)
         return
+    interval = heartbeat_interval(announce, intervals)
     session = AgentSession(
         announce, timers, stream, membership, interval, bundle_version
     )
--- a/packages/wasabispur/src/wasabispur/control_service.py
+++ b/packages/wasabispur/src/wasabispur/control_service.py
@@ -36,7 +36,7 @@
             await serve_agent(
                 stream,
                 self.settings.entry_id,
-                self.settings.heartbeat_interval,
+                self.settings.intervals,
                 self.context.timers,
                 self.context.membership,
                 self.context.bundle_version,
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field
 
+from wasabispur_core.attachment import HeartbeatIntervals
 from wasabispur_runtime.settings import Settings
 from wasabispur_runtime.signature import OperatorKeys
 
@@ -23,6 +24,8 @@
     control_port: Port
     http_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 1.0
+    worker_heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 5.0
+    far_heartbeat_interval: Annotated[float, Field(ge=0.01, le=60)] = 30.0
     session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
     table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
     shards: list[str] = Field(default_factory=list, max_length=64)
@@ -34,3 +37,12 @@
     def control_address(self) -> str:
         """Return the address at which other processes reach the control port."""
         return self.advertised_address or f"{self.host}:{self.control_port}"
+
+    @property
+    def intervals(self) -> HeartbeatIntervals:
+        """Return the heartbeat intervals by kind of agent."""
+        return HeartbeatIntervals(
+            endpoint=self.heartbeat_interval,
+            near_worker=self.worker_heartbeat_interval,
+            far_worker=self.far_heartbeat_interval,
+        )
