--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -17,9 +17,11 @@
 from wasabispur_runtime.log import configure_log, log
 
 from .agent_settings import AgentSettings
+from .bundle_holder import announcer, build_holder
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
+from .entry_routing import AgentActors
 from .worker_agent import run_worker_agent
 
 
@@ -44,16 +46,20 @@
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
     runner = EndpointRunner(timers, state, client)
+    bundles = build_holder(settings, timers, runner.links)
+    version = bundles.state
+    actors = AgentActors(runner=runner, bundles=bundles)
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=partial(announce, address in near),
-            heartbeat=lambda sequence: beat(sequence, state),
-            receiver=runner.post,
+            announce=announcer(announce, address in near, version),
+            heartbeat=lambda sequence: beat(sequence, state, version.version),
+            receiver=actors.post,
             random=Random(),
         )
     runner.start()
+    bundles.start()
     for link in runner.links.values():
         link.start()
     log(PROCESS_STARTED, process=settings.agent_id)
@@ -61,12 +67,17 @@
     log(PROCESS_DRAINING, process=settings.agent_id)
     await runner.drain()
     await runner.close()
+    await bundles.close()
     await asyncio.gather(*(link.close() for link in runner.links.values()))
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
 def describe(
-    settings: AgentSettings, incarnation: int, timers: TimerService, near: bool
+    settings: AgentSettings,
+    incarnation: int,
+    timers: TimerService,
+    near: bool,
+    bundle_version: int,
 ) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
@@ -82,15 +93,16 @@
         cores=settings.cores,
         memory=settings.memory,
         near=near,
+        bundle_version=bundle_version,
         clock=timers.now(),
     )
 
 
-def beat(sequence: int, state: PermitState) -> Heartbeat:
+def beat(sequence: int, state: PermitState, bundle_version: int) -> Heartbeat:
     """Return the next heartbeat of an agent."""
     return Heartbeat(
         sequence=sequence,
-        bundle_version=0,
+        bundle_version=bundle_version,
         in_flight=len(state.attempts),
         free_slots=state.free_slots,
     )
--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/bundle_holder.py
@@ -0,0 +1,75 @@
+"""Own the bundle version in force in an agent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from wasabispur_core.bundle_version import (
+    ApplyBundle,
+    BundleVersionState,
+    decide,
+    ProcessKind,
+    SendToCounterpart,
+)
+from wasabispur_core.permit import SendToEntryLink
+from wasabispur_core.protocol import Announce
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.bundle_codec import BundleRecords
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.signature import Ed25519Verifier
+
+from .agent_settings import AgentSettings
+
+AGENT_PATIENCE = 2.0
+"""Seconds within which an agent leaves it to the entries to update each other."""
+
+
+class BundleHolder(DecisionActor):
+    """Take bundles from entries, and give them to entries that lost theirs."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        state: BundleVersionState,
+        links: Mapping[str, Actor],
+    ) -> None:
+        super().__init__("bundle-holder", timers, state, decide)
+        self.links = links
+        self.listeners: list[Actor] = []
+
+
+@execute.register
+def _(command: SendToCounterpart, actor: BundleHolder) -> None:
+    entry_id = command.counterpart.process_id
+    link = actor.links.get(entry_id)
+    if link is not None:
+        link.post(SendToEntryLink(entry_id=entry_id, message=command.message))
+
+
+@execute.register
+def _(command: ApplyBundle, actor: BundleHolder) -> None:
+    for listener in actor.listeners:
+        listener.post(command)
+
+
+def build_holder(
+    settings: AgentSettings, timers: TimerService, links: Mapping[str, Actor]
+) -> BundleHolder:
+    """Return the bundle holder of an agent."""
+    state = BundleVersionState(
+        kind=ProcessKind.AGENT,
+        records=BundleRecords(),
+        verifier=Ed25519Verifier(settings.operators),
+        random=Random(),
+        patience=AGENT_PATIENCE,
+    )
+    return BundleHolder(timers, state, links)
+
+
+def announcer(
+    announce: Callable[[bool, int], Announce], near: bool, state: BundleVersionState
+) -> Callable[[], Announce]:
+    """Return how an agent announces itself with its bundle version on a link."""
+    return lambda: announce(near, state.version)
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import partial
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
@@ -16,7 +15,9 @@
 from wasabispur_runtime.log import log
 
 from .agent_settings import AgentSettings
+from .bundle_holder import announcer, build_holder
 from .entry_link import EntryLink
+from .entry_routing import AgentActors
 from .worker_client import WorkerClient
 from .worker_runner import WorkerRunner
 
@@ -25,20 +26,25 @@
     settings: AgentSettings,
     timers: TimerService,
     stop: asyncio.Event,
-    announce: Callable[[bool], Announce],
+    announce: Callable[[bool, int], Announce],
     near: frozenset[str],
 ) -> None:
     """Run an agent beside a worker until stop is set, then stop its tasks."""
     chart = task_chart(ChartCatalogue())
     state = TaskState(settings.data_centre, settings.accelerators, chart)
     runner = WorkerRunner(timers, state, WorkerClient(settings.local_url))
+    bundles = build_holder(settings, timers, runner.links)
+    actors = AgentActors(runner=runner, bundles=bundles)
+    version = bundles.state
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=partial(announce, address in near),
-            heartbeat=lambda sequence: beat(sequence, state, timers.now()),
-            receiver=runner.post,
+            announce=announcer(announce, address in near, version),
+            heartbeat=lambda sequence: beat(
+                sequence, state, timers.now(), version.version
+            ),
+            receiver=actors.post,
             random=Random(),
             welcomed=runner.post,
         )
@@ -50,6 +56,7 @@
     await asyncio.wait((clearing, stopping), return_when=asyncio.FIRST_COMPLETED)
     if clearing.done():
         runner.start()
+        bundles.start()
         for link in runner.links.values():
             link.start()
     await stopping
@@ -57,12 +64,16 @@
     log(PROCESS_DRAINING, process=settings.agent_id)
     await runner.drain()
     await runner.close()
+    await bundles.close()
     await asyncio.gather(*(link.close() for link in runner.links.values()))
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
-def beat(sequence: int, state: TaskState, now: float) -> Heartbeat:
+def beat(sequence: int, state: TaskState, now: float, bundle_version: int) -> Heartbeat:
     """Return the next heartbeat with the clock that anchors leases."""
     return Heartbeat(
-        sequence=sequence, bundle_version=0, in_flight=len(state.tasks), clock=now
+        sequence=sequence,
+        bundle_version=bundle_version,
+        in_flight=len(state.tasks),
+        clock=now,
     )
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -35,6 +35,10 @@
 STREAM_FAILED = LogEvent(205, "WARNING", "stream to {peer} failed: {reason}")
 MESSAGE_MALFORMED = LogEvent(206, "WARNING", "malformed message from {peer}: {error}")
 AGENT_LEAVING = LogEvent(207, "INFO", "agent {agent} is leaving")
+ENTRY_ROW_REFUSED = LogEvent(208, "WARNING", "row {key} can't be used: {error}")
+PEER_CONNECTED = LogEvent(210, "INFO", "peer {entry} connected")
+PEER_LOST = LogEvent(211, "WARNING", "peer {entry} lost: {reason}")
+MESSAGE_UNROUTED = LogEvent(212, "WARNING", "no actor takes {message_name} from {peer}")
 SESSIONS_FULL = LogEvent(
     221, "ERROR", "refused a stream: {limit} agents are attached already"
 )
@@ -64,6 +68,15 @@
     408, "INFO", "guaranteed shape {shape} of {organisation} can be met again"
 )
 
+BUNDLE_IN_FORCE = LogEvent(
+    501, "INFO", "bundle version {version}, signed off by {signer}, is in force"
+)
+BUNDLE_REFUSED = LogEvent(502, "ERROR", "bundle version {version} is refused: {reason}")
+BUNDLE_ROW_REFUSED = LogEvent(503, "ERROR", "row {key} can't be used: {error}")
+BUNDLE_OPERATION_ENDED = LogEvent(504, "INFO", "bundle operation {operation} ended")
+BUNDLE_OPERATION_FAILED = LogEvent(
+    505, "WARNING", "bundle operation {operation} failed: {error}"
+)
 STORE_DOWN = LogEvent(601, "ERROR", "{store} gets no answers; calls are held back")
 STORE_ANSWERS = LogEvent(602, "INFO", "{store} gets answers again")
 RESULT_UNDELIVERED = LogEvent(603, "ERROR", "{store} can't deliver {result}: {error}")
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
@@ -80,8 +80,8 @@
 class MessageStream(Actor):
     """Own one open stream: send, receive, probe, and detect silence.
 
-    The initiator sends heartbeats, the other side answers them. Everything but
-    heartbeats goes to the receiver. serve() returns when the stream has ended.
+    The initiator sends heartbeats, the other side answers them. Everything that
+    arrives goes to the receiver. serve() returns when the stream has ended.
     """
 
     mailbox_limit = OUTGOING_LIMIT
@@ -92,7 +92,7 @@
         timers: TimerService,
         stream: Any,
         receiver: Callable[[Message], None],
-        heartbeat: Callable[[int], Message],
+        heartbeat: Callable[[int], Heartbeat],
         interval: float,
         initiator: bool,
     ) -> None:
@@ -180,15 +180,15 @@
         The answer goes first: a receiver that is full must not make the link
         look silent.
         """
+        own = self.heartbeat(message.sequence)
         await self._send(
-            HeartbeatAck(
-                sequence=message.sequence, bundle_version=message.bundle_version
-            )
+            HeartbeatAck(sequence=own.sequence, bundle_version=own.bundle_version)
         )
         self.receiver(message)
 
     def on_heartbeat_ack(self, message: HeartbeatAck) -> None:
-        """Drop the acknowledgement; its arrival was noted by the reader."""
+        """Pass the acknowledgement on for the bundle version that it carries."""
+        self.receiver(message)
 
     def on_message(self, message: Message) -> None:
         """Pass a received message on."""
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_stream.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_stream.py
@@ -11,8 +11,12 @@
 
 from wasabispur.control_server import ControlServer
 from wasabispur.control_service import ControlService
+from wasabispur.entry_actors import (
+    build_context,
+    build_membership,
+    build_version_state,
+)
 from wasabispur.entry_settings import EntrySettings
-from wasabispur.membership import Membership
 from wasabispur_agent.entry_link import EntryLink
 from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_runtime.timer_service import LoopTimerService
@@ -161,11 +165,13 @@
 async def entry() -> AsyncIterator[Relay]:
     """Run the control port of an entry in this process, behind a relay."""
     timers = LoopTimerService(asyncio.get_running_loop())
-    membership = Membership(timers)
-    membership.start()
     port = free_port()
     settings = EntrySettings.model_validate(entry_settings(port, port))
-    service = ControlService(settings, timers, membership)
+    membership = build_membership(settings, timers)
+    membership.start()
+    version = build_version_state(settings)
+    context = build_context(settings, membership, 1, version)
+    service = ControlService(settings, context)
     server = ControlServer(service, timers, settings.session_limit)
     await server.start(HOST, port)
     relay = Relay(timers, port)
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,6 +38,7 @@
         stream: Any,
         membership: Actor,
         interval: float,
+        bundle_version: Callable[[], int],
     ) -> None:
         self.announce = announce
         self.membership = membership
@@ -46,7 +48,9 @@
             timers,
             stream,
             receiver=self.forward,
-            heartbeat=lambda sequence: Heartbeat(sequence=sequence, bundle_version=0),
+            heartbeat=lambda sequence: Heartbeat(
+                sequence=sequence, bundle_version=bundle_version()
+            ),
             interval=interval,
             initiator=False,
         )
@@ -84,6 +88,7 @@
     intervals: HeartbeatIntervals,
     timers: TimerService,
     membership: Actor,
+    bundle_version: Callable[[], int],
 ) -> None:
     """Serve one Attach stream until it ends."""
     announce = await receive_announce(stream, timers)
@@ -91,7 +96,9 @@
         abort_connection(stream)
         return
     interval = heartbeat_interval(announce, intervals)
-    session = AgentSession(announce, timers, stream, membership, interval)
+    session = AgentSession(
+        announce, timers, stream, membership, interval, bundle_version
+    )
     await stream.send_message(Welcome(entry_id=entry_id, heartbeat_interval=interval))
     membership.post_urgent(SessionOpened(announce=announce, session=session))
     reason = "cancelled"
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -3,31 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
 
-from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.command import SendToEntry
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.request import RequestState
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.protocol import Leaving
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 from wasabispur_runtime.metrics import registry
-from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
+from .bundle_resource import BundleResource
 from .control_server import ControlServer
 from .control_service import ControlService
+from .entry_actors import build_actors
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
 from .job_resource import JobResource
-from .job_wiring import build_job_actors, JobActors
-from .membership import Membership
+from .job_wiring import build_job_actors
+from .member_resource import MemberResource
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
 from .organisation_resource import OrganisationResource
-from .request_dispatcher import RequestDispatcher
 from .request_metrics import RequestMetrics
 
 
@@ -37,29 +35,36 @@
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
     registry.configure(settings.entry_id)
-    membership = Membership(timers)
-    state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
-    dispatcher = RequestDispatcher(timers, state, membership)
+    actors = build_actors(settings, timers)
     request_metrics = RequestMetrics(registry)
-    dispatcher.observer = request_metrics.observe
-    membership.dispatcher = dispatcher
-    membership.start()
-    dispatcher.start()
+    actors.dispatcher.observer = request_metrics.observe
+    actors.start()
     control = ControlServer(
-        ControlService(settings, timers, membership), timers, settings.session_limit
+        ControlService(settings, actors.context), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
     metrics = MetricsReader(
         timers,
         registry,
         settings.entry_id,
-        {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+        {actor.name: actor.mailbox.qsize for actor in actors.in_order()},
         request_metrics.counts,
     )
     metrics.start()
-    resources = VersionOneResource(bridge, dispatcher)
+    resources = VersionOneResource(bridge, actors.dispatcher)
+    resources.members = MemberResource(bridge, actors.membership)
+    jobs = None
+    if actors.bundles is not None:
+        jobs = build_job_actors(
+            settings, timers, actors.membership, actors.bundles.table
+        )
+        resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+        resources.organisations = OrganisationResource(resources.jobs)
+        jobs.start()
+        resources.bundles = BundleResource(
+            bridge, actors.bundles.changes, actors.bundles.manager
+        )
     resources.metrics = MetricsResource(bridge, metrics)
-    jobs = start_jobs(settings, timers, membership, bridge, resources)
     http = HttpServer(
         build_application(resources),
         settings.host,
@@ -70,35 +75,17 @@
     http.start()
     log(PROCESS_STARTED, process=settings.entry_id)
     await stop.wait()
+    actors.membership.post(SendToEntry(entry_id="", message=Leaving()))
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
     await metrics.close()
     if jobs is not None:
         await jobs.close()
-    await dispatcher.close()
-    await membership.close()
+    await actors.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
-def start_jobs(
-    settings: EntrySettings,
-    timers: TimerService,
-    membership: Membership,
-    bridge: Bridge,
-    resources: VersionOneResource,
-) -> JobActors | None:
-    """Start the actors that serve jobs if the settings name a table service."""
-    if settings.table_url is None:
-        return None
-    table = TableClient(timers, settings.table_url, Random())
-    jobs = build_job_actors(settings, timers, membership, table)
-    resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
-    resources.organisations = OrganisationResource(resources.jobs)
-    jobs.start()
-    return jobs
-
-
 async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -8,6 +8,7 @@
 
 from wasabispur_core.attachment import HeartbeatIntervals
 from wasabispur_runtime.settings import Settings
+from wasabispur_runtime.signature import OperatorKeys
 
 Port = Annotated[int, Field(ge=1, le=65535)]
 
@@ -28,8 +29,15 @@
     session_limit: Annotated[int, Field(ge=1, le=10_000)] = 2_000
     table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
     shards: list[str] = Field(default_factory=list, max_length=64)
+    operators: OperatorKeys = []
+    advertised_address: str = ""
     log_level: str = "INFO"
 
+    @property
+    def control_address(self) -> str:
+        """Return the address at which other processes reach the control port."""
+        return self.advertised_address or f"{self.host}:{self.control_port}"
+
     @property
     def intervals(self) -> HeartbeatIntervals:
         """Return the heartbeat intervals by kind of agent."""
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -7,8 +7,10 @@
 import cherrypy
 
 from .bridge import Bridge
+from .bundle_resource import BundleResource
 from .http_error import handle_error, handle_http_error
 from .job_resource import JobResource
+from .member_resource import MemberResource
 from .metrics_resource import MetricsResource
 from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
@@ -43,6 +45,8 @@
 
     jobs: JobResource | None = None
     organisations: OrganisationResource | None = None
+    bundles: BundleResource | None = None
+    members: MemberResource | None = None
     metrics: MetricsResource | None = None
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
--- a/packages/wasabispur/src/wasabispur/job_command.py
+++ b/packages/wasabispur/src/wasabispur/job_command.py
@@ -129,7 +129,10 @@
 ) -> None:
     """Call the entry and print its answer, or fail with the error's exit code."""
     try:
-        answer = ApiClient(url).call(method, path, body)
+        client = ApiClient(url)
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"}
+        answer = client.read(client.call(method, path, data, headers))
     except WasabispurError as error:
         fail(error)
         return
--- a/tests/stream/harness.py
+++ b/tests/stream/harness.py
@@ -10,8 +10,12 @@
 
 from wasabispur.control_server import ControlServer
 from wasabispur.control_service import ControlService
+from wasabispur.entry_actors import (
+    build_context,
+    build_membership,
+    build_version_state,
+)
 from wasabispur.entry_settings import EntrySettings
-from wasabispur.membership import Membership
 from wasabispur_agent.entry_link import EntryLink
 from wasabispur_core.metric import STREAM_LOSSES
 from wasabispur_core.protocol import Announce, Heartbeat, Role
@@ -96,7 +100,7 @@
             heartbeat_interval=INTERVAL,
             session_limit=session_limit,
         )
-        self.membership = Membership(self.timers)
+        self.membership = build_membership(self.settings, self.timers)
         self.dispatcher = Recorder(self.timers)
         self.membership.dispatcher = self.dispatcher
         self.links: list[EntryLink] = []
@@ -105,7 +109,9 @@
     async def __aenter__(self) -> Rig:
         for actor in (self.membership, self.dispatcher, self.received):
             actor.start()
-        service = ControlService(self.settings, self.timers, self.membership)
+        version = build_version_state(self.settings)
+        context = build_context(self.settings, self.membership, 1, version)
+        service = ControlService(self.settings, context)
         self.server = ControlServer(service, self.timers, self.settings.session_limit)
         await self.server.start("127.0.0.1", 0)
         self.port = self.server._server.sockets[0].getsockname()[1]
