--- a/packages/wasabispur-core/src/wasabispur_core/request_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request_action.py
@@ -139,6 +139,12 @@
     __slots__ = ()
 
 
+class Repeatable(RequestGuard):
+    """Hold if no attempt may have run, or the class allows more than one run."""
+
+    __slots__ = ()
+
+
 def request_chart(catalogue: ChartCatalogue) -> Chart:
     """Return the request chart bound to its actions and guards."""
     return catalogue.bind(
@@ -166,6 +172,11 @@
     return guard.subject.work_class.idempotent
 
 
+@holds.register
+def _(guard: Repeatable) -> bool:
+    return guard.subject.work_class.idempotent or not guard.subject.may_have_run
+
+
 @perform.register
 def _(action: CountFirstAttempt) -> list[Command]:
     action.state.budget(action.subject.work_class).deposit()
--- /dev/null
+++ b/tests/request/network.py
@@ -0,0 +1,251 @@
+"""Connect the entry's and the agents' decisions by a network under test control."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import cache, singledispatchmethod
+from pathlib import Path
+from random import Random
+
+from wasabispur_core import permit, request
+from wasabispur_core.chart import Chart, ChartCatalogue
+from wasabispur_core.command import CancelTimer, Command, SendToAgent, SetTimer
+from wasabispur_core.member import FromAgent
+from wasabispur_core.message import Message
+from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.permit import CallEndpoint, FromEntry, PermitState, SendToEntryLink
+from wasabispur_core.permit_action import attempt_chart
+from wasabispur_core.protocol import (
+    AttemptCompleted,
+    AttemptNotRun,
+    AttemptUnknown,
+    Reason,
+    StartAttempt,
+)
+from wasabispur_core.request import (
+    AgentAttached,
+    AgentDetached,
+    RequestReceived,
+    RequestState,
+)
+from wasabispur_core.request_action import request_chart
+from wasabispur_core.timer import FakeSubscription, FakeTimerService
+
+ENTRY = "entry"
+SERVICE = "tag-composer"
+
+
+@dataclass
+class Packet:
+    """Hold one message that is under way."""
+
+    agent_id: str
+    to_agent: bool
+    message: Message
+
+
+@dataclass
+class AgentNode:
+    """Hold one agent's process."""
+
+    agent_id: str
+    state: PermitState
+    paused: bool = False
+    inbox: list[Message] = field(default_factory=list)
+    calls: dict[str, StartAttempt] = field(default_factory=dict)
+    timers: dict[str, FakeSubscription] = field(default_factory=dict)
+
+
+@cache
+def bound_chart(bind: Callable[[ChartCatalogue], Chart], charts: Path | None) -> Chart:
+    """Return a chart that is read once for all networks."""
+    return bind(ChartCatalogue(charts))
+
+
+class Network:
+    """Own one entry, some agents and the messages between them."""
+
+    def __init__(self, agents: int = 2, charts: Path | None = None) -> None:
+        self.attempt_chart = bound_chart(attempt_chart, charts)
+        self.clock = FakeTimerService()
+        self.entry = RequestState(
+            "region", bound_chart(request_chart, charts), Random(1)
+        )
+        self.entry_timers: dict[str, FakeSubscription] = {}
+        self.incarnations = 0
+        self.agents = {f"a{n}": self.new_agent(f"a{n}") for n in range(agents)}
+        self.packets: list[Packet] = []
+        self.runs: Counter[str] = Counter()
+        self.replies: dict[str, list[ReplyToCaller]] = {}
+        self.classes: dict[str, str] = {}
+        self.checks_length = True
+        for agent_id in self.agents:
+            self.attach(agent_id)
+
+    def new_agent(self, agent_id: str) -> AgentNode:
+        """Return a freshly started agent."""
+        self.incarnations += 1
+        state = PermitState(2, self.attempt_chart, self.incarnations)
+        return AgentNode(agent_id, state)
+
+    # What callers do
+
+    def submit(self, work_class: str = "urgent", deadline: float = 10.0) -> str:
+        """Send a request and return its id."""
+        request_id = f"r{len(self.classes)}"
+        self.classes[request_id] = work_class
+        self.tell_entry(
+            RequestReceived(
+                request_id=request_id,
+                organisation="peachtree",
+                work_class=work_class,
+                service=SERVICE,
+                method="POST",
+                path="/",
+                headers={},
+                body=request_id.encode(),
+                deadline=deadline,
+            )
+        )
+        return request_id
+
+    def outcome(self, request_id: str) -> Outcome | None:
+        """Return what the caller was told, if anything."""
+        replies = self.replies.get(request_id)
+        return replies[0].outcome if replies else None
+
+    # What the processes do
+
+    def tell_entry(self, message: Message) -> None:
+        """Let the entry decide on a message."""
+        for command in request.decide(message, self.entry, self.clock.now()):
+            self.execute(command, None)
+
+    def tell_agent(self, node: AgentNode, message: Message) -> None:
+        """Let an agent decide on a message, or queue it while it is paused."""
+        if self.agents.get(node.agent_id) is not node:
+            return
+        if node.paused:
+            node.inbox.append(message)
+            return
+        for command in permit.decide(message, node.state, self.clock.now()):
+            self.execute(command, node)
+
+    @singledispatchmethod
+    def execute(self, command: Command, node: AgentNode | None) -> None:
+        """Carry out one command of the entry or of an agent."""
+        raise AssertionError(command)
+
+    @execute.register
+    def _(self, command: SendToAgent, node: AgentNode | None) -> None:
+        self.packets.append(Packet(command.agent_id, True, command.message))
+
+    @execute.register
+    def _(self, command: SendToEntryLink, node: AgentNode) -> None:
+        self.packets.append(Packet(node.agent_id, False, command.message))
+
+    @execute.register
+    def _(self, command: SetTimer, node: AgentNode | None) -> None:
+        timers = self.entry_timers if node is None else node.timers
+
+        def fire(message: Message) -> None:
+            if node is None:
+                self.tell_entry(message)
+            else:
+                self.tell_agent(node, message)
+
+        timers[command.timer_id] = self.clock.subscribe(
+            command.delay, fire, command.message
+        )
+
+    @execute.register
+    def _(self, command: CancelTimer, node: AgentNode | None) -> None:
+        timers = self.entry_timers if node is None else node.timers
+        subscription = timers.pop(command.timer_id, None)
+        if subscription is not None:
+            subscription.cancel()
+
+    @execute.register
+    def _(self, command: ReplyToCaller, node: AgentNode | None) -> None:
+        self.replies.setdefault(command.request_id, []).append(command)
+
+    @execute.register
+    def _(self, command: CallEndpoint, node: AgentNode) -> None:
+        node.calls[command.start.attempt_id] = command.start
+        self.runs[command.start.body.decode()] += 1
+
+    # What the endpoint does
+
+    def finish(self, agent_id: str, attempt_id: str, how: str = "complete") -> None:
+        """End a call to the endpoint."""
+        node = self.agents[agent_id]
+        start = node.calls.pop(attempt_id)
+        if how == "refused":
+            self.runs[start.body.decode()] -= 1
+        self.tell_agent(node, self.result(start, how))
+
+    def result(self, start: StartAttempt, how: str) -> Message:
+        """Return what the endpoint client reports."""
+        attempt_id = start.attempt_id
+        if how == "refused":
+            return AttemptNotRun(attempt_id=attempt_id, reason=Reason.CONNECT_FAILED)
+        if how == "lost":
+            return AttemptUnknown(attempt_id=attempt_id, reason=Reason.RESPONSE_LOST)
+        body = response_to(start.body)
+        if how == "truncated":
+            if self.checks_length:
+                reason = Reason.RESPONSE_TRUNCATED
+                return AttemptUnknown(attempt_id=attempt_id, reason=reason)
+            body = body[:-1]
+        return AttemptCompleted(
+            attempt_id=attempt_id, status=200, headers={}, body=body
+        )
+
+    # What the network does
+
+    def deliver(self, packet: Packet) -> None:
+        """Hand a message to its receiver."""
+        if not packet.to_agent:
+            self.tell_entry(FromAgent(agent_id=packet.agent_id, message=packet.message))
+            return
+        node = self.agents[packet.agent_id]
+        self.tell_agent(node, FromEntry(entry_id=ENTRY, message=packet.message))
+
+    def settle(self) -> None:
+        """Deliver everything in order until nothing is under way."""
+        while self.packets:
+            self.deliver(self.packets.pop(0))
+
+    def attach(self, agent_id: str) -> None:
+        """Open a new stream of an agent."""
+        self.tell_entry(
+            AgentAttached(agent_id=agent_id, service=SERVICE, region="region", slots=2)
+        )
+
+    def detach(self, agent_id: str) -> None:
+        """Break the stream of an agent; messages under way are delayed."""
+        self.tell_entry(AgentDetached(agent_id=agent_id))
+
+    def restart(self, agent_id: str) -> None:
+        """Crash an agent and start it again; its endpoint calls go on unheard."""
+        node = self.agents[agent_id]
+        for subscription in node.timers.values():
+            subscription.cancel()
+        self.detach(agent_id)
+        self.agents[agent_id] = self.new_agent(agent_id)
+        self.attach(agent_id)
+
+    def resume(self, agent_id: str) -> None:
+        """Let a paused agent handle what arrived meanwhile."""
+        node = self.agents[agent_id]
+        node.paused = False
+        inbox, node.inbox = node.inbox, []
+        for message in inbox:
+            self.tell_agent(node, message)
+
+
+def response_to(body: bytes) -> bytes:
+    """Return the only complete response to a request body."""
+    return b"response to " + body
--- /dev/null
+++ b/tests/request/test_request_outcome.py
@@ -0,0 +1,115 @@
+"""Guard what callers are told when messages, streams and agents are lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabispur_core.outcome import Outcome
+from wasabispur_core.protocol import Reason
+
+from .network import Network, response_to
+
+
+def running(network: Network, work_class: str = "order") -> tuple[str, str]:
+    """Submit a request, bring it to its endpoint, and return request and agent."""
+    request_id = network.submit(work_class)
+    network.settle()
+    agent_id = network.entry.requests[request_id].agent_id
+    assert network.agents[agent_id].calls
+    return request_id, agent_id
+
+
+def test_request_without_an_endpoint_is_not_run_for_that_reason():
+    """Guard against a wrong reason that sends the operator after deadlines."""
+    network = Network(agents=0)
+    request_id = network.submit()
+    (reply,) = network.replies[request_id]
+    assert reply.outcome is Outcome.NOT_RUN
+    assert reply.reason == Reason.NO_ENDPOINT.value
+
+
+def test_result_that_ended_while_the_stream_was_down_reaches_the_caller():
+    """Guard against "unknown" where the agent still holds the response."""
+    network = Network(agents=1)
+    request_id, agent_id = running(network)
+    network.detach(agent_id)
+    assert network.outcome(request_id) is None
+    network.finish(agent_id, f"{request_id}.1")
+    network.packets.clear()
+    network.attach(agent_id)
+    network.settle()
+    (reply,) = network.replies[request_id]
+    assert reply.outcome is Outcome.COMPLETED
+    assert reply.body == response_to(request_id.encode())
+
+
+def test_running_request_goes_on_after_a_replaced_stream():
+    """Guard against a lost question when a new stream replaces one unnoticed."""
+    network = Network(agents=1)
+    request_id, agent_id = running(network)
+    network.attach(agent_id)
+    network.settle()
+    assert network.entry.requests[request_id].lifecycle.state == "running"
+    network.finish(agent_id, f"{request_id}.1")
+    network.settle()
+    assert network.outcome(request_id) is Outcome.COMPLETED
+
+
+def test_restarted_agent_makes_a_non_idempotent_request_unknown():
+    """Guard against "not run" after the agent's memory was lost."""
+    network = Network()
+    request_id, agent_id = running(network)
+    network.restart(agent_id)
+    network.settle()
+    (reply,) = network.replies[request_id]
+    assert reply.outcome is Outcome.UNKNOWN
+    assert reply.reason == Reason.AGENT_RESTARTED.value
+
+
+def test_start_that_was_lost_with_its_stream_is_proved_not_run():
+    """Guard against "unknown" where the permit was never used."""
+    network = Network(agents=1)
+    request_id = network.submit("order")
+    while network.entry.requests[request_id].lifecycle.state != "running":
+        network.deliver(network.packets.pop(0))
+    network.packets.clear()
+    network.detach("a0")
+    network.attach("a0")
+    network.settle()
+    assert network.outcome(request_id) is Outcome.NOT_RUN
+
+
+def test_attempt_that_may_have_run_outweighs_a_later_refusal():
+    """Guard against "not run" because only the last attempt did not run."""
+    network = Network()
+    network.entry.budget(network.entry.classes["urgent"]).balance = 9.0
+    request_id, agent_id = running(network, "urgent")
+    network.finish(agent_id, f"{request_id}.1", "lost")
+    for node in network.agents.values():
+        node.state.leaving = True
+    for _ in range(20):
+        network.settle()
+        network.clock.advance(1.0)
+    assert network.outcome(request_id) is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("work_class", "expected"), [("urgent", Outcome.COMPLETED), ("order", None)]
+)
+def test_only_an_idempotent_request_is_repeated_while_its_agent_is_away(
+    work_class, expected
+):
+    """Guard against a second run, and against waiting where repeating is allowed."""
+    network = Network()
+    network.entry.budget(network.entry.classes[work_class]).balance = 9.0
+    request_id, agent_id = running(network, work_class)
+    network.detach(agent_id)
+    for _ in range(5):
+        network.clock.advance(1.0)
+        network.settle()
+    for other_id, node in network.agents.items():
+        for attempt_id in list(node.calls):
+            if other_id != agent_id:
+                network.finish(other_id, attempt_id)
+    network.settle()
+    assert network.outcome(request_id) is expected
--- /dev/null
+++ b/tests/request/test_request_retry.py
@@ -0,0 +1,84 @@
+"""Guard the bounds on retries."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from wasabispur_core.outcome import Outcome
+from wasabispur_core.protocol import RequestPermit
+from wasabispur_core.retry import backoff, BACKOFF_LIMIT, RetryBudget
+
+from .network import Network
+
+REQUESTS = 400
+ATTEMPTS_PER_REQUEST = 1.2
+
+
+def fail_everything(network: Network, how: str) -> int:
+    """Deliver everything, fail every call, and return the attempts made."""
+    attempts = 0
+    while network.packets or any(node.calls for node in network.agents.values()):
+        attempts += sum(
+            isinstance(packet.message, RequestPermit) for packet in network.packets
+        )
+        network.settle()
+        for agent_id, node in network.agents.items():
+            for attempt_id in list(node.calls):
+                network.finish(agent_id, attempt_id, how)
+    return attempts
+
+
+@pytest.mark.parametrize("how", ["refused", "lost"])
+@pytest.mark.parametrize("work_class", ["urgent", "order"])
+def test_attempts_stay_bounded_in_a_full_outage(work_class, how):
+    """Guard against retries that multiply the load of an outage."""
+    network = Network(agents=4)
+    attempts = 0
+    for _ in range(REQUESTS):
+        network.submit(work_class)
+        attempts += fail_everything(network, how)
+        network.clock.advance(0.05)
+        attempts += fail_everything(network, how)
+    for _ in range(20):
+        network.clock.advance(1.0)
+        attempts += fail_everything(network, how)
+    assert len(network.replies) == REQUESTS
+    assert attempts / REQUESTS < ATTEMPTS_PER_REQUEST
+    expected = Outcome.NOT_RUN if how == "refused" else Outcome.UNKNOWN
+    assert {network.outcome(request_id) for request_id in network.replies} == {expected}
+
+
+def test_retry_goes_to_another_endpoint_with_the_remaining_deadline():
+    """Guard against a retry at the failed endpoint or with a fresh deadline."""
+    network = Network(agents=2)
+    network.entry.budget(network.entry.classes["urgent"]).balance = 1.0
+    request_id = network.submit(deadline=10.0)
+    first = network.entry.requests[request_id].agent_id
+    network.settle()
+    network.clock.advance(4.0)
+    network.finish(first, f"{request_id}.1", "refused")
+    network.settle()
+    network.clock.advance(1.0)
+    asked = [p for p in network.packets if isinstance(p.message, RequestPermit)]
+    assert [packet.agent_id != first for packet in asked] == [True]
+    assert asked[0].message.remaining < 6.0
+
+
+def test_backoff_is_spread_over_the_whole_growing_interval():
+    """Guard against retries that come in step."""
+    random = Random(1)
+    for attempts in range(1, 12):
+        delays = [backoff(attempts, random) for _ in range(500)]
+        limit = min(BACKOFF_LIMIT, 0.05 * 2.0**attempts)
+        assert min(delays) < 0.1 * limit
+        assert 0.9 * limit < max(delays) <= limit
+
+
+def test_budget_does_not_grow_without_bound():
+    """Guard against a burst of retries after a long quiet time."""
+    budget = RetryBudget(0.1)
+    for _ in range(10_000):
+        budget.deposit()
+    assert budget.balance <= 10.0
