--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -5,24 +5,26 @@
 import asyncio
 from random import Random
 
-from grpclib.server import Server
-
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.request import RequestState
 from wasabispur_core.request_action import request_chart
 from wasabispur_core.timer import TimerService
-from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.metrics import registry
 
 from .bridge import Bridge
+from .control_server import ControlServer
 from .control_service import ControlService
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
 from .membership import Membership
+from .metrics_reader import MetricsReader
+from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
+from .request_metrics import RequestMetrics
 
 
 async def run_entry(
@@ -30,18 +32,29 @@
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
     configure_log(settings.entry_id, settings.log_level)
+    registry.configure(settings.entry_id)
     membership = Membership(timers)
     state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, state, membership)
+    dispatcher.observer = RequestMetrics(registry).observe
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
-    control = Server(
-        [ControlService(settings, timers, membership)], codec=MessageCodec()
+    control = ControlServer(
+        ControlService(settings, timers, membership), timers, settings.session_limit
     )
     bridge = Bridge(asyncio.get_running_loop())
+    metrics = MetricsReader(
+        timers,
+        registry,
+        settings.entry_id,
+        {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+    )
+    metrics.start()
+    version_1 = VersionOneResource(bridge, dispatcher)
+    version_1.metrics = MetricsResource(bridge, metrics)
     http = HttpServer(
-        build_application(VersionOneResource(bridge, dispatcher)),
+        build_application(version_1),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -53,12 +66,13 @@
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
+    await metrics.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
-async def start_control(server: Server, settings: EntrySettings) -> None:
+async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
         await server.start(settings.host, settings.control_port)
