--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/admission.py
@@ -0,0 +1,189 @@
+"""Queue requests by class and caller, and bound what may wait."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .protocol import Reason
+from .work_class import WorkClass
+
+INTERVAL_WEIGHT = 0.1
+"""Share of the newest measurement in the mean time between two starts."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Name the queue in which a request waits, or of which it holds a slot."""
+
+    service: str
+    work_class: str
+    caller: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """Tell why a request may not wait, and after how many seconds it might."""
+
+    reason: Reason
+    retry_after: float
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Own the waiting requests of one class of one service, by caller.
+
+    The tag is the virtual time at which the class is served next, the interval is
+    the mean time between two starts while requests wait.
+    """
+
+    work_class: WorkClass
+    callers: OrderedDict[str, OrderedDict[str, None]] = field(
+        default_factory=OrderedDict
+    )
+    length: int = 0
+    running: int = 0
+    tag: float = 0.0
+    interval: float = 0.0
+    last_start: float | None = None
+
+    def add(self, caller: str, request_id: str, first: bool) -> None:
+        """Let a request wait as the caller's last, or as the very first."""
+        queue = self.callers.setdefault(caller, OrderedDict())
+        queue[request_id] = None
+        self.length += 1
+        if first:
+            queue.move_to_end(request_id, last=False)
+            self.callers.move_to_end(caller, last=False)
+
+    def remove(self, caller: str, request_id: str) -> None:
+        """Drop a waiting request in constant time."""
+        queue = self.callers[caller]
+        del queue[request_id]
+        self.length -= 1
+        if not queue:
+            del self.callers[caller]
+
+    def take(self, now: float) -> str:
+        """Return the next request; callers take turns."""
+        caller, queue = next(iter(self.callers.items()))
+        request_id = next(iter(queue))
+        self.callers.move_to_end(caller)
+        self.remove(caller, request_id)
+        self.note_start(now)
+        return request_id
+
+    def note_start(self, now: float) -> None:
+        """Measure the time between two starts while requests wait."""
+        if self.last_start is not None:
+            sample = now - self.last_start
+            self.interval += INTERVAL_WEIGHT * (sample - self.interval)
+        self.last_start = now if self.length else None
+
+    def expected_wait(self, caller: str) -> float:
+        """Return the seconds that a new request of the caller would wait."""
+        own = len(self.callers.get(caller, ()))
+        others = len(self.callers) - (caller in self.callers)
+        ahead = min(self.length, own + others * (own + 1))
+        return ahead * self.interval
+
+    def has_room(self, caller: str) -> bool:
+        """Return whether a caller may have one more request waiting.
+
+        A caller may fill at most as much as is still free, so one caller alone
+        never fills the queue.
+        """
+        own = len(self.callers.get(caller, ()))
+        return own < self.work_class.queue_limit - self.length
+
+
+@dataclass(slots=True)
+class ServiceQueue:
+    """Own the class queues of one service."""
+
+    classes: dict[str, ClassQueue] = field(default_factory=dict)
+    virtual_time: float = 0.0
+
+    def next_class(self, slots: int) -> ClassQueue | None:
+        """Return the class to serve: one below its floor, else by weight."""
+        waiting = [queue for queue in self.classes.values() if queue.length]
+        if not waiting:
+            return None
+        below = [
+            queue for queue in waiting if queue.running < queue.work_class.floor * slots
+        ]
+        if below:
+            return min(below, key=lambda q: q.running / q.work_class.floor)
+        return min(waiting, key=lambda q: (q.tag, not q.work_class.urgent))
+
+
+@dataclass(slots=True)
+class Admission:
+    """Own all waiting requests of an entry."""
+
+    services: dict[str, ServiceQueue] = field(default_factory=dict)
+    places: dict[str, Place] = field(default_factory=dict)
+
+    def queue(self, place: Place, work_class: WorkClass) -> ClassQueue:
+        """Return the queue of a place."""
+        service = self.services.setdefault(place.service, ServiceQueue())
+        queue = service.classes.get(work_class.name)
+        if queue is None:
+            queue = ClassQueue(work_class)
+            service.classes[work_class.name] = queue
+        queue.work_class = work_class
+        return queue
+
+    def check(
+        self, place: Place, work_class: WorkClass, remaining: float
+    ) -> Rejection | None:
+        """Return why a request may not wait, or None if it may."""
+        queue = self.queue(place, work_class)
+        wait = queue.expected_wait(place.caller)
+        if not queue.has_room(place.caller):
+            return Rejection(Reason.QUEUE_FULL, wait)
+        if wait > remaining:
+            return Rejection(Reason.WAIT_TOO_LONG, wait - remaining)
+        return None
+
+    def add(
+        self, request_id: str, place: Place, work_class: WorkClass, first: bool = False
+    ) -> None:
+        """Let a request wait."""
+        queue = self.queue(place, work_class)
+        if not queue.length:
+            virtual_time = self.services[place.service].virtual_time
+            queue.tag = max(queue.tag, virtual_time)
+        queue.add(place.caller, request_id, first)
+        self.places[request_id] = place
+
+    def remove(self, request_id: str) -> None:
+        """Drop a waiting request in constant time, if it waits."""
+        place = self.places.pop(request_id, None)
+        if place is not None:
+            queue = self.services[place.service].classes[place.work_class]
+            queue.remove(place.caller, request_id)
+
+    def waiting(self, service_name: str) -> bool:
+        """Return whether any request of a service waits."""
+        service = self.services.get(service_name)
+        if service is None:
+            return False
+        return any(queue.length for queue in service.classes.values())
+
+    def take(self, service_name: str, slots: int, now: float) -> str | None:
+        """Return the next request of a service, and count it as running."""
+        service = self.services.get(service_name)
+        queue = service.next_class(slots) if service else None
+        if service is None or queue is None:
+            return None
+        request_id = queue.take(now)
+        del self.places[request_id]
+        service.virtual_time = max(service.virtual_time, queue.tag)
+        queue.tag += 1.0 / queue.work_class.weight
+        queue.running += 1
+        return request_id
+
+    def release(self, place: Place) -> None:
+        """Count a request as no longer running."""
+        self.services[place.service].classes[place.work_class].running -= 1
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/claim.py
@@ -0,0 +1,121 @@
+"""Describe the claim row of a non-idempotent request."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from hashlib import sha256
+from typing import Any
+from urllib.parse import quote
+
+from .message import Message
+from .protocol import AttemptCompleted
+from .store import ABSENT, Row, ROW_LIMIT_BYTES, row_size
+
+CLAIM_SCHEMA = 1
+
+CLAIMED = "claimed"
+COMPLETED = "completed"
+RELEASED = "released"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimOurs(Message):
+    """Report that the row holds this request's own claim."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimFree(Message):
+    """Report that no request holds the claim."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimPending(Message):
+    """Report that another request holds the claim and has no stored result."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimCompleted(Message):
+    """Deliver the stored response of the run that held the claim."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimOversized(Message):
+    """Report that the run completed but its response was too large to store."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimMismatched(Message):
+    """Report that the idempotency key was used for another request."""
+
+
+def claim_key(organisation: str, idempotency_key: str) -> str:
+    """Return the row's key; quoting keeps two organisations' rows apart."""
+    return f"claim/{quote(organisation, safe='')}/{quote(idempotency_key, safe='')}"
+
+
+def fingerprint(service: str, method: str, path: str, body: bytes) -> str:
+    """Return a digest that tells different requests under one key apart."""
+    digest = sha256()
+    for part in (service.encode(), method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+def claim_value(request_id: str, digest: str, state: str) -> dict[str, Any]:
+    """Return the row's value without a response."""
+    return {
+        "schema": CLAIM_SCHEMA,
+        "state": state,
+        "request_id": request_id,
+        "fingerprint": digest,
+    }
+
+
+def completed_value(
+    request_id: str, digest: str, response: AttemptCompleted
+) -> dict[str, Any]:
+    """Return the row's value with the response if it fits."""
+    value = claim_value(request_id, digest, COMPLETED)
+    whole = value | {
+        "status": response.status,
+        "headers": response.headers,
+        "body": b64encode(response.body).decode(),
+    }
+    return whole if row_size(whole) <= ROW_LIMIT_BYTES else value
+
+
+def claim_status(
+    rows: tuple[Row, ...], key: str, request_id: str, digest: str
+) -> Message:
+    """Return what the rows read tell a request about its claim."""
+    row = next((row for row in rows if row.key == key), None)
+    if row is None:
+        return ClaimFree(version=ABSENT)
+    value = row.value
+    if value.get("schema") != CLAIM_SCHEMA:
+        # A newer release wrote the row; its run must not be repeated.
+        return ClaimPending()
+    if value.get("state") == RELEASED:
+        return ClaimFree(version=row.version)
+    if value.get("request_id") == request_id:
+        return ClaimOurs(version=row.version)
+    if value.get("fingerprint") != digest:
+        return ClaimMismatched()
+    if value.get("state") != COMPLETED:
+        return ClaimPending()
+    if "status" not in value:
+        return ClaimOversized()
+    return ClaimCompleted(
+        status=int(value["status"]),
+        headers=dict(value["headers"]),
+        body=b64decode(value["body"]),
+    )
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/claim_action.py
@@ -0,0 +1,242 @@
+"""Give the claim's names in the request chart their bodies."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from .action import holds, perform
+from .claim import (
+    claim_key,
+    claim_value,
+    ClaimCompleted,
+    CLAIMED,
+    ClaimFree,
+    ClaimOurs,
+    completed_value,
+    fingerprint,
+    RELEASED,
+)
+from .command import Command, ReadRows, SetTimer, Transact
+from .message import Message
+from .outcome import Outcome, ReplyToCaller
+from .request import ClaimCheckDue, Request
+from .request_action import reply_to_caller, RequestAction, RequestGuard
+from .store import ABSENT, Committed, Condition, StoreUnavailable, Transaction, Write
+
+CLAIM_CHECK_BASE = 0.2
+CLAIM_CHECK_LIMIT = 5.0
+"""Bounds in seconds of the jittered delay before the claim is looked at again."""
+
+CLAIM_CHECKS = 240
+"""Tries to finish a claim; at the longest delay they last 10 minutes on average."""
+
+
+class WriteClaim(RequestAction):
+    """Write the claim row if no request holds it."""
+
+    __slots__ = ()
+
+
+class ReadClaim(RequestAction):
+    """Read the claim row."""
+
+    __slots__ = ()
+
+
+class KeepClaim(RequestAction):
+    """Note the version of the claim that this request holds."""
+
+    __slots__ = ()
+
+
+class WriteResult(RequestAction):
+    """Store the response with the claim."""
+
+    __slots__ = ()
+
+
+class WriteRelease(RequestAction):
+    """Let another request with the same key run, since this one did not."""
+
+    __slots__ = ()
+
+
+class SetClaimTimer(RequestAction):
+    """Look at the claim again after a jittered delay."""
+
+    __slots__ = ()
+
+
+class ReportStored(RequestAction):
+    """Reply to the caller with the stored response of the first run."""
+
+    __slots__ = ()
+
+
+class NeedsClaim(RequestGuard):
+    """Hold if the class does not allow a request to run more than once."""
+
+    __slots__ = ()
+
+
+class ClaimUncertain(RequestGuard):
+    """Hold if the claim may have been written although no result came."""
+
+    __slots__ = ()
+
+
+class ResultToStore(RequestGuard):
+    """Hold if the request ran under its claim and its response is known."""
+
+    __slots__ = ()
+
+
+class ClaimToRelease(RequestGuard):
+    """Hold if the request has a claim and no attempt of it may have run."""
+
+    __slots__ = ()
+
+
+class ClaimChecksLeft(RequestGuard):
+    """Hold if the claim may be looked at once more."""
+
+    __slots__ = ()
+
+
+@holds.register
+def _(guard: NeedsClaim) -> bool:
+    return not guard.subject.work_class.idempotent
+
+
+@holds.register
+def _(guard: ClaimUncertain) -> bool:
+    message = guard.message
+    return isinstance(message, StoreUnavailable) and message.uncertain
+
+
+@holds.register
+def _(guard: ResultToStore) -> bool:
+    request = guard.subject
+    return request.claim_version != ABSENT and request.response is not None
+
+
+@holds.register
+def _(guard: ClaimToRelease) -> bool:
+    request = guard.subject
+    if request.claim_version == ABSENT or request.may_have_run:
+        return False
+    return request.response is None
+
+
+@holds.register
+def _(guard: ClaimChecksLeft) -> bool:
+    return guard.subject.claim_checks < CLAIM_CHECKS
+
+
+@singledispatch
+def version_of(message: Message, key: str) -> int:
+    """Return the version of the claim row that a message tells, or ABSENT."""
+    return ABSENT
+
+
+@version_of.register(ClaimFree)
+@version_of.register(ClaimOurs)
+def _(message: ClaimFree | ClaimOurs, key: str) -> int:
+    return message.version
+
+
+@version_of.register
+def _(message: Committed, key: str) -> int:
+    return message.versions.get(key, ABSENT)
+
+
+@perform.register
+def _(action: WriteClaim) -> list[Command]:
+    request = action.subject
+    version = version_of(action.message, _key(request))
+    value = claim_value(request.received.request_id, _digest(request), CLAIMED)
+    return [_write(request, version, value)]
+
+
+@perform.register
+def _(action: ReadClaim) -> list[Command]:
+    request = action.subject
+    return [ReadRows(read_id=request.next_operation_id(), prefix=_key(request))]
+
+
+@perform.register
+def _(action: KeepClaim) -> list[Command]:
+    request = action.subject
+    request.claim_version = version_of(action.message, _key(request))
+    return []
+
+
+@perform.register
+def _(action: WriteResult) -> list[Command]:
+    request = action.subject
+    if request.response is None:
+        return []
+    value = completed_value(
+        request.received.request_id, _digest(request), request.response
+    )
+    return [_write(request, request.claim_version, value)]
+
+
+@perform.register
+def _(action: WriteRelease) -> list[Command]:
+    request = action.subject
+    # The row stays: a deleted row would start at version 1 again, and a late
+    # write of this request could then hit the next request's claim.
+    value = claim_value(request.received.request_id, _digest(request), RELEASED)
+    return [_write(request, request.claim_version, value)]
+
+
+@perform.register
+def _(action: SetClaimTimer) -> list[Command]:
+    request = action.subject
+    limit = min(CLAIM_CHECK_LIMIT, CLAIM_CHECK_BASE * 2.0**request.claim_checks)
+    request.claim_checks += 1
+    request_id = request.received.request_id
+    return [
+        SetTimer(
+            timer_id=f"claim/{request_id}",
+            delay=action.state.random.uniform(CLAIM_CHECK_BASE / 2, limit),
+            message=ClaimCheckDue(request_id=request_id),
+        )
+    ]
+
+
+@perform.register
+def _(action: ReportStored) -> list[Command]:
+    message = action.message
+    if not isinstance(message, ClaimCompleted):
+        return []
+    reply = ReplyToCaller(
+        request_id=action.subject.received.request_id,
+        outcome=Outcome.COMPLETED,
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+    )
+    return reply_to_caller(action, reply)
+
+
+def _key(request: Request) -> str:
+    received = request.received
+    return claim_key(received.organisation, received.idempotency_key)
+
+
+def _digest(request: Request) -> str:
+    received = request.received
+    return fingerprint(received.service, received.method, received.path, received.body)
+
+
+def _write(request: Request, version: int, value: dict[str, object]) -> Transact:
+    key = _key(request)
+    return Transact(
+        transaction=Transaction(
+            operation_id=request.next_operation_id(),
+            conditions=(Condition(key=key, version=version),),
+            writes=(Write(key=key, value=value),),
+        )
+    )
--- a/packages/wasabispur-core/src/wasabispur_core/outcome.py
+++ b/packages/wasabispur-core/src/wasabispur_core/outcome.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplyToCaller(Command):
-    """Give the caller the outcome and, if completed, the endpoint's response."""
+    """Give the caller the outcome and, if completed, the endpoint's response.
+
+    Without a response, retry_after is the time in seconds after which to try again.
+    """
 
     request_id: str
     outcome: Outcome
@@ -26,3 +29,4 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     reason: str = ""
+    retry_after: float = 1.0
--- a/packages/wasabispur-core/src/wasabispur_core/request.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request.py
@@ -2,20 +2,42 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from functools import singledispatch
 from random import Random
 
+from .admission import Admission, Place
 from .chart import Chart, Lifecycle
+from .claim import claim_key, claim_status, fingerprint
 from .command import Command, SetTimer
 from .error import UnhandledMessageError
 from .member import FromAgent
 from .message import Message
-from .protocol import PermitId
+from .outcome import Outcome, ReplyToCaller
+from .protocol import AttemptCompleted, PermitId, Reason
+from .request_history import (
+    LookUpRequest,
+    RequestHistory,
+    RequestStatus,
+    TellStatus,
+)
 from .retry import RetryBudget
-from .routing import EndpointView
+from .routing import choose_endpoint, EndpointView, SpillBudget
+from .store import (
+    ABSENT,
+    Committed,
+    Conflicted,
+    RowsRead,
+    RowsUnavailable,
+    StoreResult,
+    SUPERSEDED,
+)
 from .work_class import default_classes, WorkClass
 
+DISPATCH_INTERVAL = 0.1
+"""Seconds between two looks for an endpoint while requests wait."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestReceived(Message):
@@ -30,6 +52,8 @@
     headers: dict[str, str]
     body: bytes
     deadline: float
+    idempotency_key: str = ""
+    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +70,27 @@
     request_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimCheckDue(Message):
+    """Report that the delay before the next look at the claim is over."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestDispatched(Message):
+    """Report that a waiting request's turn has come."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DispatchDue(Message):
+    """Tell to look again for an endpoint for waiting requests."""
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResolveTimedOut(Message):
     """Report that an agent did not come back to tell how an attempt ended."""
@@ -95,12 +140,37 @@
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     holds_endpoint: bool = False
+    started: float = 0.0
+    claim_version: int = ABSENT
+    claim_checks: int = 0
+    operations: int = 0
+    response: AttemptCompleted | None = None
 
     @property
     def attempt_id(self) -> str:
         """Return the id of the current attempt."""
         return f"{self.received.request_id}.{self.attempts}"
 
+    @property
+    def place(self) -> Place:
+        """Return the queue that the request belongs to."""
+        received = self.received
+        return Place(
+            received.service,
+            self.work_class.name,
+            f"{received.organisation}/{received.caller}",
+        )
+
+    @property
+    def operation_id(self) -> str:
+        """Return the id of the latest call to the table service."""
+        return f"{self.received.request_id}/{self.operations}"
+
+    def next_operation_id(self) -> str:
+        """Return the id of a new call to the table service."""
+        self.operations += 1
+        return self.operation_id
+
 
 @dataclass(slots=True)
 class RequestState:
@@ -113,6 +183,24 @@
     endpoints: dict[str, EndpointView] = field(default_factory=dict)
     classes: dict[str, WorkClass] = field(default_factory=default_classes)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    history: RequestHistory = field(default_factory=RequestHistory)
+    admission: Admission = field(default_factory=Admission)
+    spill: SpillBudget = field(default_factory=SpillBudget)
+    dispatch_timers: set[str] = field(default_factory=set)
+
+    def choose(
+        self, service: str, now: float, avoided: Set[str] = frozenset()
+    ) -> EndpointView | None:
+        """Return the endpoint for the next request of a service."""
+        return choose_endpoint(
+            self.endpoints.values(),
+            service,
+            self.region,
+            self.random,
+            now,
+            avoided,
+            spills=self.spill.allows(0, now),
+        )
 
     def budget(self, work_class: WorkClass) -> RetryBudget:
         """Return the retry budget of a class."""
@@ -134,9 +222,14 @@
 
 @decide.register
 def _(message: RequestReceived, state: RequestState, now: float) -> list[Command]:
+    work_class = state.classes.get(message.work_class)
+    if work_class is None:
+        return [_reject(message, state, Reason.UNKNOWN_CLASS)]
+    if not work_class.idempotent and not message.idempotency_key:
+        return [_reject(message, state, Reason.KEY_MISSING)]
     request = Request(
         received=message,
-        work_class=state.classes[message.work_class],
+        work_class=work_class,
         lifecycle=state.chart.start(),
         deadline=now + message.deadline,
     )
@@ -146,18 +239,34 @@
         delay=message.deadline,
         message=DeadlineReached(request_id=message.request_id),
     )
-    return [timer, *request.lifecycle.handle(message, state, request, now)]
+    return [timer, *_fire(message, state, request, now)]
+
+
+@decide.register
+def _(message: LookUpRequest, state: RequestState, now: float) -> list[Command]:
+    status = state.history.ended.get(message.request_id)
+    request = state.requests.get(message.request_id)
+    if status is None and request is not None:
+        status = RequestStatus(
+            request_id=message.request_id,
+            state=request.lifecycle.state,
+            outcome=None,
+        )
+    return [TellStatus(lookup_id=message.lookup_id, status=status)]
 
 
 @decide.register(DeadlineReached)
 @decide.register(RetryDue)
+@decide.register(ClaimCheckDue)
 def _(
-    message: DeadlineReached | RetryDue, state: RequestState, now: float
+    message: DeadlineReached | RetryDue | ClaimCheckDue,
+    state: RequestState,
+    now: float,
 ) -> list[Command]:
     request = state.requests.get(message.request_id)
     if request is None:
         return []
-    return request.lifecycle.handle(message, state, request, now)
+    return _fire(message, state, request, now)
 
 
 @decide.register
@@ -165,7 +274,51 @@
     request = state.requests.get(message.request_id)
     if request is None or request.attempt_id != message.attempt_id:
         return []
-    return request.lifecycle.handle(message, state, request, now)
+    return _fire(message, state, request, now)
+
+
+@decide.register
+def _(message: StoreResult, state: RequestState, now: float) -> list[Command]:
+    request = _request_of_operation(message.operation_id, state)
+    if request is None:
+        return []
+    return _fire(message, state, request, now)
+
+
+@decide.register
+def _(message: Committed, state: RequestState, now: float) -> list[Command]:
+    request = _request_of_operation(message.operation_id, state)
+    if request is None:
+        return []
+    if SUPERSEDED not in message.versions.values():
+        return _fire(message, state, request, now)
+    replaced = Conflicted(
+        operation_id=message.operation_id, keys=tuple(message.versions)
+    )
+    return _fire(replaced, state, request, now)
+
+
+@decide.register
+def _(message: RowsRead, state: RequestState, now: float) -> list[Command]:
+    request = _request_of_operation(message.read_id, state)
+    if request is None:
+        return []
+    received = request.received
+    status = claim_status(
+        message.rows,
+        claim_key(received.organisation, received.idempotency_key),
+        received.request_id,
+        fingerprint(received.service, received.method, received.path, received.body),
+    )
+    return _fire(status, state, request, now)
+
+
+@decide.register
+def _(message: RowsUnavailable, state: RequestState, now: float) -> list[Command]:
+    request = _request_of_operation(message.read_id, state)
+    if request is None:
+        return []
+    return _fire(message, state, request, now)
 
 
 @decide.register
@@ -178,7 +331,7 @@
     # Only the agent that got the attempt may report on it.
     if request.agent_id != message.agent_id:
         return []
-    return request.lifecycle.handle(reply, state, request, now)
+    return _fire(reply, state, request, now)
 
 
 @decide.register
@@ -194,13 +347,23 @@
         slots=message.slots,
         in_flight=_count_running(state, message.agent_id),
     )
-    return commands + _tell_requests(message, message.agent_id, state, now)
+    commands += _tell_requests(message, message.agent_id, state, now)
+    return commands + dispatch(state, message.service, now)
+
+
+@decide.register
+def _(message: DispatchDue, state: RequestState, now: float) -> list[Command]:
+    state.dispatch_timers.discard(message.service)
+    return dispatch(state, message.service, now)
 
 
 @decide.register
 def _(message: AgentDetached, state: RequestState, now: float) -> list[Command]:
-    state.endpoints.pop(message.agent_id, None)
-    return _tell_requests(message, message.agent_id, state, now)
+    endpoint = state.endpoints.pop(message.agent_id, None)
+    commands = _tell_requests(message, message.agent_id, state, now)
+    if endpoint is None:
+        return commands
+    return commands + dispatch(state, endpoint.service, now)
 
 
 @decide.register
@@ -211,13 +374,72 @@
     return []
 
 
+def _reject(
+    message: RequestReceived, state: RequestState, reason: Reason
+) -> ReplyToCaller:
+    reply = ReplyToCaller(
+        request_id=message.request_id, outcome=Outcome.NOT_RUN, reason=reason.value
+    )
+    state.history.add(reply)
+    return reply
+
+
+def _fire(
+    message: Message, state: RequestState, request: Request, now: float
+) -> list[Command]:
+    commands = _handle(message, state, request, now)
+    return commands + dispatch(state, request.received.service, now)
+
+
+def _handle(
+    message: Message, state: RequestState, request: Request, now: float
+) -> list[Command]:
+    commands = request.lifecycle.handle(message, state, request, now)
+    if request.lifecycle.final:
+        state.requests.pop(request.received.request_id, None)
+    return commands
+
+
+def dispatch(state: RequestState, service: str, now: float) -> list[Command]:
+    """Give waiting requests of a service to endpoints that can take them."""
+    commands: list[Command] = []
+    while state.choose(service, now) is not None:
+        slots = sum(
+            endpoint.slots
+            for endpoint in state.endpoints.values()
+            if endpoint.service == service
+        )
+        request_id = state.admission.take(service, slots, now)
+        if request_id is None:
+            return commands
+        turn = RequestDispatched(request_id=request_id)
+        commands += _handle(turn, state, state.requests[request_id], now)
+    if service in state.dispatch_timers or not state.admission.waiting(service):
+        return commands
+    # Pauses, ejections and the spill budget end without a message.
+    state.dispatch_timers.add(service)
+    timer = SetTimer(
+        timer_id=f"dispatch/{service}",
+        delay=DISPATCH_INTERVAL,
+        message=DispatchDue(service=service),
+    )
+    return [*commands, timer]
+
+
+def _request_of_operation(operation_id: str, state: RequestState) -> Request | None:
+    request = state.requests.get(operation_id.partition("/")[0])
+    if request is None or request.operation_id != operation_id:
+        return None
+    return request
+
+
 def _tell_requests(
     message: Message, agent_id: str, state: RequestState, now: float
 ) -> list[Command]:
     commands: list[Command] = []
     for request in list(state.requests.values()):
         if request.agent_id == agent_id:
-            commands += request.lifecycle.handle(message, state, request, now)
+            commands += _handle(message, state, request, now)
     return commands
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/request_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request_action.py
@@ -5,7 +5,8 @@
 from functools import singledispatch
 
 from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
+from .admission import Rejection
+from .claim import ClaimMismatched, ClaimOurs, ClaimOversized
 from .command import CancelTimer, Command, SendToAgent, SetTimer
 from .message import Message
 from .outcome import Outcome, ReplyToCaller
@@ -31,7 +32,8 @@
     RetryDue,
 )
 from .retry import ATTEMPT_LIMIT, backoff
-from .routing import choose_endpoint, EndpointView
+from .routing import serving_endpoints
+from .store import Committed, StoreUnavailable
 
 RESOLVE_WAIT = 3.0
 """Seconds for an agent to come back before an idempotent request is repeated."""
@@ -91,6 +93,12 @@
     __slots__ = ()
 
 
+class NoteFailure(RequestAction):
+    """Count a failed call against the endpoint."""
+
+    __slots__ = ()
+
+
 class MarkUnknown(RequestAction):
     """Note that an attempt of the request may have run."""
 
@@ -121,8 +129,50 @@
     __slots__ = ()
 
 
+class Enqueue(RequestAction):
+    """Let the request wait for its turn."""
+
+    __slots__ = ()
+
+
+class EnqueueFirst(RequestAction):
+    """Let the request wait before all others of its class."""
+
+    __slots__ = ()
+
+
+class LeaveQueue(RequestAction):
+    """Drop the request from its queue."""
+
+    __slots__ = ()
+
+
+class PauseEndpoint(RequestAction):
+    """Leave an endpoint without a free slot alone for a moment."""
+
+    __slots__ = ()
+
+
+class Reject(RequestAction):
+    """Tell the caller that the request can't wait, and when to try again."""
+
+    __slots__ = ()
+
+
+class Admissible(RequestGuard):
+    """Hold if the queue has room and the expected wait fits the deadline."""
+
+    __slots__ = ()
+
+
+class SlotsTaken(RequestGuard):
+    """Hold if the agent refused the permit for want of a free slot."""
+
+    __slots__ = ()
+
+
 class EndpointAvailable(RequestGuard):
-    """Hold if some endpoint of the service can take the request."""
+    """Hold if some endpoint of the service takes new work."""
 
     __slots__ = ()
 
@@ -145,18 +195,21 @@
     __slots__ = ()
 
 
-def request_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the request chart bound to its actions and guards."""
-    return catalogue.bind(
-        "request",
-        actions=RequestAction.__subclasses__(),
-        guards=RequestGuard.__subclasses__(),
-    )
+@holds.register
+def _(guard: EndpointAvailable) -> bool:
+    service = guard.subject.received.service
+    return bool(serving_endpoints(guard.state.endpoints.values(), service))
 
 
 @holds.register
-def _(guard: EndpointAvailable) -> bool:
-    return _choose(guard.state, guard.subject) is not None
+def _(guard: Admissible) -> bool:
+    return _rejection(guard) is None
+
+
+@holds.register
+def _(guard: SlotsTaken) -> bool:
+    message = guard.message
+    return isinstance(message, PermitRefused) and message.reason is Reason.NO_FREE_SLOT
 
 
 @holds.register
@@ -184,11 +237,61 @@
 
 
 @perform.register
-def _(action: AskPermit) -> list[Command]:
+def _(action: Enqueue) -> list[Command]:
+    request = action.subject
+    action.state.admission.add(
+        request.received.request_id, request.place, request.work_class
+    )
+    return []
+
+
+@perform.register
+def _(action: EnqueueFirst) -> list[Command]:
     request = action.subject
-    endpoint = _choose(action.state, request)
+    _release_endpoint(action.state, request)
+    request.agent_id = ""
+    action.state.admission.add(
+        request.received.request_id, request.place, request.work_class, first=True
+    )
+    return []
+
+
+@perform.register
+def _(action: LeaveQueue) -> list[Command]:
+    action.state.admission.remove(action.subject.received.request_id)
+    return []
+
+
+@perform.register
+def _(action: PauseEndpoint) -> list[Command]:
+    endpoint = action.state.endpoints.get(action.subject.agent_id)
+    if endpoint is not None:
+        endpoint.note_refusal(action.now, action.state.random)
+    return []
+
+
+@perform.register
+def _(action: Reject) -> list[Command]:
+    rejection = _rejection(action)
+    if rejection is None:
+        return []
+    reply = ReplyToCaller(
+        request_id=action.subject.received.request_id,
+        outcome=Outcome.NOT_RUN,
+        reason=rejection.reason.value,
+        retry_after=rejection.retry_after,
+    )
+    return reply_to_caller(action, reply)
+
+
+@perform.register
+def _(action: AskPermit) -> list[Command]:
+    state, request = action.state, action.subject
+    endpoint = state.choose(request.received.service, action.now, request.tried)
     if endpoint is None:
         return []
+    if endpoint.region != state.region:
+        state.spill.spend(len(request.received.body))
     endpoint.in_flight += 1
     request.holds_endpoint = True
     request.agent_id = endpoint.agent_id
@@ -210,6 +313,7 @@
         return []
     received = request.received
     request.permit_id = message.permit_id
+    request.started = action.now
     start = StartAttempt(
         attempt_id=request.attempt_id,
         permit_id=message.permit_id,
@@ -268,11 +372,23 @@
     return []
 
 
+@perform.register
+def _(action: NoteFailure) -> list[Command]:
+    endpoint = action.state.endpoints.get(action.subject.agent_id)
+    if endpoint is not None:
+        endpoint.note_failure(action.now)
+    return []
+
+
 @perform.register
 def _(action: ReportCompleted) -> list[Command]:
     message = action.message
     if not isinstance(message, AttemptCompleted):
         return []
+    endpoint = action.state.endpoints.get(action.subject.agent_id)
+    if endpoint is not None:
+        endpoint.note_success(action.now - action.subject.started)
+    action.subject.response = message
     reply = ReplyToCaller(
         request_id=action.subject.received.request_id,
         outcome=Outcome.COMPLETED,
@@ -280,23 +396,23 @@
         headers=message.headers,
         body=message.body,
     )
-    return _end(action, reply)
+    return reply_to_caller(action, reply)
 
 
 @perform.register
 def _(action: ReportNotRun) -> list[Command]:
-    return _end(action, _failure(action, Outcome.NOT_RUN))
+    return reply_to_caller(action, _failure(action, Outcome.NOT_RUN))
 
 
 @perform.register
 def _(action: ReportUnknown) -> list[Command]:
-    return _end(action, _failure(action, Outcome.UNKNOWN))
+    return reply_to_caller(action, _failure(action, Outcome.UNKNOWN))
 
 
 @perform.register
 def _(action: ReportFailure) -> list[Command]:
     outcome = Outcome.UNKNOWN if action.subject.may_have_run else Outcome.NOT_RUN
-    return _end(action, _failure(action, outcome))
+    return reply_to_caller(action, _failure(action, outcome))
 
 
 @singledispatch
@@ -311,6 +427,27 @@
     return Reason.NO_ENDPOINT
 
 
+@failure_reason.register(Committed)
+@failure_reason.register(ClaimOurs)
+def _(message: Committed | ClaimOurs) -> Reason:
+    return Reason.NO_ENDPOINT
+
+
+@failure_reason.register
+def _(message: StoreUnavailable) -> Reason:
+    return Reason.TABLE_UNAVAILABLE
+
+
+@failure_reason.register
+def _(message: ClaimMismatched) -> Reason:
+    return Reason.KEY_REUSED
+
+
+@failure_reason.register
+def _(message: ClaimOversized) -> Reason:
+    return Reason.RESPONSE_TOO_LARGE
+
+
 @failure_reason.register(AgentAttached)
 @failure_reason.register(AgentDetached)
 def _(message: AgentAttached | AgentDetached) -> Reason:
@@ -324,14 +461,10 @@
     return message.reason
 
 
-def _choose(state: RequestState, request: Request) -> EndpointView | None:
-    return choose_endpoint(
-        state.endpoints.values(),
-        request.received.service,
-        state.region,
-        state.random,
-        avoided=request.tried,
-    )
+def _rejection(scope: RequestAction | RequestGuard) -> Rejection | None:
+    request = scope.subject
+    remaining = request.deadline - scope.now
+    return scope.state.admission.check(request.place, request.work_class, remaining)
 
 
 def _cancel(request: Request) -> SendToAgent:
@@ -347,15 +480,22 @@
     )
 
 
-def _end(action: RequestAction, reply: ReplyToCaller) -> list[Command]:
+def reply_to_caller(action: RequestAction, reply: ReplyToCaller) -> list[Command]:
+    """Return the reply and let go of the endpoint and the timers."""
     state, request = action.state, action.subject
-    state.requests.pop(reply.request_id, None)
     _release_endpoint(state, request)
-    return [CancelTimer(timer_id=reply.request_id), reply]
+    request.agent_id = ""
+    state.history.add(reply)
+    request_id = reply.request_id
+    timers = (request_id, f"retry/{request_id}", f"resolve/{request_id}")
+    return [*(CancelTimer(timer_id=timer_id) for timer_id in timers), reply]
 
 
 def _release_endpoint(state: RequestState, request: Request) -> None:
     endpoint = state.endpoints.get(request.agent_id)
-    if endpoint is not None and request.holds_endpoint:
-        endpoint.in_flight -= 1
+    if not request.holds_endpoint:
+        return
     request.holds_endpoint = False
+    state.admission.release(request.place)
+    if endpoint is not None:
+        endpoint.in_flight -= 1
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/request_history.py
@@ -0,0 +1,57 @@
+"""Remember the outcomes of ended requests for look-ups."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .command import Command
+from .message import Message
+from .outcome import Outcome, ReplyToCaller
+
+HISTORY_LIMIT = 20_000
+"""Ended requests that an entry can look up."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LookUpRequest(Message):
+    """Ask for the status of a request."""
+
+    lookup_id: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestStatus:
+    """Tell where a request is; the outcome is None while it is in progress."""
+
+    request_id: str
+    state: str
+    outcome: Outcome | None
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TellStatus(Command):
+    """Answer a look-up; the status is None if the request isn't known here."""
+
+    lookup_id: str
+    status: RequestStatus | None
+
+
+@dataclass(slots=True)
+class RequestHistory:
+    """Own the outcomes of the latest ended requests of one entry."""
+
+    ended: OrderedDict[str, RequestStatus] = field(default_factory=OrderedDict)
+
+    def add(self, reply: ReplyToCaller) -> None:
+        """Remember an outcome, and forget the oldest one over the limit."""
+        self.ended[reply.request_id] = RequestStatus(
+            request_id=reply.request_id,
+            state="ended",
+            outcome=reply.outcome,
+            reason=reply.reason,
+        )
+        while len(self.ended) > HISTORY_LIMIT:
+            self.ended.popitem(last=False)
--- a/packages/wasabispur-core/src/wasabispur_core/routing.py
+++ b/packages/wasabispur-core/src/wasabispur_core/routing.py
@@ -6,10 +6,54 @@
 from dataclasses import dataclass
 from random import Random
 
+INITIAL_LIMIT = 2.0
+"""Requests that a new endpoint gets at once."""
+
+LIMIT_DECREASE = 0.7
+LATENCY_FACTOR = 2.0
+"""Growth of the latency over its long-term mean that lowers the limit."""
+
+FAST_WEIGHT = 0.3
+SLOW_WEIGHT = 0.02
+
+FAILURE_WEIGHT = 0.2
+EJECTION_RATE = 0.6
+"""Recent failure rate of an endpoint above which it is ejected."""
+
+EJECTION_BASE = 5.0
+EJECTION_LIMIT = 60.0
+"""Bounds in seconds of the time for which an endpoint is ejected."""
+
+REFUSAL_PAUSE = 0.1
+"""Longest pause in seconds after an agent had no free slot."""
+
+SPILL_BYTES_PER_SECOND = 1024 * 1024
+SPILL_BURST_BYTES = 8 * 1024 * 1024
+"""Budget for request bodies sent to other regions."""
+
+
+@dataclass(slots=True)
+class SpillBudget:
+    """Bound the bytes that go to other regions."""
+
+    balance: float = SPILL_BURST_BYTES
+    updated: float = 0.0
+
+    def allows(self, size: int, now: float) -> bool:
+        """Return whether size bytes may be sent now."""
+        earned = (now - self.updated) * SPILL_BYTES_PER_SECOND
+        self.balance = min(SPILL_BURST_BYTES, self.balance + earned)
+        self.updated = now
+        return self.balance >= size
+
+    def spend(self, size: int) -> None:
+        """Count bytes that were sent."""
+        self.balance -= size
+
 
 @dataclass(slots=True, kw_only=True)
 class EndpointView:
-    """Hold what an entry knows of one endpoint."""
+    """Hold what an entry knows of one endpoint; times are monotonic seconds."""
 
     agent_id: str
     service: str
@@ -17,16 +61,84 @@
     slots: int
     in_flight: int = 0
     leaving: bool = False
+    limit: float = INITIAL_LIMIT
+    slow_start: bool = True
+    latency: float = 0.0
+    usual_latency: float = 0.0
+    failure_rate: float = 0.0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    paused_until: float = 0.0
 
     @property
     def load(self) -> float:
-        """Return the share of slots that this entry's requests fill."""
-        return self.in_flight / max(self.slots, 1)
+        """Return the share of the limit that this entry's requests fill."""
+        return self.in_flight / max(min(self.limit, self.slots), 1.0)
 
     @property
-    def can_take(self) -> bool:
+    def cost(self) -> float:
+        """Return the expected time of one more request, relative to others."""
+        return (self.load + 0.1) * max(self.latency, 0.001)
+
+    def can_take(self, now: float) -> bool:
         """Return whether the endpoint may get another request."""
-        return not self.leaving and self.load < 1
+        if self.leaving or now < self.paused_until:
+            return False
+        return self.in_flight + 1 <= max(min(self.limit, self.slots), 1.0)
+
+    def note_success(self, latency: float) -> None:
+        """Raise the limit, or lower it if the latency has grown much."""
+        self.failure_rate *= 1 - FAILURE_WEIGHT
+        self.ejections = 0 if self.failure_rate < 0.01 else self.ejections
+        if not self.usual_latency:
+            self.latency = self.usual_latency = latency
+        self.latency += FAST_WEIGHT * (latency - self.latency)
+        self.usual_latency += SLOW_WEIGHT * (latency - self.usual_latency)
+        if self.latency > LATENCY_FACTOR * self.usual_latency:
+            self.lower_limit()
+            return
+        step = 1.0 if self.slow_start else 1.0 / self.limit
+        self.limit = min(self.limit + step, float(self.slots))
+
+    def note_refusal(self, now: float, random: Random) -> float:
+        """Lower the limit, and return the seconds to leave the endpoint alone."""
+        self.lower_limit()
+        pause = random.uniform(REFUSAL_PAUSE / 4, REFUSAL_PAUSE)
+        self.paused_until = now + pause
+        return pause
+
+    def note_failure(self, now: float) -> None:
+        """Count a failed call, and eject the endpoint after too many."""
+        self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
+        if self.failure_rate < EJECTION_RATE or now < self.ejected_until:
+            return
+        delay = min(EJECTION_LIMIT, EJECTION_BASE * 2.0**self.ejections)
+        self.ejected_until = now + delay
+        self.ejections += 1
+        # After the ejection one request at a time tells whether it recovered.
+        self.limit = 1.0
+        self.slow_start = True
+
+    def lower_limit(self) -> None:
+        """Decrease the limit by a fixed share, and end the slow start."""
+        self.slow_start = False
+        self.limit = max(1.0, self.limit * LIMIT_DECREASE)
+
+
+def serving_endpoints(
+    endpoints: Iterable[EndpointView], service: str
+) -> list[EndpointView]:
+    """Return the endpoints of a service that take new work."""
+    return [e for e in endpoints if e.service == service and not e.leaving]
+
+
+def healthy_endpoints(serving: list[EndpointView], now: float) -> list[EndpointView]:
+    """Return the endpoints that are not ejected.
+
+    If most look unhealthy, the fault is more likely elsewhere, and all count.
+    """
+    healthy = [endpoint for endpoint in serving if endpoint.ejected_until <= now]
+    return healthy if len(healthy) * 2 >= len(serving) else serving
 
 
 def choose_endpoint(
@@ -34,14 +146,18 @@
     service: str,
     region: str,
     random: Random,
+    now: float,
     avoided: Set[str] = frozenset(),
+    spills: bool = True,
 ) -> EndpointView | None:
-    """Return the less loaded of two random endpoints.
+    """Return the cheaper of two random endpoints that can take a request.
 
     Endpoints that are not avoided go first, then those of the local region.
     """
-    serving = [endpoint for endpoint in endpoints if endpoint.service == service]
-    free = [endpoint for endpoint in serving if endpoint.can_take]
+    healthy = healthy_endpoints(serving_endpoints(endpoints, service), now)
+    free = [endpoint for endpoint in healthy if endpoint.can_take(now)]
+    if not spills:
+        free = [endpoint for endpoint in free if endpoint.region == region]
     fresh = [endpoint for endpoint in free if endpoint.agent_id not in avoided]
     candidates = fresh or free
     local = [endpoint for endpoint in candidates if endpoint.region == region]
@@ -49,4 +165,4 @@
     if not candidates:
         return None
     sample = random.sample(candidates, min(2, len(candidates)))
-    return min(sample, key=lambda endpoint: endpoint.load)
+    return min(sample, key=lambda endpoint: endpoint.cost)
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -26,7 +26,7 @@
     TaskStatus,
 )
 from wasabispur_core.request import Request, RequestReceived
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 from wasabispur_core.tombstone import TombstoneStore
 from wasabispur_core.work_class import default_classes
 from wasabispur_runtime.codec import FROM_AGENT, MessageSet, TO_AGENT
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -9,7 +9,7 @@
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.request import RequestState
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 from wasabispur_runtime.metrics import registry
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -10,6 +10,7 @@
 from .http_error import handle_error, handle_http_error
 from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
+from .request_resource import RequestResource
 from .service_resource import ServiceResource
 
 CONFIGURATION = {
@@ -43,6 +44,7 @@
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
         self.services = ServiceResource(bridge, dispatcher)
+        self.requests = RequestResource(bridge, dispatcher)
 
 
 def build_application(version_1: VersionOneResource) -> Any:
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/request_resource.py
@@ -0,0 +1,52 @@
+"""Let callers look up their requests."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from uuid import uuid4
+
+import cherrypy
+
+from wasabispur_core.request_history import LookUpRequest, RequestStatus
+
+from .bridge import Bridge
+from .http_error import NotFoundError
+from .request_dispatcher import RequestDispatcher
+
+LOOKUP_TIMEOUT = 5.0
+"""Seconds to wait for the dispatcher."""
+
+
+@dataclass(slots=True)
+class RequestResource:
+    """Let callers look up their requests."""
+
+    bridge: Bridge
+    dispatcher: RequestDispatcher
+
+    @cherrypy.expose
+    def default(self, request_id: str) -> bytes:
+        """Return the status of one request that this entry took."""
+        message = LookUpRequest(lookup_id=uuid4().hex, request_id=request_id)
+        status: RequestStatus | None = self.bridge.ask(
+            self.dispatcher, message, LOOKUP_TIMEOUT
+        )
+        if status is None:
+            raise NotFoundError(
+                f"request {request_id} isn't known at this entry",
+                "send the request again with its idempotency key for the outcome",
+            )
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return json.dumps(describe(status)).encode()
+
+
+def describe(status: RequestStatus) -> dict[str, str | None]:
+    """Return the JSON object of a request's status."""
+    outcome = status.outcome.value if status.outcome else None
+    return {
+        "request_id": status.request_id,
+        "state": status.state,
+        "outcome": outcome,
+        "reason": status.reason,
+    }
--- a/packages/wasabispur/src/wasabispur/service_resource.py
+++ b/packages/wasabispur/src/wasabispur/service_resource.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil
 from uuid import uuid4
 
 import cherrypy
 
+from wasabispur_core.error import MailboxFullError, WasabispurError
 from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.protocol import Reason
 from wasabispur_core.request import RequestReceived
 
-from .bridge import Bridge
+from .bridge import Bridge, ReplyTimeoutError
 from .http_error import BadRequestError, error_body
 from .http_request import read_body, required_header
 from .request_dispatcher import RequestDispatcher
@@ -21,10 +24,17 @@
 REPLY_GRACE = 1.0
 """Seconds beyond the deadline that a thread waits for the dispatcher."""
 
-RETRY_AFTER_SECONDS = 1
-
 OUTCOME_STATUS = {Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
 
+REASON_STATUS = {
+    Reason.UNKNOWN_CLASS.value: 400,
+    Reason.KEY_MISSING.value: 400,
+    Reason.KEY_REUSED.value: 409,
+    Reason.QUEUE_FULL.value: 429,
+    Reason.WAIT_TOO_LONG.value: 429,
+}
+"""Statuses of rejected requests."""
+
 HOP_HEADERS = frozenset(
     (
         "connection",
@@ -52,10 +62,26 @@
     def default(self, service: str, *path: str, **query: str) -> bytes:
         """Run one request and return the endpoint's response."""
         message = read_request(service, "/" + "/".join(path))
-        reply = self.bridge.ask(
-            self.dispatcher, message, message.deadline + REPLY_GRACE
-        )
-        return write_reply(reply)
+        return write_reply(self.ask(message))
+
+    def ask(self, message: RequestReceived) -> ReplyToCaller:
+        """Return the dispatcher's reply, or a truthful one in its place."""
+        wait = message.deadline + REPLY_GRACE
+        try:
+            reply: ReplyToCaller = self.bridge.ask(self.dispatcher, message, wait)
+        except MailboxFullError as error:
+            return _reply(message, Outcome.NOT_RUN, error)
+        except ReplyTimeoutError as error:
+            return _reply(message, Outcome.UNKNOWN, error)
+        return reply
+
+
+def _reply(
+    message: RequestReceived, outcome: Outcome, error: WasabispurError
+) -> ReplyToCaller:
+    return ReplyToCaller(
+        request_id=message.request_id, outcome=outcome, reason=error.message
+    )
 
 
 def read_request(service: str, path: str) -> RequestReceived:
@@ -77,6 +103,8 @@
         headers=headers,
         body=read_body(),
         deadline=read_deadline(),
+        idempotency_key=request.headers.get("Idempotency-Key", ""),
+        caller=request.headers.get("Wasabispur-Caller", ""),
     )
 
 
@@ -104,6 +132,7 @@
             if name.lower() not in HOP_HEADERS:
                 response.headers[name] = value
         return reply.body
-    response.status = OUTCOME_STATUS[reply.outcome]
-    response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+    status = OUTCOME_STATUS[reply.outcome]
+    response.status = REASON_STATUS.get(reply.reason, status)
+    response.headers["Retry-After"] = str(max(1, ceil(reply.retry_after)))
     return error_body("RequestFailed", reply.reason, "see Wasabispur-Outcome")
--- a/tests/chart/test_chart.py
+++ b/tests/chart/test_chart.py
@@ -23,7 +23,7 @@
     RequestReceived,
     RequestState,
 )
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 
 CATALOGUE = ChartCatalogue()
 
--- a/tests/request/network.py
+++ b/tests/request/network.py
@@ -11,7 +11,14 @@
 
 from wasabispur_core import permit, request
 from wasabispur_core.chart import Chart, ChartCatalogue
-from wasabispur_core.command import CancelTimer, Command, SendToAgent, SetTimer
+from wasabispur_core.command import (
+    CancelTimer,
+    Command,
+    ReadRows,
+    SendToAgent,
+    SetTimer,
+    Transact,
+)
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.outcome import Outcome, ReplyToCaller
@@ -30,9 +37,11 @@
     RequestReceived,
     RequestState,
 )
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 from wasabispur_core.timer import FakeSubscription, FakeTimerService
 
+from .fake_table import FakeTable
+
 ENTRY = "entry"
 SERVICE = "tag-composer"
 
@@ -67,7 +76,18 @@
 class Network:
     """Own one entry, some agents and the messages between them."""
 
-    def __init__(self, agents: int = 2, charts: Path | None = None) -> None:
+    def __init__(
+        self,
+        agents: int = 2,
+        charts: Path | None = None,
+        table: FakeTable | None = None,
+        name: str = "r",
+    ) -> None:
+        self.name = name
+        self.table = table or FakeTable()
+        self.table_mode = "normal"
+        self.table_calls: list[Transact | ReadRows] = []
+        self.bodies: dict[str, bytes] = {}
         self.attempt_chart = bound_chart(attempt_chart, charts)
         self.clock = FakeTimerService()
         self.entry = RequestState(
@@ -92,9 +112,16 @@
 
     # What callers do
 
-    def submit(self, work_class: str = "urgent", deadline: float = 10.0) -> str:
-        """Send a request and return its id."""
-        request_id = f"r{len(self.classes)}"
+    def submit(
+        self,
+        work_class: str = "urgent",
+        deadline: float = 10.0,
+        key: str = "",
+        body=b"",
+    ) -> str:
+        """Send a request and return its id; the key is also its body by default."""
+        request_id = f"{self.name}{len(self.classes)}"
+        self.bodies[request_id] = body or (key or request_id).encode()
         self.classes[request_id] = work_class
         self.tell_entry(
             RequestReceived(
@@ -105,8 +132,9 @@
                 method="POST",
                 path="/",
                 headers={},
-                body=request_id.encode(),
+                body=self.bodies[request_id],
                 deadline=deadline,
+                idempotency_key=key or request_id,
             )
         )
         return request_id
@@ -174,7 +202,17 @@
     @execute.register
     def _(self, command: CallEndpoint, node: AgentNode) -> None:
         node.calls[command.start.attempt_id] = command.start
-        self.runs[command.start.body.decode()] += 1
+        self.runs[command.start.attempt_id.rpartition(".")[0]] += 1
+
+    @execute.register(Transact)
+    @execute.register(ReadRows)
+    def _(self, command: Transact | ReadRows, node: AgentNode | None) -> None:
+        self.table_calls.append(command)
+
+    def answer_table(self, index: int = 0, how: str = "") -> None:
+        """Answer one waiting call to the table service."""
+        command = self.table_calls.pop(index)
+        self.tell_entry(self.table.answer(command, how or self.table_mode))
 
     # What the endpoint does
 
@@ -183,7 +221,7 @@
         node = self.agents[agent_id]
         start = node.calls.pop(attempt_id)
         if how == "refused":
-            self.runs[start.body.decode()] -= 1
+            self.runs[attempt_id.rpartition(".")[0]] -= 1
         self.tell_agent(node, self.result(start, how))
 
     def result(self, start: StartAttempt, how: str) -> Message:
@@ -213,10 +251,19 @@
         node = self.agents[packet.agent_id]
         self.tell_agent(node, FromEntry(entry_id=ENTRY, message=packet.message))
 
+    @property
+    def busy(self) -> bool:
+        """Return whether anything is under way or running."""
+        calls = any(node.calls for node in self.agents.values())
+        return bool(self.packets or self.table_calls or calls)
+
     def settle(self) -> None:
         """Deliver everything in order until nothing is under way."""
-        while self.packets:
-            self.deliver(self.packets.pop(0))
+        while self.packets or self.table_calls:
+            while self.table_calls:
+                self.answer_table()
+            if self.packets:
+                self.deliver(self.packets.pop(0))
 
     def attach(self, agent_id: str) -> None:
         """Open a new stream of an agent."""
--- /dev/null
+++ b/tests/request/test_request_admission.py
@@ -0,0 +1,183 @@
+"""Guard the order, the bounds and the rejections of waiting requests."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from wasabispur_core.admission import Admission, Place
+from wasabispur_core.outcome import Outcome
+from wasabispur_core.protocol import Reason
+from wasabispur_core.work_class import default_classes, WorkClass
+
+from .network import Network
+
+SLOTS = 20
+CLASSES = default_classes()
+
+
+def work_class(name: str, **changes) -> WorkClass:
+    fields = {
+        "weight": 1.0,
+        "floor": 0.0,
+        "urgent": False,
+        "idempotent": True,
+        "deadline": 30.0,
+        "queue_limit": 1000,
+        "retry_budget": 0.1,
+    }
+    return WorkClass(name=name, **(fields | changes))
+
+
+def fill(admission: Admission, kind: WorkClass, caller: str, count: int) -> list[str]:
+    """Let requests of one caller wait, and return their ids."""
+    names = [f"{kind.name}/{caller}/{number}" for number in range(count)]
+    for name in names:
+        admission.add(name, Place("s", kind.name, caller), kind)
+    return names
+
+
+def take(admission: Admission, count: int) -> list[str]:
+    """Return the next requests; each ends before the next starts."""
+    taken = []
+    for number in range(count):
+        name = admission.take("s", SLOTS, float(number))
+        assert name is not None
+        kind, caller, _ = name.split("/")
+        admission.release(Place("s", kind, caller))
+        taken.append(name)
+    return taken
+
+
+def test_classes_share_by_weight():
+    """Guard against a class that starves another one."""
+    admission = Admission()
+    fill(admission, work_class("heavy", weight=3.0), "c", 400)
+    fill(admission, work_class("light"), "c", 400)
+    taken = take(admission, 400)
+    assert sum(name.startswith("heavy") for name in taken) == pytest.approx(300, abs=2)
+
+
+def test_idle_class_earns_no_credit():
+    """Guard against a class that blocks others after a quiet time."""
+    admission = Admission()
+    fill(admission, work_class("busy"), "c", 500)
+    take(admission, 300)
+    fill(admission, work_class("late"), "c", 100)
+    taken = take(admission, 100)
+    assert sum(name.startswith("late") for name in taken) == pytest.approx(50, abs=2)
+
+
+def test_class_below_its_floor_goes_first():
+    """Guard against an overload by a heavy class that takes the floor of another."""
+    admission = Admission()
+    fill(admission, work_class("heavy", weight=1000.0), "c", 100)
+    fill(admission, work_class("small", floor=0.25), "c", 100)
+    started = [admission.take("s", SLOTS, 0.0) for _ in range(SLOTS)]
+    assert sum(name.startswith("small") for name in started) == SLOTS * 0.25
+
+
+def test_callers_of_a_class_take_turns():
+    """Guard against one large caller that delays the small ones."""
+    admission = Admission()
+    kind = work_class("k")
+    fill(admission, kind, "large", 400)
+    small = fill(admission, kind, "small", 5)
+    assert set(small) <= set(take(admission, 10))
+
+
+def test_one_caller_never_fills_the_queue():
+    """Guard against a large caller that makes small ones be rejected."""
+    admission = Admission()
+    kind = work_class("k", queue_limit=100)
+    for number in itertools.count():
+        place = Place("s", "k", "large")
+        rejection = admission.check(place, kind, 30.0)
+        if rejection is not None:
+            break
+        admission.add(f"k/large/{number}", place, kind)
+    assert rejection.reason is Reason.QUEUE_FULL
+    assert number <= 50
+    assert admission.check(Place("s", "k", "small"), kind, 30.0) is None
+
+
+def test_queue_never_exceeds_its_limit():
+    """Guard against memory growth by many callers."""
+    admission = Admission()
+    kind = work_class("k", queue_limit=100)
+    waiting = 0
+    for number in range(1000):
+        place = Place("s", "k", f"c{number}")
+        if admission.check(place, kind, 30.0) is None:
+            admission.add(f"k/c{number}/0", place, kind)
+            waiting += 1
+    assert waiting == 100
+
+
+def test_cancelled_requests_leave_no_trace():
+    """Guard against cancelled requests that still hold a place or memory."""
+    admission = Admission()
+    names = fill(admission, work_class("k"), "c", 100)
+    for name in names[:90]:
+        admission.remove(name)
+        admission.remove(name)
+    assert take(admission, 10) == names[90:]
+    assert not admission.places
+    assert not admission.services["s"].classes["k"].callers
+
+
+def test_request_that_would_wait_too_long_is_rejected_with_a_retry_time():
+    """Guard against work that is started only to miss its deadline."""
+    admission = Admission()
+    kind = work_class("k")
+    fill(admission, kind, "c", 200)
+    take(admission, 100)
+    rejection = admission.check(Place("s", "k", "c"), kind, 10.0)
+    assert rejection.reason is Reason.WAIT_TOO_LONG
+    assert rejection.retry_after > 0
+    assert admission.check(Place("s", "k", "c"), kind, 1000.0) is None
+
+
+def test_requests_beyond_the_slots_wait_for_their_turn():
+    """Guard against a refusal where a slot becomes free in time."""
+    network = Network(agents=1)
+    ids = [network.submit("urgent", deadline=30.0) for _ in range(6)]
+    for _ in range(60):
+        network.settle()
+        for attempt_id in list(network.agents["a0"].calls):
+            network.finish("a0", attempt_id)
+        network.settle()
+        network.clock.advance(0.1)
+    assert [network.outcome(request_id) for request_id in ids] == (
+        [Outcome.COMPLETED] * 6
+    )
+    assert not network.entry.admission.places
+
+
+def test_request_keeps_its_turn_when_the_agent_has_no_free_slot():
+    """Guard against a failure because another entry took the slot."""
+    network = Network(agents=1)
+    node = network.agents["a0"]
+    node.state.slots = 0
+    request_id = network.submit("urgent")
+    network.settle()
+    assert network.entry.requests[request_id].lifecycle.state == "queued"
+    node.state.slots = 2
+    network.clock.advance(0.2)
+    network.settle()
+    assert network.runs[request_id] == 1
+
+
+def test_waiting_request_ends_as_not_run_at_its_deadline():
+    """Guard against a waiting request that outlives its deadline."""
+    network = Network(agents=1)
+    network.agents["a0"].state.slots = 0
+    request_id = network.submit("urgent", deadline=1.0)
+    for _ in range(15):
+        network.settle()
+        network.clock.advance(0.1)
+    (reply,) = network.replies[request_id]
+    assert reply.outcome is Outcome.NOT_RUN
+    assert reply.reason == Reason.DEADLINE_EXCEEDED.value
+    assert not network.entry.admission.places
--- a/tests/request/test_request_machine.py
+++ b/tests/request/test_request_machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import shutil
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -63,11 +64,12 @@
     @rule(
         work_class=st.sampled_from(["urgent", "order"]),
         balance=st.sampled_from([0.0, 9.0]),
+        key=st.sampled_from(["", "", "", "k"]),
     )
-    def submit(self, work_class, balance):
+    def submit(self, work_class, balance, key):
         budget = self.network.entry.budget(self.network.entry.classes[work_class])
         budget.balance = balance
-        self.network.submit(work_class, deadline=8.0)
+        self.network.submit(work_class, deadline=8.0, key=key)
 
     @rule()
     def settle(self):
@@ -76,6 +78,8 @@
     @rule()
     def settle_but_starts(self):
         packets = self.network.packets
+        while self.network.table_calls:
+            self.network.answer_table()
         while packets:
             packet = packets.pop(0)
             if isinstance(packet.message, StartAttempt):
@@ -83,6 +87,12 @@
             else:
                 self.network.deliver(packet)
 
+    @precondition(lambda self: self.network.table_calls)
+    @rule(index=INDEX, how=st.sampled_from(["normal", "lost", "dropped", "down"]))
+    def answer_table(self, index, how):
+        calls = self.network.table_calls
+        self.network.answer_table(index % len(calls), how)
+
     @rule()
     def release_delayed(self):
         self.network.packets[:0] = self.delayed
@@ -112,6 +122,15 @@
         packets = self.network.packets
         self.delayed.append(packets[index % len(packets)])
 
+    @rule()
+    def duplicate_all(self):
+        self.delayed += self.network.packets
+
+    @rule()
+    def restart_all(self):
+        for agent_id in self.network.agents:
+            self.network.restart(agent_id)
+
     @precondition(lambda self: self.network.packets)
     @rule(index=INDEX)
     def drop(self, index):
@@ -153,16 +172,28 @@
             self.network.finish(agent_id, calls[index % len(calls)], how)
 
     @rule(how=ENDING)
+    def finish_calls(self, how):
+        self.finish_all(how)
+
     def finish_all(self, how):
         for agent_id, node in self.network.agents.items():
             for attempt_id in sorted(node.calls):
                 self.network.finish(agent_id, attempt_id, how)
 
+    @rule()
+    def lose_responses(self):
+        self.finish_all("lost")
+        self.network.settle()
+        self.network.clock.advance(0.2)
+        self.network.settle()
+
     @invariant()
     def non_idempotent_requests_run_at_most_once(self):
+        runs = Counter()
         for request_id, work_class in self.network.classes.items():
             if work_class == "order":
-                assert self.network.runs[request_id] <= 1, "second run"
+                runs[self.network.bodies[request_id]] += self.network.runs[request_id]
+        assert all(count <= 1 for count in runs.values()), "second run"
 
     @invariant()
     def not_run_means_no_run(self):
@@ -175,7 +206,7 @@
         for request_id, replies in self.network.replies.items():
             assert len(replies) == 1, "second reply"
             if replies[0].outcome is Outcome.COMPLETED:
-                expected = response_to(request_id.encode())
+                expected = response_to(self.network.bodies[request_id])
                 assert replies[0].body == expected, "foreign or partial response"
 
 
@@ -191,6 +222,7 @@
     "not_run_means_no_run",
     "responses_are_complete_and_reach_only_their_caller",
     "checks_length",
+    "finish_all",
 }
 
 FALSE_NOT_RUN = "second run|run reported as not run"
@@ -216,6 +248,18 @@
 
 
 CHART_CHANGES = [
+    (
+        "request",
+        """          - event: claim_pending
+            action: set_claim_timer
+""",
+        """          - event: claim_pending
+            target: routing
+            action: keep_claim
+""",
+        "second run",
+        "submit settle",
+    ),
     (
         "attempt",
         """          - event: resolve_attempt
@@ -233,37 +277,37 @@
         "action: send_cancel mark_unknown report_failure",
         "action: send_cancel report_failure",
         "run reported as not run",
-        "submit settle finish_all advance",
+        "submit settle finish_calls advance",
     ),
     (
         "request",
         """            target: choosing
-            action: mark_unknown
+            action: mark_unknown note_failure
 """,
         """            target: choosing
 """,
         FALSE_NOT_RUN,
-        "submit settle finish_all advance",
+        "submit settle finish_calls advance",
     ),
     (
         "request",
         """            guard: retry_allowed repeatable
             action: schedule_retry
-          - target: ended
+          - target: settling
             guard: not retry_allowed
             action: report_failure
-          - target: ended
+          - target: settling
             guard: retry_allowed not repeatable
             action: report_failure
 """,
         """            guard: retry_allowed
             action: schedule_retry
-          - target: ended
+          - target: settling
             guard: not retry_allowed
             action: report_failure
 """,
         "second run",
-        "submit settle finish_all advance",
+        "submit settle lose_responses",
     ),
 ]
 
@@ -304,19 +348,19 @@
         TombstoneStore,
         "drop",
         forget_without_mark,
-        "submit settle finish_all replace_stream",
+        "submit settle finish_calls replace_stream",
     ),
     (
         TombstoneStore,
         "prove",
         prove_without_incarnation,
-        "submit settle restart finish_all",
+        "submit settle restart finish_calls",
     ),
     (
         permit,
         "_attempt_under",
         attempt_under_any_permit,
-        "submit duplicate settle restart release_delayed",
+        "submit duplicate_all settle restart_all release_delayed",
     ),
 ]
 
--- a/tests/request/test_request_outcome.py
+++ b/tests/request/test_request_outcome.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from wasabispur_core import request, request_history
 from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import Reason
+from wasabispur_core.request import RequestReceived
+from wasabispur_core.request_history import LookUpRequest
 
 from .network import Network, response_to
 
@@ -70,6 +73,7 @@
     """Guard against "unknown" where the permit was never used."""
     network = Network(agents=1)
     request_id = network.submit("order")
+    network.answer_table()
     while network.entry.requests[request_id].lifecycle.state != "running":
         network.deliver(network.packets.pop(0))
     network.packets.clear()
@@ -113,3 +117,60 @@
                 network.finish(other_id, attempt_id)
     network.settle()
     assert network.outcome(request_id) is expected
+
+
+def test_look_up_tells_the_state_and_later_the_outcome():
+    """Guard against a look-up that invents or forgets an outcome."""
+    network = Network(agents=1)
+    request_id, agent_id = running(network, "urgent")
+
+    def look_up(wanted: str):
+        message = LookUpRequest(lookup_id="l", request_id=wanted)
+        (answer,) = request.decide(message, network.entry, network.clock.now())
+        return answer.status
+
+    assert look_up(request_id).outcome is None
+    assert look_up(request_id).state == "running"
+    network.finish(agent_id, f"{request_id}.1")
+    network.settle()
+    assert look_up(request_id).outcome is Outcome.COMPLETED
+    assert look_up("foreign") is None
+
+
+def test_history_of_ended_requests_is_bounded(monkeypatch):
+    """Guard against memory growth by ended requests."""
+    monkeypatch.setattr(request_history, "HISTORY_LIMIT", 5)
+    network = Network(agents=0)
+    for _ in range(20):
+        network.submit()
+    assert len(network.entry.history.ended) == 5
+
+
+@pytest.mark.parametrize(
+    ("work_class", "key", "reason"),
+    [
+        ("unheard", "k", Reason.UNKNOWN_CLASS),
+        ("order", "", Reason.KEY_MISSING),
+    ],
+)
+def test_request_that_breaks_a_rule_is_rejected_with_its_reason(
+    work_class, key, reason
+):
+    """Guard against an exception that leaves the caller without a reply."""
+    network = Network(agents=1)
+    message = RequestReceived(
+        request_id="r",
+        organisation="peachtree",
+        work_class=work_class,
+        service="tag-composer",
+        method="POST",
+        path="/",
+        headers={},
+        body=b"",
+        deadline=1.0,
+        idempotency_key=key,
+    )
+    network.tell_entry(message)
+    (reply,) = network.replies["r"]
+    assert reply.outcome is Outcome.NOT_RUN
+    assert reply.reason == reason.value
--- a/tests/request/test_request_retry.py
+++ b/tests/request/test_request_retry.py
@@ -19,7 +19,7 @@
 def fail_everything(network: Network, how: str) -> int:
     """Deliver everything, fail every call, and return the attempts made."""
     attempts = 0
-    while network.packets or any(node.calls for node in network.agents.values()):
+    while network.busy:
         attempts += sum(
             isinstance(packet.message, RequestPermit) for packet in network.packets
         )
