--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -32,6 +32,7 @@
     TABLE_UNAVAILABLE = "table service can't take the claim"
     QUEUE_FULL = "queue of the class is full"
     WAIT_TOO_LONG = "expected wait is longer than the deadline"
+    ENTRY_LEAVING = "entry is leaving"
     KEY_MISSING = "class needs the Idempotency-Key header"
     KEY_REUSED = "idempotency key was used for another request"
     UNKNOWN_CLASS = "class is not in the bundle"
@@ -327,6 +328,7 @@
     lease: float
     anchor: float
     accelerator_ids: tuple[int, ...] = ()
+    checkpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/request_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request_action.py
@@ -148,7 +148,7 @@
 
 
 class PauseEndpoint(RequestAction):
-    """Leave an endpoint without a free slot alone for a moment."""
+    """Leave an endpoint alone that has no free slot or is leaving."""
 
     __slots__ = ()
 
@@ -165,8 +165,8 @@
     __slots__ = ()
 
 
-class SlotsTaken(RequestGuard):
-    """Hold if the agent refused the permit for want of a free slot."""
+class TurnKept(RequestGuard):
+    """Hold if the agent refused the permit for a reason that is no fault."""
 
     __slots__ = ()
 
@@ -207,9 +207,8 @@
 
 
 @holds.register
-def _(guard: SlotsTaken) -> bool:
-    message = guard.message
-    return isinstance(message, PermitRefused) and message.reason is Reason.NO_FREE_SLOT
+def _(guard: TurnKept) -> bool:
+    return failure_reason(guard.message) in (Reason.NO_FREE_SLOT, Reason.LEAVING)
 
 
 @holds.register
@@ -265,8 +264,12 @@
 @perform.register
 def _(action: PauseEndpoint) -> list[Command]:
     endpoint = action.state.endpoints.get(action.subject.agent_id)
-    if endpoint is not None:
-        endpoint.note_refusal(action.now, action.state.random)
+    if endpoint is None:
+        return []
+    if failure_reason(action.message) is Reason.LEAVING:
+        endpoint.leaving = True
+        return []
+    endpoint.note_refusal(action.now, action.state.random)
     return []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/routing.py
+++ b/packages/wasabispur-core/src/wasabispur_core/routing.py
@@ -13,7 +13,8 @@
 LATENCY_FACTOR = 2.0
 """Growth of the latency over its long-term mean that lowers the limit."""
 
-FAST_WEIGHT = 0.3
+# The fast mean has to be smooth enough for the usual spread of run times.
+FAST_WEIGHT = 0.1
 SLOW_WEIGHT = 0.02
 
 FAILURE_WEIGHT = 0.2
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_case.py
@@ -0,0 +1,142 @@
+"""Define the cases that the request policies are measured in."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from wasabispur_core.request import DeadlineReached
+from wasabispur_core.work_class import default_classes
+
+from .bench_world import Record, SLOTS, World
+
+ENDPOINTS = 4
+DURATION = 20.0
+"""Seconds during which requests arrive."""
+
+TAIL = 30.0
+"""Seconds after the last arrival during which requests end."""
+
+EVENT_TIME = 10.0
+"""Second at which queues are cancelled or endpoints fail."""
+
+STEP = 0.05
+CANCELLED_SHARE = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Describe one caller's requests; load is a share of the capacity."""
+
+    work_class: str
+    caller: str
+    load: float
+    deadline: float = 30.0
+
+
+@dataclass(slots=True)
+class CaseResult:
+    """Hold the records of one case under one policy."""
+
+    records: list[Record]
+    attempts: int
+    running_share: dict[str, float] = field(default_factory=dict)
+
+
+Event = Callable[[World], None]
+
+
+def cancel_queue(world: World) -> None:
+    """End the wait of most of the queued requests."""
+    waiting = list(world.state.admission.places)
+    for request_id in waiting[: int(len(waiting) * CANCELLED_SHARE)]:
+        world.tell_entry(DeadlineReached(request_id=request_id))
+
+
+def break_half(world: World) -> None:
+    """Let half of the endpoints refuse every connection."""
+    for node in list(world.nodes.values())[: len(world.nodes) // 2]:
+        node.broken = True
+
+
+def no_event(world: World) -> None:
+    """Leave the system alone."""
+
+
+MIXED = [Flow("order", "c2", 0.1), Flow("order", "c3", 0.1)]
+SMALL_CALLERS = [Flow("deferrable", f"small{n}", 0.025) for n in range(10)]
+
+CASES: dict[str, tuple[list[Flow], Event]] = {
+    "deferrable overload": (
+        [Flow("deferrable", "c1", 10.0), Flow("urgent", "c4", 0.3), *MIXED],
+        no_event,
+    ),
+    "urgent overload": (
+        [Flow("urgent", "c1", 10.0), Flow("deferrable", "c4", 0.3), *MIXED],
+        no_event,
+    ),
+    "small callers alone": (SMALL_CALLERS, no_event),
+    "one large caller": (
+        [Flow("deferrable", "large", 0.025 * 50), *SMALL_CALLERS],
+        no_event,
+    ),
+    "90% cancelled": (
+        [Flow("deferrable", "c1", 3.0), Flow("urgent", "c4", 0.3)],
+        cancel_queue,
+    ),
+    "half of endpoints fail": (
+        [Flow("deferrable", "c1", 0.2), Flow("urgent", "c4", 0.1)],
+        break_half,
+    ),
+}
+
+
+def run_case(name: str, policy: str, seed: int) -> CaseResult:
+    """Run one case under one policy and return its records."""
+    flows, event = CASES[name]
+    world = World(policy, ENDPOINTS, seed)
+    random = Random(seed)
+    arrivals = sorted(
+        (time, number, flow)
+        for number, flow in enumerate(flows)
+        for time in arrival_times(flow, world.capacity, random)
+    )
+    shares: dict[str, list[float]] = {}
+    event_done = False
+    next_sample = STEP
+    for time, _, flow in arrivals:
+        while next_sample <= time:
+            world.clock.advance(next_sample - world.clock.now())
+            sample_shares(world, shares)
+            next_sample += STEP
+        if time >= EVENT_TIME and not event_done:
+            event_done = True
+            event(world)
+        world.clock.advance(time - world.clock.now())
+        world.submit(flow.work_class, flow.caller, flow.deadline)
+    world.clock.advance(TAIL)
+    means = {kind: sum(values) / len(values) for kind, values in shares.items()}
+    return CaseResult(list(world.records.values()), world.attempts, means)
+
+
+def arrival_times(flow: Flow, capacity: float, random: Random) -> list[float]:
+    """Return the times of a Poisson process."""
+    times = []
+    time = random.expovariate(flow.load * capacity)
+    while time < DURATION:
+        times.append(time)
+        time += random.expovariate(flow.load * capacity)
+    return times
+
+
+def sample_shares(world: World, shares: dict[str, list[float]]) -> None:
+    """Note the share of slots that each class holds, after the warm-up."""
+    if world.clock.now() < EVENT_TIME / 2:
+        return
+    held = dict.fromkeys(default_classes(), 0)
+    for request in world.state.requests.values():
+        if request.holds_endpoint:
+            held[request.work_class.name] += 1
+    for kind, count in held.items():
+        shares.setdefault(kind, []).append(count / (len(world.nodes) * SLOTS))
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_policy.py
@@ -0,0 +1,106 @@
+"""Define the policies that requests are measured under."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Set
+from dataclasses import dataclass, field
+from random import Random
+
+from wasabispur_core.admission import Admission, Place, Rejection
+from wasabispur_core.chart import Chart
+from wasabispur_core.protocol import Reason
+from wasabispur_core.request import RequestState
+from wasabispur_core.routing import EndpointView, serving_endpoints
+from wasabispur_core.work_class import WorkClass
+
+QUEUE_LIMIT = 10_000
+"""Requests that may wait under a policy with one queue."""
+
+
+@dataclass(slots=True)
+class FifoAdmission(Admission):
+    """Serve all requests of a service in the order of their arrival."""
+
+    ranked: dict[int, OrderedDict[str, Place]] = field(default_factory=dict)
+
+    def rank(self, work_class: WorkClass) -> int:
+        """Return the priority of a class; lower goes first."""
+        return 0
+
+    def check(
+        self, place: Place, work_class: WorkClass, remaining: float
+    ) -> Rejection | None:
+        """Reject only at the limit."""
+        if sum(len(queue) for queue in self.ranked.values()) < QUEUE_LIMIT:
+            return None
+        return Rejection(Reason.QUEUE_FULL, 1.0)
+
+    def add(
+        self, request_id: str, place: Place, work_class: WorkClass, first: bool = False
+    ) -> None:
+        """Let a request wait."""
+        queue = self.ranked.setdefault(self.rank(work_class), OrderedDict())
+        queue[request_id] = place
+        self.places[request_id] = place
+        if first:
+            queue.move_to_end(request_id, last=False)
+
+    def remove(self, request_id: str) -> None:
+        """Drop a waiting request."""
+        self.places.pop(request_id, None)
+        for queue in self.ranked.values():
+            queue.pop(request_id, None)
+
+    def waiting(self, service_name: str) -> bool:
+        """Return whether any request waits."""
+        return bool(self.places)
+
+    def take(self, service_name: str, slots: int, now: float) -> str | None:
+        """Return the next request."""
+        for rank in sorted(self.ranked):
+            if self.ranked[rank]:
+                request_id, _ = self.ranked[rank].popitem(last=False)
+                del self.places[request_id]
+                return request_id
+        return None
+
+    def release(self, place: Place) -> None:
+        """Count nothing."""
+
+
+@dataclass(slots=True)
+class PriorityAdmission(FifoAdmission):
+    """Serve urgent requests strictly before all others."""
+
+    def rank(self, work_class: WorkClass) -> int:
+        """Return the priority of a class; lower goes first."""
+        return 0 if work_class.urgent else 1
+
+
+@dataclass(slots=True)
+class RandomRoutingState(RequestState):
+    """Choose any endpoint with a free slot at random."""
+
+    def choose(
+        self, service: str, now: float, avoided: Set[str] = frozenset()
+    ) -> EndpointView | None:
+        """Return a random endpoint of the service."""
+        serving = serving_endpoints(self.endpoints.values(), service)
+        free = [endpoint for endpoint in serving if endpoint.in_flight < endpoint.slots]
+        return self.random.choice(free) if free else None
+
+
+def build_state(policy: str, chart: Chart, random: Random) -> RequestState:
+    """Return the request state of a policy."""
+    if policy == "random routing":
+        return RandomRoutingState("here", chart, random)
+    state = RequestState("here", chart, random)
+    if policy == "FIFO":
+        state.admission = FifoAdmission()
+    if policy == "strict priority":
+        state.admission = PriorityAdmission()
+    return state
+
+
+POLICIES = ("wasabispur", "FIFO", "strict priority", "random routing")
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_request.py
@@ -0,0 +1,118 @@
+"""Print the request benchmark as tables."""
+
+from __future__ import annotations
+
+import time
+
+import click
+
+from wasabispur_core.outcome import Outcome
+
+from .bench_case import CaseResult, CASES, run_case
+from .bench_policy import POLICIES
+from .bench_world import Record, World
+
+COST_REQUESTS = 300
+COST_CALLERS = (10, 100, 1_000, 10_000)
+COST_ENDPOINTS = (10, 100, 650)
+CLASSES = ("urgent", "deferrable", "order")
+
+
+def percentile(values: list[float], share: float) -> float | None:
+    """Return the smallest value that at least share of the values don't exceed."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def text(value: float | None) -> str:
+    """Return a figure with three digits, or a dash."""
+    return "-" if value is None else f"{value:.3f}"
+
+
+def waits(records: list[Record]) -> list[float]:
+    """Return the seconds from arrival to start."""
+    return [r.started - r.arrived for r in records if r.started is not None]
+
+
+def times(records: list[Record]) -> list[float]:
+    """Return the seconds from arrival to completion."""
+    done = [r for r in records if r.outcome is Outcome.COMPLETED]
+    return [r.ended - r.arrived for r in done if r.ended is not None]
+
+
+def case_rows(name: str, policy: str, result: CaseResult) -> list[str]:
+    """Return one row of the table for each class in the case."""
+    rows = []
+    for kind in CLASSES:
+        records = [r for r in result.records if r.work_class == kind]
+        if not records:
+            continue
+        done = times(records)
+        share = result.running_share.get(kind)
+        cells = (
+            name,
+            policy,
+            kind,
+            str(len(records)),
+            text(len(done) / len(records)),
+            text(percentile(waits(records), 0.99)),
+            text(percentile(done, 0.5)),
+            text(percentile(done, 0.95)),
+            text(share),
+        )
+        rows.append("| " + " | ".join(cells) + " |")
+    return rows
+
+
+def small_row(policy: str, alone: CaseResult, beside: CaseResult) -> str:
+    """Return the row that compares the small callers with and without a large one."""
+
+    def p95(result: CaseResult) -> float:
+        small = [r for r in result.records if r.caller.startswith("small")]
+        return percentile(times(small), 0.95) or float("inf")
+
+    ratio = p95(beside) / p95(alone)
+    return f"| {policy} | {p95(alone):.3f} | {p95(beside):.3f} | {ratio:.2f} |"
+
+
+def decision_cost(callers: int, endpoints: int, seed: int) -> float:
+    """Return the CPU milliseconds of both sides' decisions for one request."""
+    world = World("wasabispur", endpoints, seed)
+    for number in range(callers - 1):
+        world.submit("deferrable", f"waiting{number}", 600.0)
+    begin = time.process_time()
+    for number in range(COST_REQUESTS):
+        world.submit("urgent", f"c{number % 10}", 600.0)
+        world.clock.advance(0.01)
+    return (time.process_time() - begin) / COST_REQUESTS * 1000
+
+
+@click.command("requests")
+@click.option("--seed", type=int, default=1, help="Seed of all random choices.")
+def requests_bench(seed: int) -> None:
+    """Compare the request decisions with simpler policies, in one run."""
+    click.echo(f"seed {seed}; waits and times in seconds of fake time\n")
+    click.echo(
+        "| case | policy | class | requests | completed share | p99 wait to start "
+        "| p50 completion | p95 completion | mean share of slots |"
+    )
+    click.echo("|---|---|---|---|---|---|---|---|---|")
+    results = {}
+    for name in CASES:
+        for policy in POLICIES:
+            results[name, policy] = run_case(name, policy, seed)
+            for row in case_rows(name, policy, results[name, policy]):
+                click.echo(row)
+    click.echo("\n| policy | small p95 alone | beside a large caller | ratio |")
+    click.echo("|---|---|---|---|")
+    for policy in POLICIES:
+        alone = results["small callers alone", policy]
+        beside = results["one large caller", policy]
+        click.echo(small_row(policy, alone, beside))
+    click.echo("\n| callers | endpoints | CPU ms per request |\n|---|---|---|")
+    for callers in COST_CALLERS:
+        click.echo(f"| {callers} | 10 | {decision_cost(callers, 10, seed):.3f} |")
+    for endpoints in COST_ENDPOINTS:
+        click.echo(f"| 10 | {endpoints} | {decision_cost(10, endpoints, seed):.3f} |")
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_world.py
@@ -0,0 +1,194 @@
+"""Run the real request decisions on the fake timer service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+from random import Random
+
+from wasabispur_core import permit, request
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.command import (
+    CancelTimer,
+    Command,
+    ReadRows,
+    SendToAgent,
+    SetTimer,
+    Transact,
+)
+from wasabispur_core.member import FromAgent
+from wasabispur_core.message import Message
+from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.permit import CallEndpoint, FromEntry, PermitState, SendToEntryLink
+from wasabispur_core.permit_action import attempt_chart
+from wasabispur_core.protocol import AttemptCompleted, AttemptNotRun, Reason
+from wasabispur_core.request import AgentAttached, RequestReceived
+from wasabispur_core.request_chart import request_chart
+from wasabispur_core.store import Committed
+from wasabispur_core.timer import FakeTimerService, Subscription
+
+from .bench_policy import build_state
+
+LATENCY = 0.001
+"""Seconds that a message takes between entry and agent."""
+
+SERVICE_TIME = 0.4
+"""Mean seconds of a run; run times are exponential."""
+
+SLOTS = 8
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold what happened to one request; times are in fake seconds."""
+
+    work_class: str
+    caller: str
+    arrived: float
+    started: float | None = None
+    ended: float | None = None
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class Node:
+    """Hold one agent with its endpoint."""
+
+    agent_id: str
+    state: PermitState
+    timers: dict[str, Subscription] = field(default_factory=dict)
+    broken: bool = False
+
+
+class World:
+    """Own one entry, its agents, and the record of all requests."""
+
+    def __init__(self, policy: str, endpoints: int, seed: int) -> None:
+        catalogue = ChartCatalogue()
+        self.clock = FakeTimerService()
+        self.random = Random(seed)
+        self.state = build_state(policy, request_chart(catalogue), Random(seed))
+        self.timers: dict[str, Subscription] = {}
+        self.records: dict[str, Record] = {}
+        self.nodes: dict[str, Node] = {}
+        self.attempts = 0
+        chart = attempt_chart(catalogue)
+        for number in range(endpoints):
+            agent_id = f"a{number}"
+            self.nodes[agent_id] = Node(agent_id, PermitState(SLOTS, chart, 1))
+            self.tell_entry(
+                AgentAttached(
+                    agent_id=agent_id, service="s", region="here", slots=SLOTS
+                )
+            )
+
+    @property
+    def capacity(self) -> float:
+        """Return the requests a second that the endpoints can run."""
+        return len(self.nodes) * SLOTS / SERVICE_TIME
+
+    def submit(self, work_class: str, caller: str, deadline: float) -> None:
+        """Let one request arrive now."""
+        request_id = f"r{len(self.records)}"
+        self.records[request_id] = Record(work_class, caller, self.clock.now())
+        self.tell_entry(
+            RequestReceived(
+                request_id=request_id,
+                organisation=caller,
+                work_class=work_class,
+                service="s",
+                method="POST",
+                path="/",
+                headers={},
+                body=b"",
+                deadline=deadline,
+                idempotency_key=request_id,
+            )
+        )
+
+    def later(self, delay: float, message: Message, node: Node | None) -> Subscription:
+        """Deliver a message to the entry or to an agent after a delay."""
+
+        def receive(received: Message) -> None:
+            if node is None:
+                self.tell_entry(received)
+            else:
+                self.tell_agent(node, received)
+
+        return self.clock.subscribe(delay, receive, message)
+
+    def tell_entry(self, message: Message) -> None:
+        """Let the entry decide on a message."""
+        for command in request.decide(message, self.state, self.clock.now()):
+            execute(command, self, None)
+
+    def tell_agent(self, node: Node, message: Message) -> None:
+        """Let an agent decide on a message."""
+        for command in permit.decide(message, node.state, self.clock.now()):
+            execute(command, self, node)
+
+
+@singledispatch
+def execute(command: Command, world: World, node: Node | None) -> None:
+    """Carry out one command of the entry or of an agent."""
+    raise NotImplementedError(type(command).__name__)
+
+
+@execute.register
+def _(command: SendToAgent, world: World, node: Node | None) -> None:
+    message = FromEntry(entry_id="entry", message=command.message)
+    world.later(LATENCY, message, world.nodes[command.agent_id])
+
+
+@execute.register
+def _(command: SendToEntryLink, world: World, node: Node) -> None:
+    message = FromAgent(agent_id=node.agent_id, message=command.message)
+    world.later(LATENCY, message, None)
+
+
+@execute.register
+def _(command: SetTimer, world: World, node: Node | None) -> None:
+    timers = world.timers if node is None else node.timers
+    timers[command.timer_id] = world.later(command.delay, command.message, node)
+
+
+@execute.register
+def _(command: CancelTimer, world: World, node: Node | None) -> None:
+    timers = world.timers if node is None else node.timers
+    subscription = timers.pop(command.timer_id, None)
+    if subscription is not None:
+        subscription.cancel()
+
+
+@execute.register
+def _(command: Transact, world: World, node: Node | None) -> None:
+    transaction = command.transaction
+    versions = {write.key: 1 for write in transaction.writes}
+    result = Committed(operation_id=transaction.operation_id, versions=versions)
+    world.later(LATENCY, result, None)
+
+
+@execute.register
+def _(command: ReadRows, world: World, node: Node | None) -> None:
+    raise NotImplementedError("no claim conflicts in a benchmark")
+
+
+@execute.register
+def _(command: ReplyToCaller, world: World, node: Node | None) -> None:
+    record = world.records[command.request_id]
+    record.ended = world.clock.now()
+    record.outcome = command.outcome
+
+
+@execute.register
+def _(command: CallEndpoint, world: World, node: Node) -> None:
+    attempt_id = command.start.attempt_id
+    world.attempts += 1
+    if node.broken:
+        refused = AttemptNotRun(attempt_id=attempt_id, reason=Reason.CONNECT_FAILED)
+        world.later(LATENCY, refused, node)
+        return
+    record = world.records[attempt_id.rpartition(".")[0]]
+    record.started = world.clock.now()
+    done = AttemptCompleted(attempt_id=attempt_id, status=200, headers={}, body=b"")
+    world.later(world.random.expovariate(1 / SERVICE_TIME), done, node)
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from functools import partial
 from typing import Any
 
@@ -9,6 +10,8 @@
 
 from wasabispur_runtime.process import run_process
 
+from .bench_command import bench
+from .demo import run_demo
 from .endpoint import EndpointRoot, EndpointState
 from .measure_command import measure
 from .object_store import ObjectRoot, ObjectState
@@ -72,4 +75,11 @@
     serve("worker", state, WorkerRoot, port)
 
 
+@main.command()
+def demo() -> None:
+    """Show a request, a job and a bundle on a small system."""
+    sys.exit(run_demo())
+
+
+main.add_command(bench)
 main.add_command(measure)
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -7,12 +7,13 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import AddressInUseError
-from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.request import RequestState
 from wasabispur_core.request_chart import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 from wasabispur_runtime.metrics import registry
+from wasabispur_runtime.table_client import TableClient
 
 from .bridge import Bridge
 from .control_server import ControlServer
@@ -20,12 +21,17 @@
 from .entry_settings import EntrySettings
 from .http_api import build_application, VersionOneResource
 from .http_server import HttpServer
+from .job_resource import JobResource
+from .job_wiring import build_job_actors, JobActors
 from .membership import Membership
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
 from .request_metrics import RequestMetrics
 
+DRAIN_NOTICE = 2.0
+"""Seconds for the load balancer to see /readyz fail before requests are refused."""
+
 
 async def run_entry(
     settings: EntrySettings, timers: TimerService, stop: asyncio.Event
@@ -51,10 +57,13 @@
         {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
     )
     metrics.start()
-    version_1 = VersionOneResource(bridge, dispatcher)
-    version_1.metrics = MetricsResource(bridge, metrics)
+    resources = VersionOneResource(bridge, dispatcher)
+    resources.metrics = MetricsResource(bridge, metrics)
+    jobs = start_jobs(settings, timers, membership, bridge, resources)
+    if jobs is not None:
+        dispatcher.table = jobs.table
     http = HttpServer(
-        build_application(version_1),
+        build_application(resources),
         settings.host,
         settings.http_port,
         settings.http_threads,
@@ -63,15 +72,38 @@
     http.start()
     log(PROCESS_STARTED, process=settings.entry_id)
     await stop.wait()
+    log(PROCESS_DRAINING, process=settings.entry_id)
+    resources.readiness.ready = False
+    await asyncio.sleep(DRAIN_NOTICE)
+    await dispatcher.drain()
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
     await metrics.close()
+    if jobs is not None:
+        await jobs.close()
     await dispatcher.close()
     await membership.close()
     log(PROCESS_STOPPED, process=settings.entry_id)
 
 
+def start_jobs(
+    settings: EntrySettings,
+    timers: TimerService,
+    membership: Membership,
+    bridge: Bridge,
+    resources: VersionOneResource,
+) -> JobActors | None:
+    """Start the actors that serve jobs if the settings name a table service."""
+    if settings.table_url is None:
+        return None
+    table = TableClient(timers, settings.table_url, Random())
+    jobs = build_job_actors(settings, timers, membership, table)
+    resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+    jobs.start()
+    return jobs
+
+
 async def start_control(server: ControlServer, settings: EntrySettings) -> None:
     """Bind the control port; raise AddressInUseError if another process holds it."""
     try:
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 import cherrypy
 
 from .bridge import Bridge
 from .http_error import handle_error, handle_http_error
+from .job_resource import JobResource
 from .metrics_resource import MetricsResource
 from .request_dispatcher import RequestDispatcher
 from .request_resource import RequestResource
@@ -36,13 +38,30 @@
         """Return 200 while the process lives."""
         return b"ok\n"
 
+    @cherrypy.expose
+    def readyz(self) -> bytes:
+        """Return 200 while new requests are welcome, and 503 during a drain."""
+        if self.v1.readiness.ready:
+            return b"ready\n"
+        cherrypy.response.status = 503
+        return b"leaving\n"
+
+
+@dataclass(slots=True)
+class Readiness:
+    """Tell whether the entry takes new requests."""
+
+    ready: bool = True
+
 
 class VersionOneResource:
     """Hold the resources under /v1."""
 
     metrics: MetricsResource | None = None
+    jobs: JobResource | None = None
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
+        self.readiness = Readiness()
         self.services = ServiceResource(bridge, dispatcher)
         self.requests = RequestResource(bridge, dispatcher)
 
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from concurrent.futures import Future
+from dataclasses import dataclass
 from functools import singledispatch
 from typing import Any
 
 from wasabispur_core.log_event import REQUEST_ANSWERED, REQUEST_RECEIVED
 from wasabispur_core.message import Message
-from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.protocol import Reason
 from wasabispur_core.request import decide, RequestReceived, RequestState
 from wasabispur_core.request_history import LookUpRequest, TellStatus
 from wasabispur_core.store import RowsUnavailable, StoreUnavailable
@@ -16,13 +20,25 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
-from wasabispur_runtime.table_client import ApplyTransaction, FetchRows, TableClient
+from wasabispur_runtime.table_client import ApplyTransaction, FetchRows
 
 from .bridge import Ask
 
 NO_TABLE = "no table service is set"
 
 
+DRAIN_POLL = 0.05
+"""Seconds between two looks at the callers that still wait during a drain."""
+
+SETTLE_LIMIT = 5.0
+"""Seconds after the last reply within which claims are settled."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainRequested(Message):
+    """Ask the dispatcher to finish what is in progress and to take nothing new."""
+
+
 class MissingTable:
     """Refuse every call to the table service of an entry that has none."""
 
@@ -60,12 +76,17 @@
     ) -> None:
         super().__init__("request-dispatcher", timers, state, decide)
         self.membership = membership
-        self.table: TableClient | MissingTable = MissingTable()
+        self.table: Actor | MissingTable = MissingTable()
         self.waiting: dict[str, Future[Any]] = {}
+        self.draining = False
+        self.drained = asyncio.Event()
 
     def on_ask(self, message: Ask) -> None:
         """Take a caller's request together with the future for its reply."""
         request = message.message
+        if self.draining and isinstance(request, RequestReceived):
+            message.reply.set_result(refuse_while_leaving(request))
+            return
         if isinstance(request, RequestReceived):
             self.waiting[request.request_id] = message.reply
             log(REQUEST_RECEIVED, request=request.request_id)
@@ -73,6 +94,37 @@
             self.waiting[request.lookup_id] = message.reply
         self.on_message(request)
 
+    def on_drain_requested(self, message: DrainRequested) -> None:
+        """Take no more requests."""
+        self.draining = True
+
+    async def handle(self, message: Message) -> None:
+        """Handle a message, and note when a drain has finished."""
+        await super().handle(message)
+        if self.draining and not self.waiting and not self.state.requests:
+            self.drained.set()
+
+    async def drain(self) -> None:
+        """Return once every caller has its reply and every claim is settled.
+
+        Claims are given up after a time, since the table service may be down.
+        """
+        self.post(DrainRequested())
+        while self.waiting or not self.draining:
+            await asyncio.sleep(DRAIN_POLL)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_LIMIT):
+                await self.drained.wait()
+
+
+def refuse_while_leaving(request: RequestReceived) -> ReplyToCaller:
+    """Return the reply to a request that came during a planned stop."""
+    return ReplyToCaller(
+        request_id=request.request_id,
+        outcome=Outcome.NOT_RUN,
+        reason=Reason.ENTRY_LEAVING.value,
+    )
+
 
 @execute.register
 def _(command: ReplyToCaller, actor: RequestDispatcher) -> None:
