--- a/packages/wasabispur-agent/src/wasabispur_agent/endpoint_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/endpoint_runner.py
@@ -26,6 +26,11 @@
     result: Message
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainRequested(Message):
+    """Ask the runner to finish what is in progress and to take nothing new."""
+
+
 class EndpointRunner(DecisionActor):
     """Own the permit state and a thread for each slot."""
 
@@ -37,6 +42,7 @@
         self.links: dict[str, Actor] = {}
         self.threads = ThreadPoolExecutor(state.slots, thread_name_prefix="endpoint")
         self.calls: set[asyncio.Task[None]] = set()
+        self.drained = asyncio.Event()
 
     def on_call_ended(self, message: CallEnded) -> None:
         """Pass the result of a call to the decisions."""
@@ -47,13 +53,23 @@
         )
         self.on_message(message.result)
 
-    async def drain(self) -> None:
-        """Grant no more permits, tell the entries, and finish running calls."""
+    def on_drain_requested(self, message: DrainRequested) -> None:
+        """Grant no more permits, and tell the entries."""
         self.state.leaving = True
         for address, link in self.links.items():
             link.post(SendToEntryLink(entry_id=address, message=Leaving()))
-        while self.calls:
-            await asyncio.wait(self.calls)
+
+    async def handle(self, message: Message) -> None:
+        """Handle a message, and note when a drain has finished."""
+        await super().handle(message)
+        # A granted permit may still be used, so it counts as in progress.
+        if self.state.leaving and not self.state.attempts:
+            self.drained.set()
+
+    async def drain(self) -> None:
+        """Return once no permit is in force and no attempt runs."""
+        self.post(DrainRequested())
+        await self.drained.wait()
 
     async def closed(self) -> None:
         """Stop the threads."""
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/timer_service.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/timer_service.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TimeLimitReached(Message):
-    """Report that the body of time_limit() took too long."""
+    """Report that the time of time_limit() or sleep() is over."""
 
 
 @asynccontextmanager
@@ -30,6 +30,13 @@
             subscription.cancel()
 
 
+async def sleep(timers: TimerService, seconds: float) -> None:
+    """Return after seconds of the timer service."""
+    due = asyncio.Event()
+    timers.subscribe(seconds, lambda _: due.set(), TimeLimitReached())
+    await due.wait()
+
+
 class LoopTimerService:
     """Deliver timer messages on one event loop."""
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_command.py
@@ -4,6 +4,7 @@
 
 import click
 
+from .bench_request import requests_bench
 from .job_bench import jobs_bench
 
 
@@ -13,3 +14,4 @@
 
 
 bench.add_command(jobs_bench)
+bench.add_command(requests_bench)
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -81,6 +81,7 @@
     sys.exit(run_demo())
 
 
+main.add_command(bench)
 main.add_command(measure)
 
 
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -6,11 +6,12 @@
 
 from wasabispur_core.command import SendToEntry
 from wasabispur_core.error import AddressInUseError
-from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.protocol import Leaving
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 from wasabispur_runtime.metrics import registry
+from wasabispur_runtime.timer_service import sleep
 
 from .bridge import Bridge
 from .bundle_resource import BundleResource
@@ -28,6 +29,9 @@
 from .organisation_resource import OrganisationResource
 from .request_metrics import RequestMetrics
 
+DRAIN_NOTICE = 2.0
+"""Seconds for the load balancer to see /readyz fail before requests are refused."""
+
 
 async def run_entry(
     settings: EntrySettings, timers: TimerService, stop: asyncio.Event
@@ -76,6 +80,10 @@
     log(PROCESS_STARTED, process=settings.entry_id)
     await stop.wait()
     actors.membership.post(SendToEntry(entry_id="", message=Leaving()))
+    log(PROCESS_DRAINING, process=settings.entry_id)
+    resources.readiness.ready = False
+    await sleep(timers, DRAIN_NOTICE)
+    await actors.dispatcher.drain()
     await asyncio.to_thread(http.stop)
     control.close()
     await control.wait_closed()
--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -23,7 +23,7 @@
 )
 from wasabispur_core.protocol import MemberStatus, PeerHello
 from wasabispur_core.request import RequestState
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
@@ -91,6 +91,7 @@
     actors = EntryActors(membership=membership, dispatcher=dispatcher, context=context)
     if settings.table_url is not None:
         table = TableClient(timers, settings.table_url, Random())
+        dispatcher.table = table
         actors.bundles = build_bundles(settings, table, context, version)
         membership.bundles = actors.bundles.manager
         actors.bundles.manager.listeners += [membership, dispatcher]
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 import cherrypy
@@ -14,6 +15,7 @@
 from .metrics_resource import MetricsResource
 from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
+from .request_resource import RequestResource
 from .service_resource import ServiceResource
 
 CONFIGURATION = {
@@ -39,6 +41,21 @@
         """Return 200 while the process lives."""
         return b"ok\n"
 
+    @cherrypy.expose
+    def readyz(self) -> bytes:
+        """Return 200 while new requests are welcome, and 503 during a drain."""
+        if self.v1.readiness.ready:
+            return b"ready\n"
+        cherrypy.response.status = 503
+        return b"leaving\n"
+
+
+@dataclass(slots=True)
+class Readiness:
+    """Tell whether the entry takes new requests."""
+
+    ready: bool = True
+
 
 class VersionOneResource:
     """Hold the resources under /v1."""
@@ -50,7 +67,9 @@
     metrics: MetricsResource | None = None
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
+        self.readiness = Readiness()
         self.services = ServiceResource(bridge, dispatcher)
+        self.requests = RequestResource(bridge, dispatcher)
 
 
 def build_application(version_1: VersionOneResource) -> Any:
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -2,21 +2,71 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from concurrent.futures import Future
+from dataclasses import dataclass
+from functools import singledispatch
 from typing import Any
 
 from wasabispur_core.bundle_version import ApplyBundle
 from wasabispur_core.log_event import REQUEST_ANSWERED, REQUEST_RECEIVED
-from wasabispur_core.outcome import ReplyToCaller
+from wasabispur_core.message import Message
+from wasabispur_core.outcome import Outcome, ReplyToCaller
+from wasabispur_core.protocol import Reason
 from wasabispur_core.request import decide, RequestReceived, RequestState
 from wasabispur_core.request_class import ClassesChanged
+from wasabispur_core.request_history import LookUpRequest, TellStatus
+from wasabispur_core.store import RowsUnavailable, StoreUnavailable
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
+from wasabispur_runtime.table_client import ApplyTransaction, FetchRows
+from wasabispur_runtime.timer_service import time_limit
 
 from .bridge import Ask
 
+NO_TABLE = "no table service is set"
+
+
+SETTLE_LIMIT = 5.0
+"""Seconds after the last reply within which claims are settled."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainRequested(Message):
+    """Ask the dispatcher to finish what is in progress and to take nothing new."""
+
+
+class MissingTable:
+    """Refuse every call to the table service of an entry that has none."""
+
+    def post(self, message: Message) -> None:
+        """Answer that nothing was written or read."""
+        refuse(message)
+
+
+@singledispatch
+def refuse(message: Message) -> None:
+    """Answer a call to the table service that can't be made."""
+
+
+@refuse.register
+def _(message: ApplyTransaction) -> None:
+    message.receiver(
+        StoreUnavailable(
+            operation_id=message.transaction.operation_id,
+            reason=NO_TABLE,
+            uncertain=False,
+        )
+    )
+
+
+@refuse.register
+def _(message: FetchRows) -> None:
+    message.receiver(RowsUnavailable(read_id=message.read_id, reason=NO_TABLE))
+
 
 class RequestDispatcher(DecisionActor):
     """Own the request state and the callers that wait for a reply."""
@@ -26,20 +76,62 @@
     ) -> None:
         super().__init__("request-dispatcher", timers, state, decide)
         self.membership = membership
+        self.table: Actor | MissingTable = MissingTable()
         self.waiting: dict[str, Future[Any]] = {}
+        self.draining = False
+        self.answered = asyncio.Event()
+        self.drained = asyncio.Event()
 
     def on_ask(self, message: Ask) -> None:
         """Take a caller's request together with the future for its reply."""
         request = message.message
+        if self.draining and isinstance(request, RequestReceived):
+            message.reply.set_result(refuse_while_leaving(request))
+            return
         if isinstance(request, RequestReceived):
             self.waiting[request.request_id] = message.reply
             log(REQUEST_RECEIVED, request=request.request_id)
+        if isinstance(request, LookUpRequest):
+            self.waiting[request.lookup_id] = message.reply
         self.on_message(request)
 
     def on_apply_bundle(self, message: ApplyBundle) -> None:
         """Work by the classes of the bundle that came into force."""
         self.on_message(ClassesChanged(classes=message.content.classes))
 
+    def on_drain_requested(self, message: DrainRequested) -> None:
+        """Take no more requests."""
+        self.draining = True
+
+    async def handle(self, message: Message) -> None:
+        """Handle a message, and note how far a drain has got."""
+        await super().handle(message)
+        if not self.draining or self.waiting:
+            return
+        self.answered.set()
+        if not self.state.requests:
+            self.drained.set()
+
+    async def drain(self) -> None:
+        """Return once every caller has its reply and every claim is settled.
+
+        Claims are given up after a time, since the table service may be down.
+        """
+        self.post_urgent(DrainRequested())
+        await self.answered.wait()
+        with contextlib.suppress(TimeoutError):
+            async with time_limit(self.timers, SETTLE_LIMIT):
+                await self.drained.wait()
+
+
+def refuse_while_leaving(request: RequestReceived) -> ReplyToCaller:
+    """Return the reply to a request that came during a planned stop."""
+    return ReplyToCaller(
+        request_id=request.request_id,
+        outcome=Outcome.NOT_RUN,
+        reason=Reason.ENTRY_LEAVING.value,
+    )
+
 
 @execute.register
 def _(command: ReplyToCaller, actor: RequestDispatcher) -> None:
@@ -47,3 +139,10 @@
     log(REQUEST_ANSWERED, request=command.request_id, outcome=command.outcome.value)
     if reply is not None and not reply.done():
         reply.set_result(command)
+
+
+@execute.register
+def _(command: TellStatus, actor: RequestDispatcher) -> None:
+    reply = actor.waiting.pop(command.lookup_id, None)
+    if reply is not None and not reply.done():
+        reply.set_result(command.status)
