--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -9,7 +9,7 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.circuit import OPEN_LIMIT
 from wasabispur_core.request import decide, RequestState
-from wasabispur_core.request_action import request_chart
+from wasabispur_core.request_chart import request_chart
 from wasabispur_core.request_class import ClassesChanged
 from wasabispur_core.work_class import default_classes
 
