--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_command.py
@@ -5,6 +5,7 @@
 import click
 
 from .bench_request import requests_bench
+from .job_bench import jobs_bench
 
 
 @click.group()
@@ -12,4 +13,5 @@
     """Measure the decisions on the fake timer service."""
 
 
+bench.add_command(jobs_bench)
 bench.add_command(requests_bench)
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -26,6 +26,7 @@
 from .membership import Membership
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
+from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
 from .request_metrics import RequestMetrics
 
@@ -42,7 +43,8 @@
     membership = Membership(timers)
     state = RequestState(settings.region, request_chart(ChartCatalogue()), Random())
     dispatcher = RequestDispatcher(timers, state, membership)
-    dispatcher.observer = RequestMetrics(registry).observe
+    request_metrics = RequestMetrics(registry)
+    dispatcher.observer = request_metrics.observe
     membership.dispatcher = dispatcher
     membership.start()
     dispatcher.start()
@@ -55,6 +57,7 @@
         registry,
         settings.entry_id,
         {actor.name: actor.mailbox.qsize for actor in (membership, dispatcher)},
+        request_metrics.counts,
     )
     metrics.start()
     resources = VersionOneResource(bridge, dispatcher)
@@ -100,6 +103,7 @@
     table = TableClient(timers, settings.table_url, Random())
     jobs = build_job_actors(settings, timers, membership, table)
     resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+    resources.organisations = OrganisationResource(resources.jobs)
     jobs.start()
     return jobs
 
