--- a/packages/wasabispur-core/src/wasabispur_core/routing.py
+++ b/packages/wasabispur-core/src/wasabispur_core/routing.py
@@ -17,6 +17,9 @@
 FAST_WEIGHT = 0.1
 SLOW_WEIGHT = 0.02
 
+DECREASE_SAMPLES = 20
+"""Completed runs before the first decrease by latency, and between two."""
+
 FAILURE_WEIGHT = 0.2
 EJECTION_RATE = 0.6
 """Recent failure rate of an endpoint above which it is ejected."""
@@ -64,6 +67,8 @@
     leaving: bool = False
     limit: float = INITIAL_LIMIT
     slow_start: bool = True
+    samples: int = 0
+    next_decrease: int = DECREASE_SAMPLES
     latency: float = 0.0
     usual_latency: float = 0.0
     failure_rate: float = 0.0
@@ -91,16 +96,27 @@
         """Raise the limit, or lower it if the latency has grown much."""
         self.failure_rate *= 1 - FAILURE_WEIGHT
         self.ejections = 0 if self.failure_rate < 0.01 else self.ejections
-        if not self.usual_latency:
-            self.latency = self.usual_latency = latency
-        self.latency += FAST_WEIGHT * (latency - self.latency)
-        self.usual_latency += SLOW_WEIGHT * (latency - self.usual_latency)
-        if self.latency > LATENCY_FACTOR * self.usual_latency:
+        self.note_latency(latency)
+        grown = self.latency > LATENCY_FACTOR * self.usual_latency
+        if grown and self.samples >= self.next_decrease:
+            self.next_decrease = self.samples + DECREASE_SAMPLES
             self.lower_limit()
             return
         step = 1.0 if self.slow_start else 1.0 / self.limit
         self.limit = min(self.limit + step, float(self.slots))
 
+    def note_latency(self, latency: float) -> None:
+        """Add a sample to both means.
+
+        The first samples weigh equally: one short run alone would set a baseline
+        that all later runs exceed, and hold the limit at one.
+        """
+        self.samples += 1
+        fast = max(FAST_WEIGHT, 1 / self.samples)
+        slow = max(SLOW_WEIGHT, 1 / self.samples)
+        self.latency += fast * (latency - self.latency)
+        self.usual_latency += slow * (latency - self.usual_latency)
+
     def note_refusal(self, now: float, random: Random) -> float:
         """Lower the limit, and return the seconds to leave the endpoint alone."""
         self.lower_limit()
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -83,6 +83,3 @@
 
 main.add_command(bench)
 main.add_command(measure)
-
-
-main.add_command(bench)
--- a/tests/request/test_request_routing.py
+++ b/tests/request/test_request_routing.py
@@ -63,6 +63,16 @@
     assert endpoint.limit == 1.0
 
 
+def test_one_short_run_does_not_hold_the_limit_down():
+    """Guard against a baseline that is set by the very first sample."""
+    endpoint = view("n")
+    random = Random(1)
+    endpoint.note_success(0.001)
+    for _ in range(200):
+        endpoint.note_success(random.expovariate(1 / 0.4))
+    assert endpoint.limit > 7.0
+
+
 def test_failing_endpoint_is_ejected_and_comes_back_on_probation():
     """Guard against an endpoint that fails every request quickly."""
     endpoints = [view(f"e{number}") for number in range(4)]
