Gather small jobs on few workers and choose the reservation anew

A gang that one worker seats now goes to the fullest such worker. Three reservations that stayed in place kept accelerators idle when running jobs overran; one reservation is now chosen in each pass.

--- a/packages/wasabispur-core/src/wasabispur_core/backfill.py
+++ b/packages/wasabispur-core/src/wasabispur_core/backfill.py
@@ -8,7 +8,7 @@
 from .placement import free_room, place_gang, Room
 from .reclaim import held_by
 
-RESERVATION_LIMIT = 3
+RESERVATION_LIMIT = 1
 """Waiting gangs that hold a reservation at the same time."""
 
 
@@ -55,25 +55,19 @@
     return now + board.run_times.remaining(job.record.spec, elapsed)
 
 
-def update_reservations(board: JobBoard, waiting: list[Job], now: float) -> None:
-    """Keep the reservations that still stand and add those of the first gangs."""
-    by_id = {job.record.job_id: job for job in waiting}
-    kept = [
-        reservation
-        for reservation in board.reservations
-        if reservation.job_id in by_id
-        and all(worker in board.fleet.usable for worker, _ in reservation.accelerators)
-    ]
-    board.reservations = kept
-    reserved = {reservation.job_id for reservation in kept}
-    for job in waiting:
-        if len(board.reservations) >= RESERVATION_LIMIT:
-            return
-        if not job.record.spec.accelerators or job.record.job_id in reserved:
-            continue
-        reservation = reserve(board, job, now)
-        if reservation is not None:
-            board.reservations.append(reservation)
+def add_reservation(board: JobBoard, job: Job, now: float) -> None:
+    """Reserve accelerators for a waiting gang if it is among the first.
+
+    The reservations are chosen anew in each pass over the queue, because the
+    expected ends of running jobs change as they overrun.
+    """
+    if len(board.reservations) >= RESERVATION_LIMIT:
+        return
+    if not job.record.spec.accelerators:
+        return
+    reservation = reserve(board, job, now)
+    if reservation is not None:
+        board.reservations.append(reservation)
 
 
 def closed_to(board: JobBoard, job: Job, now: float) -> frozenset[tuple[str, int]]:
--- a/packages/wasabispur-core/src/wasabispur_core/job_place.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_place.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .backfill import closed_to, update_reservations
+from .backfill import add_reservation, closed_to
 from .command import Command, WriteLog
 from .fleet import Fleet
 from .guarantee import GuaranteePlan, Promise, repack
@@ -76,14 +76,11 @@
     if not is_pass_due(board, waiting, now):
         return commands
     board.calling = calling_organisations(board, waiting)
-    blocked: list[Job] = []
-    if not waiting:
-        board.reservations = []
+    board.reservations = []
     for job in waiting:
         commands += place_job(board, job, now)
         if job.lifecycle.state == "queued" and within_quota(board, job.record.spec):
-            blocked.append(job)
-            update_reservations(board, blocked, now)
+            add_reservation(board, job, now)
     board.last_pass = pass_key(board, waiting)
     board.next_pass = now + PASS_INTERVAL
     return commands
--- a/packages/wasabispur-core/src/wasabispur_core/placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/placement.py
@@ -72,12 +72,28 @@
 
 def place_gang(room: Room, size: GangSize) -> tuple[Seat, ...] | None:
     """Return seats for every task on the fewest racks, or None if some don't fit."""
-    seats: list[Seat] = []
+    seats = seats_on_one_worker(room, size)
+    if seats:
+        return tuple(seats)
     for rack in choose_racks(room, size):
         seats += fill_rack(room, rack, size.accelerators, size.tasks - len(seats))
     return tuple(seats) if len(seats) == size.tasks else None
 
 
+def seats_on_one_worker(room: Room, size: GangSize) -> list[Seat]:
+    """Return seats for the whole gang on the fullest worker that has them.
+
+    Small jobs gather on few workers, whichever the rack, so that whole workers
+    stay free for gangs.
+    """
+    order = sorted(room.free, key=lambda worker: (len(room.free[worker]), worker))
+    for worker_id in order:
+        seats = room.seats(worker_id, size.accelerators, size.tasks)
+        if len(seats) == size.tasks:
+            return seats
+    return []
+
+
 def choose_racks(room: Room, size: GangSize) -> list[list[str]]:
     """Return the workers of the fewest racks that seat the gang together.
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
@@ -194,6 +194,11 @@
     def note_reclaim(self, job_id: str, now: float) -> None:
         """Note how long a reclaim took."""
         began = self.reclaim_starts.pop(job_id, None)
+        # The organisation's guarantee is used now; a later reclaim starts anew.
+        organisation = self.jobs[job_id].spec.organisation
+        for other in list(self.reclaim_starts):
+            if self.jobs[other].spec.organisation == organisation:
+                del self.reclaim_starts[other]
         if began is None:
             return
         self.measures.reclaims.append(now - began)
