--- a/packages/wasabispur-core/src/wasabispur_core/backfill.py
+++ b/packages/wasabispur-core/src/wasabispur_core/backfill.py
@@ -38,8 +38,11 @@
         for other in board.jobs.values()
         if other.members
     )
+    needed = spec.tasks * spec.accelerators
     for end, _, other in ends:
         _give_back(board, room, held_by(other) - taken)
+        if sum(map(len, room.free.values())) < needed:
+            continue
         seats = place_gang(room, spec.size)
         if seats is not None:
             held = ((s.worker_id, index) for s in seats for index in s.accelerators)
--- a/packages/wasabispur-core/src/wasabispur_core/job_place.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_place.py
@@ -35,7 +35,7 @@
 """Seconds after a takeover in which workers may still attach, so that no job is
 rejected as too large."""
 
-PASS_INTERVAL = 5.0
+PASS_INTERVAL = 30.0
 """Seconds after which the queue is looked at again though nothing changed."""
 
 STOPPABLE = frozenset(
