--- a/tests/process/job_system.py
+++ b/tests/process/job_system.py
@@ -40,10 +40,13 @@
 class JobSystem:
     """Own the processes of one test and end each of them by its id."""
 
-    def __init__(self, directory: Path, entries: int = 2, workers: int = 2) -> None:
+    def __init__(self, directory: Path) -> None:
         self.directory = directory
         self.pool = urllib3.PoolManager(timeout=5.0, retries=False)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, entries: int = 2, workers: int = 2) -> None:
+        """Start everything; close() ends what was started, also after a failure."""
         self.table = self.stand_in("table-service", "table")
         self.workers = {
             f"w{i}": self.stand_in("worker", f"worker{i}", "--accelerators", "4")
--- a/tests/process/test_job_process.py
+++ b/tests/process/test_job_process.py
@@ -20,6 +20,7 @@
     """Start two entries, two workers with agents and a table service."""
     jobs = JobSystem(tmp_path)
     try:
+        jobs.start()
         yield jobs
     finally:
         jobs.close()
