--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -12,7 +12,7 @@
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
 from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.protocol import Announce, Heartbeat
+from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 
@@ -20,6 +20,7 @@
 from .endpoint_client import EndpointClient
 from .endpoint_runner import EndpointRunner
 from .entry_link import EntryLink
+from .worker_agent import run_worker_agent
 
 
 async def run_agent(
@@ -29,9 +30,7 @@
     configure_log(settings.agent_id, settings.log_level)
     # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
-    state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
-    client = EndpointClient(settings.local_url, settings.connections)
-    runner = EndpointRunner(timers, state, client)
+    announce = partial(describe, settings, incarnation, timers)
     near = near_entries(
         settings.entries,
         settings.entry_regions,
@@ -39,11 +38,17 @@
         settings.data_centre,
         settings.near_entries,
     )
+    if settings.role is Role.WORKER:
+        await run_worker_agent(settings, timers, stop, announce, near)
+        return
+    state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
+    client = EndpointClient(settings.local_url, settings.connections)
+    runner = EndpointRunner(timers, state, client)
     for address in settings.entries:
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=partial(describe, settings, incarnation, address in near),
+            announce=partial(announce, address in near),
             heartbeat=lambda sequence: beat(sequence, state),
             receiver=runner.post,
             random=Random(),
@@ -60,7 +65,9 @@
     log(PROCESS_STOPPED, process=settings.agent_id)
 
 
-def describe(settings: AgentSettings, incarnation: int, near: bool) -> Announce:
+def describe(
+    settings: AgentSettings, incarnation: int, timers: TimerService, near: bool
+) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
         agent_id=settings.agent_id,
@@ -75,6 +82,7 @@
         cores=settings.cores,
         memory=settings.memory,
         near=near,
+        clock=timers.now(),
     )
 
 
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -13,6 +13,7 @@
 
 from .entry import run_entry
 from .entry_settings import EntrySettings
+from .job_command import job
 from .report_command import report
 
 
@@ -40,4 +41,5 @@
         run_process(partial(run_entry, settings))
 
 
+main.add_command(job)
 main.add_command(report)
