--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -68,12 +68,14 @@
         heartbeat: Callable[[int], Heartbeat],
         receiver: Callable[[FromEntry], None],
         random: Random,
+        welcomed: Callable[[FromEntry], None] = lambda message: None,
     ) -> None:
         super().__init__(f"link:{address}", timers)
         self.address = address
         self.announce = announce
         self.heartbeat = heartbeat
         self.receiver = receiver
+        self.welcomed = welcomed
         self.random = random
         self.failures = 0
         self.closing = False
@@ -150,7 +152,7 @@
             log(STREAM_OPENED, peer=welcome.entry_id)
             opened = self.timers.now()
             self.stream = self._open_stream(stream, interval)
-            self._forward(welcome)
+            self.welcomed(FromEntry(entry_id=self.address, message=welcome))
             reason = await self.stream.serve()
             if self.timers.now() - opened >= STABLE_AFTER:
                 self.failures = 0
