--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from functools import partial
 from random import Random
 
+from wasabispur_core.attachment import near_entries
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.permit import PermitState
@@ -28,10 +30,16 @@
     configure_log(settings.agent_id, settings.log_level)
     # Wall-clock time tells the starts of one agent apart, also after a restart.
     incarnation = time.time_ns()
+    announce = partial(describe, settings, incarnation, timers)
+    near = near_entries(
+        settings.entries,
+        settings.entry_regions,
+        settings.region,
+        settings.data_centre,
+        settings.near_entries,
+    )
     if settings.role is Role.WORKER:
-        await run_worker_agent(
-            settings, timers, stop, lambda: describe(settings, incarnation, timers)
-        )
+        await run_worker_agent(settings, timers, stop, announce, near)
         return
     state = PermitState(settings.slots, attempt_chart(ChartCatalogue()), incarnation)
     client = EndpointClient(settings.local_url, settings.connections)
@@ -40,7 +48,7 @@
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=lambda: describe(settings, incarnation, timers),
+            announce=partial(announce, address in near),
             heartbeat=lambda sequence: beat(sequence, state),
             receiver=runner.post,
             random=Random(),
@@ -58,7 +66,7 @@
 
 
 def describe(
-    settings: AgentSettings, incarnation: int, timers: TimerService
+    settings: AgentSettings, incarnation: int, timers: TimerService, near: bool
 ) -> Announce:
     """Return the announcement of an agent."""
     return Announce(
@@ -73,6 +81,7 @@
         accelerators=settings.accelerators,
         cores=settings.cores,
         memory=settings.memory,
+        near=near,
         clock=timers.now(),
     )
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
@@ -24,7 +25,8 @@
     settings: AgentSettings,
     timers: TimerService,
     stop: asyncio.Event,
-    announce: Callable[[], Announce],
+    announce: Callable[[bool], Announce],
+    near: frozenset[str],
 ) -> None:
     """Run an agent beside a worker until stop is set, then stop its tasks."""
     chart = task_chart(ChartCatalogue())
@@ -34,7 +36,7 @@
         runner.links[address] = EntryLink(
             address,
             timers,
-            announce=announce,
+            announce=partial(announce, address in near),
             heartbeat=lambda sequence: beat(sequence, state, timers.now()),
             receiver=runner.post,
             random=Random(),
