--- a/packages/wasabispur-core/src/wasabispur_core/fleet.py
+++ b/packages/wasabispur-core/src/wasabispur_core/fleet.py
@@ -55,14 +55,17 @@
     quarantined: frozenset[str] = frozenset()
     holders: dict[str, dict[int, str]] = field(default_factory=dict)
     plain_tasks: dict[str, set[str]] = field(default_factory=dict)
+    version: int = 0
 
     def attach(self, worker: Worker) -> None:
         """Add a worker, or replace what is known of it."""
+        self.version += 1
         self.workers[worker.worker_id] = worker
         self.available.add(worker.worker_id)
 
     def detach(self, worker_id: str) -> None:
         """Take a worker out of placement and keep what it holds."""
+        self.version += 1
         self.available.discard(worker_id)
 
     @property
@@ -88,6 +91,7 @@
 
     def hold(self, worker_id: str, accelerators: Iterable[int], task_id: str) -> None:
         """Record a task as the holder of accelerators, or of a core if of none."""
+        self.version += 1
         indices = tuple(accelerators)
         if not indices:
             self.plain_tasks.setdefault(worker_id, set()).add(task_id)
@@ -98,9 +102,14 @@
 
     def release(self, worker_id: str, task_id: str) -> None:
         """Free whatever the task holds on the worker."""
-        self.plain_tasks.get(worker_id, set()).discard(task_id)
+        plain = self.plain_tasks.get(worker_id, set())
         held = self.holders.get(worker_id, {})
-        for index in [index for index, holder in held.items() if holder == task_id]:
+        indices = [index for index, holder in held.items() if holder == task_id]
+        if not indices and task_id not in plain:
+            return
+        self.version += 1
+        plain.discard(task_id)
+        for index in indices:
             del held[index]
 
     def racks(self) -> dict[str, list[str]]:
--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -167,6 +167,8 @@
     urgent_classes: frozenset[str] = frozenset()
     quotas: dict[str, int] = field(default_factory=dict)
     reservations: list[Any] = field(default_factory=list)
+    last_pass: tuple[Any, ...] = ()
+    next_pass: float = 0.0
     run_times: RunTimes = field(default_factory=RunTimes)
     health: HealthBoard = field(default_factory=HealthBoard)
 
@@ -188,12 +190,9 @@
     commands = job.lifecycle.handle(message, board, job, now)
     if job.lifecycle.state == "placing":
         return commands
-    for member in job.members.values():
-        # Past the bound the accelerators are free, also while a job that must not
-        # start twice still waits for proof.
-        if member.phase in ENDED_PHASES or now >= member.bound:
-            board.fleet.release(member.seat.worker_id, member.task_id)
     ended = [m for m in job.members.values() if job.has_ended(m, now)]
+    for member in ended:
+        board.fleet.release(member.seat.worker_id, member.task_id)
     if job.lifecycle.state == "stopping" and len(ended) == len(job.members):
         commands += job.lifecycle.handle(GangEnded(), board, job, now)
     if job.lifecycle.state == "ended":
--- a/packages/wasabispur-core/src/wasabispur_core/job_place.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_place.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from .backfill import closed_to, update_reservations
 from .command import Command, WriteLog
-from .guarantee import Promise, repack
+from .fleet import Fleet
+from .guarantee import GuaranteePlan, Promise, repack
 from .job import (
     decide,
     fire,
@@ -17,9 +19,10 @@
     JobRejected,
     ReclaimRequested,
 )
-from .job_record import JobRecord, JobSpec
+from .job_record import guarantee_key, JobRecord, JobSpec
 from .log_event import GUARANTEE_LOST, GUARANTEE_MET
 from .message import Message
+from .ownership import WriteRow
 from .placement import free_room, impossible_reason, place_gang, Seat
 from .reclaim import (
     calling_organisations,
@@ -32,6 +35,9 @@
 """Seconds after a takeover in which workers may still attach, so that no job is
 rejected as too large."""
 
+PASS_INTERVAL = 5.0
+"""Seconds after which the queue is looked at again though nothing changed."""
+
 STOPPABLE = frozenset(
     ("placing", "reserving", "recording_start", "starting", "adopting", "running")
 )
@@ -55,6 +61,7 @@
     board.quotas = message.quotas
     board.urgent_classes = message.urgent_classes
     board.plan_stale = True
+    board.last_pass = ()
     return place_waiting(board, now) if board.owning else []
 
 
@@ -66,6 +73,8 @@
         return commands
     waiting = [job for job in board.jobs.values() if job.lifecycle.state == "queued"]
     waiting.sort(key=lambda job: queue_order(board, job))
+    if not is_pass_due(board, waiting, now):
+        return commands
     board.calling = calling_organisations(board, waiting)
     blocked: list[Job] = []
     if not waiting:
@@ -75,9 +84,21 @@
         if job.lifecycle.state == "queued" and within_quota(board, job.record.spec):
             blocked.append(job)
             update_reservations(board, blocked, now)
+    board.last_pass = pass_key(board, waiting)
+    board.next_pass = now + PASS_INTERVAL
     return commands
 
 
+def pass_key(board: JobBoard, waiting: list[Job]) -> tuple[Any, ...]:
+    """Return what decides whether another pass over the queue can differ."""
+    return (board.fleet.version, *(job.record.job_id for job in waiting))
+
+
+def is_pass_due(board: JobBoard, waiting: list[Job], now: float) -> bool:
+    """Return whether something changed, or time may have changed an estimate."""
+    return now >= board.next_pass or pass_key(board, waiting) != board.last_pass
+
+
 def queue_order(board: JobBoard, job: Job) -> tuple[bool, int, str]:
     """Return the order in which jobs are placed."""
     record = job.record
@@ -90,6 +111,7 @@
     quarantined = board.health.update(len(board.fleet.available), now)
     if quarantined != board.fleet.quarantined:
         board.fleet.quarantined = quarantined
+        board.fleet.version += 1
         board.plan_stale = True
 
 
@@ -114,7 +136,14 @@
     before = set(board.plan.lost)
     repack(board.plan, board.fleet)
     after = set(board.plan.lost)
+    shown: list[Command] = []
+    if board.owning:
+        row = WriteRow(
+            key=guarantee_key(board.shard), value=show_guarantees(board.plan)
+        )
+        shown.append(row)
     return [
+        *shown,
         *(_report(GUARANTEE_LOST.number, promise) for promise in after - before),
         *(_report(GUARANTEE_MET.number, promise) for promise in before - after),
     ]
@@ -154,6 +183,8 @@
 def choose_seats(board: JobBoard, job: Job, now: float) -> tuple[Seat, ...] | None:
     """Return free seats: own guarantee first, then spare, then borrowed ones."""
     spec, record = job.record.spec, job.record
+    if free_count(board.fleet) < spec.tasks * spec.accelerators:
+        return None
     avoided = avoided_workers(board, record)
     if not spec.accelerators:
         room = free_room(board.fleet, avoided=avoided)
@@ -185,6 +216,11 @@
     return None
 
 
+def free_count(fleet: Fleet) -> int:
+    """Return the free accelerators of the usable workers, adjacent or not."""
+    return sum(len(fleet.free(worker_id)) for worker_id in fleet.usable)
+
+
 def avoided_workers(board: JobBoard, record: JobRecord) -> frozenset[str]:
     """Return the workers on which the job failed, if there are others."""
     failed = frozenset(record.failed_workers)
@@ -196,6 +232,20 @@
     return failed if enough else frozenset()
 
 
+def show_guarantees(plan: GuaranteePlan) -> dict[str, Any]:
+    """Return the row that shows which guarantees can be met, and where."""
+    shapes = [
+        {
+            "organisation": promise.organisation,
+            "shape": promise.shape.name,
+            "workers": sorted({s.worker_id for s in plan.homes.get(promise, ())}),
+            "met": promise in plan.homes,
+        }
+        for promise in plan.promises
+    ]
+    return {"schema": 1, "shapes": shapes}
+
+
 def _report(number: int, promise: Promise) -> WriteLog:
     fields = {"organisation": promise.organisation, "shape": promise.shape.name}
     return WriteLog(number=number, fields=fields)
--- a/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/standin_cli.py
@@ -10,6 +10,7 @@
 
 from wasabispur_runtime.process import run_process
 
+from .bench_command import bench
 from .demo import run_demo
 from .endpoint import EndpointRoot, EndpointState
 from .measure_command import measure
@@ -81,3 +82,6 @@
 
 
 main.add_command(measure)
+
+
+main.add_command(bench)
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -18,7 +18,6 @@
 )
 from wasabispur_core.fleet import Worker, WorkerAttached, WorkerDetached
 from wasabispur_core.guarantee import Adjacency, GuaranteedShape, Promise
-from wasabispur_core.job import ENDED_PHASES
 from wasabispur_core.job_place import PolicyChanged
 from wasabispur_core.job_record import (
     cancel_key,
@@ -530,8 +529,7 @@
             (member.seat.worker_id, index)
             for job in board.jobs.values()
             for member in job.members.values()
-            if member.phase not in ENDED_PHASES
-            and (self.now < member.bound or job.lifecycle.state == "placing")
+            if job.lifecycle.state == "placing" or not job.has_ended(member, self.now)
             for index in member.seat.accelerators
         ]
         assert len(seats) == len(set(seats)), "accelerator: placed twice"
