--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -5,9 +5,9 @@
 import json
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
-from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
 from types import FrameType
@@ -36,8 +36,14 @@
 JOB_ENDS = (COMPLETED, "failed", "cancelled", "rejected", "held")
 
 EXIT_INTERRUPTED = 130
-
-Step = Callable[[DemoSystem], None]
+DEMO_ERRORS = (
+    WasabispurError,
+    urllib3.exceptions.HTTPError,
+    subprocess.SubprocessError,
+    OSError,
+    ValueError,
+)
+"""Errors that end the demo with one line; ValueError stands for malformed JSON."""
 
 
 class Interrupted(BaseException):
@@ -56,7 +62,7 @@
         print("interrupted; all processes have ended", file=sys.stderr)
         shutil.rmtree(directory)
         return EXIT_INTERRUPTED
-    except (WasabispurError, urllib3.exceptions.HTTPError, OSError) as error:
+    except DEMO_ERRORS as error:
         print(f"error: {error}", file=sys.stderr)
         print(f"The output of the processes is in {directory}.", file=sys.stderr)
         return 1
