--- a/packages/wasabispur-core/src/wasabispur_core/bundle_change.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_change.py
@@ -22,10 +22,12 @@
     ResolveDue,
     UnknownChangeError,
 )
+from .bundle_packing import check_packing
 from .bundle_query import continue_query, fail_query, start_query
 from .bundle_record import change_key, ChangeRecord, POINTER_KEY, version_record
 from .command import CancelTimer, Command, ReadRows, SetTimer, Transact
 from .error import StoreError, UnhandledMessageError, WasabispurError
+from .fleet import WorkerAttached, WorkerDetached, WorkerLeaving
 from .message import Message
 from .store import (
     ABSENT,
@@ -167,6 +169,24 @@
     return fail(state, operation, error)
 
 
+@decide.register
+def _(message: WorkerAttached, state: BundleChangeState, now: float) -> list[Command]:
+    fleet = state.fleets.get(message.worker.data_centre)
+    if fleet is not None:
+        fleet.attach(message.worker)
+    return []
+
+
+@decide.register(WorkerDetached)
+@decide.register(WorkerLeaving)
+def _(
+    message: WorkerDetached | WorkerLeaving, state: BundleChangeState, now: float
+) -> list[Command]:
+    for fleet in state.fleets.values():
+        fleet.detach(message.worker_id)
+    return []
+
+
 def _read(operation: Operation, what: str) -> ReadRows:
     request = operation.request
     prefix = POINTER_KEY if what == POINTER_READ else change_key(request.change_id)
@@ -215,7 +235,7 @@
     request, lifecycle = operation.request, operation.lifecycle
     if isinstance(request, ProposeBundle):
         check_content(request.content)
-        state.admit(request.content)
+        check_packing(request.content, state.fleets)
         return lifecycle.handle(request, state, operation, now)
     if operation.change is None:
         raise UnknownChangeError(
@@ -225,7 +245,8 @@
     if lifecycle.final:
         raise order_error(operation)
     if isinstance(request, AcceptBundle):
-        state.admit(state.records.content(operation.change.content))
+        content = state.records.content(operation.change.content)
+        check_packing(content, state.fleets)
     return lifecycle.handle(request, state, operation, now)
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_operation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_operation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,6 +9,7 @@
 from .bundle_record import ChangeRecord, RecordReader, VersionRecord
 from .chart import Chart, Lifecycle
 from .command import Command
+from .fleet import Fleet
 from .message import Message
 from .protocol import SignedBundle
 from .store import ABSENT, Row, Transaction
@@ -198,12 +198,12 @@
 class BundleChangeState:
     """Own the operations in progress at this entry.
 
-    admit raises a BundleError for content that the system can't honour.
+    The fleets are those of the data centres whose workers attach to this entry.
     """
 
     chart: Chart
     records: RecordReader
     verifier: SignatureVerifier
-    admit: Callable[[BundleContent], None]
+    fleets: dict[str, Fleet] = field(default_factory=dict)
     operations: dict[str, Operation] = field(default_factory=dict)
     queries: dict[str, Query] = field(default_factory=dict)
--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -216,14 +216,28 @@
     return members if current >= expected else None
 
 
+def work_class(name: str, urgent: bool, weight: float) -> Body:
+    """Return a class of the bundle."""
+    return {
+        "name": name,
+        "weight": weight,
+        "floor": 0.1,
+        "urgent": urgent,
+        "idempotent": True,
+        "deadline": 30.0,
+        "queue_limit": 1000,
+        "retry_budget": 0.1,
+    }
+
+
 def bundle_content() -> Body:
     """Return a small bundle."""
     return {
         "schema": 1,
         "organisations": [{"name": ORGANISATION}],
         "classes": [
-            {"name": "urgent", "urgent": True, "weight": 4.0},
-            {"name": "forecast", "weight": 1.0},
+            work_class("urgent", urgent=True, weight=4.0),
+            work_class("forecast", urgent=False, weight=1.0),
         ],
         "reclaim_bound": 30.0,
     }
--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -9,12 +9,12 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wasabispur_core.bundle import BundleContent
 from wasabispur_core.bundle_action import bundle_change_chart
 from wasabispur_core.bundle_operation import BundleChangeState
 from wasabispur_core.bundle_version import BundleVersionState, ProcessKind
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import StoreError
+from wasabispur_core.fleet import Fleet
 from wasabispur_core.member import member_chart, MemberState
 from wasabispur_core.peer_directory import (
     ENTRY_SCHEMA,
@@ -93,6 +93,7 @@
         table = TableClient(timers, settings.table_url, Random())
         actors.bundles = build_bundles(settings, table, context, version)
         membership.bundles = actors.bundles.manager
+        membership.changes = actors.bundles.changes
         actors.bundles.manager.listeners += [membership, dispatcher]
     return actors
 
@@ -143,7 +144,7 @@
         chart=bundle_change_chart(ChartCatalogue()),
         records=BundleRecords(),
         verifier=Ed25519Verifier(settings.operators),
-        admit=admit,
+        fleets={name: Fleet() for name in settings.shards or [settings.data_centre]},
     )
     own = EntryRecord(
         entry_id=settings.entry_id,
@@ -171,10 +172,6 @@
     )
 
 
-def admit(content: BundleContent) -> None:
-    """Accept every content that is consistent in itself."""
-
-
 def describe(
     settings: EntrySettings, incarnation: int, bundle_version: int
 ) -> PeerHello:
--- a/packages/wasabispur/src/wasabispur/member_worker.py
+++ b/packages/wasabispur/src/wasabispur/member_worker.py
@@ -4,10 +4,18 @@
 
 from typing import Any
 
-from wasabispur_core.fleet import Worker, WorkerAttached
+from wasabispur_core.fleet import (
+    Worker,
+    WorkerAttached,
+    WorkerDetached,
+    WorkerLeaving,
+)
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, Role
 
+FLEET_CHANGES = (WorkerAttached, WorkerDetached, WorkerLeaving)
+"""Messages that change which guarantees can be packed."""
+
 
 def worker_attached(announce: Announce) -> WorkerAttached:
     """Return the report on a worker whose agent attached."""
@@ -25,9 +33,13 @@
 
 def report_worker(announce: Announce, message: Message, membership: Any) -> None:
     """Pass a message about a worker to the scheduler of its data centre."""
+    if announce.role is not Role.WORKER:
+        return
     scheduler = membership.schedulers.get(announce.data_centre)
-    if announce.role is Role.WORKER and scheduler is not None:
+    if scheduler is not None:
         scheduler.post(message)
+    if membership.changes is not None and isinstance(message, FLEET_CHANGES):
+        membership.changes.post(message)
 
 
 def report_from_worker(agent_id: str, message: Message, membership: Any) -> None:
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -61,6 +61,7 @@
         self.peers: dict[str, PeerSession] = {}
         self.dispatcher: Actor | None = None
         self.bundles: Actor | None = None
+        self.changes: Actor | None = None
         self.schedulers: dict[str, Actor] = {}
         self.receivers: dict[type[Message], Actor] = {}
 
--- a/tests/bundle/cluster.py
+++ b/tests/bundle/cluster.py
@@ -168,7 +168,7 @@
         version = BundleVersionState(
             kind, records, self.verifier, Random(name), patience
         )
-        change = BundleChangeState(CHART, records, self.verifier, lambda content: None)
+        change = BundleChangeState(CHART, records, self.verifier)
         members = MemberState(name, MEMBER_CHART, incarnation * EPOCHS_PER_START)
         return Node(name, kind, region, version, change, members, incarnation)
 
--- a/tests/bundle/test_bundle_change.py
+++ b/tests/bundle/test_bundle_change.py
@@ -25,7 +25,9 @@
     UnknownChangeError,
     UntrustedSignatureError,
 )
+from wasabispur_core.bundle_packing import UnpackableGuaranteeError
 from wasabispur_core.bundle_record import ChangeState
+from wasabispur_core.fleet import Fleet, Worker, WorkerAttached, WorkerDetached
 from wasabispur_core.store import RowsRead
 from wasabispur_runtime.signature import Ed25519Verifier
 
@@ -176,16 +178,42 @@
     assert current.cluster.change(CHANGE) is None
 
 
-def test_content_that_can_t_be_honoured_is_refused_again_at_the_acceptance():
-    """Guard against guarantees that stopped fitting after the proposal."""
-    current = desk("propose", "review", "sign-off")
-
-    def refuse(value):
-        raise InvalidBundleError("shape 'pair' of 'peachtree' can't be packed", "wait")
-
-    current.node.change_state.admit = refuse
-    assert isinstance(current.take("accept"), InvalidBundleError)
+def with_workers(current: Desk, racks: list[str]) -> Desk:
+    """Let workers of 8 accelerators attach, one in each of the racks."""
+    current.node.change_state.fleets["atl-1"] = Fleet()
+    for number, rack in enumerate(racks):
+        worker = Worker(
+            worker_id=f"worker-{number}",
+            region="atlanta",
+            data_centre="atl-1",
+            rack=rack,
+            accelerators=8,
+        )
+        decide(WorkerAttached(worker=worker, clock=0.0), current.node.change_state, 0.0)
+    return current
+
+
+@pytest.mark.parametrize("racks", [[], ["r1"], ["r1", "r2"]])
+def test_guarantee_that_can_t_be_packed_is_refused_by_name(racks):
+    """Guard against a promise of two blocks in one rack that has no such rack."""
+    current = with_workers(Desk(), racks)
+    error = current.propose()
+    assert isinstance(error, UnpackableGuaranteeError)
+    assert "'pair'" in error.message
+    assert "'peachtree'" in error.message
+
+
+def test_guarantee_is_packed_again_at_the_acceptance():
+    """Guard against a worker that was lost between proposal and acceptance."""
+    current = with_workers(Desk(), ["r1", "r1"])
+    for name in ("propose", "review", "sign-off"):
+        assert current.take(name) is None
+    lost = WorkerDetached(worker_id="worker-1")
+    decide(lost, current.node.change_state, 0.0)
+    assert isinstance(current.take("accept"), UnpackableGuaranteeError)
     assert current.cluster.current_version() == 0
+    with_workers(current, ["r1", "r1"])
+    assert current.take("accept") is None
 
 
 def test_unknown_change_is_named():
