--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -46,6 +46,7 @@
             ),
             receiver=actors.post,
             random=Random(),
+            welcomed=runner.post,
         )
     log(PROCESS_STARTED, process=settings.agent_id)
     # The agent announces itself only when nothing runs, so that its word on a
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -18,6 +18,7 @@
 from .job_command import job
 from .key_command import key_group
 from .member_command import member_group, status
+from .report_command import report
 from .request_command import request_group
 from .settings_command import check_settings
 
@@ -52,6 +53,7 @@
     job,
     key_group,
     member_group,
+    report,
     request_group,
     status,
 ):
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -25,6 +25,7 @@
 from .member_resource import MemberResource
 from .metrics_reader import MetricsReader
 from .metrics_resource import MetricsResource
+from .organisation_resource import OrganisationResource
 from .request_metrics import RequestMetrics
 
 
@@ -35,7 +36,8 @@
     configure_log(settings.entry_id, settings.log_level)
     registry.configure(settings.entry_id)
     actors = build_actors(settings, timers)
-    actors.dispatcher.observer = RequestMetrics(registry).observe
+    request_metrics = RequestMetrics(registry)
+    actors.dispatcher.observer = request_metrics.observe
     actors.start()
     control = ControlServer(
         ControlService(settings, actors.context), timers, settings.session_limit
@@ -46,6 +48,7 @@
         registry,
         settings.entry_id,
         {actor.name: actor.mailbox.qsize for actor in actors.in_order()},
+        request_metrics.counts,
     )
     metrics.start()
     resources = VersionOneResource(bridge, actors.dispatcher)
@@ -56,6 +59,7 @@
             settings, timers, actors.membership, actors.bundles.table
         )
         resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+        resources.organisations = OrganisationResource(resources.jobs)
         jobs.start()
         resources.bundles = BundleResource(
             bridge, actors.bundles.changes, actors.bundles.manager
--- a/packages/wasabispur/src/wasabispur/http_api.py
+++ b/packages/wasabispur/src/wasabispur/http_api.py
@@ -12,6 +12,7 @@
 from .job_resource import JobResource
 from .member_resource import MemberResource
 from .metrics_resource import MetricsResource
+from .organisation_resource import OrganisationResource
 from .request_dispatcher import RequestDispatcher
 from .service_resource import ServiceResource
 
@@ -45,6 +46,7 @@
     jobs: JobResource | None = None
     bundles: BundleResource | None = None
     members: MemberResource | None = None
+    organisations: OrganisationResource | None = None
     metrics: MetricsResource | None = None
 
     def __init__(self, bridge: Bridge, dispatcher: RequestDispatcher) -> None:
--- a/tests/stream/test_stream_bounds.py
+++ b/tests/stream/test_stream_bounds.py
@@ -124,7 +124,7 @@
             session = rig.membership.sessions["agent-1"]
             for number in range(500):
                 session.post(Outgoing(message=permit(number)))
-            await until(lambda: len(rig.received.of(RequestPermit)) == 500)
+            await until(lambda: len(rig.received.messages) == 500)
             received = [m.attempt_id for m in rig.received.of(RequestPermit)]
             assert received == [f"r.{number}" for number in range(500)]
 
@@ -143,10 +143,10 @@
             for number in range(READ_BACKLOG * 3):
                 session.post(Outgoing(message=permit(number)))
             await rig.beat(5)
-            assert not rig.received.of(RequestPermit)
+            assert not rig.received.messages
             rig.received.mailbox_limit = 100
             session.post(Outgoing(message=permit(0)))
-            await until(lambda: len(rig.received.of(RequestPermit)) == 1)
+            await until(lambda: len(rig.received.messages) == 1)
             assert rig.events.of(STREAM_FAILED) == 0
             assert rig.events.of(HANDLER_FAILED) == 0
 
