--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -9,12 +9,12 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wasabispur_core.bundle import BundleContent
 from wasabispur_core.bundle_action import bundle_change_chart
 from wasabispur_core.bundle_operation import BundleChangeState
 from wasabispur_core.bundle_version import BundleVersionState, ProcessKind
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import StoreError
+from wasabispur_core.fleet import Fleet
 from wasabispur_core.member import member_chart, MemberState
 from wasabispur_core.peer_directory import (
     ENTRY_SCHEMA,
@@ -94,6 +94,7 @@
         dispatcher.table = table
         actors.bundles = build_bundles(settings, table, context, version)
         membership.bundles = actors.bundles.manager
+        membership.changes = actors.bundles.changes
         actors.bundles.manager.listeners += [membership, dispatcher]
     return actors
 
@@ -144,7 +145,7 @@
         chart=bundle_change_chart(ChartCatalogue()),
         records=BundleRecords(),
         verifier=Ed25519Verifier(settings.operators),
-        admit=admit,
+        fleets={name: Fleet() for name in settings.shards or [settings.data_centre]},
     )
     own = EntryRecord(
         entry_id=settings.entry_id,
@@ -172,10 +173,6 @@
     )
 
 
-def admit(content: BundleContent) -> None:
-    """Accept every content that is consistent in itself."""
-
-
 def describe(
     settings: EntrySettings, incarnation: int, bundle_version: int
 ) -> PeerHello:
