Let the job schedulers work by the bundle in force

Cause: the schedulers were no listeners of the bundle manager, so on the real binaries no guarantee and no quota was in effect. The policy of a shard is now derived from the bundle's content and passed on when a bundle comes into force.

--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/job_policy.py
@@ -0,0 +1,22 @@
+"""Derive what a bundle says about the jobs of one shard."""
+
+from __future__ import annotations
+
+from .bundle import BundleContent
+from .bundle_packing import promises_in
+from .job_place import PolicyChanged
+
+
+def policy_in(content: BundleContent, data_centre: str) -> PolicyChanged:
+    """Return the guarantees, quotas and urgent classes for a data centre."""
+    quotas = {
+        organisation.name: quota.accelerators
+        for organisation in content.organisations
+        for quota in organisation.quotas
+        if quota.data_centre == data_centre
+    }
+    return PolicyChanged(
+        promises=promises_in(content, data_centre),
+        quotas=quotas,
+        urgent_classes=frozenset(rule.name for rule in content.classes if rule.urgent),
+    )
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -62,6 +62,7 @@
         jobs = build_job_actors(
             settings, timers, actors.membership, actors.bundles.table
         )
+        actors.bundles.manager.listeners += jobs.schedulers.values()
         resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
         resources.organisations = OrganisationResource(resources.jobs)
         jobs.start()
--- a/packages/wasabispur/src/wasabispur/job_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/job_scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from wasabispur_core.bundle_version import ApplyBundle
+from wasabispur_core.job_policy import policy_in
 from wasabispur_core.log_event import SHARD_GIVEN_UP, SHARD_OWNED
 from wasabispur_core.message import Message
 from wasabispur_core.shard import decide, Shard, ShardTick
@@ -30,6 +32,10 @@
         """Begin to observe the shard."""
         self.post(ShardTick())
 
+    def on_apply_bundle(self, message: ApplyBundle) -> None:
+        """Work by the guarantees and quotas of the bundle that came into force."""
+        self.on_message(policy_in(message.content, self.shard.board.shard))
+
     def on_rows_read(self, message: RowsRead) -> None:
         """Validate job rows before the decisions see them."""
         if message.read_id.startswith("job/"):
--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -5,13 +5,20 @@
 from dataclasses import replace
 from random import Random
 
-from wasabispur_core.bundle_version import POLL_INTERVAL
+from wasabispur.job_scheduler import JobScheduler
+from wasabispur_core.bundle_version import ApplyBundle, POLL_INTERVAL
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.circuit import OPEN_LIMIT
+from wasabispur_core.job_policy import policy_in
 from wasabispur_core.request import decide, RequestState
 from wasabispur_core.request_chart import request_chart
 from wasabispur_core.request_class import ClassesChanged
+from wasabispur_core.shard import new_shard
+from wasabispur_core.timer import FakeTimerService
 from wasabispur_core.work_class import default_classes
+from wasabispur_runtime.actor import Actor
+
+from .operators import content
 
 REACHED_WITHIN = 5.0
 """Seconds from G8."""
@@ -33,3 +40,23 @@
 def test_poll_after_an_outage_is_in_time():
     """Guard against a circuit that stays open for longer than G8 allows."""
     assert OPEN_LIMIT + POLL_INTERVAL < REACHED_WITHIN
+
+
+def test_guarantees_and_quotas_of_the_bundle_reach_the_scheduler():
+    """Guard against jobs that are placed without the guarantees in force."""
+    timers = FakeTimerService()
+    shard = new_shard("entry-1", "atl-1", ChartCatalogue(), lambda: "operation")
+    other = Actor("other", timers)
+    scheduler = JobScheduler(timers, shard, membership=other, table=other)
+    scheduler.on_apply_bundle(ApplyBundle(version=1, content=content()))
+    (promise,) = shard.board.plan.promises
+    assert (promise.organisation, promise.shape.name) == ("peachtree", "pair")
+    assert shard.board.quotas == {"peachtree": 32}
+    assert shard.board.urgent_classes == {"urgent"}
+
+
+def test_guarantees_elsewhere_do_not_bind_a_shard():
+    """Guard against a shard that holds back capacity for another data centre."""
+    policy = policy_in(content(), "sav-1")
+    assert policy.promises == ()
+    assert policy.quotas == {}
