--- a/packages/wasabispur-standins/src/wasabispur_standins/demo.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/demo.py
@@ -14,7 +14,6 @@
 
 import urllib3
 
-from wasabispur.entry_settings import EntrySettings
 from wasabispur_core.error import WasabispurError
 from wasabispur_core.work_class import DEFAULT_CLASSES
 
@@ -74,10 +73,8 @@
 def show_paths(group: ProcessGroup) -> None:
     """Start the system and show each path that it has."""
     system = DemoSystem(group)
-    fields = EntrySettings.model_fields
-    if "operators" in fields:
-        for operator in (PROPOSER, REVIEWER):
-            system.operators.append(make_key(group.directory, operator))
+    for operator in (PROPOSER, REVIEWER):
+        system.operators.append(make_key(group.directory, operator))
     system.start()
     say(
         f"Started {len(group.children)} processes: {len(system.entries)} entries and "
@@ -85,8 +82,7 @@
     )
     show_request(system)
     show_job(system)
-    if "operators" in fields:
-        show_bundle(system)
+    show_bundle(system)
 
 
 def show_request(system: DemoSystem) -> None:
--- a/tests/process/test_demo.py
+++ b/tests/process/test_demo.py
@@ -11,7 +11,6 @@
 import psutil
 import pytest
 
-from wasabispur.entry_settings import EntrySettings
 from wasabispur_standins.process import wait_for
 
 TIME_LIMIT = 180.0
@@ -80,9 +79,8 @@
     assert "Request: completed" in demo.text()
     assert "it ran once" in demo.text()
     assert "completed as entry-alberta shows; 2 tasks started once" in demo.text()
-    if "operators" in EntrySettings.model_fields:
-        for process in ("entry-manitoba", "entry-alberta", "agent-worker-alberta-1"):
-            assert f"version 1 in force on {process}" in demo.text()
+    for process in ("entry-manitoba", "entry-alberta", "agent-worker-alberta-1"):
+        assert f"version 1 in force on {process}" in demo.text()
     assert demo.text().endswith("All processes have ended.\n")
     assert demo.remaining() == []
 
