--- a/packages/wasabispur-core/src/wasabispur_core/claim_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/claim_action.py
@@ -19,8 +19,9 @@
 from .command import Command, ReadRows, SetTimer, Transact
 from .message import Message
 from .outcome import Outcome, ReplyToCaller
-from .request import ClaimCheckDue, Request
-from .request_action import reply_to_caller, RequestAction, RequestGuard
+from .request import Request, RequestAction, RequestGuard
+from .request_message import ClaimCheckDue
+from .request_reply import reply_to_caller
 from .store import ABSENT, Committed, Condition, StoreUnavailable, Transaction, Write
 
 CLAIM_CHECK_BASE = 0.2
--- a/packages/wasabispur-core/src/wasabispur_core/request.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request.py
@@ -7,9 +7,9 @@
 from functools import singledispatch
 from random import Random
 
+from .action import Action, Guard
 from .admission import Admission, Place
 from .chart import Chart, Lifecycle
-from .claim import claim_key, claim_status, fingerprint
 from .command import Command, SetTimer
 from .error import UnhandledMessageError
 from .member import FromAgent
@@ -22,107 +22,27 @@
     RequestStatus,
     TellStatus,
 )
+from .request_message import (
+    AgentAttached,
+    AgentDetached,
+    AgentLeaving,
+    ClaimCheckDue,
+    DeadlineReached,
+    DispatchDue,
+    RequestDispatched,
+    RequestReceived,
+    ResolveTimedOut,
+    RetryDue,
+)
 from .retry import RetryBudget
 from .routing import choose_endpoint, EndpointView, SpillBudget
-from .store import (
-    ABSENT,
-    Committed,
-    Conflicted,
-    RowsRead,
-    RowsUnavailable,
-    StoreResult,
-    SUPERSEDED,
-)
+from .store import ABSENT
 from .work_class import default_classes, WorkClass
 
 DISPATCH_INTERVAL = 0.1
 """Seconds between two looks for an endpoint while requests wait."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestReceived(Message):
-    """Report a caller's request; deadline is in seconds from now."""
-
-    request_id: str
-    organisation: str
-    work_class: str
-    service: str
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    deadline: float
-    idempotency_key: str = ""
-    caller: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DeadlineReached(Message):
-    """Report that a request's time is over."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RetryDue(Message):
-    """Report that the delay before the next attempt is over."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClaimCheckDue(Message):
-    """Report that the delay before the next look at the claim is over."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RequestDispatched(Message):
-    """Report that a waiting request's turn has come."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DispatchDue(Message):
-    """Tell to look again for an endpoint for waiting requests."""
-
-    service: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ResolveTimedOut(Message):
-    """Report that an agent did not come back to tell how an attempt ended."""
-
-    request_id: str
-    attempt_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AgentAttached(Message):
-    """Report an endpoint that can take requests."""
-
-    agent_id: str
-    service: str
-    region: str
-    slots: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AgentDetached(Message):
-    """Report that the stream to an agent is gone."""
-
-    agent_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AgentLeaving(Message):
-    """Report that an agent takes no new work but finishes what it runs."""
-
-    agent_id: str
-
-
 @dataclass(slots=True)
 class Request:
     """Hold the state of one request in progress.
@@ -211,6 +131,18 @@
         return budget
 
 
+class RequestAction(Action[RequestState, Request]):
+    """Name an effect in the request chart."""
+
+    __slots__ = ()
+
+
+class RequestGuard(Guard[RequestState, Request]):
+    """Name a condition in the request chart."""
+
+    __slots__ = ()
+
+
 @singledispatch
 def decide(message: Message, state: RequestState, now: float) -> list[Command]:
     """Return the commands that a message to the request component causes."""
@@ -239,7 +171,7 @@
         delay=message.deadline,
         message=DeadlineReached(request_id=message.request_id),
     )
-    return [timer, *_fire(message, state, request, now)]
+    return [timer, *fire(message, state, request, now)]
 
 
 @decide.register
@@ -266,7 +198,7 @@
     request = state.requests.get(message.request_id)
     if request is None:
         return []
-    return _fire(message, state, request, now)
+    return fire(message, state, request, now)
 
 
 @decide.register
@@ -274,51 +206,7 @@
     request = state.requests.get(message.request_id)
     if request is None or request.attempt_id != message.attempt_id:
         return []
-    return _fire(message, state, request, now)
-
-
-@decide.register
-def _(message: StoreResult, state: RequestState, now: float) -> list[Command]:
-    request = _request_of_operation(message.operation_id, state)
-    if request is None:
-        return []
-    return _fire(message, state, request, now)
-
-
-@decide.register
-def _(message: Committed, state: RequestState, now: float) -> list[Command]:
-    request = _request_of_operation(message.operation_id, state)
-    if request is None:
-        return []
-    if SUPERSEDED not in message.versions.values():
-        return _fire(message, state, request, now)
-    replaced = Conflicted(
-        operation_id=message.operation_id, keys=tuple(message.versions)
-    )
-    return _fire(replaced, state, request, now)
-
-
-@decide.register
-def _(message: RowsRead, state: RequestState, now: float) -> list[Command]:
-    request = _request_of_operation(message.read_id, state)
-    if request is None:
-        return []
-    received = request.received
-    status = claim_status(
-        message.rows,
-        claim_key(received.organisation, received.idempotency_key),
-        received.request_id,
-        fingerprint(received.service, received.method, received.path, received.body),
-    )
-    return _fire(status, state, request, now)
-
-
-@decide.register
-def _(message: RowsUnavailable, state: RequestState, now: float) -> list[Command]:
-    request = _request_of_operation(message.read_id, state)
-    if request is None:
-        return []
-    return _fire(message, state, request, now)
+    return fire(message, state, request, now)
 
 
 @decide.register
@@ -331,7 +219,7 @@
     # Only the agent that got the attempt may report on it.
     if request.agent_id != message.agent_id:
         return []
-    return _fire(reply, state, request, now)
+    return fire(reply, state, request, now)
 
 
 @decide.register
@@ -384,9 +272,10 @@
     return reply
 
 
-def _fire(
+def fire(
     message: Message, state: RequestState, request: Request, now: float
 ) -> list[Command]:
+    """Pass an event to a request, and serve the queue that it may have freed."""
     commands = _handle(message, state, request, now)
     return commands + dispatch(state, request.received.service, now)
 
@@ -426,13 +315,6 @@
     return [*commands, timer]
 
 
-def _request_of_operation(operation_id: str, state: RequestState) -> Request | None:
-    request = state.requests.get(operation_id.partition("/")[0])
-    if request is None or request.operation_id != operation_id:
-        return None
-    return request
-
-
 def _tell_requests(
     message: Message, agent_id: str, state: RequestState, now: float
 ) -> list[Command]:
--- a/packages/wasabispur-core/src/wasabispur_core/request_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request_action.py
@@ -1,56 +1,28 @@
-"""Give the names in the request chart their bodies."""
+"""Give the actions in the request chart their bodies."""
 
 from __future__ import annotations
 
-from functools import singledispatch
-
-from .action import Action, Guard, holds, perform
-from .admission import Rejection
-from .claim import ClaimMismatched, ClaimOurs, ClaimOversized
-from .command import CancelTimer, Command, SendToAgent, SetTimer
-from .message import Message
+from .action import perform
+from .command import Command, SendToAgent, SetTimer
 from .outcome import Outcome, ReplyToCaller
 from .protocol import (
-    AttemptCompleted,
-    AttemptNotRun,
-    AttemptUnknown,
     CancelAttempt,
     PermitGranted,
-    PermitRefused,
     Reason,
     RequestPermit,
     ResolveAttempt,
     StartAttempt,
 )
-from .request import (
-    AgentAttached,
-    AgentDetached,
-    Request,
-    RequestReceived,
-    RequestState,
-    ResolveTimedOut,
-    RetryDue,
-)
-from .retry import ATTEMPT_LIMIT, backoff
-from .routing import serving_endpoints
-from .store import Committed, StoreUnavailable
+from .request import Request, RequestAction
+from .request_guard import rejection_of
+from .request_message import ResolveTimedOut, RetryDue
+from .request_reply import failure_reason, release_endpoint, reply_to_caller
+from .retry import backoff
 
 RESOLVE_WAIT = 3.0
 """Seconds for an agent to come back before an idempotent request is repeated."""
 
 
-class RequestAction(Action[RequestState, Request]):
-    """Name an effect in the request chart."""
-
-    __slots__ = ()
-
-
-class RequestGuard(Guard[RequestState, Request]):
-    """Name a condition in the request chart."""
-
-    __slots__ = ()
-
-
 class CountFirstAttempt(RequestAction):
     """Add a first attempt to the retry budget of the class."""
 
@@ -105,30 +77,6 @@
     __slots__ = ()
 
 
-class ReportCompleted(RequestAction):
-    """Reply to the caller with the endpoint's response."""
-
-    __slots__ = ()
-
-
-class ReportNotRun(RequestAction):
-    """Tell the caller that the request did not run."""
-
-    __slots__ = ()
-
-
-class ReportUnknown(RequestAction):
-    """Tell the caller that the request may have run."""
-
-    __slots__ = ()
-
-
-class ReportFailure(RequestAction):
-    """Tell the caller "not run" unless some attempt may have run."""
-
-    __slots__ = ()
-
-
 class Enqueue(RequestAction):
     """Let the request wait for its turn."""
 
@@ -159,76 +107,6 @@
     __slots__ = ()
 
 
-class Admissible(RequestGuard):
-    """Hold if the queue has room and the expected wait fits the deadline."""
-
-    __slots__ = ()
-
-
-class TurnKept(RequestGuard):
-    """Hold if the agent refused the permit for a reason that is no fault."""
-
-    __slots__ = ()
-
-
-class EndpointAvailable(RequestGuard):
-    """Hold if some endpoint of the service takes new work."""
-
-    __slots__ = ()
-
-
-class RetryAllowed(RequestGuard):
-    """Hold if time, attempts and budget are left for another attempt."""
-
-    __slots__ = ()
-
-
-class Idempotent(RequestGuard):
-    """Hold if the class allows a request to run more than once."""
-
-    __slots__ = ()
-
-
-class Repeatable(RequestGuard):
-    """Hold if no attempt may have run, or the class allows more than one run."""
-
-    __slots__ = ()
-
-
-@holds.register
-def _(guard: EndpointAvailable) -> bool:
-    service = guard.subject.received.service
-    return bool(serving_endpoints(guard.state.endpoints.values(), service))
-
-
-@holds.register
-def _(guard: Admissible) -> bool:
-    return _rejection(guard) is None
-
-
-@holds.register
-def _(guard: TurnKept) -> bool:
-    return failure_reason(guard.message) in (Reason.NO_FREE_SLOT, Reason.LEAVING)
-
-
-@holds.register
-def _(guard: RetryAllowed) -> bool:
-    request = guard.subject
-    if request.attempts >= ATTEMPT_LIMIT or guard.now >= request.deadline:
-        return False
-    return guard.state.budget(request.work_class).available
-
-
-@holds.register
-def _(guard: Idempotent) -> bool:
-    return guard.subject.work_class.idempotent
-
-
-@holds.register
-def _(guard: Repeatable) -> bool:
-    return guard.subject.work_class.idempotent or not guard.subject.may_have_run
-
-
 @perform.register
 def _(action: CountFirstAttempt) -> list[Command]:
     action.state.budget(action.subject.work_class).deposit()
@@ -247,7 +125,7 @@
 @perform.register
 def _(action: EnqueueFirst) -> list[Command]:
     request = action.subject
-    _release_endpoint(action.state, request)
+    release_endpoint(action.state, request)
     request.agent_id = ""
     action.state.admission.add(
         request.received.request_id, request.place, request.work_class, first=True
@@ -275,7 +153,7 @@
 
 @perform.register
 def _(action: Reject) -> list[Command]:
-    rejection = _rejection(action)
+    rejection = rejection_of(action)
     if rejection is None:
         return []
     reply = ReplyToCaller(
@@ -359,7 +237,7 @@
 def _(action: ScheduleRetry) -> list[Command]:
     state, request = action.state, action.subject
     state.budget(request.work_class).withdraw()
-    _release_endpoint(state, request)
+    release_endpoint(state, request)
     request_id = request.received.request_id
     retry = SetTimer(
         timer_id=f"retry/{request_id}",
@@ -383,122 +261,6 @@
     return []
 
 
-@perform.register
-def _(action: ReportCompleted) -> list[Command]:
-    message = action.message
-    if not isinstance(message, AttemptCompleted):
-        return []
-    endpoint = action.state.endpoints.get(action.subject.agent_id)
-    if endpoint is not None:
-        endpoint.note_success(action.now - action.subject.started)
-    action.subject.response = message
-    reply = ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=Outcome.COMPLETED,
-        status=message.status,
-        headers=message.headers,
-        body=message.body,
-    )
-    return reply_to_caller(action, reply)
-
-
-@perform.register
-def _(action: ReportNotRun) -> list[Command]:
-    return reply_to_caller(action, _failure(action, Outcome.NOT_RUN))
-
-
-@perform.register
-def _(action: ReportUnknown) -> list[Command]:
-    return reply_to_caller(action, _failure(action, Outcome.UNKNOWN))
-
-
-@perform.register
-def _(action: ReportFailure) -> list[Command]:
-    outcome = Outcome.UNKNOWN if action.subject.may_have_run else Outcome.NOT_RUN
-    return reply_to_caller(action, _failure(action, outcome))
-
-
-@singledispatch
-def failure_reason(message: Message) -> Reason:
-    """Return why a request failed on this message."""
-    return Reason.DEADLINE_EXCEEDED
-
-
-@failure_reason.register(RequestReceived)
-@failure_reason.register(RetryDue)
-def _(message: RequestReceived | RetryDue) -> Reason:
-    return Reason.NO_ENDPOINT
-
-
-@failure_reason.register(Committed)
-@failure_reason.register(ClaimOurs)
-def _(message: Committed | ClaimOurs) -> Reason:
-    return Reason.NO_ENDPOINT
-
-
-@failure_reason.register
-def _(message: StoreUnavailable) -> Reason:
-    return Reason.TABLE_UNAVAILABLE
-
-
-@failure_reason.register
-def _(message: ClaimMismatched) -> Reason:
-    return Reason.KEY_REUSED
-
-
-@failure_reason.register
-def _(message: ClaimOversized) -> Reason:
-    return Reason.RESPONSE_TOO_LARGE
-
-
-@failure_reason.register(AgentAttached)
-@failure_reason.register(AgentDetached)
-def _(message: AgentAttached | AgentDetached) -> Reason:
-    return Reason.STREAM_LOST
-
-
-@failure_reason.register(PermitRefused)
-@failure_reason.register(AttemptNotRun)
-@failure_reason.register(AttemptUnknown)
-def _(message: PermitRefused | AttemptNotRun | AttemptUnknown) -> Reason:
-    return message.reason
-
-
-def _rejection(scope: RequestAction | RequestGuard) -> Rejection | None:
-    request = scope.subject
-    remaining = request.deadline - scope.now
-    return scope.state.admission.check(request.place, request.work_class, remaining)
-
-
 def _cancel(request: Request) -> SendToAgent:
     cancel = CancelAttempt(attempt_id=request.attempt_id)
     return SendToAgent(agent_id=request.agent_id, message=cancel)
-
-
-def _failure(action: RequestAction, outcome: Outcome) -> ReplyToCaller:
-    return ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=outcome,
-        reason=failure_reason(action.message).value,
-    )
-
-
-def reply_to_caller(action: RequestAction, reply: ReplyToCaller) -> list[Command]:
-    """Return the reply and let go of the endpoint and the timers."""
-    state, request = action.state, action.subject
-    _release_endpoint(state, request)
-    request.agent_id = ""
-    state.history.add(reply)
-    request_id = reply.request_id
-    timers = (request_id, f"retry/{request_id}", f"resolve/{request_id}")
-    return [*(CancelTimer(timer_id=timer_id) for timer_id in timers), reply]
-
-
-def _release_endpoint(state: RequestState, request: Request) -> None:
-    endpoint = state.endpoints.get(request.agent_id)
-    if not request.holds_endpoint:
-        return
-    request.holds_endpoint = False
-    state.admission.release(request.place)
-    if endpoint is not None:
-        endpoint.in_flight -= 1
--- a/packages/wasabispur-core/src/wasabispur_core/request_chart.py
+++ b/packages/wasabispur-core/src/wasabispur_core/request_chart.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
-from . import claim_action
+from . import (
+    claim_action,
+    request_action,
+    request_guard,
+    request_reply,
+    request_store,
+)
 from .chart import Chart, ChartCatalogue
-from .request_action import RequestAction, RequestGuard
+from .request import RequestAction, RequestGuard
 
-# Importing a module defines its actions.
-ACTION_MODULES = (claim_action,)
+# Importing a module registers its actions, guards and message handlers.
+REGISTERED = (
+    claim_action,
+    request_action,
+    request_guard,
+    request_reply,
+    request_store,
+)
 
 
 def request_chart(catalogue: ChartCatalogue) -> Chart:
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/request_guard.py
@@ -0,0 +1,88 @@
+"""Give the guards in the request chart their bodies."""
+
+from __future__ import annotations
+
+from .action import holds
+from .admission import Rejection
+from .protocol import Reason
+from .request import RequestAction, RequestGuard
+from .request_reply import failure_reason
+from .retry import ATTEMPT_LIMIT
+from .routing import serving_endpoints
+
+
+class Admissible(RequestGuard):
+    """Hold if the queue has room and the expected wait fits the deadline."""
+
+    __slots__ = ()
+
+
+class TurnKept(RequestGuard):
+    """Hold if the agent refused the permit for a reason that is no fault."""
+
+    __slots__ = ()
+
+
+class EndpointAvailable(RequestGuard):
+    """Hold if some endpoint of the service takes new work."""
+
+    __slots__ = ()
+
+
+class RetryAllowed(RequestGuard):
+    """Hold if time, attempts and budget are left for another attempt."""
+
+    __slots__ = ()
+
+
+class Idempotent(RequestGuard):
+    """Hold if the class allows a request to run more than once."""
+
+    __slots__ = ()
+
+
+class Repeatable(RequestGuard):
+    """Hold if no attempt may have run, or the class allows more than one run."""
+
+    __slots__ = ()
+
+
+@holds.register
+def _(guard: EndpointAvailable) -> bool:
+    service = guard.subject.received.service
+    return bool(serving_endpoints(guard.state.endpoints.values(), service))
+
+
+@holds.register
+def _(guard: Admissible) -> bool:
+    return rejection_of(guard) is None
+
+
+@holds.register
+def _(guard: TurnKept) -> bool:
+    return failure_reason(guard.message) in (Reason.NO_FREE_SLOT, Reason.LEAVING)
+
+
+@holds.register
+def _(guard: RetryAllowed) -> bool:
+    request = guard.subject
+    if request.attempts >= ATTEMPT_LIMIT or guard.now >= request.deadline:
+        return False
+    return guard.state.budget(request.work_class).available
+
+
+@holds.register
+def _(guard: Idempotent) -> bool:
+    return guard.subject.work_class.idempotent
+
+
+@holds.register
+def _(guard: Repeatable) -> bool:
+    return guard.subject.work_class.idempotent or not guard.subject.may_have_run
+
+
+def rejection_of(scope: RequestAction | RequestGuard) -> Rejection | None:
+    """Return why the request can't be admitted, or None if it can."""
+    request = scope.subject
+    remaining = request.deadline - scope.now
+    return scope.state.admission.check(request.place, request.work_class, remaining)
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_world.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_world.py
@@ -22,8 +22,8 @@
 from wasabispur_core.permit import CallEndpoint, FromEntry, PermitState, SendToEntryLink
 from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import AttemptCompleted, AttemptNotRun, Reason
-from wasabispur_core.request import AgentAttached, RequestReceived
 from wasabispur_core.request_chart import request_chart
+from wasabispur_core.request_message import AgentAttached, RequestReceived
 from wasabispur_core.store import Committed
 from wasabispur_core.timer import FakeTimerService, Subscription
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -25,8 +25,9 @@
     TaskInventory,
     TaskStatus,
 )
-from wasabispur_core.request import Request, RequestReceived
+from wasabispur_core.request import Request
 from wasabispur_core.request_chart import request_chart
+from wasabispur_core.request_message import RequestReceived
 from wasabispur_core.tombstone import TombstoneStore
 from wasabispur_core.work_class import default_classes
 from wasabispur_runtime.codec import FROM_AGENT, MessageSet, TO_AGENT
--- a/packages/wasabispur/src/wasabispur/member_routing.py
+++ b/packages/wasabispur/src/wasabispur/member_routing.py
@@ -41,7 +41,7 @@
     TaskStarted,
     TaskStopped,
 )
-from wasabispur_core.request import AgentLeaving
+from wasabispur_core.request_message import AgentLeaving
 from wasabispur_runtime.decision_actor import execute
 from wasabispur_runtime.log import log
 
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -34,7 +34,7 @@
 )
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, MemberStatus, PeerHello, Role
-from wasabispur_core.request import AgentAttached, AgentDetached
+from wasabispur_core.request_message import AgentAttached, AgentDetached
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -14,9 +14,10 @@
 from wasabispur_core.message import Message
 from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request import decide, RequestReceived, RequestState
+from wasabispur_core.request import decide, RequestState
 from wasabispur_core.request_class import ClassesChanged
 from wasabispur_core.request_history import LookUpRequest, TellStatus
+from wasabispur_core.request_message import RequestReceived
 from wasabispur_core.store import RowsUnavailable, StoreUnavailable
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
--- a/packages/wasabispur/src/wasabispur/request_metrics.py
+++ b/packages/wasabispur/src/wasabispur/request_metrics.py
@@ -13,7 +13,7 @@
 from wasabispur_core.metric import ATTEMPTS, REQUEST_TIME, REQUESTS, START_WAIT
 from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import RequestPermit, StartAttempt
-from wasabispur_core.request import RequestReceived
+from wasabispur_core.request_message import RequestReceived
 from wasabispur_runtime.metrics import MetricRegistry
 
 
--- a/tests/chart/test_chart.py
+++ b/tests/chart/test_chart.py
@@ -17,13 +17,9 @@
 from wasabispur_core.message import Message, snake_case
 from wasabispur_core.outcome import ReplyToCaller
 from wasabispur_core.protocol import PermitGranted, PermitId
-from wasabispur_core.request import (
-    AgentAttached,
-    decide,
-    RequestReceived,
-    RequestState,
-)
+from wasabispur_core.request import decide, RequestState
 from wasabispur_core.request_chart import request_chart
+from wasabispur_core.request_message import AgentAttached, RequestReceived
 
 CATALOGUE = ChartCatalogue()
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -16,7 +16,7 @@
 )
 from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import RequestPermit, StartAttempt
-from wasabispur_core.request import RequestReceived
+from wasabispur_core.request_message import RequestReceived
 from wasabispur_runtime.metrics import LABEL_LIMIT, MetricRegistry, OTHER
 
 
--- a/tests/request/network.py
+++ b/tests/request/network.py
@@ -31,13 +31,13 @@
     Reason,
     StartAttempt,
 )
-from wasabispur_core.request import (
+from wasabispur_core.request import RequestState
+from wasabispur_core.request_chart import request_chart
+from wasabispur_core.request_message import (
     AgentAttached,
     AgentDetached,
     RequestReceived,
-    RequestState,
 )
-from wasabispur_core.request_chart import request_chart
 from wasabispur_core.timer import FakeSubscription, FakeTimerService
 
 from .fake_table import FakeTable
--- a/tests/stream/test_stream_bounds.py
+++ b/tests/stream/test_stream_bounds.py
@@ -17,7 +17,7 @@
 )
 from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import AttemptRunning, Leaving, RequestPermit
-from wasabispur_core.request import AgentDetached
+from wasabispur_core.request_message import AgentDetached
 from wasabispur_runtime.stream import Outgoing, READ_BACKLOG
 
 
