--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
+from wasabispur_runtime.timer_service import sleep, time_limit
 
 from .worker_client import Answer, Refused, TaskView, WorkerClient
 
@@ -77,15 +79,22 @@
         # The calls for one task are made in order, so that a stop can't overtake
         # the start.
         self.last_calls: dict[str, asyncio.Task[None]] = {}
+        self.idle = asyncio.Event()
 
     async def opened(self) -> None:
         """Begin to read the worker's tasks."""
         self.post(PollDue())
 
+    async def handle(self, message: Message) -> None:
+        """Handle a message, and note when a planned stop has ended all tasks."""
+        await super().handle(message)
+        if self.state.leaving and not self.state.tasks:
+            self.idle.set()
+
     async def clear_worker(self) -> None:
         """Stop what a former agent left at the worker; return when nothing runs."""
         while not await asyncio.to_thread(stop_leftovers, self.client):
-            await asyncio.sleep(POLL_INTERVAL)
+            await sleep(self.timers, POLL_INTERVAL)
 
     def on_poll_due(self, message: PollDue) -> None:
         """Read the worker's tasks."""
@@ -175,9 +184,11 @@
             link.post(SendToEntryLink(entry_id=address, message=Leaving()))
         for command in stop_all(self.state, self.timers.now()):
             execute(command, self)
-        end = self.timers.now() + DRAIN_TIME
-        while self.state.tasks and self.timers.now() < end:
-            await asyncio.sleep(POLL_INTERVAL)
+        if not self.state.tasks:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with time_limit(self.timers, DRAIN_TIME):
+                await self.idle.wait()
 
     async def closed(self) -> None:
         """Stop the threads."""
