--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_client.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_client.py
@@ -19,7 +19,7 @@
 
 CONNECTIONS = 8
 CHECKPOINT_LIMIT = 4096
-ENDED_STATES = frozenset(("finished", "failed", "stopped", "lapsed"))
+ENDED_STATES = frozenset(("finished", "failed", "stopped", "expired"))
 
 
 class TaskView(BaseModel):
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -248,7 +248,7 @@
             succeeded=view.state == "finished",
             result=view.result,
         )
-    reason = Reason.LEASE_EXPIRED if view.state == "lapsed" else Reason.CANCELLED
+    reason = Reason.LEASE_EXPIRED if view.state == "expired" else Reason.CANCELLED
     return TaskStopped(
         task_id=view.task_id,
         gang_epoch=0,
--- a/packages/wasabispur-core/src/wasabispur_core/backfill.py
+++ b/packages/wasabispur-core/src/wasabispur_core/backfill.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from .job import Job, JobBoard
-from .placement import free_room, place_gang, Room
+from .job import Job, SchedulerState
+from .placement import free_capacity, FreeCapacity, place_gang
 from .reclaim import held_by
 
 RESERVATION_LIMIT = 1
@@ -26,65 +26,77 @@
         return end <= self.due
 
 
-def reserve(board: JobBoard, job: Job, now: float) -> Reservation | None:
+def reserve(scheduler: SchedulerState, job: Job, now: float) -> Reservation | None:
     """Return the accelerators that the gang gets first as running jobs end."""
     spec = job.record.spec
-    taken = {held for other in board.reservations for held in other.accelerators}
-    called = board.calling - {spec.organisation}
-    taken |= {held for held, home in board.plan.owners.items() if home in called}
-    room = free_room(board.fleet, lambda worker, index: (worker, index) not in taken)
+    taken = {held for other in scheduler.reservations for held in other.accelerators}
+    reclaiming = scheduler.reclaiming - {spec.organisation}
+    taken |= {
+        held
+        for held, allocation in scheduler.plan.owners.items()
+        if allocation in reclaiming
+    }
+    capacity = free_capacity(
+        scheduler.fleet, lambda worker, index: (worker, index) not in taken
+    )
     ends = sorted(
-        (expected_end(board, other, now), other.record.job_id, other)
-        for other in board.jobs.values()
+        (expected_end(scheduler, other, now), other.record.job_id, other)
+        for other in scheduler.jobs.values()
         if other.members
     )
     needed = spec.tasks * spec.accelerators
     for end, _, other in ends:
-        _give_back(board, room, held_by(other) - taken)
-        if sum(map(len, room.free.values())) < needed:
+        _give_back(scheduler, capacity, held_by(other) - taken)
+        if sum(map(len, capacity.free.values())) < needed:
             continue
-        seats = place_gang(room, spec.size)
-        if seats is not None:
-            held = ((s.worker_id, index) for s in seats for index in s.accelerators)
+        assignments = place_gang(capacity, spec.size)
+        if assignments is not None:
+            held = (
+                (s.worker_id, index) for s in assignments for index in s.accelerators
+            )
             return Reservation(job.record.job_id, frozenset(held), end)
     return None
 
 
-def expected_end(board: JobBoard, job: Job, now: float) -> float:
+def expected_end(scheduler: SchedulerState, job: Job, now: float) -> float:
     """Return when a placed job is expected to end."""
     if job.lifecycle.state == "stopping":
         return now
     elapsed = now - job.started
-    return now + board.run_times.remaining(job.record.spec, elapsed)
+    return now + scheduler.run_times.remaining(job.record.spec, elapsed)
 
 
-def add_reservation(board: JobBoard, job: Job, now: float) -> None:
+def add_reservation(scheduler: SchedulerState, job: Job, now: float) -> None:
     """Reserve accelerators for a waiting gang if it is among the first.
 
     The reservations are chosen anew in each pass over the queue, because the
     expected ends of running jobs change as they overrun.
     """
-    if len(board.reservations) >= RESERVATION_LIMIT:
+    if len(scheduler.reservations) >= RESERVATION_LIMIT:
         return
     if not job.record.spec.accelerators:
         return
-    reservation = reserve(board, job, now)
+    reservation = reserve(scheduler, job, now)
     if reservation is not None:
-        board.reservations.append(reservation)
+        scheduler.reservations.append(reservation)
 
 
-def closed_to(board: JobBoard, job: Job, now: float) -> frozenset[tuple[str, int]]:
+def closed_to(
+    scheduler: SchedulerState, job: Job, now: float
+) -> frozenset[tuple[str, int]]:
     """Return the reserved accelerators that a job must leave alone."""
-    end = now + board.run_times.expect(job.record.spec)
+    end = now + scheduler.run_times.expect(job.record.spec)
     closed: set[tuple[str, int]] = set()
-    for reservation in board.reservations:
+    for reservation in scheduler.reservations:
         own = reservation.job_id == job.record.job_id
         if not own and not reservation.admits(end):
             closed |= reservation.accelerators
     return frozenset(closed)
 
 
-def _give_back(board: JobBoard, room: Room, held: set[tuple[str, int]]) -> None:
+def _give_back(
+    scheduler: SchedulerState, capacity: FreeCapacity, held: set[tuple[str, int]]
+) -> None:
     for worker_id, index in held:
-        if worker_id in board.fleet.usable:
-            room.free[worker_id] = tuple(sorted({*room.free[worker_id], index}))
+        if worker_id in scheduler.fleet.usable:
+            capacity.free[worker_id] = tuple(sorted({*capacity.free[worker_id], index}))
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_packing.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_packing.py
@@ -6,7 +6,7 @@
 
 from .bundle import BundleContent, BundleError
 from .fleet import Fleet
-from .guarantee import Promise, unpackable
+from .guarantee import Guarantee, unpackable
 
 
 class UnpackableGuaranteeError(BundleError):
@@ -19,25 +19,25 @@
     Only data centres whose workers attach to this entry can be judged here.
     """
     for data_centre, fleet in fleets.items():
-        lost = unpackable(promises_in(content, data_centre), fleet)
+        lost = unpackable(guarantees_in(content, data_centre), fleet)
         if lost:
             raise _error(lost[0], len(lost))
 
 
-def promises_in(content: BundleContent, data_centre: str) -> tuple[Promise, ...]:
+def guarantees_in(content: BundleContent, data_centre: str) -> tuple[Guarantee, ...]:
     """Return all guaranteed shapes in a data centre."""
     return tuple(
-        Promise(organisation=organisation.name, shape=shape)
+        Guarantee(organisation=organisation.name, shape=shape)
         for organisation in content.organisations
         for shape in organisation.guarantees
         if shape.data_centre == data_centre
     )
 
 
-def _error(promise: Promise, count: int) -> UnpackableGuaranteeError:
-    shape = promise.shape
+def _error(guarantee: Guarantee, count: int) -> UnpackableGuaranteeError:
+    shape = guarantee.shape
     return UnpackableGuaranteeError(
-        f"shape {shape.name!r} of organisation {promise.organisation!r} can't be "
+        f"shape {shape.name!r} of organisation {guarantee.organisation!r} can't be "
         f"packed beside the other guarantees in {shape.data_centre} "
         f"({count} can't in all)",
         "lower a guarantee there, or add workers",
--- a/packages/wasabispur-core/src/wasabispur_core/explain.py
+++ b/packages/wasabispur-core/src/wasabispur_core/explain.py
@@ -6,11 +6,11 @@
 
 from .command import Command
 from .gang import write_record
-from .job import Job, JobBoard
-from .job_place import choose_seats, within_quota
+from .job import Job, SchedulerState
+from .job_place import choose_assignments, within_quota
 from .job_record import Cause
-from .placement import free_room, place_gang
-from .reclaim import fits_home
+from .placement import free_capacity, place_gang
+from .reclaim import fits_allocation
 
 REMEDIES = {
     Cause.NEW: "wait some seconds; if it stays, look for an owner of the shard",
@@ -30,45 +30,45 @@
     return REMEDIES.get(cause, "")
 
 
-def record_causes(board: JobBoard, now: float) -> list[Command]:
+def record_causes(scheduler: SchedulerState, now: float) -> list[Command]:
     """Write why each waiting job waits, where the cause has changed."""
     commands: list[Command] = []
-    for job in board.jobs.values():
-        cause = current_cause(board, job, now)
+    for job in scheduler.jobs.values():
+        cause = current_cause(scheduler, job, now)
         if cause is not None and cause is not job.record.cause:
             record = replace(job.record, cause=cause)
-            commands += write_record(board, job, record)
+            commands += write_record(scheduler, job, record)
     return commands
 
 
-def current_cause(board: JobBoard, job: Job, now: float) -> Cause | None:
+def current_cause(scheduler: SchedulerState, job: Job, now: float) -> Cause | None:
     """Return the cause to record, or None while a write decides on the job."""
     if job.lifecycle.state == "queued":
-        return waiting_cause(board, job, now)
+        return waiting_cause(scheduler, job, now)
     if job.lifecycle.state == "stopping" and job.needs_proof:
         return Cause.AWAITING_PROOF
     return None
 
 
-def waiting_cause(board: JobBoard, job: Job, now: float) -> Cause:
+def waiting_cause(scheduler: SchedulerState, job: Job, now: float) -> Cause:
     """Return why a queued job is not placed."""
     spec = job.record.spec
-    if not within_quota(board, spec):
+    if not within_quota(scheduler, spec):
         return Cause.QUOTA
-    if choose_seats(board, job, now) is not None:
+    if choose_assignments(scheduler, job, now) is not None:
         return Cause.NEW
-    calling = spec.organisation in board.calling
-    if spec.accelerators and calling and fits_home(board, spec):
+    reclaiming = spec.organisation in scheduler.reclaiming
+    if spec.accelerators and reclaiming and fits_allocation(scheduler, spec):
         return Cause.RECLAIMING
-    room = free_room(board.fleet)
-    if place_gang(room, spec.size) is not None:
-        others = board.calling - {spec.organisation}
-        allowed = free_room(
-            board.fleet,
-            lambda worker, index: board.plan.owner(worker, index) not in others,
+    capacity = free_capacity(scheduler.fleet)
+    if place_gang(capacity, spec.size) is not None:
+        others = scheduler.reclaiming - {spec.organisation}
+        allowed = free_capacity(
+            scheduler.fleet,
+            lambda worker, index: scheduler.plan.owner(worker, index) not in others,
         )
         called = place_gang(allowed, spec.size) is None
         return Cause.CALLED if called else Cause.RESERVED
-    free = sum(len(indices) for indices in room.free.values())
+    free = sum(len(indices) for indices in capacity.free.values())
     enough = spec.accelerators and free >= spec.tasks * spec.accelerators
     return Cause.FRAGMENTED if enough else Cause.FULL
--- a/packages/wasabispur-core/src/wasabispur_core/gang.py
+++ b/packages/wasabispur-core/src/wasabispur_core/gang.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from .command import CancelTimer, Command, SendToAgent, SetTimer
-from .job import ENDED_PHASES, Job, JobBoard, Member, Phase, ReservationExpired
+from .job import ENDED_PHASES, Job, Member, Phase, ReservationExpired, SchedulerState
 from .job_record import cancel_key, ended_key, job_key, JobRecord, to_value
 from .ownership import WriteRow
-from .placement import Seat
+from .placement import Assignment
 from .protocol import Reason, StopTask
 
 FAILED_WORKERS_LIMIT = 3
@@ -19,7 +19,7 @@
 def failed_workers(job: Job) -> tuple[str, ...]:
     """Return the workers on which the job has failed, this run included."""
     failed = {
-        member.seat.worker_id
+        member.assignment.worker_id
         for member in job.members.values()
         if member.phase is Phase.FINISHED and not member.succeeded
     }
@@ -27,10 +27,10 @@
 
 
 def stop_commands(
-    board: JobBoard, job: Job, reason: Reason, now: float
+    scheduler: SchedulerState, job: Job, reason: Reason, now: float
 ) -> list[Command]:
     """Return the commands that stop the members which may still run."""
-    if not board.lease.may_renew(now):
+    if not scheduler.lease.may_renew(now):
         return []
     commands: list[Command] = []
     for member in job.members.values():
@@ -38,49 +38,53 @@
             continue
         stop = StopTask(
             task_id=member.task_id,
-            shard=board.shard,
-            shard_epoch=board.lease.epoch,
+            shard=scheduler.shard,
+            shard_epoch=scheduler.lease.epoch,
             gang_epoch=job.record.gang_epoch,
             reason=reason,
             checkpoint=not job.cancelled,
         )
-        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=stop))
+        commands.append(SendToAgent(agent_id=member.assignment.worker_id, message=stop))
     return commands
 
 
-def write_record(board: JobBoard, job: Job, record: JobRecord) -> list[Command]:
+def write_record(
+    scheduler: SchedulerState, job: Job, record: JobRecord
+) -> list[Command]:
     """Change a job's record and write its row."""
-    board.writes += 1
-    job.record, job.write_number = record, board.writes
-    key = job_key(board.shard, record.job_id)
-    return [WriteRow(key=key, value=to_value(record), number=board.writes)]
+    scheduler.writes += 1
+    job.record, job.write_number = record, scheduler.writes
+    key = job_key(scheduler.shard, record.job_id)
+    return [WriteRow(key=key, value=to_value(record), number=scheduler.writes)]
 
 
-def end_record(board: JobBoard, job: Job, record: JobRecord) -> list[Command]:
+def end_record(scheduler: SchedulerState, job: Job, record: JobRecord) -> list[Command]:
     """Move a job's row to the ended jobs, so that the owner lists it no more."""
-    board.writes += 1
-    job.record, job.write_number = record, board.writes
-    kept = WriteRow(key=ended_key(board.shard, record.job_id), value=to_value(record))
+    scheduler.writes += 1
+    job.record, job.write_number = record, scheduler.writes
+    kept = WriteRow(
+        key=ended_key(scheduler.shard, record.job_id), value=to_value(record)
+    )
     commands: list[Command] = [cancel_gang_timer(job), kept]
     if job.cancelled:
-        key = cancel_key(board.shard, record.job_id)
+        key = cancel_key(scheduler.shard, record.job_id)
         commands.append(WriteRow(key=key, value=None))
-    key = job_key(board.shard, record.job_id)
-    return [*commands, WriteRow(key=key, value=None, number=board.writes)]
+    key = job_key(scheduler.shard, record.job_id)
+    return [*commands, WriteRow(key=key, value=None, number=scheduler.writes)]
 
 
-def take_seats(
-    board: JobBoard,
+def take_assignments(
+    scheduler: SchedulerState,
     job: Job,
-    seats: tuple[Seat, ...],
+    assignments: tuple[Assignment, ...],
     deadline: float,
     bound: float,
 ) -> None:
     job.members = {}
-    for index, seat in enumerate(seats):
+    for index, assignment in enumerate(assignments):
         task_id = f"{job.record.job_id}.{job.record.gang_epoch}.{index}"
-        job.members[task_id] = Member(seat, task_id, deadline, bound)
-        board.fleet.hold(seat.worker_id, seat.accelerators, task_id)
+        job.members[task_id] = Member(assignment, task_id, deadline, bound)
+        scheduler.fleet.hold(assignment.worker_id, assignment.accelerators, task_id)
 
 
 def set_gang_timer(job: Job) -> SetTimer:
--- a/packages/wasabispur-core/src/wasabispur_core/guarantee.py
+++ b/packages/wasabispur-core/src/wasabispur_core/guarantee.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from .fleet import Fleet
-from .placement import fill_rack, Room, Seat
+from .placement import Assignment, fill_rack, FreeCapacity
 
 REPACK_STEPS = 200
 """Partial packings that a full repack looks at before it gives up."""
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GuaranteedShape:
-    """Promise blocks of adjacent accelerators in a data centre."""
+    """Describe blocks of adjacent accelerators in a data centre."""
 
     name: str
     data_centre: str
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Promise:
+class Guarantee:
     """Name one shape of one organisation."""
 
     organisation: str
@@ -41,128 +41,147 @@
 
 @dataclass(slots=True)
 class GuaranteePlan:
-    """Own the home of each promise: the accelerators that it can always get.
+    """Own the allocation of each guarantee: the accelerators that it can always get.
 
-    Homes are disjoint and lie on available workers. Whatever else runs in a home
-    is borrowed and can be stopped, so all promises can be met at once. The lost
-    promises are those that have no home.
+    Allocations are disjoint and lie on available workers. Whatever else runs there
+    is borrowed and can be stopped, so all guarantees can be met at once. The lost
+    guarantees are those that have no allocation.
     """
 
-    promises: tuple[Promise, ...] = ()
-    homes: dict[Promise, tuple[Seat, ...]] = field(default_factory=dict)
+    guarantees: tuple[Guarantee, ...] = ()
+    allocations: dict[Guarantee, tuple[Assignment, ...]] = field(default_factory=dict)
     owners: dict[tuple[str, int], str] = field(default_factory=dict)
-    lost: tuple[Promise, ...] = ()
+    lost: tuple[Guarantee, ...] = ()
 
     def owner(self, worker_id: str, accelerator: int) -> str:
-        """Return the organisation whose home holds an accelerator, or nothing."""
+        """Return the organisation whose allocation holds an accelerator, or nothing."""
         return self.owners.get((worker_id, accelerator), "")
 
 
 def repack(plan: GuaranteePlan, fleet: Fleet) -> None:
-    """Give every promise a home again after the workers or promises changed."""
+    """Allocate every guarantee again after workers or guarantees changed."""
     kept = {
-        promise: seats
-        for promise, seats in plan.homes.items()
-        if promise in plan.promises and _stands(seats, fleet)
+        guarantee: assignments
+        for guarantee, assignments in plan.allocations.items()
+        if guarantee in plan.guarantees and _stands(assignments, fleet)
     }
-    missing = [promise for promise in plan.promises if promise not in kept]
-    homes = _extend(kept, missing, fleet)
-    if len(homes) < len(plan.promises):
-        homes = _best_packing(plan.promises, homes, fleet)
-    plan.homes = homes
-    plan.lost = tuple(p for p in plan.promises if p not in homes)
-    plan.owners = _owners(homes)
+    missing = [guarantee for guarantee in plan.guarantees if guarantee not in kept]
+    allocations = _extend(kept, missing, fleet)
+    if len(allocations) < len(plan.guarantees):
+        allocations = _best_packing(plan.guarantees, allocations, fleet)
+    plan.allocations = allocations
+    plan.lost = tuple(p for p in plan.guarantees if p not in allocations)
+    plan.owners = _owners(allocations)
 
 
-def move_home(plan: GuaranteePlan, promise: Promise, seats: tuple[Seat, ...]) -> None:
-    """Give a promise another home that lies outside all the others."""
-    if plan.homes[promise] != seats:
-        plan.homes[promise] = seats
-        plan.owners = _owners(plan.homes)
-
-
-def outside_room(plan: GuaranteePlan, fleet: Fleet, promise: Promise) -> Room:
-    """Return all accelerators outside the homes of the other promises."""
-    others = {other: seats for other, seats in plan.homes.items() if other != promise}
-    return _whole_room(fleet, others)
+def move_allocation(
+    plan: GuaranteePlan, guarantee: Guarantee, assignments: tuple[Assignment, ...]
+) -> None:
+    """Give a guarantee another allocation that lies outside all the others."""
+    if plan.allocations[guarantee] != assignments:
+        plan.allocations[guarantee] = assignments
+        plan.owners = _owners(plan.allocations)
+
+
+def capacity_outside(
+    plan: GuaranteePlan, fleet: Fleet, guarantee: Guarantee
+) -> FreeCapacity:
+    """Return all accelerators outside the allocations of the other guarantees."""
+    others = {
+        other: assignments
+        for other, assignments in plan.allocations.items()
+        if other != guarantee
+    }
+    return _unallocated_capacity(fleet, others)
 
 
-def unpackable(promises: tuple[Promise, ...], fleet: Fleet) -> tuple[Promise, ...]:
-    """Return the promises that the available workers can't meet all at once."""
-    plan = GuaranteePlan(promises=promises)
+def unpackable(
+    guarantees: tuple[Guarantee, ...], fleet: Fleet
+) -> tuple[Guarantee, ...]:
+    """Return the guarantees that the available workers can't meet all at once."""
+    plan = GuaranteePlan(guarantees=guarantees)
     repack(plan, fleet)
     return plan.lost
 
 
-def candidate_homes(room: Room, shape: GuaranteedShape) -> list[tuple[Seat, ...]]:
-    """Return one home in each place that has one, the fullest places first."""
-    homes: list[tuple[int, tuple[Seat, ...]]] = []
-    for group in _groups(room, shape.adjacency):
-        seats = fill_rack(room, group, shape.block_size, shape.blocks)
-        if len(seats) == shape.blocks:
-            left = sum(len(room.free[worker]) for worker in group)
-            homes.append((left, tuple(seats)))
-    homes.sort(key=lambda pair: pair[0])
-    return [seats for _, seats in homes]
+def candidate_allocations(
+    capacity: FreeCapacity, shape: GuaranteedShape
+) -> list[tuple[Assignment, ...]]:
+    """Return one allocation in each place that has one, the fullest places first."""
+    allocations: list[tuple[int, tuple[Assignment, ...]]] = []
+    for group in _groups(capacity, shape.adjacency):
+        assignments = fill_rack(capacity, group, shape.block_size, shape.blocks)
+        if len(assignments) == shape.blocks:
+            left = sum(len(capacity.free[worker]) for worker in group)
+            allocations.append((left, tuple(assignments)))
+    allocations.sort(key=lambda pair: pair[0])
+    return [assignments for _, assignments in allocations]
 
 
-def _groups(room: Room, adjacency: Adjacency) -> list[list[str]]:
+def _groups(capacity: FreeCapacity, adjacency: Adjacency) -> list[list[str]]:
     if adjacency is Adjacency.WORKER:
-        return [[worker] for worker in sorted(room.free)]
+        return [[worker] for worker in sorted(capacity.free)]
     if adjacency is Adjacency.RACK:
-        return list(room.racks.values())
-    return [sorted(room.free)]
+        return list(capacity.racks.values())
+    return [sorted(capacity.free)]
 
 
-def _stands(seats: tuple[Seat, ...], fleet: Fleet) -> bool:
+def _stands(assignments: tuple[Assignment, ...], fleet: Fleet) -> bool:
     return all(
-        seat.worker_id in fleet.usable
-        and max(seat.accelerators) < fleet.workers[seat.worker_id].accelerators
-        for seat in seats
+        assignment.worker_id in fleet.usable
+        and max(assignment.accelerators)
+        < fleet.workers[assignment.worker_id].accelerators
+        for assignment in assignments
     )
 
 
-def _whole_room(fleet: Fleet, homes: dict[Promise, tuple[Seat, ...]]) -> Room:
-    """Return all accelerators outside the homes, whoever holds them."""
-    room = Room(racks=fleet.racks())
+def _unallocated_capacity(
+    fleet: Fleet, allocations: dict[Guarantee, tuple[Assignment, ...]]
+) -> FreeCapacity:
+    """Return all accelerators outside the allocations, whoever holds them."""
+    capacity = FreeCapacity(racks=fleet.racks())
     for worker_id in fleet.usable:
-        room.free[worker_id] = tuple(range(fleet.workers[worker_id].accelerators))
-    for seats in homes.values():
-        room.take(seats)
-    return room
+        capacity.free[worker_id] = tuple(range(fleet.workers[worker_id].accelerators))
+    for assignments in allocations.values():
+        capacity.take(assignments)
+    return capacity
 
 
 def _extend(
-    homes: dict[Promise, tuple[Seat, ...]], missing: list[Promise], fleet: Fleet
-) -> dict[Promise, tuple[Seat, ...]]:
-    """Return the homes together with one for each missing promise that fits."""
-    homes = dict(homes)
-    room = _whole_room(fleet, homes)
-    for promise in sorted(missing, key=_difficulty):
-        candidates = candidate_homes(room, promise.shape)
+    allocations: dict[Guarantee, tuple[Assignment, ...]],
+    missing: list[Guarantee],
+    fleet: Fleet,
+) -> dict[Guarantee, tuple[Assignment, ...]]:
+    """Return the allocations together with one for each missing guarantee that fits."""
+    allocations = dict(allocations)
+    capacity = _unallocated_capacity(fleet, allocations)
+    for guarantee in sorted(missing, key=_difficulty):
+        candidates = candidate_allocations(capacity, guarantee.shape)
         if candidates:
-            homes[promise] = candidates[0]
-            room.take(candidates[0])
-    return homes
+            allocations[guarantee] = candidates[0]
+            capacity.take(candidates[0])
+    return allocations
 
 
-def _difficulty(promise: Promise) -> tuple[int, int, int, str, str]:
-    shape = promise.shape
+def _difficulty(guarantee: Guarantee) -> tuple[int, int, int, str, str]:
+    shape = guarantee.shape
     return (
         list(Adjacency).index(shape.adjacency),
         -shape.block_size,
         -shape.blocks,
-        promise.organisation,
+        guarantee.organisation,
         shape.name,
     )
 
 
-def _owners(homes: dict[Promise, tuple[Seat, ...]]) -> dict[tuple[str, int], str]:
+def _owners(
+    allocations: dict[Guarantee, tuple[Assignment, ...]],
+) -> dict[tuple[str, int], str]:
     return {
-        (seat.worker_id, index): promise.organisation
-        for promise, seats in homes.items()
-        for seat in seats
-        for index in seat.accelerators
+        (assignment.worker_id, index): guarantee.organisation
+        for guarantee, assignments in allocations.items()
+        for assignment in assignments
+        for index in assignment.accelerators
     }
 
 
@@ -170,36 +189,38 @@
 class _Search:
     """Hold the best packing found and the steps that are left."""
 
-    best: dict[Promise, tuple[Seat, ...]]
+    best: dict[Guarantee, tuple[Assignment, ...]]
     steps: int = REPACK_STEPS
 
 
 def _best_packing(
-    promises: tuple[Promise, ...],
-    homes: dict[Promise, tuple[Seat, ...]],
+    guarantees: tuple[Guarantee, ...],
+    allocations: dict[Guarantee, tuple[Assignment, ...]],
     fleet: Fleet,
-) -> dict[Promise, tuple[Seat, ...]]:
-    """Return the packing of the most promises that a bounded search finds."""
-    search = _Search(homes)
-    _try(sorted(promises, key=_difficulty), 0, {}, fleet, search)
+) -> dict[Guarantee, tuple[Assignment, ...]]:
+    """Return the packing of the most guarantees that a bounded search finds."""
+    search = _Search(allocations)
+    _try(sorted(guarantees, key=_difficulty), 0, {}, fleet, search)
     return search.best
 
 
 def _try(
-    promises: list[Promise],
+    guarantees: list[Guarantee],
     skipped: int,
-    homes: dict[Promise, tuple[Seat, ...]],
+    allocations: dict[Guarantee, tuple[Assignment, ...]],
     fleet: Fleet,
     search: _Search,
 ) -> None:
-    if len(homes) > len(search.best):
-        search.best = dict(homes)
+    if len(allocations) > len(search.best):
+        search.best = dict(allocations)
     search.steps -= 1
-    index = len(homes) + skipped
-    most = len(homes) + len(promises) - index
+    index = len(allocations) + skipped
+    most = len(allocations) + len(guarantees) - index
     if search.steps <= 0 or most <= len(search.best):
         return
-    promise = promises[index]
-    for seats in candidate_homes(_whole_room(fleet, homes), promise.shape):
-        _try(promises, skipped, homes | {promise: seats}, fleet, search)
-    _try(promises, skipped + 1, homes, fleet, search)
+    guarantee = guarantees[index]
+    for assignments in candidate_allocations(
+        _unallocated_capacity(fleet, allocations), guarantee.shape
+    ):
+        _try(guarantees, skipped, allocations | {guarantee: assignments}, fleet, search)
+    _try(guarantees, skipped + 1, allocations, fleet, search)
--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -17,12 +17,12 @@
 from .job_record import job_key, JobRecord
 from .message import Message
 from .ownership import RowCommitted, ShardLease
-from .placement import Seat
+from .placement import Assignment
 from .run_time import RunTimes
-from .worker_health import HealthBoard
+from .worker_health import HealthTracker
 
 ENDED_LIMIT = 10_000
-"""Jobs that ended in this tenure, kept so that a late read revives none."""
+"""Jobs that ended in this ownership, kept so that a late read revives none."""
 
 
 class Phase(Enum):
@@ -47,7 +47,7 @@
 class GangPlaced(Message):
     """Report that there is room for the whole gang."""
 
-    seats: tuple[Seat, ...]
+    assignments: tuple[Assignment, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,7 +96,7 @@
     can't run, whatever its agent does.
     """
 
-    seat: Seat
+    assignment: Assignment
     task_id: str
     deadline: float
     bound: float
@@ -146,7 +146,7 @@
 
 
 @dataclass(slots=True)
-class JobBoard:
+class SchedulerState:
     """Own the jobs of one shard while this entry owns the shard."""
 
     shard: str
@@ -163,53 +163,55 @@
     next_listing: float = 0.0
     plan: GuaranteePlan = field(default_factory=GuaranteePlan)
     plan_stale: bool = True
-    calling: frozenset[str] = frozenset()
+    reclaiming: frozenset[str] = frozenset()
     urgent_classes: frozenset[str] = frozenset()
     quotas: dict[str, int] = field(default_factory=dict)
     reservations: list[Any] = field(default_factory=list)
     last_pass: tuple[Any, ...] = ()
     next_pass: float = 0.0
     run_times: RunTimes = field(default_factory=RunTimes)
-    health: HealthBoard = field(default_factory=HealthBoard)
+    health: HealthTracker = field(default_factory=HealthTracker)
 
 
-class JobAction(Action[JobBoard, Job]):
+class JobAction(Action[SchedulerState, Job]):
     """Name an effect in the job chart."""
 
     __slots__ = ()
 
 
-class JobGuard(Guard[JobBoard, Job]):
+class JobGuard(Guard[SchedulerState, Job]):
     """Name a condition in the job chart."""
 
     __slots__ = ()
 
 
-def fire(message: Message, board: JobBoard, job: Job, now: float) -> list[Command]:
+def fire(
+    message: Message, scheduler: SchedulerState, job: Job, now: float
+) -> list[Command]:
     """Pass an event to a job and follow up if its gang or the job ended."""
-    commands = job.lifecycle.handle(message, board, job, now)
+    commands = job.lifecycle.handle(message, scheduler, job, now)
     if job.lifecycle.state == "placing":
         return commands
     ended = [m for m in job.members.values() if job.has_ended(m, now)]
     for member in ended:
-        board.fleet.release(member.seat.worker_id, member.task_id)
+        scheduler.fleet.release(member.assignment.worker_id, member.task_id)
     if job.lifecycle.state == "stopping" and len(ended) == len(job.members):
-        commands += job.lifecycle.handle(GangEnded(), board, job, now)
+        commands += job.lifecycle.handle(GangEnded(), scheduler, job, now)
     if job.lifecycle.state == "ended":
-        forget(board, job)
+        forget(scheduler, job)
     return commands
 
 
-def forget(board: JobBoard, job: Job) -> None:
+def forget(scheduler: SchedulerState, job: Job) -> None:
     """Drop an ended job and remember its id."""
-    board.jobs.pop(job.record.job_id, None)
-    board.ended[job.record.job_id] = None
-    while len(board.ended) > ENDED_LIMIT:
-        board.ended.popitem(last=False)
+    scheduler.jobs.pop(job.record.job_id, None)
+    scheduler.ended[job.record.job_id] = None
+    while len(scheduler.ended) > ENDED_LIMIT:
+        scheduler.ended.popitem(last=False)
 
 
 @singledispatch
-def decide(message: Message, board: JobBoard, now: float) -> list[Command]:
+def decide(message: Message, scheduler: SchedulerState, now: float) -> list[Command]:
     """Return the commands that a message to the job component causes."""
     raise UnhandledMessageError(
         f"the job component does not take {type(message).__name__}",
@@ -218,45 +220,47 @@
 
 
 @decide.register
-def _(message: WorkerAttached, board: JobBoard, now: float) -> list[Command]:
+def _(message: WorkerAttached, scheduler: SchedulerState, now: float) -> list[Command]:
     worker = message.worker
-    board.fleet.attach(worker)
-    board.plan_stale = True
-    board.clocks[worker.worker_id] = AgentClock(message.clock, now)
+    scheduler.fleet.attach(worker)
+    scheduler.plan_stale = True
+    scheduler.clocks[worker.worker_id] = AgentClock(message.clock, now)
     # The next tick asks the agent at once for the tasks that it holds.
-    board.next_renewal = now
+    scheduler.next_renewal = now
     return []
 
 
 @decide.register
-def _(message: WorkerDetached, board: JobBoard, now: float) -> list[Command]:
-    board.fleet.detach(message.worker_id)
-    board.plan_stale = True
-    board.clocks.pop(message.worker_id, None)
+def _(message: WorkerDetached, scheduler: SchedulerState, now: float) -> list[Command]:
+    scheduler.fleet.detach(message.worker_id)
+    scheduler.plan_stale = True
+    scheduler.clocks.pop(message.worker_id, None)
     return []
 
 
 @decide.register
-def _(message: WorkerLeaving, board: JobBoard, now: float) -> list[Command]:
-    board.fleet.detach(message.worker_id)
-    board.plan_stale = True
+def _(message: WorkerLeaving, scheduler: SchedulerState, now: float) -> list[Command]:
+    scheduler.fleet.detach(message.worker_id)
+    scheduler.plan_stale = True
     return []
 
 
 @decide.register
-def _(message: ReservationExpired, board: JobBoard, now: float) -> list[Command]:
-    job = board.jobs.get(message.job_id)
+def _(
+    message: ReservationExpired, scheduler: SchedulerState, now: float
+) -> list[Command]:
+    job = scheduler.jobs.get(message.job_id)
     if job is None or job.record.gang_epoch != message.gang_epoch:
         return []
     if job.lifecycle.state in ("queued", "placing"):
         return []
-    return fire(message, board, job, now)
+    return fire(message, scheduler, job, now)
 
 
 @decide.register
-def _(message: RowCommitted, board: JobBoard, now: float) -> list[Command]:
-    for job in list(board.jobs.values()):
+def _(message: RowCommitted, scheduler: SchedulerState, now: float) -> list[Command]:
+    for job in list(scheduler.jobs.values()):
         latest = job.write_number == message.number
-        if latest and job_key(board.shard, job.record.job_id) == message.key:
-            return fire(message, board, job, now)
+        if latest and job_key(scheduler.shard, job.record.job_id) == message.key:
+            return fire(message, scheduler, job, now)
     return []
--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -14,7 +14,7 @@
     failed_workers,
     set_gang_timer,
     stop_commands,
-    take_seats,
+    take_assignments,
     write_record,
 )
 from .job import (
@@ -135,30 +135,30 @@
 
 @perform.register
 def _(action: AdoptGang) -> list[Command]:
-    board, job = action.state, action.subject
-    deadline, bound = adoption_deadline(board), unheard_bound(board)
-    take_seats(board, job, job.record.seats, deadline, bound)
+    scheduler, job = action.state, action.subject
+    deadline, bound = adoption_deadline(scheduler), unheard_bound(scheduler)
+    take_assignments(scheduler, job, job.record.assignments, deadline, bound)
     return []
 
 
 @perform.register
 def _(action: RecordPlacement) -> list[Command]:
-    board, job, message = action.state, action.subject, action.message
+    scheduler, job, message = action.state, action.subject, action.message
     if not isinstance(message, GangPlaced):
         return []
     job.record = replace(job.record, gang_epoch=job.record.gang_epoch + 1)
     job.stop_reason = ""
     job.started = action.now
-    take_seats(board, job, message.seats, action.now, action.now)
+    take_assignments(scheduler, job, message.assignments, action.now, action.now)
     return write_record(
-        board,
+        scheduler,
         job,
         replace(
             job.record,
             state=JobState.PLACED,
-            seats=message.seats,
+            assignments=message.assignments,
             start_possible=False,
-            cause=placed_cause(board, job),
+            cause=placed_cause(scheduler, job),
         ),
     )
 
@@ -209,7 +209,7 @@
         job.record,
         state=JobState.HELD,
         cause=Cause.HELD,
-        seats=(),
+        assignments=(),
         failed_workers=workers,
         reason=f"failed on {', '.join(workers)}",
     )
@@ -240,7 +240,7 @@
     record = replace(
         job.record,
         state=JobState.QUEUED,
-        seats=(),
+        assignments=(),
         start_possible=False,
         reason=job.stop_reason,
         checkpoints=checkpoints,
@@ -253,10 +253,10 @@
 
 @perform.register
 def _(action: SendReserves) -> list[Command]:
-    board, job, spec = action.state, action.subject, action.subject.record.spec
+    scheduler, job, spec = action.state, action.subject, action.subject.record.spec
     commands: list[Command] = [set_gang_timer(job)]
     for index, member in enumerate(job.members.values()):
-        clock = board.clocks.get(member.seat.worker_id)
+        clock = scheduler.clocks.get(member.assignment.worker_id)
         if clock is None:
             # The timer ends the reservation; nothing was sent to this member.
             member.phase = Phase.GONE
@@ -265,38 +265,42 @@
         reserve = ReserveTask(
             task_id=member.task_id,
             job_id=job.record.job_id,
-            shard=board.shard,
-            shard_epoch=board.lease.epoch,
+            shard=scheduler.shard,
+            shard_epoch=scheduler.lease.epoch,
             gang_epoch=job.record.gang_epoch,
             accelerators=spec.accelerators,
             command=spec.command,
             lease=TASK_LEASE,
             anchor=clock.clock,
-            accelerator_ids=member.seat.accelerators,
+            accelerator_ids=member.assignment.accelerators,
             checkpoint=_checkpoint(job, index),
         )
-        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=reserve))
+        commands.append(
+            SendToAgent(agent_id=member.assignment.worker_id, message=reserve)
+        )
     return commands
 
 
 @perform.register
 def _(action: SendStarts) -> list[Command]:
-    board, job = action.state, action.subject
+    scheduler, job = action.state, action.subject
     commands: list[Command] = [set_gang_timer(job)]
     for member in job.members.values():
-        clock = board.clocks.get(member.seat.worker_id)
+        clock = scheduler.clocks.get(member.assignment.worker_id)
         if clock is None:
             continue
         member.extend(lease_bound(clock))
         start = StartTask(
             task_id=member.task_id,
-            shard=board.shard,
-            shard_epoch=board.lease.epoch,
+            shard=scheduler.shard,
+            shard_epoch=scheduler.lease.epoch,
             gang_epoch=job.record.gang_epoch,
             lease=TASK_LEASE,
             anchor=clock.clock,
         )
-        commands.append(SendToAgent(agent_id=member.seat.worker_id, message=start))
+        commands.append(
+            SendToAgent(agent_id=member.assignment.worker_id, message=start)
+        )
     return commands
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_lease.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .job import AgentClock, JobBoard
+from .job import AgentClock, SchedulerState
 from .ownership import DRIFT, OUTAGE_GRACE
 
 TASK_LEASE = 15.0
@@ -21,12 +21,12 @@
     return clock.received + TASK_LEASE * (1 + DRIFT) + STOP_TIME
 
 
-def unheard_bound(board: JobBoard) -> float:
+def unheard_bound(scheduler: SchedulerState) -> float:
     """Return when the leases that a former owner extended are over."""
     grace = (OUTAGE_GRACE + TASK_LEASE) * (1 + DRIFT)
-    return board.acquired + grace + STOP_TIME
+    return scheduler.acquired + grace + STOP_TIME
 
 
-def adoption_deadline(board: JobBoard) -> float:
+def adoption_deadline(scheduler: SchedulerState) -> float:
     """Return until when an agent has to report on an adopted task."""
-    return board.acquired + TASK_LEASE * (1 + DRIFT) + STOP_TIME
+    return scheduler.acquired + TASK_LEASE * (1 + DRIFT) + STOP_TIME
--- a/packages/wasabispur-core/src/wasabispur_core/job_policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .bundle import BundleContent
-from .bundle_packing import promises_in
+from .bundle_packing import guarantees_in
 from .job_place import PolicyChanged
 
 
@@ -16,7 +16,7 @@
         if quota.data_centre == data_centre
     }
     return PolicyChanged(
-        promises=promises_in(content, data_centre),
+        guarantees=guarantees_in(content, data_centre),
         quotas=quotas,
         urgent_classes=frozenset(rule.name for rule in content.classes if rule.urgent),
     )
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -13,10 +13,10 @@
     ENDED_PHASES,
     fire,
     Job,
-    JobBoard,
     JobLoaded,
     Member,
     MemberLost,
+    SchedulerState,
 )
 from .job_lease import lease_bound, TASK_LEASE, TASK_RENEWAL
 from .job_place import place_waiting
@@ -44,86 +44,86 @@
 
 
 @decide.register
-def _(message: ShardAcquired, board: JobBoard, now: float) -> list[Command]:
-    board.owning = True
-    board.acquired = now
-    board.next_listing = now + LISTING_INTERVAL
-    return [list_jobs(board)]
+def _(message: ShardAcquired, scheduler: SchedulerState, now: float) -> list[Command]:
+    scheduler.owning = True
+    scheduler.acquired = now
+    scheduler.next_listing = now + LISTING_INTERVAL
+    return [list_jobs(scheduler)]
 
 
 @decide.register
-def _(message: ShardLost, board: JobBoard, now: float) -> list[Command]:
-    board.owning = False
-    board.jobs.clear()
-    board.ended.clear()
-    board.fleet.holders.clear()
-    board.fleet.plain_tasks.clear()
+def _(message: ShardLost, scheduler: SchedulerState, now: float) -> list[Command]:
+    scheduler.owning = False
+    scheduler.jobs.clear()
+    scheduler.ended.clear()
+    scheduler.fleet.holders.clear()
+    scheduler.fleet.plain_tasks.clear()
     return []
 
 
 @decide.register(JobSubmitted)
 @decide.register(JobCancelled)
 def _(
-    message: JobSubmitted | JobCancelled, board: JobBoard, now: float
+    message: JobSubmitted | JobCancelled, scheduler: SchedulerState, now: float
 ) -> list[Command]:
-    return [list_jobs(board)] if board.owning else []
+    return [list_jobs(scheduler)] if scheduler.owning else []
 
 
 @decide.register
-def _(message: JobsRead, board: JobBoard, now: float) -> list[Command]:
-    if not board.owning or message.epoch != board.lease.epoch:
+def _(message: JobsRead, scheduler: SchedulerState, now: float) -> list[Command]:
+    if not scheduler.owning or message.epoch != scheduler.lease.epoch:
         return []
     commands: list[Command] = []
     for record in message.records:
-        if record.job_id not in board.jobs and record.job_id not in board.ended:
-            job = Job(record, board.chart.start())
-            board.jobs[record.job_id] = job
-            commands += fire(JobLoaded(), board, job, now)
+        if record.job_id not in scheduler.jobs and record.job_id not in scheduler.ended:
+            job = Job(record, scheduler.chart.start())
+            scheduler.jobs[record.job_id] = job
+            commands += fire(JobLoaded(), scheduler, job, now)
     for job_id in message.cancelled:
-        commands += cancel(board, job_id, now)
-    return [*commands, *renew(board, now), *place_waiting(board, now)]
+        commands += cancel(scheduler, job_id, now)
+    return [*commands, *renew(scheduler, now), *place_waiting(scheduler, now)]
 
 
 @decide.register
-def _(message: JobTick, board: JobBoard, now: float) -> list[Command]:
-    if not board.owning:
+def _(message: JobTick, scheduler: SchedulerState, now: float) -> list[Command]:
+    if not scheduler.owning:
         return []
-    commands = expire_members(board, now)
-    if now >= board.next_listing:
-        board.next_listing = now + LISTING_INTERVAL
-        commands.append(list_jobs(board))
-        commands += record_causes(board, now)
-    if now >= board.next_renewal:
-        board.next_renewal = now + TASK_RENEWAL
-        commands += renew(board, now)
-    return [*commands, *place_waiting(board, now)]
-
-
-def list_jobs(board: JobBoard) -> Command:
+    commands = expire_members(scheduler, now)
+    if now >= scheduler.next_listing:
+        scheduler.next_listing = now + LISTING_INTERVAL
+        commands.append(list_jobs(scheduler))
+        commands += record_causes(scheduler, now)
+    if now >= scheduler.next_renewal:
+        scheduler.next_renewal = now + TASK_RENEWAL
+        commands += renew(scheduler, now)
+    return [*commands, *place_waiting(scheduler, now)]
+
+
+def list_jobs(scheduler: SchedulerState) -> Command:
     """Return the command that reads all rows of the shard's jobs."""
-    prefix = job_prefix(board.shard)
-    return ReadRows(read_id=f"{prefix}:{board.lease.epoch}", prefix=prefix)
+    prefix = job_prefix(scheduler.shard)
+    return ReadRows(read_id=f"{prefix}:{scheduler.lease.epoch}", prefix=prefix)
 
 
-def cancel(board: JobBoard, job_id: str, now: float) -> list[Command]:
+def cancel(scheduler: SchedulerState, job_id: str, now: float) -> list[Command]:
     """Cancel a job once; drop the request if the job has ended."""
-    job = board.jobs.get(job_id)
+    job = scheduler.jobs.get(job_id)
     if job is None:
-        return [WriteRow(key=cancel_key(board.shard, job_id), value=None)]
+        return [WriteRow(key=cancel_key(scheduler.shard, job_id), value=None)]
     if job.cancelled:
         return []
     job.cancelled = True
-    return fire(CancelRequested(), board, job, now)
+    return fire(CancelRequested(), scheduler, job, now)
 
 
-def expire_members(board: JobBoard, now: float) -> list[Command]:
+def expire_members(scheduler: SchedulerState, now: float) -> list[Command]:
     """Stop gangs with a silent member, and settle those whose bound has passed."""
     commands: list[Command] = []
-    for job in list(board.jobs.values()):
+    for job in list(scheduler.jobs.values()):
         for member in list(job.members.values()):
             if is_due(job, member, now):
                 member.lost = True
-                commands += fire(MemberLost(), board, job, now)
+                commands += fire(MemberLost(), scheduler, job, now)
     return commands
 
 
@@ -139,31 +139,31 @@
     return newly_lost or (state == "stopping" and now >= member.bound)
 
 
-def renew(board: JobBoard, now: float) -> list[Command]:
+def renew(scheduler: SchedulerState, now: float) -> list[Command]:
     """Extend all leases with one message per agent, and repeat pending stops."""
-    if not board.lease.may_renew(now):
+    if not scheduler.lease.may_renew(now):
         return []
     commands: list[Command] = []
     tasks: dict[str, list[str]] = {}
-    for job in board.jobs.values():
+    for job in scheduler.jobs.values():
         if job.lifecycle.state == "stopping":
-            commands += stop_commands(board, job, Reason.GANG_INCOMPLETE, now)
+            commands += stop_commands(scheduler, job, Reason.GANG_INCOMPLETE, now)
             continue
         if job.lifecycle.state == "placing":
             continue
         for member in job.members.values():
-            clock = board.clocks.get(member.seat.worker_id)
+            clock = scheduler.clocks.get(member.assignment.worker_id)
             if clock is None or member.phase in ENDED_PHASES or member.lost:
                 continue
             member.extend(lease_bound(clock))
-            tasks.setdefault(member.seat.worker_id, []).append(member.task_id)
+            tasks.setdefault(member.assignment.worker_id, []).append(member.task_id)
     for worker_id, task_ids in tasks.items():
         message = RenewTasks(
-            shard=board.shard,
-            shard_epoch=board.lease.epoch,
+            shard=scheduler.shard,
+            shard_epoch=scheduler.lease.epoch,
             task_ids=tuple(task_ids),
             lease=TASK_LEASE,
-            anchor=board.clocks[worker_id].clock,
+            anchor=scheduler.clocks[worker_id].clock,
         )
         commands.append(SendToAgent(agent_id=worker_id, message=message))
     return commands
--- a/packages/wasabispur-core/src/wasabispur_core/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_record.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any
 
-from .placement import GangSize, Seat
+from .placement import Assignment, GangSize
 
 JOB_SCHEMA = 1
 """Version of the job row; a newer one is left alone."""
@@ -90,7 +90,7 @@
     state: JobState = JobState.QUEUED
     sequence: int = 0
     gang_epoch: int = 0
-    seats: tuple[Seat, ...] = ()
+    assignments: tuple[Assignment, ...] = ()
     start_possible: bool = False
     reason: str = ""
     results: tuple[str, ...] = ()
--- a/packages/wasabispur-core/src/wasabispur_core/job_report.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_report.py
@@ -10,10 +10,10 @@
     decide,
     ENDED_PHASES,
     fire,
-    JobBoard,
     Member,
     MemberLost,
     Phase,
+    SchedulerState,
 )
 from .member import FromAgent
 from .message import Message
@@ -34,43 +34,45 @@
 
 
 @decide.register
-def _(message: FromAgent, board: JobBoard, now: float) -> list[Command]:
-    if not board.owning:
-        return _note_heartbeat(message, board, now)
-    return decide_report(message.message, message.agent_id, board, now)
+def _(message: FromAgent, scheduler: SchedulerState, now: float) -> list[Command]:
+    if not scheduler.owning:
+        return _note_heartbeat(message, scheduler, now)
+    return decide_report(message.message, message.agent_id, scheduler, now)
 
 
 @singledispatch
 def decide_report(
-    message: Message, worker_id: str, board: JobBoard, now: float
+    message: Message, worker_id: str, scheduler: SchedulerState, now: float
 ) -> list[Command]:
     """Return the commands that a report from a worker's agent causes."""
     return []
 
 
 @decide_report.register
-def _(message: Heartbeat, worker_id: str, board: JobBoard, now: float) -> list[Command]:
-    if worker_id in board.clocks:
-        board.clocks[worker_id] = AgentClock(message.clock, now)
+def _(
+    message: Heartbeat, worker_id: str, scheduler: SchedulerState, now: float
+) -> list[Command]:
+    if worker_id in scheduler.clocks:
+        scheduler.clocks[worker_id] = AgentClock(message.clock, now)
     return []
 
 
 @decide_report.register
 def _(
-    message: TaskInventory, worker_id: str, board: JobBoard, now: float
+    message: TaskInventory, worker_id: str, scheduler: SchedulerState, now: float
 ) -> list[Command]:
     commands: list[Command] = []
-    if message.shard != board.shard:
+    if message.shard != scheduler.shard:
         return commands
     for status in message.tasks:
-        job = board.jobs.get(status.task_id.rsplit(".", 2)[0])
+        job = scheduler.jobs.get(status.task_id.rsplit(".", 2)[0])
         member = job.members.get(status.task_id) if job else None
         if job and member and member.phase is Phase.STARTED and not status.started:
             # A new agent took a late reservation; the task that ran there is gone.
-            commands += fire(MemberLost(), board, job, now)
+            commands += fire(MemberLost(), scheduler, job, now)
             continue
         report = _report_of(status)
-        commands += decide_report(report, worker_id, board, now)
+        commands += decide_report(report, worker_id, scheduler, now)
     return commands
 
 
@@ -80,35 +82,35 @@
 @decide_report.register(TaskFinished)
 @decide_report.register(TaskStopped)
 def _(
-    message: TaskReport, worker_id: str, board: JobBoard, now: float
+    message: TaskReport, worker_id: str, scheduler: SchedulerState, now: float
 ) -> list[Command]:
     if isinstance(message, TaskRefused) and message.reason is Reason.STALE_EPOCH:
         # Another entry owns the shard; this says nothing about the task.
         return []
-    job = board.jobs.get(message.task_id.rsplit(".", 2)[0])
+    job = scheduler.jobs.get(message.task_id.rsplit(".", 2)[0])
     member = job.members.get(message.task_id) if job else None
-    if job is None or member is None or member.seat.worker_id != worker_id:
-        return stop_orphan(message, worker_id, board, now)
+    if job is None or member is None or member.assignment.worker_id != worker_id:
+        return stop_orphan(message, worker_id, scheduler, now)
     if member.phase in ENDED_PHASES:
         return []
     note(message, member)
     if isinstance(message, TaskFinished):
         job_id = job.record.job_id
-        board.health.record(worker_id, job_id, message.succeeded)
-    return fire(message, board, job, now)
+        scheduler.health.record(worker_id, job_id, message.succeeded)
+    return fire(message, scheduler, job, now)
 
 
 def stop_orphan(
-    message: TaskReport, worker_id: str, board: JobBoard, now: float
+    message: TaskReport, worker_id: str, scheduler: SchedulerState, now: float
 ) -> list[Command]:
     """Stop a task that belongs to no gang in progress."""
     ended = isinstance(message, TaskRefused | TaskFinished | TaskStopped)
-    if ended or not board.lease.may_renew(now):
+    if ended or not scheduler.lease.may_renew(now):
         return []
     stop = StopTask(
         task_id=message.task_id,
-        shard=board.shard,
-        shard_epoch=board.lease.epoch,
+        shard=scheduler.shard,
+        shard_epoch=scheduler.lease.epoch,
         gang_epoch=message.gang_epoch,
         reason=Reason.GANG_INCOMPLETE,
     )
@@ -154,8 +156,10 @@
     return kind(task_id=status.task_id, gang_epoch=status.gang_epoch)
 
 
-def _note_heartbeat(message: FromAgent, board: JobBoard, now: float) -> list[Command]:
+def _note_heartbeat(
+    message: FromAgent, scheduler: SchedulerState, now: float
+) -> list[Command]:
     content = message.message
     if isinstance(content, Heartbeat):
-        return decide_report(content, message.agent_id, board, now)
+        return decide_report(content, message.agent_id, scheduler, now)
     return []
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -108,7 +108,7 @@
     __slots__ = ()
 
 
-class LeaseLapsed(OwnershipGuard):
+class LeaseExpired(OwnershipGuard):
     """Hold if the row is absent or stayed unchanged for the whole lease."""
 
     __slots__ = ()
@@ -130,7 +130,7 @@
 
 
 @holds.register
-def _(guard: LeaseLapsed) -> bool:
+def _(guard: LeaseExpired) -> bool:
     state, message = guard.state, guard.message
     if not isinstance(message, ShardRowRead):
         return False
--- a/packages/wasabispur-core/src/wasabispur_core/placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/placement.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Seat:
+class Assignment:
     """Name the accelerators of one worker that one task of a gang gets."""
 
     worker_id: str
@@ -28,81 +28,97 @@
 
 
 @dataclass(slots=True)
-class Room:
+class FreeCapacity:
     """Hold the accelerators and cores that a placement may use."""
 
     racks: dict[str, list[str]] = field(default_factory=dict)
     free: dict[str, tuple[int, ...]] = field(default_factory=dict)
     cores: dict[str, int] = field(default_factory=dict)
 
-    def seats(self, worker_id: str, accelerators: int, limit: int) -> list[Seat]:
-        """Return up to limit seats on one worker."""
+    def assignments(
+        self, worker_id: str, accelerators: int, limit: int
+    ) -> list[Assignment]:
+        """Return up to limit assignments on one worker."""
         if accelerators == 0:
             count = min(self.cores.get(worker_id, 0), limit)
-            return [Seat(worker_id=worker_id, accelerators=())] * count
+            return [Assignment(worker_id=worker_id, accelerators=())] * count
         blocks = split_blocks(self.free.get(worker_id, ()), accelerators, limit)
-        return [Seat(worker_id=worker_id, accelerators=block) for block in blocks]
+        return [Assignment(worker_id=worker_id, accelerators=block) for block in blocks]
 
-    def take(self, seats: Iterable[Seat]) -> None:
-        """Remove what the seats use."""
-        for seat in seats:
-            if not seat.accelerators:
-                self.cores[seat.worker_id] -= 1
+    def take(self, assignments: Iterable[Assignment]) -> None:
+        """Remove what the assignments use."""
+        for assignment in assignments:
+            if not assignment.accelerators:
+                self.cores[assignment.worker_id] -= 1
                 continue
-            free = self.free[seat.worker_id]
-            left = tuple(index for index in free if index not in seat.accelerators)
-            self.free[seat.worker_id] = left
+            free = self.free[assignment.worker_id]
+            left = tuple(
+                index for index in free if index not in assignment.accelerators
+            )
+            self.free[assignment.worker_id] = left
 
 
-def free_room(
+def free_capacity(
     fleet: Fleet,
     allowed: Allowed | None = None,
     avoided: frozenset[str] = frozenset(),
-) -> Room:
+) -> FreeCapacity:
     """Return what is free on the usable workers, as far as it is allowed."""
-    room = Room(racks=fleet.racks())
+    capacity = FreeCapacity(racks=fleet.racks())
     for worker_id in fleet.usable - avoided:
         free = fleet.free(worker_id)
         if allowed is not None:
             free = tuple(index for index in free if allowed(worker_id, index))
-        room.free[worker_id] = free
-        room.cores[worker_id] = fleet.free_cores(worker_id)
-    return room
+        capacity.free[worker_id] = free
+        capacity.cores[worker_id] = fleet.free_cores(worker_id)
+    return capacity
 
 
-def place_gang(room: Room, size: GangSize) -> tuple[Seat, ...] | None:
-    """Return seats for every task on the fewest racks, or None if some don't fit."""
-    seats = seats_on_one_worker(room, size)
-    if seats:
-        return tuple(seats)
-    for rack in choose_racks(room, size):
-        seats += fill_rack(room, rack, size.accelerators, size.tasks - len(seats))
-    return tuple(seats) if len(seats) == size.tasks else None
+def place_gang(capacity: FreeCapacity, size: GangSize) -> tuple[Assignment, ...] | None:
+    """Return assignments for the whole gang on the fewest racks, or None."""
+    assignments = assignments_on_one_worker(capacity, size)
+    if assignments:
+        return tuple(assignments)
+    for rack in choose_racks(capacity, size):
+        assignments += fill_rack(
+            capacity, rack, size.accelerators, size.tasks - len(assignments)
+        )
+    return tuple(assignments) if len(assignments) == size.tasks else None
 
 
-def seats_on_one_worker(room: Room, size: GangSize) -> list[Seat]:
-    """Return seats for the whole gang on the fullest worker that has them.
+def assignments_on_one_worker(
+    capacity: FreeCapacity, size: GangSize
+) -> list[Assignment]:
+    """Return assignments for the whole gang on the fullest worker that has them.
 
     Small jobs gather on few workers, whichever the rack, so that whole workers
     stay free for gangs.
     """
-    order = sorted(room.free, key=lambda worker: (len(room.free[worker]), worker))
+    order = sorted(
+        capacity.free, key=lambda worker: (len(capacity.free[worker]), worker)
+    )
     for worker_id in order:
-        seats = room.seats(worker_id, size.accelerators, size.tasks)
-        if len(seats) == size.tasks:
-            return seats
+        assignments = capacity.assignments(worker_id, size.accelerators, size.tasks)
+        if len(assignments) == size.tasks:
+            return assignments
     return []
 
 
-def choose_racks(room: Room, size: GangSize) -> list[list[str]]:
-    """Return the workers of the fewest racks that seat the gang together.
+def choose_racks(capacity: FreeCapacity, size: GangSize) -> list[list[str]]:
+    """Return the workers of the fewest racks that hold the gang together.
 
-    The last rack is the one with the least room that still suffices, so that
+    The last rack is the one with the least capacity that still suffices, so that
     larger racks stay whole for later gangs.
     """
     rooms = [
-        (sum(len(room.seats(w, size.accelerators, size.tasks)) for w in rack), rack)
-        for rack in room.racks.values()
+        (
+            sum(
+                len(capacity.assignments(w, size.accelerators, size.tasks))
+                for w in rack
+            ),
+            rack,
+        )
+        for rack in capacity.racks.values()
     ]
     rooms = [pair for pair in rooms if pair[0]]
     rooms.sort(key=lambda pair: (-pair[0], pair[1]))
@@ -117,35 +133,37 @@
     return chosen if missing <= 0 else []
 
 
-def fill_rack(room: Room, rack: list[str], accelerators: int, tasks: int) -> list[Seat]:
-    """Return up to tasks seats in one rack, on as few workers as possible.
+def fill_rack(
+    capacity: FreeCapacity, rack: list[str], accelerators: int, tasks: int
+) -> list[Assignment]:
+    """Return up to tasks assignments in one rack, on as few workers as possible.
 
-    Of the workers that seat all the tasks, the one with the least free room is
-    taken, so that whole workers stay free.
+    Of the workers that hold all the tasks, the one with the least free capacity
+    is taken, so that whole workers stay free.
     """
-    offers = [room.seats(worker, accelerators, tasks) for worker in rack]
+    offers = [capacity.assignments(worker, accelerators, tasks) for worker in rack]
     offers = [offer for offer in offers if offer]
-    offers.sort(key=lambda offer: len(room.free.get(offer[0].worker_id, ())))
+    offers.sort(key=lambda offer: len(capacity.free.get(offer[0].worker_id, ())))
     whole = [offer for offer in offers if len(offer) >= tasks]
     if whole:
         return whole[0][:tasks]
     offers.sort(key=len, reverse=True)
-    return [seat for offer in offers for seat in offer][:tasks]
+    return [assignment for offer in offers for assignment in offer][:tasks]
 
 
 def impossible_reason(fleet: Fleet, size: GangSize) -> str:
     """Return why the known workers can never run the gang, or an empty text."""
-    room = Room()
+    capacity = FreeCapacity()
     for worker_id, worker in fleet.workers.items():
-        room.free[worker_id] = tuple(range(worker.accelerators))
-        room.cores[worker_id] = worker.cores
-    seats = sum(
-        len(room.seats(worker_id, size.accelerators, size.tasks))
+        capacity.free[worker_id] = tuple(range(worker.accelerators))
+        capacity.cores[worker_id] = worker.cores
+    assignments = sum(
+        len(capacity.assignments(worker_id, size.accelerators, size.tasks))
         for worker_id in fleet.workers
     )
-    if seats >= size.tasks:
+    if assignments >= size.tasks:
         return ""
     unit = "cores"
     if size.accelerators:
         unit = f"places for tasks of {size.accelerators} accelerators"
-    return f"the data centre has {seats} {unit} and the job needs {size.tasks}"
+    return f"the data centre has {assignments} {unit} and the job needs {size.tasks}"
--- a/packages/wasabispur-core/src/wasabispur_core/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/shard.py
@@ -10,7 +10,7 @@
 from . import job_report as job_report, ownership
 from .chart import ChartCatalogue
 from .command import Command, SetTimer
-from .job import decide as decide_job, JobBoard
+from .job import decide as decide_job, SchedulerState
 from .job_action import job_chart
 from .job_queue import JobTick
 from .message import Message
@@ -32,7 +32,7 @@
     """Own one entry's view of one shard."""
 
     ownership: Ownership
-    board: JobBoard
+    scheduler: SchedulerState
 
 
 def new_shard(
@@ -44,7 +44,7 @@
     """Return a shard that this entry starts to observe."""
     lifecycle = ownership_chart(catalogue).start()
     claim = Ownership(entry_id, shard, lifecycle, new_operation_id)
-    return Shard(claim, JobBoard(shard, job_chart(catalogue), claim.lease))
+    return Shard(claim, SchedulerState(shard, job_chart(catalogue), claim.lease))
 
 
 def decide(message: Message, state: Shard, now: float) -> list[Command]:
@@ -64,7 +64,7 @@
 @singledispatch
 def route(message: Message, state: Shard, now: float) -> list[Command]:
     """Pass a message to the component of the shard that takes it."""
-    return decide_job(message, state.board, now)
+    return decide_job(message, state.scheduler, now)
 
 
 @route.register(StoreResult)
@@ -79,10 +79,10 @@
 @route.register
 def _(message: ShardTick, state: Shard, now: float) -> list[Command]:
     timer = SetTimer(
-        timer_id=f"tick:{state.board.shard}", delay=TICK_INTERVAL, message=message
+        timer_id=f"tick:{state.scheduler.shard}", delay=TICK_INTERVAL, message=message
     )
     claim = ownership.decide(OwnershipTick(), state.ownership, now)
-    return [timer, *claim, *decide_job(JobTick(), state.board, now)]
+    return [timer, *claim, *decide_job(JobTick(), state.scheduler, now)]
 
 
 @singledispatch
@@ -93,7 +93,7 @@
 
 @follow.register
 def _(command: Notify, state: Shard, now: float) -> list[Command]:
-    return decide_job(command.message, state.board, now)
+    return decide_job(command.message, state.scheduler, now)
 
 
 @follow.register
--- a/packages/wasabispur-core/src/wasabispur_core/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/worker_health.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True)
-class HealthBoard:
+class HealthTracker:
     """Own the health of all workers of a shard."""
 
     workers: dict[str, WorkerHealth] = field(default_factory=dict)
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_bench.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_bench.py
@@ -12,7 +12,7 @@
 from wasabispur_core import job_place
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.fleet import WorkerAttached
-from wasabispur_core.job import AgentClock, decide, JobBoard
+from wasabispur_core.job import AgentClock, decide, SchedulerState
 from wasabispur_core.job_action import job_chart
 from wasabispur_core.job_queue import JobsRead
 from wasabispur_core.job_record import JobRecord
@@ -139,10 +139,12 @@
 def time_decisions(model: FleetModel, jobs: list[LoadedJob]) -> list[float]:
     """Return the CPU time of each decision to place one job."""
     lease = ShardLease(epoch=1, held_until=inf)
-    board = JobBoard(DATA_CENTRE, job_chart(ChartCatalogue()), lease, owning=True)
+    scheduler = SchedulerState(
+        DATA_CENTRE, job_chart(ChartCatalogue()), lease, owning=True
+    )
     for worker in worker_list(model.workers):
-        decide(WorkerAttached(worker=worker, clock=0.0), board, 0.0)
-    board.clocks = dict.fromkeys(board.fleet.workers, AgentClock(0.0, 0.0))
+        decide(WorkerAttached(worker=worker, clock=0.0), scheduler, 0.0)
+    scheduler.clocks = dict.fromkeys(scheduler.fleet.workers, AgentClock(0.0, 0.0))
     times: list[float] = []
     original = job_place.place_job
 
@@ -158,7 +160,7 @@
                 job_id=job.job_id, shard=DATA_CENTRE, spec=job.spec, sequence=number
             )
             reading = JobsRead(epoch=1, records=(record,), cancelled=())
-            decide(reading, board, 1.0 + number * 0.001)
+            decide(reading, scheduler, 1.0 + number * 0.001)
     return times
 
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_load.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from wasabispur_core.fleet import Worker
-from wasabispur_core.guarantee import Adjacency, GuaranteedShape, Promise
+from wasabispur_core.guarantee import Adjacency, Guarantee, GuaranteedShape
 from wasabispur_core.job_record import JobSpec
 
 DATA_CENTRE = "dc1"
@@ -36,7 +36,7 @@
     name: str
     workers: tuple[int, ...]
     load: float
-    promises: tuple[Promise, ...]
+    guarantees: tuple[Guarantee, ...]
 
     @property
     def accelerators(self) -> int:
@@ -59,8 +59,8 @@
         return self.spec.tasks * self.spec.accelerators
 
 
-def promise(organisation: str, blocks: int, adjacency: Adjacency) -> Promise:
-    """Return a promise of blocks of eight accelerators."""
+def guarantee(organisation: str, blocks: int, adjacency: Adjacency) -> Guarantee:
+    """Return a guarantee of blocks of eight accelerators."""
     shape = GuaranteedShape(
         name=f"{blocks}x8",
         data_centre=DATA_CENTRE,
@@ -68,7 +68,7 @@
         block_size=8,
         adjacency=adjacency,
     )
-    return Promise(organisation=organisation, shape=shape)
+    return Guarantee(organisation=organisation, shape=shape)
 
 
 def fleets() -> tuple[FleetModel, ...]:
@@ -76,12 +76,15 @@
 
     Most workers of the design scale have one accelerator or none.
     """
-    promises = (promise("B", 2, Adjacency.RACK), promise("C", 1, Adjacency.WORKER))
+    guarantees = (
+        guarantee("B", 2, Adjacency.RACK),
+        guarantee("C", 1, Adjacency.WORKER),
+    )
     design = (8,) * 12 + (1,) * 46 + (0,) * 50
     return (
-        FleetModel("Peachtree", (8,) * 10, 0.9, promises),
-        FleetModel("Prairie", (8,) * 10, 1.1, promises),
-        FleetModel("design scale, 1 of 6", design, 0.9, promises),
+        FleetModel("Peachtree", (8,) * 10, 0.9, guarantees),
+        FleetModel("Prairie", (8,) * 10, 1.1, guarantees),
+        FleetModel("design scale, 1 of 6", design, 0.9, guarantees),
     )
 
 
@@ -104,8 +107,8 @@
     model: FleetModel, random: Random, seconds: float, limit: int = 100_000
 ) -> list[LoadedJob]:
     """Return at most limit jobs whose expected work fills the fleet to the load."""
-    room = sum(count // TASK_ACCELERATORS for count in model.workers)
-    sizes = [pair for pair in SIZES if pair[0] <= TASK_ACCELERATORS * room]
+    capacity = sum(count // TASK_ACCELERATORS for count in model.workers)
+    sizes = [pair for pair in SIZES if pair[0] <= TASK_ACCELERATORS * capacity]
     mean_run = MEDIAN_RUN_TIME * pow(2.718281828, RUN_TIME_SPREAD**2 / 2)
     total = sum(share for _, share in sizes)
     mean_size = sum(size * share for size, share in sizes) / total
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
@@ -18,8 +18,8 @@
     decide,
     fire,
     Job,
-    JobBoard,
     ReclaimRequested,
+    SchedulerState,
 )
 from wasabispur_core.job_action import job_chart
 from wasabispur_core.job_place import PolicyChanged
@@ -28,7 +28,7 @@
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.ownership import RowCommitted, ShardLease, WriteRow
-from wasabispur_core.placement import free_room, GangSize, place_gang
+from wasabispur_core.placement import free_capacity, GangSize, place_gang
 from wasabispur_core.protocol import (
     Reason,
     ReserveTask,
@@ -74,7 +74,7 @@
 
 
 class JobModel:
-    """Own the shard's job board and the fake workers of one run."""
+    """Own the shard's job scheduler and the fake workers of one run."""
 
     def __init__(self, model: FleetModel, jobs: list[LoadedJob], seed: int) -> None:
         self.timers = FakeTimerService()
@@ -82,7 +82,7 @@
         self.remaining = {job.job_id: job.run_time for job in jobs}
         lease = ShardLease(epoch=1, held_until=inf)
         chart = job_chart(ChartCatalogue())
-        self.board = JobBoard(DATA_CENTRE, chart, lease, owning=True)
+        self.scheduler = SchedulerState(DATA_CENTRE, chart, lease, owning=True)
         self.measures = Measures("wasabispur", model.accelerators)
         self.subscriptions: dict[str, FakeSubscription] = {}
         self.gangs: dict[str, _Gang] = {}
@@ -94,7 +94,7 @@
             self.deliver(WorkerAttached(worker=worker, clock=0.0))
         self.deliver(
             PolicyChanged(
-                promises=model.promises, urgent_classes=frozenset(("urgent",))
+                guarantees=model.guarantees, urgent_classes=frozenset(("urgent",))
             )
         )
 
@@ -125,32 +125,34 @@
         )
         return JobsRead(epoch=1, records=(record,), cancelled=())
 
-    def timed_place_job(self, board: JobBoard, job: Job, now: float) -> list[Command]:
+    def timed_place_job(
+        self, scheduler: SchedulerState, job: Job, now: float
+    ) -> list[Command]:
         """Measure the CPU time of one scheduling decision."""
         started = time.process_time()
-        commands = PLACE_JOB(board, job, now)
+        commands = PLACE_JOB(scheduler, job, now)
         self.measures.decisions.append(time.process_time() - started)
         return commands
 
     def noted_fire(
-        self, message: Message, board: JobBoard, job: Job, now: float
+        self, message: Message, scheduler: SchedulerState, job: Job, now: float
     ) -> list[Command]:
         """Note when a reclaim began."""
         if isinstance(message, ReclaimRequested):
             self.reclaim_starts.setdefault(message.job_id, now)
             self.measures.preemptions += 1
-        return fire(message, board, job, now)
+        return fire(message, scheduler, job, now)
 
     def tick(self) -> None:
         """Renew the clocks, as heartbeats would, and let time pass."""
         now = self.timers.now()
         clock = AgentClock(now, now)
-        self.board.clocks = dict.fromkeys(self.board.fleet.workers, clock)
+        self.scheduler.clocks = dict.fromkeys(self.scheduler.fleet.workers, clock)
         self.deliver(JobTick())
 
     def deliver(self, message: Message) -> None:
         """Pass a message to the decisions and execute the commands."""
-        for command in decide(message, self.board, self.timers.now()):
+        for command in decide(message, self.scheduler, self.timers.now()):
             execute(command, self)
 
     def later(self, delay: float, message: Message) -> FakeSubscription:
@@ -163,15 +165,15 @@
 
     def sample(self) -> None:
         """Note utilisation and fragmentation."""
-        room = free_room(self.board.fleet)
-        free = sum(len(indices) for indices in room.free.values())
+        capacity = free_capacity(self.scheduler.fleet)
+        free = sum(len(indices) for indices in capacity.free.values())
 
         def fits(size: GangSize) -> bool:
-            return place_gang(room, size) is not None
+            return place_gang(capacity, size) is not None
 
         waiting = [
             job.record.spec.size
-            for job in self.board.jobs.values()
+            for job in self.scheduler.jobs.values()
             if job.lifecycle.state == "queued"
         ]
         self.measures.sample(free, fits, waiting)
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -14,7 +14,7 @@
 from wasabispur_core.job_record import JobRecord, JobSpec
 from wasabispur_core.message import Message
 from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.placement import free_room, GangSize, place_gang, Seat
+from wasabispur_core.placement import Assignment, free_capacity, GangSize, place_gang
 from wasabispur_core.protocol import (
     AttemptNotRun,
     Heartbeat,
@@ -81,7 +81,7 @@
         size = GangSize(tasks=8, accelerators=8)
         started = time.process_time()
         for _ in range(PLACEMENTS):
-            place_gang(free_room(fleet), size)
+            place_gang(free_capacity(fleet), size)
         elapsed = (time.process_time() - started) / PLACEMENTS
         samples.append(Sample(size=count, value=elapsed * 1000))
     return [fit("place a gang of 8 tasks: CPU time", "ms", "worker", samples)]
@@ -187,14 +187,16 @@
         tasks=8,
         accelerators=8,
     )
-    seats = tuple(
-        Seat(
+    assignments = tuple(
+        Assignment(
             worker_id=f"worker-{number}-{task}",
             accelerators=tuple(range(8)),
         )
         for task in range(8)
     )
-    return JobRecord(job_id=f"job-{number}", shard="a1", spec=spec, seats=seats)
+    return JobRecord(
+        job_id=f"job-{number}", shard="a1", spec=spec, assignments=assignments
+    )
 
 
 def _worker(number: int) -> Worker:
--- a/packages/wasabispur-standins/src/wasabispur_standins/worker_state.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker_state.py
@@ -25,7 +25,7 @@
 FINISHED = "finished"
 FAILED = "failed"
 STOPPED = "stopped"
-LAPSED = "lapsed"
+LAPSED = "expired"
 
 TASK_LIMIT = 10_000
 """Tasks that a worker remembers, ended ones included."""
@@ -132,7 +132,7 @@
         return task
 
     def advance(self, now: float) -> None:
-        """Apply ends of run times, stops and lapsed leases up to now."""
+        """Apply ends of run times, stops and expired leases up to now."""
         for task in self.tasks.values():
             if task.state == RUNNING:
                 self.advance_task(task, now)
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -63,7 +63,7 @@
             settings, timers, actors.membership, actors.bundles.table
         )
         actors.bundles.manager.listeners += jobs.schedulers.values()
-        resources.jobs = JobResource(bridge, jobs.desk, settings.data_centre)
+        resources.jobs = JobResource(bridge, jobs.frontend, settings.data_centre)
         resources.organisations = OrganisationResource(resources.jobs)
         jobs.start()
         resources.bundles = BundleResource(
--- a/packages/wasabispur/src/wasabispur/job_desk.py
+++ b/packages/wasabispur/src/wasabispur/job_frontend.py
@@ -23,7 +23,7 @@
 from .job_rows import read_guarantees, read_record
 
 
-class JobDesk(DecisionActor):
+class JobFrontend(DecisionActor):
     """Own the job register and the callers that wait."""
 
     def __init__(
@@ -33,7 +33,7 @@
         membership: Actor,
         schedulers: dict[str, Actor],
     ) -> None:
-        super().__init__("job-desk", timers, JobRegister(), decide)
+        super().__init__("job-frontend", timers, JobRegister(), decide)
         self.table = table
         self.membership = membership
         self.schedulers = schedulers
@@ -65,14 +65,14 @@
 
 
 @execute.register
-def _(command: AnswerCall, actor: JobDesk) -> None:
+def _(command: AnswerCall, actor: JobFrontend) -> None:
     reply = actor.waiting.pop(command.call_id, None)
     if reply is not None and not reply.done():
         reply.set_result(command)
 
 
 @execute.register
-def _(command: TellOwner, actor: JobDesk) -> None:
+def _(command: TellOwner, actor: JobFrontend) -> None:
     scheduler = actor.schedulers.get(command.shard)
     if scheduler is not None:
         scheduler.post(command.message)
--- a/packages/wasabispur/src/wasabispur/job_resource.py
+++ b/packages/wasabispur/src/wasabispur/job_resource.py
@@ -27,10 +27,10 @@
 from .bridge import Bridge
 from .http_error import BadRequestError, http_status, NotFoundError
 from .http_request import read_model
-from .job_desk import JobDesk
+from .job_frontend import JobFrontend
 
 CALL_TIMEOUT = 15.0
-"""Seconds that a thread waits for the job desk."""
+"""Seconds that a thread waits for the job frontend."""
 
 TASK_LIMIT = 1024
 ACCELERATOR_LIMIT = 64
@@ -87,7 +87,7 @@
     """Serve /v1/jobs."""
 
     bridge: Bridge
-    desk: JobDesk
+    frontend: JobFrontend
     data_centre: str
 
     @cherrypy.expose
@@ -139,8 +139,8 @@
     def shard(self, data_centre: str | None) -> str:
         """Return the data centre of a job; raise BadRequestError."""
         shard = data_centre or self.data_centre
-        if shard not in self.desk.schedulers:
-            known = ", ".join(sorted(self.desk.schedulers))
+        if shard not in self.frontend.schedulers:
+            known = ", ".join(sorted(self.frontend.schedulers))
             raise BadRequestError(
                 f"this entry serves no data centre {shard!r}", f"name one of: {known}"
             )
@@ -148,7 +148,7 @@
 
     def ask(self, call: JobCall) -> AnswerCall:
         """Return the answer to a call; raise a typed error without one."""
-        answer: AnswerCall = self.bridge.ask(self.desk, call, CALL_TIMEOUT)
+        answer: AnswerCall = self.bridge.ask(self.frontend, call, CALL_TIMEOUT)
         if answer.uncertain:
             raise JobUncertainError(
                 f"the table service did not confirm the call: {answer.failure}",
@@ -185,7 +185,7 @@
         "estimate": spec.estimate,
         "data_centre": record.shard,
         "gang_epoch": record.gang_epoch,
-        "workers": [seat.worker_id for seat in record.seats],
+        "workers": [assignment.worker_id for assignment in record.assignments],
         "results": list(record.results),
     }
 
@@ -201,7 +201,7 @@
         "last_stop": record.reason,
         "preemptions": record.preemptions,
         "failed_workers": list(record.failed_workers),
-        "workers": [seat.worker_id for seat in record.seats],
+        "workers": [assignment.worker_id for assignment in record.assignments],
     }
 
 
--- a/packages/wasabispur/src/wasabispur/job_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/job_scheduler.py
@@ -22,7 +22,9 @@
     def __init__(
         self, timers: TimerService, shard: Shard, membership: Actor, table: Actor
     ) -> None:
-        super().__init__(f"job-scheduler:{shard.board.shard}", timers, shard, decide)
+        super().__init__(
+            f"job-scheduler:{shard.scheduler.shard}", timers, shard, decide
+        )
         self.shard = shard
         self.membership = membership
         self.table = table
@@ -34,12 +36,12 @@
 
     def on_apply_bundle(self, message: ApplyBundle) -> None:
         """Work by the guarantees and quotas of the bundle that came into force."""
-        self.on_message(policy_in(message.content, self.shard.board.shard))
+        self.on_message(policy_in(message.content, self.shard.scheduler.shard))
 
     def on_rows_read(self, message: RowsRead) -> None:
         """Validate job rows before the decisions see them."""
         if message.read_id.startswith("job/"):
-            self.on_message(read_jobs(message, self.shard.board.shard))
+            self.on_message(read_jobs(message, self.shard.scheduler.shard))
         else:
             self.on_message(message)
 
@@ -51,11 +53,11 @@
     def on_message(self, message: Message) -> None:
         """Decide on the message and log a change of the owner."""
         super().on_message(message)
-        board = self.shard.board
-        if board.owning is self.owned:
+        scheduler = self.shard.scheduler
+        if scheduler.owning is self.owned:
             return
-        self.owned = board.owning
+        self.owned = scheduler.owning
         if self.owned:
-            log(SHARD_OWNED, shard=board.shard, epoch=board.lease.epoch)
+            log(SHARD_OWNED, shard=scheduler.shard, epoch=scheduler.lease.epoch)
         else:
-            log(SHARD_GIVEN_UP, shard=board.shard)
+            log(SHARD_GIVEN_UP, shard=scheduler.shard)
--- a/packages/wasabispur/src/wasabispur/job_wiring.py
+++ b/packages/wasabispur/src/wasabispur/job_wiring.py
@@ -12,26 +12,26 @@
 from wasabispur_runtime.actor import Actor
 
 from .entry_settings import EntrySettings
-from .job_desk import JobDesk
+from .job_frontend import JobFrontend
 from .job_scheduler import JobScheduler
 from .membership import Membership
 
 
 @dataclass(slots=True)
 class JobActors:
-    """Hold the job desk and one scheduler for each shard."""
+    """Hold the job frontend and one scheduler for each shard."""
 
-    desk: JobDesk
+    frontend: JobFrontend
     schedulers: dict[str, Actor]
 
     def start(self) -> None:
         """Start all of them."""
-        for actor in (self.desk, *self.schedulers.values()):
+        for actor in (self.frontend, *self.schedulers.values()):
             actor.start()
 
     async def close(self) -> None:
         """Stop all of them."""
-        await self.desk.close()
+        await self.frontend.close()
         await asyncio.gather(*(actor.close() for actor in self.schedulers.values()))
 
 
@@ -45,4 +45,4 @@
         shard = new_shard(settings.entry_id, name, catalogue, lambda: uuid4().hex)
         schedulers[name] = JobScheduler(timers, shard, membership, table)
     membership.schedulers = schedulers
-    return JobActors(JobDesk(timers, table, membership, schedulers), schedulers)
+    return JobActors(JobFrontend(timers, table, membership, schedulers), schedulers)
--- a/packages/wasabispur/src/wasabispur/organisation_resource.py
+++ b/packages/wasabispur/src/wasabispur/organisation_resource.py
@@ -42,7 +42,9 @@
     return {
         "organisation": name,
         "accelerators_in_use": sum(
-            len(seat.accelerators) for record in own for seat in record.seats
+            len(assignment.accelerators)
+            for record in own
+            for assignment in record.assignments
         ),
         "waiting": {
             record.job_id: record.cause.value
--- a/tests/bundle/test_bundle_change.py
+++ b/tests/bundle/test_bundle_change.py
@@ -85,7 +85,7 @@
         return self.step(kinds[name], "cleo", change_id)
 
 
-def desk(*steps: str) -> Desk:
+def frontend(*steps: str) -> Desk:
     new = Desk()
     for name in steps:
         assert new.take(name) is None
@@ -105,7 +105,7 @@
 )
 def test_steps_in_order_are_stored(steps, state):
     """Guard against a step that is confirmed but not written."""
-    change = desk(*steps).cluster.change(CHANGE)
+    change = frontend(*steps).cluster.change(CHANGE)
     assert change.state is state
     assert [step.step for step in change.steps] == steps
 
@@ -126,7 +126,7 @@
 def test_steps_out_of_order_are_refused(steps, wrong):
     """Guard against an acceptance without review or sign-off."""
     for name in wrong:
-        current = desk(*steps)
+        current = frontend(*steps)
         rows = dict(current.cluster.rows)
         assert isinstance(current.take(name), BundleOrderError)
         assert current.cluster.rows == rows
@@ -134,9 +134,9 @@
 
 def test_proposer_can_t_review_or_sign_off():
     """Guard against a bundle that one operator alone brings into force."""
-    current = desk("propose")
+    current = frontend("propose")
     assert isinstance(current.step(ReviewBundle, "ada"), OwnChangeError)
-    current = desk("propose", "review")
+    current = frontend("propose", "review")
     assert isinstance(current.sign("ada", "ada"), OwnChangeError)
 
 
@@ -146,14 +146,14 @@
 )
 def test_untrusted_signature_is_refused(operator, signer):
     """Guard against a sign-off under another operator's name."""
-    current = desk("propose", "review")
+    current = frontend("propose", "review")
     assert isinstance(current.sign(operator, signer), UntrustedSignatureError)
     assert current.cluster.change(CHANGE).state is ChangeState.REVIEWED
 
 
 def test_sign_off_by_a_retired_key_can_t_be_accepted():
     """Guard against a pointer to a bundle that every process refuses."""
-    current = desk("propose", "review", "sign-off")
+    current = frontend("propose", "review", "sign-off")
     without = [key for key in TRUSTED if key.operator != "ben"]
     current.node.change_state.verifier = Ed25519Verifier(without)
     assert isinstance(current.take("accept"), UntrustedSignatureError)
@@ -162,7 +162,7 @@
 
 def test_change_on_an_older_base_gets_a_conflict():
     """Guard against an acceptance that drops another operator's change."""
-    current = desk("propose", "review", "sign-off")
+    current = frontend("propose", "review", "sign-off")
     for name in ("propose", "review", "sign-off", "accept"):
         assert current.take(name, "000000000-other") is None
     assert isinstance(current.take("accept"), BundleConflictError)
@@ -195,7 +195,7 @@
 
 @pytest.mark.parametrize("racks", [[], ["r1"], ["r1", "r2"]])
 def test_guarantee_that_can_t_be_packed_is_refused_by_name(racks):
-    """Guard against a promise of two blocks in one rack that has no such rack."""
+    """Guard against a guarantee of two blocks in one rack that has no such rack."""
     current = with_workers(Desk(), racks)
     error = current.propose()
     assert isinstance(error, UnpackableGuaranteeError)
@@ -223,14 +223,14 @@
 
 def test_outage_is_reported_as_without_effect():
     """Guard against an operator who has to guess after an outage."""
-    current = desk("propose")
+    current = frontend("propose")
     current.cluster.store_up = False
     assert isinstance(current.take("review"), BundleStoreError)
 
 
 def test_silent_store_ends_in_an_open_outcome():
     """Guard against an operator who waits for ever."""
-    current = desk("propose", "review", "sign-off")
+    current = frontend("propose", "review", "sign-off")
     message = AcceptBundle(operation_id="slow", change_id=CHANGE, operator="cleo")
     current.cluster.take(current.node, message)
     current.cluster.network.clear()
--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -49,14 +49,14 @@
     other = Actor("other", timers)
     scheduler = JobScheduler(timers, shard, membership=other, table=other)
     scheduler.on_apply_bundle(ApplyBundle(version=1, content=content()))
-    (promise,) = shard.board.plan.promises
-    assert (promise.organisation, promise.shape.name) == ("peachtree", "pair")
-    assert shard.board.quotas == {"peachtree": 32}
-    assert shard.board.urgent_classes == {"urgent"}
+    (guarantee,) = shard.scheduler.plan.guarantees
+    assert (guarantee.organisation, guarantee.shape.name) == ("peachtree", "pair")
+    assert shard.scheduler.quotas == {"peachtree": 32}
+    assert shard.scheduler.urgent_classes == {"urgent"}
 
 
 def test_guarantees_elsewhere_do_not_bind_a_shard():
     """Guard against a shard that holds back capacity for another data centre."""
     policy = policy_in(content(), "sav-1")
-    assert policy.promises == ()
+    assert policy.guarantees == ()
     assert policy.quotas == {}
--- a/tests/job/test_explain.py
+++ b/tests/job/test_explain.py
@@ -10,9 +10,9 @@
 from wasabispur_core.job_place import PolicyChanged
 from wasabispur_core.job_record import Cause, guarantee_key, job_key
 
-from .world import promise, SHARD, World
+from .world import guarantee, SHARD, World
 
-WHOLE_WORKER = promise("peachtree", 1, 4, Adjacency.WORKER)
+WHOLE_WORKER = guarantee("peachtree", 1, 4, Adjacency.WORKER)
 
 
 def cause_of(world: World, job_id: str) -> Cause:
@@ -69,7 +69,7 @@
 )
 def test_running_job_tells_whose_accelerators_it_has(organisation, cause):
     """Guard against a placement that nobody can explain."""
-    world = World(promises=(WHOLE_WORKER,))
+    world = World(guarantees=(WHOLE_WORKER,))
     job_id = world.submit(organisation=organisation, accelerators=4)
     world.advance(8)
     assert cause_of(world, job_id) is cause
@@ -77,7 +77,7 @@
 
 def test_reclaimed_job_tells_who_reclaimed_it():
     """Guard against a stop without the organisation that caused it."""
-    world = full_world(promises=(WHOLE_WORKER,))
+    world = full_world(guarantees=(WHOLE_WORKER,))
     own = world.submit(accelerators=4)
     world.advance(15)
     stopped = [
@@ -98,7 +98,7 @@
 
 def test_lost_guarantee_is_shown_to_any_entry():
     """Guard against a guarantee whose loss only the owner knows."""
-    world = World(agents=1, promises=(WHOLE_WORKER,))
+    world = World(agents=1, guarantees=(WHOLE_WORKER,))
     world.advance(8)
     key = guarantee_key(SHARD)
     (shown,) = read_guarantees([world.rows[key]])
--- a/tests/job/test_guarantee.py
+++ b/tests/job/test_guarantee.py
@@ -13,13 +13,13 @@
 from wasabispur_core.guarantee import Adjacency, unpackable
 from wasabispur_core.log_event import GUARANTEE_LOST, GUARANTEE_MET
 
-from .world import promise, World
+from .world import guarantee, World
 
 RECLAIM_BOUND = 30.0
 """Seconds from the submission to the start in a reclaimed guarantee; the leases of
 section 6 need 21.3 s, and listing, reservation and ticks come on top."""
 
-WHOLE_WORKER = promise("peachtree", 1, 4, Adjacency.WORKER)
+WHOLE_WORKER = guarantee("peachtree", 1, 4, Adjacency.WORKER)
 
 
 def fleet_of(sizes: list[int]) -> Fleet:
@@ -37,11 +37,11 @@
     return fleet
 
 
-def can_pack(promises, free, fleet) -> bool:
-    """Try every choice of aligned blocks for every promise."""
-    if not promises:
+def can_pack(guarantees, free, fleet) -> bool:
+    """Try every choice of aligned blocks for every guarantee."""
+    if not guarantees:
         return True
-    shape = promises[0].shape
+    shape = guarantees[0].shape
     size = shape.block_size
     blocks = [
         frozenset((worker, start + offset) for offset in range(size))
@@ -58,14 +58,14 @@
             continue
         used = frozenset().union(*chosen)
         if len(used) == shape.blocks * size and can_pack(
-            promises[1:], free - used, fleet
+            guarantees[1:], free - used, fleet
         ):
             return True
     return False
 
 
 SHAPES = st.builds(
-    promise,
+    guarantee,
     st.sampled_from(["peachtree", "prairie", "harbour"]),
     st.integers(1, 3),
     st.sampled_from([1, 2, 4]),
@@ -76,9 +76,9 @@
 @settings(max_examples=300)
 @given(
     sizes=st.lists(st.sampled_from([1, 2, 4]), min_size=1, max_size=4),
-    promises=st.lists(SHAPES, min_size=1, max_size=4, unique=True),
+    guarantees=st.lists(SHAPES, min_size=1, max_size=4, unique=True),
 )
-def test_packing_succeeds_exactly_if_there_is_one(sizes, promises):
+def test_packing_succeeds_exactly_if_there_is_one(sizes, guarantees):
     """Guard against a guarantee reported as lost that could be met, or the reverse."""
     fleet = fleet_of(sizes)
     free = frozenset(
@@ -86,7 +86,9 @@
         for worker, w in fleet.workers.items()
         for index in range(w.accelerators)
     )
-    assert (unpackable(tuple(promises), fleet) == ()) == can_pack(promises, free, fleet)
+    assert (unpackable(tuple(guarantees), fleet) == ()) == can_pack(
+        guarantees, free, fleet
+    )
 
 
 def test_blocks_are_aligned_and_split_the_smallest():
@@ -100,7 +102,7 @@
 @pytest.mark.parametrize("ignores_stops", [False, True])
 def test_reclaim_is_bounded_even_if_workers_ignore_stops(ignores_stops):
     """Guard against an organisation that doesn't get its guarantee back."""
-    world = World(promises=(WHOLE_WORKER,))
+    world = World(guarantees=(WHOLE_WORKER,))
     borrowers = [world.submit(organisation="prairie", accelerators=4) for _ in range(3)]
     world.advance(10)
     assert len(world.running_tasks()) == 3
@@ -116,7 +118,7 @@
 
 def test_reclaim_stops_nothing_while_there_is_room():
     """Guard against a needless preemption."""
-    world = World(promises=(WHOLE_WORKER,))
+    world = World(guarantees=(WHOLE_WORKER,))
     world.submit(organisation="prairie", accelerators=4)
     world.advance(10)
     world.submit(accelerators=4)
@@ -126,7 +128,7 @@
 
 def test_called_guarantee_is_not_lent_again():
     """Guard against a queue of borrowers that outruns the reclaim."""
-    world = World(promises=(WHOLE_WORKER,))
+    world = World(guarantees=(WHOLE_WORKER,))
     for _ in range(6):
         world.submit(organisation="prairie", accelerators=4)
     world.advance(10)
@@ -144,7 +146,7 @@
 
 def test_nobody_is_preempted_twice_while_others_never_were():
     """Guard against one job that pays for every reclaim."""
-    world = World(promises=(WHOLE_WORKER,))
+    world = World(guarantees=(WHOLE_WORKER,))
     for _ in range(3):
         world.submit(organisation="prairie", accelerators=4)
     world.advance(10)
@@ -166,7 +168,8 @@
 def test_lost_guarantee_is_reported_and_found_again():
     """Guard against a failure that breaks a guarantee in silence."""
     world = World(
-        agents=2, promises=(WHOLE_WORKER, promise("prairie", 1, 4, Adjacency.WORKER))
+        agents=2,
+        guarantees=(WHOLE_WORKER, guarantee("prairie", 1, 4, Adjacency.WORKER)),
     )
     world.advance(10)
     assert not world.logged
@@ -182,7 +185,7 @@
 
 def test_preempted_job_goes_on_from_its_checkpoint():
     """Guard against a reclaim that throws finished work away."""
-    world = World(agents=1, promises=(WHOLE_WORKER,))
+    world = World(agents=1, guarantees=(WHOLE_WORKER,))
     borrower = world.submit(organisation="prairie", accelerators=4)
     world.advance(10)
     own = world.submit(accelerators=4)
--- a/tests/job/test_job_machine.py
+++ b/tests/job/test_job_machine.py
@@ -12,13 +12,13 @@
 
 from wasabispur_core.guarantee import Adjacency
 
-from .world import promise, World
+from .world import guarantee, World
 
 INDEX = st.integers(0, 40)
 
 PROMISES = (
-    promise("peachtree", 1, 4, Adjacency.WORKER),
-    promise("prairie", 2, 2, Adjacency.RACK),
+    guarantee("peachtree", 1, 4, Adjacency.WORKER),
+    guarantee("prairie", 2, 2, Adjacency.RACK),
 )
 
 
@@ -27,7 +27,7 @@
 
     @initialize()
     def start(self):
-        self.world = World(promises=PROMISES)
+        self.world = World(guarantees=PROMISES)
         self.world.advance(2)
 
     def pick(self, items, index):
--- a/tests/job/test_job_mechanism.py
+++ b/tests/job/test_job_mechanism.py
@@ -29,7 +29,7 @@
 
 
 def owner(world: World):
-    return next(e for e in world.entries.values() if e.shard.board.owning)
+    return next(e for e in world.entries.values() if e.shard.scheduler.owning)
 
 
 def submit_now(world: World, **fields) -> str:
@@ -70,7 +70,7 @@
     """Deliver a renewal just before the end of the lease that it extends."""
     world = ready_world()
     agent = running_job(world)
-    while owner(world).shard.board.next_renewal - world.now > 1.5:
+    while owner(world).shard.scheduler.next_renewal - world.now > 1.5:
         world.advance(0.5)
     cut_off(world, agent)
     world.advance(10)
@@ -91,7 +91,7 @@
     stop = StopTask(
         task_id=task_id,
         shard=SHARD,
-        shard_epoch=former.shard.board.lease.epoch,
+        shard_epoch=former.shard.scheduler.lease.epoch,
         gang_epoch=1,
         reason=Reason.CANCELLED,
     )
@@ -170,7 +170,7 @@
     world.store_cut = {former.name}
     world.block(other.name, agent.name)
     world.advance(60)
-    assert other.shard.board.owning
+    assert other.shard.scheduler.owning
     assert agent.running
     world.settle()
 
@@ -216,8 +216,8 @@
 def kept_rows(keep):
     """Return an end_record that drops the rows for which keep is false."""
 
-    def end_record(board, job, record):
-        commands = gang.end_record(board, job, record)
+    def end_record(scheduler, job, record):
+        commands = gang.end_record(scheduler, job, record)
         return [c for c in commands if not hasattr(c, "key") or keep(c)]
 
     return end_record
@@ -289,7 +289,11 @@
     (
         "right",
         owner_without_store_renews,
-        lambda: (attribute(job_action, "unheard_bound", lambda board: board.acquired),),
+        lambda: (
+            attribute(
+                job_action, "unheard_bound", lambda scheduler: scheduler.acquired
+            ),
+        ),
     ),
 ]
 IDS = [f"{name}-{scenario.__name__}" for name, scenario, _ in MECHANISMS]
--- a/tests/job/test_queue.py
+++ b/tests/job/test_queue.py
@@ -8,7 +8,7 @@
 from wasabispur_core.job_place import PolicyChanged
 from wasabispur_core.job_record import job_key, JobSpec
 from wasabispur_core.run_time import RunTimes, UNKNOWN_RUN_TIME
-from wasabispur_core.worker_health import HealthBoard, QUARANTINE_TIME
+from wasabispur_core.worker_health import HealthTracker, QUARANTINE_TIME
 
 from .world import SHARD, World
 
@@ -134,14 +134,14 @@
     assert world.ended_state(job_id) == "cancelled"
 
 
-def fail(health: HealthBoard, worker: str, count: int) -> None:
+def fail(health: HealthTracker, worker: str, count: int) -> None:
     for number in range(count):
         health.record(worker, f"job{number}", False)
 
 
 def test_worker_that_fails_everything_is_quarantined_until_it_proves_itself():
     """Guard against a broken worker that eats the queue, or never comes back."""
-    health = HealthBoard()
+    health = HealthTracker()
     fail(health, "w0", 4)
     assert health.update(6, 0.0) == {"w0"}
     assert health.update(6, QUARANTINE_TIME + 1) == frozenset()
@@ -158,7 +158,7 @@
 @pytest.mark.parametrize("case", ["one job", "some succeed", "most workers"])
 def test_quarantine_spares_workers_that_may_be_sound(case):
     """Guard against a bad job or a common cause that empties the fleet."""
-    health = HealthBoard()
+    health = HealthTracker()
     if case == "one job":
         for _ in range(8):
             health.record("w0", "job", False)
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -17,7 +17,7 @@
     WriteLog,
 )
 from wasabispur_core.fleet import Worker, WorkerAttached, WorkerDetached
-from wasabispur_core.guarantee import Adjacency, GuaranteedShape, Promise
+from wasabispur_core.guarantee import Adjacency, Guarantee, GuaranteedShape
 from wasabispur_core.job_place import PolicyChanged
 from wasabispur_core.job_record import (
     cancel_key,
@@ -61,9 +61,9 @@
 SILENCE = 3.0
 
 
-def promise(
+def guarantee(
     organisation: str, blocks: int, block_size: int, adjacency: Adjacency
-) -> Promise:
+) -> Guarantee:
     shape = GuaranteedShape(
         name=f"{blocks}x{block_size}",
         data_centre=SHARD,
@@ -71,7 +71,7 @@
         block_size=block_size,
         adjacency=adjacency,
     )
-    return Promise(organisation=organisation, shape=shape)
+    return Guarantee(organisation=organisation, shape=shape)
 
 
 @dataclass(eq=False)
@@ -110,9 +110,9 @@
         agents: int = 3,
         entries: int = 2,
         accelerators: int = 4,
-        promises: tuple = (),
+        guarantees: tuple = (),
     ):
-        self.promises = promises
+        self.guarantees = guarantees
         self.now = 0.0
         self.ids = count(1)
         self.queue: deque = deque()
@@ -162,7 +162,7 @@
             entry.name, SHARD, CATALOGUE, lambda: f"op{next(self.ids)}"
         )
         entry.alive, entry.paused, entry.inbox, entry.timers = True, False, [], {}
-        self.post(entry, PolicyChanged(promises=self.promises))
+        self.post(entry, PolicyChanged(guarantees=self.guarantees))
         self.post(entry, ShardTick())
 
     def boot_agent(self, agent: Agent) -> None:
@@ -521,40 +521,44 @@
             assert kept, "job: an accepted job is lost"
         for entry in self.entries.values():
             if entry.alive:
-                self.check_seats(entry.shard.board)
-                self.check_guarantees(entry.shard.board)
+                self.check_seats(entry.shard.scheduler)
+                self.check_guarantees(entry.shard.scheduler)
 
-    def check_seats(self, board: object) -> None:
-        seats = [
-            (member.seat.worker_id, index)
-            for job in board.jobs.values()
+    def check_seats(self, scheduler: object) -> None:
+        assignments = [
+            (member.assignment.worker_id, index)
+            for job in scheduler.jobs.values()
             for member in job.members.values()
             if job.lifecycle.state == "placing" or not job.has_ended(member, self.now)
-            for index in member.seat.accelerators
+            for index in member.assignment.accelerators
         ]
-        assert len(seats) == len(set(seats)), "accelerator: placed twice"
+        assert len(assignments) == len(set(assignments)), "accelerator: placed twice"
 
-    def check_guarantees(self, board: object) -> None:
-        plan = board.plan
-        if board.plan_stale:
+    def check_guarantees(self, scheduler: object) -> None:
+        plan = scheduler.plan
+        if scheduler.plan_stale:
             return
-        missing = [p for p in plan.promises if p not in plan.homes]
+        missing = [p for p in plan.guarantees if p not in plan.allocations]
         assert sorted(map(repr, missing)) == sorted(map(repr, plan.lost)), (
             "guarantee: a shape is neither packed nor reported"
         )
         taken = [
-            (seat.worker_id, index)
-            for seats in plan.homes.values()
-            for seat in seats
-            for index in seat.accelerators
+            (assignment.worker_id, index)
+            for assignments in plan.allocations.values()
+            for assignment in assignments
+            for index in assignment.accelerators
         ]
-        assert len(taken) == len(set(taken)), "guarantee: two shapes share a home"
+        assert len(taken) == len(set(taken)), "guarantee: two shapes overlap"
         workers = {worker for worker, _ in taken}
-        assert workers <= board.fleet.available, "guarantee: home on a lost worker"
-        for promise, seats in plan.homes.items():
-            assert len(seats) == promise.shape.blocks, "guarantee: too few blocks"
-            racks = {board.fleet.workers[s.worker_id].rack for s in seats}
-            if promise.shape.adjacency is not Adjacency.DATA_CENTRE:
+        assert workers <= scheduler.fleet.available, (
+            "guarantee: allocation on a lost worker"
+        )
+        for guarantee, assignments in plan.allocations.items():
+            assert len(assignments) == guarantee.shape.blocks, (
+                "guarantee: too few blocks"
+            )
+            racks = {scheduler.fleet.workers[s.worker_id].rack for s in assignments}
+            if guarantee.shape.adjacency is not Adjacency.DATA_CENTRE:
                 assert len(racks) == 1, "guarantee: blocks are not adjacent"
 
     def heal(self) -> None:
--- a/tests/platform/test_worker_state.py
+++ b/tests/platform/test_worker_state.py
@@ -60,7 +60,7 @@
     """Guards against a task that outlives its lease and then counts as finished."""
     state = WorkerState()
     start(state, run_time=5.0, lease=2.0)
-    assert read(state, 100.0).state == "lapsed"
+    assert read(state, 100.0).state == "expired"
     with pytest.raises(TaskConflictError):
         answer(RenewCall(task_id="t", lease=5.0), state, 101.0)
 
@@ -96,7 +96,7 @@
     start(stubborn, run_time=9.0, lease=4.0)
     answer(StopCall(task_id="t"), stubborn, 1.0)
     assert read(stubborn, 3.9).state == "running"
-    assert read(stubborn, 4.0).state == "lapsed"
+    assert read(stubborn, 4.0).state == "expired"
 
 
 def test_failing_worker_fails_every_task():
