Share the dialling of links and the reading of introductions

Cause: entry_link.py and peer_link.py held the same dial, backoff and error handling, and agent_session.py and peer_session.py the same reading of the first message. One base class Link and one function serve both now.

--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_routing.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_routing.py
@@ -16,8 +16,7 @@
 from wasabispur_core.permit import FromEntry
 from wasabispur_core.protocol import HeartbeatAck, OfferBundle
 from wasabispur_runtime.actor import Actor
-
-from .entry_link import LinkEnded
+from wasabispur_runtime.link import LinkEnded
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -7,25 +7,17 @@
 from typing import Any
 
 from wasabispur_core.attachment import heartbeat_interval, HeartbeatIntervals
-from wasabispur_core.error import ProtocolError
-from wasabispur_core.log_event import MESSAGE_MALFORMED
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Welcome
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.log import log
 from wasabispur_runtime.stream import (
     abort_connection,
-    FRAME_ERRORS,
-    limit_frames,
     MessageStream,
-    STREAM_ERRORS,
 )
-from wasabispur_runtime.timer_service import time_limit
 
-ANNOUNCE_TIMEOUT = 5.0
-"""Seconds within which a new stream has to announce its agent."""
+from .introduction import receive_introduction
 
 
 class AgentSession(MessageStream):
@@ -91,7 +83,7 @@
     bundle_version: Callable[[], int],
 ) -> None:
     """Serve one Attach stream until it ends."""
-    announce = await receive_announce(stream, timers)
+    announce = await receive_introduction(stream, timers, Announce)
     if announce is None:
         abort_connection(stream)
         return
@@ -106,21 +98,3 @@
         reason = await session.serve()
     finally:
         membership.post_urgent(SessionEnded(session=session, reason=reason))
-
-
-async def receive_announce(stream: Any, timers: TimerService) -> Announce | None:
-    """Return the first message if it is an announcement that came in time."""
-    try:
-        limit_frames(stream)
-        async with time_limit(timers, ANNOUNCE_TIMEOUT):
-            first = await stream.recv_message()
-    except TimeoutError:
-        log(MESSAGE_MALFORMED, peer="new agent", error="no Announce came in time")
-        return None
-    except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
-        log(MESSAGE_MALFORMED, peer="new agent", error=str(error))
-        return None
-    if not isinstance(first, Announce):
-        log(MESSAGE_MALFORMED, peer="new agent", error="no Announce came first")
-        return None
-    return first
--- a/packages/wasabispur/src/wasabispur/control_server.py
+++ b/packages/wasabispur/src/wasabispur/control_server.py
@@ -13,7 +13,7 @@
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import log
 
-from .agent_session import ANNOUNCE_TIMEOUT
+from .introduction import INTRODUCTION_TIMEOUT
 
 SPARE_CONNECTIONS = 64
 """Connections beyond the session limit: peers, and streams being opened."""
@@ -54,7 +54,7 @@
             return
         self.server.connections.add(self)
         self.deadline = self.server.timers.subscribe(
-            ANNOUNCE_TIMEOUT, self._check_use, Message()
+            INTRODUCTION_TIMEOUT, self._check_use, Message()
         )
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/introduction.py
@@ -0,0 +1,42 @@
+"""Receive the introduction of a process that opened a stream."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from wasabispur_core.error import ProtocolError
+from wasabispur_core.log_event import MESSAGE_MALFORMED
+from wasabispur_core.message import Message
+from wasabispur_core.timer import TimerService
+from wasabispur_runtime.log import log
+from wasabispur_runtime.stream import FRAME_ERRORS, limit_frames, STREAM_ERRORS
+from wasabispur_runtime.timer_service import time_limit
+
+INTRODUCTION_TIMEOUT = 5.0
+"""Seconds within which a new stream has to carry its introduction."""
+
+MessageT = TypeVar("MessageT", bound=Message)
+
+
+async def receive_introduction(
+    stream: Any, timers: TimerService, expected: type[MessageT]
+) -> MessageT | None:
+    """Return the first message if it is of the expected class and in time."""
+    try:
+        limit_frames(stream)
+        async with time_limit(timers, INTRODUCTION_TIMEOUT):
+            first = await stream.recv_message()
+    except TimeoutError:
+        _log_rejection(expected, f"no {expected.__name__} came in time")
+        return None
+    except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
+        _log_rejection(expected, str(error))
+        return None
+    if not isinstance(first, expected):
+        _log_rejection(expected, f"no {expected.__name__} came first")
+        return None
+    return first
+
+
+def _log_rejection(expected: type[Message], error: str) -> None:
+    log(MESSAGE_MALFORMED, peer=f"new stream ({expected.__name__})", error=error)
--- a/packages/wasabispur/src/wasabispur/peer_link.py
+++ b/packages/wasabispur/src/wasabispur/peer_link.py
@@ -9,8 +9,6 @@
 
 from grpclib.client import Channel, StreamStreamMethod
 
-from wasabispur_core.error import ProtocolError
-from wasabispur_core.log_event import HANDLER_FAILED, STREAM_FAILED
 from wasabispur_core.message import Message
 from wasabispur_core.peer_directory import (
     decide,
@@ -25,52 +23,28 @@
 from wasabispur_core.protocol import PeerHello
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.codec import BETWEEN_ENTRIES, MessageCodec
+from wasabispur_runtime.codec import BETWEEN_ENTRIES
 from wasabispur_runtime.decision_actor import DecisionActor, execute
-from wasabispur_runtime.log import log, log_failure
+from wasabispur_runtime.link import Link, WELCOME_TIMEOUT
 from wasabispur_runtime.stream import (
-    FRAME_ERRORS,
     limit_frames,
     PEER_METHOD,
-    STREAM_ERRORS,
 )
 from wasabispur_runtime.timer_service import time_limit
 
-from .peer_session import HELLO_TIMEOUT, PeerContext
+from .peer_session import PeerContext
 
-BACKOFF_BASE = 0.2
-BACKOFF_LIMIT = 2.0
-"""Bounds in seconds of the jittered delay before the next dial."""
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DialDue(Message):
-    """Tell a link to dial its peer."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LinkEnded(Message):
-    """Report that the stream of a link ended."""
-
-    reason: str
-
-
-class PeerLink(Actor):
-    """Keep one stream to one peer open; dial again with backoff."""
+class PeerLink(Link):
+    """Keep one stream to one peer open."""
 
     def __init__(
         self, record: EntryRecord, context: PeerContext, random: Random
     ) -> None:
-        super().__init__(f"peer:{record.entry_id}", context.timers)
+        name = f"peer:{record.entry_id}"
+        super().__init__(name, record.entry_id, record.address, context.timers, random)
         self.record = record
         self.context = context
-        self.random = random
-        self.failures = 0
-        self.session: asyncio.Task[None] | None = None
-
-    async def opened(self) -> None:
-        """Dial at once."""
-        self.post(DialDue())
 
     async def closed(self) -> None:
         """End the stream."""
@@ -78,42 +52,12 @@
             self.session.cancel()
             await asyncio.gather(self.session, return_exceptions=True)
 
-    def on_dial_due(self, message: DialDue) -> None:
-        """Open a stream in a task of its own, so that messages go on."""
-        self.session = asyncio.get_running_loop().create_task(self._serve())
-
-    def on_link_ended(self, message: LinkEnded) -> None:
-        """Schedule the next dial."""
-        self.failures += 1
-        limit = min(BACKOFF_LIMIT, BACKOFF_BASE * 2**self.failures)
-        log(STREAM_FAILED, peer=self.record.entry_id, reason=message.reason)
-        self.set_timer("dial", self.random.uniform(BACKOFF_BASE, limit), DialDue())
-
-    async def _serve(self) -> None:
-        host, _, port = self.record.address.rpartition(":")
-        channel = Channel(host, int(port), codec=MessageCodec())
-        reason = "closed"
-        try:
-            reason = await self._connect(channel)
-        except TimeoutError:
-            reason = "the peer did not introduce itself in time"
-        except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
-            reason = f"{type(error).__name__}: {error}"
-        except Exception as error:
-            # The link has to dial again after any failure.
-            reason = f"{type(error).__name__}: {error}"
-            log_failure(
-                HANDLER_FAILED, actor=self.name, message_name="dial_due", error=reason
-            )
-        finally:
-            channel.close()
-        self.post_urgent(LinkEnded(reason=reason))
-
-    async def _connect(self, channel: Channel) -> str:
+    async def connect(self, channel: Channel) -> str:
+        """Serve one stream to the peer and return why it ended."""
         messages = cast(Any, BETWEEN_ENTRIES)
         method: Any = StreamStreamMethod(channel, PEER_METHOD, messages, messages)
         async with method.open() as stream:
-            async with time_limit(self.timers, HELLO_TIMEOUT):
+            async with time_limit(self.timers, WELCOME_TIMEOUT):
                 await stream.send_message(self.context.hello())
                 limit_frames(stream)
                 hello = await stream.recv_message()
--- a/packages/wasabispur/src/wasabispur/peer_session.py
+++ b/packages/wasabispur/src/wasabispur/peer_session.py
@@ -6,25 +6,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wasabispur_core.error import ProtocolError
-from wasabispur_core.log_event import MESSAGE_MALFORMED
 from wasabispur_core.member import FromPeer
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Heartbeat, PeerHello
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.log import log
 from wasabispur_runtime.stream import (
     abort_connection,
-    FRAME_ERRORS,
-    limit_frames,
     MessageStream,
-    STREAM_ERRORS,
 )
-from wasabispur_runtime.timer_service import time_limit
 
-HELLO_TIMEOUT = 3.0
-"""Seconds within which a new stream has to introduce the peer."""
+from .introduction import receive_introduction
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -110,27 +102,9 @@
 
 async def serve_peer(stream: Any, context: PeerContext) -> None:
     """Serve one Peer stream that another entry opened until it ends."""
-    hello = await receive_hello(stream, context.timers)
+    hello = await receive_introduction(stream, context.timers, PeerHello)
     if hello is None:
         abort_connection(stream)
         return
     await stream.send_message(context.hello())
     await context.session(hello, stream, initiator=False).report()
-
-
-async def receive_hello(stream: Any, timers: TimerService) -> PeerHello | None:
-    """Return the first message if it is an introduction that came in time."""
-    try:
-        limit_frames(stream)
-        async with time_limit(timers, HELLO_TIMEOUT):
-            first = await stream.recv_message()
-    except TimeoutError:
-        log(MESSAGE_MALFORMED, peer="new peer", error="no PeerHello came in time")
-        return None
-    except (ProtocolError, *FRAME_ERRORS, *STREAM_ERRORS) as error:
-        log(MESSAGE_MALFORMED, peer="new peer", error=str(error))
-        return None
-    if not isinstance(first, PeerHello):
-        log(MESSAGE_MALFORMED, peer="new peer", error="no PeerHello came first")
-        return None
-    return first
