--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import singledispatch
 
 from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
 from wasabispur_core.message import event_name, Message
@@ -32,7 +33,7 @@
 from wasabispur_runtime.log import log
 from wasabispur_runtime.timer_service import sleep, time_limit
 
-from .worker_client import Answer, Refused, TaskView, WorkerClient
+from .worker_client import Answer, Refused, TaskView, Unanswered, WorkerClient
 
 THREADS = 8
 POLL_INTERVAL = 0.5
@@ -123,18 +124,7 @@
 
     def on_start_answered(self, message: StartAnswered) -> None:
         """Report a start, or repeat it while the outcome is open."""
-        task_id = message.command.reserve.task_id
-        answer = message.answer
-        if isinstance(answer, TaskView):
-            self.report(TaskStarted(task_id=task_id, gang_epoch=0))
-            if answer.ended:
-                self.report(end_of(answer))
-        elif isinstance(answer, Refused):
-            self.report(stopped(task_id, Reason.NO_CAPACITY))
-        elif not answer.sent:
-            self.report(stopped(task_id, Reason.WORKER_UNREACHABLE))
-        else:
-            self.repeat_start(message.command)
+        settle_start(message.answer, message.command, self)
 
     def repeat_start(self, command: RunAtWorker) -> None:
         """Send a start again whose answer was lost; the worker starts it once."""
@@ -230,6 +220,31 @@
     actor.call(command.task_id, stop)
 
 
+@singledispatch
+def settle_start(answer: Answer, command: RunAtWorker, runner: WorkerRunner) -> None:
+    """Act on the worker's answer to a start."""
+
+
+@settle_start.register
+def _(answer: TaskView, command: RunAtWorker, runner: WorkerRunner) -> None:
+    runner.report(TaskStarted(task_id=command.reserve.task_id, gang_epoch=0))
+    if answer.ended:
+        runner.report(end_of(answer))
+
+
+@settle_start.register
+def _(answer: Refused, command: RunAtWorker, runner: WorkerRunner) -> None:
+    runner.report(stopped(command.reserve.task_id, Reason.NO_CAPACITY))
+
+
+@settle_start.register
+def _(answer: Unanswered, command: RunAtWorker, runner: WorkerRunner) -> None:
+    if answer.sent:
+        runner.repeat_start(command)
+        return
+    runner.report(stopped(command.reserve.task_id, Reason.WORKER_UNREACHABLE))
+
+
 def stop_result(task_id: str, answer: Answer) -> Message | None:
     """Return the proof in the worker's answer to a stop, if there is one."""
     if isinstance(answer, TaskView) and answer.ended:
