--- a/tests/process/test_request_process.py
+++ b/tests/process/test_request_process.py
@@ -47,6 +47,12 @@
         """Send one non-idempotent request from a thread."""
         return self.callers.submit(self.order, path, key)
 
+    def fault(self, *faults) -> None:
+        """Switch the table service to the faults."""
+        url = f"http://{HOST}:{self.table_port}/faults"
+        body = json.dumps({"faults": list(faults)})
+        assert self.http.request("PUT", url, body=body).status == 200
+
     def ready(self) -> int:
         """Return the status of the readiness check."""
         return self.http.request("GET", f"http://{HOST}:{self.http_port}/readyz").status
@@ -121,6 +127,27 @@
     assert len(system.runs("/stored")) == 1
 
 
+def test_table_outage_refuses_orders_and_leaves_urgent_requests(system):
+    """Guard against an order without a claim, and against a store that all need."""
+    system.fault({"kind": "outage"})
+    assert outcome(system.order("/outage", "k5", 3_000)) == "not-run"
+    assert system.call("/urgent").status == 200
+    assert system.runs("/outage") == []
+    system.fault()
+    wait_for(lambda: system.order("/outage", "k6", 3_000).status == 200)
+    assert len(system.runs("/outage")) == 1
+
+
+def test_lost_answer_of_the_claim_leads_to_one_run(system):
+    """Guard against a second run after a claim that was written unnoticed."""
+    lost = {"kind": "lose_answer", "method": "POST", "path": "/v1/transactions"}
+    system.fault(lost | {"count": 1})
+    first = system.order("/lost", "k7")
+    second = system.order("/lost", "k7")
+    assert outcome(first) == outcome(second) == "completed"
+    assert len(system.runs("/lost")) == 1
+
+
 def test_agent_drains_without_cutting_what_runs(system):
     """Guard against a planned stop of an agent that loses a response."""
     reply = system.call_later("/agent-drain?delay_ms=5000")
