--- a/packages/wasabispur-core/src/wasabispur_core/reclaim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/reclaim.py
@@ -14,7 +14,7 @@
 from .job_record import Cause, JobSpec
 from .placement import Assignment, FreeCapacity, place_gang
 
-HomeCost = tuple[int, bool, float]
+AllocationCost = tuple[int, bool, float]
 
 
 def relocate_allocations(
@@ -50,7 +50,7 @@
 
 def _allocation_cost(
     scheduler: SchedulerState, assignments: tuple[Assignment, ...], now: float
-) -> HomeCost:
+) -> AllocationCost:
     """Return most preemptions, urgency and lost work of those in the way."""
     allocation = _accelerators(assignments)
     orders = [
