Wait for the table service before a request test sets its faults

Cause: in the first full run that held it, the test of the outage set its fault before the stand-in listened, and got a refused connection. The system fixture now waits until the stand-in answers. Ruled out: a fault of the entry, which had not been called yet. Before: 1 failed, 838 passed. After: the 8 tests of the file pass, and the two tests that set faults passed twice more with all cores busy; the full suite was not run again.

--- a/tests/process/test_request_process.py
+++ b/tests/process/test_request_process.py
@@ -21,6 +21,7 @@
         self.table_port = free_port()
         arguments = ("wasabispur_standins", "table-service", "--port")
         self.start("table", *arguments, str(self.table_port))
+        wait_for(self.table_answers)
         super().__enter__()
         return self
 
@@ -47,6 +48,14 @@
         """Send one non-idempotent request from a thread."""
         return self.callers.submit(self.order, path, key)
 
+    def table_answers(self) -> bool:
+        """Return whether the table service accepts connections."""
+        url = f"http://{HOST}:{self.table_port}/faults"
+        try:
+            return self.http.request("GET", url, retries=False).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
     def fault(self, *faults) -> None:
         """Switch the table service to the faults."""
         url = f"http://{HOST}:{self.table_port}/faults"
