Share the decisions that both platform services have in common

Cause: object_access.py and table_access.py held the same four handlers for answers, expiries, the circuit and the rate. Both fall back to one function in store_decision.py now. Behaviour is the same but for the text of the error for an unknown message, which names the store access.

--- a/packages/wasabispur-core/src/wasabispur_core/object_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/object_access.py
@@ -7,13 +7,10 @@
 from functools import singledispatch
 from hashlib import sha256
 from random import Random
-from typing import Any
 
 from .action import Action, Guard, holds, perform
 from .chart import Chart, ChartCatalogue
-from .circuit import CircuitDue
 from .command import Command
-from .error import UnhandledMessageError
 from .message import Message
 from .store_access import (
     BackOff,
@@ -21,24 +18,18 @@
     CALL_DEADLINE,
     Expired,
     finish,
-    LaneDue,
     new_access,
     NoteReason,
-    pump,
-    retry_circuit,
     SetExpiry,
-    settle,
     StoreAccess,
-    wake,
 )
 from .store_call import (
     Call,
     CallAnswer,
-    CallExpired,
     CallMessage,
-    RetryDue,
     SendCall,
 )
+from .store_decision import decide_call
 
 OBJECT_LIMIT_BYTES = 16 * 1024 * 1024
 """Largest object."""
@@ -217,10 +208,7 @@
 @singledispatch
 def decide(message: Message, state: StoreAccess, now: float) -> list[Command]:
     """Return the commands that a message about the object store causes."""
-    raise UnhandledMessageError(
-        f"the object access does not take {type(message).__name__}",
-        "send it to the component that handles it",
-    )
+    return decide_call(message, state, now)
 
 
 @decide.register
@@ -232,24 +220,3 @@
         request=message,
     )
     return begin(message, call, state, now)
-
-
-@decide.register
-def _(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
-    return settle(message, state, now)
-
-
-@decide.register(CallExpired)
-@decide.register(RetryDue)
-def _(message: Any, state: StoreAccess, now: float) -> list[Command]:
-    return wake(message, state, now)
-
-
-@decide.register
-def _(message: CircuitDue, state: StoreAccess, now: float) -> list[Command]:
-    return retry_circuit(message, state, now)
-
-
-@decide.register
-def _(message: LaneDue, state: StoreAccess, now: float) -> list[Command]:
-    return pump(state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/table_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/table_access.py
@@ -4,34 +4,24 @@
 
 from functools import singledispatch
 from random import Random
-from typing import Any
 
 from .chart import ChartCatalogue
-from .circuit import CircuitDue
 from .command import Command
-from .error import UnhandledMessageError
 from .message import Message
 from .row_read import row_read_chart
 from .store_access import (
     begin,
     CALL_DEADLINE,
-    LaneDue,
     new_access,
-    pump,
-    retry_circuit,
-    settle,
     StoreAccess,
-    wake,
 )
 from .store_call import (
-    CallAnswer,
-    CallExpired,
     ReadCall,
-    RetryDue,
     RowsRequested,
     TransactionCall,
     TransactionRequested,
 )
+from .store_decision import decide_call
 from .transaction import transaction_chart
 
 WRITES_PER_SECOND = 50.0
@@ -62,10 +52,7 @@
 @singledispatch
 def decide(message: Message, state: StoreAccess, now: float) -> list[Command]:
     """Return the commands that a message about the table service causes."""
-    raise UnhandledMessageError(
-        f"the table access does not take {type(message).__name__}",
-        "send it to the component that handles it",
-    )
+    return decide_call(message, state, now)
 
 
 @decide.register
@@ -89,24 +76,3 @@
         prefix=message.prefix,
     )
     return begin(message, call, state, now)
-
-
-@decide.register
-def _(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
-    return settle(message, state, now)
-
-
-@decide.register(CallExpired)
-@decide.register(RetryDue)
-def _(message: Any, state: StoreAccess, now: float) -> list[Command]:
-    return wake(message, state, now)
-
-
-@decide.register
-def _(message: CircuitDue, state: StoreAccess, now: float) -> list[Command]:
-    return retry_circuit(message, state, now)
-
-
-@decide.register
-def _(message: LaneDue, state: StoreAccess, now: float) -> list[Command]:
-    return pump(state, now)
