--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -0,0 +1,88 @@
+"""Wire the actors of an agent of the workload plane."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from uuid import uuid4
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.message import Message
+from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.run_action import ordered_run_chart
+from wasabispur_core.workload.seat_state import RunnerState
+from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.store_actor import Serve
+from wasabispur_runtime.table_client import TableClient
+from wasabispur_runtime.table_feed import FeedSource, ServeFeed, TableFeed
+
+from .fleet_runner import FleetRunner
+from .fleet_settings import FleetAgentSettings
+from .worker_caller import Serve as ServeWorker, WorkerCaller
+
+
+class FleetAgent:
+    """Hold the actors of one agent."""
+
+    def __init__(
+        self,
+        settings: FleetAgentSettings,
+        timers: TimerService,
+        serve_store: Serve,
+        serve_feed: ServeFeed,
+        serve_worker: ServeWorker,
+    ) -> None:
+        configure_log(settings.agent_id, settings.log_level)
+        self.settings = settings
+        self.timers = timers
+        self.catalogue = ChartCatalogue()
+        self.serve_feed = serve_feed
+        self.table = TableClient(
+            timers, settings.store_url, Random(), self.catalogue, serve=serve_store
+        )
+        self.worker = WorkerCaller(timers, serve_worker)
+        state = RunnerState(
+            agent_id=settings.agent_id,
+            times=settings.lease_times,
+            run_chart=ordered_run_chart(self.catalogue),
+            new_operation_id=lambda: uuid4().hex,
+        )
+        self.runner = FleetRunner(
+            timers, state, self.table, self.worker, self.open_feed
+        )
+        self.worker.receiver = self.runner.post
+        self.actors = (self.table, self.worker, self.runner)
+
+    def open_feed(
+        self,
+        table: str,
+        prefixes: tuple[str, ...],
+        receiver: Callable[[Message], None],
+    ) -> TableFeed:
+        """Return the feed of a table."""
+        source = FeedSource(
+            url=self.settings.store_url,
+            serve=self.serve_feed,
+            table=table,
+            prefixes=prefixes,
+        )
+        return TableFeed(self.timers, source, receiver, Random(), self.catalogue)
+
+    async def run(
+        self,
+        open_control: Callable[[], None],
+        close_control: Callable[[], None],
+        stop: asyncio.Event,
+    ) -> None:
+        """Serve until stop is set; runs go on under their leases."""
+        for actor in self.actors:
+            actor.start()
+        open_control()
+        log(PROCESS_STARTED, process=self.settings.agent_id)
+        await stop.wait()
+        await asyncio.to_thread(close_control)
+        for actor in reversed(self.actors):
+            await actor.close()
+        log(PROCESS_STOPPED, process=self.settings.agent_id)
--- /dev/null
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -0,0 +1,90 @@
+"""Own the runs on the workers beside the agent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Failure
+
+from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.log_event import ROW_REFUSED
+from wasabispur_core.message import Message
+from wasabispur_core.store import Row
+from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.fleet_state import TableReady
+from wasabispur_core.workload.rows import order_prefix, order_table, ORDERS, unpack
+from wasabispur_core.workload.runner import decide
+from wasabispur_core.workload.runner_message import (
+    CallList,
+    CallStart,
+    CallStop,
+    RunnerTick,
+)
+from wasabispur_core.workload.seat_state import RunnerState
+from wasabispur_core.workload.worker import OrdersArrived
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.log import log
+from wasabispur_runtime.table_feed import TableFeed
+
+from .worker_caller import WorkerCaller
+
+OpenFeed = Callable[[str, tuple[str, ...], Callable[[Message], None]], TableFeed]
+"""Makes the feed of a table: its name, its prefixes and the receiver."""
+
+
+class FleetRunner(DecisionActor):
+    """Carry out orders at the workers, and report what happens there."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        state: RunnerState,
+        table: Actor,
+        worker: WorkerCaller,
+        open_feed: OpenFeed,
+    ) -> None:
+        super().__init__("fleet-runner", timers, state, decide)
+        self.agent_id = state.agent_id
+        self.table = table
+        self.worker = worker
+        self.feed = open_feed(
+            order_table(self.agent_id), (order_prefix(self.agent_id),), self.post
+        )
+
+    async def opened(self) -> None:
+        """Begin to follow the orders."""
+        self.feed.start()
+        self.post(RunnerTick())
+
+    async def closed(self) -> None:
+        """Stop the feed."""
+        await self.feed.close()
+
+    def on_table_delivered(self, message: TableDelivered) -> None:
+        """Take all orders in the agent's table."""
+        for row in message.rows:
+            self._take(row)
+        self.on_message(TableReady(table=message.table))
+
+    def on_rows_changed(self, message: RowsChanged) -> None:
+        """Take orders that changed."""
+        for row in message.rows:
+            self._take(row)
+
+    def on_feed_health(self, message: FeedHealth) -> None:
+        """Ignore an outage: runs go on under the agent's own leases."""
+
+    def _take(self, row: Row) -> None:
+        orders = unpack(ORDERS, row.value)
+        if isinstance(orders, Failure):
+            log(ROW_REFUSED, key=row.key, error=str(orders.failure()))
+            return
+        self.on_message(OrdersArrived(orders=orders.unwrap()))
+
+
+@execute.register(CallList)
+@execute.register(CallStart)
+@execute.register(CallStop)
+def _(command: CallList | CallStart | CallStop, actor: FleetRunner) -> None:
+    actor.worker.post(command)
--- a/packages/wasabispur-core/src/wasabispur_core/chart.py
+++ b/packages/wasabispur-core/src/wasabispur_core/chart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from copy import deepcopy
 from pathlib import Path
 from typing import Any
 
@@ -43,6 +44,7 @@
         self.statechart = statechart
         self.actions = {snake_case(cls.__name__): cls for cls in actions}
         self.guards = {snake_case(cls.__name__): cls for cls in guards}
+        self.resumed: dict[str, Statechart] = {}
         self.check_names()
 
     def check_names(self) -> None:
@@ -75,7 +77,20 @@
 
     def start(self) -> Lifecycle:
         """Return a new lifecycle in the chart's initial state."""
-        return Lifecycle(self)
+        return Lifecycle(self, self.statechart)
+
+    def resume(self, state: str) -> Lifecycle:
+        """Return a lifecycle in a recorded state; raise ChartError if unknown."""
+        if state not in self.statechart.states:
+            raise ChartError(
+                f"chart {self.name} has no state {state!r}",
+                "upgrade this process to the version that wrote the record",
+            )
+        if state not in self.resumed:
+            copy = deepcopy(self.statechart)
+            copy.state_for(copy.root).initial = state
+            self.resumed[state] = copy
+        return Lifecycle(self, self.resumed[state])
 
 
 class _BodyEvaluator(Evaluator):  # type: ignore[misc]
@@ -129,13 +144,13 @@
 
     __slots__ = ("chart", "commands", "interpreter", "scope", "state")
 
-    def __init__(self, chart: Chart) -> None:
+    def __init__(self, chart: Chart, statechart: Statechart) -> None:
         self.chart = chart
         self.state = ""
         self.scope: tuple[Any, Any, Message, float] | None = None
         self.commands: list[Command] = []
         self.interpreter = Interpreter(
-            chart.statechart,
+            statechart,
             evaluator_klass=_BodyEvaluator,
             initial_context={"lifecycle": self},
             ignore_contract=True,
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -27,6 +27,8 @@
 MAILBOX_FULL = LogEvent(
     106, "ERROR", "mailbox of {actor} is full; dropped {message_name}"
 )
+RECORDS_DROPPED = LogEvent(108, "WARNING", "{count} log records were dropped: {reason}")
+SETTINGS_RELOADED = LogEvent(109, "INFO", "settings were read again: {changes}")
 HTTP_FAILED = LogEvent(107, "ERROR", "request for {path} failed: {error}")
 AGENT_ATTACHED = LogEvent(201, "INFO", "agent {agent} attached")
 AGENT_DETACHED = LogEvent(202, "WARNING", "agent {agent} detached: {reason}")
@@ -67,6 +69,54 @@
 GUARANTEE_MET = LogEvent(
     408, "INFO", "guaranteed shape {shape} of {organisation} can be met again"
 )
+JOB_ACCEPTED = LogEvent(420, "INFO", "job {job} of {organisation} accepted")
+JOB_REFUSED = LogEvent(421, "INFO", "job {job} of {organisation} refused: {reason}")
+JOB_UNCERTAIN = LogEvent(
+    422, "WARNING", "it is unknown whether job {job} was accepted: {reason}"
+)
+CANCEL_ANSWERED = LogEvent(423, "INFO", "cancellation of job {job}: {result}")
+JOB_SEEN = LogEvent(424, "INFO", "owner has seen job {job} after {age} s")
+CANCEL_SEEN = LogEvent(425, "INFO", "owner has seen the cancellation of job {job}")
+UNIT_PLACED = LogEvent(
+    426, "INFO", "run {run} of {job}.{unit} placed on {workers} after {waited} s"
+)
+UNIT_PREEMPTED = LogEvent(
+    427, "INFO", "run {run} of {job}.{unit} stops for {beneficiary}"
+)
+RUN_ENDED = LogEvent(428, "INFO", "run {run} of {task} on {worker} ended: {how}")
+JOB_ENDED = LogEvent(429, "INFO", "job {job} ended as {state} after {took} s")
+WORKER_SEEN = LogEvent(430, "INFO", "worker {worker} ({incarnation}) is {state}")
+WORKER_LOST = LogEvent(431, "WARNING", "worker {worker} was silent for {silent} s")
+WORKER_SUSPECTED = LogEvent(
+    432, "WARNING", "worker {worker} failed {failures} runs in a row"
+)
+FLEET_LOADED = LogEvent(
+    433, "INFO", "owner in epoch {epoch} has read {jobs} jobs and {workers} workers"
+)
+RUN_ORDERED = LogEvent(440, "INFO", "agent starts run {run} of {task} on {worker}")
+RUN_STOP_ORDERED = LogEvent(441, "INFO", "agent stops run {run} of {task} on {worker}")
+RUN_REFUSED = LogEvent(
+    442, "WARNING", "run {run} of {task} was refused on {worker}: {reason}"
+)
+RUN_CONCLUDED = LogEvent(
+    443, "INFO", "run {run} of {task} on {worker} was listed as {how}"
+)
+WORKER_UNREACHABLE = LogEvent(
+    444, "WARNING", "worker {worker} does not answer: {reason}"
+)
+WORKER_REACHED = LogEvent(445, "INFO", "worker {worker} answers again")
+WORKER_ANNOUNCED = LogEvent(
+    446, "INFO", "worker {worker} ({incarnation}) announced itself as {state}"
+)
+REPORT_FAILED = LogEvent(
+    447, "WARNING", "the report on worker {worker} was not written: {reason}"
+)
+POLICY_IN_FORCE = LogEvent(
+    450, "INFO", "configuration {version} is in force with {queues} queues"
+)
+ROW_REFUSED = LogEvent(451, "ERROR", "row {key} can't be used: {error}")
+CALL_REFUSED = LogEvent(452, "INFO", "{method} {path} refused: {reason}")
+WORKER_CALL_REFUSED = LogEvent(453, "WARNING", "malformed announcement: {error}")
 
 BUNDLE_IN_FORCE = LogEvent(
     501, "INFO", "bundle version {version}, signed off by {signer}, is in force"
@@ -78,6 +128,9 @@
     505, "WARNING", "bundle operation {operation} failed: {error}"
 )
 STORE_DOWN = LogEvent(601, "ERROR", "{store} gets no answers; calls are held back")
+FEED_LOST = LogEvent(604, "WARNING", "the feed of {table} is lost: {reason}")
+FEED_READ = LogEvent(605, "INFO", "read {rows} rows of {table} at version {version}")
+FEED_GAP = LogEvent(606, "WARNING", "the history of {table} is gone; reading it all")
 STORE_ANSWERS = LogEvent(602, "INFO", "{store} gets answers again")
 RESULT_UNDELIVERED = LogEvent(603, "ERROR", "{store} can't deliver {result}: {error}")
 
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -40,6 +40,11 @@
     """Tell the ownership component that time has passed."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReleaseOwnership(Message):
+    """Ask the owner to give the shard up, because its process stops."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardRowRead(Message):
     """Deliver the shard's row, or None if it doesn't exist."""
@@ -123,6 +128,9 @@
     first_sent: float = -inf
     last_sent: float = -inf
     pending: list[WriteRow] = field(default_factory=list)
+    lease_time: float = SHARD_LEASE
+    renewal: float = SHARD_RENEWAL
+    releasing: bool = False
 
     @property
     def key(self) -> str:
@@ -144,6 +152,8 @@
 
 def decide(message: Message, state: Ownership, now: float) -> list[Command]:
     """Return the commands that a message to the ownership component causes."""
+    if state.lifecycle.final:
+        return []
     event = _translate(message, state)
     return state.lifecycle.handle(event, state, state, now) if event else []
 
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -19,8 +19,6 @@
     read_id,
     RESEND_DELAY,
     RowCommitted,
-    SHARD_LEASE,
-    SHARD_RENEWAL,
     SHARD_SCHEMA,
     ShardAcquired,
     ShardLost,
@@ -102,14 +100,26 @@
     __slots__ = ()
 
 
+class BeginRelease(OwnershipAction):
+    """Write no owner into the shard's row with the next transaction."""
+
+    __slots__ = ()
+
+
 class SendBatch(OwnershipAction):
     """Send waiting rows or a due renewal if no transaction is under way."""
 
     __slots__ = ()
 
 
+class Released(OwnershipGuard):
+    """Hold if the transaction that gives the shard up has taken effect."""
+
+    __slots__ = ()
+
+
 class LeaseExpired(OwnershipGuard):
-    """Hold if the row is absent or stayed unchanged for the whole lease."""
+    """Hold if the row is absent, names no owner, or outlived the lease unchanged."""
 
     __slots__ = ()
 
@@ -138,12 +148,14 @@
         return True
     if message.row.value.get("schema", 0) > SHARD_SCHEMA:
         return False
+    if not message.row.value.get("owner"):
+        return True
     unchanged = state.observed is not None and (
         state.observed.version == message.row.version
     )
     steady = guard.now - state.last_read <= OBSERVATION_GAP
     waited = guard.now - state.observed_since
-    return unchanged and steady and waited > SHARD_LEASE * (1 + DRIFT)
+    return unchanged and steady and waited > state.lease_time * (1 + DRIFT)
 
 
 @holds.register
@@ -250,10 +262,25 @@
     return []
 
 
+@holds.register
+def _(guard: Released) -> bool:
+    state = guard.state
+    if state.in_flight is None or not state.releasing:
+        return False
+    value = state.in_flight.writes[0].value or {}
+    return not value.get("owner") and not state.pending
+
+
+@perform.register
+def _(action: BeginRelease) -> list[Command]:
+    action.state.releasing = True
+    return []
+
+
 @perform.register
 def _(action: SendBatch) -> list[Command]:
     state = action.state
-    due = action.now - state.first_sent >= SHARD_RENEWAL
+    due = action.now - state.first_sent >= state.renewal or state.releasing
     if state.in_flight is not None or not (state.pending or due):
         return []
     rows, state.pending = state.pending[:BATCH_LIMIT], state.pending[BATCH_LIMIT:]
@@ -263,9 +290,9 @@
 def _send(state: Ownership, rows: list[WriteRow], now: float) -> list[Command]:
     shard_row = {
         "schema": SHARD_SCHEMA,
-        "owner": state.entry_id,
+        "owner": "" if state.releasing else state.entry_id,
         "epoch": state.lease.epoch,
-        "lease": SHARD_LEASE,
+        "lease": state.lease_time,
     }
     # A later write of the same row replaces an earlier one in the batch.
     values = {row.key: row.value for row in rows}
@@ -285,6 +312,6 @@
     state.version = version
     state.lease.outage = False
     # The lease counts from before the write was first sent.
-    state.lease.held_until = state.first_sent + SHARD_LEASE
+    state.lease.held_until = state.first_sent + state.lease_time
     state.lease.grace_until = state.first_sent + OUTAGE_GRACE
     return [Notify(message=RowCommitted(key=r.key, number=r.number)) for r in rows]
--- a/packages/wasabispur-core/src/wasabispur_core/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/shard.py
@@ -4,8 +4,9 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatch
+from typing import Any
 
 from . import job_report as job_report, ownership
 from .chart import ChartCatalogue
@@ -14,7 +15,13 @@
 from .job_action import job_chart
 from .job_queue import JobTick
 from .message import Message
-from .ownership import Notify, Ownership, OwnershipTick, WriteRow
+from .ownership import (
+    Notify,
+    Ownership,
+    OwnershipTick,
+    ReleaseOwnership,
+    WriteRow,
+)
 from .ownership_action import ownership_chart
 from .store import RowsRead, RowsUnavailable, StoreResult
 
@@ -29,10 +36,17 @@
 
 @dataclass(slots=True)
 class Shard:
-    """Own one entry's view of one shard."""
+    """Own one entry's view of one shard.
+
+    decide_jobs is the decision component that works under the shard's lease, and
+    tick the message that tells it that time has passed.
+    """
 
     ownership: Ownership
-    scheduler: SchedulerState
+    scheduler: Any
+    decide_jobs: Callable[[Message, Any, float], list[Command]] = decide_job
+    tick: Message = field(default_factory=JobTick)
+    tick_interval: float = TICK_INTERVAL
 
 
 def new_shard(
@@ -64,7 +78,7 @@
 @singledispatch
 def route(message: Message, state: Shard, now: float) -> list[Command]:
     """Pass a message to the component of the shard that takes it."""
-    return decide_job(message, state.scheduler, now)
+    return state.decide_jobs(message, state.scheduler, now)
 
 
 @route.register(StoreResult)
@@ -76,13 +90,20 @@
     return ownership.decide(message, state.ownership, now)
 
 
+@route.register
+def _(message: ReleaseOwnership, state: Shard, now: float) -> list[Command]:
+    return ownership.decide(message, state.ownership, now)
+
+
 @route.register
 def _(message: ShardTick, state: Shard, now: float) -> list[Command]:
     timer = SetTimer(
-        timer_id=f"tick:{state.scheduler.shard}", delay=TICK_INTERVAL, message=message
+        timer_id=f"tick:{state.ownership.shard}",
+        delay=state.tick_interval,
+        message=message,
     )
     claim = ownership.decide(OwnershipTick(), state.ownership, now)
-    return [timer, *claim, *decide_job(JobTick(), state.scheduler, now)]
+    return [timer, *claim, *state.decide_jobs(state.tick, state.scheduler, now)]
 
 
 @singledispatch
@@ -93,7 +114,7 @@
 
 @follow.register
 def _(command: Notify, state: Shard, now: float) -> list[Command]:
-    return decide_job(command.message, state.scheduler, now)
+    return state.decide_jobs(command.message, state.scheduler, now)
 
 
 @follow.register
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -0,0 +1,192 @@
+"""Hold the owner's view of jobs and workers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..chart import Chart
+from ..message import Message
+from .policy import FleetPolicy, Queue
+from .progress import JobProgress, JobState
+from .spec import JobSpec, NOTHING, Resources
+from .unit import Unit, UnitId
+from .worker import ListedRun, WorkerInfo, WorkerOrders, WorkerReport
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """Hold one job; arrived_at is in monotonic seconds of the owner."""
+
+    spec: JobSpec
+    arrived_at: float
+    state: JobState = JobState.PENDING
+    ended_at: float = 0.0
+    units: dict[UnitId, Unit] = field(default_factory=dict)
+    occurrences: int = 0
+    cancelled: bool = False
+
+    def progress(self) -> JobProgress:
+        """Return what is written about the job."""
+        return JobProgress(
+            state=self.state,
+            ended_at=self.ended_at,
+            units=tuple(unit.record() for unit in self.units.values()),
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class Worker:
+    """Hold one worker as last reported; times are in monotonic seconds.
+
+    confirmed tells that a report arrived since this entry became the owner.
+    strikes counts failed runs in a row, and probation_until bounds the time in
+    which the worker gets no more than one unit at a time.
+    """
+
+    agent_id: str
+    info: WorkerInfo
+    report_number: int = 0
+    seen_at: float = 0.0
+    confirmed: bool = False
+    runs: tuple[ListedRun, ...] = ()
+    unknown: tuple[ListedRun, ...] = ()
+    acknowledged: int = 0
+    written: WorkerOrders | None = None
+    strikes: int = 0
+    probation_until: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker's id."""
+        return self.info.worker_id
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetState:
+    """Own all jobs and workers while this entry is the owner.
+
+    store_offset is the store's clock less this process's, and wall_offset the wall
+    clock less this process's, both in seconds. room_changed tells that another pass
+    over the waiting units may come to other decisions than the last.
+    """
+
+    unit_chart: Chart
+    owning: bool = False
+    epoch: int = 0
+    loading: set[str] = field(default_factory=set)
+    policy: FleetPolicy = field(default_factory=FleetPolicy)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    seated: dict[str, set[UnitId]] = field(default_factory=dict)
+    dirty_jobs: set[str] = field(default_factory=set)
+    dirty_workers: set[str] = field(default_factory=set)
+    early_cancels: set[str] = field(default_factory=set)
+    progress: dict[str, JobProgress] = field(default_factory=dict)
+    waiting: set[UnitId] = field(default_factory=set)
+    store_offset: float = 0.0
+    wall_offset: float = 0.0
+    pass_due: bool = False
+    room_changed: bool = False
+    queue_counts: dict[str, int] = field(default_factory=dict)
+    horizon: float = 0.0
+
+    @property
+    def active(self) -> bool:
+        """Return whether the owner has read all rows and may decide."""
+        return self.owning and not self.loading
+
+    def queue(self, job: Job) -> Queue | None:
+        """Return the queue of a job, or None if it was removed."""
+        return self.policy.queues.get(job.spec.queue)
+
+    def unit(self, unit_id: UnitId) -> Unit | None:
+        """Return a unit by its id."""
+        job = self.jobs.get(unit_id.job_id)
+        return job.units.get(unit_id) if job else None
+
+    def used(self, worker: Worker) -> Resources:
+        """Return what the runs on a worker hold, ordered ones included."""
+        used = NOTHING
+        counted: set[str] = set()
+        for unit_id in self.seated.get(worker.worker_id, ()):
+            unit = self.unit(unit_id)
+            if unit is None:
+                continue
+            for member in unit.members:
+                if member.ended or member.seat.worker_id != worker.worker_id:
+                    continue
+                counted.add(str(unit.task_id(member.index)))
+                used += unit.demand
+        for run in worker.unknown:
+            if run.task not in counted:
+                used += self._demand_of(run.task)
+        return used
+
+    def _demand_of(self, task: str) -> Resources:
+        job_id, _, rest = task.partition(".")
+        job = self.jobs.get(job_id)
+        parts = rest.split(".")
+        if job is None or len(parts) != 3 or not parts[1].isdigit():
+            return NOTHING
+        step = int(parts[1])
+        steps = job.spec.steps
+        return steps[step].demand if step < len(steps) else NOTHING
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobArrived(Message):
+    """Deliver an accepted job."""
+
+    spec: JobSpec
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CancelArrived(Message):
+    """Deliver the cancellation of a job."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProgressArrived(Message):
+    """Deliver what a former owner recorded about a job."""
+
+    job_id: str
+    progress: JobProgress
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportRemoved(Message):
+    """Tell that an agent removed the report on a worker."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TableReady(Message):
+    """Tell that all rows of a table have been delivered."""
+
+    table: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetTick(Message):
+    """Tell that time has passed."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClocksRead(Message):
+    """Deliver the store's and the wall clock's time at one moment, in seconds."""
+
+    store_time: float
+    wall_time: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PassDue(Message):
+    """Tell that the queue has to be looked at."""
+
+
+def new_worker(report: WorkerReport) -> Worker:
+    """Return the view of a worker that reports for the first time."""
+    return Worker(agent_id=report.agent_id, info=report.info)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
@@ -0,0 +1,51 @@
+"""Derive the orders of a worker from the units that are placed there."""
+
+from __future__ import annotations
+
+from .fleet_state import FleetState, Worker
+from .unit import ACTIVE, Unit
+from .worker import RunOrder, WorkerOrders
+
+
+def orders_for(worker: Worker, state: FleetState) -> WorkerOrders:
+    """Return all that the owner wants of a worker."""
+    runs: list[RunOrder] = []
+    payloads: dict[str, str] = {}
+    for unit_id in sorted(state.seated.get(worker.worker_id, ())):
+        unit = state.unit(unit_id)
+        if unit is None:
+            continue
+        wanted = _run_orders(unit, worker)
+        runs += wanted
+        if any(not order.stop for order in wanted):
+            payloads[unit_id.job_id] = state.jobs[unit_id.job_id].spec.payload
+    known = {(order.task, order.run) for order in runs}
+    runs += [
+        RunOrder(task=run.task, run=run.run, job_id="", stop=True)
+        for run in worker.unknown
+        if (run.task, run.run) not in known
+    ]
+    return WorkerOrders(
+        worker_id=worker.worker_id,
+        incarnation=worker.info.incarnation,
+        epoch=state.epoch,
+        acknowledged=worker.acknowledged,
+        runs=tuple(runs),
+        payloads=payloads,
+    )
+
+
+def _run_orders(unit: Unit, worker: Worker) -> list[RunOrder]:
+    return [
+        RunOrder(
+            task=str(unit.task_id(member.index)),
+            run=unit.run,
+            job_id=unit.unit_id.job_id,
+            checkpoint=unit.start_checkpoint,
+            stop=unit.state != ACTIVE,
+        )
+        for member in unit.members
+        if not member.ended
+        and member.seat.worker_id == worker.worker_id
+        and member.seat.incarnation == worker.info.incarnation
+    ]
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -0,0 +1,126 @@
+"""Define what the planner looks at and what it decides."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .spec import Resources
+from .unit import Seat, UnitId
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkerRoom:
+    """Describe one worker's room; the planner takes from it as it places.
+
+    payload_bytes bounds the orders row, and trusted is unset for a worker that
+    recently failed what it ran.
+    """
+
+    seat: Seat
+    service: str
+    data_centre: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    room: Resources
+    ready: bool
+    trusted: bool = True
+    payload_bytes: int = 0
+    tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingUnit:
+    """Describe a unit that waits for room; times are in monotonic seconds.
+
+    guaranteed is set while the unit's organisation uses no more than its guarantee.
+    objective is the time by which the whole job should end, and remaining the
+    estimated run time of the unit and of all steps behind it, in seconds.
+    """
+
+    unit_id: UnitId
+    service: str
+    organisation: str
+    priority: int
+    guaranteed: bool
+    demand: Resources
+    size: int
+    label: str = ""
+    data_rack: str = ""
+    same_rack: bool = False
+    tasks_per_worker: int = 0
+    payload_bytes: int = 0
+    ready_at: float = 0.0
+    objective: float = 0.0
+    target_span: float = 0.0
+    remaining: float = 0.0
+    avoided: frozenset[str] = frozenset()
+
+    @property
+    def work(self) -> float:
+        """Return the estimated work in core-seconds."""
+        return self.size * self.demand.weight * max(self.remaining, 1.0)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunningUnit:
+    """Describe a unit at work; lost_work is in core-seconds if it stops now."""
+
+    unit_id: UnitId
+    priority: int
+    organisation: str
+    guaranteed: bool
+    demand: Resources
+    seats: tuple[Seat, ...]
+    lost_work: float
+    stopping: bool = False
+    preemptions: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """Hold all that one pass of the planner depends on."""
+
+    now: float
+    rooms: tuple[WorkerRoom, ...]
+    waiting: tuple[WaitingUnit, ...]
+    running: tuple[RunningUnit, ...]
+
+
+class WaitReason(StrEnum):
+    """Tell why a unit was not placed."""
+
+    NO_WORKER = "no worker fits"
+    NO_ROOM = "no room"
+    STOPPING = "room is being freed"
+    HELD_BACK = "room is held for a unit before it"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """Base of the planner's decisions about one unit."""
+
+    unit_id: UnitId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Place(Decision):
+    """Run the unit's tasks on these workers."""
+
+    seats: tuple[Seat, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Preempt(Decision):
+    """Stop the unit so that another one gets its room."""
+
+    beneficiary: UnitId
+    lost_work: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Wait(Decision):
+    """Leave the unit waiting."""
+
+    reason: WaitReason
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
@@ -0,0 +1,199 @@
+"""Take what agents report about workers."""
+
+from __future__ import annotations
+
+from ..command import Command, WriteLog
+from ..log_event import WORKER_LOST, WORKER_SEEN, WORKER_SUSPECTED
+from .fleet_state import FleetState, new_worker, Worker
+from .spec import TaskId
+from .unit import Member, RunEnded, Unit, UnitId
+from .unit_flow import end_run
+from .worker import EndKind, ListedRun, WorkerReport, WorkerState
+
+STRIKE_LIMIT = 2
+"""Failed runs in a row after which a worker is on probation."""
+
+PROBATION_TIME = 8.0
+"""Seconds of probation."""
+
+
+def take_report(report: WorkerReport, state: FleetState, now: float) -> list[Command]:
+    """Update the view of a worker and take the ends that it lists."""
+    worker_id = report.info.worker_id
+    worker = state.workers.get(worker_id)
+    commands: list[Command] = []
+    if worker is None:
+        worker = state.workers[worker_id] = new_worker(report)
+        commands.append(_log_worker(report))
+    elif worker.info.incarnation != report.info.incarnation:
+        commands += lose_runs(worker, state, now, keep=report.info.incarnation)
+        worker.acknowledged = 0
+        worker.strikes = 0
+        commands.append(_log_worker(report))
+    elif report.number < worker.report_number and report.agent_id == worker.agent_id:
+        return []
+    if worker.info.state != report.info.state:
+        commands.append(_log_worker(report))
+    state.room_changed |= not worker.confirmed or worker.info != report.info
+    worker.agent_id = report.agent_id
+    worker.info = report.info
+    worker.report_number = report.number
+    worker.confirmed |= state.active
+    worker.seen_at = now
+    worker.runs = report.runs
+    # Orders for a former incarnation may still stand in the worker's row.
+    state.dirty_workers.add(worker_id)
+    if not state.active:
+        return commands
+    return commands + reconcile(worker, report, state, now)
+
+
+def reconcile(
+    worker: Worker, report: WorkerReport, state: FleetState, now: float
+) -> list[Command]:
+    """Compare a report with the runs that are ordered on the worker."""
+    commands: list[Command] = []
+    for ended in sorted(report.ended, key=lambda end: end.number):
+        if ended.number > worker.acknowledged:
+            commands += _take_end(
+                worker, ended.task, ended.run, ended.kind, ended.checkpoint, state, now
+            )
+            worker.acknowledged = ended.number
+    for refused in report.refused:
+        commands += _take_end(
+            worker, refused.task, refused.run, EndKind.REFUSED, "", state, now
+        )
+    unknown = tuple(run for run in report.runs if not _expected(run, worker, state))
+    state.room_changed |= unknown != worker.unknown
+    worker.unknown = unknown
+    _note_checkpoints(report.runs, state)
+    return commands
+
+
+def lose_runs(
+    worker: Worker, state: FleetState, now: float, keep: str = ""
+) -> list[Command]:
+    """End the runs on a worker, except those of one incarnation."""
+    commands: list[Command] = []
+    for unit_id in list(state.seated.get(worker.worker_id, ())):
+        unit = state.unit(unit_id)
+        if unit is None:
+            continue
+        for member in list(unit.members):
+            if member.ended or member.seat.worker_id != worker.worker_id:
+                continue
+            if keep and member.seat.incarnation == keep:
+                continue
+            ended = RunEnded(index=member.index, kind=EndKind.LOST)
+            commands += end_run(unit, ended, worker.worker_id, state, now)
+    return commands
+
+
+def drop_silent_workers(state: FleetState, now: float) -> list[Command]:
+    """Give up workers that nobody has heard of for the lease horizon."""
+    commands: list[Command] = []
+    for worker in list(state.workers.values()):
+        silent = now - worker.seen_at
+        gone = worker.info.state is WorkerState.GONE
+        if silent < state.horizon and not (
+            gone and not state.seated.get(worker.worker_id)
+        ):
+            continue
+        commands += lose_runs(worker, state, now)
+        del state.workers[worker.worker_id]
+        state.dirty_workers.discard(worker.worker_id)
+        fields = {"worker": worker.worker_id, "silent": round(silent, 1)}
+        commands.append(WriteLog(number=WORKER_LOST.number, fields=fields))
+    return commands
+
+
+def _take_end(
+    worker: Worker,
+    task: str,
+    run: int,
+    kind: EndKind,
+    checkpoint: str,
+    state: FleetState,
+    now: float,
+) -> list[Command]:
+    found = _member(task, run, worker, state)
+    if found is None:
+        return []
+    unit, member = found
+    commands = _note_strike(worker, kind, now)
+    ended = RunEnded(index=member.index, kind=kind, checkpoint=checkpoint)
+    return commands + end_run(unit, ended, worker.worker_id, state, now)
+
+
+def _note_strike(worker: Worker, kind: EndKind, now: float) -> list[Command]:
+    if kind is EndKind.DONE:
+        worker.strikes = 0
+        worker.probation_until = 0.0
+        return []
+    if kind is not EndKind.FAILED:
+        return []
+    worker.strikes += 1
+    if worker.strikes < STRIKE_LIMIT:
+        return []
+    worker.probation_until = now + PROBATION_TIME
+    fields = {"worker": worker.worker_id, "failures": worker.strikes}
+    return [WriteLog(number=WORKER_SUSPECTED.number, fields=fields)]
+
+
+def _member(
+    task: str, run: int, worker: Worker, state: FleetState
+) -> tuple[Unit, Member] | None:
+    """Return the member that a run on a worker belongs to, if it is at work."""
+    try:
+        task_id = TaskId.parse(task)
+    except ValueError:
+        return None
+    job = state.jobs.get(task_id.job_id)
+    if job is None or task_id.step >= len(job.spec.steps):
+        return None
+    gang = job.spec.steps[task_id.step].gang
+    unit_id = UnitId(
+        task_id.job_id,
+        task_id.occurrence,
+        task_id.step,
+        0 if gang else task_id.position,
+    )
+    unit = job.units.get(unit_id)
+    if unit is None or unit.run != run:
+        return None
+    for member in unit.members:
+        same_seat = (
+            member.seat.worker_id == worker.worker_id
+            and member.seat.incarnation == worker.info.incarnation
+        )
+        if member.index == task_id.position and same_seat and not member.ended:
+            return unit, member
+    return None
+
+
+def _expected(run: ListedRun, worker: Worker, state: FleetState) -> bool:
+    return _member(run.task, run.run, worker, state) is not None
+
+
+def _note_checkpoints(runs: tuple[ListedRun, ...], state: FleetState) -> None:
+    for run in runs:
+        if not run.checkpoint:
+            continue
+        try:
+            task_id = TaskId.parse(run.task)
+        except ValueError:
+            continue
+        unit = state.unit(UnitId(*task_id)) or state.unit(UnitId(*task_id[:3], 0))
+        if unit is not None and unit.run == run.run and unit.step.checkpointing:
+            unit.checkpoint = run.checkpoint
+
+
+def _log_worker(report: WorkerReport) -> Command:
+    info = report.info
+    fields = {
+        "worker": info.worker_id,
+        "incarnation": info.incarnation,
+        "agent": report.agent_id,
+        "state": info.state.value,
+    }
+    return WriteLog(number=WORKER_SEEN.number, fields=fields)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -0,0 +1,132 @@
+"""Name the rows of the workload plane and validate what they hold."""
+
+from __future__ import annotations
+
+from dataclasses import Field, fields, is_dataclass, MISSING
+from enum import Enum
+from typing import Any, TypeVar
+from zlib import crc32
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from ..error import ProtocolError
+from .progress import JobProgress
+from .spec import JobSpec
+from .worker import WorkerOrders, WorkerReport
+
+SHARD = "main"
+"""The one shard: gangs, guarantees and priorities span all workers."""
+
+JOB_TABLE = "job"
+ORDER_TABLES = 32
+"""Tables over which workers' orders are spread."""
+
+PROGRESS_TABLE = "progress"
+QUEUE_TABLE = "queue"
+REPORT_TABLE = "report"
+REPORT_PARTS = 8
+"""Parts of the store over which reports are spread; each has a rate of its own."""
+
+CANCEL_SUFFIX = ".cancel"
+
+T = TypeVar("T")
+
+JOB = TypeAdapter(JobSpec)
+PROGRESS = TypeAdapter(JobProgress)
+ORDERS = TypeAdapter(WorkerOrders)
+REPORT = TypeAdapter(WorkerReport)
+
+
+def job_prefix() -> str:
+    """Return the prefix of all rows of jobs."""
+    return f"{JOB_TABLE}/{SHARD}/"
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of an accepted job."""
+    return f"{job_prefix()}{job_id}"
+
+
+def cancel_key(job_id: str) -> str:
+    """Return the key of a job's cancellation."""
+    return job_key(job_id) + CANCEL_SUFFIX
+
+
+def progress_prefix() -> str:
+    """Return the prefix of the progress of all jobs."""
+    return f"{PROGRESS_TABLE}/{SHARD}/"
+
+
+def progress_key(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return progress_prefix() + job_id
+
+
+def queue_counts_key() -> str:
+    """Return the key of the number of waiting jobs by queue."""
+    return f"{QUEUE_TABLE}/{SHARD}/waiting"
+
+
+def order_table(agent_id: str) -> str:
+    """Return the table with the orders for an agent's workers."""
+    return f"orders-{crc32(agent_id.encode()) % ORDER_TABLES:02}"
+
+
+def order_prefix(agent_id: str) -> str:
+    """Return the prefix of the orders in an agent's table."""
+    return f"{order_table(agent_id)}/{SHARD}/"
+
+
+def order_key(agent_id: str, worker_id: str) -> str:
+    """Return the key of a worker's orders."""
+    return order_prefix(agent_id) + worker_id
+
+
+def report_prefixes() -> list[str]:
+    """Return the prefixes that hold all reports."""
+    return [f"{REPORT_TABLE}/r{part}/" for part in range(REPORT_PARTS)]
+
+
+def report_key(worker_id: str) -> str:
+    """Return the key of a worker's report."""
+    return report_prefixes()[crc32(worker_id.encode()) % REPORT_PARTS] + worker_id
+
+
+def pack(value: Any) -> dict[str, Any]:
+    """Return the row value of a dataclass without the fields at their default."""
+    return {
+        item.name: _packed(getattr(value, item.name))
+        for item in fields(value)
+        if getattr(value, item.name) != _default(item)
+    }
+
+
+def unpack(adapter: TypeAdapter[T], value: Any) -> Result[T, ProtocolError]:
+    """Return the validated dataclass in a row's value."""
+    try:
+        return Success(adapter.validate_python(value))
+    except ValidationError as error:
+        problem = error.errors(include_url=False)[0]
+        return Failure(
+            ProtocolError(
+                f"{problem['loc']}: {problem['msg']}",
+                "remove the row, or upgrade this process",
+            )
+        )
+
+
+def _default(item: Field[Any]) -> Any:
+    if item.default_factory is not MISSING:
+        return item.default_factory()
+    return item.default
+
+
+def _packed(value: Any) -> Any:
+    if is_dataclass(value):
+        return pack(value)
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, (tuple, list)):
+        return [_packed(item) for item in value]
+    return value
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -0,0 +1,355 @@
+"""Decide, as the owner, which tasks run where."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import singledispatch
+
+from ..chart import ChartCatalogue
+from ..command import Command, SetTimer, WriteLog
+from ..error import UnhandledMessageError
+from ..log_event import CANCEL_SEEN, FLEET_LOADED, JOB_SEEN
+from ..message import Message
+from ..ownership import RowCommitted, ShardAcquired, ShardLost, WriteRow
+from .fleet_state import (
+    CancelArrived,
+    ClocksRead,
+    FleetState,
+    FleetTick,
+    Job,
+    JobArrived,
+    PassDue,
+    ProgressArrived,
+    ReportRemoved,
+    TableReady,
+)
+from .orders import orders_for
+from .plan import Decision, Place, Preempt
+from .planner import plan
+from .policy import PolicyChanged
+from .report_flow import drop_silent_workers, lose_runs, take_report
+from .rows import (
+    cancel_key,
+    job_key,
+    JOB_TABLE,
+    order_key,
+    pack,
+    progress_key,
+    PROGRESS_TABLE,
+    queue_counts_key,
+    REPORT_TABLE,
+)
+from .snapshot import take_snapshot
+from .unit import WAITING
+from .unit_action import unit_chart
+from .unit_flow import (
+    add_occurrence,
+    cancel,
+    occurrences_of,
+    place,
+    preempt,
+    restore_unit,
+    settle,
+)
+from .watch import StopWatching, WatchTables
+from .worker import ReportArrived
+
+PASS_DELAY = 0.005
+"""Seconds in which changes gather before the queue is looked at."""
+
+OCCURRENCE_MARGIN = 0.05
+"""Seconds after its due time at which an occurrence may start; clocks differ."""
+
+KEEP_ENDED = 300.0
+"""Seconds for which an ended job can be looked up."""
+
+PASS_TIMER = "fleet-pass"
+LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE)
+
+
+def new_fleet_state(catalogue: ChartCatalogue, horizon: float) -> FleetState:
+    """Return the state of an entry that owns nothing; horizon is in seconds."""
+    return FleetState(unit_chart=unit_chart(catalogue), horizon=horizon)
+
+
+def decide(message: Message, state: FleetState, now: float) -> list[Command]:
+    """Return the commands that a message to the scheduler causes."""
+    commands = take(message, state, now)
+    if not state.active:
+        return commands
+    return [*commands, *flush(state), *_arm_pass(state)]
+
+
+@singledispatch
+def take(message: Message, state: FleetState, now: float) -> list[Command]:
+    """Apply one message to the state."""
+    raise UnhandledMessageError(
+        f"the scheduler does not take {type(message).__name__}",
+        "send it to the component that handles it",
+    )
+
+
+@take.register
+def _(message: ShardAcquired, state: FleetState, now: float) -> list[Command]:
+    _forget(state)
+    state.owning = True
+    state.epoch = message.epoch
+    state.loading = set(LOADED_TABLES)
+    return [WatchTables(watched=(JOB_TABLE, REPORT_TABLE), read=(PROGRESS_TABLE,))]
+
+
+@take.register
+def _(message: ShardLost, state: FleetState, now: float) -> list[Command]:
+    _forget(state)
+    state.owning = False
+    return [StopWatching()]
+
+
+@take.register
+def _(message: TableReady, state: FleetState, now: float) -> list[Command]:
+    if message.table not in state.loading:
+        return []
+    state.loading.discard(message.table)
+    if state.loading or not state.owning:
+        return []
+    commands: list[Command] = []
+    for job in list(state.jobs.values()):
+        commands += _begin_job(job, state, now)
+    state.dirty_workers.update(state.workers, state.seated)
+    fields = {
+        "epoch": state.epoch,
+        "jobs": len(state.jobs),
+        "workers": len(state.workers),
+    }
+    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
+
+
+@take.register
+def _(message: JobArrived, state: FleetState, now: float) -> list[Command]:
+    spec = message.spec
+    if spec.job_id in state.jobs:
+        return []
+    job = state.jobs[spec.job_id] = Job(spec=spec, arrived_at=now)
+    if not state.active:
+        return []
+    fields = {
+        "job": spec.job_id,
+        "queue": spec.queue,
+        "organisation": spec.organisation,
+        "steps": len(spec.steps),
+        "tasks": sum(step.count for step in spec.steps),
+        "age": round(now + state.store_offset - spec.accepted_at, 3),
+    }
+    return [
+        WriteLog(number=JOB_SEEN.number, fields=fields),
+        *_begin_job(job, state, now),
+    ]
+
+
+@take.register
+def _(message: CancelArrived, state: FleetState, now: float) -> list[Command]:
+    job = state.jobs.get(message.job_id)
+    if job is None or not state.active:
+        # A cancellation read before its job counts once the job is there.
+        state.early_cancels.add(message.job_id)
+        return []
+    if job.state.ended:
+        return []
+    log = WriteLog(number=CANCEL_SEEN.number, fields={"job": message.job_id})
+    return [log, *cancel(job, state, now)]
+
+
+@take.register
+def _(message: ProgressArrived, state: FleetState, now: float) -> list[Command]:
+    if state.active:
+        return []
+    # Jobs and progress are read at the same time; the job's row may come later.
+    state.progress[message.job_id] = message.progress
+    return []
+
+
+@take.register
+def _(message: ReportArrived, state: FleetState, now: float) -> list[Command]:
+    return take_report(message.report, state, now)
+
+
+@take.register
+def _(message: ReportRemoved, state: FleetState, now: float) -> list[Command]:
+    worker = state.workers.pop(message.worker_id, None)
+    if worker is None:
+        return []
+    state.dirty_workers.discard(message.worker_id)
+    return lose_runs(worker, state, now) if state.active else []
+
+
+@take.register
+def _(message: PolicyChanged, state: FleetState, now: float) -> list[Command]:
+    if message.policy.version > state.policy.version:
+        state.policy = message.policy
+    return []
+
+
+@take.register
+def _(message: ClocksRead, state: FleetState, now: float) -> list[Command]:
+    state.store_offset = message.store_time - now
+    state.wall_offset = message.wall_time - now
+    return []
+
+
+@take.register
+def _(message: RowCommitted, state: FleetState, now: float) -> list[Command]:
+    return []
+
+
+@take.register
+def _(message: FleetTick, state: FleetState, now: float) -> list[Command]:
+    if not state.active:
+        return []
+    state.room_changed = True
+    commands = drop_silent_workers(state, now)
+    for job in list(state.jobs.values()):
+        commands += _advance(job, state, now)
+    return [*commands, *_write_counts(state), *_remove_ended(state, now)]
+
+
+@take.register
+def _(message: PassDue, state: FleetState, now: float) -> list[Command]:
+    state.pass_due = False
+    state.room_changed = False
+    if not state.active:
+        return []
+    commands: list[Command] = []
+    for decision in plan(take_snapshot(state, now)):
+        commands += apply(decision, state, now)
+    return commands
+
+
+@singledispatch
+def apply(decision: Decision, state: FleetState, now: float) -> list[Command]:
+    """Carry out one decision of the planner."""
+    return []
+
+
+@apply.register
+def _(decision: Place, state: FleetState, now: float) -> list[Command]:
+    unit = state.unit(decision.unit_id)
+    if unit is None or unit.state != WAITING:
+        return []
+    commands = place(unit, decision.seats, state, now)
+    return commands + settle(state.jobs[unit.unit_id.job_id], state, now)
+
+
+@apply.register
+def _(decision: Preempt, state: FleetState, now: float) -> list[Command]:
+    return preempt(decision, state, now)
+
+
+def flush(state: FleetState) -> list[Command]:
+    """Write the rows of all jobs and workers that changed, jobs first."""
+    commands: list[Command] = []
+    for job_id in sorted(state.dirty_jobs):
+        job = state.jobs.get(job_id)
+        if job is not None:
+            key = progress_key(job_id)
+            commands.append(WriteRow(key=key, value=pack(job.progress())))
+    commands += _write_orders(state)
+    state.dirty_jobs.clear()
+    state.dirty_workers.clear()
+    return commands
+
+
+def _write_orders(state: FleetState) -> Iterator[Command]:
+    for worker_id in sorted(state.dirty_workers):
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            continue
+        orders = orders_for(worker, state)
+        if orders == worker.written:
+            continue
+        worker.written = orders
+        yield WriteRow(key=order_key(worker.agent_id, worker_id), value=pack(orders))
+
+
+def _arm_pass(state: FleetState) -> list[Command]:
+    if state.pass_due or not (state.room_changed and state.waiting):
+        return []
+    state.pass_due = True
+    return [SetTimer(timer_id=PASS_TIMER, delay=PASS_DELAY, message=PassDue())]
+
+
+def _begin_job(job: Job, state: FleetState, now: float) -> list[Command]:
+    """Create the job's units, or continue those that a former owner recorded."""
+    progress = state.progress.pop(job.spec.job_id, None)
+    if progress is not None:
+        job.state = progress.state
+        job.ended_at = progress.ended_at
+        for record in progress.units:
+            restore_unit(job, record, state, now)
+            job.occurrences = max(job.occurrences, record.occurrence + 1)
+    cancelled = job.spec.job_id in state.early_cancels
+    state.early_cancels.discard(job.spec.job_id)
+    if cancelled:
+        return cancel(job, state, now)
+    return _advance(job, state, now)
+
+
+def _advance(job: Job, state: FleetState, now: float) -> list[Command]:
+    """Begin the occurrences that are due."""
+    if job.state.ended:
+        return []
+    begun = False
+    while job.occurrences < occurrences_of(job) and _due(job, state, now):
+        add_occurrence(job, state)
+        begun = True
+    return settle(job, state, now) if begun else []
+
+
+def _due(job: Job, state: FleetState, now: float) -> bool:
+    if not job.spec.repeats:
+        return True
+    due = job.spec.start_at + job.occurrences * job.spec.repeat_interval
+    return now + state.wall_offset >= due + OCCURRENCE_MARGIN
+
+
+def _remove_ended(state: FleetState, now: float) -> list[Command]:
+    commands: list[Command] = []
+    for job in list(state.jobs.values()):
+        settled = all(not unit.on_workers for unit in job.units.values())
+        age = now + state.store_offset - job.ended_at
+        if not (job.state.ended and settled and age > KEEP_ENDED):
+            continue
+        job_id = job.spec.job_id
+        del state.jobs[job_id]
+        for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
+            commands.append(WriteRow(key=key, value=None))
+    return commands
+
+
+def _write_counts(state: FleetState) -> list[Command]:
+    """Write how many accepted jobs of each queue have started no task."""
+    counts: dict[str, int] = {}
+    for job in state.jobs.values():
+        if not job.state.ended and all(not unit.run for unit in job.units.values()):
+            counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+    if counts == state.queue_counts:
+        return []
+    state.queue_counts = counts
+    return [WriteRow(key=queue_counts_key(), value=counts)]
+
+
+def _forget(state: FleetState) -> None:
+    """Drop all that is only true while this entry is the owner."""
+    for collection in (
+        state.jobs,
+        state.workers,
+        state.seated,
+        state.dirty_jobs,
+        state.dirty_workers,
+        state.early_cancels,
+        state.progress,
+        state.queue_counts,
+        state.waiting,
+    ):
+        collection.clear()
+    state.loading = set()
+    state.pass_due = False
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
@@ -0,0 +1,125 @@
+"""Choose workers for the tasks of one unit."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from .plan import WaitingUnit, WorkerRoom
+from .spec import Resources
+
+PAYLOAD_LIMIT = 40_000
+"""Bytes of payloads in one orders row, which the store bounds at 64 KiB."""
+
+
+def candidates(unit: WaitingUnit, rooms: Iterable[WorkerRoom]) -> list[WorkerRoom]:
+    """Return the workers that the unit's constraints allow, whatever their room.
+
+    Data counts as a constraint while a worker of its rack could hold the task,
+    since a task elsewhere takes several times as long.
+    """
+    allowed = [
+        room
+        for room in rooms
+        if room.ready
+        and room.service == unit.service
+        and (not unit.label or unit.label in room.labels)
+        and unit.demand.fits(room.capacity)
+    ]
+    near = [room for room in allowed if room.rack == unit.data_rack]
+    return near if unit.data_rack and near else allowed
+
+
+def choose_seats(
+    unit: WaitingUnit, rooms: Sequence[WorkerRoom]
+) -> list[WorkerRoom] | None:
+    """Return a worker for each task of the unit, or None if there is no room.
+
+    Takes the fullest workers that still fit, so that large blocks stay free for
+    wide tasks, and a single rack where the unit asks for one and a rack could
+    hold it.
+    """
+    allowed = candidates(unit, rooms)
+    if not unit.same_rack or unit.size == 1:
+        return _fill(unit, allowed)
+    racks = _racks(allowed)
+    possible = {
+        name: members
+        for name, members in racks.items()
+        if sum(_holds(unit, room, room.capacity) for room in members) >= unit.size
+    }
+    if not possible:
+        return _fill(unit, allowed)
+    found = [
+        seats
+        for members in possible.values()
+        if (seats := _fill(unit, members)) is not None
+    ]
+    return min(found, key=_leftover, default=None)
+
+
+def take(unit: WaitingUnit, seats: Iterable[WorkerRoom]) -> None:
+    """Take the unit's demand from the rooms of its workers."""
+    for room in seats:
+        room.room -= unit.demand
+        room.payload_bytes += unit.payload_bytes
+        step = step_key(unit)
+        room.tasks_of_step[step] = room.tasks_of_step.get(step, 0) + 1
+
+
+def step_key(unit: WaitingUnit) -> tuple[str, int, int]:
+    """Return the key under which tasks of the unit's step are counted."""
+    return unit.unit_id[:3]
+
+
+def _fill(unit: WaitingUnit, rooms: Iterable[WorkerRoom]) -> list[WorkerRoom] | None:
+    ordered = sorted(rooms, key=lambda room: _preference(unit, room))
+    seats: list[WorkerRoom] = []
+    for room in ordered:
+        if len(seats) == unit.size:
+            break
+        count = min(_holds(unit, room, room.room), unit.size - len(seats))
+        seats += [room] * count
+    return seats if len(seats) == unit.size else None
+
+
+def _preference(
+    unit: WaitingUnit, room: WorkerRoom
+) -> tuple[bool, bool, float, float, str]:
+    left = room.room - unit.demand
+    return (
+        room.seat.worker_id in unit.avoided,
+        not room.trusted,
+        left.accelerators,
+        left.cpu,
+        room.seat.worker_id,
+    )
+
+
+def _holds(unit: WaitingUnit, room: WorkerRoom, free: Resources) -> int:
+    """Return how many of the unit's tasks fit into the free part of a worker."""
+    payload = max(unit.payload_bytes, 1)
+    bounds = [unit.size, (PAYLOAD_LIMIT - room.payload_bytes) // payload]
+    pairs = (
+        (free.cpu, unit.demand.cpu),
+        (free.memory, unit.demand.memory),
+        (free.accelerators, unit.demand.accelerators),
+    )
+    for have, need in pairs:
+        if need:
+            bounds.append(have // need)
+    if unit.tasks_per_worker:
+        present = room.tasks_of_step.get(step_key(unit), 0)
+        bounds.append(unit.tasks_per_worker - present)
+    return max(min(bounds), 0)
+
+
+def _racks(rooms: Iterable[WorkerRoom]) -> dict[str, list[WorkerRoom]]:
+    racks: dict[str, list[WorkerRoom]] = {}
+    for room in rooms:
+        racks.setdefault(room.rack, []).append(room)
+    return racks
+
+
+def _leftover(seats: list[WorkerRoom]) -> int:
+    distinct = {room.seat.worker_id: room for room in seats}
+    return sum(room.room.accelerators for room in distinct.values())
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -0,0 +1,181 @@
+"""Describe the owner's state as the planner sees it."""
+
+from __future__ import annotations
+
+from .fleet_state import FleetState, Job, Worker
+from .plan import RunningUnit, Snapshot, WaitingUnit, WorkerRoom
+from .policy import Queue
+from .spec import NOTHING, StepSpec
+from .unit import ACTIVE, CANCELLING, Seat, STOPPING, Unit, WAITING
+from .worker import WorkerState
+
+REPORT_AGE_LIMIT = 3.0
+"""Seconds after its last report in which a worker still gets new runs."""
+
+DEFAULT_ESTIMATE = 5.0
+"""Seconds that a task is taken to run if its caller gave no estimate."""
+
+
+def take_snapshot(state: FleetState, now: float) -> Snapshot:
+    """Return what the planner depends on."""
+    held = _held_by_organisation(state)
+    waiting: list[WaitingUnit] = []
+    running: list[RunningUnit] = []
+    for job in state.jobs.values():
+        queue = state.queue(job)
+        for unit in _open_units(job):
+            if unit.state in (ACTIVE, STOPPING, CANCELLING):
+                running.append(_running(unit, job, queue, state, held, now))
+            elif unit.state == WAITING and queue and unit.held_until <= now:
+                waiting.append(_waiting(unit, job, queue, state, held))
+    rooms = tuple(_room(worker, state, now) for worker in state.workers.values())
+    return Snapshot(
+        now=now, rooms=rooms, waiting=tuple(waiting), running=tuple(running)
+    )
+
+
+def _open_units(job: Job) -> list[Unit]:
+    units = job.units.values()
+    if not job.state.ended:
+        return list(units)
+    return [unit for unit in units if unit.on_workers]
+
+
+def run_estimate(step: StepSpec) -> float:
+    """Return the estimated run time of one task in seconds."""
+    return step.estimate or DEFAULT_ESTIMATE
+
+
+def chain_behind(job: Job, step: int) -> float:
+    """Return the estimated time of a step and of the longest chain behind it."""
+    steps = job.spec.steps
+    behind = [
+        chain_behind(job, number)
+        for number, other in enumerate(steps)
+        if step in other.after and number > step
+    ]
+    return run_estimate(steps[step]) + max(behind, default=0.0)
+
+
+def _room(worker: Worker, state: FleetState, now: float) -> WorkerRoom:
+    info = worker.info
+    fresh = worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
+    on_probation = now < worker.probation_until
+    room = WorkerRoom(
+        seat=Seat(worker_id=info.worker_id, incarnation=info.incarnation),
+        service=info.service,
+        data_centre=info.data_centre,
+        rack=info.rack,
+        labels=info.labels,
+        capacity=info.capacity,
+        room=info.capacity - state.used(worker),
+        ready=fresh and info.state is WorkerState.READY,
+        trusted=not on_probation,
+    )
+    for unit_id in state.seated.get(worker.worker_id, ()):
+        unit = state.unit(unit_id)
+        if unit is None:
+            continue
+        step = unit_id[:3]
+        count = sum(
+            not member.ended and member.seat.worker_id == worker.worker_id
+            for member in unit.members
+        )
+        room.tasks_of_step[step] = room.tasks_of_step.get(step, 0) + count
+        room.payload_bytes += len(state.jobs[unit_id.job_id].spec.payload)
+    return room
+
+
+def _waiting(
+    unit: Unit, job: Job, queue: Queue, state: FleetState, held: dict[str, int]
+) -> WaitingUnit:
+    step = unit.step
+    chain = chain_behind(job, unit.unit_id.step)
+    whole = max(
+        (chain_behind(job, number) for number in range(len(job.spec.steps))),
+        default=0.0,
+    )
+    span = queue.stretch * whole + queue.target
+    return WaitingUnit(
+        unit_id=unit.unit_id,
+        service=queue.service,
+        organisation=job.spec.organisation,
+        priority=queue.priority,
+        guaranteed=_within_guarantee(unit, job, queue, state, held),
+        demand=unit.demand,
+        size=unit.size,
+        label=step.label,
+        data_rack=step.data_rack,
+        same_rack=step.same_rack and step.gang,
+        tasks_per_worker=step.tasks_per_worker,
+        payload_bytes=len(job.spec.payload),
+        ready_at=unit.ready_at,
+        objective=_begin(unit, job, state) + span,
+        target_span=span,
+        remaining=chain,
+        avoided=frozenset(unit.avoided),
+    )
+
+
+def _running(
+    unit: Unit,
+    job: Job,
+    queue: Queue | None,
+    state: FleetState,
+    held: dict[str, int],
+    now: float,
+) -> RunningUnit:
+    seats = tuple(member.seat for member in unit.members if not member.ended)
+    begun = min((member.started_at for member in unit.members), default=now)
+    worked = 0.0 if unit.step.checkpointing else now - begun
+    priority = queue.priority if queue else 0
+    guaranteed = priority == 0 and held.get(job.spec.organisation, 0) <= _guarantee(
+        job.spec.organisation, state
+    )
+    return RunningUnit(
+        unit_id=unit.unit_id,
+        priority=priority,
+        organisation=job.spec.organisation,
+        guaranteed=guaranteed,
+        demand=unit.demand,
+        seats=seats,
+        lost_work=worked * len(seats) * unit.step.demand.weight,
+        stopping=unit.state != ACTIVE,
+        preemptions=unit.preemptions,
+    )
+
+
+def _begin(unit: Unit, job: Job, state: FleetState) -> float:
+    """Return from when the job's time counts, on this process's clock."""
+    if job.spec.repeats:
+        due = job.spec.start_at + unit.unit_id.occurrence * job.spec.repeat_interval
+        return due - state.wall_offset
+    return job.spec.accepted_at - state.store_offset
+
+
+def _held_by_organisation(state: FleetState) -> dict[str, int]:
+    """Return the accelerators at work for each organisation's urgent jobs."""
+    held: dict[str, int] = {}
+    for job in state.jobs.values():
+        queue = state.queue(job)
+        if queue is None or queue.priority != 0:
+            continue
+        for unit in _open_units(job):
+            busy = sum(not member.ended for member in unit.members)
+            name = job.spec.organisation
+            held[name] = held.get(name, 0) + busy * unit.demand.accelerators
+    return held
+
+
+def _guarantee(organisation: str, state: FleetState) -> int:
+    known = state.policy.organisations.get(organisation)
+    return known.guaranteed_accelerators if known else 0
+
+
+def _within_guarantee(
+    unit: Unit, job: Job, queue: Queue, state: FleetState, held: dict[str, int]
+) -> bool:
+    if queue.priority != 0 or unit.demand == NOTHING:
+        return False
+    wanted = held.get(job.spec.organisation, 0) + unit.size * unit.demand.accelerators
+    return wanted <= _guarantee(job.spec.organisation, state)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -0,0 +1,176 @@
+"""Define what the unit chart does."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command
+from .unit import Member, RunEnded, Unit, UnitPlaced
+from .worker import EndKind
+
+COUNTED_FAILURES = frozenset((EndKind.FAILED,))
+"""Ends that count as attempts; all others are the system's own doing."""
+
+
+class UnitAction(Action[Any, Unit]):
+    """Name an effect in the unit chart; the state is the attempts allowed."""
+
+    __slots__ = ()
+
+
+class UnitGuard(Guard[Any, Unit]):
+    """Name a condition in the unit chart; the state is the attempts allowed."""
+
+    __slots__ = ()
+
+
+class BeginRun(UnitAction):
+    """Take the next run number and the chosen workers."""
+
+    __slots__ = ()
+
+
+class NoteEnd(UnitAction):
+    """Remember the end of one member, its checkpoint and its failure."""
+
+    __slots__ = ()
+
+
+class EndMembers(UnitAction):
+    """Take all members as ended: a gang ends done as a whole."""
+
+    __slots__ = ()
+
+
+class FinishRun(UnitAction):
+    """Count a failed run and note the time from which the unit waits again."""
+
+    __slots__ = ()
+
+
+class NoteReady(UnitAction):
+    """Note the time from which the unit waits for room."""
+
+    __slots__ = ()
+
+
+class NotePreemption(UnitAction):
+    """Count how often the unit lost its room."""
+
+    __slots__ = ()
+
+
+class MemberDone(UnitGuard):
+    """Hold if a member ended as done and the unit is meant to end."""
+
+    __slots__ = ()
+
+
+class LastMember(UnitGuard):
+    """Hold if no other member is at work."""
+
+    __slots__ = ()
+
+
+class Exhausted(UnitGuard):
+    """Hold if the run counts as the last failed attempt that is allowed."""
+
+    __slots__ = ()
+
+
+def unit_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the unit chart bound to its actions and guards."""
+    return catalogue.bind(
+        "unit",
+        actions=UnitAction.__subclasses__(),
+        guards=UnitGuard.__subclasses__(),
+    )
+
+
+@holds.register
+def _(guard: MemberDone) -> bool:
+    message = guard.message
+    lasting = guard.subject.step.long_running
+    return (
+        isinstance(message, RunEnded) and message.kind is EndKind.DONE and not lasting
+    )
+
+
+@holds.register
+def _(guard: LastMember) -> bool:
+    message = guard.message
+    index = message.index if isinstance(message, RunEnded) else None
+    return all(
+        member.ended or member.index == index for member in guard.subject.members
+    )
+
+
+@holds.register
+def _(guard: Exhausted) -> bool:
+    unit, message = guard.subject, guard.message
+    if unit.step.long_running:
+        return False
+    failed = unit.failed_run or (
+        isinstance(message, RunEnded) and message.kind in COUNTED_FAILURES
+    )
+    return failed and unit.failures + 1 >= guard.state
+
+
+@perform.register
+def _(action: BeginRun) -> list[Command]:
+    unit, message = action.subject, action.message
+    if not isinstance(message, UnitPlaced):
+        return []
+    unit.run += 1
+    unit.failed_run = False
+    unit.start_checkpoint = unit.checkpoint
+    first = unit.unit_id.position
+    unit.members = [
+        Member(index=first + offset, seat=seat, started_at=action.now)
+        for offset, seat in enumerate(message.seats)
+    ]
+    return []
+
+
+@perform.register
+def _(action: NoteEnd) -> list[Command]:
+    unit, message = action.subject, action.message
+    if not isinstance(message, RunEnded):
+        return []
+    for member in unit.members:
+        if member.index == message.index:
+            member.ended = True
+    if message.checkpoint and unit.step.checkpointing:
+        unit.checkpoint = message.checkpoint
+    unit.failed_run |= message.kind in COUNTED_FAILURES
+    return []
+
+
+@perform.register
+def _(action: EndMembers) -> list[Command]:
+    for member in action.subject.members:
+        member.ended = True
+    return []
+
+
+@perform.register
+def _(action: FinishRun) -> list[Command]:
+    unit = action.subject
+    unit.failures += unit.failed_run
+    unit.failed_run = False
+    unit.ready_at = action.now
+    return []
+
+
+@perform.register
+def _(action: NoteReady) -> list[Command]:
+    action.subject.ready_at = action.now
+    return []
+
+
+@perform.register
+def _(action: NotePreemption) -> list[Command]:
+    action.subject.preemptions += 1
+    return []
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
@@ -0,0 +1,242 @@
+"""Move units through their chart and keep the owner's books in step."""
+
+from __future__ import annotations
+
+from ..command import Command, WriteLog
+from ..log_event import JOB_ENDED, RUN_ENDED, UNIT_PLACED, UNIT_PREEMPTED
+from ..message import Message
+from .fleet_state import FleetState, Job
+from .plan import Preempt
+from .progress import JobState, UnitRecord
+from .spec import StepSpec
+from .unit import (
+    BLOCKED,
+    COMPLETED,
+    ENDED_STATES,
+    FAILED,
+    Member,
+    RunEnded,
+    Seat,
+    Unit,
+    UnitCancelled,
+    UnitId,
+    UnitPlaced,
+    UnitPreempted,
+    UnitReady,
+    WAITING,
+)
+from .worker import EndKind
+
+DEFAULT_ATTEMPTS = 1
+"""Attempts of a task whose queue was removed from the configuration."""
+
+REFUSAL_DELAY = 0.25
+"""Seconds before a unit is placed again that a worker has refused."""
+
+
+def handle(unit: Unit, message: Message, state: FleetState, now: float) -> None:
+    """Fire a message's event on a unit, and note which rows have to be written."""
+    job = state.jobs[unit.unit_id.job_id]
+    queue = state.queue(job)
+    attempts = queue.max_attempts if queue else DEFAULT_ATTEMPTS
+    _unseat(unit, state)
+    unit.lifecycle.handle(message, attempts, unit, now)
+    _seat(unit, state)
+    state.dirty_jobs.add(job.spec.job_id)
+
+
+def place(
+    unit: Unit, seats: tuple[Seat, ...], state: FleetState, now: float
+) -> list[Command]:
+    """Order a unit's tasks on the chosen workers."""
+    handle(unit, UnitPlaced(seats=seats), state, now)
+    fields = {
+        "job": unit.unit_id.job_id,
+        "unit": _name(unit),
+        "run": unit.run,
+        "workers": sorted({seat.worker_id for seat in seats}),
+        "waited": round(now - unit.ready_at, 3),
+        "epoch": state.epoch,
+    }
+    return [WriteLog(number=UNIT_PLACED.number, fields=fields)]
+
+
+def preempt(decision: Preempt, state: FleetState, now: float) -> list[Command]:
+    """Stop a unit so that another one gets its room."""
+    unit = state.unit(decision.unit_id)
+    if unit is None or unit.state in ENDED_STATES:
+        return []
+    beneficiary = ".".join(str(part) for part in decision.beneficiary)
+    handle(unit, UnitPreempted(reason=beneficiary), state, now)
+    fields = {
+        "job": unit.unit_id.job_id,
+        "unit": _name(unit),
+        "run": unit.run,
+        "beneficiary": beneficiary,
+        "lost_work": round(decision.lost_work, 1),
+    }
+    return [WriteLog(number=UNIT_PREEMPTED.number, fields=fields)]
+
+
+def end_run(
+    unit: Unit, ended: RunEnded, worker_id: str, state: FleetState, now: float
+) -> list[Command]:
+    """Take the end of one member's run, and what follows for its job."""
+    if unit.state in ENDED_STATES:
+        return []
+    handle(unit, ended, state, now)
+    if ended.kind in (EndKind.FAILED, EndKind.REFUSED, EndKind.LOST):
+        unit.avoided.add(worker_id)
+    if ended.kind is EndKind.REFUSED:
+        unit.held_until = now + REFUSAL_DELAY
+    fields = {
+        "job": unit.unit_id.job_id,
+        "task": str(unit.task_id(ended.index)),
+        "run": unit.run,
+        "worker": worker_id,
+        "how": ended.kind.value,
+        "failures": unit.failures,
+        "state": unit.state,
+    }
+    job = state.jobs[unit.unit_id.job_id]
+    return [
+        WriteLog(number=RUN_ENDED.number, fields=fields),
+        *settle(job, state, now),
+    ]
+
+
+def cancel(job: Job, state: FleetState, now: float) -> list[Command]:
+    """Stop all that is left of a cancelled job."""
+    if job.state.ended:
+        return []
+    job.cancelled = True
+    _cancel_units(job, state, now)
+    return settle(job, state, now)
+
+
+def settle(job: Job, state: FleetState, now: float) -> list[Command]:
+    """Release steps whose turn has come, and end a job that has nothing left."""
+    if job.state.ended:
+        return []
+    failed = any(unit.state == FAILED for unit in job.units.values())
+    if failed:
+        _cancel_units(job, state, now)
+        return _end(job, JobState.FAILED, state, now)
+    if job.cancelled:
+        return _end(job, JobState.CANCELLED, state, now)
+    _release(job, state, now)
+    units = job.units.values()
+    if job.occurrences == occurrences_of(job) and all(
+        unit.state == COMPLETED for unit in units
+    ):
+        return _end(job, JobState.COMPLETED, state, now)
+    if job.state is JobState.PENDING and any(unit.run for unit in units):
+        job.state = JobState.RUNNING
+        state.dirty_jobs.add(job.spec.job_id)
+    return []
+
+
+def occurrences_of(job: Job) -> int:
+    """Return how many times the job's steps run."""
+    return max(job.spec.repeats, 1)
+
+
+def add_occurrence(job: Job, state: FleetState) -> None:
+    """Create the units of the job's next occurrence."""
+    occurrence = job.occurrences
+    job.occurrences += 1
+    for number, step in enumerate(job.spec.steps):
+        for index in range(1 if step.gang else step.count):
+            unit_id = UnitId(job.spec.job_id, occurrence, number, index)
+            job.units[unit_id] = Unit(
+                unit_id=unit_id, step=step, lifecycle=state.unit_chart.start()
+            )
+
+
+def restore_unit(job: Job, record: UnitRecord, state: FleetState, now: float) -> None:
+    """Continue a unit where a former owner recorded it."""
+    steps = job.spec.steps
+    if record.step >= len(steps):
+        return
+    step: StepSpec = steps[record.step]
+    unit_id = UnitId(job.spec.job_id, record.occurrence, record.step, record.index)
+    unit = Unit(
+        unit_id=unit_id,
+        step=step,
+        lifecycle=state.unit_chart.resume(record.state),
+        run=record.run,
+        failures=record.failures,
+        checkpoint=record.checkpoint,
+        start_checkpoint=record.checkpoint,
+        ready_at=now,
+    )
+    unit.members = [
+        Member(
+            index=member.index,
+            seat=Seat(worker_id=member.worker_id, incarnation=member.incarnation),
+            ended=member.ended,
+            started_at=now,
+        )
+        for member in record.members
+    ]
+    job.units[unit_id] = unit
+    _seat(unit, state)
+
+
+def _end(job: Job, end_state: JobState, state: FleetState, now: float) -> list[Command]:
+    job.state = end_state
+    job.ended_at = now + state.store_offset
+    state.dirty_jobs.add(job.spec.job_id)
+    fields = {
+        "job": job.spec.job_id,
+        "queue": job.spec.queue,
+        "organisation": job.spec.organisation,
+        "state": end_state.value,
+        "took": round(job.ended_at - job.spec.accepted_at, 3),
+    }
+    return [WriteLog(number=JOB_ENDED.number, fields=fields)]
+
+
+def _cancel_units(job: Job, state: FleetState, now: float) -> None:
+    for unit in job.units.values():
+        if unit.state not in ENDED_STATES:
+            handle(unit, UnitCancelled(), state, now)
+
+
+def _release(job: Job, state: FleetState, now: float) -> None:
+    for unit in job.units.values():
+        if unit.state == BLOCKED and _earlier_done(job, unit):
+            handle(unit, UnitReady(), state, now)
+
+
+def _earlier_done(job: Job, unit: Unit) -> bool:
+    wanted = set(unit.step.after)
+    return all(
+        other.state == COMPLETED
+        for other in job.units.values()
+        if other.unit_id.occurrence == unit.unit_id.occurrence
+        and other.unit_id.step in wanted
+    )
+
+
+def _unseat(unit: Unit, state: FleetState) -> None:
+    state.room_changed = True
+    for member in unit.members:
+        if not member.ended:
+            state.seated.get(member.seat.worker_id, set()).discard(unit.unit_id)
+            state.dirty_workers.add(member.seat.worker_id)
+
+
+def _seat(unit: Unit, state: FleetState) -> None:
+    if unit.state == WAITING:
+        state.waiting.add(unit.unit_id)
+    else:
+        state.waiting.discard(unit.unit_id)
+    for member in unit.members:
+        if not member.ended:
+            state.seated.setdefault(member.seat.worker_id, set()).add(unit.unit_id)
+            state.dirty_workers.add(member.seat.worker_id)
+
+
+def _name(unit: Unit) -> str:
+    return ".".join(str(part) for part in unit.unit_id[1:])
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import singledispatch
 
 import urllib3
 
@@ -24,9 +26,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Report that no connection was made, so the call had no effect."""
+    """Report that no connection was made, so the call had no effect.
+
+    refused is set if no process listens at the address.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +45,23 @@
 HttpResult = HttpAnswer | NotSent | Lost
 
 
+@singledispatch
+def failure_text(result: HttpResult) -> str:
+    """Return in a few words why a result is of no use."""
+    return "no answer"
+
+
+@failure_text.register(NotSent)
+@failure_text.register(Lost)
+def _(result: NotSent | Lost) -> str:
+    return result.reason
+
+
+@failure_text.register
+def _(result: HttpAnswer) -> str:
+    return f"status {result.status}"
+
+
 class HttpCaller:
     """Own the connection pool to one service of the platform."""
 
@@ -49,16 +72,27 @@
         self.pool = urllib3.connection_from_url(url, maxsize=connections, block=True)
 
     def call(
-        self, method: str, path: str, body: bytes | None, limit: int
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        limit: int,
+        headers: Mapping[str, str] | None = None,
+        timeout: float | None = None,
     ) -> HttpResult:
-        """Return the answer with at most limit bytes, or why there is none."""
-        deadline = time.monotonic() + self.timeout
+        """Return the answer with at most limit bytes, or why there is none.
+
+        The timeout in seconds replaces the caller's own.
+        """
+        total = timeout or self.timeout
+        deadline = time.monotonic() + total
         try:
             response = self.pool.urlopen(
                 method,
                 path,
                 body=body,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, total=self.timeout),
+                headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, total=total),
                 retries=False,
                 redirect=False,
                 preload_content=False,
@@ -67,7 +101,8 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            return NotSent(f"no connection: {type(error).__name__}")
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return NotSent(f"no connection: {type(error).__name__}", refused)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Lost(f"no answer: {type(error).__name__}")
         return _read(response, limit, deadline)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
@@ -2,32 +2,112 @@
 
 from __future__ import annotations
 
+import json
+import os
 import sys
 from typing import Any
 
 from loguru import logger
 
-from wasabispur_core.log_event import LogEvent
+from wasabispur_core.log_event import LogEvent, RECORDS_DROPPED
+
+RECORDS_PER_SECOND = 200
+"""Records of one process that are written in a second; the rest is counted."""
+
+RECORD_BYTES = 4000
+"""Longest record; a pipe takes it whole or not at all."""
+
+
+class RecordSink:
+    """Write records to a descriptor without ever waiting for its reader."""
+
+    def __init__(self, descriptor: int, process: str) -> None:
+        self.descriptor = descriptor
+        self.process = process
+        self.second = 0
+        self.written = 0
+        self.dropped = 0
+        self.reason = ""
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: Any) -> None:
+        """Write one record, or count it as dropped."""
+        record = text.record
+        second = int(record["time"].timestamp())
+        if second != self.second:
+            self.second, self.written = second, 0
+            self._tell_dropped(record)
+        if self.written >= RECORDS_PER_SECOND and record["level"].no < 40:
+            self._drop(1, "the rate limit")
+            return
+        self.written += 1
+        self._put(self._line(record))
+
+    def _tell_dropped(self, record: Any) -> None:
+        if not self.dropped:
+            return
+        fields = {"count": self.dropped, "reason": self.reason}
+        line = {
+            "time": record["time"].isoformat(timespec="milliseconds"),
+            "level": RECORDS_DROPPED.level,
+            "event": RECORDS_DROPPED.number,
+            "process": self.process,
+            "text": RECORDS_DROPPED.text.format(**fields),
+            **fields,
+        }
+        dropped, self.dropped = self.dropped, 0
+        if not self._put(json.dumps(line)):
+            self.dropped += dropped
+
+    def _line(self, record: Any) -> str:
+        extra = record["extra"]
+        line = {
+            "time": record["time"].isoformat(timespec="milliseconds"),
+            "level": record["level"].name,
+            "event": extra.get("event", 0),
+            "process": self.process,
+            "text": record["message"],
+            **{key: value for key, value in extra.items() if key != "event"},
+        }
+        if record["exception"] is not None:
+            line["exception"] = repr(record["exception"].value)
+        return json.dumps(line, default=str)[:RECORD_BYTES]
+
+    def _put(self, line: str) -> bool:
+        try:
+            os.write(self.descriptor, line.encode() + b"\n")
+        except BlockingIOError:
+            self._drop(1, "the reader is slow")
+            return False
+        except OSError as error:
+            self._drop(1, f"standard output failed: {error.strerror}")
+            return False
+        return True
+
+    def _drop(self, count: int, reason: str) -> None:
+        self.dropped += count
+        self.reason = reason
 
 
 def configure_log(process: str, level: str = "INFO") -> None:
-    """Send records of at least the level to standard error, one JSON a line."""
+    """Send records of at least the level to standard output, one JSON a line."""
     logger.remove()
-    logger.configure(extra={"process_name": process})
-    logger.add(sys.stderr, level=level, serialize=True, backtrace=False)
+    sink = RecordSink(sys.stdout.fileno(), process)
+    logger.add(sink.write, level=level, format="{message}", backtrace=False)
 
 
 def log(event: LogEvent, /, **fields: Any) -> None:
     """Write one record of a catalogued event."""
-    text = event.text.format(**fields)
-    logger.bind(event=event.number, **fields).opt(raw=False).log(
-        event.level, text.replace("{", "{{").replace("}", "}}")
-    )
+    _write(event, fields, False)
 
 
 def log_failure(event: LogEvent, /, **fields: Any) -> None:
     """Write one record together with the exception being handled."""
-    text = event.text.format(**fields)
-    logger.bind(event=event.number, **fields).opt(exception=True).log(
-        event.level, text.replace("{", "{{").replace("}", "}}")
-    )
+    _write(event, fields, True)
+
+
+def _write(event: LogEvent, fields: dict[str, Any], exception: bool) -> None:
+    # Loguru formats the message once more; braces in it are no placeholders.
+    text = event.text.format(**fields).replace("{", "{{").replace("}", "}}")
+    bound = logger.bind(event=event.number, **fields)
+    bound.opt(exception=exception).log(event.level, text)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -28,6 +28,8 @@
 from .log import log
 
 Receiver = Callable[[Message], None]
+Serve = Callable[[SendCall, HttpCaller], CallAnswer]
+"""Makes one blocking call in the protocol of a service."""
 
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
@@ -46,8 +48,10 @@
         state: StoreAccess,
         decide: Decide,
         call_timeout: float = CALL_TIMEOUT,
+        serve: Serve | None = None,
     ) -> None:
         super().__init__(name, timers, state, decide)
+        self.serve = serve or call_service
         self.caller = HttpCaller(url, IN_FLIGHT_LIMIT, call_timeout)
         self.threads = ThreadPoolExecutor(IN_FLIGHT_LIMIT, thread_name_prefix=name)
         self.call_ids = count(1)
@@ -99,7 +103,7 @@
         answer: CallAnswer
         try:
             answer = await loop.run_in_executor(
-                self.threads, call_service, command, self.caller
+                self.threads, self.serve, command, self.caller
             )
         except RuntimeError:
             answer = CallLost(call_id=command.call_id, reason="the process is stopping")
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
@@ -32,7 +32,7 @@
 
 from .decision_actor import execute
 from .http_call import CALL_TIMEOUT, HttpAnswer, HttpCaller
-from .store_actor import call_service, failed_answer, Receiver, StoreActor
+from .store_actor import call_service, failed_answer, Receiver, Serve, StoreActor
 from .table_protocol import (
     AppliedBody,
     ConflictBody,
@@ -79,9 +79,12 @@
         random: Random,
         catalogue: ChartCatalogue | None = None,
         call_timeout: float = CALL_TIMEOUT,
+        serve: Serve | None = None,
     ) -> None:
         state = new_table_access(catalogue or ChartCatalogue(), random)
-        super().__init__("table-client", timers, url, state, decide, call_timeout)
+        super().__init__(
+            "table-client", timers, url, state, decide, call_timeout, serve
+        )
 
     def on_apply_transaction(self, message: ApplyTransaction) -> None:
         """Take a transaction."""
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -0,0 +1,115 @@
+"""Own the connection on which changes of one table arrive."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.feed import (
+    CallChanges,
+    CallPage,
+    decide,
+    FeedAnswer,
+    FeedHealth,
+    FeedTimer,
+    new_feed_state,
+    RowsChanged,
+    TableDelivered,
+)
+from wasabispur_core.message import Message
+from wasabispur_core.timer import TimerService
+
+from .actor import Close
+from .decision_actor import DecisionActor, execute
+from .http_call import HttpCaller
+
+Receiver = Callable[[Message], None]
+ServeFeed = Callable[[Any, HttpCaller], FeedAnswer]
+"""Makes one blocking feed call in the protocol of the platform's store."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FeedSource:
+    """Say where changes come from: the store, its protocol, and one table."""
+
+    url: str
+    serve: ServeFeed
+    table: str
+    prefixes: tuple[str, ...]
+    watched: bool = True
+    call_timeout: float = 3.0
+
+
+class TableFeed(DecisionActor):
+    """Read a table, then each change of it, and pass them to one receiver."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        source: FeedSource,
+        receiver: Receiver,
+        random: Random,
+        catalogue: ChartCatalogue,
+    ) -> None:
+        state = new_feed_state(
+            source.table, source.prefixes, source.watched, random, catalogue
+        )
+        super().__init__(f"feed:{source.table}", timers, state, decide)
+        self.source = source
+        self.receiver = receiver
+        self.caller = HttpCaller(source.url, 1, source.call_timeout)
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix=self.name)
+        self.calls: set[asyncio.Task[None]] = set()
+
+    async def opened(self) -> None:
+        """Begin to read."""
+        self.post(FeedTimer())
+
+    def send(self, command: Any) -> None:
+        """Make one call on the feed's thread."""
+        task = asyncio.get_running_loop().create_task(self._call(command))
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    async def _call(self, command: Any) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            answer = await loop.run_in_executor(
+                self.thread, self.source.serve, command, self.caller
+            )
+        except RuntimeError:
+            # The thread pool refuses calls once the feed is closed.
+            return
+        self.post_urgent(answer)
+
+    def retire(self) -> None:
+        """Deliver nothing more, and stop without being waited for."""
+        self.receiver = _ignore
+        self.post_urgent(Close())
+
+    async def closed(self) -> None:
+        """Stop the thread and close the connection."""
+        self.thread.shutdown(wait=False, cancel_futures=True)
+        self.caller.close()
+
+
+def _ignore(message: Message) -> None:
+    """Take what a retired feed still delivers."""
+
+
+@execute.register(CallPage)
+@execute.register(CallChanges)
+def _(command: CallPage | CallChanges, actor: TableFeed) -> None:
+    actor.send(command)
+
+
+@execute.register(TableDelivered)
+@execute.register(RowsChanged)
+@execute.register(FeedHealth)
+def _(command: TableDelivered | RowsChanged | FeedHealth, actor: TableFeed) -> None:
+    actor.receiver(command)
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -0,0 +1,160 @@
+"""Wire the actors of an entry of the workload plane."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from uuid import uuid4
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.message import Message
+from wasabispur_core.ownership import Ownership, ReleaseOwnership
+from wasabispur_core.ownership_action import ownership_chart
+from wasabispur_core.shard import Shard
+from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.fleet_state import FleetTick
+from wasabispur_core.workload.intake import call_charts, IntakeState
+from wasabispur_core.workload.lease_clock import owner_horizon
+from wasabispur_core.workload.rows import SHARD
+from wasabispur_core.workload.scheduler import decide, new_fleet_state
+from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.store_actor import Serve
+from wasabispur_runtime.table_client import TableClient
+from wasabispur_runtime.table_feed import FeedSource, ServeFeed, TableFeed
+from wasabispur_runtime.timer_service import sleep
+
+from .fleet_scheduler import FleetScheduler
+from .fleet_settings import FleetEntrySettings
+from .job_intake import JobIntake
+from .policy_watcher import DecodePolicy, PolicyWatcher
+
+OWNER_LEASE = 2.5
+OWNER_RENEWAL = 0.7
+OWNER_TICK = 0.25
+"""Seconds of the owner's lease, between its renewals, and between two looks at it.
+
+With the lease, a takeover and its reading fit into the bound on recovery.
+"""
+
+DRAIN_NOTICE = 2.5
+"""Seconds for the balancer to miss two readiness answers before the front closes."""
+
+RELEASE_TIME = 0.3
+"""Seconds for the release of the ownership to be written."""
+
+
+class EntryDoor:
+    """Stand for what lets callers in."""
+
+    def open(self) -> None:
+        """Begin to serve."""
+
+    def announce_close(self) -> None:
+        """Ask callers to use other connections from now on."""
+
+    def close(self) -> None:
+        """Finish the calls in progress and stop to serve."""
+
+
+class FleetEntry:
+    """Hold the actors of one entry."""
+
+    def __init__(
+        self,
+        settings: FleetEntrySettings,
+        timers: TimerService,
+        serve_store: Serve,
+        serve_feed: ServeFeed,
+        decode_policy: DecodePolicy,
+        operator_rows: tuple[str, str],
+    ) -> None:
+        configure_log(settings.entry_id, settings.log_level)
+        self.settings = settings
+        self.timers = timers
+        self.catalogue = ChartCatalogue()
+        self.serve_feed = serve_feed
+        self.stopping = False
+        self.table = TableClient(
+            timers, settings.store_url, Random(), self.catalogue, serve=serve_store
+        )
+        self.scheduler = FleetScheduler(
+            timers, self._shard(), self.table, self.open_feed
+        )
+        self.intake = JobIntake(timers, self._intake_state(), self.table)
+        table, prefix = operator_rows
+        self.policy = PolicyWatcher(
+            timers,
+            decode_policy,
+            lambda receiver: self.open_feed(table, (prefix,), True, receiver),
+            (self.intake, self.scheduler),
+        )
+        self.actors = (self.table, self.scheduler, self.intake, self.policy)
+
+    def is_ready(self) -> bool:
+        """Return whether the entry wants new connections."""
+        return bool(self.policy.version) and not self.stopping
+
+    def open_feed(
+        self,
+        table: str,
+        prefixes: tuple[str, ...],
+        watched: bool,
+        receiver: Callable[[Message], None],
+    ) -> TableFeed:
+        """Return the feed of a table."""
+        source = FeedSource(
+            url=self.settings.store_url,
+            serve=self.serve_feed,
+            table=table,
+            prefixes=prefixes,
+            watched=watched,
+        )
+        return TableFeed(self.timers, source, receiver, Random(), self.catalogue)
+
+    async def run(self, door: EntryDoor, stop: asyncio.Event) -> None:
+        """Serve until stop is set, then shut down gracefully."""
+        for actor in self.actors:
+            actor.start()
+        door.open()
+        log(PROCESS_STARTED, process=self.settings.entry_id)
+        await stop.wait()
+        log(PROCESS_DRAINING, process=self.settings.entry_id)
+        self.stopping = True
+        self.scheduler.post(ReleaseOwnership())
+        door.announce_close()
+        await sleep(self.timers, DRAIN_NOTICE)
+        await asyncio.to_thread(door.close)
+        await sleep(self.timers, RELEASE_TIME)
+        for actor in reversed(self.actors):
+            await actor.close()
+        log(PROCESS_STOPPED, process=self.settings.entry_id)
+
+    def _shard(self) -> Shard:
+        ownership = Ownership(
+            self.settings.entry_id,
+            SHARD,
+            ownership_chart(self.catalogue).start(),
+            new_operation_id,
+            lease_time=OWNER_LEASE,
+            renewal=OWNER_RENEWAL,
+        )
+        horizon = owner_horizon(self.settings.lease_times)
+        return Shard(
+            ownership,
+            new_fleet_state(self.catalogue, horizon),
+            decide_jobs=decide,
+            tick=FleetTick(),
+            tick_interval=OWNER_TICK,
+        )
+
+    def _intake_state(self) -> IntakeState:
+        return IntakeState(
+            charts=call_charts(self.catalogue), new_operation_id=new_operation_id
+        )
+
+
+def new_operation_id() -> str:
+    """Return an id that no other write has."""
+    return uuid4().hex
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -0,0 +1,74 @@
+"""Validate the rows of the workload plane before decisions see them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from pydantic import TypeAdapter
+from returns.result import Failure
+
+from wasabispur_core.log_event import ROW_REFUSED
+from wasabispur_core.message import Message
+from wasabispur_core.store import Row
+from wasabispur_core.workload.fleet_state import (
+    CancelArrived,
+    JobArrived,
+    ProgressArrived,
+    ReportRemoved,
+)
+from wasabispur_core.workload.rows import (
+    CANCEL_SUFFIX,
+    JOB,
+    JOB_TABLE,
+    PROGRESS,
+    PROGRESS_TABLE,
+    REPORT,
+    REPORT_TABLE,
+    unpack,
+)
+from wasabispur_core.workload.worker import ReportArrived
+from wasabispur_runtime.log import log
+
+T = TypeVar("T")
+
+
+def messages_in(rows: Iterable[Row]) -> list[Message]:
+    """Return what rows tell the scheduler; a malformed row is logged and left."""
+    found = (message_in(row) for row in rows)
+    return [message for message in found if message is not None]
+
+
+def message_in(row: Row) -> Message | None:
+    """Return what a row tells the scheduler, or None."""
+    table, _, rest = row.key.partition("/")
+    name = rest.partition("/")[2]
+    if table == JOB_TABLE and name.endswith(CANCEL_SUFFIX):
+        return CancelArrived(job_id=name.removesuffix(CANCEL_SUFFIX))
+    if table == JOB_TABLE:
+        spec = decode(JOB, row)
+        return JobArrived(spec=spec) if spec else None
+    if table == PROGRESS_TABLE:
+        progress = decode(PROGRESS, row)
+        return ProgressArrived(job_id=name, progress=progress) if progress else None
+    if table == REPORT_TABLE:
+        report = decode(REPORT, row)
+        return ReportArrived(report=report) if report else None
+    return None
+
+
+def removal_in(key: str) -> Message | None:
+    """Return what the removal of a row tells the scheduler, or None."""
+    table, _, rest = key.partition("/")
+    if table == REPORT_TABLE:
+        return ReportRemoved(worker_id=rest.partition("/")[2])
+    return None
+
+
+def decode(adapter: TypeAdapter[T], row: Row) -> T | None:
+    """Return the validated value of a row, or None after a log record."""
+    result = unpack(adapter, row.value)
+    if isinstance(result, Failure):
+        log(ROW_REFUSED, key=row.key, error=str(result.failure()))
+        return None
+    return result.unwrap()
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -0,0 +1,122 @@
+"""Own the scheduling of all workers as seen from this entry."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.log_event import SHARD_GIVEN_UP, SHARD_OWNED
+from wasabispur_core.message import Message
+from wasabispur_core.shard import decide, Shard, ShardTick
+from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.fleet_state import ClocksRead, TableReady
+from wasabispur_core.workload.rows import (
+    job_prefix,
+    JOB_TABLE,
+    progress_prefix,
+    PROGRESS_TABLE,
+    report_prefixes,
+    REPORT_TABLE,
+)
+from wasabispur_core.workload.watch import StopWatching, WatchTables
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.decision_actor import DecisionActor, execute
+from wasabispur_runtime.log import log
+from wasabispur_runtime.table_feed import TableFeed
+
+from .fleet_rows import messages_in, removal_in
+
+PREFIXES = {
+    JOB_TABLE: (job_prefix(),),
+    PROGRESS_TABLE: (progress_prefix(),),
+    REPORT_TABLE: tuple(report_prefixes()),
+}
+
+OpenFeed = Callable[[str, tuple[str, ...], bool, Callable[[Message], None]], TableFeed]
+"""Makes the feed of a table: its name, prefixes, whether it is watched, receiver."""
+
+
+class FleetScheduler(DecisionActor):
+    """Own the shard's lease and, while it is held, all scheduling decisions."""
+
+    def __init__(
+        self, timers: TimerService, shard: Shard, table: Actor, open_feed: OpenFeed
+    ) -> None:
+        super().__init__("fleet-scheduler", timers, shard, decide)
+        self.shard = shard
+        self.table = table
+        self.open_feed = open_feed
+        self.feeds: list[TableFeed] = []
+        self.owned = False
+
+    async def opened(self) -> None:
+        """Begin to observe the shard."""
+        self.post(ShardTick())
+
+    async def closed(self) -> None:
+        """Stop the feeds."""
+        for feed in self.feeds:
+            await feed.close()
+
+    def on_table_delivered(self, message: TableDelivered) -> None:
+        """Take all rows of a table."""
+        self._take_clocks(message.store_time)
+        for row_message in messages_in(message.rows):
+            self.on_message(row_message)
+        self.on_message(TableReady(table=message.table))
+
+    def on_rows_changed(self, message: RowsChanged) -> None:
+        """Take the rows of a table that changed."""
+        self._take_clocks(message.store_time)
+        for row_message in messages_in(message.rows):
+            self.on_message(row_message)
+        for key in message.removed:
+            removal = removal_in(key)
+            if removal is not None:
+                self.on_message(removal)
+
+    def on_feed_health(self, message: FeedHealth) -> None:
+        """Pass on whether reports still arrive."""
+        if message.table == REPORT_TABLE:
+            self.on_message(message)
+
+    def on_message(self, message: Message) -> None:
+        """Decide on the message and log a change of the owner."""
+        super().on_message(message)
+        owning = self.shard.scheduler.owning
+        if owning is self.owned:
+            return
+        self.owned = owning
+        name = self.shard.ownership.shard
+        if owning:
+            log(SHARD_OWNED, shard=name, epoch=self.shard.scheduler.epoch)
+        else:
+            log(SHARD_GIVEN_UP, shard=name)
+
+    def watch(self, command: WatchTables) -> None:
+        """Open a feed for each table."""
+        for table in (*command.watched, *command.read):
+            watched = table in command.watched
+            feed = self.open_feed(table, PREFIXES[table], watched, self.post)
+            feed.start()
+            self.feeds.append(feed)
+
+    def stop_watching(self) -> None:
+        """Close all feeds; what they still deliver is ignored without an owner."""
+        for feed in self.feeds:
+            feed.retire()
+        self.feeds = []
+
+    def _take_clocks(self, store_time: float) -> None:
+        self.on_message(ClocksRead(store_time=store_time, wall_time=time.time()))
+
+
+@execute.register
+def _(command: WatchTables, actor: FleetScheduler) -> None:
+    actor.watch(command)
+
+
+@execute.register
+def _(command: StopWatching, actor: FleetScheduler) -> None:
+    actor.stop_watching()
--- /dev/null
+++ b/packages/wasabispur/src/wasabispur/policy_watcher.py
@@ -0,0 +1,69 @@
+"""Follow the operators' configuration row."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.message import Message
+from wasabispur_core.store import Row
+from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.fleet_state import ClocksRead
+from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+from wasabispur_runtime.actor import Actor
+from wasabispur_runtime.table_feed import TableFeed
+
+DecodePolicy = Callable[[Row], FleetPolicy | None]
+"""Returns the configuration in a row, or None if the row holds none."""
+
+
+class PolicyWatcher(Actor):
+    """Pass each newer version of the configuration to the actors that use it."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        decode: DecodePolicy,
+        open_feed: Callable[[Callable[[Message], None]], TableFeed],
+        listeners: Iterable[Actor],
+    ) -> None:
+        super().__init__("policy-watcher", timers)
+        self.decode = decode
+        self.listeners = list(listeners)
+        self.feed = open_feed(self.post)
+        self.version = 0
+        self.connected = False
+
+    async def opened(self) -> None:
+        """Begin to follow the row."""
+        self.feed.start()
+
+    async def closed(self) -> None:
+        """Stop the feed."""
+        await self.feed.close()
+
+    def on_table_delivered(self, message: TableDelivered) -> None:
+        """Take the row as it is."""
+        self.connected = True
+        self._tell(ClocksRead(store_time=message.store_time, wall_time=0.0))
+        self._take(message.rows)
+
+    def on_rows_changed(self, message: RowsChanged) -> None:
+        """Take a change of the row."""
+        self._take(message.rows)
+
+    def on_feed_health(self, message: FeedHealth) -> None:
+        """Note whether the store answers this entry."""
+        self.connected = message.healthy
+
+    def _take(self, rows: Iterable[Row]) -> None:
+        for row in rows:
+            policy = self.decode(row)
+            if policy is None or policy.version <= self.version:
+                continue
+            self.version = policy.version
+            self._tell(PolicyChanged(policy=policy))
+
+    def _tell(self, message: Message) -> None:
+        for listener in self.listeners:
+            listener.post(message)
