--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
@@ -5,12 +5,23 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatch
 
-from wasabispur_core.message import Message
+from wasabispur_core.log_event import HANDLER_FAILED
+from wasabispur_core.message import event_name, Message
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.runner_message import WorkerCall
+from wasabispur_core.workload.runner_message import (
+    CallList,
+    CallStart,
+    CallStop,
+    ListFailed,
+    StartUnanswered,
+    StopUnanswered,
+    WorkerCall,
+)
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.http_call import HttpCaller
+from wasabispur_runtime.log import log_failure
 
 CALL_THREADS = 6
 """Calls to workers at once; one of them waits for ends."""
@@ -18,6 +29,8 @@
 CALL_TIMEOUT = 0.8
 """Seconds after which a call to a worker counts as unanswered."""
 
+CALL_FAILED = "the call failed in the agent"
+
 Serve = Callable[[WorkerCall, HttpCaller, float], Message]
 """Makes one blocking call in the worker's protocol at a monotonic time."""
 
@@ -53,6 +66,14 @@
         except RuntimeError:
             # The thread pool refuses calls once the process stops.
             return
+        except Exception as error:
+            log_failure(
+                HANDLER_FAILED,
+                actor=self.name,
+                message_name=event_name(command),
+                error=str(error),
+            )
+            answer = failed_call(command)
         self.receiver(answer)
 
     def _caller(self, address: str) -> HttpCaller:
@@ -67,3 +88,41 @@
         self.threads.shutdown(wait=False, cancel_futures=True)
         for caller in self.callers.values():
             caller.close()
+
+
+@singledispatch
+def failed_call(command: WorkerCall) -> Message:
+    """Return the answer for a call that failed in this process."""
+    raise TypeError(f"{type(command).__name__} has no answer")
+
+
+@failed_call.register
+def _(command: CallList) -> Message:
+    return ListFailed(
+        worker_id=command.worker_id,
+        incarnation=command.incarnation,
+        reason=CALL_FAILED,
+        recurring=command.recurring,
+    )
+
+
+@failed_call.register
+def _(command: CallStart) -> Message:
+    return StartUnanswered(
+        worker_id=command.worker_id,
+        incarnation=command.incarnation,
+        task=command.task,
+        run=command.run,
+        reason=CALL_FAILED,
+    )
+
+
+@failed_call.register
+def _(command: CallStop) -> Message:
+    return StopUnanswered(
+        worker_id=command.worker_id,
+        incarnation=command.incarnation,
+        task=command.task,
+        run=command.run,
+        reason=CALL_FAILED,
+    )
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -9,7 +9,12 @@
 from itertools import count
 
 from wasabispur_core.error import WasabispurError
-from wasabispur_core.log_event import RESULT_UNDELIVERED, STORE_ANSWERS, STORE_DOWN
+from wasabispur_core.log_event import (
+    HANDLER_FAILED,
+    RESULT_UNDELIVERED,
+    STORE_ANSWERS,
+    STORE_DOWN,
+)
 from wasabispur_core.message import event_name, Message
 from wasabispur_core.store_access import IN_FLIGHT_LIMIT, StoreAccess
 from wasabispur_core.store_call import (
@@ -25,7 +30,7 @@
 
 from .decision_actor import Decide, DecisionActor, execute
 from .http_call import CALL_TIMEOUT, HttpAnswer, HttpCaller, HttpResult, Lost, NotSent
-from .log import log
+from .log import log, log_failure
 
 Receiver = Callable[[Message], None]
 Serve = Callable[[SendCall, HttpCaller], CallAnswer]
@@ -107,6 +112,14 @@
             )
         except RuntimeError:
             answer = CallLost(call_id=command.call_id, reason="the process is stopping")
+        except Exception as error:
+            log_failure(
+                HANDLER_FAILED,
+                actor=self.name,
+                message_name=event_name(command),
+                error=str(error),
+            )
+            answer = CallLost(call_id=command.call_id, reason="the call failed")
         self.post(answer)
 
     async def closed(self) -> None:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -15,18 +15,21 @@
     CallPage,
     decide,
     FeedAnswer,
+    FeedFailed,
     FeedHealth,
     FeedTimer,
     new_feed_state,
     RowsChanged,
     TableDelivered,
 )
-from wasabispur_core.message import Message
+from wasabispur_core.log_event import HANDLER_FAILED
+from wasabispur_core.message import event_name, Message
 from wasabispur_core.timer import TimerService
 
 from .actor import Close
 from .decision_actor import DecisionActor, execute
 from .http_call import HttpCaller
+from .log import log_failure
 
 Receiver = Callable[[Message], None]
 ServeFeed = Callable[[Any, HttpCaller], FeedAnswer]
@@ -85,6 +88,14 @@
         except RuntimeError:
             # The thread pool refuses calls once the feed is closed.
             return
+        except Exception as error:
+            log_failure(
+                HANDLER_FAILED,
+                actor=self.name,
+                message_name=event_name(command),
+                error=str(error),
+            )
+            answer = FeedFailed(reason="the call failed")
         self.post_urgent(answer)
 
     def retire(self) -> None:
