--- a/packages/wasabispur-core/src/wasabispur_core/feed.py
+++ b/packages/wasabispur-core/src/wasabispur_core/feed.py
@@ -12,7 +12,7 @@
 from .message import Message
 from .store import Row
 
-FEED_WAIT = 1.5
+FEED_WAIT = 1.0
 """Seconds for which the store holds an answer back if nothing changes."""
 
 FEED_WAIT_FAILING = 0.0
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -83,6 +83,9 @@
 UNIT_PREEMPTED = LogEvent(
     427, "INFO", "run {run} of {job}.{unit} stops for {beneficiary}"
 )
+UNIT_EVACUATED = LogEvent(
+    434, "INFO", "run {run} of {job}.{unit} stops: its worker leaves in {leaves_in} s"
+)
 RUN_ENDED = LogEvent(428, "INFO", "run {run} of {task} on {worker} ended: {how}")
 JOB_ENDED = LogEvent(429, "INFO", "job {job} ended as {state} after {took} s")
 WORKER_SEEN = LogEvent(430, "INFO", "worker {worker} ({incarnation}) is {state}")
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import inf
 
 from .spec import Resources
 from .unit import Seat, UnitId
@@ -65,7 +66,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunningUnit:
-    """Describe a unit at work; lost_work is in core-seconds if it stops now."""
+    """Describe a unit at work; lost_work is in core-seconds if it stops now.
+
+    ends_in is the estimated rest of its run, and leaves_in the time after which the
+    first of its workers is gone, both in seconds.
+    """
 
     unit_id: UnitId
     priority: int
@@ -76,6 +81,8 @@
     lost_work: float
     stopping: bool = False
     preemptions: int = 0
+    ends_in: float = 0.0
+    leaves_in: float = inf
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,6 +126,13 @@
     lost_work: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evacuate(Decision):
+    """Stop the unit, because a worker of it leaves before the unit can end."""
+
+    leaves_in: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Wait(Decision):
     """Leave the unit waiting."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -11,6 +11,7 @@
 
 from .plan import (
     Decision,
+    Evacuate,
     Place,
     Preempt,
     RunningUnit,
@@ -30,10 +31,14 @@
 
 
 def plan(snapshot: Snapshot) -> list[Decision]:
-    """Return one decision for each waiting unit, and the preemptions."""
+    """Return a decision for each waiting unit, the preemptions and evacuations."""
     rooms = [_copy(room) for room in snapshot.rooms]
     victims = [unit for unit in snapshot.running if not unit.stopping]
-    decisions: list[Decision] = []
+    decisions: list[Decision] = [
+        Evacuate(unit_id=unit.unit_id, leaves_in=unit.leaves_in)
+        for unit in victims
+        if unit.ends_in > unit.leaves_in
+    ]
     for unit in sorted(snapshot.waiting, key=lambda u: _rank(u, snapshot.now)):
         decisions += _decide(unit, rooms, victims, snapshot)
     return decisions
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
@@ -8,7 +8,7 @@
 from .spec import TaskId
 from .unit import Member, RunEnded, Unit, UnitId
 from .unit_flow import end_run
-from .worker import EndKind, ListedRun, WorkerReport, WorkerState
+from .worker import age_key, EndKind, ListedRun, WorkerReport, WorkerState
 
 STRIKE_LIMIT = 2
 """Failed runs in a row after which a worker is on probation."""
@@ -26,7 +26,7 @@
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
     elif worker.info.incarnation != report.info.incarnation:
-        commands += lose_runs(worker, state, now, keep=report.info.incarnation)
+        commands += lose_runs(worker_id, state, now, keep=report.info.incarnation)
         worker.acknowledged = 0
         worker.strikes = 0
         commands.append(_log_worker(report))
@@ -37,6 +37,7 @@
     state.room_changed |= not worker.confirmed or worker.info != report.info
     worker.agent_id = report.agent_id
     worker.info = report.info
+    commands += _drop_predecessors(worker, state, now)
     worker.report_number = report.number
     worker.confirmed |= state.active
     worker.seen_at = now
@@ -71,21 +72,38 @@
 
 
 def lose_runs(
-    worker: Worker, state: FleetState, now: float, keep: str = ""
+    worker_id: str, state: FleetState, now: float, keep: str = ""
 ) -> list[Command]:
     """End the runs on a worker, except those of one incarnation."""
     commands: list[Command] = []
-    for unit_id in list(state.seated.get(worker.worker_id, ())):
+    for unit_id in list(state.seated.get(worker_id, ())):
         unit = state.unit(unit_id)
         if unit is None:
             continue
         for member in list(unit.members):
-            if member.ended or member.seat.worker_id != worker.worker_id:
+            if member.ended or member.seat.worker_id != worker_id:
                 continue
             if keep and member.seat.incarnation == keep:
                 continue
             ended = RunEnded(index=member.index, kind=EndKind.LOST)
-            commands += end_run(unit, ended, worker.worker_id, state, now)
+            commands += end_run(unit, ended, worker_id, state, now)
+    return commands
+
+
+def settle_workers(state: FleetState, now: float) -> list[Command]:
+    """End the runs on workers that were replaced before this entry was the owner.
+
+    A report is removed only once nothing can run at its worker, so a run recorded
+    for a worker without a report is over too.
+    """
+    commands: list[Command] = []
+    for worker in list(state.workers.values()):
+        if worker.worker_id in state.workers:
+            commands += _drop_predecessors(worker, state, now)
+    for worker in state.workers.values():
+        commands += lose_runs(worker.worker_id, state, now, worker.info.incarnation)
+    for worker_id in set(state.seated) - set(state.workers):
+        commands += lose_runs(worker_id, state, now)
     return commands
 
 
@@ -99,14 +117,34 @@
             gone and not state.seated.get(worker.worker_id)
         ):
             continue
-        commands += lose_runs(worker, state, now)
-        del state.workers[worker.worker_id]
-        state.dirty_workers.discard(worker.worker_id)
-        fields = {"worker": worker.worker_id, "silent": round(silent, 1)}
-        commands.append(WriteLog(number=WORKER_LOST.number, fields=fields))
+        commands += _drop(worker, state, now)
     return commands
 
 
+def _drop_predecessors(worker: Worker, state: FleetState, now: float) -> list[Command]:
+    """Give up workers that this one has replaced at its agent and address."""
+    commands: list[Command] = []
+    for other in list(state.workers.values()):
+        replaced = (
+            other is not worker
+            and other.agent_id == worker.agent_id
+            and other.info.address == worker.info.address
+            and age_key(other.info.incarnation) < age_key(worker.info.incarnation)
+        )
+        if replaced:
+            commands += _drop(other, state, now)
+    return commands
+
+
+def _drop(worker: Worker, state: FleetState, now: float) -> list[Command]:
+    commands = lose_runs(worker.worker_id, state, now) if state.active else []
+    del state.workers[worker.worker_id]
+    state.dirty_workers.discard(worker.worker_id)
+    silent = round(now - worker.seen_at, 1)
+    fields = {"worker": worker.worker_id, "silent": silent}
+    return [*commands, WriteLog(number=WORKER_LOST.number, fields=fields)]
+
+
 def _take_end(
     worker: Worker,
     task: str,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -141,7 +141,7 @@
     start = CallStart(
         worker_id=seat.info.worker_id,
         incarnation=seat.info.incarnation,
-        address=seat.address,
+        address=seat.info.address,
         epoch=seat.epoch,
         task=run.order.task,
         run=run.order.run,
@@ -163,7 +163,7 @@
     stop = CallStop(
         worker_id=seat.info.worker_id,
         incarnation=seat.info.incarnation,
-        address=seat.address,
+        address=seat.info.address,
         epoch=seat.epoch,
         task=run.order.task,
         run=run.order.run,
@@ -225,7 +225,7 @@
     return CallList(
         worker_id=seat.info.worker_id,
         incarnation=seat.info.incarnation,
-        address=seat.address,
+        address=seat.info.address,
         epoch=seat.epoch,
         acknowledged=seat.orders.acknowledged if seat.orders else 0,
         wait=wait,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -52,6 +52,7 @@
     StopOrdered,
 )
 from .worker import (
+    age_key,
     OrdersArrived,
     RefusedRun,
     RunOrder,
@@ -103,7 +104,7 @@
     report = state.reports.setdefault(info.worker_id, ReportState())
     commands: list[Command] = []
     if seat is None or seat.info.incarnation != info.incarnation:
-        seat = state.seats[info.worker_id] = Seat(info=info, address=message.address)
+        seat = state.seats[info.worker_id] = Seat(info=info)
         report.changed = True
         commands.append(_announced(info.worker_id, state))
     elif seat.info.state != info.state or seat.info.capacity != info.capacity:
@@ -284,15 +285,10 @@
     """Return whether a heartbeat tells more than the last one of its worker."""
     info, known = message.info, seat.info
     if info.incarnation != known.incarnation:
-        return _age(info.incarnation) > _age(known.incarnation)
+        return age_key(info.incarnation) > age_key(known.incarnation)
     return info.sequence > known.sequence and not seat.left
 
 
-def _age(incarnation: str) -> tuple[int, str]:
-    # An incarnation is the number of the worker's start; more digits are later.
-    return len(incarnation), incarnation
-
-
 def _announced(worker_id: str, state: RunnerState) -> Command:
     info = state.seats[worker_id].info
     fields = {
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
@@ -11,10 +11,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerAnnounced(Message):
-    """Deliver a heartbeat of the worker beside the agent; address is host:port."""
+    """Deliver a heartbeat of the worker beside the agent."""
 
     info: WorkerInfo
-    address: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -24,10 +24,15 @@
     TableReady,
 )
 from .orders import orders_for
-from .plan import Decision, Place, Preempt
+from .plan import Decision, Evacuate, Place, Preempt
 from .planner import plan
 from .policy import PolicyChanged
-from .report_flow import drop_silent_workers, lose_runs, take_report
+from .report_flow import (
+    drop_silent_workers,
+    lose_runs,
+    settle_workers,
+    take_report,
+)
 from .rows import (
     cancel_key,
     job_key,
@@ -45,6 +50,7 @@
 from .unit_flow import (
     add_occurrence,
     cancel,
+    evacuate,
     occurrences_of,
     place,
     preempt,
@@ -52,7 +58,7 @@
     settle,
 )
 from .watch import StopWatching, WatchTables
-from .worker import ReportArrived
+from .worker import ReportArrived, WorkerState
 
 PASS_DELAY = 0.005
 """Seconds in which changes gather before the queue is looked at."""
@@ -115,6 +121,7 @@
     commands: list[Command] = []
     for job in list(state.jobs.values()):
         commands += _begin_job(job, state, now)
+    commands += settle_workers(state, now)
     state.dirty_workers.update(state.workers, state.seated)
     fields = {
         "epoch": state.epoch,
@@ -179,7 +186,7 @@
     if worker is None:
         return []
     state.dirty_workers.discard(message.worker_id)
-    return lose_runs(worker, state, now) if state.active else []
+    return lose_runs(worker.worker_id, state, now) if state.active else []
 
 
 @take.register
@@ -244,6 +251,11 @@
     return preempt(decision, state, now)
 
 
+@apply.register
+def _(decision: Evacuate, state: FleetState, now: float) -> list[Command]:
+    return evacuate(decision, state, now)
+
+
 def flush(state: FleetState) -> list[Command]:
     """Write the rows of all jobs and workers that changed, jobs first."""
     commands: list[Command] = []
@@ -271,12 +283,21 @@
 
 
 def _arm_pass(state: FleetState) -> list[Command]:
-    if state.pass_due or not (state.room_changed and state.waiting):
+    idle = not state.waiting and not _someone_leaves(state)
+    if state.pass_due or idle or not state.room_changed:
         return []
     state.pass_due = True
     return [SetTimer(timer_id=PASS_TIMER, delay=PASS_DELAY, message=PassDue())]
 
 
+def _someone_leaves(state: FleetState) -> bool:
+    return any(
+        state.seated.get(worker.worker_id)
+        for worker in state.workers.values()
+        if worker.info.state is WorkerState.DRAINING
+    )
+
+
 def _begin_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the job's units, or continue those that a former owner recorded."""
     progress = state.progress.pop(job.spec.job_id, None)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
@@ -58,7 +58,6 @@
     """
 
     info: WorkerInfo
-    address: str
     clock_offset: float | None = None
     listed_at: float = -inf
     announced_at: float = -inf
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from .fleet_state import FleetState, Job, Worker
 from .plan import RunningUnit, Snapshot, WaitingUnit, WorkerRoom
 from .policy import Queue
@@ -142,9 +144,19 @@
         lost_work=worked * len(seats) * unit.step.demand.weight,
         stopping=unit.state != ACTIVE,
         preemptions=unit.preemptions,
+        ends_in=max(run_estimate(unit.step) - (now - begun), 0.0),
+        leaves_in=min((_leaves_in(seat, state, now) for seat in seats), default=inf),
     )
 
 
+def _leaves_in(seat: Seat, state: FleetState, now: float) -> float:
+    """Return the seconds after which a worker that drains is gone."""
+    worker = state.workers.get(seat.worker_id)
+    if worker is None or worker.info.state is not WorkerState.DRAINING:
+        return inf
+    return max(worker.info.remaining - (now - worker.seen_at), 0.0)
+
+
 def _begin(unit: Unit, job: Job, state: FleetState) -> float:
     """Return from when the job's time counts, on this process's clock."""
     if job.spec.repeats:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 from ..command import Command, WriteLog
-from ..log_event import JOB_ENDED, RUN_ENDED, UNIT_PLACED, UNIT_PREEMPTED
+from ..log_event import (
+    JOB_ENDED,
+    RUN_ENDED,
+    UNIT_EVACUATED,
+    UNIT_PLACED,
+    UNIT_PREEMPTED,
+)
 from ..message import Message
 from .fleet_state import FleetState, Job
-from .plan import Preempt
+from .plan import Evacuate, Preempt
 from .progress import JobState, UnitRecord
 from .spec import StepSpec
 from .unit import (
+    ACTIVE,
     BLOCKED,
     COMPLETED,
     ENDED_STATES,
@@ -78,6 +85,21 @@
     return [WriteLog(number=UNIT_PREEMPTED.number, fields=fields)]
 
 
+def evacuate(decision: Evacuate, state: FleetState, now: float) -> list[Command]:
+    """Stop a unit whose worker leaves, so that it runs elsewhere."""
+    unit = state.unit(decision.unit_id)
+    if unit is None or unit.state != ACTIVE:
+        return []
+    handle(unit, UnitPreempted(reason="drain"), state, now)
+    fields = {
+        "job": unit.unit_id.job_id,
+        "unit": _name(unit),
+        "run": unit.run,
+        "leaves_in": round(decision.leaves_in, 2),
+    }
+    return [WriteLog(number=UNIT_EVACUATED.number, fields=fields)]
+
+
 def end_run(
     unit: Unit, ended: RunEnded, worker_id: str, state: FleetState, now: float
 ) -> list[Command]:
@@ -89,10 +111,12 @@
         unit.avoided.add(worker_id)
     if ended.kind is EndKind.REFUSED:
         unit.held_until = now + REFUSAL_DELAY
+    begun = next(m.started_at for m in unit.members if m.index == ended.index)
     fields = {
         "job": unit.unit_id.job_id,
         "task": str(unit.task_id(ended.index)),
         "run": unit.run,
+        "ran": round(now - begun, 2),
         "worker": worker_id,
         "how": ended.kind.value,
         "failures": unit.failures,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -68,12 +68,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerInfo:
-    """Describe a worker as it announces itself; remaining is in seconds."""
+    """Describe a worker as it announces itself; remaining is in seconds.
+
+    An incarnation is the number of the worker's start: more digits, or a larger
+    number, is later. Two workers of one agent at one address follow each other.
+    """
 
     worker_id: str
     incarnation: str
     service: str
     data_centre: str
+    address: str = ""
     capacity: Resources = NOTHING
     labels: tuple[str, ...] = ()
     state: WorkerState = WorkerState.READY
@@ -86,6 +91,11 @@
         return next((label for label in self.labels if is_rack(label)), "")
 
 
+def age_key(incarnation: str) -> tuple[int, str]:
+    """Return a key that orders incarnations by their start."""
+    return len(incarnation), incarnation
+
+
 def is_rack(label: str) -> bool:
     """Return whether a label names a rack, such as r1-3."""
     head, _, tail = label.partition("-")
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -8,6 +8,7 @@
 from uuid import uuid4
 
 from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.circuit import OPEN
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.message import Message
 from wasabispur_core.ownership import Ownership, ReleaseOwnership
@@ -30,8 +31,8 @@
 from .job_intake import JobIntake
 from .policy_watcher import DecodePolicy, PolicyWatcher
 
-OWNER_LEASE = 2.5
-OWNER_RENEWAL = 0.7
+OWNER_LEASE = 2.0
+OWNER_RENEWAL = 0.5
 OWNER_TICK = 0.25
 """Seconds of the owner's lease, between its renewals, and between two looks at it.
 
@@ -93,8 +94,13 @@
         self.actors = (self.table, self.scheduler, self.intake, self.policy)
 
     def is_ready(self) -> bool:
-        """Return whether the entry wants new connections."""
-        return bool(self.policy.version) and not self.stopping
+        """Return whether the entry wants new connections.
+
+        An entry that the store does not answer can only refuse jobs; the balancer
+        sends callers to others meanwhile.
+        """
+        reached = self.policy.connected and self.table.circuit != OPEN
+        return bool(self.policy.version) and reached and not self.stopping
 
     def open_feed(
         self,
