--- a/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
@@ -41,22 +41,33 @@
     allowed = candidates(unit, rooms)
     if not unit.same_rack or unit.size == 1:
         return _fill(unit, allowed)
-    racks = _racks(allowed)
-    possible = {
-        name: members
-        for name, members in racks.items()
-        if sum(_holds(unit, room, room.capacity) for room in members) >= unit.size
-    }
-    if not possible:
-        return _fill(unit, allowed)
     found = [
         seats
-        for members in possible.values()
+        for members in racks_for(unit, allowed)
         if (seats := _fill(unit, members)) is not None
     ]
     return min(found, key=_leftover, default=None)
 
 
+def racks_for(unit: WaitingUnit, allowed: list[WorkerRoom]) -> list[list[WorkerRoom]]:
+    """Return the groups of workers of which one has to take the whole unit.
+
+    These are the racks that could hold it when empty, if it asks for a single one.
+    """
+    if not unit.same_rack or unit.size == 1:
+        return [allowed]
+    racks: dict[str, list[WorkerRoom]] = {}
+    for room in allowed:
+        racks.setdefault(room.rack, []).append(room)
+    possible = [
+        members
+        for members in racks.values()
+        if sum(count_fitting(unit, room, room.capacity) for room in members)
+        >= unit.size
+    ]
+    return possible or [allowed]
+
+
 def take(unit: WaitingUnit, seats: Iterable[WorkerRoom]) -> None:
     """Take the unit's demand from the rooms of its workers."""
     for room in seats:
@@ -77,7 +88,7 @@
     for room in ordered:
         if len(seats) == unit.size:
             break
-        count = min(_holds(unit, room, room.room), unit.size - len(seats))
+        count = min(count_fitting(unit, room, room.room), unit.size - len(seats))
         seats += [room] * count
     return seats if len(seats) == unit.size else None
 
@@ -95,7 +106,7 @@
     )
 
 
-def _holds(unit: WaitingUnit, room: WorkerRoom, free: Resources) -> int:
+def count_fitting(unit: WaitingUnit, room: WorkerRoom, free: Resources) -> int:
     """Return how many of the unit's tasks fit into the free part of a worker."""
     payload = max(unit.payload_bytes, 1)
     bounds = [unit.size, (PAYLOAD_LIMIT - room.payload_bytes) // payload]
@@ -113,13 +124,6 @@
     return max(min(bounds), 0)
 
 
-def _racks(rooms: Iterable[WorkerRoom]) -> dict[str, list[WorkerRoom]]:
-    racks: dict[str, list[WorkerRoom]] = {}
-    for room in rooms:
-        racks.setdefault(room.rack, []).append(room)
-    return racks
-
-
 def _leftover(seats: list[WorkerRoom]) -> int:
     distinct = {room.seat.worker_id: room for room in seats}
     return sum(room.room.accelerators for room in distinct.values())
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -7,8 +7,16 @@
 from .fleet_state import FleetState, Job, Worker
 from .plan import RunningUnit, Snapshot, WaitingUnit, WorkerRoom
 from .policy import Queue
-from .spec import NOTHING, StepSpec
-from .unit import ACTIVE, CANCELLING, Seat, STOPPING, Unit, WAITING
+from .spec import StepSpec
+from .unit import (
+    ACTIVE,
+    CANCELLING,
+    ENDED_STATES,
+    Seat,
+    STOPPING,
+    Unit,
+    WAITING,
+)
 from .worker import WorkerState
 
 REPORT_AGE_LIMIT = 3.0
@@ -20,16 +28,16 @@
 
 def take_snapshot(state: FleetState, now: float) -> Snapshot:
     """Return what the planner depends on."""
-    held = _held_by_organisation(state)
+    covered = _guaranteed_jobs(state)
     waiting: list[WaitingUnit] = []
     running: list[RunningUnit] = []
     for job in state.jobs.values():
         queue = state.queue(job)
         for unit in _open_units(job):
             if unit.state in (ACTIVE, STOPPING, CANCELLING):
-                running.append(_running(unit, job, queue, state, held, now))
+                running.append(_running(unit, job, queue, state, covered, now))
             elif unit.state == WAITING and queue and unit.held_until <= now:
-                waiting.append(_waiting(unit, job, queue, state, held))
+                waiting.append(_waiting(unit, job, queue, state, covered))
     rooms = tuple(_room(worker, state, now) for worker in state.workers.values())
     return Snapshot(
         now=now, rooms=rooms, waiting=tuple(waiting), running=tuple(running)
@@ -89,7 +97,7 @@
 
 
 def _waiting(
-    unit: Unit, job: Job, queue: Queue, state: FleetState, held: dict[str, int]
+    unit: Unit, job: Job, queue: Queue, state: FleetState, covered: set[str]
 ) -> WaitingUnit:
     step = unit.step
     chain = chain_behind(job, unit.unit_id.step)
@@ -103,7 +111,7 @@
         service=queue.service,
         organisation=job.spec.organisation,
         priority=queue.priority,
-        guaranteed=_within_guarantee(unit, job, queue, state, held),
+        guaranteed=job.spec.job_id in covered,
         demand=unit.demand,
         size=unit.size,
         label=step.label,
@@ -124,21 +132,18 @@
     job: Job,
     queue: Queue | None,
     state: FleetState,
-    held: dict[str, int],
+    covered: set[str],
     now: float,
 ) -> RunningUnit:
     seats = tuple(member.seat for member in unit.members if not member.ended)
     begun = min((member.started_at for member in unit.members), default=now)
     worked = 0.0 if unit.step.checkpointing else now - begun
     priority = queue.priority if queue else 0
-    guaranteed = priority == 0 and held.get(job.spec.organisation, 0) <= _guarantee(
-        job.spec.organisation, state
-    )
     return RunningUnit(
         unit_id=unit.unit_id,
         priority=priority,
         organisation=job.spec.organisation,
-        guaranteed=guaranteed,
+        guaranteed=job.spec.job_id in covered,
         demand=unit.demand,
         seats=seats,
         lost_work=worked * len(seats) * unit.step.demand.weight,
@@ -165,29 +170,39 @@
     return job.spec.accepted_at - state.store_offset
 
 
-def _held_by_organisation(state: FleetState) -> dict[str, int]:
-    """Return the accelerators at work for each organisation's urgent jobs."""
-    held: dict[str, int] = {}
-    for job in state.jobs.values():
+def _guaranteed_jobs(state: FleetState) -> set[str]:
+    """Return the urgent jobs that their organisation's guarantee covers.
+
+    A guarantee covers whole jobs in the order of their acceptance, as long as all of
+    them together need no more than the guaranteed accelerators.
+    """
+    needed: dict[str, int] = {}
+    covered: set[str] = set()
+    for job in sorted(state.jobs.values(), key=lambda job: job.spec.accepted_at):
         queue = state.queue(job)
-        if queue is None or queue.priority != 0:
+        if queue is None or queue.priority != 0 or job.state.ended:
             continue
-        for unit in _open_units(job):
-            busy = sum(not member.ended for member in unit.members)
-            name = job.spec.organisation
-            held[name] = held.get(name, 0) + busy * unit.demand.accelerators
-    return held
+        name = job.spec.organisation
+        total = needed.get(name, 0) + _accelerators_needed(job)
+        if total <= _guarantee(name, state):
+            needed[name] = total
+            covered.add(job.spec.job_id)
+    return covered
+
+
+def _accelerators_needed(job: Job) -> int:
+    """Return the most accelerators that the job needs at one time."""
+    by_occurrence: dict[int, dict[int, int]] = {}
+    for unit in job.units.values():
+        if unit.state in ENDED_STATES:
+            continue
+        steps = by_occurrence.setdefault(unit.unit_id.occurrence, {})
+        step = unit.unit_id.step
+        need = unit.size * unit.demand.accelerators
+        steps[step] = steps.get(step, 0) + need
+    return sum(max(steps.values()) for steps in by_occurrence.values())
 
 
 def _guarantee(organisation: str, state: FleetState) -> int:
     known = state.policy.organisations.get(organisation)
     return known.guaranteed_accelerators if known else 0
-
-
-def _within_guarantee(
-    unit: Unit, job: Job, queue: Queue, state: FleetState, held: dict[str, int]
-) -> bool:
-    if queue.priority != 0 or unit.demand == NOTHING:
-        return False
-    wanted = held.get(job.spec.organisation, 0) + unit.size * unit.demand.accelerators
-    return wanted <= _guarantee(job.spec.organisation, state)
