Add stand-ins of the platform, and play the real programs on them

The store stand-in keeps versions, parts, a feed and faults; the executor stand-in keeps runs, ends, leases and fences.

--- a/tests/workload/fake_store.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
@@ -1,4 +1,4 @@
-"""Keep rows in memory as the platform's store does, with faults."""
+"""Keep versioned rows in memory, with faults."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 @dataclass
-class FakeStore:
+class SimulatedStore:
     """Apply transactions in order, and tell listeners of each change."""
 
     version: int = 0
--- a/tests/workload/fake_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -1,4 +1,4 @@
-"""Run tasks as the platform's executors do, without a network."""
+"""Run tasks under leases as a worker does, without a network."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 STOP_TIME = 0.2
 
 
-@dataclass
+@dataclass(slots=True)
 class Running:
     """Hold one run; work is what is left in seconds."""
 
@@ -31,9 +31,12 @@
     fails: bool = False
 
 
-@dataclass
-class FakeWorker:
-    """Hold the runs of one incarnation; expiry is on the worker's slow clock."""
+@dataclass(slots=True)
+class SimulatedWorker:
+    """Hold the runs of one incarnation.
+
+    Clock and expiry are in seconds on the worker's own clock, which runs at rate.
+    """
 
     worker_id: str
     agent_id: str
@@ -46,6 +49,7 @@
     draining: bool = False
     sick: bool = False
     sequence: int = 0
+    next_heartbeat: float = 0.0
     clock: float = 100.0
     expiry: float = 0.0
     highest_epoch: int = 0
@@ -128,6 +132,15 @@
         )
         return runs, tuple(self.ended)
 
+    def pass_time(self, seconds: float) -> None:
+        """Let the clock run, and end what was stopped or has no lease."""
+        self.clock += seconds * self.rate
+        for run in list(self.runs.values()):
+            if run.stopping_at is not None and self.clock >= run.stopping_at:
+                self.end(run.task, EndKind.STOPPED)
+            elif self.clock >= self.expiry:
+                self.end(run.task, EndKind.LAPSED)
+
     def reborn(self) -> None:
         """Start again with nothing under the same id."""
         self.born += 1
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -65,9 +65,8 @@
 from wasabispur_core.workload.spec import Resources, StepSpec, TaskId
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_core.workload.worker import EndKind, OrdersArrived
-
-from .fake_store import FakeStore, unavailable
-from .fake_worker import FakeWorker, gang_of, Running
+from wasabispur_standins.simulated_store import SimulatedStore, unavailable
+from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
 
 CATALOGUE = ChartCatalogue()
 UNIT_CHARTS = intake.call_charts(CATALOGUE)
@@ -282,7 +281,7 @@
 
     def __init__(self, workers: int = 4, entries: int = 3) -> None:
         self.timers = FakeTimerService(1000.0)
-        self.store = FakeStore()
+        self.store = SimulatedStore()
         self.policy = POLICY
         self.numbers = count(1)
         self.answers: dict[str, AnswerCaller] = {}
@@ -298,7 +297,7 @@
         self.failures: dict[str, int] = {}
         self.violations: list[str] = []
         self.entries = [Entry(self, f"entry-{n}") for n in range(entries)]
-        self.workers: dict[str, FakeWorker] = {}
+        self.workers: dict[str, SimulatedWorker] = {}
         self.agents: dict[str, Agent] = {}
         for number in range(workers):
             self.add_worker(number)
@@ -306,10 +305,10 @@
     def new_operation_id(self) -> str:
         return f"op{next(self.numbers)}"
 
-    def add_worker(self, number: int) -> FakeWorker:
+    def add_worker(self, number: int) -> SimulatedWorker:
         """Add a worker and its agent; every second clock is slow."""
         agent_id = f"agent-{number}"
-        worker = FakeWorker(
+        worker = SimulatedWorker(
             worker_id=f"w{number}",
             agent_id=agent_id,
             capacity=CAPACITY,
@@ -332,19 +331,13 @@
 
     def _work(self, seconds: float) -> None:
         for worker in self.workers.values():
-            if not worker.up:
-                continue
-            worker.clock += seconds * worker.rate
-            for run in list(worker.runs.values()):
-                if run.stopping_at is not None and worker.clock >= run.stopping_at:
-                    worker.end(run.task, EndKind.STOPPED)
-                elif worker.clock >= worker.expiry:
-                    worker.end(run.task, EndKind.LAPSED)
+            if worker.up:
+                worker.pass_time(seconds)
         self._work_gangs(seconds)
 
     def _work_gangs(self, seconds: float) -> None:
         """Let complete gangs and single tasks work, and end what is done."""
-        groups: dict[tuple[Any, ...], list[tuple[FakeWorker, Running]]] = {}
+        groups: dict[tuple[Any, ...], list[tuple[SimulatedWorker, Running]]] = {}
         for worker in self.workers.values():
             if worker.up:
                 for run in worker.runs.values():
@@ -361,7 +354,7 @@
             if all(run.work <= 0 for _, run in members):
                 self._end(members)
 
-    def _end(self, members: list[tuple[FakeWorker, Running]]) -> None:
+    def _end(self, members: list[tuple[SimulatedWorker, Running]]) -> None:
         failed = any(run.fails or worker.sick for worker, run in members)
         for worker, run in members:
             worker.end(run.task, EndKind.FAILED if failed else EndKind.DONE)
@@ -373,7 +366,7 @@
     def _heartbeats(self) -> None:
         now = self.timers.now()
         for worker in self.workers.values():
-            due = getattr(worker, "next_heartbeat", 0.0)
+            due = worker.next_heartbeat
             if not worker.up or worker.silent or now < due:
                 continue
             worker.next_heartbeat = now + HEARTBEAT
@@ -477,7 +470,7 @@
             return
         agent.later(delay, answer)
 
-    def _late(self, worker: FakeWorker, command: WorkerCall) -> None:
+    def _late(self, worker: SimulatedWorker, command: WorkerCall) -> None:
         if worker.up and str(worker.born) == command.incarnation:
             self._serve(command, worker, self.timers.now())
 
@@ -503,7 +496,7 @@
             agent.later(0.3, StopUnanswered(**who, **run, reason="fault"))
 
     def _serve(
-        self, command: WorkerCall, worker: FakeWorker, sent_at: float
+        self, command: WorkerCall, worker: SimulatedWorker, sent_at: float
     ) -> Message:
         who = {"worker_id": command.worker_id, "incarnation": command.incarnation}
         if isinstance(command, CallList):
@@ -547,7 +540,7 @@
 
     # What must always hold
 
-    def _note_start(self, command: CallStart, worker: FakeWorker) -> None:
+    def _note_start(self, command: CallStart, worker: SimulatedWorker) -> None:
         now, task = self.timers.now(), command.task
         self.starts.append((now, task, command.run, worker.worker_id))
         job_id = TaskId.parse(task).job_id
@@ -680,7 +673,7 @@
         """End a worker, and start another one beside the same agent."""
         old = self.workers.pop(worker_id)
         old.up = False
-        self.workers[new_id] = FakeWorker(
+        self.workers[new_id] = SimulatedWorker(
             worker_id=new_id,
             agent_id=old.agent_id,
             capacity=old.capacity,
