--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -14,9 +14,11 @@
 from wasabispur_core.workload.run_action import ordered_run_chart
 from wasabispur_core.workload.seat_state import RunnerState
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import Serve
 from wasabispur_runtime.table_client import TableClient
 from wasabispur_runtime.table_feed import FeedSource, ServeFeed, TableFeed
+from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
 from .fleet_runner import FleetRunner
 from .fleet_settings import FleetAgentSettings
@@ -34,7 +36,9 @@
         serve_feed: ServeFeed,
         serve_worker: ServeWorker,
     ) -> None:
-        configure_log(settings.agent_id, settings.log_level)
+        sink = configure_log(settings.agent_id, settings.log_level)
+        registry.configure(settings.agent_id)
+        self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
         self.timers = timers
         self.catalogue = ChartCatalogue()
@@ -53,6 +57,7 @@
             timers, state, self.table, self.worker, self.open_feed
         )
         self.worker.receiver = self.runner.post
+        self.runner.observer = self.metrics.observe
         self.actors = (self.table, self.worker, self.runner)
 
     def open_feed(
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -66,6 +66,62 @@
     text="streams that ended",
     labels=("cause",),
 )
+JOB_CALLS = Metric(
+    name="job.calls",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="callers' requests about jobs that were answered",
+    labels=("outcome",),
+)
+JOB_TIME = Metric(
+    name="job.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    text="time from the acceptance of a job to its end",
+    labels=("class", "outcome"),
+    bounds=SECONDS,
+)
+UNIT_WAIT = Metric(
+    name="unit.wait",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    text="time for which a gang or a single task waited for room",
+    bounds=SECONDS,
+)
+RUNS_ENDED = Metric(
+    name="runs.ended",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="runs that ended, as the owner took them",
+    labels=("outcome",),
+)
+RUNS_STOPPED = Metric(
+    name="runs.stopped",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="units that the owner stopped so that others run or workers leave",
+    labels=("cause",),
+)
+RUN_ORDERS = Metric(
+    name="run.orders",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="calls of the agent to its worker to start or stop a run",
+    labels=("outcome",),
+)
+TAKEOVERS = Metric(
+    name="takeovers",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="times that this entry became the owner and read all rows",
+)
+RECORDS_LOST = Metric(
+    name="log.dropped",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="log records that were not written",
+    labels=("cause",),
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
@@ -28,6 +28,7 @@
         self.written = 0
         self.dropped = 0
         self.reason = ""
+        self.total_dropped: dict[str, int] = {}
         os.set_blocking(descriptor, False)
 
     def write(self, text: Any) -> None:
@@ -87,13 +88,15 @@
     def _drop(self, count: int, reason: str) -> None:
         self.dropped += count
         self.reason = reason
+        self.total_dropped[reason] = self.total_dropped.get(reason, 0) + count
 
 
-def configure_log(process: str, level: str = "INFO") -> None:
+def configure_log(process: str, level: str = "INFO") -> RecordSink:
     """Send records of at least the level to standard output, one JSON a line."""
     logger.remove()
     sink = RecordSink(sys.stdout.fileno(), process)
     logger.add(sink.write, level=level, format="{message}", backtrace=False)
+    return sink
 
 
 def log(event: LogEvent, /, **fields: Any) -> None:
--- /dev/null
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -0,0 +1,126 @@
+"""Count what the workload plane decides, and show it as text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import singledispatch
+from typing import Any
+
+from wasabispur_core.command import Command, WriteLog
+from wasabispur_core.log_event import (
+    FLEET_LOADED,
+    JOB_ENDED,
+    RUN_ENDED,
+    RUN_ORDERED,
+    RUN_REFUSED,
+    RUN_STOP_ORDERED,
+    UNIT_EVACUATED,
+    UNIT_PLACED,
+    UNIT_PREEMPTED,
+)
+from wasabispur_core.message import Message
+from wasabispur_core.metric import (
+    JOB_CALLS,
+    JOB_TIME,
+    RECORDS_LOST,
+    RUN_ORDERS,
+    RUNS_ENDED,
+    RUNS_STOPPED,
+    TAKEOVERS,
+    UNIT_WAIT,
+)
+from wasabispur_core.workload.intake_message import AnswerCaller
+
+from .log import RecordSink
+from .metrics import MetricRegistry, Series
+
+Fields = dict[str, Any]
+
+
+class WorkloadMetrics:
+    """Record metrics from the commands of the workload plane's decisions."""
+
+    def __init__(self, registry: MetricRegistry, sink: RecordSink) -> None:
+        self.registry = registry
+        self.sink = sink
+        self.told: dict[str, int] = {}
+        self.by_event: dict[int, Callable[[Fields], None]] = {
+            JOB_ENDED.number: self._job_ended,
+            UNIT_PLACED.number: self._unit_placed,
+            RUN_ENDED.number: self._run_ended,
+            UNIT_PREEMPTED.number: lambda f: self._stopped("preemption"),
+            UNIT_EVACUATED.number: lambda f: self._stopped("drain"),
+            FLEET_LOADED.number: lambda f: registry.count(TAKEOVERS),
+            RUN_ORDERED.number: lambda f: self._ordered("start"),
+            RUN_STOP_ORDERED.number: lambda f: self._ordered("stop"),
+            RUN_REFUSED.number: lambda f: self._ordered("refused"),
+        }
+
+    def observe(self, message: Message, commands: list[Command], now: float) -> None:
+        """Record what a decision caused."""
+        for command in commands:
+            record(command, self)
+
+    def text(self) -> str:
+        """Return all series, one a line, as name{label="value"} value."""
+        for cause, count in self.sink.total_dropped.items():
+            self.registry.count(
+                RECORDS_LOST, count - self.told.get(cause, 0), cause=cause
+            )
+        self.told = dict(self.sink.total_dropped)
+        return "".join(f"{line}\n" for line in lines_of(self.registry.read()))
+
+    def _job_ended(self, fields: Fields) -> None:
+        labels = {"class_": fields["queue"], "outcome": fields["state"]}
+        self.registry.record(JOB_TIME, fields["took"], **labels)
+
+    def _unit_placed(self, fields: Fields) -> None:
+        self.registry.record(UNIT_WAIT, fields["waited"])
+
+    def _run_ended(self, fields: Fields) -> None:
+        self.registry.count(RUNS_ENDED, outcome=fields["how"])
+
+    def _stopped(self, cause: str) -> None:
+        self.registry.count(RUNS_STOPPED, cause=cause)
+
+    def _ordered(self, outcome: str) -> None:
+        self.registry.count(RUN_ORDERS, outcome=outcome)
+
+
+@singledispatch
+def record(command: Command, metrics: WorkloadMetrics) -> None:
+    """Record one command; most count nothing."""
+
+
+@record.register
+def _(command: WriteLog, metrics: WorkloadMetrics) -> None:
+    body = metrics.by_event.get(command.number)
+    if body is not None:
+        body(command.fields)
+
+
+@record.register
+def _(command: AnswerCaller, metrics: WorkloadMetrics) -> None:
+    metrics.registry.count(JOB_CALLS, outcome=command.verdict.value)
+
+
+def lines_of(series: Iterable[Series]) -> list[str]:
+    """Return series as lines of text; a histogram gives its buckets, sum and count."""
+    lines: list[str] = []
+    for one in series:
+        name = one.name.replace(".", "_")
+        if not one.buckets:
+            lines.append(f"{name}{_labels(one.labels)} {one.value:g}")
+            continue
+        total = 0
+        for bound, count in zip((*one.bounds, "+Inf"), one.buckets, strict=True):
+            total += count
+            lines.append(f"{name}_bucket{_labels({**one.labels, 'le': bound})} {total}")
+        lines.append(f"{name}_sum{_labels(one.labels)} {one.value:g}")
+        lines.append(f"{name}_count{_labels(one.labels)} {one.count}")
+    return lines
+
+
+def _labels(labels: dict[str, Any]) -> str:
+    inner = ",".join(f'{name}="{value}"' for name, value in sorted(labels.items()))
+    return f"{{{inner}}}" if inner else ""
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -21,10 +21,12 @@
 from wasabispur_core.workload.rows import SHARD
 from wasabispur_core.workload.scheduler import decide, new_fleet_state
 from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import Serve
 from wasabispur_runtime.table_client import TableClient
 from wasabispur_runtime.table_feed import FeedSource, ServeFeed, TableFeed
 from wasabispur_runtime.timer_service import sleep
+from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
 from .fleet_scheduler import FleetScheduler
 from .fleet_settings import FleetEntrySettings
@@ -71,7 +73,9 @@
         decode_policy: DecodePolicy,
         operator_rows: tuple[str, str],
     ) -> None:
-        configure_log(settings.entry_id, settings.log_level)
+        sink = configure_log(settings.entry_id, settings.log_level)
+        registry.configure(settings.entry_id)
+        self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
         self.timers = timers
         self.catalogue = ChartCatalogue()
@@ -91,6 +95,7 @@
             lambda receiver: self.open_feed(table, (prefix,), True, receiver),
             (self.intake, self.scheduler),
         )
+        self.scheduler.observer = self.intake.observer = self.metrics.observe
         self.actors = (self.table, self.scheduler, self.intake, self.policy)
 
     def is_ready(self) -> bool:
--- a/tests/adapter/test_platform_process.py
+++ b/tests/adapter/test_platform_process.py
@@ -124,3 +124,15 @@
         for line in system.children[name].output().splitlines():
             record = json.loads(line)
             assert {"time", "level", "event", "process", "text"} <= record.keys()
+
+
+def test_metrics_are_served_as_text(system):
+    """Guard against a metrics address that serves nothing, and against lost counts."""
+    seen = ""
+    for name in ("entry-0", "entry-1", "agent-0"):
+        response = system.http.request("GET", f"http://{system.metrics[name]}/metrics")
+        assert response.status == 200
+        seen += response.data.decode()
+    assert 'job_calls{outcome="done"}' in seen
+    assert 'run_orders{outcome="start"}' in seen
+    assert "job_time_bucket" in seen
