--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -57,6 +57,9 @@
 CALLS_LIMIT = 500
 """Requests in progress at one entry; more are refused at once."""
 
+UNCERTAIN_LIMIT = 1_000
+"""Jobs whose acceptance is unknown that one entry remembers."""
+
 RETRY_OVERLOADED = 1.0
 RETRY_STORE_DOWN = 1.0
 RETRY_NO_POLICY = 1.0
@@ -80,7 +83,8 @@
 class IntakeState:
     """Own the callers' requests in progress at one entry.
 
-    store_offset is the store's clock less this process's in seconds.
+    store_offset is the store's clock less this process's in seconds. uncertain holds
+    the jobs that may have been accepted by an attempt whose answer was lost.
     """
 
     charts: dict[str, Chart]
@@ -88,6 +92,7 @@
     policy: FleetPolicy = field(default_factory=FleetPolicy)
     calls: dict[str, Call] = field(default_factory=dict)
     operations: dict[str, str] = field(default_factory=dict)
+    uncertain: dict[str, None] = field(default_factory=dict)
     store_offset: float = 0.0
 
 
@@ -164,7 +169,7 @@
 
 
 class Uncertain(CallGuard):
-    """Hold if the transaction may have taken effect."""
+    """Hold if this attempt, or an earlier one, may have taken effect."""
 
     __slots__ = ()
 
@@ -407,7 +412,8 @@
 @holds.register
 def _(guard: Uncertain) -> bool:
     message = guard.message
-    return isinstance(message, StoreUnavailable) and message.uncertain
+    lost = isinstance(message, StoreUnavailable) and message.uncertain
+    return lost or guard.subject.job_id in guard.state.uncertain
 
 
 @holds.register
@@ -428,6 +434,7 @@
 @perform.register
 def _(action: AnswerAccepted) -> list[Command]:
     call = action.subject
+    action.state.uncertain.pop(call.job_id, None)
     fields = _job_fields(call) | {
         "repeated": isinstance(action.message, Conflicted),
         "policy": action.state.policy.version,
@@ -454,7 +461,10 @@
 
 @perform.register
 def _(action: AnswerUncertain) -> list[Command]:
-    call = action.subject
+    call, uncertain = action.subject, action.state.uncertain
+    uncertain[call.job_id] = None
+    if len(uncertain) > UNCERTAIN_LIMIT:
+        del uncertain[next(iter(uncertain))]
     reason = _reason(action.message)
     answer = AnswerCaller(
         call_id=call.request.call_id, verdict=Verdict.UNKNOWN, reason=reason
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -212,3 +212,24 @@
     assert not busy.runs
     assert len(world.starts) == 2
     assert world.state_of(job).job_state is JobState.RUNNING
+
+
+def test_refusal_after_a_lost_answer_is_not_certain():
+    """Guard against "not accepted" for a job that an earlier attempt handed in.
+
+    Found by the state machine: the answer to the first attempt was lost, and the
+    second one was refused in an outage of the store.
+    """
+    world = settled()
+    world.store.losing = True
+    job = world.submit(tasks(1), entry=0)
+    world.advance(2)
+    world.store.losing, world.store.down = False, True
+    world.submit(tasks(1), entry=0, job_id=job)
+    world.advance(2)
+    assert job not in world.refused
+    world.heal()
+    world.submit(tasks(1), entry=0, job_id=job)
+    world.advance(6)
+    assert job in world.accepted
+    assert len(world.starts) == 1
