--- a/packages/wasabispur-core/src/wasabispur_core/store_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/store_access.py
@@ -76,6 +76,7 @@
     reads: Lane
     calls: dict[int, Call] = field(default_factory=dict)
     in_flight: int = 0
+    call_deadline: float = CALL_DEADLINE
 
     def may_send(self) -> bool:
         """Return whether the circuit and the bound on sent calls allow one more."""
--- a/packages/wasabispur-core/src/wasabispur_core/table_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/table_access.py
@@ -40,13 +40,16 @@
     random: Random,
     writes_per_second: float = WRITES_PER_SECOND,
     reads_per_second: float = READS_PER_SECOND,
+    call_deadline: float = CALL_DEADLINE,
 ) -> StoreAccess:
-    """Return the state of the calls to the table service."""
+    """Return the state of the calls to the table service; times are in seconds."""
     charts = {
         TRANSACTION: transaction_chart(catalogue),
         ROW_READ: row_read_chart(catalogue),
     }
-    return new_access(catalogue, charts, random, writes_per_second, reads_per_second)
+    access = new_access(catalogue, charts, random, writes_per_second, reads_per_second)
+    access.call_deadline = call_deadline
+    return access
 
 
 @singledispatch
@@ -60,7 +63,7 @@
     call = TransactionCall(
         call_id=message.call_id,
         lifecycle=state.call_charts[TRANSACTION].start(),
-        deadline=now + CALL_DEADLINE,
+        deadline=now + state.call_deadline,
         transaction=message.transaction,
     )
     return begin(message, call, state, now)
@@ -71,7 +74,7 @@
     call = ReadCall(
         call_id=message.call_id,
         lifecycle=state.call_charts[ROW_READ].start(),
-        deadline=now + CALL_DEADLINE,
+        deadline=now + state.call_deadline,
         read_id=message.read_id,
         prefix=message.prefix,
     )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -436,6 +436,12 @@
         return commands
     if now - seat.failed_at < LIST_RETRY:
         return commands
+    if seat.ended and now - seat.listed_at < LIST_RETRY:
+        # With an end in its lists the worker answers at once; the acknowledgement
+        # is sent as soon as the owner gives it.
+        due = ListDue(worker_id=seat.info.worker_id)
+        timer_id = f"list:{seat.info.worker_id}"
+        return [*commands, SetTimer(timer_id=timer_id, delay=LIST_RETRY, message=due)]
     seat.listing = True
     # The first answer gives the worker's clock, without which nothing starts.
     wait = LIST_WAIT if seat.clock_offset is not None else 0.0
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -51,6 +52,11 @@
         asyncio.run(_run(main))
     except WasabispurError as error:
         fail(error)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # A blocking call may hold a thread for seconds after all is closed, and the
+    # interpreter would wait for it.
+    os._exit(ExitCode.OK)
 
 
 def fail(error: WasabispurError) -> None:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
@@ -14,6 +14,7 @@
 from wasabispur_core.command import ReadRows, Transact
 from wasabispur_core.message import Message
 from wasabispur_core.store import Row, Transaction
+from wasabispur_core.store_access import CALL_DEADLINE
 from wasabispur_core.store_call import (
     CallAnswer,
     CallLost,
@@ -80,8 +81,11 @@
         catalogue: ChartCatalogue | None = None,
         call_timeout: float = CALL_TIMEOUT,
         serve: Serve | None = None,
+        call_deadline: float = CALL_DEADLINE,
     ) -> None:
-        state = new_table_access(catalogue or ChartCatalogue(), random)
+        state = new_table_access(
+            catalogue or ChartCatalogue(), random, call_deadline=call_deadline
+        )
         super().__init__(
             "table-client", timers, url, state, decide, call_timeout, serve
         )
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -42,6 +42,13 @@
 With the lease, a takeover and its reading fit into the bound on recovery.
 """
 
+STORE_TIMEOUT = 1.4
+STORE_DEADLINE = 2.2
+"""Seconds of one call to the store, and of a transaction with its repetitions.
+
+Callers wait 3 s for an answer; one that comes later helps nobody.
+"""
+
 DRAIN_NOTICE = 2.5
 """Seconds for the balancer to miss two readiness answers before the front closes."""
 
@@ -83,7 +90,13 @@
         self.serve_feed = serve_feed
         self.stopping = False
         self.table = TableClient(
-            timers, settings.store_url, Random(), self.catalogue, serve=serve_store
+            timers,
+            settings.store_url,
+            Random(),
+            self.catalogue,
+            STORE_TIMEOUT,
+            serve_store,
+            STORE_DEADLINE,
         )
         self.scheduler = FleetScheduler(
             timers, self._shard(), self.table, self.open_feed
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -11,6 +11,9 @@
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.protocol import BODY_LIMIT_BYTES
 
+SHUTDOWN_TIMEOUT = 2.5
+"""Seconds that the requests in progress get at a planned stop."""
+
 cherrypy.config.update({"environment": "embedded", "log.screen": False})
 
 
@@ -33,6 +36,7 @@
         self.address = (host, port)
         self.server = Server(self.address, application, numthreads=threads)
         self.server.gateway = _Gateway
+        self.server.shutdown_timeout = SHUTDOWN_TIMEOUT
         self.server.max_request_body_size = BODY_LIMIT_BYTES
         self.thread = Thread(target=self.server.serve, name="http", daemon=True)
 
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -233,3 +233,18 @@
     world.advance(6)
     assert job in world.accepted
     assert len(world.starts) == 1
+
+
+def test_agent_does_not_spin_while_an_end_waits_for_its_acknowledgement():
+    """Guard against calls without a pause while no owner takes ends.
+
+    Seen on pbs-dispatch: 12,275 calls for lists in a minute with 11 workers.
+    """
+    world = settled()
+    world.submit(tasks(4), duration=1)
+    world.advance(0.5)
+    world.store.down = True
+    world.lists_asked = 0
+    world.advance(5)
+    assert any(worker.ended for worker in world.workers.values())
+    assert world.lists_asked <= 5 * 4 * 12
