Find victims by worker, so that a pass over a large fleet stays short

Victims are kept by worker, rooms note what is coming, alike tasks share one answer, and a pass looks for cheap victims at most 8 times.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from copy import copy
 from dataclasses import dataclass, field
 
 from .plan import RunningUnit, WaitingUnit, WorkerRoom
-from .seating import candidates, count_fitting, racks_for, take
+from .seating import candidates, count_fitting, racks_for
+from .spec import Resources
 
 RESTART_COST = 1.0
 """Seconds of a unit's room that a stop costs beside the lost work."""
@@ -19,117 +19,147 @@
 
 @dataclass(slots=True, kw_only=True)
 class Eviction:
-    """Hold the units to stop, their cost in core-seconds, and the rooms taken."""
+    """Hold the units to stop, their cost in core-seconds, and the seats won."""
 
     victims: list[RunningUnit] = field(default_factory=list)
     cost: float = 0.0
-    seats: list[str] = field(default_factory=list)
+    seats: list[WorkerRoom] = field(default_factory=list)
 
 
-def copy_room(room: WorkerRoom) -> WorkerRoom:
-    """Return a room that can be changed on its own."""
-    twin = copy(room)
-    twin.tasks_of_step = dict(room.tasks_of_step)
-    return twin
-
+@dataclass(slots=True, kw_only=True)
+class Option:
+    """Hold what it costs to seat one task on a worker; free is what is left."""
+
+    cost: float
+    free: Resources
+    room: WorkerRoom
+    victims: list[RunningUnit]
+
+    @property
+    def rank(self) -> tuple[float, int, str]:
+        """Return a key that orders options by cost and by the room they leave."""
+        return self.cost, self.free.accelerators, self.room.seat.worker_id
+
+
+class Victims:
+    """Hold the units that may be stopped, by worker and from cheap to dear."""
+
+    def __init__(self, running: Iterable[RunningUnit]) -> None:
+        self.by_worker: dict[str, list[RunningUnit]] = {}
+        self.gone: set[int] = set()
+        for unit in running:
+            if not unit.guaranteed and not unit.stopping:
+                for name in {seat.worker_id for seat in unit.seats}:
+                    self.by_worker.setdefault(name, []).append(unit)
+        for units in self.by_worker.values():
+            units.sort(key=lambda unit: stop_cost(unit) / _weight(unit))
+
+    def on(self, worker_id: str, priority: int) -> list[RunningUnit]:
+        """Return the units on a worker that rank behind a priority."""
+        return [
+            unit
+            for unit in self.by_worker.get(worker_id, ())
+            if unit.priority > priority and id(unit) not in self.gone
+        ]
 
-def free_rooms(
-    rooms: Iterable[WorkerRoom], freed: Iterable[RunningUnit]
-) -> list[WorkerRoom]:
-    """Return copies of the rooms after some running units have ended."""
-    copies = {room.seat.worker_id: copy_room(room) for room in rooms}
-    for unit in freed:
-        _release(unit, copies)
-    return list(copies.values())
+    def remove(self, units: Iterable[RunningUnit]) -> None:
+        """Spare units that are chosen already."""
+        self.gone.update(id(unit) for unit in units)
 
 
 def cheapest_eviction(
-    unit: WaitingUnit, rooms: Sequence[WorkerRoom], victims: Sequence[RunningUnit]
+    unit: WaitingUnit, rooms: Sequence[WorkerRoom], victims: Victims
 ) -> Eviction | None:
     """Return the eviction that costs least, or None if none makes room."""
-    allowed = candidates(unit, rooms)
-    groups = racks_for(unit, allowed)
-    found = [_evict(unit, group, rooms, victims) for group in groups]
+    groups = racks_for(unit, candidates(unit, rooms))
+    found = [_evict(unit, group, victims) for group in groups]
     possible = [eviction for eviction in found if eviction is not None]
     return min(possible, key=lambda eviction: eviction.cost, default=None)
 
 
+def stop_cost(victim: RunningUnit) -> float:
+    """Return the core-seconds that stopping a unit costs."""
+    restart = RESTART_COST * _weight(victim)
+    return (victim.lost_work + restart) * (1 + victim.preemptions)
+
+
 def _evict(
-    unit: WaitingUnit,
-    group: Sequence[WorkerRoom],
-    rooms: Sequence[WorkerRoom],
-    victims: Sequence[RunningUnit],
+    unit: WaitingUnit, group: Sequence[WorkerRoom], victims: Victims
 ) -> Eviction | None:
     """Seat the unit's tasks one by one, each where it costs least."""
-    copies = {room.seat.worker_id: copy_room(room) for room in rooms}
-    names = [room.seat.worker_id for room in group]
-    left = list(victims)
     result = Eviction()
+    free = {room.seat.worker_id: room.room + room.coming for room in group}
+    chosen: set[int] = set()
+    options: dict[str, Option | None] = {}
     for _ in range(unit.size):
-        options = [
-            option
-            for name in names
-            if (option := _option(unit, copies[name], left)) is not None
-        ]
-        if not options:
+        for room in group:
+            name = room.seat.worker_id
+            if name not in options:
+                taken = result.seats.count(room)
+                options[name] = _option(unit, room, free[name], taken, chosen, victims)
+        best = min(
+            (option for option in options.values() if option is not None),
+            key=lambda option: option.rank,
+            default=None,
+        )
+        if best is None:
             return None
-        cost, _, name, chosen = min(options, key=lambda option: option[:3])
-        for victim in chosen:
-            left.remove(victim)
-            _release(victim, copies)
-        take(unit, [copies[name]])
-        result.victims += chosen
-        result.cost += cost
-        result.seats.append(name)
+        result.cost += best.cost
+        result.victims += best.victims
+        result.seats.append(best.room)
+        chosen.update(id(victim) for victim in best.victims)
+        for name in _release(best, free, unit):
+            options.pop(name, None)
     return result
 
 
+def _release(best: Option, free: dict[str, Resources], unit: WaitingUnit) -> set[str]:
+    """Free the victims' room, take the task's, and return the workers touched."""
+    name = best.room.seat.worker_id
+    touched = {name}
+    for victim in best.victims:
+        for seat in victim.seats:
+            if seat.worker_id in free:
+                free[seat.worker_id] += victim.demand
+                touched.add(seat.worker_id)
+    free[name] -= unit.demand
+    return touched
+
+
 def _option(
-    unit: WaitingUnit, room: WorkerRoom, victims: Sequence[RunningUnit]
-) -> tuple[float, int, str, list[RunningUnit]] | None:
-    """Return what it costs to seat one task on a worker: cost, room left, victims."""
-    name = room.seat.worker_id
-    trial = copy_room(room)
-    here = [victim for victim in victims if _seats_on(victim, name)]
-    here.sort(key=lambda victim: _cost(victim) / _freed_weight(victim, name))
-    chosen: list[RunningUnit] = []
-    while not count_fitting(unit, trial, trial.room):
-        if not here:
+    unit: WaitingUnit,
+    room: WorkerRoom,
+    free: Resources,
+    taken: int,
+    chosen: set[int],
+    victims: Victims,
+) -> Option | None:
+    """Return the cheapest way to seat one task on a worker, or None."""
+    stopped: list[RunningUnit] = []
+    here = iter(victims.on(room.seat.worker_id, unit.priority))
+    while not count_fitting(unit, room, free, taken):
+        victim = next((one for one in here if id(one) not in chosen), None)
+        if victim is None:
             return None
-        victim = here.pop(0)
-        chosen.append(victim)
-        _release(victim, {name: trial})
-    for victim in sorted(chosen, key=_cost, reverse=True):
+        stopped.append(victim)
+        free += _freed(victim, room)
+    for victim in sorted(stopped, key=stop_cost, reverse=True):
         # A victim that the later ones made needless goes on.
-        _hold(victim, name, trial)
-        if count_fitting(unit, trial, trial.room):
-            chosen.remove(victim)
-        else:
-            _release(victim, {name: trial})
-    cost = sum(_cost(victim) for victim in chosen)
-    return cost, trial.room.accelerators, name, chosen
-
-
-def _cost(victim: RunningUnit) -> float:
-    """Return the core-seconds that stopping a unit costs."""
-    room = len(victim.seats) * victim.demand.weight
-    return (victim.lost_work + RESTART_COST * room) * (1 + victim.preemptions)
-
-
-def _freed_weight(victim: RunningUnit, worker_id: str) -> float:
-    return max(_seats_on(victim, worker_id) * victim.demand.weight, 1e-3)
-
-
-def _seats_on(victim: RunningUnit, worker_id: str) -> int:
-    return sum(seat.worker_id == worker_id for seat in victim.seats)
+        without = free - _freed(victim, room)
+        if count_fitting(unit, room, without, taken):
+            stopped.remove(victim)
+            free = without
+    cost = sum(stop_cost(victim) for victim in stopped)
+    return Option(cost=cost, free=free, room=room, victims=stopped)
 
 
-def _release(unit: RunningUnit, rooms: dict[str, WorkerRoom]) -> None:
-    for seat in unit.seats:
-        if seat.worker_id in rooms:
-            rooms[seat.worker_id].room += unit.demand
+def _freed(victim: RunningUnit, room: WorkerRoom) -> Resources:
+    freed = Resources()
+    for seat in victim.seats:
+        if seat.worker_id == room.seat.worker_id:
+            freed += victim.demand
+    return freed
 
 
-def _hold(unit: RunningUnit, worker_id: str, room: WorkerRoom) -> None:
-    for _ in range(_seats_on(unit, worker_id)):
-        room.room -= unit.demand
+def _weight(victim: RunningUnit) -> float:
+    return max(len(victim.seats) * victim.demand.weight, 1e-3)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -6,15 +6,15 @@
 from enum import StrEnum
 from math import inf
 
-from .spec import Resources
+from .spec import NOTHING, Resources
 from .unit import Seat, UnitId
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class WorkerRoom:
     """Describe one worker's room; the planner takes from it as it places.
 
-    payload_bytes bounds the orders row, and trusted is unset for a worker that
+    coming is the room of units that are told to stop already. payload_bytes bounds the orders row, and trusted is unset for a worker that
     recently failed what it ran.
     """
 
@@ -26,6 +26,7 @@
     capacity: Resources
     room: Resources
     ready: bool
+    coming: Resources = NOTHING
     trusted: bool = True
     payload_bytes: int = 0
     tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
@@ -64,7 +65,7 @@
         return self.size * self.demand.weight * max(self.remaining, 1.0)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(frozen=True, slots=True, kw_only=True, eq=False)
 class RunningUnit:
     """Describe a unit at work; lost_work is in core-seconds if it stops now.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from .eviction import cheapest_eviction, copy_room, Eviction, free_rooms
+from copy import copy
+
+from .eviction import cheapest_eviction, Eviction, Victims
 from .plan import (
     Decision,
     Evacuate,
@@ -20,7 +22,7 @@
     WaitReason,
     WorkerRoom,
 )
-from .seating import candidates, choose_seats, take
+from .seating import candidates, choose_seats, step_key, take
 
 LATE_FACTOR = 3.0
 """A job that ends after this multiple of its objective earns nothing."""
@@ -28,59 +30,97 @@
 CHEAP_LOSS = 0.15
 """Share of the waiting unit's own work that may be lost by stopping others."""
 
+CHEAP_ATTEMPTS = 8
+"""Units without a guarantee for which one pass looks for others to stop."""
+
 
 def plan(snapshot: Snapshot) -> list[Decision]:
     """Return a decision for each waiting unit, the preemptions and evacuations."""
-    rooms = [copy_room(room) for room in snapshot.rooms]
-    victims = [unit for unit in snapshot.running if not unit.stopping]
-    stopping = [unit for unit in snapshot.running if unit.stopping]
+    planning = _Planning(snapshot)
     decisions: list[Decision] = [
         Evacuate(unit_id=unit.unit_id, leaves_in=unit.leaves_in)
-        for unit in victims
-        if unit.ends_in > unit.leaves_in
+        for unit in snapshot.running
+        if not unit.stopping and unit.ends_in > unit.leaves_in
     ]
     for unit in sorted(snapshot.waiting, key=lambda u: _rank(u, snapshot.now)):
-        decisions += _decide(unit, rooms, victims, stopping)
+        decisions += planning.decide(unit)
     return decisions
 
 
-def _decide(
-    unit: WaitingUnit,
-    rooms: list[WorkerRoom],
-    victims: list[RunningUnit],
-    stopping: list[RunningUnit],
-) -> list[Decision]:
-    seats = choose_seats(unit, rooms)
-    if seats is not None:
-        take(unit, seats)
-        return [Place(unit_id=unit.unit_id, seats=tuple(room.seat for room in seats))]
-    if not candidates(unit, rooms):
-        return [Wait(unit_id=unit.unit_id, reason=WaitReason.NO_WORKER)]
-    if unit.priority > 0 and not unit.guaranteed:
-        return [Wait(unit_id=unit.unit_id, reason=WaitReason.NO_ROOM)]
-    # Room that is being freed already may do; it is held for this unit.
-    future = free_rooms(rooms, stopping)
-    pool = [
-        victim
-        for victim in victims
-        if victim.priority > unit.priority and not victim.guaranteed
-    ]
-    eviction = cheapest_eviction(unit, future, pool)
-    if eviction is None or not _worth_it(unit, eviction):
-        return [Wait(unit_id=unit.unit_id, reason=WaitReason.NO_ROOM)]
-    _hold(unit, eviction, rooms)
-    for victim in eviction.victims:
-        victims.remove(victim)
-        stopping.append(victim)
-    preemptions: list[Decision] = [
-        Preempt(
-            unit_id=victim.unit_id,
-            beneficiary=unit.unit_id,
-            lost_work=victim.lost_work,
-        )
-        for victim in eviction.victims
-    ]
-    return [*preemptions, Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING)]
+class _Planning:
+    """Hold the rooms, the victims and what was found out during one pass."""
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.rooms = [_copy(room) for room in snapshot.rooms]
+        self.by_id = {room.seat.worker_id: room for room in self.rooms}
+        self.victims = Victims(snapshot.running)
+        self.blocked: dict[tuple[str, int, int], WaitReason] = {}
+        self.cheap_attempts = CHEAP_ATTEMPTS
+        for unit in snapshot.running:
+            if unit.stopping:
+                self._expect(unit)
+
+    def decide(self, unit: WaitingUnit) -> list[Decision]:
+        """Return the decision on one unit, and the preemptions for it."""
+        # The tasks of a step are alike: where one finds no room, none does.
+        reason = self.blocked.get(step_key(unit))
+        if reason is not None:
+            return [Wait(unit_id=unit.unit_id, reason=reason)]
+        seats = choose_seats(unit, self.rooms)
+        if seats is not None:
+            take(unit, seats)
+            chosen = tuple(room.seat for room in seats)
+            return [Place(unit_id=unit.unit_id, seats=chosen)]
+        if not candidates(unit, self.rooms):
+            return self._wait(unit, WaitReason.NO_WORKER)
+        eviction = self._evict(unit)
+        if eviction is None:
+            return self._wait(unit, WaitReason.NO_ROOM)
+        take(unit, eviction.seats)
+        self.victims.remove(eviction.victims)
+        decisions: list[Decision] = []
+        for victim in eviction.victims:
+            self._expect(victim)
+            decisions.append(
+                Preempt(
+                    unit_id=victim.unit_id,
+                    beneficiary=unit.unit_id,
+                    lost_work=victim.lost_work,
+                )
+            )
+        decisions.append(Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING))
+        return decisions
+
+    def _evict(self, unit: WaitingUnit) -> Eviction | None:
+        if unit.priority > 0 and not unit.guaranteed:
+            return None
+        if not unit.guaranteed:
+            self.cheap_attempts -= 1
+            if self.cheap_attempts < 0:
+                return None
+        # Room that is being freed already costs nothing.
+        eviction = cheapest_eviction(unit, self.rooms, self.victims)
+        if eviction is None:
+            return None
+        cheap = eviction.cost <= CHEAP_LOSS * unit.work
+        return eviction if unit.guaranteed or cheap else None
+
+    def _expect(self, unit: RunningUnit) -> None:
+        """Note the room that a stopping unit will leave."""
+        for seat in unit.seats:
+            room = self.by_id.get(seat.worker_id)
+            if room is not None:
+                room.coming += unit.demand
+
+    def _wait(self, unit: WaitingUnit, reason: WaitReason) -> list[Decision]:
+        self.blocked[step_key(unit)] = reason
+        return [Wait(unit_id=unit.unit_id, reason=reason)]
+
+
+def _copy(room: WorkerRoom) -> WorkerRoom:
+    twin = copy(room)
+    twin.tasks_of_step = dict(room.tasks_of_step)
+    return twin
 
 
 def _rank(unit: WaitingUnit, now: float) -> tuple[bool, int, int, float]:
@@ -100,13 +140,3 @@
         return 0
     start = unit.objective - unit.target_span
     return 1 if end <= start + LATE_FACTOR * unit.target_span else 2
-
-
-def _worth_it(unit: WaitingUnit, eviction: Eviction) -> bool:
-    return unit.guaranteed or eviction.cost <= CHEAP_LOSS * unit.work
-
-
-def _hold(unit: WaitingUnit, eviction: Eviction, rooms: list[WorkerRoom]) -> None:
-    """Take the room that the unit will get once others have stopped."""
-    by_id = {room.seat.worker_id: room for room in rooms}
-    take(unit, [by_id[name] for name in eviction.seats])
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
@@ -83,13 +83,16 @@
 
 
 def _fill(unit: WaitingUnit, rooms: Iterable[WorkerRoom]) -> list[WorkerRoom] | None:
-    ordered = sorted(rooms, key=lambda room: _preference(unit, room))
+    counts = [(count_fitting(unit, room, room.room), room) for room in rooms]
+    usable = [(count, room) for count, room in counts if count]
+    if sum(count for count, _ in usable) < unit.size:
+        return None
+    usable.sort(key=lambda item: _preference(unit, item[1]))
     seats: list[WorkerRoom] = []
-    for room in ordered:
+    for count, room in usable:
         if len(seats) == unit.size:
             break
-        count = min(count_fitting(unit, room, room.room), unit.size - len(seats))
-        seats += [room] * count
+        seats += [room] * min(count, unit.size - len(seats))
     return seats if len(seats) == unit.size else None
 
 
@@ -106,20 +109,26 @@
     )
 
 
-def count_fitting(unit: WaitingUnit, room: WorkerRoom, free: Resources) -> int:
-    """Return how many of the unit's tasks fit into the free part of a worker."""
-    payload = max(unit.payload_bytes, 1)
-    bounds = [unit.size, (PAYLOAD_LIMIT - room.payload_bytes) // payload]
-    pairs = (
-        (free.cpu, unit.demand.cpu),
-        (free.memory, unit.demand.memory),
-        (free.accelerators, unit.demand.accelerators),
-    )
-    for have, need in pairs:
-        if need:
-            bounds.append(have // need)
+def count_fitting(
+    unit: WaitingUnit, room: WorkerRoom, free: Resources, taken: int = 0
+) -> int:
+    """Return how many more of the unit's tasks fit into the free part of a worker.
+
+    taken counts the tasks of the unit that are seated there already.
+    """
+    demand = unit.demand
+    if not demand.fits(free):
+        return 0
+    payloads = room.payload_bytes + taken * unit.payload_bytes
+    bounds = [unit.size, (PAYLOAD_LIMIT - payloads) // max(unit.payload_bytes, 1)]
+    if demand.cpu:
+        bounds.append(free.cpu // demand.cpu)
+    if demand.memory:
+        bounds.append(free.memory // demand.memory)
+    if demand.accelerators:
+        bounds.append(free.accelerators // demand.accelerators)
     if unit.tasks_per_worker:
-        present = room.tasks_of_step.get(step_key(unit), 0)
+        present = room.tasks_of_step.get(step_key(unit), 0) + taken
         bounds.append(unit.tasks_per_worker - present)
     return max(min(bounds), 0)
 
--- /dev/null
+++ b/tests/workload/test_planner.py
@@ -0,0 +1,274 @@
+"""Guard the decisions on order, place, preemption and evacuation."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import inf
+
+from hypothesis import given, strategies as st
+
+from wasabispur_core.workload.plan import (
+    Evacuate,
+    Place,
+    Preempt,
+    RunningUnit,
+    Snapshot,
+    Wait,
+    WaitingUnit,
+    WaitReason,
+    WorkerRoom,
+)
+from wasabispur_core.workload.planner import plan
+from wasabispur_core.workload.seating import PAYLOAD_LIMIT
+from wasabispur_core.workload.spec import Resources
+from wasabispur_core.workload.unit import Seat, UnitId
+
+CAPACITY = Resources(cpu=64_000, memory=128_000, accelerators=8)
+
+
+def room(number: int, rack: int = 0, used: int = 0, **fields) -> WorkerRoom:
+    values = {
+        "seat": seat(number),
+        "service": "s",
+        "data_centre": "a1",
+        "rack": f"r1-{rack}",
+        "labels": ("a", f"r1-{rack}"),
+        "capacity": CAPACITY,
+        "room": CAPACITY - demand(used),
+        "ready": True,
+    }
+    return WorkerRoom(**{**values, **fields})
+
+
+def seat(number: int) -> Seat:
+    return Seat(worker_id=f"w{number}", incarnation="1")
+
+
+def demand(accelerators: int) -> Resources:
+    return Resources(cpu=100, memory=100, accelerators=accelerators)
+
+
+def waiting(name: str, accelerators: int = 1, size: int = 1, **fields) -> WaitingUnit:
+    values = {
+        "unit_id": UnitId(name, 0, 0, 0),
+        "service": "s",
+        "organisation": "o",
+        "priority": 1,
+        "guaranteed": False,
+        "demand": demand(accelerators),
+        "size": size,
+        "objective": 10.0,
+        "target_span": 10.0,
+        "remaining": 2.0,
+    }
+    return WaitingUnit(**{**values, **fields})
+
+
+def running(name: str, number: int, accelerators: int, **fields) -> RunningUnit:
+    values = {
+        "unit_id": UnitId(name, 0, 0, 0),
+        "priority": 2,
+        "organisation": "p",
+        "guaranteed": False,
+        "demand": demand(accelerators),
+        "seats": (seat(number),),
+        "lost_work": 10.0,
+    }
+    return RunningUnit(**{**values, **fields})
+
+
+def decide(rooms, waiting_units, running_units=(), now: float = 0.0) -> list:
+    return plan(
+        Snapshot(
+            now=now,
+            rooms=tuple(rooms),
+            waiting=tuple(waiting_units),
+            running=tuple(running_units),
+        )
+    )
+
+
+def placed(decisions) -> dict[str, list[str]]:
+    return {
+        one.unit_id.job_id: [chosen.worker_id for chosen in one.seats]
+        for one in decisions
+        if isinstance(one, Place)
+    }
+
+
+def stopped(decisions) -> set[str]:
+    return {one.unit_id.job_id for one in decisions if isinstance(one, Preempt)}
+
+
+def test_urgent_work_goes_before_a_flood_of_the_rest():
+    """Guard against a merchandiser who waits behind a night's batch."""
+    flood = [waiting(f"bulk{n}", 8, priority=2) for n in range(50)]
+    urgent = waiting("urgent", 8, priority=0)
+    assert placed(decide([room(0)], [*flood, urgent])) == {"urgent": ["w0"]}
+
+
+def test_work_that_can_be_in_time_goes_before_hopeless_work():
+    """Guard against room for a job that earns nothing any more."""
+    hopeless = waiting("hopeless", 8, objective=-100.0)
+    late = waiting("late", 8, objective=1.0)
+    timely = waiting("timely", 8, objective=20.0)
+    assert set(placed(decide([room(0)], [hopeless, late, timely]))) == {"timely"}
+    assert set(placed(decide([room(0)], [hopeless, late]))) == {"late"}
+
+
+def test_small_tasks_leave_whole_workers_free():
+    """Guard against scattered room in which no wide task fits."""
+    small = [waiting(f"s{n}", 1, priority=0) for n in range(4)]
+    wide = waiting("wide", 8, priority=1)
+    found = placed(decide([room(0), room(1)], [*small, wide]))
+    assert len({name for n in range(4) for name in found[f"s{n}"]}) == 1
+    assert "wide" in found
+
+
+def test_gang_in_one_rack_waits_for_it():
+    """Guard against a gang over two racks, which takes several times as long."""
+    rooms = [room(0, 0), room(1, 0, used=8), room(2, 1, used=8), room(3, 1)]
+    gang = waiting("gang", 8, size=2, same_rack=True)
+    assert placed(decide(rooms, [gang])) == {}
+    assert set(placed(decide([room(0, 0), room(1, 0)], [gang]))["gang"]) == {"w0", "w1"}
+
+
+def test_gang_that_no_rack_holds_is_spread():
+    """Guard against a gang that waits for ever for a rack that is too small."""
+    rooms = [room(0, 0), room(1, 1)]
+    gang = waiting("gang", 8, size=2, same_rack=True)
+    assert set(placed(decide(rooms, [gang]))["gang"]) == {"w0", "w1"}
+
+
+def test_constraints_of_a_step_hold():
+    """Guard against a run without its label, off its data, or beyond its limit."""
+    rooms = [room(0, 0), room(1, 1, labels=("b", "r1-1"))]
+    assert placed(decide(rooms, [waiting("x", label="b")])) == {"x": ["w1"]}
+    assert placed(decide(rooms, [waiting("x", data_rack="r1-1")])) == {"x": ["w1"]}
+    tasks = [
+        replace(waiting("j", tasks_per_worker=1), unit_id=UnitId("j", 0, 0, index))
+        for index in range(3)
+    ]
+    decisions = decide(rooms, tasks)
+    assert len([one for one in decisions if isinstance(one, Place)]) == 2
+    assert len([one for one in decisions if isinstance(one, Wait)]) == 1
+
+
+def test_unit_that_no_worker_can_hold_is_told_apart():
+    """Guard against a wait without a reason."""
+    [wait] = decide([room(0)], [waiting("x", 9)])
+    assert wait.reason is WaitReason.NO_WORKER
+    [wait] = decide([room(0, used=8)], [waiting("x", 1)])
+    assert wait.reason is WaitReason.NO_ROOM
+
+
+def test_orders_of_one_worker_stay_under_the_row_limit():
+    """Guard against an orders row that the store refuses."""
+    payload = PAYLOAD_LIMIT // 3
+    tasks = [waiting(f"x{n}", 0, payload_bytes=payload) for n in range(10)]
+    assert len(placed(decide([room(0)], tasks))) == 3
+
+
+def test_guarantee_is_reclaimed_from_the_cheapest_worker():
+    """Guard against more work thrown away than the guarantee needs.
+
+    Seen on pbs-dispatch: victims were chosen by priority, and 41 were stopped.
+    """
+    rooms = [room(0, used=8), room(1, used=8), room(2, used=8)]
+    units = [
+        running("dear", 0, 8, lost_work=900.0),
+        running("cheap", 1, 8, lost_work=5.0),
+        running("again", 2, 8, lost_work=5.0, preemptions=3),
+    ]
+    decisions = decide(rooms, [waiting("own", 8, priority=0, guaranteed=True)], units)
+    assert stopped(decisions) == {"cheap"}
+
+
+def test_needless_victims_are_spared():
+    """Guard against stopping small units beside the one that makes the room."""
+    rooms = [room(0, used=8)]
+    units = [running(f"small{n}", 0, 1, lost_work=0.1) for n in range(4)]
+    units.append(running("large", 0, 4, lost_work=1.0))
+    own = waiting("own", 4, priority=0, guaranteed=True)
+    assert len(stopped(decide(rooms, [own], units))) in (1, 4)
+
+
+def test_room_that_is_being_freed_is_not_freed_twice():
+    """Guard against new victims with each pass while the first ones stop."""
+    rooms = [room(0, used=8), room(1, used=8)]
+    units = [
+        running("stopping", 0, 8, stopping=True),
+        running("other", 1, 8),
+    ]
+    own = waiting("own", 8, priority=0, guaranteed=True)
+    later = waiting("later", 8, priority=1)
+    decisions = decide(rooms, [own, later], units)
+    assert stopped(decisions) == set()
+    assert placed(decisions) == {}
+
+
+def test_freed_room_is_held_for_the_guarantee():
+    """Guard against a lower unit that takes what was freed for another."""
+    rooms = [room(0, used=7)]
+    units = [running("victim", 0, 7)]
+    own = waiting("own", 8, priority=0, guaranteed=True)
+    small = waiting("small", 1, priority=2)
+    decisions = decide(rooms, [own, small], units)
+    assert stopped(decisions) == {"victim"}
+    assert placed(decisions) == {}
+
+
+def test_guaranteed_work_is_never_stopped():
+    """Guard against one organisation's guarantee that breaks another's."""
+    rooms = [room(0, used=8)]
+    units = [running("theirs", 0, 8, guaranteed=True)]
+    own = waiting("own", 8, priority=0, guaranteed=True)
+    assert stopped(decide(rooms, [own], units)) == set()
+
+
+def test_urgent_work_without_a_guarantee_stops_only_what_is_cheap():
+    """Guard against work thrown away for what could wait."""
+    rooms = [room(0, used=8)]
+    urgent = waiting("urgent", 8, priority=0)
+    dear = [running("dear", 0, 8, lost_work=500.0)]
+    cheap = [running("cheap", 0, 8, lost_work=0.0)]
+    assert stopped(decide(rooms, [urgent], dear)) == set()
+    cheap_decisions = decide(rooms, [replace(urgent, remaining=30.0)], cheap)
+    assert stopped(cheap_decisions) == {"cheap"}
+
+
+def test_run_that_can_not_end_before_its_worker_leaves_moves():
+    """Guard against work that ends with a worker that was announced to leave."""
+    units = [
+        running("long", 0, 1, ends_in=9.0, leaves_in=4.0),
+        running("short", 0, 1, ends_in=2.0, leaves_in=4.0),
+        running("staying", 1, 1, ends_in=9.0, leaves_in=inf),
+    ]
+    decisions = decide([room(0), room(1)], [], units)
+    moved = [one for one in decisions if isinstance(one, Evacuate)]
+    assert [one.unit_id.job_id for one in moved] == ["long"]
+
+
+@given(
+    demands=st.lists(
+        st.tuples(st.integers(0, 8), st.integers(1, 4), st.integers(0, 2)), max_size=30
+    ),
+    used=st.lists(st.integers(0, 8), min_size=1, max_size=5),
+)
+def test_no_pass_overfills_a_worker(demands, used):
+    """Guard against two decisions of one pass that take the same room."""
+    rooms = [room(number, used=taken) for number, taken in enumerate(used)]
+    units = [
+        waiting(f"u{n}", accelerators, size, priority=priority, guaranteed=not priority)
+        for n, (accelerators, size, priority) in enumerate(demands)
+    ]
+    busy = [running(f"r{n}", n, taken) for n, taken in enumerate(used) if taken]
+    taken = {f"w{number}": count for number, count in enumerate(used)}
+    decisions = decide(rooms, units, busy)
+    by_id = {unit.unit_id: unit for unit in units}
+    for one in decisions:
+        if isinstance(one, Place):
+            for chosen in one.seats:
+                need = by_id[one.unit_id].demand.accelerators
+                taken[chosen.worker_id] += need
+    assert all(count <= CAPACITY.accelerators for count in taken.values())
