--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure
 
+from wasabispur_core.circuit import CircuitDue
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import ROW_REFUSED
 from wasabispur_core.message import Message
@@ -73,7 +74,12 @@
             self._take(row)
 
     def on_feed_health(self, message: FeedHealth) -> None:
-        """Ignore an outage: runs go on under the agent's own leases."""
+        """Let the client try at once when the store is back.
+
+        In an outage runs go on under the agent's own leases.
+        """
+        if message.healthy:
+            self.table.post(CircuitDue())
 
     def _take(self, row: Row) -> None:
         orders = unpack(ORDERS, row.value)
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -108,6 +108,7 @@
             decode_policy,
             lambda receiver: self.open_feed(table, (prefix,), True, receiver),
             (self.intake, self.scheduler),
+            self.table,
         )
         self.scheduler.observer = self.intake.observer = self.metrics.observe
         self.actors = (self.table, self.scheduler, self.intake, self.policy)
--- a/packages/wasabispur/src/wasabispur/policy_watcher.py
+++ b/packages/wasabispur/src/wasabispur/policy_watcher.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
+from wasabispur_core.circuit import CircuitDue
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.message import Message
 from wasabispur_core.store import Row
@@ -26,11 +27,13 @@
         decode: DecodePolicy,
         open_feed: Callable[[Callable[[Message], None]], TableFeed],
         listeners: Iterable[Actor],
+        table: Actor,
     ) -> None:
         super().__init__("policy-watcher", timers)
         self.decode = decode
         self.listeners = list(listeners)
         self.feed = open_feed(self.post)
+        self.table = table
         self.version = 0
         self.connected = False
 
@@ -53,8 +56,10 @@
         self._take(message.rows)
 
     def on_feed_health(self, message: FeedHealth) -> None:
-        """Note whether the store answers this entry."""
+        """Note whether the store answers, and let the client try at once if so."""
         self.connected = message.healthy
+        if message.healthy:
+            self.table.post(CircuitDue())
 
     def _take(self, rows: Iterable[Row]) -> None:
         for row in rows:
--- /dev/null
+++ b/tests/workload/test_policy_watcher.py
@@ -0,0 +1,72 @@
+"""Guard the entry's view of the configuration and of the store's health."""
+
+from __future__ import annotations
+
+from wasabispur.policy_watcher import PolicyWatcher
+from wasabispur_core.circuit import CircuitDue
+from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.store import Row
+from wasabispur_core.timer import FakeTimerService
+from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+
+
+class Listener:
+    def __init__(self):
+        self.messages = []
+
+    def post(self, message):
+        self.messages.append(message)
+
+
+def row(version: int) -> Row:
+    return Row(key="k", version=version, operation_id="", value={"version": version})
+
+
+def watcher() -> tuple[PolicyWatcher, Listener, Listener]:
+    listener, table = Listener(), Listener()
+    watched = PolicyWatcher(
+        FakeTimerService(),
+        lambda found: FleetPolicy(version=found.value["version"]),
+        lambda receiver: None,
+        (listener,),
+        table,
+    )
+    return watched, listener, table
+
+
+def versions(listener: Listener) -> list[int]:
+    return [
+        message.policy.version
+        for message in listener.messages
+        if isinstance(message, PolicyChanged)
+    ]
+
+
+def test_configuration_never_goes_back():
+    """Guard against a late row that puts an older version in force."""
+    watched, listener, _ = watcher()
+    watched.on_table_delivered(
+        TableDelivered(
+            table="t", rows=(row(3),), version=1, store_time=1.0, again=False
+        )
+    )
+    for version in (2, 3, 5, 4):
+        watched.on_rows_changed(
+            RowsChanged(table="t", rows=(row(version),), removed=(), store_time=1.0)
+        )
+    assert versions(listener) == [3, 5]
+
+
+def test_store_that_is_back_is_tried_at_once():
+    """Guard against calls held back for seconds after an outage.
+
+    Seen on pbs-dispatch trouble-3: the store was back at 22.2 s, and clients of it
+    tried again between 22.3 and 24.2 s.
+    """
+    watched, _, table = watcher()
+    watched.on_feed_health(FeedHealth(table="t", healthy=False))
+    assert not watched.connected
+    assert table.messages == []
+    watched.on_feed_health(FeedHealth(table="t", healthy=True))
+    assert watched.connected
+    assert table.messages == [CircuitDue()]
