--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
@@ -0,0 +1,332 @@
+"""Define what the charts of callers' requests do."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from returns.result import Failure, Result, Success
+
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command, WriteLog
+from ..log_event import CANCEL_ANSWERED, JOB_ACCEPTED, JOB_REFUSED, JOB_UNCERTAIN
+from ..message import Message
+from ..store import (
+    ABSENT,
+    Condition,
+    Conflicted,
+    Row,
+    RowsRead,
+    RowsUnavailable,
+    StoreUnavailable,
+    Write,
+)
+from .intake_message import AnswerCaller, Verdict
+from .intake_state import Call, IntakeState, transact
+from .progress import JobProgress, JobState
+from .rows import cancel_key, job_key, PROGRESS, progress_key, queue_counts_key, unpack
+
+UNCERTAIN_LIMIT = 1_000
+"""Jobs whose acceptance is unknown that one entry remembers."""
+
+RETRY_STORE_DOWN = 1.0
+"""Seconds after which a caller may return when the store does not answer."""
+
+
+class CallAction(Action[IntakeState, Call]):
+    """Name an effect in the charts of callers' requests."""
+
+    __slots__ = ()
+
+
+class CallGuard(Guard[IntakeState, Call]):
+    """Name a condition in the charts of callers' requests."""
+
+    __slots__ = ()
+
+
+class AnswerAccepted(CallAction):
+    """Tell the caller that the job is accepted."""
+
+    __slots__ = ()
+
+
+class AnswerNotAccepted(CallAction):
+    """Tell the caller that the job was not accepted and never runs."""
+
+    __slots__ = ()
+
+
+class AnswerUncertain(CallAction):
+    """Tell the caller that the job may have been accepted."""
+
+    __slots__ = ()
+
+
+class KeepRows(CallAction):
+    """Keep the rows of one read until all have arrived."""
+
+    __slots__ = ()
+
+
+class AnswerState(CallAction):
+    """Tell the caller the job's state."""
+
+    __slots__ = ()
+
+
+class AnswerCount(CallAction):
+    """Tell the caller how many jobs of the queue wait."""
+
+    __slots__ = ()
+
+
+class AnswerNoJob(CallAction):
+    """Tell the caller that no such job exists."""
+
+    __slots__ = ()
+
+
+class AnswerUnavailable(CallAction):
+    """Tell the caller that the store does not answer."""
+
+    __slots__ = ()
+
+
+class WriteCancellation(CallAction):
+    """Write that the job is cancelled."""
+
+    __slots__ = ()
+
+
+class AnswerCancelled(CallAction):
+    """Tell the caller that the job is cancelled."""
+
+    __slots__ = ()
+
+
+class Uncertain(CallGuard):
+    """Hold if this attempt, or an earlier one, may have taken effect."""
+
+    __slots__ = ()
+
+
+class AllRead(CallGuard):
+    """Hold if the rows that have just arrived are the last ones asked for."""
+
+    __slots__ = ()
+
+
+class JobFound(CallGuard):
+    """Hold if the job's row is among those that arrived."""
+
+    __slots__ = ()
+
+
+def call_charts(catalogue: ChartCatalogue) -> dict[str, Chart]:
+    """Return the charts of callers' requests by name."""
+    return {
+        chart.name: chart
+        for chart in (
+            submission_chart(catalogue),
+            cancellation_chart(catalogue),
+            job_lookup_chart(catalogue),
+            queue_lookup_chart(catalogue),
+        )
+    }
+
+
+def submission_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the chart of a job's acceptance."""
+    return _bind(catalogue, "submission")
+
+
+def cancellation_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the chart of a job's cancellation."""
+    return _bind(catalogue, "cancellation")
+
+
+def job_lookup_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the chart of a look at a job's state."""
+    return _bind(catalogue, "job_lookup")
+
+
+def queue_lookup_chart(catalogue: ChartCatalogue) -> Chart:
+    """Return the chart of a look at a queue's length."""
+    return _bind(catalogue, "queue_lookup")
+
+
+def _bind(catalogue: ChartCatalogue, name: str) -> Chart:
+    return catalogue.bind(
+        name, actions=CallAction.__subclasses__(), guards=CallGuard.__subclasses__()
+    )
+
+
+def _row(call: Call, key: str) -> Row | None:
+    """Return a row that was read; reads of a prefix may bring longer keys."""
+    return next((row for row in call.answers.get(key, ()) if row.key == key), None)
+
+
+def _asked(message: Message) -> str:
+    read_id = message.read_id if isinstance(message, RowsRead) else ""
+    return read_id.partition(":")[2]
+
+
+@holds.register
+def _(guard: Uncertain) -> bool:
+    message = guard.message
+    lost = isinstance(message, StoreUnavailable) and message.uncertain
+    return lost or guard.subject.job_id in guard.state.uncertain
+
+
+@holds.register
+def _(guard: AllRead) -> bool:
+    waiting = set(guard.state.operations)
+    call_id = guard.subject.request.call_id
+    return not any(f"{call_id}:{key}" in waiting for key in guard.subject.answers)
+
+
+@holds.register
+def _(guard: JobFound) -> bool:
+    call, message = guard.subject, guard.message
+    key = job_key(call.job_id)
+    arrived = message.rows if isinstance(message, RowsRead) else ()
+    return any(row.key == key for row in (*arrived, *call.answers.get(key, ())))
+
+
+@perform.register
+def _(action: AnswerAccepted) -> list[Command]:
+    call = action.subject
+    action.state.uncertain.pop(call.job_id, None)
+    fields = _job_fields(call) | {
+        "repeated": isinstance(action.message, Conflicted),
+        "policy": action.state.policy.version,
+    }
+    return [
+        WriteLog(number=JOB_ACCEPTED.number, fields=fields),
+        AnswerCaller(call_id=call.request.call_id, verdict=Verdict.DONE),
+    ]
+
+
+@perform.register
+def _(action: AnswerNotAccepted) -> list[Command]:
+    call = action.subject
+    reason = _reason(action.message)
+    answer = AnswerCaller(
+        call_id=call.request.call_id,
+        verdict=Verdict.NOT_ACCEPTED,
+        reason=reason,
+        retry_after=RETRY_STORE_DOWN,
+    )
+    fields = _job_fields(call) | {"reason": reason}
+    return [WriteLog(number=JOB_REFUSED.number, fields=fields), answer]
+
+
+@perform.register
+def _(action: AnswerUncertain) -> list[Command]:
+    call, uncertain = action.subject, action.state.uncertain
+    uncertain[call.job_id] = None
+    if len(uncertain) > UNCERTAIN_LIMIT:
+        del uncertain[next(iter(uncertain))]
+    reason = _reason(action.message)
+    answer = AnswerCaller(
+        call_id=call.request.call_id, verdict=Verdict.UNKNOWN, reason=reason
+    )
+    fields = _job_fields(call) | {"reason": reason}
+    return [WriteLog(number=JOB_UNCERTAIN.number, fields=fields), answer]
+
+
+@perform.register
+def _(action: KeepRows) -> list[Command]:
+    if isinstance(action.message, RowsRead):
+        action.subject.answers[_asked(action.message)] = action.message.rows
+    return []
+
+
+@perform.register
+def _(action: AnswerState) -> list[Command]:
+    call = action.subject
+    row = _row(call, progress_key(call.job_id))
+    progress: Result[JobProgress, Exception] = Success(JobProgress())
+    if row is not None:
+        progress = unpack(PROGRESS, row.value)
+    if isinstance(progress, Failure):
+        return _unavailable(call, str(progress.failure()))
+    job_state: JobState = progress.unwrap().state
+    return [
+        AnswerCaller(
+            call_id=call.request.call_id, verdict=Verdict.DONE, job_state=job_state
+        )
+    ]
+
+
+@perform.register
+def _(action: AnswerCount) -> list[Command]:
+    call = action.subject
+    row = _row(call, queue_counts_key())
+    waiting = row.value.get(call.queue.name, 0) if row else 0
+    return [
+        AnswerCaller(
+            call_id=call.request.call_id, verdict=Verdict.DONE, waiting=int(waiting)
+        )
+    ]
+
+
+@perform.register
+def _(action: AnswerNoJob) -> list[Command]:
+    call = action.subject
+    return [AnswerCaller(call_id=call.request.call_id, verdict=Verdict.NO_JOB)]
+
+
+@perform.register
+def _(action: AnswerUnavailable) -> list[Command]:
+    return _unavailable(action.subject, _reason(action.message))
+
+
+@perform.register
+def _(action: WriteCancellation) -> list[Command]:
+    call = action.subject
+    key = cancel_key(call.job_id)
+    write = Write(key=key, value={"job_id": call.job_id})
+    absent = Condition(key=key, version=ABSENT)
+    return [transact(call, action.state, (absent,), write)]
+
+
+@perform.register
+def _(action: AnswerCancelled) -> list[Command]:
+    call = action.subject
+    fields = _job_fields(call) | {"result": "cancelled"}
+    return [
+        WriteLog(number=CANCEL_ANSWERED.number, fields=fields),
+        AnswerCaller(call_id=call.request.call_id, verdict=Verdict.DONE),
+    ]
+
+
+def _unavailable(call: Call, reason: str) -> list[Command]:
+    answer = AnswerCaller(
+        call_id=call.request.call_id,
+        verdict=Verdict.UNAVAILABLE,
+        reason=reason,
+        retry_after=RETRY_STORE_DOWN,
+    )
+    fields = _job_fields(call) | {"result": f"unavailable: {reason}"}
+    return [WriteLog(number=CANCEL_ANSWERED.number, fields=fields), answer]
+
+
+def _job_fields(call: Call) -> dict[str, str]:
+    return {
+        "job": call.job_id,
+        "queue": call.queue.name,
+        "organisation": call.organisation,
+    }
+
+
+@singledispatch
+def _reason(message: Message) -> str:
+    return ""
+
+
+@_reason.register(StoreUnavailable)
+@_reason.register(RowsUnavailable)
+def _(message: StoreUnavailable | RowsUnavailable) -> str:
+    return message.reason
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -102,7 +102,6 @@
     NO_WORKER = "no worker fits"
     NO_ROOM = "no room"
     STOPPING = "room is being freed"
-    HELD_BACK = "room is held for a unit before it"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
@@ -48,8 +48,6 @@
     queues: dict[str, Queue] = field(default_factory=dict)
     organisations: dict[str, Organisation] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict)
-    guarded_services: frozenset[str] = frozenset()
-    body_limit: int = 256 * 1024
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path on the host."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -74,12 +74,6 @@
     __slots__ = ()
 
 
-class NoteUnanswered(RunAction):
-    """Remember that the worker may start the run later."""
-
-    __slots__ = ()
-
-
 class NoteStopped(RunAction):
     """Remember since when the run can't start any more."""
 
@@ -189,12 +183,6 @@
     return [WriteLog(number=RUN_REFUSED.number, fields=fields)]
 
 
-@perform.register
-def _(action: NoteUnanswered) -> list[Command]:
-    action.subject.unanswered = True
-    return []
-
-
 @perform.register
 def _(action: NoteStopped) -> list[Command]:
     if isinstance(action.message, StopAccepted):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import singledispatch
-from math import inf
 
-from ..command import Command, ReadRows, SetTimer, Transact, WriteLog
+from ..command import Command, SetTimer, WriteLog
 from ..error import UnhandledMessageError
 from ..log_event import (
     REPORT_FAILED,
-    RUN_CONCLUDED,
     WORKER_ANNOUNCED,
     WORKER_REACHED,
     WORKER_UNREACHABLE,
@@ -19,17 +16,14 @@
 from ..store import (
     ABSENT,
     Committed,
-    Condition,
     RowsRead,
     RowsUnavailable,
     StoreResult,
     StoreUnavailable,
-    Transaction,
-    Write,
 )
 from .fleet_state import TableReady
-from .rows import order_table, pack, report_key
-from .run_action import ask_lists, RunScope
+from .rows import order_table, report_key
+from .run_action import ask_lists
 from .runner_message import (
     ListDue,
     ListFailed,
@@ -40,32 +34,27 @@
     WorkerAnnounced,
     WorkerLeft,
 )
+from .seat_flow import (
+    adopt_orders,
+    give_up_runs,
+    run_scope,
+    tell_run,
+    tell_runs,
+)
+from .seat_report import listed_content, report_awaiting, write_report, write_row
 from .seat_state import (
-    OrderedRun,
     ReportState,
-    RunEndSeen,
-    RunMissing,
     RunnerState,
-    RunOrdered,
-    RunSeen,
     Seat,
-    StopOrdered,
 )
 from .worker import (
     age_key,
     OrdersArrived,
-    RefusedRun,
-    RunOrder,
-    WorkerOrders,
-    WorkerReport,
 )
 
 TICK_INTERVAL = 0.25
 """Seconds between two looks at what is due."""
 
-REPORT_INTERVAL = 1.0
-"""Seconds after which a report is written even if nothing changed."""
-
 LIST_WAIT = 1.0
 """Seconds for which the worker holds an answer back if no run ends."""
 
@@ -78,9 +67,6 @@
 FORGET_AFTER = 20.0
 """Seconds without a heartbeat after which an unreachable worker is forgotten."""
 
-ENDS_LIMIT = 300
-"""Unacknowledged ends in one report, which the store bounds at 64 KiB."""
-
 TICK_TIMER = "runner-tick"
 WORKER_DEAD = "the worker's process is gone"
 LEASE_OVER = "the worker's lease is over"
@@ -113,7 +99,7 @@
         commands.append(_announced(info.worker_id, state))
     seat.info = info
     seat.announced_at = now
-    return [*commands, *_adopt_orders(seat, state, now), *_advance(seat, state, now)]
+    return [*commands, *adopt_orders(seat, state, now), *_advance(seat, state, now)]
 
 
 @decide.register
@@ -123,9 +109,9 @@
         return []
     seat.left = True
     seat.runs = ()
-    commands = _give_up_runs(seat, WORKER_DEAD, state, now)
+    give_up_runs(seat, WORKER_DEAD, state)
     state.reports[message.worker_id].changed = True
-    return [*commands, *_advance(seat, state, now)]
+    return _advance(seat, state, now)
 
 
 @decide.register
@@ -143,7 +129,7 @@
     seat = state.seats.get(orders.worker_id)
     if seat is None:
         return []
-    return [*_adopt_orders(seat, state, now), *_advance(seat, state, now)]
+    return [*adopt_orders(seat, state, now), *_advance(seat, state, now)]
 
 
 @decide.register
@@ -156,13 +142,13 @@
     if message.sent_at < seat.listed_at:
         return _advance(seat, state, now)
     commands = _note_reached(seat, state)
-    before = _content(seat)
+    before = listed_content(seat)
     seat.listed_at = message.sent_at
     seat.clock_offset = message.clock - now
     seat.runs = message.runs
     seat.ended = message.ended
-    commands += _tell_runs(seat, message.sent_at, state, now)
-    state.reports[message.worker_id].changed |= before != _content(seat)
+    commands += tell_runs(seat, message.sent_at, state, now)
+    state.reports[message.worker_id].changed |= before != listed_content(seat)
     return [*commands, *_advance(seat, state, now)]
 
 
@@ -182,11 +168,11 @@
         fields = {"worker": message.worker_id, "reason": message.reason}
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
     if seat.refusals >= REFUSALS_FOR_DEATH:
-        commands += _give_up_runs(seat, WORKER_DEAD, state, now)
+        give_up_runs(seat, WORKER_DEAD, state)
     due = ListDue(worker_id=message.worker_id)
     timer_id = f"list:{message.worker_id}"
     timer = SetTimer(timer_id=timer_id, delay=LIST_RETRY, message=due)
-    return [*commands, timer, *_write_report(seat, state, now)]
+    return [*commands, timer, *write_report(seat, state, now)]
 
 
 @decide.register
@@ -200,7 +186,7 @@
     seat = state.seats.get(message.worker_id)
     if seat is None or seat.info.incarnation != message.incarnation:
         return []
-    return _tell(seat, (message.task, message.run), message, state, now)
+    return tell_run(seat, (message.task, message.run), message, state, now)
 
 
 @decide.register
@@ -208,7 +194,7 @@
     seat = state.seats.get(message.worker_id)
     if seat is None:
         return []
-    return _tell(seat, (message.task, message.run), message, state, now)
+    return tell_run(seat, (message.task, message.run), message, state, now)
 
 
 @decide.register
@@ -217,7 +203,7 @@
     commands: list[Command] = [timer]
     for seat in list(state.seats.values()):
         if not seat.reachable and now > seat.lease_until:
-            commands += _give_up_runs(seat, LEASE_OVER, state, now)
+            give_up_runs(seat, LEASE_OVER, state)
         if _forgotten(seat, now):
             commands += _forget(seat, state, now)
     return [*commands, *_advance_all(state, now)]
@@ -225,7 +211,7 @@
 
 @decide.register
 def _(message: Committed, state: RunnerState, now: float) -> list[Command]:
-    found = _reporting(message.operation_id, state)
+    found = report_awaiting(message.operation_id, state)
     if found is None:
         return []
     worker_id, report = found
@@ -241,7 +227,7 @@
 
 @decide.register
 def _(message: StoreResult, state: RunnerState, now: float) -> list[Command]:
-    found = _reporting(message.operation_id, state)
+    found = report_awaiting(message.operation_id, state)
     if found is None:
         return []
     worker_id, report = found
@@ -301,127 +287,6 @@
     return WriteLog(number=WORKER_ANNOUNCED.number, fields=fields)
 
 
-def _adopt_orders(seat: Seat, state: RunnerState, now: float) -> list[Command]:
-    """Begin what the latest orders for this incarnation ask for."""
-    orders = state.orders.get(seat.info.worker_id)
-    if orders is None or orders is seat.orders:
-        return []
-    if orders.epoch < seat.epoch:
-        return []
-    if orders.incarnation != seat.info.incarnation:
-        # Orders for another incarnation ask nothing of this one, but tell the epoch.
-        orders = WorkerOrders(
-            worker_id=orders.worker_id,
-            incarnation=seat.info.incarnation,
-            epoch=orders.epoch,
-        )
-        if orders == seat.orders:
-            return []
-    acknowledged = seat.orders.acknowledged if seat.orders else 0
-    seat.orders = orders
-    wanted = {(order.task, order.run): order for order in orders.runs}
-    for key in list(seat.ordered):
-        if key not in wanted:
-            del seat.ordered[key]
-    commands: list[Command] = []
-    for key, order in wanted.items():
-        commands += _apply_order(seat, key, order, orders, state, now)
-    if orders.acknowledged > acknowledged:
-        scope = _scope(seat, state)
-        commands.append(ask_lists(scope, 0.0, now))
-    return commands
-
-
-def _apply_order(
-    seat: Seat,
-    key: tuple[str, int],
-    order: RunOrder,
-    orders: WorkerOrders,
-    state: RunnerState,
-    now: float,
-) -> list[Command]:
-    run = seat.ordered.get(key)
-    if run is None:
-        payload = orders.payloads.get(order.job_id, "")
-        run = OrderedRun(
-            order=order, payload=payload, lifecycle=state.run_chart.start()
-        )
-        seat.ordered[key] = run
-        # A restarted agent finds runs that are at work or have ended already.
-        run.adopting = True
-    if order.stop:
-        return _tell(seat, key, StopOrdered(), state, now)
-    if run.adopting and not _may_start(seat, state):
-        return []
-    run.adopting = False
-    return _tell(seat, key, RunOrdered(), state, now)
-
-
-def _may_start(seat: Seat, state: RunnerState) -> bool:
-    """Return whether a lease can be given: the clock and a report are confirmed."""
-    confirmed_at = state.reports[seat.info.worker_id].confirmed_at
-    return seat.clock_offset is not None and confirmed_at > -inf
-
-
-def _tell_runs(
-    seat: Seat, asked_at: float, state: RunnerState, now: float
-) -> list[Command]:
-    """Tell each ordered run what the worker's lists say of it."""
-    running = {(run.task, run.run) for run in seat.runs}
-    ended = {(run.task, run.run): run for run in seat.ended}
-    commands: list[Command] = []
-    for key, run in list(seat.ordered.items()):
-        event: Message = RunMissing(asked_at=asked_at)
-        if key in running:
-            event = RunSeen()
-        elif key in ended:
-            event = RunEndSeen()
-            if not run.lifecycle.final:
-                fields = {
-                    "task": key[0],
-                    "run": key[1],
-                    "worker": seat.info.worker_id,
-                    "how": ended[key].kind.value,
-                }
-                log = WriteLog(number=RUN_CONCLUDED.number, fields=fields)
-                commands.append(log)
-        if run.adopting and not run.order.stop and isinstance(event, RunMissing):
-            if not _may_start(seat, state):
-                continue
-            event = RunOrdered()
-        run.adopting = False
-        commands += _tell(seat, key, event, state, now)
-    return commands
-
-
-def _tell(
-    seat: Seat, key: tuple[str, int], message: Message, state: RunnerState, now: float
-) -> list[Command]:
-    """Fire a message's event on one ordered run."""
-    run = seat.ordered.get(key)
-    if run is None or run.lifecycle.final or run.given_up:
-        return []
-    commands = run.lifecycle.handle(message, _scope(seat, state), run, now)
-    if run.lifecycle.final:
-        state.reports[seat.info.worker_id].changed = True
-        commands = [*commands, *_write_report(seat, state, now)]
-    return commands
-
-
-def _give_up_runs(
-    seat: Seat, reason: str, state: RunnerState, now: float
-) -> list[Command]:
-    """Take all ordered runs of a dead worker as ended."""
-    seat.runs = ()
-    changed = False
-    for run in seat.ordered.values():
-        changed |= not run.refusal and not run.lifecycle.final
-        run.refusal = run.refusal or reason
-        run.given_up = True
-    state.reports[seat.info.worker_id].changed |= changed
-    return []
-
-
 def _advance_all(state: RunnerState, now: float) -> list[Command]:
     commands: list[Command] = []
     for seat in list(state.seats.values()):
@@ -431,7 +296,7 @@
 
 def _advance(seat: Seat, state: RunnerState, now: float) -> list[Command]:
     """Ask for the lists and write the report if they are due."""
-    commands = _write_report(seat, state, now)
+    commands = write_report(seat, state, now)
     if seat.listing or not state.orders_read or seat.left:
         return commands
     if now - seat.failed_at < LIST_RETRY:
@@ -445,64 +310,7 @@
     seat.listing = True
     # The first answer gives the worker's clock, without which nothing starts.
     wait = LIST_WAIT if seat.clock_offset is not None else 0.0
-    return [*commands, ask_lists(_scope(seat, state), wait, now, recurring=True)]
-
-
-def _write_report(seat: Seat, state: RunnerState, now: float) -> list[Command]:
-    worker_id = seat.info.worker_id
-    report = state.reports[worker_id]
-    due = report.changed or now - report.sent_at >= REPORT_INTERVAL
-    if report.in_flight or report.reading or not due:
-        return []
-    if seat.clock_offset is None and seat.reachable and not seat.left:
-        return []
-    if report.version is None:
-        report.reading = True
-        return [ReadRows(read_id=worker_id, prefix=report_key(worker_id))]
-    report.number += 1
-    report.changed = False
-    content = pack(_report(seat, report, state))
-    return [_transact(worker_id, report, content, state, now)]
-
-
-def _transact(
-    worker_id: str,
-    report: ReportState,
-    content: dict[str, object] | None,
-    state: RunnerState,
-    now: float,
-) -> Command:
-    key = report_key(worker_id)
-    report.in_flight = state.new_operation_id()
-    report.sent_at = now
-    return Transact(
-        transaction=Transaction(
-            operation_id=report.in_flight,
-            conditions=(Condition(key=key, version=report.version or ABSENT),),
-            writes=(Write(key=key, value=content),),
-        )
-    )
-
-
-def _report(seat: Seat, report: ReportState, state: RunnerState) -> WorkerReport:
-    refused = tuple(
-        RefusedRun(task=key[0], run=key[1], reason=run.refusal or "stopped")
-        for key, run in sorted(seat.ordered.items())
-        if run.lifecycle.state == "barred" or run.given_up
-    )
-    return WorkerReport(
-        agent_id=state.agent_id,
-        number=report.number,
-        info=replace(seat.info, state=seat.state),
-        runs=seat.runs,
-        ended=seat.ended[:ENDS_LIMIT],
-        refused=refused,
-    )
-
-
-def _content(seat: Seat) -> tuple[object, ...]:
-    """Return what a change of which is reported at once."""
-    return {(run.task, run.run) for run in seat.runs}, seat.ended
+    return [*commands, ask_lists(run_scope(seat, state), wait, now, recurring=True)]
 
 
 def _note_reached(seat: Seat, state: RunnerState) -> list[Command]:
@@ -515,17 +323,6 @@
     return [WriteLog(number=WORKER_REACHED.number, fields=fields)]
 
 
-def _scope(seat: Seat, state: RunnerState) -> RunScope:
-    return RunScope(seat, state.reports[seat.info.worker_id], state.times)
-
-
-def _reporting(operation_id: str, state: RunnerState) -> tuple[str, ReportState] | None:
-    for worker_id, report in state.reports.items():
-        if report.in_flight == operation_id:
-            return worker_id, report
-    return None
-
-
 def _forgotten(seat: Seat, now: float) -> bool:
     silent = now - max(seat.announced_at, seat.listed_at)
     return (seat.left or not seat.reachable) and silent > FORGET_AFTER
@@ -539,4 +336,4 @@
         return []
     del state.seats[worker_id]
     report.removed = True
-    return [_transact(worker_id, report, None, state, now)]
+    return [write_row(worker_id, report, None, state, now)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
@@ -82,9 +82,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StopAccepted(RunAnswer):
-    """Tell that the run will end, or never start; sent_at is when it was asked."""
-
-    sent_at: float
+    """Tell that the run will end, or never start."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
@@ -36,7 +36,6 @@
     order: RunOrder
     payload: str
     lifecycle: Lifecycle
-    unanswered: bool = False
     adopting: bool = False
     given_up: bool = False
     refusal: str = ""
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -26,7 +26,6 @@
     work: float
     gang: tuple[str, int, int] | None = None
     members: int = 1
-    present_at: float = 0.0
     stopping_at: float | None = None
     fails: bool = False
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -16,7 +16,8 @@
 from wasabispur_core.shard import Shard
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.fleet_state import FleetTick
-from wasabispur_core.workload.intake import call_charts, IntakeState
+from wasabispur_core.workload.intake_action import call_charts
+from wasabispur_core.workload.intake_state import IntakeState
 from wasabispur_core.workload.lease_clock import owner_horizon
 from wasabispur_core.workload.rows import SHARD
 from wasabispur_core.workload.scheduler import decide, new_fleet_state
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -29,6 +29,7 @@
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_core.workload import intake, runner, scheduler
 from wasabispur_core.workload.fleet_state import ClocksRead, FleetTick, TableReady
+from wasabispur_core.workload.intake_action import call_charts
 from wasabispur_core.workload.intake_message import (
     AnswerCaller,
     CancelJob,
@@ -36,6 +37,7 @@
     SubmitJob,
     Verdict,
 )
+from wasabispur_core.workload.intake_state import IntakeState
 from wasabispur_core.workload.lease_clock import owner_horizon
 from wasabispur_core.workload.policy import (
     FleetPolicy,
@@ -69,7 +71,7 @@
 from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
 
 CATALOGUE = ChartCatalogue()
-UNIT_CHARTS = intake.call_charts(CATALOGUE)
+CALL_CHARTS = call_charts(CATALOGUE)
 RUN_CHART = ordered_run_chart(CATALOGUE)
 TIMES = LeaseTimes(longest=6.0, horizon=12.0)
 STORE_LATENCY = 0.01
@@ -218,8 +220,8 @@
             ownership, state, scheduler.decide, FleetTick(), tick_interval=0.25
         )
         self.fleet = state
-        self.intake = intake.IntakeState(
-            charts=UNIT_CHARTS, new_operation_id=world.new_operation_id
+        self.intake = IntakeState(
+            charts=CALL_CHARTS, new_operation_id=world.new_operation_id
         )
         self.post(PolicyChanged(policy=world.policy))
         self.tell_clocks()
@@ -525,7 +527,7 @@
         run = {"task": command.task, "run": command.run}  # type: ignore[attr-defined]
         if isinstance(command, CallStop):
             worker.stop(command.task, command.run, command.epoch)
-            return StopAccepted(**who, **run, sent_at=sent_at)
+            return StopAccepted(**who, **run)
         assert isinstance(command, CallStart)
         known = command.task in worker.runs
         reason = worker.start(self._running(command), command.epoch, command.lease_end)
