--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 
 from ..chart import Chart
 from ..message import Message
@@ -67,7 +68,8 @@
 
     store_offset is the store's clock less this process's, and wall_offset the wall
     clock less this process's, both in seconds. room_changed tells that another pass
-    over the waiting units may come to other decisions than the last.
+    over the waiting units may come to other decisions than the last. reports_since is
+    the time from which reports have arrived without a gap, and ticked_at the last tick.
     """
 
     unit_chart: Chart
@@ -89,6 +91,8 @@
     room_changed: bool = False
     queue_counts: dict[str, int] = field(default_factory=dict)
     horizon: float = 0.0
+    reports_since: float = inf
+    ticked_at: float = -inf
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
@@ -13,6 +13,9 @@
 STRIKE_LIMIT = 2
 """Failed runs in a row after which a worker is on probation."""
 
+CATCH_UP_TIME = 3.0
+"""Seconds without a gap in the reports before silence counts."""
+
 PROBATION_TIME = 8.0
 """Seconds of probation."""
 
@@ -108,7 +111,13 @@
 
 
 def drop_silent_workers(state: FleetState, now: float) -> list[Command]:
-    """Give up workers that nobody has heard of for the lease horizon."""
+    """Give up workers that nobody has heard of for the lease horizon.
+
+    Nothing is given up before reports have arrived for a while without a gap: those
+    written during an outage or a pause may list ends that were not taken yet.
+    """
+    if now - state.reports_since < CATCH_UP_TIME:
+        return []
     commands: list[Command] = []
     for worker in list(state.workers.values()):
         silent = now - worker.seen_at
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -41,7 +41,13 @@
     tell_run,
     tell_runs,
 )
-from .seat_report import listed_content, report_awaiting, write_report, write_row
+from .seat_report import (
+    listed_content,
+    report_awaiting,
+    REPORT_RETRY,
+    write_report,
+    write_row,
+)
 from .seat_state import (
     ReportState,
     RunnerState,
@@ -237,6 +243,7 @@
     reason = "the row was replaced"
     if isinstance(message, StoreUnavailable):
         reason = message.reason
+        report.retry_at = now + REPORT_RETRY
     fields = {"worker": worker_id, "reason": reason, "number": report.number}
     return [WriteLog(number=REPORT_FAILED.number, fields=fields)]
 
@@ -263,6 +270,7 @@
     if report is None:
         return []
     report.reading = False
+    report.retry_at = now + REPORT_RETRY
     fields = {"worker": message.read_id, "reason": message.reason, "number": 0}
     return [WriteLog(number=REPORT_FAILED.number, fields=fields)]
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Iterator
 from functools import singledispatch
+from math import inf
 
 from ..chart import ChartCatalogue
 from ..command import Command, SetTimer, WriteLog
 from ..error import UnhandledMessageError
+from ..feed import FeedHealth
 from ..log_event import CANCEL_SEEN, FLEET_LOADED, JOB_SEEN
 from ..message import Message
 from ..ownership import RowCommitted, ShardAcquired, ShardLost, WriteRow
@@ -66,6 +68,9 @@
 OCCURRENCE_MARGIN = 0.05
 """Seconds after its due time at which an occurrence may start; clocks differ."""
 
+PAUSE_LIMIT = 1.0
+"""Seconds between two ticks after which the process counts as paused."""
+
 KEEP_ENDED = 300.0
 """Seconds for which an ended job can be looked up."""
 
@@ -116,6 +121,8 @@
     if message.table not in state.loading:
         return []
     state.loading.discard(message.table)
+    if message.table == REPORT_TABLE:
+        state.reports_since = now
     if state.loading or not state.owning:
         return []
     commands: list[Command] = []
@@ -208,8 +215,18 @@
     return []
 
 
+@take.register
+def _(message: FeedHealth, state: FleetState, now: float) -> list[Command]:
+    state.reports_since = now if message.healthy else inf
+    return []
+
+
 @take.register
 def _(message: FleetTick, state: FleetState, now: float) -> list[Command]:
+    if now - state.ticked_at > PAUSE_LIMIT and state.reports_since < now:
+        # The process stood still; reports that came meanwhile are still to be read.
+        state.reports_since = now
+    state.ticked_at = now
     if not state.active:
         return []
     state.room_changed = True
@@ -374,3 +391,4 @@
         collection.clear()
     state.loading = set()
     state.pass_due = False
+    state.reports_since = inf
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seat_report.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seat_report.py
@@ -10,6 +10,9 @@
 from .seat_state import ReportState, RunnerState, Seat
 from .worker import RefusedRun, WorkerReport
 
+REPORT_RETRY = 0.5
+"""Seconds before a report is tried again after the store did not take it."""
+
 REPORT_INTERVAL = 1.0
 """Seconds after which a report is written even if nothing changed."""
 
@@ -22,7 +25,7 @@
     worker_id = seat.info.worker_id
     report = state.reports[worker_id]
     due = report.changed or now - report.sent_at >= REPORT_INTERVAL
-    if report.in_flight or report.reading or not due:
+    if report.in_flight or report.reading or not due or now < report.retry_at:
         return []
     if seat.clock_offset is None and seat.reachable and not seat.left:
         return []
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seat_state.py
@@ -88,7 +88,8 @@
 class ReportState:
     """Hold what is written about one worker id; times are monotonic seconds.
 
-    version is None until the row has been read. confirmed_at is when the last
+    version is None until the row has been read, and nothing is tried before retry_at.
+    confirmed_at is when the last
     report that the store acknowledged was sent.
     """
 
@@ -98,6 +99,7 @@
     in_flight: str = ""
     sent_at: float = -inf
     confirmed_at: float = -inf
+    retry_at: float = -inf
     changed: bool = True
     removed: bool = False
 
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from wasabispur_core.feed import FeedHealth
+from wasabispur_core.log_event import REPORT_FAILED
 from wasabispur_core.workload.intake_message import Verdict
 from wasabispur_core.workload.progress import JobState
+from wasabispur_core.workload.worker import ReportArrived
 
 from .world import COMPLETED, gang, tasks, World
 
@@ -248,3 +251,69 @@
     world.advance(5)
     assert any(worker.ended for worker in world.workers.values())
     assert world.lists_asked <= 5 * 4 * 12
+
+
+def cut_off_owner(world: World) -> None:
+    owner = world.owner()
+    assert owner is not None
+    for entry in world.entries:
+        entry.cut = True
+        entry.post(FeedHealth(table="report", healthy=False))
+
+
+def test_owner_reads_ends_before_it_counts_silence():
+    """Guard against a finished task that runs again after an outage at the owner.
+
+    Found by the soak with seed 1: the end was in the worker's report, and the owner,
+    cut from the store for longer than the lease horizon, gave the worker up before it
+    had read the report.
+    """
+    world = settled()
+    job = world.submit(tasks(2), duration=1)
+    world.advance(0.5)
+    cut_off_owner(world)
+    world.advance(18)
+    for entry in world.entries:
+        entry.cut = False
+        entry.post(FeedHealth(table="report", healthy=True))
+    world.advance(0.3)
+    world.catch_up()
+    world.advance(8)
+    assert world.state_of(job).job_state is COMPLETED
+    assert len(world.starts) == 2
+
+
+def test_paused_owner_reads_ends_before_it_counts_silence():
+    """Guard against the same after a pause of the owner's process."""
+    world = settled()
+    job = world.submit(tasks(2), duration=1)
+    world.advance(0.5)
+    for entry in world.entries:
+        entry.paused = True
+    world.advance(18)
+    for entry in world.entries:
+        # What the process receives after the pause comes after its own timers.
+        late = [message for message in entry.held if isinstance(message, ReportArrived)]
+        entry.held = [message for message in entry.held if message not in late]
+        entry.resume()
+        entry.held = []
+        for message in late:
+            entry.later(0.2, message)
+    world.advance(8)
+    assert world.state_of(job).job_state is COMPLETED
+    assert len(world.starts) == 2
+
+
+def test_agent_does_not_spin_while_the_store_is_away():
+    """Guard against a flood of attempts and log lines in an outage.
+
+    Found by the soak with seed 1: agents tried to write their reports some ten
+    times a second.
+    """
+    world = settled()
+    world.store.down = True
+    for agent in world.agents.values():
+        agent.logs.clear()
+    world.advance(5)
+    for agent in world.agents.values():
+        assert agent.logs.count(REPORT_FAILED.number) <= 12
