--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -13,7 +13,7 @@
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.run_action import ordered_run_chart
 from wasabispur_core.workload.seat_state import LeaseTimes, RunnerState
-from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import Serve
 from wasabispur_runtime.table_client import TableClient
@@ -36,7 +36,7 @@
         serve_feed: ServeFeed,
         serve_worker: ServeWorker,
     ) -> None:
-        sink = configure_log(settings.agent_id, settings.log_level)
+        sink = configure_output_log(settings.agent_id, settings.log_level)
         registry.configure(settings.agent_id)
         self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/log.py
@@ -91,7 +91,14 @@
         self.total_dropped[reason] = self.total_dropped.get(reason, 0) + count
 
 
-def configure_log(process: str, level: str = "INFO") -> RecordSink:
+def configure_log(process: str, level: str = "INFO") -> None:
+    """Send records of at least the level to standard error, one JSON a line."""
+    logger.remove()
+    logger.configure(extra={"process_name": process})
+    logger.add(sys.stderr, level=level, serialize=True, backtrace=False)
+
+
+def configure_output_log(process: str, level: str = "INFO") -> RecordSink:
     """Send records of at least the level to standard output, one JSON a line."""
     logger.remove()
     sink = RecordSink(sys.stdout.fileno(), process)
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -22,7 +22,7 @@
 from wasabispur_core.workload.rows import SHARD
 from wasabispur_core.workload.scheduler import decide, new_fleet_state
 from wasabispur_core.workload.seat_state import LeaseTimes
-from wasabispur_runtime.log import configure_log, log
+from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import Serve
 from wasabispur_runtime.table_client import TableClient
@@ -82,7 +82,7 @@
         decode_policy: DecodePolicy,
         operator_rows: tuple[str, str],
     ) -> None:
-        sink = configure_log(settings.entry_id, settings.log_level)
+        sink = configure_output_log(settings.entry_id, settings.log_level)
         registry.configure(settings.entry_id)
         self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
