Read before writing to a store that may be down, and resume ownership at once

Cause 1: after each pause of the circuit the store's client let one waiting call through. Now a lost feed makes the store suspect at once, only a read tries it, and what waits meanwhile is refused as not sent. An uncertain answer carries a Retry-After too.

Cause 2: an owner that was killed and restarted waited for its own lease of 2 s. All its effects are writes under its row's condition, so it claims the row at once.

--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -44,7 +44,12 @@
         self.catalogue = ChartCatalogue()
         self.serve_feed = serve_feed
         self.table = TableClient(
-            timers, settings.store_url, Random(), self.catalogue, serve=serve_store
+            timers,
+            settings.store_url,
+            Random(),
+            self.catalogue,
+            serve=serve_store,
+            trial_writes=False,
         )
         self.worker = WorkerCaller(timers, serve_worker)
         state = RunnerState(
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from wasabispur_core.circuit import CircuitDue
+from wasabispur_core.circuit import ServiceMissed, ServiceReached
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import ROW_REFUSED
 from wasabispur_core.message import Message
@@ -74,12 +74,11 @@
             self._take(row)
 
     def on_feed_health(self, message: FeedHealth) -> None:
-        """Let the client try at once when the store is back.
+        """Tell the client whether the store answers.
 
         In an outage runs go on under the agent's own leases.
         """
-        if message.healthy:
-            self.table.post(CircuitDue())
+        self.table.post(ServiceReached() if message.healthy else ServiceMissed())
 
     def _take(self, row: Row) -> None:
         orders = unpack(ORDERS, row.value)
--- a/packages/wasabispur-core/src/wasabispur_core/circuit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/circuit.py
@@ -43,6 +43,16 @@
     """Report that the service may be tried again."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceReached(Message):
+    """Report that the service answers on another connection of this process."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceMissed(Message):
+    """Report that the service gave no answer on another connection."""
+
+
 @dataclass(slots=True)
 class Circuit:
     """Hold the state of the circuit breaker for one service."""
--- a/packages/wasabispur-core/src/wasabispur_core/feed.py
+++ b/packages/wasabispur-core/src/wasabispur_core/feed.py
@@ -176,7 +176,7 @@
 
 
 class NoteFailure(FeedAction):
-    """Tell the receiver when the feed stops to get answers."""
+    """Tell the receiver of each call that got no answer, and log the first."""
 
     __slots__ = ()
 
@@ -333,14 +333,12 @@
 def _(action: NoteFailure) -> list[Command]:
     message, state = action.message, action.state
     state.failures += 1
+    unhealthy = FeedHealth(table=state.table, healthy=False)
     if state.failures > 1:
-        return []
+        return [unhealthy]
     reason = message.reason if isinstance(message, FeedFailed) else ""
     fields = {"table": state.table, "reason": reason, "version": state.version}
-    return [
-        WriteLog(number=FEED_LOST.number, fields=fields),
-        FeedHealth(table=state.table, healthy=False),
-    ]
+    return [WriteLog(number=FEED_LOST.number, fields=fields), unhealthy]
 
 
 @perform.register
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -112,6 +112,8 @@
 
     At most one transaction is under way. It always rewrites the shard's row, so
     that the row's operation id tells whether the last transaction took effect.
+    With resumes set, a restarted entry claims a row that names it without a wait;
+    it needs that all effects of an owner are writes under the row's condition.
     """
 
     entry_id: str
@@ -131,6 +133,7 @@
     lease_time: float = SHARD_LEASE
     renewal: float = SHARD_RENEWAL
     releasing: bool = False
+    resumes: bool = False
 
     @property
     def key(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -119,7 +119,10 @@
 
 
 class LeaseExpired(OwnershipGuard):
-    """Hold if the row is absent, names no owner, or outlived the lease unchanged."""
+    """Hold if the row is absent, names no owner, or outlived the lease unchanged.
+
+    An entry that resumes does not wait for the lease of its former process.
+    """
 
     __slots__ = ()
 
@@ -148,7 +151,8 @@
         return True
     if message.row.value.get("schema", 0) > SHARD_SCHEMA:
         return False
-    if not message.row.value.get("owner"):
+    owner = message.row.value.get("owner")
+    if not owner or (state.resumes and owner == state.entry_id):
         return True
     unchanged = state.observed is not None and (
         state.observed.version == message.row.version
--- a/packages/wasabispur-core/src/wasabispur_core/store_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/store_access.py
@@ -18,6 +18,8 @@
     CLOSED,
     HALF_OPEN,
     OPEN,
+    ServiceMissed,
+    ServiceReached,
 )
 from .command import CancelTimer, Command, SetTimer
 from .message import Message
@@ -34,6 +36,8 @@
     DeliverResult,
     RetryDue,
     SendCall,
+    SendLookup,
+    SendTransaction,
 )
 from .token_bucket import TokenBucket
 
@@ -47,6 +51,9 @@
 CALLS_LIMIT = 2000
 """Calls that may wait or be in progress at once."""
 
+TRIAL_CALL = 0
+"""Id of a read that nobody waits for."""
+
 IN_FLIGHT_LIMIT = 16
 """Calls that are sent at once; each takes a thread."""
 
@@ -67,7 +74,11 @@
 
 @dataclass(slots=True)
 class StoreAccess:
-    """Own the calls to one store."""
+    """Own the calls to one store.
+
+    With trial_writes unset, nothing is written before a read shows that the service
+    answers again: a write whose answer is lost leaves its caller in doubt.
+    """
 
     call_charts: dict[str, Chart]
     circuit: Circuit
@@ -77,11 +88,13 @@
     calls: dict[int, Call] = field(default_factory=dict)
     in_flight: int = 0
     call_deadline: float = CALL_DEADLINE
+    trial_writes: bool = True
 
-    def may_send(self) -> bool:
+    def may_send(self, lane: Lane) -> bool:
         """Return whether the circuit and the bound on sent calls allow one more."""
         if self.circuit.state == HALF_OPEN:
-            return self.in_flight == 0
+            allowed = self.trial_writes or lane is not self.writes
+            return allowed and self.in_flight == 0
         return self.circuit.state == CLOSED and self.in_flight < IN_FLIGHT_LIMIT
 
     @property
@@ -224,7 +237,7 @@
     call = state.calls.get(message.call_id)
     if call is not None:
         commands += call.lifecycle.handle(message, state, call, now)
-    commands += _note_health(message, state, now)
+    commands += _tell_circuit(_health(message), state, now)
     return commands + pump(state, now)
 
 
@@ -243,17 +256,45 @@
     return state.circuit.handle(message, now) + pump(state, now)
 
 
+def note_service(
+    message: ServiceReached | ServiceMissed, state: StoreAccess, now: float
+) -> list[Command]:
+    """Take what another connection to the service has met."""
+    return _tell_circuit(message, state, now) + pump(state, now)
+
+
 def pump(state: StoreAccess, now: float) -> list[Command]:
     """Send what the circuit, the rate and the bound on sent calls allow."""
     commands: list[Command] = []
     for lane in (state.writes, state.reads):
         commands += _pump_lane(lane, state, now)
-    return commands
+    return commands + _try_by_reading(state)
+
+
+def _try_by_reading(state: StoreAccess) -> list[Command]:
+    """Look up what a waiting write would change, to see whether the service is back."""
+    half_open = state.circuit.state == HALF_OPEN
+    if not half_open or state.trial_writes or state.in_flight or not state.writes.queue:
+        return []
+    keys = written_by(state.writes.queue[0])
+    state.in_flight += 1
+    return [SendLookup(call_id=TRIAL_CALL, keys=keys)]
+
+
+@singledispatch
+def written_by(command: SendCall) -> tuple[str, ...]:
+    """Return the keys of the rows that a call writes."""
+    return ()
+
+
+@written_by.register
+def _(command: SendTransaction) -> tuple[str, ...]:
+    return tuple(write.key for write in command.transaction.writes)
 
 
 def _pump_lane(lane: Lane, state: StoreAccess, now: float) -> list[Command]:
     commands: list[Command] = []
-    while lane.queue and state.may_send():
+    while lane.queue and state.may_send(lane):
         send = lane.queue[0]
         call = state.calls.get(send.call_id)
         if call is None:
@@ -270,9 +311,9 @@
     return commands
 
 
-def _note_health(message: CallAnswer, state: StoreAccess, now: float) -> list[Command]:
+def _tell_circuit(message: Message, state: StoreAccess, now: float) -> list[Command]:
     before = state.circuit.state
-    commands = state.circuit.handle(_health(message), now)
+    commands = state.circuit.handle(message, now)
     after = state.circuit.state
     if after == OPEN and before != OPEN:
         for call in list(state.calls.values()):
--- a/packages/wasabispur-core/src/wasabispur_core/store_decision.py
+++ b/packages/wasabispur-core/src/wasabispur_core/store_decision.py
@@ -5,11 +5,19 @@
 from functools import singledispatch
 from typing import Any
 
-from .circuit import CircuitDue
+from .circuit import CircuitDue, ServiceMissed, ServiceReached
 from .command import Command
 from .error import UnhandledMessageError
 from .message import Message
-from .store_access import LaneDue, pump, retry_circuit, settle, StoreAccess, wake
+from .store_access import (
+    LaneDue,
+    note_service,
+    pump,
+    retry_circuit,
+    settle,
+    StoreAccess,
+    wake,
+)
 from .store_call import CallAnswer, CallExpired, RetryDue
 
 
@@ -38,6 +46,14 @@
     return retry_circuit(message, state, now)
 
 
+@decide_call.register(ServiceReached)
+@decide_call.register(ServiceMissed)
+def _(
+    message: ServiceReached | ServiceMissed, state: StoreAccess, now: float
+) -> list[Command]:
+    return note_service(message, state, now)
+
+
 @decide_call.register
 def _(message: LaneDue, state: StoreAccess, now: float) -> list[Command]:
     return pump(state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/table_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/table_access.py
@@ -41,6 +41,7 @@
     writes_per_second: float = WRITES_PER_SECOND,
     reads_per_second: float = READS_PER_SECOND,
     call_deadline: float = CALL_DEADLINE,
+    trial_writes: bool = True,
 ) -> StoreAccess:
     """Return the state of the calls to the table service; times are in seconds."""
     charts = {
@@ -49,6 +50,7 @@
     }
     access = new_access(catalogue, charts, random, writes_per_second, reads_per_second)
     access.call_deadline = call_deadline
+    access.trial_writes = trial_writes
     return access
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
@@ -30,7 +30,8 @@
 """Jobs whose acceptance is unknown that one entry remembers."""
 
 RETRY_STORE_DOWN = 1.0
-"""Seconds after which a caller may return when the store does not answer."""
+RETRY_UNCERTAIN = 1.0
+"""Seconds after which a caller may return, by what the store left it with."""
 
 
 class CallAction(Action[IntakeState, Call]):
@@ -230,7 +231,10 @@
         del uncertain[next(iter(uncertain))]
     reason = _reason(action.message)
     answer = AnswerCaller(
-        call_id=call.request.call_id, verdict=Verdict.UNKNOWN, reason=reason
+        call_id=call.request.call_id,
+        verdict=Verdict.UNKNOWN,
+        reason=reason,
+        retry_after=RETRY_UNCERTAIN,
     )
     fields = _job_fields(call) | {"reason": reason}
     return [WriteLog(number=JOB_UNCERTAIN.number, fields=fields), answer]
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
@@ -82,9 +82,13 @@
         call_timeout: float = CALL_TIMEOUT,
         serve: Serve | None = None,
         call_deadline: float = CALL_DEADLINE,
+        trial_writes: bool = True,
     ) -> None:
         state = new_table_access(
-            catalogue or ChartCatalogue(), random, call_deadline=call_deadline
+            catalogue or ChartCatalogue(),
+            random,
+            call_deadline=call_deadline,
+            trial_writes=trial_writes,
         )
         super().__init__(
             "table-client", timers, url, state, decide, call_timeout, serve
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -98,6 +98,7 @@
             STORE_TIMEOUT,
             serve_store,
             STORE_DEADLINE,
+            trial_writes=False,
         )
         self.scheduler = FleetScheduler(
             timers, self._shard(), self.table, self.open_feed
@@ -175,6 +176,7 @@
             new_operation_id,
             lease_time=OWNER_LEASE,
             renewal=OWNER_RENEWAL,
+            resumes=True,
         )
         horizon = owner_horizon(self.settings.lease_times)
         return Shard(
--- a/packages/wasabispur/src/wasabispur/policy_watcher.py
+++ b/packages/wasabispur/src/wasabispur/policy_watcher.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from wasabispur_core.circuit import CircuitDue
+from wasabispur_core.circuit import ServiceMissed, ServiceReached
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.message import Message
 from wasabispur_core.store import Row
@@ -56,10 +56,9 @@
         self._take(message.rows)
 
     def on_feed_health(self, message: FeedHealth) -> None:
-        """Note whether the store answers, and let the client try at once if so."""
+        """Note whether the store answers, and tell the client."""
         self.connected = message.healthy
-        if message.healthy:
-            self.table.post(CircuitDue())
+        self.table.post(ServiceReached() if message.healthy else ServiceMissed())
 
     def _take(self, rows: Iterable[Row]) -> None:
         for row in rows:
--- /dev/null
+++ b/tests/workload/test_store_trial.py
@@ -0,0 +1,138 @@
+"""Check what the store's client sends while it is unknown whether the store answers."""
+
+from __future__ import annotations
+
+from random import Random
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.circuit import CircuitDue, ServiceMissed, ServiceReached
+from wasabispur_core.message import Message
+from wasabispur_core.store import ABSENT, Condition, Transaction, Write
+from wasabispur_core.store_access import LaneDue
+from wasabispur_core.store_call import (
+    CallExpired,
+    CallLost,
+    CallRefused,
+    DeliverResult,
+    RowsFound,
+    RowsRequested,
+    SendCall,
+    SendLookup,
+    SendTransaction,
+    TransactionRequested,
+)
+from wasabispur_core.table_access import decide, new_table_access
+
+
+class Client:
+    """Hold a client's state, what it sent and what it delivered."""
+
+    def __init__(self, trial_writes: bool = False) -> None:
+        self.state = new_table_access(
+            ChartCatalogue(), Random(1), trial_writes=trial_writes
+        )
+        self.sent: list[SendCall] = []
+        self.results: list[Message] = []
+        self.now = 0.0
+
+    def take(self, message: Message) -> None:
+        """Decide on a message."""
+        for command in decide(message, self.state, self.now):
+            if isinstance(command, SendCall):
+                self.sent.append(command)
+            elif isinstance(command, DeliverResult):
+                self.results.append(command.result)
+
+    def write(self, call_id: int) -> None:
+        """Ask for a transaction."""
+        transaction = Transaction(
+            operation_id=f"op-{call_id}",
+            conditions=(Condition(key="k", version=ABSENT),),
+            writes=(Write(key="k", value={}),),
+        )
+        self.take(TransactionRequested(call_id=call_id, transaction=transaction))
+
+    def read(self, call_id: int) -> None:
+        """Ask for rows."""
+        self.take(RowsRequested(call_id=call_id, read_id="r", prefix="k"))
+
+
+def test_no_write_is_sent_to_a_store_that_another_connection_missed():
+    """Guard against callers left in doubt by a write that had no chance.
+
+    Seen on pbs-dispatch trouble-3: in an outage the client's first call after each
+    pause was a caller's job; its lost answer gave 504, and the caller used up its
+    attempts within half a second.
+    """
+    client = Client()
+    client.take(ServiceMissed())
+    client.write(1)
+    (trial,) = client.sent
+    assert isinstance(trial, SendLookup)
+    client.take(RowsFound(call_id=trial.call_id, rows=()))
+    client.now = 1.0
+    client.take(LaneDue())
+    assert isinstance(client.sent[-1], SendTransaction)
+
+
+def test_other_connection_that_gets_answers_lets_writes_go():
+    """Guard against writes held back once the store is known to answer."""
+    client = Client()
+    client.take(ServiceMissed())
+    client.take(ServiceMissed())
+    client.take(ServiceReached())
+    client.now = 1.0
+    client.write(1)
+    assert [type(call) for call in client.sent] == [SendTransaction]
+
+
+def test_second_miss_refuses_what_waits_as_not_sent():
+    """Guard against callers held to their deadline, or told that it is unknown."""
+    client = Client()
+    client.take(ServiceMissed())
+    client.write(1)
+    client.take(ServiceMissed())
+    (result,) = client.results
+    assert not result.uncertain
+    client.write(2)
+    assert not client.results[1].uncertain
+    assert not any(isinstance(call, SendTransaction) for call in client.sent)
+
+
+def test_trial_of_a_store_that_was_down_is_a_read():
+    """Guard against a trial that leaves a caller in doubt."""
+    client = Client()
+    client.take(ServiceMissed())
+    client.take(ServiceMissed())
+    client.take(CircuitDue())
+    client.write(1)
+    client.read(2)
+    (trial,) = client.sent
+    assert isinstance(trial, SendLookup)
+    client.take(CallLost(call_id=trial.call_id, reason="no answer"))
+    assert not client.results[0].uncertain
+    assert client.sent == [trial]
+
+
+def test_client_without_other_connections_tries_writes():
+    """Guard against a client that never finds out that its store is back."""
+    client = Client(trial_writes=True)
+    for call_id in range(5):
+        client.write(call_id)
+    for call in list(client.sent):
+        client.take(CallRefused(call_id=call.call_id, reason="status 503"))
+    client.take(CircuitDue())
+    before = len(client.sent)
+    client.write(9)
+    assert len(client.sent) == before + 1
+
+
+def test_write_that_waits_for_a_silent_store_ends_as_not_sent():
+    """Guard against a wait without end while no connection tells anything."""
+    client = Client()
+    client.take(ServiceMissed())
+    client.write(1)
+    client.now = client.state.call_deadline
+    client.take(CallExpired(call_id=1))
+    (result,) = client.results
+    assert not result.uncertain
