Keep units off workers that failed them, and suspect workers relative to their peers

Cause: a worker that fails all it starts is free before all others.

Now a unit goes elsewhere after a failure, a worker on which two units failed since its last success gets none for 8 s and then one unit that has more attempts left. A job that fails on two workers is taken as the cause itself, and where most workers look bad, trust is not looked at.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -16,7 +16,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Job:
-    """Hold one job; arrived_at is in monotonic seconds of the owner."""
+    """Hold one job; arrived_at is in monotonic seconds of the owner.
+
+    failed_on holds the workers on which runs of the job failed.
+    """
 
     spec: JobSpec
     arrived_at: float
@@ -25,6 +28,7 @@
     units: dict[UnitId, Unit] = field(default_factory=dict)
     occurrences: int = 0
     cancelled: bool = False
+    failed_on: set[str] = field(default_factory=set)
 
     def progress(self) -> JobProgress:
         """Return what is written about the job."""
@@ -40,8 +44,8 @@
     """Hold one worker as last reported; times are in monotonic seconds.
 
     confirmed tells that a report arrived since this entry became the owner.
-    strikes counts failed runs in a row, and probation_until bounds the time in
-    which the worker gets no more than one unit at a time.
+    failed_units holds the units whose runs failed there since the last success, and
+    suspected_until bounds the time in which the worker gets none.
     """
 
     agent_id: str
@@ -53,8 +57,8 @@
     unknown: tuple[ListedRun, ...] = ()
     acknowledged: int = 0
     written: WorkerOrders | None = None
-    strikes: int = 0
-    probation_until: float = 0.0
+    failed_units: set[UnitId] = field(default_factory=set)
+    suspected_until: float = 0.0
 
     @property
     def worker_id(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -3,19 +3,27 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import Enum, StrEnum
 from math import inf
 
 from .spec import NOTHING, Resources
 from .unit import Seat, UnitId
 
 
+class Trust(Enum):
+    """Tell which units a worker gets: any, one at a time on trial, or none."""
+
+    FULL = "full"
+    TRIAL = "trial"
+    NONE = "none"
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class WorkerRoom:
     """Describe one worker's room; the planner takes from it as it places.
 
-    coming is the room of units that are told to stop already. payload_bytes bounds the orders row, and trusted is unset for a worker that
-    recently failed what it ran.
+    coming is the room of units that are told to stop already, and payload_bytes
+    bounds the orders row.
     """
 
     seat: Seat
@@ -27,7 +35,7 @@
     room: Resources
     ready: bool
     coming: Resources = NOTHING
-    trusted: bool = True
+    trust: Trust = Trust.FULL
     payload_bytes: int = 0
     tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
 
@@ -38,7 +46,8 @@
 
     guaranteed is set while the unit's organisation uses no more than its guarantee.
     objective is the time by which the whole job should end, and remaining the
-    estimated run time of the unit and of all steps behind it, in seconds.
+    estimated run time of the unit and of all steps behind it, in seconds. failed_on
+    names the workers on which its runs failed; those in avoided come last.
     """
 
     unit_id: UnitId
@@ -58,6 +67,8 @@
     target_span: float = 0.0
     remaining: float = 0.0
     avoided: frozenset[str] = frozenset()
+    failed_on: frozenset[str] = frozenset()
+    attempts_left: int = 1
 
     @property
     def work(self) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from copy import copy
+from typing import Any
 
 from .eviction import cheapest_eviction, Eviction, Victims
 from .plan import (
@@ -54,7 +55,7 @@
         self.rooms = [_copy(room) for room in snapshot.rooms]
         self.by_id = {room.seat.worker_id: room for room in self.rooms}
         self.victims = Victims(snapshot.running)
-        self.blocked: dict[tuple[str, int, int], WaitReason] = {}
+        self.blocked: dict[tuple[Any, ...], WaitReason] = {}
         self.cheap_attempts = CHEAP_ATTEMPTS
         for unit in snapshot.running:
             if unit.stopping:
@@ -62,8 +63,9 @@
 
     def decide(self, unit: WaitingUnit) -> list[Decision]:
         """Return the decision on one unit, and the preemptions for it."""
-        # The tasks of a step are alike: where one finds no room, none does.
-        reason = self.blocked.get(step_key(unit))
+        # Tasks of a step are alike: where one finds no room, none does that failed
+        # on the same workers.
+        reason = self.blocked.get(_alike(unit))
         if reason is not None:
             return [Wait(unit_id=unit.unit_id, reason=reason)]
         seats = choose_seats(unit, self.rooms)
@@ -113,10 +115,14 @@
                 room.coming += unit.demand
 
     def _wait(self, unit: WaitingUnit, reason: WaitReason) -> list[Decision]:
-        self.blocked[step_key(unit)] = reason
+        self.blocked[_alike(unit)] = reason
         return [Wait(unit_id=unit.unit_id, reason=reason)]
 
 
+def _alike(unit: WaitingUnit) -> tuple[Any, ...]:
+    return (*step_key(unit), unit.failed_on, unit.attempts_left > 1)
+
+
 def _copy(room: WorkerRoom) -> WorkerRoom:
     twin = copy(room)
     twin.tasks_of_step = dict(room.tasks_of_step)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_flow.py
@@ -3,22 +3,17 @@
 from __future__ import annotations
 
 from ..command import Command, WriteLog
-from ..log_event import WORKER_LOST, WORKER_SEEN, WORKER_SUSPECTED
+from ..log_event import WORKER_LOST, WORKER_SEEN
 from .fleet_state import FleetState, new_worker, Worker
 from .spec import TaskId
 from .unit import Member, RunEnded, Unit, UnitId
 from .unit_flow import end_run
 from .worker import age_key, EndKind, ListedRun, WorkerReport, WorkerState
-
-STRIKE_LIMIT = 2
-"""Failed runs in a row after which a worker is on probation."""
+from .worker_trust import note_end
 
 CATCH_UP_TIME = 3.0
 """Seconds without a gap in the reports before silence counts."""
 
-PROBATION_TIME = 8.0
-"""Seconds of probation."""
-
 
 def take_report(report: WorkerReport, state: FleetState, now: float) -> list[Command]:
     """Update the view of a worker and take the ends that it lists."""
@@ -31,7 +26,7 @@
     elif worker.info.incarnation != report.info.incarnation:
         commands += lose_runs(worker_id, state, now, keep=report.info.incarnation)
         worker.acknowledged = 0
-        worker.strikes = 0
+        worker.failed_units.clear()
         commands.append(_log_worker(report))
     elif report.number < worker.report_number and report.agent_id == worker.agent_id:
         return []
@@ -167,26 +162,11 @@
     if found is None:
         return []
     unit, member = found
-    commands = _note_strike(worker, kind, now)
+    commands = note_end(worker, unit, kind, state, now)
     ended = RunEnded(index=member.index, kind=kind, checkpoint=checkpoint)
     return commands + end_run(unit, ended, worker.worker_id, state, now)
 
 
-def _note_strike(worker: Worker, kind: EndKind, now: float) -> list[Command]:
-    if kind is EndKind.DONE:
-        worker.strikes = 0
-        worker.probation_until = 0.0
-        return []
-    if kind is not EndKind.FAILED:
-        return []
-    worker.strikes += 1
-    if worker.strikes < STRIKE_LIMIT:
-        return []
-    worker.probation_until = now + PROBATION_TIME
-    fields = {"worker": worker.worker_id, "failures": worker.strikes}
-    return [WriteLog(number=WORKER_SUSPECTED.number, fields=fields)]
-
-
 def _member(
     task: str, run: int, worker: Worker, state: FleetState
 ) -> tuple[Unit, Member] | None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from .plan import WaitingUnit, WorkerRoom
+from .plan import Trust, WaitingUnit, WorkerRoom
 from .spec import Resources
 
 PAYLOAD_LIMIT = 40_000
@@ -17,7 +17,7 @@
     Data counts as a constraint while a worker of its rack could hold the task,
     since a task elsewhere takes several times as long.
     """
-    allowed = [
+    possible = [
         room
         for room in rooms
         if room.ready
@@ -25,10 +25,31 @@
         and (not unit.label or unit.label in room.labels)
         and unit.demand.fits(room.capacity)
     ]
+    allowed = _without_suspects(unit, possible)
     near = [room for room in allowed if room.rack == unit.data_rack]
     return near if unit.data_rack and near else allowed
 
 
+def _without_suspects(
+    unit: WaitingUnit, possible: list[WorkerRoom]
+) -> list[WorkerRoom]:
+    """Return the workers that won't just use up one of the unit's attempts.
+
+    If most workers look bad, something else is the cause, and all are used.
+    """
+    trusted = [room for room in possible if _trusted(unit, room)]
+    if 2 * len(trusted) < len(possible):
+        trusted = possible
+    elsewhere = [room for room in trusted if room.seat.worker_id not in unit.failed_on]
+    return elsewhere or trusted
+
+
+def _trusted(unit: WaitingUnit, room: WorkerRoom) -> bool:
+    if room.trust is Trust.TRIAL:
+        return unit.attempts_left > 1 and not room.tasks_of_step
+    return room.trust is Trust.FULL
+
+
 def choose_seats(
     unit: WaitingUnit, rooms: Sequence[WorkerRoom]
 ) -> list[WorkerRoom] | None:
@@ -102,7 +123,7 @@
     left = room.room - unit.demand
     return (
         room.seat.worker_id in unit.avoided,
-        not room.trusted,
+        room.trust is not Trust.FULL,
         left.accelerators,
         left.cpu,
         room.seat.worker_id,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -18,6 +18,7 @@
     WAITING,
 )
 from .worker import WorkerState
+from .worker_trust import trust_in
 
 REPORT_AGE_LIMIT = 3.0
 """Seconds after its last report in which a worker still gets new runs."""
@@ -74,7 +75,6 @@
 def _room(worker: Worker, state: FleetState, now: float) -> WorkerRoom:
     info = worker.info
     fresh = worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
-    on_probation = now < worker.probation_until
     room = WorkerRoom(
         seat=Seat(worker_id=info.worker_id, incarnation=info.incarnation),
         service=info.service,
@@ -84,7 +84,7 @@
         capacity=info.capacity,
         room=info.capacity - state.used(worker),
         ready=fresh and info.state is WorkerState.READY,
-        trusted=not on_probation,
+        trust=trust_in(worker, now),
     )
     for unit_id in state.seated.get(worker.worker_id, ()):
         unit = state.unit(unit_id)
@@ -128,6 +128,8 @@
         target_span=span,
         remaining=chain,
         avoided=frozenset(unit.avoided),
+        failed_on=frozenset(unit.failed_on),
+        attempts_left=queue.max_attempts - unit.failures,
     )
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -100,6 +100,7 @@
     ready_at: float = 0.0
     failed_run: bool = False
     avoided: set[str] = field(default_factory=set)
+    failed_on: set[str] = field(default_factory=set)
     preemptions: int = 0
     held_until: float = 0.0
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
@@ -107,7 +107,9 @@
     if unit.state in ENDED_STATES:
         return []
     handle(unit, ended, state, now)
-    if ended.kind in (EndKind.FAILED, EndKind.REFUSED, EndKind.LOST):
+    if ended.kind is EndKind.FAILED:
+        unit.failed_on.add(worker_id)
+    if ended.kind in (EndKind.REFUSED, EndKind.LOST):
         unit.avoided.add(worker_id)
     if ended.kind is EndKind.REFUSED:
         unit.held_until = now + REFUSAL_DELAY
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -13,6 +13,7 @@
     Preempt,
     RunningUnit,
     Snapshot,
+    Trust,
     Wait,
     WaitingUnit,
     WaitReason,
@@ -272,3 +273,44 @@
                 need = by_id[one.unit_id].demand.accelerators
                 taken[chosen.worker_id] += need
     assert all(count <= CAPACITY.accelerators for count in taken.values())
+
+
+def test_failing_worker_gets_no_second_run_of_a_unit():
+    """Guard against a worker that fails all and uses up the attempts of a unit.
+
+    Seen on pbs-dispatch scale-2: the one free worker failed all it started, and
+    three jobs failed twice there within 0.3 s each.
+    """
+    unit = waiting("j", failed_on=frozenset({"w1"}))
+    (decision,) = decide([room(1), room(2, used=8)], [unit])
+    assert isinstance(decision, Wait)
+    assert placed(decide([room(1), room(2)], [unit]))["j"] == ["w2"]
+
+
+def test_unit_that_failed_everywhere_is_still_tried():
+    """Guard against a unit that waits for ever because it failed on each worker."""
+    unit = waiting("j", failed_on=frozenset({"w1", "w2"}))
+    assert placed(decide([room(1), room(2)], [unit]))["j"]
+
+
+def test_suspected_worker_gets_nothing_and_one_on_trial_one_unit():
+    """Guard against a sick worker that attracts work because it is always free."""
+    full = [room(number, used=8) for number in (2, 3)]
+    units = [waiting(name, attempts_left=2) for name in ("i", "j")]
+    suspected = room(1, trust=Trust.NONE)
+    assert placed(decide([suspected, *full], units)) == {}
+    trial = room(1, trust=Trust.TRIAL)
+    assert len(placed(decide([trial, *full], units))) == 1
+
+
+def test_last_attempt_is_not_made_on_trial():
+    """Guard against a job that fails for the sake of an experiment."""
+    full = [room(number, used=8) for number in (2, 3)]
+    unit = waiting("j", attempts_left=1)
+    assert placed(decide([room(1, trust=Trust.TRIAL), *full], [unit])) == {}
+
+
+def test_fleet_that_looks_sick_is_used():
+    """Guard against a standstill when most workers look bad to the observer."""
+    rooms = [room(number, trust=Trust.NONE) for number in (1, 2)]
+    assert placed(decide([*rooms, room(3, used=8)], [waiting("j")]))["j"]
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -78,6 +78,33 @@
     assert world.state_of(job).job_state is JobState.FAILED
 
 
+def test_worker_that_fails_all_uses_up_no_attempts():
+    """Guard against jobs that fail since the worker that is free first fails them.
+
+    Seen on pbs-dispatch scale-2: three route plans in a row failed twice each on
+    one worker within 0.8 s.
+    """
+    world = settled(workers=4)
+    next(iter(world.workers.values())).sick = True
+    jobs = [
+        world.submit(tasks(4, 8), queue_name="bulk", duration=2.0) for _ in range(4)
+    ]
+    world.advance(25)
+    states = {world.state_of(job).job_state for job in jobs}
+    assert states == {JobState.COMPLETED}
+
+
+def test_job_that_fails_everywhere_makes_no_worker_suspected():
+    """Guard against workers that get nothing because of jobs that can't be done."""
+    world = settled(workers=4)
+    for _ in range(4):
+        job = world.submit(tasks(4, 8), queue_name="urgent", duration=0.3)
+        world.failing_jobs.add(job)
+    world.advance(8)
+    workers = world.owner().shard.scheduler.workers.values()
+    assert not any(worker.suspected_until > world.timers.now() for worker in workers)
+
+
 def test_unknown_job_key_and_queue_are_told_apart():
     """Guard against one answer for different mistakes."""
     world = settled()
