Start sooner: import only what the platform's path needs; run tests in parallel

Cause: after each loss of all processes clients spend their five attempts within 0.5 to 3 s, and an entry took 0.9 s from its start to 'started'. It imported the product's job plane, its wire messages and OpenTelemetry before it served, and agents the models of clients' jobs.

--- a/packages/wasabispur-agent/src/wasabispur_agent/endpoint_client.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/endpoint_client.py
@@ -6,12 +6,12 @@
 
 import urllib3
 
+from wasabispur_core.limit import BODY_LIMIT_BYTES
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import (
     AttemptCompleted,
     AttemptNotRun,
     AttemptUnknown,
-    BODY_LIMIT_BYTES,
     Reason,
     StartAttempt,
 )
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -37,7 +37,6 @@
         serve_worker: ServeWorker,
     ) -> None:
         sink = configure_output_log(settings.agent_id, settings.log_level)
-        registry.configure(settings.agent_id)
         self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
         self.timers = timers
@@ -94,6 +93,7 @@
         for actor in self.actors:
             actor.start()
         open_control()
+        registry.configure(self.settings.agent_id)
         log(PROCESS_STARTED, process=self.settings.agent_id)
         await stop.wait()
         await asyncio.to_thread(close_control)
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -13,7 +13,7 @@
 from wasabispur_core.store import Row
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.fleet_state import TableReady
-from wasabispur_core.workload.rows import order_prefix, order_table, ORDERS, unpack
+from wasabispur_core.workload.rows import order_prefix, order_table, unpack
 from wasabispur_core.workload.runner import decide
 from wasabispur_core.workload.runner_message import (
     CallList,
@@ -22,7 +22,7 @@
     RunnerTick,
 )
 from wasabispur_core.workload.seat_state import RunnerState
-from wasabispur_core.workload.worker import OrdersArrived
+from wasabispur_core.workload.worker import OrdersArrived, WorkerOrders
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
@@ -81,7 +81,7 @@
         self.table.post(ServiceReached() if message.healthy else ServiceMissed())
 
     def _take(self, row: Row) -> None:
-        orders = unpack(ORDERS, row.value)
+        orders = unpack(WorkerOrders, row.value)
         if isinstance(orders, Failure):
             log(ROW_REFUSED, key=row.key, error=str(orders.failure()))
             return
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/job_shard.py
@@ -0,0 +1,27 @@
+"""Wire the shard of the product's own job plane."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from . import job_report as job_report
+from .chart import ChartCatalogue
+from .job import decide, SchedulerState
+from .job_action import job_chart
+from .job_queue import JobTick
+from .ownership import Ownership
+from .ownership_action import ownership_chart
+from .shard import Shard
+
+
+def new_shard(
+    entry_id: str,
+    shard: str,
+    catalogue: ChartCatalogue,
+    new_operation_id: Callable[[], str],
+) -> Shard:
+    """Return a shard that this entry starts to observe."""
+    lifecycle = ownership_chart(catalogue).start()
+    claim = Ownership(entry_id, shard, lifecycle, new_operation_id)
+    jobs = SchedulerState(shard, job_chart(catalogue), claim.lease)
+    return Shard(claim, jobs, decide, JobTick())
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -5,11 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .limit import BODY_LIMIT_BYTES
 from .message import Message
 
-BODY_LIMIT_BYTES = 1024 * 1024
-"""Largest body of a request or a response."""
-
 FRAME_LIMIT_BYTES = BODY_LIMIT_BYTES + 64 * 1024
 """Largest encoded message; headers have to fit beside the body."""
 
--- a/packages/wasabispur-core/src/wasabispur_core/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/shard.py
@@ -4,16 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatch
 from typing import Any
 
-from . import job_report as job_report, ownership
-from .chart import ChartCatalogue
+from . import ownership
 from .command import Command, SetTimer
-from .job import decide as decide_job, SchedulerState
-from .job_action import job_chart
-from .job_queue import JobTick
 from .message import Message
 from .ownership import (
     Notify,
@@ -22,7 +18,6 @@
     ReleaseOwnership,
     WriteRow,
 )
-from .ownership_action import ownership_chart
 from .store import RowsRead, RowsUnavailable, StoreResult
 
 TICK_INTERVAL = 0.5
@@ -44,23 +39,11 @@
 
     ownership: Ownership
     scheduler: Any
-    decide_jobs: Callable[[Message, Any, float], list[Command]] = decide_job
-    tick: Message = field(default_factory=JobTick)
+    decide_jobs: Callable[[Message, Any, float], list[Command]]
+    tick: Message
     tick_interval: float = TICK_INTERVAL
 
 
-def new_shard(
-    entry_id: str,
-    shard: str,
-    catalogue: ChartCatalogue,
-    new_operation_id: Callable[[], str],
-) -> Shard:
-    """Return a shard that this entry starts to observe."""
-    lifecycle = ownership_chart(catalogue).start()
-    claim = Ownership(entry_id, shard, lifecycle, new_operation_id)
-    return Shard(claim, SchedulerState(shard, job_chart(catalogue), claim.lease))
-
-
 def decide(message: Message, state: Shard, now: float) -> list[Command]:
     """Return the commands that leave the shard after a message."""
     pending = deque(route(message, state, now))
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
@@ -24,7 +24,7 @@
 from .intake_message import AnswerCaller, Verdict
 from .intake_state import Call, IntakeState, transact
 from .progress import JobProgress, JobState
-from .rows import cancel_key, job_key, PROGRESS, progress_key, queue_counts_key, unpack
+from .rows import cancel_key, job_key, progress_key, queue_counts_key, unpack
 
 UNCERTAIN_LIMIT = 1_000
 """Jobs whose acceptance is unknown that one entry remembers."""
@@ -253,7 +253,7 @@
     row = _row(call, progress_key(call.job_id))
     progress: Result[JobProgress, Exception] = Success(JobProgress())
     if row is not None:
-        progress = unpack(PROGRESS, row.value)
+        progress = unpack(JobProgress, row.value)
     if isinstance(progress, Failure):
         return _unavailable(call, str(progress.failure()))
     job_state: JobState = progress.unwrap().state
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -4,6 +4,7 @@
 
 from dataclasses import Field, fields, is_dataclass, MISSING
 from enum import Enum
+from functools import cache
 from typing import Any, TypeVar
 from zlib import crc32
 
@@ -11,9 +12,6 @@
 from returns.result import Failure, Result, Success
 
 from ..error import ProtocolError
-from .progress import JobProgress
-from .spec import JobSpec
-from .worker import WorkerOrders, WorkerReport
 
 SHARD = "main"
 """The one shard: gangs, guarantees and priorities span all workers."""
@@ -32,11 +30,6 @@
 
 T = TypeVar("T")
 
-JOB = TypeAdapter(JobSpec)
-PROGRESS = TypeAdapter(JobProgress)
-ORDERS = TypeAdapter(WorkerOrders)
-REPORT = TypeAdapter(WorkerReport)
-
 
 def job_prefix() -> str:
     """Return the prefix of all rows of jobs."""
@@ -102,10 +95,11 @@
     }
 
 
-def unpack(adapter: TypeAdapter[T], value: Any) -> Result[T, ProtocolError]:
+def unpack(kind: type[T], value: Any) -> Result[T, ProtocolError]:
     """Return the validated dataclass in a row's value."""
+    key: Any = kind
     try:
-        return Success(adapter.validate_python(value))
+        return Success(_validator(key).validate_python(value))
     except ValidationError as error:
         problem = error.errors(include_url=False)[0]
         return Failure(
@@ -116,6 +110,12 @@
         )
 
 
+@cache
+def _validator(kind: type[Any]) -> TypeAdapter[Any]:
+    """Return the validator of a dataclass; a process builds only those it needs."""
+    return TypeAdapter(kind)
+
+
 def _default(item: Field[Any]) -> Any:
     if item.default_factory is not MISSING:
         return item.default_factory()
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/metrics.py
@@ -4,27 +4,19 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
-from functools import singledispatch
-from typing import Any
-
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    HistogramDataPoint,
-    InMemoryMetricReader,
-    NumberDataPoint,
-)
-from opentelemetry.sdk.resources import Resource
+from typing import Any, TYPE_CHECKING
 
 from wasabispur_core.metric import Metric, metric_catalogue, MetricKind
 
+if TYPE_CHECKING:
+    from .meter import Meter
+
 LABEL_LIMIT = 64
 """Values of one label; callers name classes and organisations themselves."""
 
 OTHER = "other"
 """Stands for all label values beyond the limit."""
 
-METER = "wasabispur"
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Series:
@@ -45,27 +37,28 @@
     """Hold the instruments of one process; records nothing until configured."""
 
     def __init__(self) -> None:
-        self.reader: InMemoryMetricReader | None = None
+        self.meter: Meter | None = None
         self.instruments: dict[str, Any] = {}
         self.labels: defaultdict[str, set[str]] = defaultdict(set)
 
     def configure(self, process: str) -> None:
         """Start to record with all values at zero."""
+        # OpenTelemetry takes long to import; the caller chooses when.
+        from .meter import Meter
+
         self.labels.clear()
-        self.reader = InMemoryMetricReader()
-        resource = Resource.create({"service.name": METER, "process": process})
-        meter = MeterProvider([self.reader], resource).get_meter(METER)
+        self.meter = Meter(process)
         for name, metric in metric_catalogue().items():
-            self.instruments[name] = _create(metric, meter)
+            self.instruments[name] = self.meter.create(metric)
 
     def count(self, metric: Metric, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
-        if self.reader is not None:
+        if self.meter is not None:
             self.instruments[metric.name].add(amount, self._bound(metric, labels))
 
     def record(self, metric: Metric, value: float, **labels: str) -> None:
         """Record a value in a histogram, or set a gauge."""
-        if self.reader is None:
+        if self.meter is None:
             return
         instrument = self.instruments[metric.name]
         bounded = self._bound(metric, labels)
@@ -76,16 +69,7 @@
 
     def read(self) -> list[Series]:
         """Return the current value of every series."""
-        data = self.reader.get_metrics_data() if self.reader is not None else None
-        if data is None:
-            return []
-        return [
-            _series(point, metric.name)
-            for resource in data.resource_metrics
-            for scope in resource.scope_metrics
-            for metric in scope.metrics
-            for point in metric.data.data_points
-        ]
+        return self.meter.read() if self.meter is not None else []
 
     def _bound(self, metric: Metric, labels: dict[str, str]) -> dict[str, str]:
         names = [name.rstrip("_") for name in labels]
@@ -108,42 +92,3 @@
 
 registry = MetricRegistry()
 """The registry of this process."""
-
-
-def _create(metric: Metric, meter: Any) -> Any:
-    if metric.kind is MetricKind.COUNTER:
-        return meter.create_counter(metric.name, metric.unit, metric.text)
-    if metric.kind is MetricKind.GAUGE:
-        return meter.create_gauge(metric.name, metric.unit, metric.text)
-    return meter.create_histogram(
-        metric.name,
-        metric.unit,
-        metric.text,
-        explicit_bucket_boundaries_advisory=list(metric.bounds),
-    )
-
-
-def _labels(point: Any) -> dict[str, str]:
-    return {name: str(value) for name, value in (point.attributes or {}).items()}
-
-
-@singledispatch
-def _series(point: Any, name: str) -> Series:
-    raise TypeError(f"{name} has data points of {type(point).__name__}")
-
-
-@_series.register
-def _(point: NumberDataPoint, name: str) -> Series:
-    return Series(name=name, labels=_labels(point), value=point.value)
-
-
-@_series.register
-def _(point: HistogramDataPoint, name: str) -> Series:
-    return Series(
-        name=name,
-        labels=_labels(point),
-        value=point.sum,
-        count=point.count,
-        bounds=tuple(point.explicit_bounds),
-        buckets=tuple(point.bucket_counts),
-    )
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_process.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_process.py
@@ -48,14 +48,6 @@
     return (after.cpu - before.cpu) / (after.time - before.time)
 
 
-def free_port() -> int:
-    """Return a port that the system chose."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @contextmanager
 def started(settings: dict[str, object], *arguments: str) -> Iterator[int]:
     """Run a module with a settings file, and give its process id."""
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_request.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_request.py
@@ -10,7 +10,6 @@
 
 from .measure_fit import fit, Line, Sample
 from .measure_process import (
-    free_port,
     HOST,
     share_of_core,
     started,
@@ -19,6 +18,7 @@
     wait_until_listening,
 )
 from .measure_stream import agent_settings, entry_settings
+from .port import free_port
 from .stand_in_process import run_endpoint
 
 CALLERS = 32
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_stream.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_stream.py
@@ -23,13 +23,13 @@
 
 from .measure_fit import fit, Line, Sample
 from .measure_process import (
-    free_port,
     HOST,
     share_of_core,
     started,
     usage,
     wait_until_listening,
 )
+from .port import free_port
 from .relay import Relay
 
 SETTLE = 2.0
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/port.py
@@ -0,0 +1,68 @@
+"""Choose ports for processes that bind them later."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import socket
+import tempfile
+from itertools import cycle
+from pathlib import Path
+from typing import IO
+
+HOST = "127.0.0.1"
+
+BLOCKS = range(100)
+BLOCK_PORTS = 200
+FIRST_PORT = 11_000
+"""Blocks of ports below those that the system gives to outgoing connections."""
+
+
+class PortBlock:
+    """Hold a block of ports that no other process of this machine's user takes.
+
+    The lock on the block's file ends with the process. A port that the system chose
+    may be given to a connection before its process binds it.
+    """
+
+    def __init__(self) -> None:
+        self.process = os.getpid()
+        self.lock = self._lock_block()
+        first = FIRST_PORT + self.number * BLOCK_PORTS
+        self.ports = cycle(range(first, first + BLOCK_PORTS))
+
+    def next(self) -> int:
+        """Return a port that nobody has bound; raise OSError if none is left."""
+        for _ in range(BLOCK_PORTS):
+            port = next(self.ports)
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise OSError(f"all ports of block {self.number} are bound")
+
+    def _lock_block(self) -> IO[str]:
+        folder = Path(tempfile.gettempdir())
+        for self.number in BLOCKS:
+            path = folder / f"wasabispur-ports-{os.getuid()}-{self.number}"
+            handle = path.open("w", encoding="utf-8")
+            try:
+                fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                handle.close()
+                continue
+            return handle
+        raise OSError("all blocks of ports are taken; end another test run first")
+
+
+_blocks: list[PortBlock] = []
+
+
+def free_port() -> int:
+    """Return a port that only this process gives to its children."""
+    if not _blocks or _blocks[0].process != os.getpid():
+        _blocks[:] = [PortBlock()]
+    return _blocks[0].next()
--- a/packages/wasabispur-standins/src/wasabispur_standins/process.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/process.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,8 @@
 
 from wasabispur_core.error import WasabispurError
 
+from .port import free_port
+
 READY_LIMIT = 30.0
 """Seconds within which a process has to become ready."""
 
@@ -200,11 +201,5 @@
 
 
 def free_ports(number: int) -> list[int]:
-    """Return ports that the system had free a moment ago."""
-    with ExitStack() as stack:
-        ports = []
-        for _ in range(number):
-            probe = stack.enter_context(socket.socket())
-            probe.bind(("127.0.0.1", 0))
-            ports.append(int(probe.getsockname()[1]))
-        return ports
+    """Return ports that only this process gives to its children."""
+    return [free_port() for _ in range(number)]
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -83,7 +83,6 @@
         operator_rows: tuple[str, str],
     ) -> None:
         sink = configure_output_log(settings.entry_id, settings.log_level)
-        registry.configure(settings.entry_id)
         self.metrics = WorkloadMetrics(registry, sink)
         self.settings = settings
         self.timers = timers
@@ -155,6 +154,7 @@
         for actor in self.actors:
             actor.start()
         door.open()
+        registry.configure(self.settings.entry_id)
         log(PROCESS_STARTED, process=self.settings.entry_id)
         await stop.wait()
         log(PROCESS_DRAINING, process=self.settings.entry_id)
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from pydantic import TypeAdapter
 from returns.result import Failure
 
 from wasabispur_core.log_event import ROW_REFUSED
@@ -17,17 +16,16 @@
     ProgressArrived,
     ReportRemoved,
 )
+from wasabispur_core.workload.progress import JobProgress
 from wasabispur_core.workload.rows import (
     CANCEL_SUFFIX,
-    JOB,
     JOB_TABLE,
-    PROGRESS,
     PROGRESS_TABLE,
-    REPORT,
     REPORT_TABLE,
     unpack,
 )
-from wasabispur_core.workload.worker import ReportArrived
+from wasabispur_core.workload.spec import JobSpec
+from wasabispur_core.workload.worker import ReportArrived, WorkerReport
 from wasabispur_runtime.log import log
 
 T = TypeVar("T")
@@ -46,13 +44,13 @@
     if table == JOB_TABLE and name.endswith(CANCEL_SUFFIX):
         return CancelArrived(job_id=name.removesuffix(CANCEL_SUFFIX))
     if table == JOB_TABLE:
-        spec = decode(JOB, row)
+        spec = decode(JobSpec, row)
         return JobArrived(spec=spec) if spec else None
     if table == PROGRESS_TABLE:
-        progress = decode(PROGRESS, row)
+        progress = decode(JobProgress, row)
         return ProgressArrived(job_id=name, progress=progress) if progress else None
     if table == REPORT_TABLE:
-        report = decode(REPORT, row)
+        report = decode(WorkerReport, row)
         return ReportArrived(report=report) if report else None
     return None
 
@@ -65,9 +63,9 @@
     return None
 
 
-def decode(adapter: TypeAdapter[T], row: Row) -> T | None:
+def decode(kind: type[T], row: Row) -> T | None:
     """Return the validated value of a row, or None after a log record."""
-    result = unpack(adapter, row.value)
+    result = unpack(kind, row.value)
     if isinstance(result, Failure):
         log(ROW_REFUSED, key=row.key, error=str(result.failure()))
         return None
--- a/packages/wasabispur/src/wasabispur/http_request.py
+++ b/packages/wasabispur/src/wasabispur/http_request.py
@@ -8,7 +8,7 @@
 from cheroot.errors import MaxSizeExceeded
 from pydantic import BaseModel, ValidationError
 
-from wasabispur_core.protocol import BODY_LIMIT_BYTES
+from wasabispur_core.limit import BODY_LIMIT_BYTES
 
 from .http_error import BadRequestError, BodyTooLargeError
 
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -9,7 +9,7 @@
 from cheroot.wsgi import Gateway_10, Server
 
 from wasabispur_core.error import AddressInUseError
-from wasabispur_core.protocol import BODY_LIMIT_BYTES
+from wasabispur_core.limit import BODY_LIMIT_BYTES
 
 SHUTDOWN_TIMEOUT = 2.5
 """Seconds that the requests in progress get at a planned stop."""
--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -10,10 +10,10 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.circuit import OPEN_LIMIT
 from wasabispur_core.job_policy import policy_in
+from wasabispur_core.job_shard import new_shard
 from wasabispur_core.request import decide, RequestState
 from wasabispur_core.request_chart import request_chart
 from wasabispur_core.request_class import ClassesChanged
-from wasabispur_core.shard import new_shard
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_core.work_class import default_classes
 from wasabispur_runtime.actor import Actor
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -27,6 +27,7 @@
     JobSpec,
     to_value,
 )
+from wasabispur_core.job_shard import new_shard
 from wasabispur_core.member import FromAgent
 from wasabispur_core.permit import FromEntry, SendToEntryLink
 from wasabispur_core.protocol import (
@@ -38,7 +39,7 @@
     TaskStopped,
     Welcome,
 )
-from wasabispur_core.shard import decide as decide_shard, new_shard, ShardTick
+from wasabispur_core.shard import decide as decide_shard, ShardTick
 from wasabispur_core.store import (
     Committed,
     Conflicted,
--- a/tests/process/bundle_system.py
+++ b/tests/process/bundle_system.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +12,8 @@
 
 import urllib3
 
+from wasabispur_standins.port import free_port
+
 from .forwarder import Forwarder
 
 START_LIMIT = 30.0
@@ -231,11 +232,3 @@
             assert waited < limit, f"not within {limit} s: {shown}"
             time.sleep(POLL_INTERVAL)
         return time.monotonic() - began
-
-
-def free_port() -> int:
-    """Return a loopback port that the system chose."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/tests/process/job_system.py
+++ b/tests/process/job_system.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,17 +14,12 @@
 
 import urllib3
 
+from wasabispur_standins.port import free_port
+
 START_TIMEOUT = 20.0
 POLL = 0.1
 
 
-def free_port() -> int:
-    """Return a loopback port that the system chose."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_for(condition: Callable[[], Any], seconds: float, what: str) -> Any:
     """Return the first true value of the condition; fail after some seconds."""
     end = time.monotonic() + seconds
--- a/tests/process/link_system.py
+++ b/tests/process/link_system.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +14,7 @@
 import urllib3
 
 from wasabispur_runtime.timer_service import LoopTimerService
+from wasabispur_standins.port import free_port
 from wasabispur_standins.relay import Relay, SetFault
 
 HOST = "127.0.0.1"
@@ -22,13 +22,6 @@
 STOP_LIMIT = 20.0
 
 
-def free_port() -> int:
-    """Return a port that the system chose."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def wait_for(predicate) -> None:
     """Wait until a condition holds; fail at the time limit."""
     deadline = time.monotonic() + START_LIMIT
--- a/tests/process/test_request_process.py
+++ b/tests/process/test_request_process.py
@@ -9,7 +9,9 @@
 import pytest
 import urllib3
 
-from .link_system import free_port, HOST, LinkSystem, STOP_LIMIT, wait_for
+from wasabispur_standins.port import free_port
+
+from .link_system import HOST, LinkSystem, STOP_LIMIT, wait_for
 
 INTERVAL = 0.3
 
--- a/tests/stream/test_stream_bounds.py
+++ b/tests/stream/test_stream_bounds.py
@@ -145,8 +145,10 @@
             await rig.beat(5)
             assert not rig.received.messages
             rig.received.mailbox_limit = 100
-            session.post(Outgoing(message=permit(0)))
-            await until(lambda: len(rig.received.messages) == 1)
+            # Messages sent before may still be on their way when the mailbox opens.
+            last = permit(READ_BACKLOG * 3)
+            session.post(Outgoing(message=last))
+            await until(lambda: last in rig.received.of(RequestPermit))
             assert rig.events.of(STREAM_FAILED) == 0
             assert rig.events.of(HANDLER_FAILED) == 0
 
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -46,7 +46,7 @@
     Queue,
 )
 from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.rows import order_prefix, order_table, ORDERS, unpack
+from wasabispur_core.workload.rows import order_prefix, order_table, unpack
 from wasabispur_core.workload.run_action import ordered_run_chart
 from wasabispur_core.workload.runner_message import (
     CallList,
@@ -66,7 +66,7 @@
 from wasabispur_core.workload.seat_state import LeaseTimes, RunnerState
 from wasabispur_core.workload.spec import Resources, StepSpec, TaskId
 from wasabispur_core.workload.watch import StopWatching, WatchTables
-from wasabispur_core.workload.worker import EndKind, OrdersArrived
+from wasabispur_core.workload.worker import EndKind, OrdersArrived, WorkerOrders
 from wasabispur_standins.simulated_store import SimulatedStore, unavailable
 from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
 
@@ -270,7 +270,7 @@
 
     def take_rows(self, rows: tuple[Row, ...], removed: tuple[str, ...]) -> None:
         for row in rows:
-            self.post(OrdersArrived(orders=unpack(ORDERS, row.value).unwrap()))
+            self.post(OrdersArrived(orders=unpack(WorkerOrders, row.value).unwrap()))
 
 
 def _is_for(message: Message, operations: dict[str, str]) -> bool:
