--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -41,6 +41,9 @@
     """Hold the runs of one incarnation.
 
     Clock and expiry are in seconds on the worker's own clock, which runs at rate.
+    lapses counts how often the lease ran out, lapses_at_end holds that count by the
+    number of an end, and noted the tasks whose end as done was acknowledged without
+    a lapse in between: only these may never run again.
     """
 
     worker_id: str
@@ -63,6 +66,9 @@
     ended: list[EndedRun] = field(default_factory=list)
     barred: dict[str, int] = field(default_factory=dict)
     ends: int = 0
+    lapses: int = 0
+    lapses_at_end: dict[int, int] = field(default_factory=dict)
+    noted: list[str] = field(default_factory=list)
 
     def info(self) -> WorkerInfo:
         """Return the next heartbeat."""
@@ -125,10 +131,15 @@
         self.ends += 1
         self.barred[task] = max(self.barred.get(task, 0), run.run)
         self.ended.append(EndedRun(number=self.ends, task=task, run=run.run, kind=kind))
+        self.lapses_at_end[self.ends] = self.lapses
         return run
 
     def acknowledge(self, number: int) -> None:
         """Forget the ends up to a number."""
+        for end in self.ended:
+            held = self.lapses_at_end[end.number] == self.lapses
+            if end.number <= number and end.kind is EndKind.DONE and held:
+                self.noted.append(end.task)
         self.ended = [end for end in self.ended if end.number > number]
 
     def lists(self) -> tuple[tuple[ListedRun, ...], tuple[EndedRun, ...]]:
@@ -143,7 +154,9 @@
 
     def pass_time(self, seconds: float) -> None:
         """Let the clock run, and end what was stopped or has no lease."""
+        held = self.clock < self.expiry
         self.clock += seconds * self.rate
+        self.lapses += held and self.clock >= self.expiry
         for run in list(self.runs.values()):
             if run.stopping_at is not None and self.clock >= run.stopping_at:
                 self.end(run.task, EndKind.STOPPED)
