--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -78,6 +78,9 @@
     422, "WARNING", "it is unknown whether job {job} was accepted: {reason}"
 )
 CANCEL_ANSWERED = LogEvent(423, "INFO", "cancellation of job {job}: {result}")
+CALL_UNANSWERED = LogEvent(
+    437, "INFO", "{request} on queue {queue} not served: {reason}"
+)
 JOB_SEEN = LogEvent(424, "INFO", "owner has seen job {job} after {age} s")
 CANCEL_SEEN = LogEvent(425, "INFO", "owner has seen the cancellation of job {job}")
 UNIT_PLACED = LogEvent(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
@@ -9,7 +9,13 @@
 from ..action import Action, Guard, holds, perform
 from ..chart import Chart, ChartCatalogue
 from ..command import Command, WriteLog
-from ..log_event import CANCEL_ANSWERED, JOB_ACCEPTED, JOB_REFUSED, JOB_UNCERTAIN
+from ..log_event import (
+    CALL_UNANSWERED,
+    CANCEL_ANSWERED,
+    JOB_ACCEPTED,
+    JOB_REFUSED,
+    JOB_UNCERTAIN,
+)
 from ..message import Message
 from ..store import (
     ABSENT,
@@ -313,8 +319,11 @@
         reason=reason,
         retry_after=RETRY_STORE_DOWN,
     )
-    fields = _job_fields(call) | {"result": f"unavailable: {reason}"}
-    return [WriteLog(number=CANCEL_ANSWERED.number, fields=fields), answer]
+    fields = _job_fields(call) | {
+        "request": type(call.request).__name__,
+        "reason": reason,
+    }
+    return [WriteLog(number=CALL_UNANSWERED.number, fields=fields), answer]
 
 
 def _job_fields(call: Call) -> dict[str, str]:
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -5,7 +5,11 @@
 from dataclasses import replace
 
 from wasabispur_core.feed import FeedHealth
-from wasabispur_core.log_event import REPORT_FAILED
+from wasabispur_core.log_event import (
+    CALL_UNANSWERED,
+    CANCEL_ANSWERED,
+    REPORT_FAILED,
+)
 from wasabispur_core.workload.intake_message import Verdict
 from wasabispur_core.workload.progress import JobState
 from wasabispur_core.workload.run_progress import RunProgress
@@ -191,6 +195,18 @@
     assert len(world.starts) == 2
 
 
+def test_look_up_in_an_outage_is_not_logged_as_a_cancellation():
+    """Guard against logs that show cancellations nobody asked for."""
+    world = settled()
+    job = world.submit(tasks(1), duration=9)
+    world.advance(1)
+    world.store.down = True
+    assert world.state_of(job).verdict is Verdict.UNAVAILABLE
+    numbers = [number for entry in world.entries for number in entry.logs]
+    assert CALL_UNANSWERED.number in numbers
+    assert CANCEL_ANSWERED.number not in numbers
+
+
 def test_planned_stop_hands_the_shard_over_without_a_gap():
     """Guard against a takeover that waits for the lease of a stopped owner."""
     world = settled()
