Search a full fleet once for all units of one shape

Room only gets less during a pass of the planner, so a shape that found none is not looked for again, and the cost of an eviction holds until one is decided.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import sys
 from copy import copy
+from math import inf
 from typing import Any
 
 from .eviction import cheapest_eviction, Eviction, Victims
@@ -103,6 +105,10 @@
         self.by_id = {room.seat.worker_id: room for room in self.rooms}
         self.victims = Victims(snapshot.running)
         self.blocked: dict[tuple[Any, ...], WaitReason] = {}
+        # Room only gets less in a pass, so what one unit did not find, no later one
+        # of its shape does. Costs of evictions hold until one is decided.
+        self.full: dict[tuple[Any, ...], int] = {}
+        self.eviction_costs: dict[tuple[Any, ...], float] = {}
         self.cheap_attempts = CHEAP_ATTEMPTS
         self.now = snapshot.now
         for unit in snapshot.running:
@@ -116,7 +122,7 @@
         reason = self.blocked.get(_alike(unit))
         if reason is not None:
             return [Wait(unit_id=unit.unit_id, reason=reason)]
-        seats = choose_seats(unit, self.rooms)
+        seats = self._seats(unit)
         if seats is not None:
             take(unit, seats)
             chosen = tuple(room.seat for room in seats)
@@ -127,6 +133,7 @@
         if eviction is None:
             return self._wait(unit, WaitReason.NO_ROOM)
         take(unit, eviction.seats)
+        self.eviction_costs.clear()
         self.victims.remove(eviction.victims)
         decisions: list[Decision] = []
         for victim in eviction.victims:
@@ -141,19 +148,31 @@
         decisions.append(Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING))
         return decisions
 
+    def _seats(self, unit: WaitingUnit) -> list[WorkerRoom] | None:
+        shape = _shape(unit)
+        if unit.payload_bytes >= self.full.get(shape, sys.maxsize):
+            return None
+        seats = choose_seats(unit, self.rooms)
+        if seats is None:
+            self.full[shape] = unit.payload_bytes
+        return seats
+
     def _evict(self, unit: WaitingUnit) -> Eviction | None:
         if unit.priority > 0 and not unit.guaranteed:
             return None
+        limit = inf if unit.guaranteed else self._loss_limit(unit) * unit.work
+        key = (*_shape(unit), unit.payload_bytes, unit.priority)
+        known = self.eviction_costs.get(key)
+        if known is not None and (known == inf or known > limit):
+            return None
         if not unit.guaranteed:
             self.cheap_attempts -= 1
             if self.cheap_attempts < 0:
                 return None
         # Room that is being freed already costs nothing.
         eviction = cheapest_eviction(unit, self.rooms, self.victims)
-        if eviction is None:
-            return None
-        cheap = eviction.cost <= self._loss_limit(unit) * unit.work
-        return eviction if unit.guaranteed or cheap else None
+        self.eviction_costs[key] = eviction.cost if eviction else inf
+        return eviction if eviction and eviction.cost <= limit else None
 
     def _loss_limit(self, unit: WaitingUnit) -> float:
         """Return the share of the unit's own work that others may lose for it."""
@@ -176,6 +195,21 @@
     return (*step_key(unit), unit.failed_on, unit.attempts_left > 1)
 
 
+def _shape(unit: WaitingUnit) -> tuple[Any, ...]:
+    """Return what decides whether a unit fits, but for the size of its payload."""
+    return (
+        unit.service,
+        unit.demand,
+        unit.size,
+        unit.label,
+        unit.data_rack,
+        unit.same_rack,
+        step_key(unit) if unit.tasks_per_worker else None,
+        unit.failed_on,
+        unit.attempts_left > 1,
+    )
+
+
 def _copy(room: WorkerRoom) -> WorkerRoom:
     twin = copy(room)
     twin.tasks_of_step = dict(room.tasks_of_step)
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, strategies as st
 
+from wasabispur_core.workload import planner
 from wasabispur_core.workload.plan import (
     Evacuate,
     Move,
@@ -366,3 +367,38 @@
     decisions = decide([room(0), room(1)], [], [saved, last, near])
     moved = {one.unit_id.job_id for one in decisions if isinstance(one, Evacuate)}
     assert moved == {"last"}
+
+
+def test_units_of_one_shape_search_a_full_fleet_once(monkeypatch):
+    """Guard against a pass whose time grows with the queue times the fleet.
+
+    Trial with 650 workers and 300 waiting units: 1.7 s for one pass.
+    """
+    searches = {"seats": 0, "evictions": 0}
+
+    def counting(name, function):
+        def call(*arguments):
+            searches[name] += 1
+            return function(*arguments)
+
+        return call
+
+    for name, attribute in (
+        ("seats", "choose_seats"),
+        ("evictions", "cheapest_eviction"),
+    ):
+        function = getattr(planner, attribute)
+        monkeypatch.setattr(planner, attribute, counting(name, function))
+    full = [room(number, used=8) for number in range(4)]
+    units = [waiting(f"j{number}", 8, priority=0) for number in range(20)]
+    victims = [running(f"v{n}", n, 8, lost_work=1e6) for n in range(4)]
+    assert stopped(decide(full, units, victims)) == set()
+    assert searches == {"seats": 1, "evictions": 1}
+
+
+def test_smaller_payload_is_still_placed_where_a_larger_one_was_not():
+    """Guard against a unit that waits because another one of its shape did."""
+    crowded = room(1, payload_bytes=PAYLOAD_LIMIT - 100)
+    large = waiting("large", payload_bytes=500, objective=1.0)
+    small = waiting("small", payload_bytes=50, objective=9.0)
+    assert placed(decide([crowded], [large, small])) == {"small": ["w1"]}
