Let gangs and tasks with data wait for a rack whose workers return

A unit now waits up to 1.5 s while workers that are known and not leaving could complete a rack, or hold its data's rack.

Ruled out: a rack that was really too small; at that time all 11 workers were up.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -71,7 +71,7 @@
     unit: WaitingUnit, rooms: Sequence[WorkerRoom], victims: Victims
 ) -> Eviction | None:
     """Return the eviction that costs least, or None if none makes room."""
-    groups = racks_for(unit, candidates(unit, rooms))
+    groups = racks_for(unit, candidates(unit, rooms), rooms)
     found = [_evict(unit, group, victims) for group in groups]
     possible = [eviction for eviction in found if eviction is not None]
     return min(possible, key=lambda eviction: eviction.cost, default=None)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -22,7 +22,8 @@
 class WorkerRoom:
     """Describe one worker's room; the planner takes from it as it places.
 
-    coming is the room of units that are told to stop already, and payload_bytes
+    returning tells of a worker that takes runs but has not reported of late. coming
+    is the room of units that are told to stop already, and payload_bytes
     bounds the orders row.
     """
 
@@ -34,6 +35,7 @@
     capacity: Resources
     room: Resources
     ready: bool
+    returning: bool = False
     coming: Resources = NOTHING
     trust: Trust = Trust.FULL
     payload_bytes: int = 0
@@ -47,7 +49,8 @@
     guaranteed is set while the unit's organisation uses no more than its guarantee.
     objective is the time by which the whole job should end, and remaining the
     estimated run time of the unit and of all steps behind it, in seconds. failed_on
-    names the workers on which its runs failed; those in avoided come last.
+    names the workers on which its runs failed; those in avoided come last. A patient
+    unit waits for workers of a better rack that return.
     """
 
     unit_id: UnitId
@@ -68,6 +71,7 @@
     remaining: float = 0.0
     avoided: frozenset[str] = frozenset()
     failed_on: frozenset[str] = frozenset()
+    patient: bool = False
     attempts_left: int = 1
 
     @property
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -204,6 +204,7 @@
         unit.label,
         unit.data_rack,
         unit.same_rack,
+        unit.patient,
         step_key(unit) if unit.tasks_per_worker else None,
         unit.failed_on,
         unit.attempts_left > 1,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/seating.py
@@ -17,17 +17,28 @@
     Data counts as a constraint while a worker of its rack could hold the task,
     since a task elsewhere takes several times as long.
     """
-    possible = [
-        room
-        for room in rooms
-        if room.ready
-        and room.service == unit.service
-        and (not unit.label or unit.label in room.labels)
-        and unit.demand.fits(room.capacity)
-    ]
+    able = [room for room in rooms if _able(unit, room)]
+    possible = [room for room in able if room.ready]
     allowed = _without_suspects(unit, possible)
     near = [room for room in allowed if room.rack == unit.data_rack]
-    return near if unit.data_rack and near else allowed
+    if not unit.data_rack:
+        return allowed
+    if (
+        not near
+        and unit.patient
+        and any(room.returning and room.rack == unit.data_rack for room in able)
+    ):
+        return []
+    return near or allowed
+
+
+def _able(unit: WaitingUnit, room: WorkerRoom) -> bool:
+    """Return whether a worker could hold a task of the unit when it is empty."""
+    return (
+        room.service == unit.service
+        and (not unit.label or unit.label in room.labels)
+        and unit.demand.fits(room.capacity)
+    )
 
 
 def _without_suspects(
@@ -64,29 +75,42 @@
         return _fill(unit, allowed)
     found = [
         seats
-        for members in racks_for(unit, allowed)
+        for members in racks_for(unit, allowed, rooms)
         if (seats := _fill(unit, members)) is not None
     ]
     return min(found, key=_leftover, default=None)
 
 
-def racks_for(unit: WaitingUnit, allowed: list[WorkerRoom]) -> list[list[WorkerRoom]]:
+def racks_for(
+    unit: WaitingUnit, allowed: list[WorkerRoom], rooms: Iterable[WorkerRoom]
+) -> list[list[WorkerRoom]]:
     """Return the groups of workers of which one has to take the whole unit.
 
     These are the racks that could hold it when empty, if it asks for a single one.
+    A patient unit has none while only workers that return could complete a rack.
     """
     if not unit.same_rack or unit.size == 1:
         return [allowed]
+    possible = _racks_holding(unit, allowed)
+    if not possible and unit.patient:
+        returning = [room for room in rooms if room.returning and _able(unit, room)]
+        if _racks_holding(unit, [*allowed, *returning]):
+            return []
+    return possible or [allowed]
+
+
+def _racks_holding(
+    unit: WaitingUnit, allowed: Iterable[WorkerRoom]
+) -> list[list[WorkerRoom]]:
     racks: dict[str, list[WorkerRoom]] = {}
     for room in allowed:
         racks.setdefault(room.rack, []).append(room)
-    possible = [
+    return [
         members
         for members in racks.values()
         if sum(count_fitting(unit, room, room.capacity) for room in members)
         >= unit.size
     ]
-    return possible or [allowed]
 
 
 def take(unit: WaitingUnit, seats: Iterable[WorkerRoom]) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -23,6 +23,12 @@
 REPORT_AGE_LIMIT = 3.0
 """Seconds after its last report in which a worker still gets new runs."""
 
+RACK_PATIENCE = 1.5
+"""Seconds for which a unit waits for a rack whose workers have not reported yet.
+
+On another rack its tasks take several times as long.
+"""
+
 DEFAULT_ESTIMATE = 5.0
 """Seconds that a task is taken to run if its caller gave no estimate."""
 
@@ -42,7 +48,7 @@
             if unit.state in (ACTIVE, STOPPING, CANCELLING):
                 running.append(_running(unit, job, queue, state, covered, now))
             elif unit.state == WAITING and queue and unit.held_until <= now:
-                waiting.append(_waiting(unit, job, queue, state, covered))
+                waiting.append(_waiting(unit, job, queue, state, covered, now))
     rooms = tuple(_room(worker, state, now) for worker in state.workers.values())
     return Snapshot(
         now=now, rooms=rooms, waiting=tuple(waiting), running=tuple(running)
@@ -84,6 +90,7 @@
         capacity=info.capacity,
         room=info.capacity - state.used(worker),
         ready=fresh and info.state is WorkerState.READY,
+        returning=not fresh and info.state is WorkerState.READY,
         trust=trust_in(worker, now),
     )
     for unit_id in state.seated.get(worker.worker_id, ()):
@@ -101,7 +108,12 @@
 
 
 def _waiting(
-    unit: Unit, job: Job, queue: Queue, state: FleetState, covered: set[str]
+    unit: Unit,
+    job: Job,
+    queue: Queue,
+    state: FleetState,
+    covered: set[str],
+    now: float,
 ) -> WaitingUnit:
     step = unit.step
     chain = chain_behind(job, unit.unit_id.step)
@@ -129,6 +141,7 @@
         remaining=chain,
         avoided=frozenset(unit.avoided),
         failed_on=frozenset(unit.failed_on),
+        patient=now - unit.ready_at < RACK_PATIENCE,
         attempts_left=queue.max_attempts - unit.failures,
     )
 
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -402,3 +402,26 @@
     large = waiting("large", payload_bytes=500, objective=1.0)
     small = waiting("small", payload_bytes=50, objective=9.0)
     assert placed(decide([crowded], [large, small])) == {"small": ["w1"]}
+
+
+def test_gang_of_one_rack_waits_for_its_workers_after_a_takeover():
+    """Guard against a gang over two racks because a new owner knows few workers yet.
+
+    Seen on ptsm-press inc-de6d: a promo proof was placed 0.2 s after a takeover on
+    workers of two racks and took 19.6 s, three times as long.
+    """
+    gang = waiting("j", 8, size=2, same_rack=True, patient=True)
+    known = [room(1, rack=1), room(2, rack=2)]
+    back = room(3, rack=1, ready=False, returning=True)
+    assert placed(decide([*known, back], [gang])) == {}
+    impatient = replace(gang, patient=False)
+    assert placed(decide([*known, back], [impatient])) == {"j": ["w1", "w2"]}
+    assert placed(decide(known, [gang])) == {"j": ["w1", "w2"]}
+
+
+def test_task_waits_for_the_rack_of_its_data_after_a_takeover():
+    """Guard against a task away from its data because a new owner knows few workers."""
+    task = waiting("j", data_rack="r1-1", patient=True)
+    back = room(3, rack=1, ready=False, returning=True)
+    assert placed(decide([room(2, rack=2), back], [task])) == {}
+    assert placed(decide([room(2, rack=2)], [task])) == {"j": ["w2"]}
