--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -0,0 +1,75 @@
+"""Write the rows of what the owner decided."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ..command import Command
+from ..ownership import WriteRow
+from .fleet_state import FleetState
+from .orders import orders_for
+from .rows import (
+    cancel_key,
+    job_key,
+    order_key,
+    pack,
+    progress_key,
+    queue_counts_key,
+)
+
+KEEP_ENDED = 300.0
+"""Seconds for which an ended job can be looked up."""
+
+
+def flush(state: FleetState) -> list[Command]:
+    """Write the rows of all jobs and workers that changed, jobs first."""
+    commands: list[Command] = []
+    for job_id in sorted(state.dirty_jobs):
+        job = state.jobs.get(job_id)
+        if job is not None:
+            key = progress_key(job_id)
+            value = pack(job.progress(state.store_offset))
+            commands.append(WriteRow(key=key, value=value))
+    commands += _write_orders(state)
+    state.dirty_jobs.clear()
+    state.dirty_workers.clear()
+    return commands
+
+
+def _write_orders(state: FleetState) -> Iterator[Command]:
+    for worker_id in sorted(state.dirty_workers):
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            continue
+        orders = orders_for(worker, state)
+        if orders == worker.written:
+            continue
+        worker.written = orders
+        yield WriteRow(key=order_key(worker.agent_id, worker_id), value=pack(orders))
+
+
+def remove_ended(state: FleetState, now: float) -> list[Command]:
+    """Remove the rows of jobs that ended long ago."""
+    commands: list[Command] = []
+    for job in list(state.jobs.values()):
+        settled = all(not unit.on_workers for unit in job.units.values())
+        age = now + state.store_offset - job.ended_at
+        if not (job.state.ended and settled and age > KEEP_ENDED):
+            continue
+        job_id = job.spec.job_id
+        del state.jobs[job_id]
+        for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
+            commands.append(WriteRow(key=key, value=None))
+    return commands
+
+
+def write_counts(state: FleetState) -> list[Command]:
+    """Write how many accepted jobs of each queue have started no task."""
+    counts: dict[str, int] = {}
+    for job in state.jobs.values():
+        if not job.state.ended and all(not unit.run for unit in job.units.values()):
+            counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+    if counts == state.queue_counts:
+        return []
+    state.queue_counts = counts
+    return [WriteRow(key=queue_counts_key(), value=counts)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -15,18 +15,16 @@
 from .eviction import cheapest_eviction, Eviction, Victims
 from .plan import (
     Decision,
-    Evacuate,
-    Move,
     Place,
     Preempt,
     RunningUnit,
     Snapshot,
-    Trust,
     Wait,
     WaitingUnit,
     WaitReason,
     WorkerRoom,
 )
+from .relocation import relocations
 from .seating import candidates, choose_seats, step_key, take
 
 LATE_FACTOR = 3.0
@@ -41,15 +39,6 @@
 PRESSING_LOSS = 0.4
 """The same share for a pressing unit."""
 
-STALL_LIMIT = 1.5
-"""Seconds for which a unit has to stand still before it is moved."""
-
-EVACUATION_TIME = 1.5
-"""Seconds that the stop of a unit and the report of its end take at most."""
-
-LONGER_STAY = 2.5
-"""Seconds for which a leaving worker mostly stays beyond the least that it tells."""
-
 CHEAP_ATTEMPTS = 8
 """Units without a guarantee for which one pass looks for others to stop."""
 
@@ -57,46 +46,12 @@
 def plan(snapshot: Snapshot) -> list[Decision]:
     """Return a decision for each waiting unit, the preemptions and evacuations."""
     planning = _Planning(snapshot)
-    decisions: list[Decision] = [
-        Evacuate(unit_id=unit.unit_id, leaves_in=unit.leaves_in)
-        for unit in snapshot.running
-        if not unit.stopping and _must_leave(unit)
-    ]
-    decisions += _moves(snapshot)
+    decisions: list[Decision] = relocations(snapshot)
     for unit in sorted(snapshot.waiting, key=lambda u: _rank(u, snapshot.now)):
         decisions += planning.decide(unit)
     return decisions
 
 
-def _must_leave(unit: RunningUnit) -> bool:
-    """Return whether a unit has to stop now because a worker of it leaves.
-
-    Work that is saved goes on until just before the worker leaves. Other work gains
-    by an early restart, unless it can end in the time that workers mostly stay longer.
-    """
-    if unit.ends_in <= unit.leaves_in:
-        return False
-    if unit.checkpointing:
-        return unit.leaves_in <= EVACUATION_TIME
-    return unit.ends_in > unit.leaves_in + LONGER_STAY
-
-
-def _moves(snapshot: Snapshot) -> list[Decision]:
-    """Move units that have stood still for as long as the work they would lose took.
-
-    That bounds the loss at twice the one of the best choice in hindsight. Where most
-    workers look bad, something else is the cause.
-    """
-    trusted = sum(room.trust is Trust.FULL for room in snapshot.rooms)
-    if 2 * trusted < len(snapshot.rooms):
-        return []
-    return [
-        Move(unit_id=unit.unit_id, stalled_for=unit.stalled_for)
-        for unit in snapshot.running
-        if not unit.stopping and unit.stalled_for >= max(STALL_LIMIT, unit.lost_time)
-    ]
-
-
 class _Planning:
     """Hold the rooms, the victims and what was found out during one pass."""
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from functools import singledispatch
 from math import inf
 
@@ -12,7 +11,7 @@
 from ..feed import FeedHealth
 from ..log_event import CANCEL_SEEN, FLEET_LOADED, JOB_SEEN
 from ..message import Message
-from ..ownership import RowCommitted, ShardAcquired, ShardLost, WriteRow
+from ..ownership import RowCommitted, ShardAcquired, ShardLost
 from .fleet_state import (
     CancelArrived,
     ClocksRead,
@@ -25,7 +24,7 @@
     ReportRemoved,
     TableReady,
 )
-from .orders import orders_for
+from .fleet_write import flush, remove_ended, write_counts
 from .plan import Decision, Evacuate, Move, Place, Preempt
 from .planner import plan
 from .policy import PolicyChanged
@@ -36,14 +35,8 @@
     take_report,
 )
 from .rows import (
-    cancel_key,
-    job_key,
     JOB_TABLE,
-    order_key,
-    pack,
-    progress_key,
     PROGRESS_TABLE,
-    queue_counts_key,
     REPORT_TABLE,
 )
 from .snapshot import take_snapshot
@@ -72,9 +65,6 @@
 PAUSE_LIMIT = 1.0
 """Seconds between two ticks after which the process counts as paused."""
 
-KEEP_ENDED = 300.0
-"""Seconds for which an ended job can be looked up."""
-
 PASS_TIMER = "fleet-pass"
 LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE)
 
@@ -234,7 +224,7 @@
     commands = drop_silent_workers(state, now)
     for job in list(state.jobs.values()):
         commands += _advance(job, state, now)
-    return [*commands, *_write_counts(state), *_remove_ended(state, now)]
+    return [*commands, *write_counts(state), *remove_ended(state, now)]
 
 
 @take.register
@@ -279,33 +269,6 @@
     return move(decision, state, now)
 
 
-def flush(state: FleetState) -> list[Command]:
-    """Write the rows of all jobs and workers that changed, jobs first."""
-    commands: list[Command] = []
-    for job_id in sorted(state.dirty_jobs):
-        job = state.jobs.get(job_id)
-        if job is not None:
-            key = progress_key(job_id)
-            value = pack(job.progress(state.store_offset))
-            commands.append(WriteRow(key=key, value=value))
-    commands += _write_orders(state)
-    state.dirty_jobs.clear()
-    state.dirty_workers.clear()
-    return commands
-
-
-def _write_orders(state: FleetState) -> Iterator[Command]:
-    for worker_id in sorted(state.dirty_workers):
-        worker = state.workers.get(worker_id)
-        if worker is None:
-            continue
-        orders = orders_for(worker, state)
-        if orders == worker.written:
-            continue
-        worker.written = orders
-        yield WriteRow(key=order_key(worker.agent_id, worker_id), value=pack(orders))
-
-
 def _arm_pass(state: FleetState) -> list[Command]:
     idle = not state.waiting and not _someone_may_move(state)
     if state.pass_due or idle or not state.room_changed:
@@ -357,32 +320,6 @@
     return now + state.wall_offset >= due + OCCURRENCE_MARGIN
 
 
-def _remove_ended(state: FleetState, now: float) -> list[Command]:
-    commands: list[Command] = []
-    for job in list(state.jobs.values()):
-        settled = all(not unit.on_workers for unit in job.units.values())
-        age = now + state.store_offset - job.ended_at
-        if not (job.state.ended and settled and age > KEEP_ENDED):
-            continue
-        job_id = job.spec.job_id
-        del state.jobs[job_id]
-        for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
-            commands.append(WriteRow(key=key, value=None))
-    return commands
-
-
-def _write_counts(state: FleetState) -> list[Command]:
-    """Write how many accepted jobs of each queue have started no task."""
-    counts: dict[str, int] = {}
-    for job in state.jobs.values():
-        if not job.state.ended and all(not unit.run for unit in job.units.values()):
-            counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
-    if counts == state.queue_counts:
-        return []
-    state.queue_counts = counts
-    return [WriteRow(key=queue_counts_key(), value=counts)]
-
-
 def _forget(state: FleetState) -> None:
     """Drop all that is only true while this entry is the owner."""
     for collection in (
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_flow.py
@@ -5,6 +5,7 @@
 from ..command import Command, WriteLog
 from ..log_event import (
     JOB_ENDED,
+    LogEvent,
     RUN_ENDED,
     UNIT_EVACUATED,
     UNIT_MOVED,
@@ -13,7 +14,7 @@
 )
 from ..message import Message
 from .fleet_state import FleetState, Job
-from .plan import Evacuate, Move, Preempt
+from .plan import Decision, Evacuate, Move, Preempt
 from .progress import JobState, MemberRecord, UnitRecord
 from .spec import StepSpec
 from .unit import (
@@ -88,34 +89,18 @@
 
 def evacuate(decision: Evacuate, state: FleetState, now: float) -> list[Command]:
     """Stop a unit whose worker leaves, so that it runs elsewhere."""
-    unit = state.unit(decision.unit_id)
-    if unit is None or unit.state != ACTIVE:
-        return []
-    handle(unit, UnitPreempted(reason="drain"), state, now)
-    fields = {
-        "job": unit.unit_id.job_id,
-        "unit": _name(unit),
-        "run": unit.run,
-        "leaves_in": round(decision.leaves_in, 2),
-    }
-    return [WriteLog(number=UNIT_EVACUATED.number, fields=fields)]
+    figures = {"leaves_in": round(decision.leaves_in, 2)}
+    return _relocate(decision, "drain", UNIT_EVACUATED, figures, state, now)
 
 
 def move(decision: Move, state: FleetState, now: float) -> list[Command]:
     """Stop a unit that stands still, so that it runs elsewhere."""
     unit = state.unit(decision.unit_id)
-    if unit is None or unit.state != ACTIVE:
-        return []
-    stalled = [one for one in unit.members if one.progress.stalled_for]
-    unit.avoided.update(member.seat.worker_id for member in stalled)
-    handle(unit, UnitPreempted(reason="stalled"), state, now)
-    fields = {
-        "job": unit.unit_id.job_id,
-        "unit": _name(unit),
-        "run": unit.run,
-        "stalled": round(decision.stalled_for, 2),
-    }
-    return [WriteLog(number=UNIT_MOVED.number, fields=fields)]
+    if unit is not None:
+        stalled = [one for one in unit.members if one.progress.stalled_for]
+        unit.avoided.update(member.seat.worker_id for member in stalled)
+    figures = {"stalled": round(decision.stalled_for, 2)}
+    return _relocate(decision, "stalled", UNIT_MOVED, figures, state, now)
 
 
 def end_run(
@@ -234,6 +219,22 @@
     return min(record.started_at - state.store_offset, now)
 
 
+def _relocate(
+    decision: Decision,
+    reason: str,
+    event: LogEvent,
+    figures: dict[str, float],
+    state: FleetState,
+    now: float,
+) -> list[Command]:
+    unit = state.unit(decision.unit_id)
+    if unit is None or unit.state != ACTIVE:
+        return []
+    handle(unit, UnitPreempted(reason=reason), state, now)
+    fields = {"job": unit.unit_id.job_id, "unit": _name(unit), "run": unit.run}
+    return [WriteLog(number=event.number, fields=fields | figures)]
+
+
 def _end(job: Job, end_state: JobState, state: FleetState, now: float) -> list[Command]:
     job.state = end_state
     job.ended_at = now + state.store_offset
