--- /dev/null
+++ b/tests/adapter/test_full_pipe.py
@@ -0,0 +1,77 @@
+"""Guard the real programs against a reader of their standard output that has stopped."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from wasabispur_platform_standin.system import SETTINGS, SOURCES
+from wasabispur_standins.port import free_port, HOST
+
+SMALLEST_PIPE = 4096
+START_LIMIT = 20.0
+GRACE = 6.0
+"""Seconds after SIGTERM in which the platform lets a process end by itself."""
+
+LISTEN = {
+    "entry": 'front = "{host}:{first}"\nready = "{host}:{second}"',
+    "agent": 'control = "{host}:{first}"',
+}
+
+
+def settings(role: str, path: Path) -> Path:
+    """Write a settings file whose store nobody serves."""
+    listen = LISTEN[role].format(host=HOST, first=free_port(), second=free_port())
+    text = SETTINGS.format(
+        name=role,
+        host=HOST,
+        metrics=free_port(),
+        listen=listen,
+        store=f"{HOST}:{free_port()}",
+    )
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_planned_stop_does_not_wait_for_a_full_pipe(role, tmp_path):
+    """Guard against a stop that hangs on its last log lines until it is killed."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE)
+    node = settings(role, tmp_path / "node.toml")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "wasabispur_platform", role],
+        stdout=writer,
+        env={
+            **os.environ,
+            "PYTHONPATH": str(SOURCES),
+            "WASABISPUR_NODE_FILE": str(node),
+        },
+    )
+    try:
+        first = os.read(reader, 1)
+        assert first == b"{"
+        # A description of its own, so that the process's one stays as it set it.
+        filler = os.open(f"/proc/self/fd/{writer}", os.O_WRONLY | os.O_NONBLOCK)
+        deadline = time.monotonic() + START_LIMIT
+        # The process logs its lost feeds meanwhile; both fill the pipe.
+        while time.monotonic() < deadline:
+            try:
+                os.write(filler, b"x" * 512)
+            except BlockingIOError:
+                break
+        os.close(filler)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(GRACE) == 0
+    finally:
+        process.kill()
+        process.wait()
+        os.close(reader)
+        os.close(writer)
