Wait for the entry's circuit between tests of a store outage

Cause: test_table_service_down_before_acceptance ends its outage, and the next test of the module proposes a change at once. Both tests that end an outage now wait until the entry reads changes again, within the bound they already use.

Ruled out: the circuit's new events; the product's own entries use no feeds and get none of them.

--- a/tests/process/bundle_system.py
+++ b/tests/process/bundle_system.py
@@ -182,6 +182,11 @@
         url = f"http://127.0.0.1:{self.table_port}/faults"
         assert self.http.request("PUT", url, body=body).status == 200
 
+    def reads_changes(self, entry: str) -> bool:
+        """Return whether an entry gets the changes from the table service."""
+        url = f"http://127.0.0.1:{self.http_ports[entry]}/v1/bundles"
+        return self.http.request("GET", url).status == 200
+
     def members(self, entry: str) -> list[dict[str, Any]]:
         """Return what an entry shows of all processes."""
         url = f"http://127.0.0.1:{self.http_ports[entry]}/v1/members"
--- a/tests/process/test_bundle_processes.py
+++ b/tests/process/test_bundle_processes.py
@@ -83,6 +83,8 @@
     assert refused.returncode in (ExitCode.UNAVAILABLE, ExitCode.OUTCOME_UNKNOWN)
     assert system.versions("entry-a")["entry-a"] == before
     system.set_faults()
+    # The entry's circuit stays open for up to 2 s, and the next test writes at once.
+    system.wait_for(lambda: system.reads_changes("entry-a"), REACHED_WITHIN)
 
 
 def test_lost_answer_during_acceptance(system):
@@ -116,6 +118,7 @@
     system.wait_for(recovered, REACHED_WITHIN)
     system.set_faults()
     system.wait_for(lambda: system.sees_all("entry-b"), RESTART_LIMIT)
+    system.wait_for(lambda: system.reads_changes("entry-a"), REACHED_WITHIN)
 
 
 def test_cut_regions_catch_up_when_the_link_heals(system):
