Give the test of the client's rate calls that outlast a busy machine

Cause: the harness gives a call up after 0.4 s of real time. The test is about the rate, on the fake clock; its calls may now take 10 s. Checks and bounds are unchanged.

--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT = 0.4
 """Seconds after which the clients under test give up one call."""
 
+PATIENT_TIMEOUT = 10.0
+"""The same where no call is to be lost, however busy the machine is."""
+
 STEP = 0.05
 """Seconds of fake time that pass while nothing is in progress."""
 
@@ -42,11 +45,11 @@
 class Client:
     """Drive one client on the fake clock; time passes only between its calls."""
 
-    def __init__(self, build, port: int) -> None:
+    def __init__(self, build, port: int, call_timeout: float) -> None:
         self.timers = FakeTimerService()
         url = f"http://127.0.0.1:{port}"
         self.actor: StoreActor = build(
-            self.timers, url, Random(7), call_timeout=CALL_TIMEOUT
+            self.timers, url, Random(7), call_timeout=call_timeout
         )
         self.results: list[Message] = []
 
@@ -80,9 +83,9 @@
 
 
 @asynccontextmanager
-async def connected(build, port: int):
+async def connected(build, port: int, call_timeout: float = CALL_TIMEOUT):
     """Run a client of a stand-in."""
-    client = Client(build, port)
+    client = Client(build, port, call_timeout)
     client.actor.start()
     try:
         yield client
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -6,7 +6,13 @@
 import socket
 
 import pytest
-from tests.platform.harness import connected, running, set_faults
+from tests.platform.harness import (
+    CALL_TIMEOUT,
+    connected,
+    PATIENT_TIMEOUT,
+    running,
+    set_faults,
+)
 
 from wasabispur_core.store import (
     Committed,
@@ -71,14 +77,14 @@
     return FetchRows(read_id="read", prefix=prefix, receiver=receiver)
 
 
-def table_test(scenario):
+def table_test(scenario, call_timeout=CALL_TIMEOUT):
     """Run a scenario with a stand-in, its state and a client."""
 
     async def main():
         state = TableState()
         async with (
             running("table-service", state, TableRoot) as stand_in,
-            connected(TableClient, stand_in.listener.port) as client,
+            connected(TableClient, stand_in.listener.port, call_timeout) as client,
         ):
             await scenario(stand_in, state, client)
 
@@ -238,4 +244,4 @@
         # 50 a second with one second's worth at once: 120 take 1.4 s.
         assert client.timers.now() >= 1.4
 
-    table_test(scenario)
+    table_test(scenario, PATIENT_TIMEOUT)
