Measure the owner's cost of an ended run at fleet sizes

The cost of a planning pass was known from a scratch script only. The new command drives the product's scheduler through its messages.

--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -12,6 +12,7 @@
 
 from .measure_fit import print_lines
 from .measure_object import measure_objects
+from .measure_planner import measure_planner
 from .measure_request import measure_requests
 from .measure_stream import AGENT_KINDS, measure_agent, measure_entry
 
@@ -92,3 +93,10 @@
 def objects() -> None:
     """Measure the CPU time of operations and the memory of objects."""
     print_lines(measure_objects())
+
+
+@measure.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+def planner(seed: int) -> None:
+    """Measure the owner's CPU time for an ended run at several fleet sizes."""
+    print_lines(measure_planner(seed))
