--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
 from .spec import Resources
-from .unit_placement import count_fitting, eligible_workers, worker_groups
+from .unit import UnitId
+from .unit_placement import count_fitting, worker_groups
 
 RESTART_COST = 1.0
 """Seconds of a unit's resources that a restart costs in addition to lost work."""
@@ -46,25 +48,52 @@
         return self.cost, self.free.accelerators, self.worker.worker_ref.worker_id
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Victim:
+    """Describe what preempting a unit costs, and what that frees on one worker."""
+
+    unit: RunningUnit
+    cost: float
+    freed: Resources
+
+
 class VictimIndex:
     """Index the units that may be preempted by worker, cheapest per core first."""
 
-    def __init__(self, running: Iterable[RunningUnit]) -> None:
-        self.by_worker: dict[str, list[RunningUnit]] = {}
+    def __init__(self, running: Iterable[RunningUnit], now: float) -> None:
+        self.running = running
+        self.now = now
+        self.by_worker: dict[str, list[Victim]] = {}
         self.excluded: set[int] = set()
-        for unit in running:
-            if not unit.guaranteed and not unit.stopping:
-                for name in {worker_ref.worker_id for worker_ref in unit.placement}:
-                    self.by_worker.setdefault(name, []).append(unit)
-        for units in self.by_worker.values():
-            units.sort(key=lambda unit: stop_cost(unit) / _weight(unit))
 
-    def preemptible_on(self, worker_id: str, priority: int) -> list[RunningUnit]:
-        """Return the units on a worker that are less urgent than the priority."""
+    @cached_property
+    def units_by_worker(self) -> dict[str, list[RunningUnit]]:
+        """Return the units that may be preempted; most passes need none of them."""
+        index: dict[str, list[RunningUnit]] = {}
+        for unit in self.running:
+            if not unit.guaranteed and not unit.stopping:
+                for worker_id in {one.worker_id for one in unit.placement}:
+                    index.setdefault(worker_id, []).append(unit)
+        return index
+
+    def victims_on(self, worker_id: str) -> list[Victim]:
+        """Return the victims on a worker, cheapest per core first."""
+        if worker_id not in self.by_worker:
+            units = self.units_by_worker.get(worker_id, ())
+            victims = [_victim(unit, worker_id, self.now) for unit in units]
+            self.by_worker[worker_id] = sorted(victims, key=_victim_order)
+        return self.by_worker[worker_id]
+
+    def preemptible_on(
+        self, worker_id: str, priority: int, cost_limit: float
+    ) -> list[Victim]:
+        """Return the victims on a worker that are less urgent than the priority."""
         return [
-            unit
-            for unit in self.by_worker.get(worker_id, ())
-            if unit.priority > priority and id(unit) not in self.excluded
+            victim
+            for victim in self.victims_on(worker_id)
+            if victim.unit.priority > priority
+            and victim.cost <= cost_limit
+            and id(victim.unit) not in self.excluded
         ]
 
     def exclude(self, units: Iterable[RunningUnit]) -> None:
@@ -72,59 +101,105 @@
         self.excluded.update(id(unit) for unit in units)
 
 
+def can_free_room(
+    unit: WaitingUnit, worker: WorkerSnapshot, victims: VictimIndex, cost_limit: float
+) -> bool:
+    """Return whether an eviction within the cost limit may use the worker."""
+    if cost_limit < 0:
+        return False
+    if unit.demand.fits(worker.free + worker.releasing):
+        return True
+    worker_id = worker.worker_ref.worker_id
+    return bool(victims.preemptible_on(worker_id, unit.priority, cost_limit))
+
+
 def cheapest_eviction(
-    unit: WaitingUnit, workers: Sequence[WorkerSnapshot], victims: VictimIndex
+    unit: WaitingUnit,
+    allowed: list[WorkerSnapshot],
+    workers: Iterable[WorkerSnapshot],
+    victims: VictimIndex,
+    cost_limit: float,
+    changed: Container[str] | None = None,
 ) -> Eviction | None:
-    """Return the cheapest eviction, or None if no eviction frees enough resources."""
-    groups = worker_groups(unit, eligible_workers(unit, workers), workers)
-    found = [_find_eviction(unit, group, victims) for group in groups]
+    """Return the cheapest eviction, or None if none within the cost limit suffices.
+
+    allowed contains the eligible workers, and workers all of them. cost_limit is in
+    core-seconds. changed contains the ids of the workers that changed since there was
+    no eviction within the limit, if it is known.
+    """
+    groups = worker_groups(unit, allowed, workers, changed)
+    found = [_find_eviction(unit, group, victims, cost_limit) for group in groups]
     possible = [eviction for eviction in found if eviction is not None]
     return min(possible, key=lambda eviction: eviction.cost, default=None)
 
 
-def stop_cost(victim: RunningUnit) -> float:
+def stop_cost(victim: RunningUnit, now: float) -> float:
     """Return the cost of preempting a unit in core-seconds.
 
     The cost grows with the number of earlier preemptions of the unit.
     """
     restart = RESTART_COST * _weight(victim)
-    return (victim.lost_work + restart) * (1 + victim.preemptions)
+    return (victim.lost_work_at(now) + restart) * (1 + victim.preemptions)
 
 
 def _find_eviction(
-    unit: WaitingUnit, group: Sequence[WorkerSnapshot], victims: VictimIndex
+    unit: WaitingUnit,
+    group: Sequence[WorkerSnapshot],
+    victims: VictimIndex,
+    cost_limit: float,
 ) -> Eviction | None:
     """Place the unit's tasks one by one, each on the worker with the lowest cost."""
+    if not _could_hold(unit, group, victims, cost_limit):
+        return None
     result = Eviction()
     free = {
         worker.worker_ref.worker_id: worker.free + worker.releasing for worker in group
     }
     chosen: set[int] = set()
-    options: dict[str, EvictionOption | None] = {}
+    options: dict[str, EvictionOption] = {}
+    stale = list(group)
+    by_id = {worker.worker_ref.worker_id: worker for worker in group}
     for _ in range(unit.size):
-        for worker in group:
+        cost_left = cost_limit - result.cost
+        for worker in stale:
             name = worker.worker_ref.worker_id
-            if name not in options:
-                already_placed = result.placement.count(worker)
-                options[name] = _option(
-                    unit, worker, free[name], already_placed, chosen, victims
-                )
-        best = min(
-            (option for option in options.values() if option is not None),
-            key=lambda option: option.rank,
-            default=None,
-        )
-        if best is None:
+            already_placed = result.placement.count(worker)
+            option = _option(
+                unit, worker, free[name], already_placed, chosen, victims, cost_left
+            )
+            options.pop(name, None)
+            if option is not None:
+                options[name] = option
+        best = min(options.values(), key=lambda option: option.rank, default=None)
+        if best is None or best.cost > cost_left:
             return None
         result.cost += best.cost
         result.victims += best.victims
         result.placement.append(best.worker)
         chosen.update(id(victim) for victim in best.victims)
-        for name in _apply_option(best, free, unit):
-            options.pop(name, None)
+        stale = [by_id[name] for name in _apply_option(best, free, unit)]
     return result
 
 
+def _could_hold(
+    unit: WaitingUnit,
+    group: Sequence[WorkerSnapshot],
+    victims: VictimIndex,
+    cost_limit: float,
+) -> bool:
+    """Return whether the workers could hold the unit if all victims were stopped."""
+    missing = unit.size
+    for worker in group:
+        free = worker.free + worker.releasing
+        worker_id = worker.worker_ref.worker_id
+        for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
+            free += victim.freed
+        missing -= count_fitting(unit, worker, free)
+        if missing <= 0:
+            return True
+    return False
+
+
 def _apply_option(
     best: EvictionOption, free: dict[str, Resources], unit: WaitingUnit
 ) -> set[str]:
@@ -147,34 +222,42 @@
     already_placed: int,
     chosen: set[int],
     victims: VictimIndex,
+    cost_limit: float,
 ) -> EvictionOption | None:
     """Return the preemptions that place one task on a worker, or None."""
-    stopped: list[RunningUnit] = []
-    preemptible = iter(
-        victims.preemptible_on(worker.worker_ref.worker_id, unit.priority)
-    )
-    while not count_fitting(unit, worker, free, already_placed):
-        victim = next((other for other in preemptible if id(other) not in chosen), None)
-        if victim is None:
+    stopped: list[Victim] = []
+    if not count_fitting(unit, worker, free, already_placed):
+        worker_id = worker.worker_ref.worker_id
+        for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
+            if id(victim.unit) in chosen:
+                continue
+            stopped.append(victim)
+            free += victim.freed
+            if count_fitting(unit, worker, free, already_placed):
+                break
+        else:
             return None
-        stopped.append(victim)
-        free += _resources_on(victim, worker)
-    for victim in sorted(stopped, key=stop_cost, reverse=True):
+    for victim in sorted(stopped, key=lambda victim: victim.cost, reverse=True):
         # A victim that is not needed beside the others keeps running.
-        without = free - _resources_on(victim, worker)
+        without = free - victim.freed
         if count_fitting(unit, worker, without, already_placed):
             stopped.remove(victim)
             free = without
-    cost = sum(stop_cost(victim) for victim in stopped)
-    return EvictionOption(cost=cost, free=free, worker=worker, victims=stopped)
+    return EvictionOption(
+        cost=sum(victim.cost for victim in stopped),
+        free=free,
+        worker=worker,
+        victims=[victim.unit for victim in stopped],
+    )
+
+
+def _victim(unit: RunningUnit, worker_id: str, now: float) -> Victim:
+    count = sum(one.worker_id == worker_id for one in unit.placement)
+    return Victim(unit=unit, cost=stop_cost(unit, now), freed=unit.demand.times(count))
 
 
-def _resources_on(victim: RunningUnit, worker: WorkerSnapshot) -> Resources:
-    freed = Resources()
-    for worker_ref in victim.placement:
-        if worker_ref.worker_id == worker.worker_ref.worker_id:
-            freed += victim.demand
-    return freed
+def _victim_order(victim: Victim) -> tuple[float, UnitId]:
+    return victim.cost / _weight(victim.unit), victim.unit.unit_id
 
 
 def _weight(victim: RunningUnit) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -10,6 +10,8 @@
 
 from ..chart import Chart
 from ..message import Message
+from .fleet_view import FleetView
+from .planner import Planner
 from .policy import FleetPolicy, Queue
 from .progress import JobProgress, JobState
 from .spec import JobSpec, NO_RESOURCES, Resources
@@ -87,6 +89,8 @@
     minus this process's clock, and wall_offset the wall clock minus this process's
     clock, both in seconds. capacity_changed is set if another planning pass may lead to
     other decisions than the last one. horizon is the lease horizon in seconds.
+    view is what the planner knew in its last pass, with the changes since, and planner
+    keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds.
     """
@@ -108,6 +112,8 @@
     wall_offset: float = 0.0
     pass_scheduled: bool = False
     capacity_changed: bool = False
+    view: FleetView = field(default_factory=FleetView)
+    planner: Planner = field(default_factory=Planner)
     queue_counts: dict[str, int] = field(default_factory=dict)
     horizon: float = 0.0
     reports_since: float = inf
@@ -127,6 +133,11 @@
         job = self.jobs.get(unit_id.job_id)
         return job.units.get(unit_id) if job else None
 
+    def mark_worker(self, worker_id: str) -> None:
+        """Mark a worker whose runs changed, so that its orders are written again."""
+        self.dirty_workers.add(worker_id)
+        self.view.changed_workers.add(worker_id)
+
     def allocated(self, worker: Worker) -> Resources:
         """Return the resources of all runs on a worker, including runs just ordered."""
         allocated = NO_RESOURCES
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -26,7 +26,7 @@
 class WorkerSnapshot:
     """Describe one worker and its free resources.
 
-    The planner works on a copy and updates it while it places units. awaiting_report
+    The planner works on copies that it updates while it places units. awaiting_report
     is set for a worker that accepts runs but whose last report is too old. releasing
     is the amount of resources held by units that are being stopped. payload_bytes is
     the size of the payloads in the worker's orders row, and tasks_of_step counts its
@@ -92,8 +92,9 @@
 class RunningUnit:
     """Describe a unit that occupies workers.
 
-    lost_work is the work in core-seconds that is lost if the unit stops now. stopping
-    is set if it has been told to stop. ends_in is the estimated remaining time of its
+    lost_work is the work in core-seconds that is lost if the unit stops at measured_at,
+    which is in monotonic seconds, and loss_rate its growth in core-seconds per second.
+    stopping is set if the unit has been told to stop. ends_in is the estimated remaining time of its
     run, leaves_in the time after which the first of its workers leaves, and
     stalled_for the longest time for which one of its runs has made no progress, all in
     seconds.
@@ -106,6 +107,8 @@
     demand: Resources
     placement: tuple[WorkerRef, ...]
     lost_work: float
+    loss_rate: float = 0.0
+    measured_at: float = 0.0
     stopping: bool = False
     preemptions: int = 0
     ends_in: float = 0.0
@@ -113,21 +116,30 @@
     checkpointing: bool = False
     stalled_for: float = 0.0
 
-    @property
-    def lost_time(self) -> float:
+    def lost_work_at(self, now: float) -> float:
+        """Return the work in core-seconds that is lost if the unit stops now."""
+        return self.lost_work + self.loss_rate * (now - self.measured_at)
+
+    def lost_time(self, now: float) -> float:
         """Return the seconds of run time that are lost if the unit stops now."""
         weight = len(self.placement) * self.demand.weight
-        return self.lost_work / weight if weight else 0.0
+        return self.lost_work_at(now) / weight if weight else 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
-    """Describe the complete input of one planning pass; now is in monotonic seconds."""
+    """Describe the complete input of one planning pass; now is in monotonic seconds.
+
+    changed contains the ids of the workers that differ from the last snapshot. It is
+    None if results of earlier passes don't hold, because a worker was added or removed
+    or may now host other units than before.
+    """
 
     now: float
     workers: tuple[WorkerSnapshot, ...]
     waiting: tuple[WaitingUnit, ...]
     running: tuple[RunningUnit, ...]
+    changed: frozenset[str] | None = None
 
 
 class WaitReason(StrEnum):
@@ -176,6 +188,6 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Wait(Decision):
-    """Keep the unit waiting, for the given reason."""
+    """Keep the unit and the identical ones after it waiting, for the given reason."""
 
     reason: WaitReason
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -5,29 +5,43 @@
 units come first, and units that can still meet their objective come before units that
 can't. Running units are preempted only for an organisation's guarantee or if little of
 their work is lost.
+
+With a backlog, most units wait for the same reason from one pass to the next. The
+planner remembers which needs it could not place and looks at them again only on the
+workers that have changed, so that a pass costs little in a large fleet.
 """
 
 from __future__ import annotations
 
-import sys
 from copy import copy
+from dataclasses import dataclass, field
 from math import inf
+from operator import attrgetter
 from typing import Any
 
-from .eviction import cheapest_eviction, Eviction, VictimIndex
+from .eviction import can_free_room, cheapest_eviction, Eviction, VictimIndex
 from .plan import (
     Decision,
     Place,
     Preempt,
     RunningUnit,
     Snapshot,
+    Trust,
     Wait,
     WaitingUnit,
     WaitReason,
     WorkerSnapshot,
 )
 from .relocation import relocations
-from .unit_placement import choose_placement, eligible_workers, reserve, step_key
+from .unit import UnitId
+from .unit_placement import (
+    choose_placement,
+    count_fitting,
+    eligible_workers,
+    host_key,
+    reserve,
+    step_key,
+)
 
 LATENESS_FACTOR_LIMIT = 3.0
 """Multiple of its target span after which the end of a job has no value."""
@@ -42,143 +56,323 @@
 """Limit of the share of lost work for a unit with tight slack."""
 
 EVICTION_SEARCH_LIMIT = 8
-"""Units without a guarantee for which one pass searches for an eviction.
+"""Units without a guarantee for which one pass searches the fleet for an eviction.
 
-Each search covers the fleet, so the limit bounds the time of a pass.
+The limit bounds the time of a pass; the next pass goes on with the other units.
 """
 
+NO_EVICTION = -1.0
+"""Loss limit of a unit that preempts no other one, and of an omitted search."""
+
+Need = tuple[Any, ...]
+HostKey = tuple[Any, ...]
+"""Keys that are equal for units with the same need, or for the same workers."""
+
+
+@dataclass(slots=True, kw_only=True)
+class UnmetNeed:
+    """Describe why units with the same need were not placed.
+
+    No eviction costs loss_limit core-seconds or less. hosts contains the ids of the
+    workers that may host the units.
+    """
+
+    reason: WaitReason
+    loss_limit: float
+    hosts: frozenset[str]
+
+
+@dataclass(slots=True, kw_only=True)
+class Planner:
+    """Keep the results of planning passes that later passes can use.
+
+    unmet contains the needs that the last pass could not place, and hosts_by_key the
+    ids of the workers that may host a unit. reserved contains the ids of the workers
+    on which the last pass kept resources for units that wait for an eviction.
+    unfinished is set if that pass reached its limit of searches.
+    """
+
+    unmet: dict[Need, UnmetNeed] = field(default_factory=dict)
+    hosts_by_key: dict[HostKey, frozenset[str]] = field(default_factory=dict)
+    reserved: set[str] = field(default_factory=set)
+    unfinished: bool = False
+
+    def decide(self, snapshot: Snapshot) -> list[Decision]:
+        """Return relocations, preemptions, and decisions on the waiting units.
+
+        Snapshots have to be passed in the order in which they were taken.
+        """
+        planning_pass = _PlanningPass(snapshot, self)
+        decisions: list[Decision] = relocations(snapshot)
+        for group in _groups(snapshot):
+            decisions += planning_pass.decide(group)
+        self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
+        self.reserved = planning_pass.reserved
+        self.unfinished = planning_pass.unfinished
+        return decisions
+
 
 def plan(snapshot: Snapshot) -> list[Decision]:
-    """Return relocations, preemptions, and a decision on each waiting unit."""
-    planning_pass = _PlanningPass(snapshot)
-    decisions: list[Decision] = relocations(snapshot)
-    for unit in sorted(snapshot.waiting, key=lambda u: _queue_order(u, snapshot.now)):
-        decisions += planning_pass.decide(unit)
-    return decisions
+    """Return the decisions of a pass that uses no results of earlier ones."""
+    return Planner().decide(snapshot)
+
+
+def _groups(snapshot: Snapshot) -> list[list[WaitingUnit]]:
+    """Return the waiting units in order of placement, identical ones together."""
+    groups: dict[tuple[Any, ...], list[WaitingUnit]] = {}
+    for unit in sorted(snapshot.waiting, key=attrgetter("unit_id")):
+        groups.setdefault(_step_key(unit), []).append(unit)
+    now = snapshot.now
+    return sorted(groups.values(), key=lambda group: _queue_order(group[0], now))
 
 
 class _PlanningPass:
     """Represent the state of one pass: free resources, victims, and failed searches."""
 
-    def __init__(self, snapshot: Snapshot) -> None:
-        self.workers = [_copy(worker) for worker in snapshot.workers]
-        self.by_id = {worker.worker_ref.worker_id: worker for worker in self.workers}
-        self.victims = VictimIndex(snapshot.running)
-        self.wait_reasons: dict[tuple[Any, ...], WaitReason] = {}
-        # Free resources only decrease during a pass. If a unit finds no placement, no
-        # later unit with the same fit key does, unless its payload is smaller. The
-        # costs of evictions stay valid until the pass decides on an eviction.
-        self.unplaceable_payloads: dict[tuple[Any, ...], int] = {}
-        self.eviction_costs: dict[tuple[Any, ...], float] = {}
-        self.eviction_searches_left = EVICTION_SEARCH_LIMIT
+    def __init__(self, snapshot: Snapshot, planner: Planner) -> None:
         self.now = snapshot.now
+        self.workers = {
+            worker.worker_ref.worker_id: worker for worker in snapshot.workers
+        }
+        self.copied: set[str] = set()
+        self.victims = VictimIndex(snapshot.running, snapshot.now)
+        self.known: dict[Need, UnmetNeed] = {}
+        self.changed: set[str] = set()
+        self.hosts_by_key = planner.hosts_by_key
+        if snapshot.changed is None or not planner.unmet:
+            self.hosts_by_key.clear()
+        else:
+            self.known = planner.unmet
+            self.changed = {*snapshot.changed, *planner.reserved}
+        self.unmet: dict[Need, UnmetNeed] = {}
+        self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
+        self.reserved: set[str] = set()
+        self.trial_begun = False
+        self.eviction_searches_left = EVICTION_SEARCH_LIMIT
+        self.unfinished = False
         for unit in snapshot.running:
             if unit.stopping:
                 self._add_releasing(unit)
 
-    def decide(self, unit: WaitingUnit) -> list[Decision]:
-        """Return the decision on one waiting unit, and the preemptions for it."""
-        # The tasks of a step are identical: if one of them can't be placed, neither
-        # can another one that failed on the same workers.
-        reason = self.wait_reasons.get(_step_key(unit))
-        if reason is not None:
-            return [Wait(unit_id=unit.unit_id, reason=reason)]
-        placement = self._find_placement(unit)
-        if placement is not None:
-            reserve(unit, placement)
-            chosen = tuple(worker.worker_ref for worker in placement)
-            return [Place(unit_id=unit.unit_id, placement=chosen)]
-        if not eligible_workers(unit, self.workers):
-            return self._wait(unit, WaitReason.NO_WORKER)
-        eviction = self._find_eviction(unit)
-        if eviction is None:
-            return self._wait(unit, WaitReason.NO_ROOM)
-        reserve(unit, eviction.placement)
-        self.eviction_costs.clear()
-        self.victims.exclude(eviction.victims)
+    def all_unmet(self) -> dict[Need, UnmetNeed]:
+        """Return the needs that the pass could not place."""
+        return self.unmet_before_eviction | self.unmet
+
+    def decide(self, group: list[WaitingUnit]) -> list[Decision]:
+        """Return the decisions on identical units, and the preemptions for them."""
+        need = _need(group[0])
         decisions: list[Decision] = []
-        for victim in eviction.victims:
-            self._add_releasing(victim)
-            decisions.append(
-                Preempt(
-                    unit_id=victim.unit_id,
-                    beneficiary=unit.unit_id,
-                    lost_work=victim.lost_work,
-                )
-            )
-        decisions.append(Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING))
+        for unit in group:
+            found = self._decide_unit(unit, need)
+            decisions += found
+            if isinstance(found[-1], Wait) and need in self.unmet:
+                # The tasks of a step are identical: if one of them can't be placed,
+                # neither can another one.
+                break
         return decisions
 
-    def _find_placement(self, unit: WaitingUnit) -> list[WorkerSnapshot] | None:
-        fit_key = _fit_key(unit)
-        if unit.payload_bytes >= self.unplaceable_payloads.get(fit_key, sys.maxsize):
-            return None
-        placement = choose_placement(unit, self.workers)
+    def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
+        loss_limit = self._loss_limit(unit)
+        unmet = self.unmet.get(need)
+        if unmet is not None:
+            # An identical unit or one with the same need found no room in this pass.
+            if loss_limit <= unmet.loss_limit:
+                return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+            return self._evict(unit, need, unmet.hosts, loss_limit, None)
+        known = self.known.get(need)
+        if known is not None:
+            return self._decide_again(unit, need, known, loss_limit)
+        hosts = self._hosts(unit)
+        searched = self._snapshots(hosts)
+        return self._place(unit, need, hosts, searched, loss_limit, None)
+
+    def _decide_again(
+        self, unit: WaitingUnit, need: Need, known: UnmetNeed, loss_limit: float
+    ) -> list[Decision]:
+        """Decide on a unit whose need the last pass could not place.
+
+        What the last pass found still holds on the workers that have not changed.
+        """
+        changed = [
+            self.workers[worker_id]
+            for worker_id in self.changed
+            if worker_id in known.hosts
+        ]
+        roomy = [one for one in changed if count_fitting(unit, one, one.free)]
+        if roomy:
+            # A single task needs a single worker; a gang may need all of them.
+            searched = roomy if unit.size == 1 else self._snapshots(known.hosts)
+            return self._place(
+                unit, need, known.hosts, searched, loss_limit, known.loss_limit
+            )
+        limit = max(loss_limit, known.loss_limit)
+        if loss_limit > known.loss_limit or any(
+            can_free_room(unit, worker, self.victims, limit) for worker in changed
+        ):
+            return self._evict(unit, need, known.hosts, loss_limit, known.loss_limit)
+        self.unmet[need] = known
+        return [Wait(unit_id=unit.unit_id, reason=known.reason)]
+
+    def _place(
+        self,
+        unit: WaitingUnit,
+        need: Need,
+        hosts: frozenset[str],
+        searched: list[WorkerSnapshot],
+        loss_limit: float,
+        known_limit: float | None,
+    ) -> list[Decision]:
+        changed = None if known_limit is None else self.changed
+        placement = choose_placement(unit, searched, self.workers.values(), changed)
         if placement is None:
-            self.unplaceable_payloads[fit_key] = unit.payload_bytes
-        return placement
-
-    def _find_eviction(self, unit: WaitingUnit) -> Eviction | None:
-        if unit.priority > 0 and not unit.guaranteed:
-            return None
-        limit = inf if unit.guaranteed else self._loss_limit(unit) * unit.work
-        key = (*_fit_key(unit), unit.payload_bytes, unit.priority)
-        known = self.eviction_costs.get(key)
-        if known is not None and (known == inf or known > limit):
-            return None
-        if not unit.guaranteed:
-            self.eviction_searches_left -= 1
-            if self.eviction_searches_left < 0:
-                return None
-        # Resources that are being released already add nothing to the cost.
-        eviction = cheapest_eviction(unit, self.workers, self.victims)
-        self.eviction_costs[key] = eviction.cost if eviction else inf
-        return eviction if eviction and eviction.cost <= limit else None
+            return self._evict(unit, need, hosts, loss_limit, known_limit)
+        self._reserve(unit, placement)
+        chosen = tuple(worker.worker_ref for worker in placement)
+        return [Place(unit_id=unit.unit_id, placement=chosen)]
+
+    def _evict(
+        self,
+        unit: WaitingUnit,
+        need: Need,
+        hosts: frozenset[str],
+        loss_limit: float,
+        known_limit: float | None,
+    ) -> list[Decision]:
+        """Return the preemptions that make room for a unit that was not placed.
+
+        known_limit is the loss limit of the last pass, in which no eviction was found.
+        """
+        searched_limit = NO_EVICTION
+        if hosts and loss_limit > NO_EVICTION and self._may_search(unit):
+            searched_limit = loss_limit
+            changed: set[str] | None = None
+            if known_limit is not None and loss_limit <= known_limit:
+                changed = self.changed
+            # Preemptions for a single task all take place on its worker.
+            single = changed is not None and unit.size == 1
+            eviction = cheapest_eviction(
+                unit,
+                self._snapshots(hosts & self.changed if single else hosts),
+                self.workers.values(),
+                self.victims,
+                loss_limit,
+                changed,
+            )
+            if eviction is not None:
+                return self._apply_eviction(unit, eviction)
+        reason = WaitReason.NO_ROOM if hosts else WaitReason.NO_WORKER
+        self.unmet[need] = UnmetNeed(
+            reason=reason, loss_limit=searched_limit, hosts=hosts
+        )
+        return [Wait(unit_id=unit.unit_id, reason=reason)]
+
+    def _may_search(self, unit: WaitingUnit) -> bool:
+        """Return whether the pass may search for an eviction, and count the search."""
+        if unit.guaranteed:
+            return True
+        if not self.eviction_searches_left:
+            self.unfinished = True
+            return False
+        self.eviction_searches_left -= 1
+        return True
+
+    def _apply_eviction(self, unit: WaitingUnit, eviction: Eviction) -> list[Decision]:
+        """Keep the resources for the unit, and return the preemptions."""
+        for victim in eviction.victims:
+            self._add_releasing(victim)
+            self.changed.update(one.worker_id for one in victim.placement)
+        # A victim may free more than the unit needs, also on other workers.
+        self.unmet_before_eviction |= self.unmet
+        self.known = self.known | self.unmet
+        self.unmet = {}
+        self._reserve(unit, eviction.placement)
+        # The next pass decides again who gets these resources.
+        self.reserved.update(
+            worker.worker_ref.worker_id for worker in eviction.placement
+        )
+        self.victims.exclude(eviction.victims)
+        preemptions = [
+            Preempt(
+                unit_id=victim.unit_id,
+                beneficiary=unit.unit_id,
+                lost_work=victim.lost_work_at(self.now),
+            )
+            for victim in eviction.victims
+        ]
+        return [*preemptions, Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING)]
 
     def _loss_limit(self, unit: WaitingUnit) -> float:
-        """Return the limit of lost work as a share of the unit's own work."""
+        """Return the limit of lost work in core-seconds for an eviction."""
+        if unit.guaranteed:
+            return inf
+        if unit.priority > 0:
+            return NO_EVICTION
         slack = unit.objective - unit.remaining - self.now
-        return TIGHT_LOSS_SHARE_LIMIT if abs(slack) <= TIGHT_SLACK else LOSS_SHARE_LIMIT
+        tight = abs(slack) <= TIGHT_SLACK
+        return (TIGHT_LOSS_SHARE_LIMIT if tight else LOSS_SHARE_LIMIT) * unit.work
+
+    def _hosts(self, unit: WaitingUnit) -> frozenset[str]:
+        """Return the ids of the workers that may host the unit, loaded or not."""
+        key = host_key(unit)
+        if key not in self.hosts_by_key:
+            self.hosts_by_key[key] = frozenset(
+                worker.worker_ref.worker_id
+                for worker in eligible_workers(unit, self.workers.values())
+            )
+        return self.hosts_by_key[key]
+
+    def _snapshots(self, hosts: frozenset[str]) -> list[WorkerSnapshot]:
+        """Return workers by their ids, in the order of the snapshot."""
+        return [
+            worker for worker_id, worker in self.workers.items() if worker_id in hosts
+        ]
+
+    def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
+        workers = [self._writable(worker) for worker in placement]
+        reserve(unit, workers)
+        if any(worker.trust is Trust.TRIAL for worker in workers):
+            # A worker on trial hosts no second unit, also if the first one is not
+            # started after all.
+            self.trial_begun = True
+            self.known = {}
+            self.hosts_by_key.clear()
 
     def _add_releasing(self, unit: RunningUnit) -> None:
         """Count the resources of a stopping unit as being released."""
         for worker_ref in unit.placement:
-            worker = self.by_id.get(worker_ref.worker_id)
+            worker = self.workers.get(worker_ref.worker_id)
             if worker is not None:
-                worker.releasing += unit.demand
+                self._writable(worker).releasing += unit.demand
 
-    def _wait(self, unit: WaitingUnit, reason: WaitReason) -> list[Decision]:
-        self.wait_reasons[_step_key(unit)] = reason
-        return [Wait(unit_id=unit.unit_id, reason=reason)]
+    def _writable(self, worker: WorkerSnapshot) -> WorkerSnapshot:
+        """Return the pass's own copy of a worker, since snapshots are kept."""
+        worker_id = worker.worker_ref.worker_id
+        if worker_id not in self.copied:
+            self.copied.add(worker_id)
+            duplicate = copy(self.workers[worker_id])
+            duplicate.tasks_of_step = dict(duplicate.tasks_of_step)
+            self.workers[worker_id] = duplicate
+        return self.workers[worker_id]
 
 
 def _step_key(unit: WaitingUnit) -> tuple[Any, ...]:
+    """Return a key that is the same for identical units."""
     return (*step_key(unit), unit.failed_on, unit.attempts_left > 1)
 
 
-def _fit_key(unit: WaitingUnit) -> tuple[Any, ...]:
-    """Return all that decides whether the unit fits, except its payload size."""
+def _need(unit: WaitingUnit) -> Need:
+    """Return all that decides whether the unit fits, and which units it may preempt."""
     return (
-        unit.service,
-        unit.demand,
+        *host_key(unit),
         unit.size,
-        unit.label,
-        unit.data_rack,
         unit.same_rack,
-        unit.waits_for_rack,
+        unit.payload_bytes,
+        unit.priority,
         step_key(unit) if unit.tasks_per_worker else None,
-        unit.failed_on,
-        unit.attempts_left > 1,
     )
 
 
-def _copy(worker: WorkerSnapshot) -> WorkerSnapshot:
-    duplicate = copy(worker)
-    duplicate.tasks_of_step = dict(worker.tasks_of_step)
-    return duplicate
-
-
-def _queue_order(unit: WaitingUnit, now: float) -> tuple[bool, int, int, float]:
+def _queue_order(unit: WaitingUnit, now: float) -> tuple[bool, int, int, float, UnitId]:
     """Return the sort key of waiting units.
 
     The order is by guarantee, priority, lateness, and the latest start that meets the
@@ -189,6 +383,7 @@
         unit.priority,
         _lateness(unit, now),
         unit.objective - unit.remaining,
+        unit.unit_id,
     )
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/relocation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/relocation.py
@@ -56,5 +56,6 @@
     return [
         Move(unit_id=unit.unit_id, stalled_for=unit.stalled_for)
         for unit in snapshot.running
-        if not unit.stopping and unit.stalled_for >= max(STALL_LIMIT, unit.lost_time)
+        if not unit.stopping
+        and unit.stalled_for >= max(STALL_LIMIT, unit.lost_time(snapshot.now))
     ]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -6,14 +6,23 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from ..command import Command, WriteLog
 from ..log_event import WORKER_LOST, WORKER_STATE_READ
 from .fleet_state import FleetState, new_worker, Worker
 from .spec import TaskId
 from .unit import RunEnded, Unit, UnitId, UnitMember
 from .unit_lifecycle import end_run
-from .worker import EndKind, incarnation_sort_key, ListedRun, WorkerReport, WorkerState
-from .worker_trust import suspect_stalled, update_trust
+from .worker import (
+    EndKind,
+    incarnation_sort_key,
+    ListedRun,
+    WorkerInfo,
+    WorkerReport,
+    WorkerState,
+)
+from .worker_trust import restore_trust, suspect_stalled, update_trust
 
 CATCH_UP_TIME = 3.0
 """Seconds without a gap in the reports after which a worker can count as silent."""
@@ -30,13 +39,15 @@
     elif worker.info.incarnation != report.info.incarnation:
         commands += end_lost_runs(worker_id, state, now, keep=report.info.incarnation)
         worker.acknowledged = 0
-        worker.failed_units.clear()
+        restore_trust(worker)
         commands.append(_log_worker(report))
     elif report.number < worker.report_number and report.agent_id == worker.agent_id:
         return []
     if worker.info.state != report.info.state:
         commands.append(_log_worker(report))
-    state.capacity_changed |= not worker.confirmed or worker.info != report.info
+    if not worker.confirmed or _offers_differ(worker.info, report.info):
+        state.capacity_changed = True
+        state.view.changed_workers.add(worker_id)
     worker.agent_id = report.agent_id
     worker.info = report.info
     commands += _remove_replaced_workers(worker, state, now)
@@ -51,6 +62,14 @@
     return commands + reconcile(worker, report, state, now)
 
 
+def _offers_differ(known: WorkerInfo, reported: WorkerInfo) -> bool:
+    """Return whether a worker offers other capacity or accepts other units.
+
+    The number of its last heartbeat is not compared, as it grows with each of them.
+    """
+    return replace(known, sequence=reported.sequence) != reported
+
+
 def reconcile(
     worker: Worker, report: WorkerReport, state: FleetState, now: float
 ) -> list[Command]:
@@ -69,8 +88,10 @@
     unknown_runs = tuple(
         run for run in report.runs if not _is_expected(run, worker, state)
     )
-    state.capacity_changed |= unknown_runs != worker.unknown_runs
-    worker.unknown_runs = unknown_runs
+    if unknown_runs != worker.unknown_runs:
+        worker.unknown_runs = unknown_runs
+        state.capacity_changed = True
+        state.view.changed_workers.add(worker.worker_id)
     if report.listing != worker.listing:
         worker.listing = report.listing
         _update_progress(worker, state, now)
@@ -222,6 +243,8 @@
             continue
         unit, member = found
         member.progress.update(run.percent, run.idle, now)
+        if run.idle:
+            state.view.changed_units.add(unit.unit_id)
         if run.checkpoint and unit.step.checkpointing:
             unit.checkpoint = run.checkpoint
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -29,9 +29,10 @@
     ReportRemoved,
     TableReady,
 )
+from .fleet_view import FleetView
 from .fleet_write import flush, remove_ended, write_queue_counts
 from .plan import Decision, Evacuate, Move, Place, Preempt
-from .planner import plan
+from .planner import Planner
 from .policy import PolicyChanged
 from .report_reconciliation import (
     apply_report,
@@ -143,6 +144,7 @@
     if spec.job_id in state.jobs:
         return []
     job = state.jobs[spec.job_id] = Job(spec=spec, arrived_at=now)
+    state.view.guarantees_changed = True
     if not state.active:
         return []
     fields = {
@@ -201,6 +203,8 @@
 def _(message: PolicyChanged, state: FleetState, now: float) -> list[Command]:
     if message.policy.version > state.policy.version:
         state.policy = message.policy
+        state.view.policy_changed = True
+        state.view.guarantees_changed = True
     return []
 
 
@@ -244,8 +248,9 @@
     if not state.active:
         return []
     commands: list[Command] = []
-    for decision in plan(take_snapshot(state, now)):
+    for decision in state.planner.decide(take_snapshot(state, now)):
         commands += apply_decision(decision, state, now)
+    state.capacity_changed |= state.planner.unfinished
     return commands
 
 
@@ -280,8 +285,9 @@
 
 
 def _schedule_pass(state: FleetState) -> list[Command]:
-    idle = not state.waiting and not _relocation_possible(state)
-    if state.pass_scheduled or idle or not state.capacity_changed:
+    if state.pass_scheduled or not state.capacity_changed:
+        return []
+    if not state.waiting and not _relocation_possible(state):
         return []
     state.pass_scheduled = True
     return [SetTimer(timer_id=PASS_TIMER, delay=PASS_DELAY, message=PlanningPassDue())]
@@ -344,6 +350,8 @@
         state.waiting,
     ):
         collection.clear()
+    state.view = FleetView()
+    state.planner = Planner()
     state.loading = set()
     state.pass_scheduled = False
     state.reports_since = inf
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -9,15 +9,16 @@
 from math import inf
 
 from .fleet_state import FleetState, Job, Worker
-from .plan import RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
+from .guaranteed_jobs import guaranteed_jobs
+from .plan import RunningUnit, Snapshot, Trust, WaitingUnit, WorkerSnapshot
 from .policy import Queue
 from .spec import StepSpec
 from .unit import (
     ACTIVE,
     CANCELLING,
-    ENDED_STATES,
     STOPPING,
     Unit,
+    UnitId,
     WAITING,
     WorkerRef,
 )
@@ -42,30 +43,133 @@
 
 
 def take_snapshot(state: FleetState, now: float) -> Snapshot:
-    """Return the input of a planning pass."""
-    covered = _guaranteed_jobs(state)
-    waiting: list[WaitingUnit] = []
-    running: list[RunningUnit] = []
-    for job in state.jobs.values():
-        queue = state.queue(job)
-        for unit in _open_units(job):
-            if unit.state in (ACTIVE, STOPPING, CANCELLING):
-                running.append(_running(unit, job, queue, state, covered, now))
-            elif unit.state == WAITING and queue and unit.backoff_until <= now:
-                waiting.append(_waiting(unit, job, queue, state, covered, now))
-    workers = tuple(
-        _worker_snapshot(worker, state, now) for worker in state.workers.values()
-    )
+    """Return the input of a planning pass, derived from what changed since the last."""
+    view = state.view
+    changed_workers = _update_workers(state, now)
+    _update_guarantees(state)
+    if view.policy_changed:
+        view.policy_changed = False
+        for job in state.jobs.values():
+            view.changed_units.update(job.units)
+    cheaper: set[str] = set()
+    for unit_id in view.changed_units | view.aging_units:
+        cheaper |= _update_unit(unit_id, state, now)
+    view.changed_units.clear()
     return Snapshot(
-        now=now, workers=workers, waiting=tuple(waiting), running=tuple(running)
+        now=now,
+        workers=tuple(view.workers.values()),
+        waiting=tuple(view.waiting.values()),
+        running=tuple(view.running.values()),
+        changed=None if changed_workers is None else changed_workers | cheaper,
+    )
+
+
+def _update_workers(state: FleetState, now: float) -> frozenset[str] | None:
+    """Derive the changed workers, and return their ids.
+
+    Returns None if a worker was added or removed, or may host other units than before.
+    """
+    view = state.view
+    same_hosts = True
+    for worker_id in view.workers.keys() - state.workers.keys():
+        del view.workers[worker_id]
+        same_hosts = False
+    changed: set[str] = set()
+    for worker_id, worker in state.workers.items():
+        known = view.workers.get(worker_id)
+        if (
+            known is not None
+            and worker_id not in view.changed_workers
+            and known.ready is is_ready(worker, now)
+            and known.trust is trust_level(worker, now)
+        ):
+            continue
+        derived = view.workers[worker_id] = _worker_snapshot(worker, state, now)
+        changed.add(worker_id)
+        same_hosts &= known is not None and _hosting(known) == _hosting(derived)
+        if worker.info.state is WorkerState.DRAINING:
+            view.changed_units.update(state.units_by_worker.get(worker_id, ()))
+    view.changed_workers.clear()
+    return frozenset(changed) if same_hosts else None
+
+
+def _hosting(worker: WorkerSnapshot) -> tuple[object, ...]:
+    """Return what decides which units the worker may host, loaded or not."""
+    return (
+        worker.service,
+        worker.rack,
+        worker.labels,
+        worker.capacity,
+        worker.ready,
+        worker.awaiting_report,
+        worker.trust,
+        # A worker on trial hosts a unit only while it has no other one.
+        worker.trust is Trust.TRIAL and bool(worker.tasks_of_step),
     )
 
 
-def _open_units(job: Job) -> list[Unit]:
-    units = job.units.values()
-    if not job.state.ended:
-        return list(units)
-    return [unit for unit in units if unit.may_be_running]
+def _update_guarantees(state: FleetState) -> None:
+    """Derive the guaranteed jobs, and mark the units of those that changed."""
+    view = state.view
+    if not view.guarantees_changed:
+        return
+    view.guarantees_changed = False
+    covered = guaranteed_jobs(state)
+    for job_id in covered ^ view.covered:
+        job = state.jobs.get(job_id)
+        if job is not None:
+            view.changed_units.update(job.units)
+    view.covered = covered
+
+
+def _update_unit(unit_id: UnitId, state: FleetState, now: float) -> set[str]:
+    """Derive a unit's entry, and return the workers on which it now costs less."""
+    view = state.view
+    view.aging_units.discard(unit_id)
+    view.waiting.pop(unit_id, None)
+    known = view.running.pop(unit_id, None)
+    unit = state.unit(unit_id)
+    if unit is None:
+        return set()
+    job = state.jobs[unit_id.job_id]
+    queue = state.queue(job)
+    if unit.state == WAITING and queue and not job.state.ended:
+        _update_waiting(unit, job, queue, state, now)
+    elif unit.state in (ACTIVE, STOPPING, CANCELLING) and unit.may_be_running:
+        running = view.running[unit_id] = _running(unit, job, queue, state, now)
+        if running.stalled_for or running.leaves_in < inf:
+            view.aging_units.add(unit_id)
+        if known is not None and _costs_less(running, known, now):
+            return {worker_ref.worker_id for worker_ref in running.placement}
+    return set()
+
+
+def _update_waiting(
+    unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
+) -> None:
+    view = state.view
+    if unit.backoff_until > now:
+        view.aging_units.add(unit.unit_id)
+        return
+    waiting = view.waiting[unit.unit_id] = _waiting(unit, job, queue, state, now)
+    if waiting.waits_for_rack:
+        view.aging_units.add(unit.unit_id)
+
+
+def _costs_less(running: RunningUnit, known: RunningUnit, now: float) -> bool:
+    """Return whether stopping a unit costs less than the last snapshot showed."""
+    if known.guaranteed and not running.guaranteed:
+        return True
+    return running.lost_work_at(now) < known.lost_work_at(now)
+
+
+def is_ready(worker: Worker, now: float) -> bool:
+    """Return whether a worker accepts new runs and has reported recently."""
+    return _is_fresh(worker, now) and worker.info.state is WorkerState.READY
+
+
+def _is_fresh(worker: Worker, now: float) -> bool:
+    return worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
 
 
 def run_estimate(step: StepSpec) -> float:
@@ -86,7 +190,7 @@
 
 def _worker_snapshot(worker: Worker, state: FleetState, now: float) -> WorkerSnapshot:
     info = worker.info
-    fresh = worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
+    ready = is_ready(worker, now)
     snapshot = WorkerSnapshot(
         worker_ref=WorkerRef(worker_id=info.worker_id, incarnation=info.incarnation),
         service=info.service,
@@ -95,8 +199,8 @@
         labels=info.labels,
         capacity=info.capacity,
         free=info.capacity - state.allocated(worker),
-        ready=fresh and info.state is WorkerState.READY,
-        awaiting_report=not fresh and info.state is WorkerState.READY,
+        ready=ready,
+        awaiting_report=not ready and info.state is WorkerState.READY,
         trust=trust_level(worker, now),
     )
     for unit_id in state.units_by_worker.get(worker.worker_id, ()):
@@ -114,12 +218,7 @@
 
 
 def _waiting(
-    unit: Unit,
-    job: Job,
-    queue: Queue,
-    state: FleetState,
-    covered: set[str],
-    now: float,
+    unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
 ) -> WaitingUnit:
     step = unit.step
     chain = critical_path(job, unit.unit_id.step)
@@ -128,12 +227,13 @@
         default=0.0,
     )
     span = queue.stretch * longest_path + queue.target
+    needs_rack = bool(step.data_rack) or (step.same_rack and unit.size > 1)
     return WaitingUnit(
         unit_id=unit.unit_id,
         service=queue.service,
         organisation=job.spec.organisation,
         priority=queue.priority,
-        guaranteed=job.spec.job_id in covered,
+        guaranteed=job.spec.job_id in state.view.covered,
         demand=unit.demand,
         size=unit.size,
         label=step.label,
@@ -147,32 +247,31 @@
         remaining=chain,
         avoided_workers=frozenset(unit.avoided_workers),
         failed_on=frozenset(unit.failed_on),
-        waits_for_rack=now - unit.ready_at < RACK_WAIT_TIME,
+        waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
         attempts_left=queue.max_attempts - unit.failures,
     )
 
 
 def _running(
-    unit: Unit,
-    job: Job,
-    queue: Queue | None,
-    state: FleetState,
-    covered: set[str],
-    now: float,
+    unit: Unit, job: Job, queue: Queue | None, state: FleetState, now: float
 ) -> RunningUnit:
     placement = tuple(member.worker_ref for member in unit.members if not member.ended)
     begun = min((member.started_at for member in unit.members), default=now)
     stalled = stalled_for(unit)
-    worked = 0.0 if unit.step.checkpointing else now - begun - stalled
+    weight = len(placement) * unit.step.demand.weight
+    saves_work = unit.step.checkpointing
+    worked = now - begun - stalled
     priority = queue.priority if queue else 0
     return RunningUnit(
         unit_id=unit.unit_id,
         priority=priority,
         organisation=job.spec.organisation,
-        guaranteed=job.spec.job_id in covered,
+        guaranteed=job.spec.job_id in state.view.covered,
         demand=unit.demand,
         placement=placement,
-        lost_work=worked * len(placement) * unit.step.demand.weight,
+        lost_work=worked * weight if stalled and not saves_work else 0.0,
+        loss_rate=0.0 if stalled or saves_work else weight,
+        measured_at=begun,
         stopping=unit.state != ACTIVE,
         preemptions=unit.preemptions,
         ends_in=_ends_in(unit, now - begun, now),
@@ -218,41 +317,3 @@
         due = job.spec.start_at + unit.unit_id.occurrence * job.spec.repeat_interval
         return due - state.wall_offset
     return job.spec.accepted_at - state.store_offset
-
-
-def _guaranteed_jobs(state: FleetState) -> set[str]:
-    """Return the ids of the urgent jobs that their organisation's guarantee covers.
-
-    A guarantee covers whole jobs in the order of their acceptance, as long as their
-    total demand does not exceed the guaranteed accelerators.
-    """
-    needed: dict[str, int] = {}
-    covered: set[str] = set()
-    for job in sorted(state.jobs.values(), key=lambda job: job.spec.accepted_at):
-        queue = state.queue(job)
-        if queue is None or queue.priority != 0 or job.state.ended:
-            continue
-        name = job.spec.organisation
-        total = needed.get(name, 0) + _accelerators_needed(job)
-        if total <= _guarantee(name, state):
-            needed[name] = total
-            covered.add(job.spec.job_id)
-    return covered
-
-
-def _accelerators_needed(job: Job) -> int:
-    """Return the maximum number of accelerators that the job needs at a time."""
-    by_occurrence: dict[int, dict[int, int]] = {}
-    for unit in job.units.values():
-        if unit.state in ENDED_STATES:
-            continue
-        steps = by_occurrence.setdefault(unit.unit_id.occurrence, {})
-        step = unit.unit_id.step
-        need = unit.size * unit.demand.accelerators
-        steps[step] = steps.get(step, 0) + need
-    return sum(max(steps.values()) for steps in by_occurrence.values())
-
-
-def _guarantee(organisation: str, state: FleetState) -> int:
-    known = state.policy.organisations.get(organisation)
-    return known.guaranteed_accelerators if known else 0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -35,6 +35,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return these resources for a number of tasks."""
+        return Resources(
+            cpu=count * self.cpu,
+            memory=count * self.memory,
+            accelerators=count * self.accelerators,
+        )
+
     def fits(self, available: Resources) -> bool:
         """Return whether the available resources cover these ones."""
         return (
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -61,6 +61,8 @@
     unit.lifecycle.handle(message, attempts, unit, now)
     _index_members(unit, state)
     state.dirty_jobs.add(job.spec.job_id)
+    if unit.state in ENDED_STATES and queue and queue.priority == 0:
+        state.view.guarantees_changed = True
 
 
 def place(
@@ -185,6 +187,7 @@
     """Create the units of the job's next occurrence."""
     occurrence = job.occurrences
     job.occurrences += 1
+    state.view.guarantees_changed = True
     for number, step in enumerate(job.spec.steps):
         for index in range(1 if step.gang else step.count):
             unit_id = UnitId(job.spec.job_id, occurrence, number, index)
@@ -261,6 +264,7 @@
 ) -> list[Command]:
     job.state = end_state
     job.ended_at = now + state.store_offset
+    state.view.guarantees_changed = True
     state.dirty_jobs.add(job.spec.job_id)
     fields = {
         "job": job.spec.job_id,
@@ -298,23 +302,22 @@
     state.capacity_changed = True
     for member in unit.members:
         if not member.ended:
-            state.units_by_worker.get(member.worker_ref.worker_id, set()).discard(
-                unit.unit_id
-            )
-            state.dirty_workers.add(member.worker_ref.worker_id)
+            worker_id = member.worker_ref.worker_id
+            state.units_by_worker.get(worker_id, set()).discard(unit.unit_id)
+            state.mark_worker(worker_id)
 
 
 def _index_members(unit: Unit, state: FleetState) -> None:
+    state.view.changed_units.add(unit.unit_id)
     if unit.state == WAITING:
         state.waiting.add(unit.unit_id)
     else:
         state.waiting.discard(unit.unit_id)
     for member in unit.members:
         if not member.ended:
-            state.units_by_worker.setdefault(member.worker_ref.worker_id, set()).add(
-                unit.unit_id
-            )
-            state.dirty_workers.add(member.worker_ref.worker_id)
+            worker_id = member.worker_ref.worker_id
+            state.units_by_worker.setdefault(worker_id, set()).add(unit.unit_id)
+            state.mark_worker(worker_id)
 
 
 def _unit_name(unit: Unit) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable
+from typing import Any
 
 from .plan import Trust, WaitingUnit, WorkerSnapshot
 from .spec import Resources
@@ -75,34 +76,55 @@
     return worker.trust is Trust.FULL
 
 
+def host_key(unit: WaitingUnit) -> tuple[Any, ...]:
+    """Return all that decides which workers may host the unit."""
+    return (
+        unit.service,
+        unit.demand,
+        unit.label,
+        unit.data_rack,
+        unit.waits_for_rack,
+        unit.failed_on,
+        unit.attempts_left > 1,
+    )
+
+
 def choose_placement(
-    unit: WaitingUnit, workers: Sequence[WorkerSnapshot]
+    unit: WaitingUnit,
+    allowed: list[WorkerSnapshot],
+    workers: Iterable[WorkerSnapshot],
+    changed: Container[str] | None = None,
 ) -> list[WorkerSnapshot] | None:
     """Return a worker for each task of the unit, or None if they do not all fit.
 
+    allowed contains the eligible workers, and workers all of them. changed contains
+    the ids of the workers that changed since the unit did not fit, if it is known.
     Prefers the workers with the least free resources that suffice, so that tasks with
     a large demand find idle workers. The workers are of a single rack if the unit
     requires this and the capacity of some rack suffices.
     """
-    allowed = eligible_workers(unit, workers)
     if not unit.same_rack or unit.size == 1:
         return _pack(unit, allowed)
     found = [
         placement
-        for members in worker_groups(unit, allowed, workers)
+        for members in worker_groups(unit, allowed, workers, changed)
         if (placement := _pack(unit, members)) is not None
     ]
     return min(found, key=_free_accelerators, default=None)
 
 
 def worker_groups(
-    unit: WaitingUnit, allowed: list[WorkerSnapshot], workers: Iterable[WorkerSnapshot]
+    unit: WaitingUnit,
+    allowed: list[WorkerSnapshot],
+    workers: Iterable[WorkerSnapshot],
+    changed: Container[str] | None = None,
 ) -> list[list[WorkerSnapshot]]:
     """Return the groups of workers of which one has to run the whole unit.
 
     For a unit that requires a single rack, these are the racks whose capacity
     suffices, or all workers if there is no such rack. There is no group while the unit
-    waits for a rack that suffices only with workers that have yet to report.
+    waits for a rack that suffices only with workers that have yet to report. If changed
+    is given, there are only groups with one of these workers.
     """
     if not unit.same_rack or unit.size == 1:
         return [allowed]
@@ -115,7 +137,14 @@
         ]
         if _racks_with_capacity(unit, [*allowed, *awaiting_report]):
             return []
-    return possible or [allowed]
+    groups = possible or [allowed]
+    if changed is None:
+        return groups
+    return [
+        members
+        for members in groups
+        if any(worker.worker_ref.worker_id in changed for worker in members)
+    ]
 
 
 def _racks_with_capacity(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker_trust.py
@@ -35,8 +35,7 @@
 ) -> list[Command]:
     """Update the failures of a worker and of a job by the end of a run."""
     if kind is EndKind.DONE:
-        worker.failed_units.clear()
-        worker.suspected_until = 0.0
+        restore_trust(worker)
         return []
     if kind is not EndKind.FAILED:
         return []
@@ -74,6 +73,12 @@
     return max((member.progress.stalled_for for member in members), default=0.0)
 
 
+def restore_trust(worker: Worker) -> None:
+    """Forget the failures of a worker that succeeded or was restarted."""
+    worker.failed_units.clear()
+    worker.suspected_until = 0.0
+
+
 def suspect_stalled(worker: Worker, state: FleetState, now: float) -> list[Command]:
     """Suspect a worker while runs stall there, so that it gets no further units."""
     units = [
@@ -105,3 +110,6 @@
             unit for unit in worker.failed_units if unit.job_id == job.spec.job_id
         }
         worker.failed_units -= faulty
+        if faulty and len(worker.failed_units) < FAILURE_LIMIT:
+            # A worker on which runs stall is suspected again by its next list.
+            worker.suspected_until = 0.0
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -488,13 +488,20 @@
         if isinstance(command, ListRuns) and command.wait and not worker.ended:
             # The long poll is shortened, so that lists show recent states.
             self.timers.subscribe(
-                0.1,
-                lambda _: agent.post(self._serve(command, worker, self.timers.now())),
-                Message(),
+                0.1, lambda _: self._serve_long_poll(agent, worker, command), Message()
             )
             return
         agent.post_later(delay, answer)
 
+    def _serve_long_poll(
+        self, agent: Process, worker: SimulatedWorker, command: WorkerCall
+    ) -> None:
+        """Answer a long poll, unless the worker was restarted in the meantime."""
+        if str(worker.born) == command.incarnation:
+            agent.post(self._serve(command, worker, self.timers.now()))
+        else:
+            self._answer_unreachable(agent, command, refused=False)
+
     def _serve_delayed(self, worker: SimulatedWorker, command: WorkerCall) -> None:
         if worker.up and str(worker.born) == command.incarnation:
             self._serve(command, worker, self.timers.now())
