Hold 128 connections that wait to be accepted

The calls failed with ConnectTimeoutError: the HTTP servers listened with a queue of five connections. If a busy process has not accepted five, the system drops the first packet of the next one, and its client sends it again after 1 s.

Ruled out: the client's limit of the rate; the failed calls were never sent.

Change: entries, agents and stand-ins listen with a queue of 128.

--- a/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
@@ -18,6 +18,7 @@
 from wasabispur.bridge import Ask, Bridge
 from wasabispur.http_api import CONFIGURATION
 from wasabispur.http_request import read_model
+from wasabispur.http_server import CONNECTION_QUEUE_SIZE
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
@@ -181,7 +182,10 @@
     def open_port(self) -> None:
         """Bind the port and serve it on threads; raise AddressInUseError."""
         server = _ReusableServer(
-            ("127.0.0.1", self.port), self.application, numthreads=HTTP_THREADS
+            ("127.0.0.1", self.port),
+            self.application,
+            numthreads=HTTP_THREADS,
+            request_queue_size=CONNECTION_QUEUE_SIZE,
         )
         server.gateway = self.gateway
         server.max_request_body_size = BODY_LIMIT_BYTES
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -14,6 +14,13 @@
 SHUTDOWN_TIMEOUT = 2.5
 """Seconds to wait for the requests in progress during a planned stop."""
 
+CONNECTION_QUEUE_SIZE = 128
+"""Connections that the operating system holds until the server accepts them.
+
+Beyond that it drops the first packet of a connection, which its client sends again
+only after a second.
+"""
+
 cherrypy.config.update({"environment": "embedded", "log.screen": False})
 
 
@@ -34,7 +41,12 @@
 
     def __init__(self, application: Any, host: str, port: int, threads: int) -> None:
         self.address = (host, port)
-        self.server = Server(self.address, application, numthreads=threads)
+        self.server = Server(
+            self.address,
+            application,
+            numthreads=threads,
+            request_queue_size=CONNECTION_QUEUE_SIZE,
+        )
         self.server.gateway = _Gateway
         self.server.shutdown_timeout = SHUTDOWN_TIMEOUT
         self.server.max_request_body_size = BODY_LIMIT_BYTES
