Make the owner's work on reports, rows and evictions follow the changes

A unit that waits for stopped units searched the fleet anew in each pass, racks were derived for each gang and pass, each report was compared with all workers, and each change packed all units of a job.

Change: a unit keeps the workers on which others were stopped for it. A search is left out if the cheapest cores of the victims exceed the limit. Racks are kept like the other hosts. Replaced workers are looked for only when a worker appears, restarts or moves. Rows are packed from the units that changed.

Ruled out: a bound by the restart cost alone; it rules out few searches once estimates are long.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -7,14 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import cached_property
+from heapq import nlargest
+from math import inf
 
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
 from .spec import Resources
 from .unit import UnitId
-from .unit_placement import count_fitting, worker_groups
+from .unit_placement import count_fitting
 
 RESTART_COST = 1.0
 """Seconds of a unit's resources that a restart costs in addition to lost work."""
@@ -115,19 +117,15 @@
 
 def cheapest_eviction(
     unit: WaitingUnit,
-    allowed: list[WorkerSnapshot],
-    workers: Iterable[WorkerSnapshot],
+    groups: Iterable[Sequence[WorkerSnapshot]],
     victims: VictimIndex,
     cost_limit: float,
-    changed: Container[str] | None = None,
 ) -> Eviction | None:
     """Return the cheapest eviction, or None if none within the cost limit suffices.
 
-    allowed contains the eligible workers, and workers all of them. cost_limit is in
-    core-seconds. changed contains the ids of the workers that changed since there was
-    no eviction within the limit, if it is known.
+    One of the groups of workers has to run the whole unit. cost_limit is in
+    core-seconds.
     """
-    groups = worker_groups(unit, allowed, workers, changed)
     found = [_find_eviction(unit, group, victims, cost_limit) for group in groups]
     possible = [eviction for eviction in found if eviction is not None]
     return min(possible, key=lambda eviction: eviction.cost, default=None)
@@ -187,17 +185,67 @@
     victims: VictimIndex,
     cost_limit: float,
 ) -> bool:
-    """Return whether the workers could hold the unit if all victims were stopped."""
+    """Return whether an eviction within the cost limit is not ruled out.
+
+    It is if the workers could not hold the unit after all possible preemptions, or if
+    the cheapest cores of the victims cost more than the limit.
+    """
+    missing, cores = _shortage(unit, group)
+    if missing <= 0:
+        return True
+    if cores * RESTART_COST > cost_limit:
+        return False
+    possible: dict[UnitId, Victim] = {}
     missing = unit.size
     for worker in group:
         free = worker.free + worker.releasing
         worker_id = worker.worker_ref.worker_id
         for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
             free += victim.freed
+            possible[victim.unit.unit_id] = victim
         missing -= count_fitting(unit, worker, free)
+    return missing <= 0 and _least_cost(possible.values(), cores) <= cost_limit
+
+
+def _least_cost(victims: Iterable[Victim], cores: float) -> float:
+    """Return a lower bound on the cost of freeing a number of cores."""
+    cost = 0.0
+    for victim in sorted(victims, key=_victim_order):
+        weight = _weight(victim.unit)
+        if weight >= cores:
+            return cost + victim.cost * cores / weight
+        cost += victim.cost
+        cores -= weight
+    return cost if cores <= 0 else inf
+
+
+def _shortage(unit: WaitingUnit, group: Sequence[WorkerSnapshot]) -> tuple[int, float]:
+    """Return how many tasks don't fit, and how many cores have to be freed for them.
+
+    One accelerator counts as eight cores. The cores are a lower bound: the tasks use
+    the largest remainders of the workers.
+    """
+    missing = unit.size
+    remainders: list[float] = []
+    for worker in group:
+        free = worker.free + worker.releasing
+        count = count_fitting(unit, worker, free)
+        missing -= count
         if missing <= 0:
-            return True
-    return False
+            return missing, 0.0
+        remainders.append(_usable_cores(free, unit.demand, count))
+    used = sum(nlargest(missing, remainders))
+    return missing, missing * unit.demand.weight - used
+
+
+def _usable_cores(free: Resources, demand: Resources, count: int) -> float:
+    """Return the cores left beside count tasks that one more task could use."""
+    left = free - demand.times(count)
+    usable = Resources(
+        cpu=max(min(left.cpu, demand.cpu), 0),
+        accelerators=max(min(left.accelerators, demand.accelerators), 0),
+    )
+    return usable.weight
 
 
 def _apply_option(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -37,17 +37,6 @@
     cancelled: bool = False
     failed_on: set[str] = field(default_factory=set)
 
-    def progress(self, store_offset: float) -> JobProgress:
-        """Return the stored progress of the job.
-
-        store_offset is the store's clock minus this process's clock in seconds.
-        """
-        return JobProgress(
-            state=self.state,
-            ended_at=self.ended_at,
-            units=tuple(unit.record(store_offset) for unit in self.units.values()),
-        )
-
 
 @dataclass(slots=True, kw_only=True)
 class Worker:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Any
 
 from ..command import Command
 from ..ownership import WriteRow
-from .fleet_state import FleetState
+from .fleet_state import FleetState, Job
 from .orders import orders_for
+from .progress import JobProgress
 from .rows import (
     cancel_key,
     job_key,
@@ -33,15 +35,28 @@
     for job_id in sorted(state.dirty_jobs):
         job = state.jobs.get(job_id)
         if job is not None:
-            key = progress_key(job_id)
-            value = pack(job.progress(state.store_offset))
-            commands.append(WriteRow(key=key, value=value))
+            value = _progress_row(job, state.store_offset)
+            commands.append(WriteRow(key=progress_key(job_id), value=value))
     commands += _write_orders(state)
     state.dirty_jobs.clear()
     state.dirty_workers.clear()
     return commands
 
 
+def _progress_row(job: Job, store_offset: float) -> dict[str, Any]:
+    """Return the progress row of a job, packing only the units that changed.
+
+    A job may have hundreds of units, of which few change between two writes.
+    """
+    units: list[dict[str, Any]] = []
+    for unit in job.units.values():
+        if unit.stored_row is None:
+            unit.stored_row = pack(unit.record(store_offset))
+        units.append(unit.stored_row)
+    row = pack(JobProgress(state=job.state, ended_at=job.ended_at))
+    return row | {"units": units} if units else row
+
+
 def _write_orders(state: FleetState) -> Iterator[Command]:
     for worker_id in sorted(state.dirty_workers):
         worker = state.workers.get(worker_id)
@@ -60,12 +75,13 @@
     A job stays while one of its runs may still be active on a worker.
     """
     commands: list[Command] = []
+    # ended_at is on the store's clock, and store_offset is the store's clock minus this
+    # process's clock.
+    latest_end = now + state.store_offset - ENDED_JOB_RETENTION
     for job in list(state.jobs.values()):
-        settled = all(not unit.may_be_running for unit in job.units.values())
-        # ended_at is on the store's clock, and store_offset is the store's clock minus
-        # this process's clock.
-        age = now + state.store_offset - job.ended_at
-        if not (job.state.ended and settled and age > ENDED_JOB_RETENTION):
+        if not job.state.ended or job.ended_at >= latest_end:
+            continue
+        if any(unit.may_be_running for unit in job.units.values()):
             continue
         job_id = job.spec.job_id
         del state.jobs[job_id]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from copy import copy
 from dataclasses import dataclass, field
 from math import inf
@@ -37,8 +38,9 @@
 from .unit_placement import (
     choose_placement,
     count_fitting,
-    eligible_workers,
+    host_groups,
     host_key,
+    HostGroups,
     reserve,
     step_key,
 )
@@ -73,13 +75,13 @@
 class UnmetNeed:
     """Describe why units with the same need were not placed.
 
-    No eviction costs loss_limit core-seconds or less. hosts contains the ids of the
-    workers that may host the units.
+    No eviction costs loss_limit core-seconds or less. hosts contains the workers that
+    may host the units.
     """
 
     reason: WaitReason
     loss_limit: float
-    hosts: frozenset[str]
+    hosts: HostGroups
 
 
 @dataclass(slots=True, kw_only=True)
@@ -87,14 +89,13 @@
     """Keep the results of planning passes that later passes can use.
 
     unmet contains the needs that the last pass could not place, and hosts_by_key the
-    ids of the workers that may host a unit. reserved contains the ids of the workers
-    on which the last pass kept resources for units that wait for an eviction.
-    unfinished is set if that pass reached its limit of searches.
+    workers that may host a unit. reservations contains, for each unit that waits for
+    preempted units to stop, the ids of the workers that will run its tasks. unfinished is set if that pass reached its limit of searches.
     """
 
     unmet: dict[Need, UnmetNeed] = field(default_factory=dict)
-    hosts_by_key: dict[HostKey, frozenset[str]] = field(default_factory=dict)
-    reserved: set[str] = field(default_factory=set)
+    hosts_by_key: dict[HostKey, HostGroups] = field(default_factory=dict)
+    reservations: dict[UnitId, tuple[str, ...]] = field(default_factory=dict)
     unfinished: bool = False
 
     def decide(self, snapshot: Snapshot) -> list[Decision]:
@@ -107,7 +108,7 @@
         for group in _groups(snapshot):
             decisions += planning_pass.decide(group)
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
-        self.reserved = planning_pass.reserved
+        self.reservations = planning_pass.reservations
         self.unfinished = planning_pass.unfinished
         return decisions
 
@@ -143,10 +144,12 @@
             self.hosts_by_key.clear()
         else:
             self.known = planner.unmet
-            self.changed = {*snapshot.changed, *planner.reserved}
+            # What a unit keeps in reserve is decided again in each pass.
+            self.changed = set(snapshot.changed).union(*planner.reservations.values())
         self.unmet: dict[Need, UnmetNeed] = {}
         self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
-        self.reserved: set[str] = set()
+        self.last_reservations = planner.reservations
+        self.reservations: dict[UnitId, tuple[str, ...]] = {}
         self.trial_begun = False
         self.eviction_searches_left = EVICTION_SEARCH_LIMIT
         self.unfinished = False
@@ -183,8 +186,8 @@
         if known is not None:
             return self._decide_again(unit, need, known, loss_limit)
         hosts = self._hosts(unit)
-        searched = self._snapshots(hosts)
-        return self._place(unit, need, hosts, searched, loss_limit, None)
+        groups = self._groups(hosts)
+        return self._place(unit, need, hosts, groups, loss_limit, None)
 
     def _decide_again(
         self, unit: WaitingUnit, need: Need, known: UnmetNeed, loss_limit: float
@@ -196,14 +199,14 @@
         changed = [
             self.workers[worker_id]
             for worker_id in self.changed
-            if worker_id in known.hosts
+            if worker_id in known.hosts.ids
         ]
         roomy = [one for one in changed if count_fitting(unit, one, one.free)]
         if roomy:
             # A single task needs a single worker; a gang may need all of them.
-            searched = roomy if unit.size == 1 else self._snapshots(known.hosts)
+            groups = [roomy] if unit.size == 1 else self._changed_groups(known.hosts)
             return self._place(
-                unit, need, known.hosts, searched, loss_limit, known.loss_limit
+                unit, need, known.hosts, groups, loss_limit, known.loss_limit
             )
         limit = max(loss_limit, known.loss_limit)
         if loss_limit > known.loss_limit or any(
@@ -217,13 +220,12 @@
         self,
         unit: WaitingUnit,
         need: Need,
-        hosts: frozenset[str],
-        searched: list[WorkerSnapshot],
+        hosts: HostGroups,
+        groups: list[list[WorkerSnapshot]],
         loss_limit: float,
         known_limit: float | None,
     ) -> list[Decision]:
-        changed = None if known_limit is None else self.changed
-        placement = choose_placement(unit, searched, self.workers.values(), changed)
+        placement = choose_placement(unit, groups)
         if placement is None:
             return self._evict(unit, need, hosts, loss_limit, known_limit)
         self._reserve(unit, placement)
@@ -234,7 +236,7 @@
         self,
         unit: WaitingUnit,
         need: Need,
-        hosts: frozenset[str],
+        hosts: HostGroups,
         loss_limit: float,
         known_limit: float | None,
     ) -> list[Decision]:
@@ -242,30 +244,38 @@
 
         known_limit is the loss limit of the last pass, in which no eviction was found.
         """
+        kept = self._kept_reservation(unit, hosts)
+        if kept is not None:
+            return self._apply_eviction(unit, Eviction(placement=kept))
         searched_limit = NO_EVICTION
-        if hosts and loss_limit > NO_EVICTION and self._may_search(unit):
+        if hosts.ids and loss_limit > NO_EVICTION and self._may_search(unit):
             searched_limit = loss_limit
-            changed: set[str] | None = None
-            if known_limit is not None and loss_limit <= known_limit:
-                changed = self.changed
-            # Preemptions for a single task all take place on its worker.
-            single = changed is not None and unit.size == 1
-            eviction = cheapest_eviction(
-                unit,
-                self._snapshots(hosts & self.changed if single else hosts),
-                self.workers.values(),
-                self.victims,
-                loss_limit,
-                changed,
-            )
+            groups = self._eviction_groups(unit, hosts, loss_limit, known_limit)
+            eviction = cheapest_eviction(unit, groups, self.victims, loss_limit)
             if eviction is not None:
                 return self._apply_eviction(unit, eviction)
-        reason = WaitReason.NO_ROOM if hosts else WaitReason.NO_WORKER
+        reason = WaitReason.NO_ROOM if hosts.ids else WaitReason.NO_WORKER
         self.unmet[need] = UnmetNeed(
             reason=reason, loss_limit=searched_limit, hosts=hosts
         )
         return [Wait(unit_id=unit.unit_id, reason=reason)]
 
+    def _kept_reservation(
+        self, unit: WaitingUnit, hosts: HostGroups
+    ) -> list[WorkerSnapshot] | None:
+        """Return the workers reserved in the last pass if they still suffice.
+
+        A unit for which others have been stopped keeps the room that this frees.
+        """
+        reserved = self.last_reservations.get(unit.unit_id)
+        if reserved is None or not hosts.ids.issuperset(reserved):
+            return None
+        for worker_id, count in Counter(reserved).items():
+            worker = self.workers[worker_id]
+            if count_fitting(unit, worker, worker.free + worker.releasing) < count:
+                return None
+        return [self.workers[worker_id] for worker_id in reserved]
+
     def _may_search(self, unit: WaitingUnit) -> bool:
         """Return whether the pass may search for an eviction, and count the search."""
         if unit.guaranteed:
@@ -286,8 +296,7 @@
         self.known = self.known | self.unmet
         self.unmet = {}
         self._reserve(unit, eviction.placement)
-        # The next pass decides again who gets these resources.
-        self.reserved.update(
+        self.reservations[unit.unit_id] = tuple(
             worker.worker_ref.worker_id for worker in eviction.placement
         )
         self.victims.exclude(eviction.victims)
@@ -311,20 +320,37 @@
         tight = abs(slack) <= TIGHT_SLACK
         return (TIGHT_LOSS_SHARE_LIMIT if tight else LOSS_SHARE_LIMIT) * unit.work
 
-    def _hosts(self, unit: WaitingUnit) -> frozenset[str]:
-        """Return the ids of the workers that may host the unit, loaded or not."""
+    def _eviction_groups(
+        self,
+        unit: WaitingUnit,
+        hosts: HostGroups,
+        loss_limit: float,
+        known_limit: float | None,
+    ) -> list[list[WorkerSnapshot]]:
+        """Return the groups of workers in which there may be an eviction."""
+        if known_limit is None or loss_limit > known_limit:
+            return self._groups(hosts)
+        if unit.size > 1:
+            return self._changed_groups(hosts)
+        # Preemptions for a single task all take place on its worker.
+        return [[self.workers[name] for name in hosts.ids & self.changed]]
+
+    def _hosts(self, unit: WaitingUnit) -> HostGroups:
+        """Return the workers that may host the unit, loaded or not."""
         key = host_key(unit)
         if key not in self.hosts_by_key:
-            self.hosts_by_key[key] = frozenset(
-                worker.worker_ref.worker_id
-                for worker in eligible_workers(unit, self.workers.values())
-            )
+            self.hosts_by_key[key] = host_groups(unit, self.workers.values())
         return self.hosts_by_key[key]
 
-    def _snapshots(self, hosts: frozenset[str]) -> list[WorkerSnapshot]:
-        """Return workers by their ids, in the order of the snapshot."""
+    def _groups(self, hosts: HostGroups) -> list[list[WorkerSnapshot]]:
+        return [[self.workers[name] for name in group] for group in hosts.groups]
+
+    def _changed_groups(self, hosts: HostGroups) -> list[list[WorkerSnapshot]]:
+        """Return the groups that contain a worker that has changed."""
         return [
-            worker for worker_id, worker in self.workers.items() if worker_id in hosts
+            [self.workers[name] for name in group]
+            for group in hosts.groups
+            if not self.changed.isdisjoint(group)
         ]
 
     def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/relocation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/relocation.py
@@ -50,12 +50,16 @@
     This bounds the loss to twice that of the best decision in hindsight. If fewer than
     half of the workers are fully trusted, the cause lies elsewhere, and no unit moves.
     """
+    stalled = [
+        unit
+        for unit in snapshot.running
+        if unit.stalled_for >= STALL_LIMIT and not unit.stopping
+    ]
     trusted = sum(worker.trust is Trust.FULL for worker in snapshot.workers)
-    if 2 * trusted < len(snapshot.workers):
+    if not stalled or 2 * trusted < len(snapshot.workers):
         return []
     return [
         Move(unit_id=unit.unit_id, stalled_for=unit.stalled_for)
-        for unit in snapshot.running
-        if not unit.stopping
-        and unit.stalled_for >= max(STALL_LIMIT, unit.lost_time(snapshot.now))
+        for unit in stalled
+        if unit.stalled_for >= unit.lost_time(snapshot.now)
     ]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -33,6 +33,7 @@
     worker_id = report.info.worker_id
     worker = state.workers.get(worker_id)
     commands: list[Command] = []
+    moved = True
     if worker is None:
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
@@ -43,6 +44,10 @@
         commands.append(_log_worker(report))
     elif report.number < worker.report_number and report.agent_id == worker.agent_id:
         return []
+    else:
+        moved = _place_of(worker.agent_id, worker.info) != _place_of(
+            report.agent_id, report.info
+        )
     if worker.info.state != report.info.state:
         commands.append(_log_worker(report))
     if not worker.confirmed or _offers_differ(worker.info, report.info):
@@ -50,18 +55,24 @@
         state.view.changed_workers.add(worker_id)
     worker.agent_id = report.agent_id
     worker.info = report.info
-    commands += _remove_replaced_workers(worker, state, now)
     worker.report_number = report.number
     worker.confirmed |= state.active
     worker.seen_at = now
     worker.runs = report.runs
-    # The worker's row may still contain orders for a former incarnation.
-    state.dirty_workers.add(worker_id)
-    if not state.active:
+    if moved:
+        commands += _remove_replaced_workers(state, now)
+        # The worker's row may still contain orders for a former incarnation.
+        state.dirty_workers.add(worker_id)
+    if not state.active or worker_id not in state.workers:
         return commands
     return commands + reconcile(worker, report, state, now)
 
 
+def _place_of(agent_id: str, info: WorkerInfo) -> tuple[str, str]:
+    """Return the agent and the address, at which one worker runs at a time."""
+    return agent_id, info.address
+
+
 def _offers_differ(known: WorkerInfo, reported: WorkerInfo) -> bool:
     """Return whether a worker offers other capacity or accepts other units.
 
@@ -81,6 +92,7 @@
                 worker, ended.task, ended.run, ended.kind, ended.checkpoint, state, now
             )
             worker.acknowledged = ended.number
+            state.dirty_workers.add(worker.worker_id)
     for refused in report.refused:
         commands += _apply_run_end(
             worker, refused.task, refused.run, EndKind.REFUSED, "", state, now
@@ -91,7 +103,7 @@
     if unknown_runs != worker.unknown_runs:
         worker.unknown_runs = unknown_runs
         state.capacity_changed = True
-        state.view.changed_workers.add(worker.worker_id)
+        state.mark_worker(worker.worker_id)
     if report.listing != worker.listing:
         worker.listing = report.listing
         _update_progress(worker, state, now)
@@ -123,10 +135,7 @@
     An agent removes a report only once nothing can run on the worker, so recorded runs
     on a worker without a report have ended too.
     """
-    commands: list[Command] = []
-    for worker in list(state.workers.values()):
-        if worker.worker_id in state.workers:
-            commands += _remove_replaced_workers(worker, state, now)
+    commands = _remove_replaced_workers(state, now)
     for worker in state.workers.values():
         commands += end_lost_runs(worker.worker_id, state, now, worker.info.incarnation)
     for worker_id in set(state.units_by_worker) - set(state.workers):
@@ -155,24 +164,25 @@
     return commands
 
 
-def _remove_replaced_workers(
-    worker: Worker, state: FleetState, now: float
-) -> list[Command]:
-    """Remove workers that this one has replaced at the same agent and address."""
+def _remove_replaced_workers(state: FleetState, now: float) -> list[Command]:
+    """Remove the workers that a later one replaced at the same agent and address."""
+    latest: dict[tuple[str, str], Worker] = {}
     commands: list[Command] = []
-    for other in list(state.workers.values()):
-        replaced = (
-            other is not worker
-            and other.agent_id == worker.agent_id
-            and other.info.address == worker.info.address
-            and incarnation_sort_key(other.info.incarnation)
-            < incarnation_sort_key(worker.info.incarnation)
-        )
-        if replaced:
-            commands += _remove_worker(other, state, now)
+    for worker in list(state.workers.values()):
+        place = _place_of(worker.agent_id, worker.info)
+        other = latest.setdefault(place, worker)
+        if other is worker:
+            continue
+        replaced, latest[place] = sorted((other, worker), key=_age_order)
+        if _age_order(replaced) < _age_order(latest[place]):
+            commands += _remove_worker(replaced, state, now)
     return commands
 
 
+def _age_order(worker: Worker) -> tuple[int, str]:
+    return incarnation_sort_key(worker.info.incarnation)
+
+
 def _remove_worker(worker: Worker, state: FleetState, now: float) -> list[Command]:
     commands = end_lost_runs(worker.worker_id, state, now) if state.active else []
     del state.workers[worker.worker_id]
@@ -247,6 +257,7 @@
             state.view.changed_units.add(unit.unit_id)
         if run.checkpoint and unit.step.checkpointing:
             unit.checkpoint = run.checkpoint
+            unit.stored_row = None
 
 
 def _log_worker(report: WorkerReport) -> Command:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -35,6 +35,9 @@
 
 CANCEL_SUFFIX = ".cancel"
 
+PLAIN_TYPES = frozenset((str, int, float, bool))
+"""Types of field values that a row holds unchanged."""
+
 T = TypeVar("T")
 
 
@@ -95,11 +98,13 @@
 
 def pack(value: Any) -> dict[str, Any]:
     """Convert a dataclass to a row value, omitting fields with their default value."""
-    return {
-        item.name: _packed(getattr(value, item.name))
-        for item in fields(value)
-        if getattr(value, item.name) != _default(item)
-    }
+    row: dict[str, Any] = {}
+    kind: Any = type(value)
+    for name, default in _fields_with_defaults(kind):
+        item = getattr(value, name)
+        if item != default:
+            row[name] = _packed(item)
+    return row
 
 
 def unpack(kind: type[T], value: Any) -> Result[T, ProtocolError]:
@@ -123,6 +128,12 @@
     return TypeAdapter(kind)
 
 
+@cache
+def _fields_with_defaults(kind: type[Any]) -> tuple[tuple[str, Any], ...]:
+    """Return the names and default values of a dataclass's fields."""
+    return tuple((item.name, _default(item)) for item in fields(kind))
+
+
 def _default(item: Field[Any]) -> Any:
     if item.default_factory is not MISSING:
         return item.default_factory()
@@ -130,6 +141,8 @@
 
 
 def _packed(value: Any) -> Any:
+    if type(value) in PLAIN_TYPES:
+        return value
     if is_dataclass(value):
         return pack(value)
     if isinstance(value, Enum):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -51,6 +51,17 @@
             and self.accelerators <= available.accelerators
         )
 
+    def count_in(self, available: Resources, limit: int) -> int:
+        """Return how many times the available resources cover these, up to limit."""
+        count = limit
+        if self.cpu:
+            count = min(count, available.cpu // self.cpu)
+        if self.memory:
+            count = min(count, available.memory // self.memory)
+        if self.accelerators:
+            count = min(count, available.accelerators // self.accelerators)
+        return max(count, 0) if self.fits(available) else 0
+
     @property
     def weight(self) -> float:
         """Return the size in cores; one accelerator counts as eight cores."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ..chart import Lifecycle
 from ..message import Message
@@ -100,7 +100,7 @@
     the checkpoint from which the current run started. run_failed is set once a member
     of the current run has failed. avoided_workers contains the workers that refused or
     lost a run of the unit or on which it stalled, and failed_on those on which it
-    failed.
+    failed. stored_row is the stored record as a row value, or None after a change.
     """
 
     unit_id: UnitId
@@ -117,6 +117,7 @@
     failed_on: set[str] = field(default_factory=set)
     preemptions: int = 0
     backoff_until: float = 0.0
+    stored_row: dict[str, Any] | None = None
 
     @property
     def state(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -59,6 +59,7 @@
     attempts = queue.max_attempts if queue else DEFAULT_ATTEMPTS
     _unindex_members(unit, state)
     unit.lifecycle.handle(message, attempts, unit, now)
+    unit.stored_row = None
     _index_members(unit, state)
     state.dirty_jobs.add(job.spec.job_id)
     if unit.state in ENDED_STATES and queue and queue.priority == 0:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from .plan import Trust, WaitingUnit, WorkerSnapshot
@@ -76,6 +77,30 @@
     return worker.trust is Trust.FULL
 
 
+@dataclass(frozen=True, slots=True)
+class HostGroups:
+    """Describe the workers that may host a unit, loaded or not, by their ids.
+
+    groups contains the groups of workers of which one has to run the whole unit.
+    """
+
+    ids: frozenset[str]
+    groups: tuple[tuple[str, ...], ...]
+
+
+def host_groups(unit: WaitingUnit, workers: Collection[WorkerSnapshot]) -> HostGroups:
+    """Return the workers that may host the unit, and the groups they form."""
+    allowed = eligible_workers(unit, workers)
+    groups = _worker_groups(unit, allowed, workers)
+    return HostGroups(
+        ids=frozenset(worker.worker_ref.worker_id for worker in allowed),
+        groups=tuple(
+            tuple(worker.worker_ref.worker_id for worker in members)
+            for members in groups
+        ),
+    )
+
+
 def host_key(unit: WaitingUnit) -> tuple[Any, ...]:
     """Return all that decides which workers may host the unit."""
     return (
@@ -86,47 +111,45 @@
         unit.waits_for_rack,
         unit.failed_on,
         unit.attempts_left > 1,
+        (unit.size, unit.tasks_per_worker, unit.payload_bytes)
+        if _needs_rack(unit)
+        else None,
     )
 
 
 def choose_placement(
-    unit: WaitingUnit,
-    allowed: list[WorkerSnapshot],
-    workers: Iterable[WorkerSnapshot],
-    changed: Container[str] | None = None,
+    unit: WaitingUnit, groups: Iterable[Sequence[WorkerSnapshot]]
 ) -> list[WorkerSnapshot] | None:
     """Return a worker for each task of the unit, or None if they do not all fit.
 
-    allowed contains the eligible workers, and workers all of them. changed contains
-    the ids of the workers that changed since the unit did not fit, if it is known.
-    Prefers the workers with the least free resources that suffice, so that tasks with
-    a large demand find idle workers. The workers are of a single rack if the unit
-    requires this and the capacity of some rack suffices.
+    One of the groups has to run the whole unit. Prefers the workers with the least
+    free resources that suffice, so that tasks with a large demand find idle workers.
     """
-    if not unit.same_rack or unit.size == 1:
-        return _pack(unit, allowed)
     found = [
         placement
-        for members in worker_groups(unit, allowed, workers, changed)
+        for members in groups
         if (placement := _pack(unit, members)) is not None
     ]
     return min(found, key=_free_accelerators, default=None)
 
 
-def worker_groups(
+def _needs_rack(unit: WaitingUnit) -> bool:
+    """Return whether all tasks of the unit have to run in a single rack."""
+    return unit.same_rack and unit.size > 1
+
+
+def _worker_groups(
     unit: WaitingUnit,
     allowed: list[WorkerSnapshot],
     workers: Iterable[WorkerSnapshot],
-    changed: Container[str] | None = None,
 ) -> list[list[WorkerSnapshot]]:
     """Return the groups of workers of which one has to run the whole unit.
 
     For a unit that requires a single rack, these are the racks whose capacity
     suffices, or all workers if there is no such rack. There is no group while the unit
-    waits for a rack that suffices only with workers that have yet to report. If changed
-    is given, there are only groups with one of these workers.
+    waits for a rack that suffices only with workers that have yet to report.
     """
-    if not unit.same_rack or unit.size == 1:
+    if not _needs_rack(unit):
         return [allowed]
     possible = _racks_with_capacity(unit, allowed)
     if not possible and unit.waits_for_rack:
@@ -137,30 +160,32 @@
         ]
         if _racks_with_capacity(unit, [*allowed, *awaiting_report]):
             return []
-    groups = possible or [allowed]
-    if changed is None:
-        return groups
-    return [
-        members
-        for members in groups
-        if any(worker.worker_ref.worker_id in changed for worker in members)
-    ]
+    return possible or [allowed]
 
 
 def _racks_with_capacity(
     unit: WaitingUnit, allowed: Iterable[WorkerSnapshot]
 ) -> list[list[WorkerSnapshot]]:
+    """Return the racks that could run the whole unit if they were idle."""
     racks: dict[str, list[WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
     return [
         members
         for members in racks.values()
-        if sum(count_fitting(unit, worker, worker.capacity) for worker in members)
-        >= unit.size
+        if sum(_count_when_idle(unit, worker) for worker in members) >= unit.size
     ]
 
 
+def _count_when_idle(unit: WaitingUnit, worker: WorkerSnapshot) -> int:
+    """Return how many tasks of the unit an idle worker holds."""
+    payload_bound = PAYLOAD_LIMIT // max(unit.payload_bytes, 1)
+    bounds = [unit.demand.count_in(worker.capacity, unit.size), payload_bound]
+    if unit.tasks_per_worker:
+        bounds.append(unit.tasks_per_worker)
+    return min(bounds)
+
+
 def reserve(unit: WaitingUnit, placement: Iterable[WorkerSnapshot]) -> None:
     """Subtract the unit's demand from the free resources of its workers."""
     for worker in placement:
@@ -212,21 +237,17 @@
     already_placed is the number of tasks that the current search has placed on the
     worker.
     """
-    demand = unit.demand
-    if not demand.fits(free):
+    fitting = unit.demand.count_in(free, unit.size)
+    if not fitting:
         return 0
     payloads = worker.payload_bytes + already_placed * unit.payload_bytes
-    bounds = [unit.size, (PAYLOAD_LIMIT - payloads) // max(unit.payload_bytes, 1)]
-    if demand.cpu:
-        bounds.append(free.cpu // demand.cpu)
-    if demand.memory:
-        bounds.append(free.memory // demand.memory)
-    if demand.accelerators:
-        bounds.append(free.accelerators // demand.accelerators)
+    payload_bound = (PAYLOAD_LIMIT - payloads) // max(unit.payload_bytes, 1)
+    if payload_bound < fitting:
+        fitting = payload_bound
     if unit.tasks_per_worker:
         present = worker.tasks_of_step.get(step_key(unit), 0) + already_placed
-        bounds.append(unit.tasks_per_worker - present)
-    return max(min(bounds), 0)
+        fitting = min(fitting, unit.tasks_per_worker - present)
+    return max(fitting, 0)
 
 
 def _free_accelerators(placement: list[WorkerSnapshot]) -> int:
