Keep freed room for its unit, and bound the searches for evictions

Two groups with the same need but other loss limits made each other's results useless, and gangs whose eviction can't be paid searched the fleet in every pass.

Change: reserved units are decided first, on their workers or on sooner room. A pass keeps what holds on unchanged workers also for a higher limit, and keeps lower bounds on the cost of each task of a gang, which the changed workers update. A gang's search is repeated at most every 0.25 s. The search itself ranks workers by lower bounds and computes few options.

measure planner now reports the ends of stopped runs; without them, each measured pass held ever more reservations.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import cached_property
-from heapq import nlargest
+from heapq import heappop, heappush, nsmallest
 from math import inf
 
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
@@ -98,6 +98,13 @@
             and id(victim.unit) not in self.excluded
         ]
 
+    def least_core_cost(self, worker_id: str, priority: int) -> float:
+        """Return the lowest cost at which one core is freed on a worker, or infinity."""
+        for victim in self.victims_on(worker_id):
+            if victim.unit.priority > priority:
+                return victim.cost / _weight(victim.unit)
+        return inf
+
     def exclude(self, units: Iterable[RunningUnit]) -> None:
         """Exclude units that have been chosen already."""
         self.excluded.update(id(unit) for unit in units)
@@ -147,95 +154,165 @@
     cost_limit: float,
 ) -> Eviction | None:
     """Place the unit's tasks one by one, each on the worker with the lowest cost."""
-    if not _could_hold(unit, group, victims, cost_limit):
+    costs = least_task_costs(unit, group, victims, cost_limit)
+    if least_cost(unit, costs) > cost_limit:
         return None
-    result = Eviction()
-    free = {
-        worker.worker_ref.worker_id: worker.free + worker.releasing for worker in group
-    }
-    chosen: set[int] = set()
-    options: dict[str, EvictionOption] = {}
-    stale = list(group)
-    by_id = {worker.worker_ref.worker_id: worker for worker in group}
-    for _ in range(unit.size):
-        cost_left = cost_limit - result.cost
-        for worker in stale:
-            name = worker.worker_ref.worker_id
-            already_placed = result.placement.count(worker)
+    return _EvictionSearch(unit, group, victims, cost_limit).run()
+
+
+class _EvictionSearch:
+    """Represent the search for one eviction on a group of workers.
+
+    ranked is a heap of the workers by what the next task costs there. Most entries
+    have a lower bound instead of an option, since few workers are ever chosen. An
+    entry is outdated once the version of its worker has changed.
+    """
+
+    def __init__(
+        self,
+        unit: WaitingUnit,
+        group: Sequence[WorkerSnapshot],
+        victims: VictimIndex,
+        cost_limit: float,
+    ) -> None:
+        self.unit = unit
+        self.victims = victims
+        self.cost_limit = cost_limit
+        self.result = Eviction()
+        self.chosen: set[int] = set()
+        self.workers = {worker.worker_ref.worker_id: worker for worker in group}
+        self.free = {
+            name: worker.free + worker.releasing
+            for name, worker in self.workers.items()
+        }
+        self.versions = dict.fromkeys(self.workers, 0)
+        self.ranked: list[tuple[float, int, str, int, EvictionOption | None]] = []
+        for name in self.workers:
+            self._rank(name)
+
+    def run(self) -> Eviction | None:
+        """Return the eviction, or None if it would cost more than the limit."""
+        for _ in range(self.unit.size):
+            best = self._cheapest_option()
+            if best is None:
+                return None
+            self._apply(best)
+        return self.result
+
+    def _cheapest_option(self) -> EvictionOption | None:
+        cost_left = self.cost_limit - self.result.cost
+        while self.ranked and self.ranked[0][0] <= cost_left:
+            *_, name, version, option = heappop(self.ranked)
+            if version != self.versions[name]:
+                continue
+            if option is not None:
+                return option
             option = _option(
-                unit, worker, free[name], already_placed, chosen, victims, cost_left
+                self.unit,
+                self.workers[name],
+                self.free[name],
+                self._placed_on(name),
+                self.chosen,
+                self.victims,
+                cost_left,
             )
-            options.pop(name, None)
             if option is not None:
-                options[name] = option
-        best = min(options.values(), key=lambda option: option.rank, default=None)
-        if best is None or best.cost > cost_left:
-            return None
-        result.cost += best.cost
-        result.victims += best.victims
-        result.placement.append(best.worker)
-        chosen.update(id(victim) for victim in best.victims)
-        stale = [by_id[name] for name in _apply_option(best, free, unit)]
-    return result
-
+                heappush(self.ranked, (*option.rank, version, option))
+        return None
 
-def _could_hold(
+    def _apply(self, best: EvictionOption) -> None:
+        """Reserve the option's room, and update the workers that it affects."""
+        self.result.cost += best.cost
+        self.result.victims += best.victims
+        self.result.placement.append(best.worker)
+        self.chosen.update(id(victim) for victim in best.victims)
+        name = best.worker.worker_ref.worker_id
+        affected = {name}
+        for victim in best.victims:
+            for worker_ref in victim.placement:
+                if worker_ref.worker_id in self.free:
+                    self.free[worker_ref.worker_id] += victim.demand
+                    affected.add(worker_ref.worker_id)
+        self.free[name] -= self.unit.demand
+        for name in affected:
+            self.versions[name] += 1
+            self._rank(name)
+
+    def _rank(self, name: str) -> None:
+        """Add a worker to the heap with a lower bound of its cost."""
+        free, demand = self.free[name], self.unit.demand
+        bound = 0.0
+        if not demand.fits(free):
+            missing = demand.weight - _usable_cores(free, demand, 0)
+            bound = missing * self.victims.least_core_cost(name, self.unit.priority)
+        if bound <= self.cost_limit:
+            heappush(self.ranked, (bound, -1, name, self.versions[name], None))
+
+    def _placed_on(self, name: str) -> int:
+        return self.result.placement.count(self.workers[name])
+
+
+def least_task_costs(
     unit: WaitingUnit,
-    group: Sequence[WorkerSnapshot],
+    group: Iterable[WorkerSnapshot],
     victims: VictimIndex,
     cost_limit: float,
-) -> bool:
-    """Return whether an eviction within the cost limit is not ruled out.
+) -> list[float]:
+    """Return lower bounds on the costs of placing the unit's tasks on a group.
 
-    It is if the workers could not hold the unit after all possible preemptions, or if
-    the cheapest cores of the victims cost more than the limit.
+    Each task is counted at the lowest cost of freeing its cores on some worker, as if
+    parts of units could be preempted. One accelerator counts as eight cores. The list
+    is shorter than the unit's size if the workers can't hold all tasks.
     """
-    missing, cores = _shortage(unit, group)
-    if missing <= 0:
-        return True
-    if cores * RESTART_COST > cost_limit:
-        return False
-    possible: dict[UnitId, Victim] = {}
-    missing = unit.size
+    costs: list[float] = []
     for worker in group:
         free = worker.free + worker.releasing
-        worker_id = worker.worker_ref.worker_id
-        for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
-            free += victim.freed
-            possible[victim.unit.unit_id] = victim
-        missing -= count_fitting(unit, worker, free)
-    return missing <= 0 and _least_cost(possible.values(), cores) <= cost_limit
-
+        fitting = count_fitting(unit, worker, free)
+        costs += [0.0] * fitting
+        if fitting < unit.size:
+            costs += _task_costs(unit, worker, fitting, victims, cost_limit)
+    return nsmallest(unit.size, costs)
 
-def _least_cost(victims: Iterable[Victim], cores: float) -> float:
-    """Return a lower bound on the cost of freeing a number of cores."""
-    cost = 0.0
-    for victim in sorted(victims, key=_victim_order):
-        weight = _weight(victim.unit)
-        if weight >= cores:
-            return cost + victim.cost * cores / weight
-        cost += victim.cost
-        cores -= weight
-    return cost if cores <= 0 else inf
 
+def least_cost(unit: WaitingUnit, task_costs: Sequence[float]) -> float:
+    """Return the sum of the costs, or infinity if some tasks have no worker."""
+    return sum(task_costs) if len(task_costs) >= unit.size else inf
 
-def _shortage(unit: WaitingUnit, group: Sequence[WorkerSnapshot]) -> tuple[int, float]:
-    """Return how many tasks don't fit, and how many cores have to be freed for them.
 
-    One accelerator counts as eight cores. The cores are a lower bound: the tasks use
-    the largest remainders of the workers.
-    """
-    missing = unit.size
-    remainders: list[float] = []
-    for worker in group:
-        free = worker.free + worker.releasing
-        count = count_fitting(unit, worker, free)
-        missing -= count
-        if missing <= 0:
-            return missing, 0.0
-        remainders.append(_usable_cores(free, unit.demand, count))
-    used = sum(nlargest(missing, remainders))
-    return missing, missing * unit.demand.weight - used
+def _task_costs(
+    unit: WaitingUnit,
+    worker: WorkerSnapshot,
+    fitting: int,
+    victims: VictimIndex,
+    cost_limit: float,
+) -> list[float]:
+    """Return lower bounds on the costs of the tasks after those that fit already."""
+    free = everything = worker.free + worker.releasing
+    worker_id = worker.worker_ref.worker_id
+    shares: list[tuple[float, float]] = []
+    for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
+        everything += victim.freed
+        shares.append((victim.freed.weight, victim.cost / _weight(victim.unit)))
+    additional = count_fitting(unit, worker, everything) - fitting
+    if additional <= 0:
+        return []
+    demand = unit.demand.weight
+    missing = demand - _usable_cores(free, unit.demand, fitting)
+    costs = []
+    for _ in range(additional):
+        cost = 0.0
+        while missing > 0 and shares:
+            cores, core_cost = shares[0]
+            used = min(cores, missing)
+            cost += used * core_cost
+            missing -= used
+            if used == cores:
+                shares.pop(0)
+            else:
+                shares[0] = (cores - used, core_cost)
+        costs.append(cost)
+        missing = demand
+    return costs
 
 
 def _usable_cores(free: Resources, demand: Resources, count: int) -> float:
@@ -248,21 +325,6 @@
     return usable.weight
 
 
-def _apply_option(
-    best: EvictionOption, free: dict[str, Resources], unit: WaitingUnit
-) -> set[str]:
-    """Update the free resources by an option, and return the affected worker ids."""
-    name = best.worker.worker_ref.worker_id
-    touched = {name}
-    for victim in best.victims:
-        for worker_ref in victim.placement:
-            if worker_ref.worker_id in free:
-                free[worker_ref.worker_id] += victim.demand
-                touched.add(worker_ref.worker_id)
-    free[name] -= unit.demand
-    return touched
-
-
 def _option(
     unit: WaitingUnit,
     worker: WorkerSnapshot,
@@ -300,8 +362,11 @@
 
 
 def _victim(unit: RunningUnit, worker_id: str, now: float) -> Victim:
-    count = sum(one.worker_id == worker_id for one in unit.placement)
-    return Victim(unit=unit, cost=stop_cost(unit, now), freed=unit.demand.times(count))
+    freed = unit.demand
+    if len(unit.placement) > 1:
+        count = sum(one.worker_id == worker_id for one in unit.placement)
+        freed = unit.demand.times(count)
+    return Victim(unit=unit, cost=stop_cost(unit, now), freed=freed)
 
 
 def _victim_order(victim: Victim) -> tuple[float, UnitId]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -14,13 +14,22 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from copy import copy
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from math import inf
 from operator import attrgetter
 from typing import Any
 
-from .eviction import can_free_room, cheapest_eviction, Eviction, VictimIndex
+from .eviction import (
+    can_free_room,
+    cheapest_eviction,
+    Eviction,
+    least_cost,
+    least_task_costs,
+    VictimIndex,
+)
 from .plan import (
     Decision,
     Place,
@@ -63,6 +72,12 @@
 The limit bounds the time of a pass; the next pass goes on with the other units.
 """
 
+EVICTION_SEARCH_INTERVAL = 0.25
+"""Seconds for which a search for a gang without a guarantee is not repeated.
+
+Several changes share one search then; a search costs more than the rest of a pass.
+"""
+
 NO_EVICTION = -1.0
 """Loss limit of a unit that preempts no other one, and of an omitted search."""
 
@@ -75,13 +90,18 @@
 class UnmetNeed:
     """Describe why units with the same need were not placed.
 
-    No eviction costs loss_limit core-seconds or less. hosts contains the workers that
-    may host the units.
+    No eviction costs loss_limit core-seconds or less, but for those on the workers in
+    unsearched, which have changed since. hosts contains the workers that may host the
+    units, and task_costs lower bounds on the costs of a unit's tasks there. searched_at
+    is the time of the last search in monotonic seconds.
     """
 
     reason: WaitReason
     loss_limit: float
     hosts: HostGroups
+    unsearched: frozenset[str] = frozenset()
+    task_costs: list[float] = field(default_factory=list)
+    searched_at: float = -inf
 
 
 @dataclass(slots=True, kw_only=True)
@@ -105,6 +125,7 @@
         """
         planning_pass = _PlanningPass(snapshot, self)
         decisions: list[Decision] = relocations(snapshot)
+        decisions += planning_pass.keep_reservations(snapshot.waiting)
         for group in _groups(snapshot):
             decisions += planning_pass.decide(group)
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
@@ -121,8 +142,10 @@
 def _groups(snapshot: Snapshot) -> list[list[WaitingUnit]]:
     """Return the waiting units in order of placement, identical ones together."""
     groups: dict[tuple[Any, ...], list[WaitingUnit]] = {}
-    for unit in sorted(snapshot.waiting, key=attrgetter("unit_id")):
+    for unit in snapshot.waiting:
         groups.setdefault(_step_key(unit), []).append(unit)
+    for group in groups.values():
+        group.sort(key=attrgetter("unit_id"))
     now = snapshot.now
     return sorted(groups.values(), key=lambda group: _queue_order(group[0], now))
 
@@ -149,6 +172,7 @@
         self.unmet: dict[Need, UnmetNeed] = {}
         self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
         self.last_reservations = planner.reservations
+        self.decided: set[UnitId] = set()
         self.reservations: dict[UnitId, tuple[str, ...]] = {}
         self.trial_begun = False
         self.eviction_searches_left = EVICTION_SEARCH_LIMIT
@@ -166,6 +190,8 @@
         need = _need(group[0])
         decisions: list[Decision] = []
         for unit in group:
+            if unit.unit_id in self.decided:
+                continue
             found = self._decide_unit(unit, need)
             decisions += found
             if isinstance(found[-1], Wait) and need in self.unmet:
@@ -174,20 +200,54 @@
                 break
         return decisions
 
+    def keep_reservations(self, waiting: Iterable[WaitingUnit]) -> list[Decision]:
+        """Place the units for which others were stopped, or keep their workers.
+
+        This comes before all other decisions, so that no other unit takes the room.
+        """
+        if not self.last_reservations:
+            return []
+        units = [unit for unit in waiting if unit.unit_id in self.last_reservations]
+        decisions: list[Decision] = []
+        for unit in sorted(units, key=lambda unit: _queue_order(unit, self.now)):
+            found = self._decide_reserved(unit, self.last_reservations[unit.unit_id])
+            decisions += found
+            if found:
+                self.decided.add(unit.unit_id)
+        return decisions
+
+    def _decide_reserved(
+        self, unit: WaitingUnit, reserved: tuple[str, ...]
+    ) -> list[Decision]:
+        hosts = self._hosts(unit)
+        placement = choose_placement(unit, self._groups(hosts))
+        if placement is not None:
+            return self._place(unit, placement)
+        if not hosts.ids.issuperset(reserved):
+            return []
+        for worker_id, count in Counter(reserved).items():
+            worker = self.workers[worker_id]
+            if count_fitting(unit, worker, worker.free + worker.releasing) < count:
+                return []
+        kept = [self.workers[worker_id] for worker_id in reserved]
+        return self._apply_eviction(unit, Eviction(placement=kept))
+
     def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
         loss_limit = self._loss_limit(unit)
         unmet = self.unmet.get(need)
+        known = self.known.get(need)
         if unmet is not None:
             # An identical unit or one with the same need found no room in this pass.
             if loss_limit <= unmet.loss_limit:
                 return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
-            return self._evict(unit, need, unmet.hosts, loss_limit, None)
-        known = self.known.get(need)
+            return self._evict(unit, need, unmet.hosts, loss_limit, known)
         if known is not None:
             return self._decide_again(unit, need, known, loss_limit)
         hosts = self._hosts(unit)
-        groups = self._groups(hosts)
-        return self._place(unit, need, hosts, groups, loss_limit, None)
+        placement = choose_placement(unit, self._groups(hosts))
+        if placement is not None:
+            return self._place(unit, placement)
+        return self._evict(unit, need, hosts, loss_limit, None)
 
     def _decide_again(
         self, unit: WaitingUnit, need: Need, known: UnmetNeed, loss_limit: float
@@ -196,38 +256,28 @@
 
         What the last pass found still holds on the workers that have not changed.
         """
-        changed = [
-            self.workers[worker_id]
-            for worker_id in self.changed
-            if worker_id in known.hosts.ids
-        ]
+        changed_ids = self._changed_hosts(known)
+        changed = [self.workers[worker_id] for worker_id in changed_ids]
         roomy = [one for one in changed if count_fitting(unit, one, one.free)]
         if roomy:
             # A single task needs a single worker; a gang may need all of them.
-            groups = [roomy] if unit.size == 1 else self._changed_groups(known.hosts)
-            return self._place(
-                unit, need, known.hosts, groups, loss_limit, known.loss_limit
-            )
+            groups = [roomy]
+            if unit.size > 1:
+                groups = self._groups(known.hosts, changed_ids)
+            placement = choose_placement(unit, groups)
+            if placement is not None:
+                return self._place(unit, placement)
         limit = max(loss_limit, known.loss_limit)
         if loss_limit > known.loss_limit or any(
             can_free_room(unit, worker, self.victims, limit) for worker in changed
         ):
-            return self._evict(unit, need, known.hosts, loss_limit, known.loss_limit)
+            return self._evict(unit, need, known.hosts, loss_limit, known)
         self.unmet[need] = known
         return [Wait(unit_id=unit.unit_id, reason=known.reason)]
 
     def _place(
-        self,
-        unit: WaitingUnit,
-        need: Need,
-        hosts: HostGroups,
-        groups: list[list[WorkerSnapshot]],
-        loss_limit: float,
-        known_limit: float | None,
+        self, unit: WaitingUnit, placement: list[WorkerSnapshot]
     ) -> list[Decision]:
-        placement = choose_placement(unit, groups)
-        if placement is None:
-            return self._evict(unit, need, hosts, loss_limit, known_limit)
         self._reserve(unit, placement)
         chosen = tuple(worker.worker_ref for worker in placement)
         return [Place(unit_id=unit.unit_id, placement=chosen)]
@@ -238,48 +288,76 @@
         need: Need,
         hosts: HostGroups,
         loss_limit: float,
-        known_limit: float | None,
+        known: UnmetNeed | None,
     ) -> list[Decision]:
         """Return the preemptions that make room for a unit that was not placed.
 
-        known_limit is the loss limit of the last pass, in which no eviction was found.
+        known is what the last pass found for the same need, in which there was no
+        eviction either.
         """
-        kept = self._kept_reservation(unit, hosts)
-        if kept is not None:
-            return self._apply_eviction(unit, Eviction(placement=kept))
-        searched_limit = NO_EVICTION
-        if hosts.ids and loss_limit > NO_EVICTION and self._may_search(unit):
-            searched_limit = loss_limit
-            groups = self._eviction_groups(unit, hosts, loss_limit, known_limit)
-            eviction = cheapest_eviction(unit, groups, self.victims, loss_limit)
-            if eviction is not None:
-                return self._apply_eviction(unit, eviction)
-        reason = WaitReason.NO_ROOM if hosts.ids else WaitReason.NO_WORKER
-        self.unmet[need] = UnmetNeed(
-            reason=reason, loss_limit=searched_limit, hosts=hosts
+        if known is not None and loss_limit > known.loss_limit:
+            known = None
+        unmet = UnmetNeed(
+            reason=WaitReason.NO_ROOM if hosts.ids else WaitReason.NO_WORKER,
+            loss_limit=NO_EVICTION,
+            hosts=hosts,
         )
-        return [Wait(unit_id=unit.unit_id, reason=reason)]
-
-    def _kept_reservation(
-        self, unit: WaitingUnit, hosts: HostGroups
-    ) -> list[WorkerSnapshot] | None:
-        """Return the workers reserved in the last pass if they still suffice.
+        if hosts.ids and loss_limit > NO_EVICTION:
+            if self._too_costly(unit, hosts, loss_limit, known, unmet):
+                unmet.loss_limit = loss_limit
+            elif self._may_search(unit, known):
+                unmet.searched_at = self.now
+                groups = self._eviction_groups(unit, hosts, known)
+                eviction = cheapest_eviction(unit, groups, self.victims, loss_limit)
+                if eviction is not None:
+                    return self._apply_eviction(unit, eviction)
+                unmet.loss_limit = loss_limit
+            elif known is not None:
+                unmet.loss_limit = known.loss_limit
+                unmet.searched_at = known.searched_at
+                unmet.unsearched = self._changed_hosts(known)
+        self.unmet[need] = unmet
+        return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+
+    def _too_costly(
+        self,
+        unit: WaitingUnit,
+        hosts: HostGroups,
+        loss_limit: float,
+        known: UnmetNeed | None,
+        unmet: UnmetNeed,
+    ) -> bool:
+        """Return whether lower bounds rule out an eviction, and record the bounds.
 
-        A unit for which others have been stopped keeps the room that this frees.
+        Lost work only grows on workers that have not changed, so that earlier bounds
+        hold there. Units that need a rack are left to the search, which is short.
         """
-        reserved = self.last_reservations.get(unit.unit_id)
-        if reserved is None or not hosts.ids.issuperset(reserved):
-            return None
-        for worker_id, count in Counter(reserved).items():
-            worker = self.workers[worker_id]
-            if count_fitting(unit, worker, worker.free + worker.releasing) < count:
-                return None
-        return [self.workers[worker_id] for worker_id in reserved]
-
-    def _may_search(self, unit: WaitingUnit) -> bool:
+        if unit.size == 1 or len(hosts.groups) != 1:
+            return False
+        searched: Iterable[str] = hosts.ids
+        earlier: list[float] = []
+        if known is not None and known.task_costs:
+            searched = self._changed_hosts(known)
+            earlier = known.task_costs
+        workers = [self.workers[worker_id] for worker_id in searched]
+        costs = least_task_costs(unit, workers, self.victims, loss_limit)
+        unmet.task_costs = nsmallest(unit.size, [*earlier, *costs])
+        return least_cost(unit, unmet.task_costs) > loss_limit
+
+    def _changed_hosts(self, known: UnmetNeed) -> frozenset[str]:
+        """Return the workers on which what the last pass found may not hold."""
+        return (known.hosts.ids & self.changed) | known.unsearched
+
+    def _may_search(self, unit: WaitingUnit, known: UnmetNeed | None) -> bool:
         """Return whether the pass may search for an eviction, and count the search."""
         if unit.guaranteed:
             return True
+        if (
+            unit.size > 1
+            and known is not None
+            and self.now - known.searched_at < EVICTION_SEARCH_INTERVAL
+        ):
+            return False
         if not self.eviction_searches_left:
             self.unfinished = True
             return False
@@ -321,19 +399,16 @@
         return (TIGHT_LOSS_SHARE_LIMIT if tight else LOSS_SHARE_LIMIT) * unit.work
 
     def _eviction_groups(
-        self,
-        unit: WaitingUnit,
-        hosts: HostGroups,
-        loss_limit: float,
-        known_limit: float | None,
+        self, unit: WaitingUnit, hosts: HostGroups, known: UnmetNeed | None
     ) -> list[list[WorkerSnapshot]]:
         """Return the groups of workers in which there may be an eviction."""
-        if known_limit is None or loss_limit > known_limit:
+        if known is None:
             return self._groups(hosts)
+        changed = self._changed_hosts(known)
         if unit.size > 1:
-            return self._changed_groups(hosts)
+            return self._groups(hosts, changed)
         # Preemptions for a single task all take place on its worker.
-        return [[self.workers[name] for name in hosts.ids & self.changed]]
+        return [[self.workers[worker_id] for worker_id in changed]]
 
     def _hosts(self, unit: WaitingUnit) -> HostGroups:
         """Return the workers that may host the unit, loaded or not."""
@@ -342,15 +417,14 @@
             self.hosts_by_key[key] = host_groups(unit, self.workers.values())
         return self.hosts_by_key[key]
 
-    def _groups(self, hosts: HostGroups) -> list[list[WorkerSnapshot]]:
-        return [[self.workers[name] for name in group] for group in hosts.groups]
-
-    def _changed_groups(self, hosts: HostGroups) -> list[list[WorkerSnapshot]]:
-        """Return the groups that contain a worker that has changed."""
+    def _groups(
+        self, hosts: HostGroups, changed: frozenset[str] | None = None
+    ) -> list[list[WorkerSnapshot]]:
+        """Return the groups, or those that contain one of the changed workers."""
         return [
-            [self.workers[name] for name in group]
+            [self.workers[worker_id] for worker_id in group]
             for group in hosts.groups
-            if not self.changed.isdisjoint(group)
+            if changed is None or not changed.isdisjoint(group)
         ]
 
     def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -31,7 +31,7 @@
 )
 from wasabispur_core.workload.snapshot import take_snapshot
 from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
-from wasabispur_core.workload.unit import ACTIVE, Unit
+from wasabispur_core.workload.unit import ACTIVE, STOPPING, Unit
 from wasabispur_core.workload.worker import (
     EndedRun,
     EndKind,
@@ -125,14 +125,13 @@
     def measure_change(self) -> float:
         """Return the CPU seconds for an ended run and the pass that follows."""
         self.now += CHANGE_INTERVAL
-        unit = self._next_to_end()
+        unit = min(self._units(ACTIVE), key=lambda unit: unit.members[0].started_at)
         begun = time.process_time()
-        for member in unit.members:
-            worker_id = member.worker_ref.worker_id
-            task = str(unit.task_id(member.index))
-            self._report(worker_id, ended=(task, unit.run))
+        self._end(unit, EndKind.DONE)
         self._pass()
         used = time.process_time() - begun
+        for stopped in self._units(STOPPING):
+            self._end(stopped, EndKind.STOPPED)
         while len(self.state.waiting) < self.size.waiting:
             self._submit()
         self._pass()
@@ -197,25 +196,33 @@
             same_rack=self.random.random() < 0.5,
         )
 
-    def _next_to_end(self) -> Unit:
-        """Return the active unit that was started first."""
-        active = [
+    def _units(self, state: str) -> list[Unit]:
+        return [
             unit
             for job in self.state.jobs.values()
             for unit in job.units.values()
-            if unit.state == ACTIVE
+            if unit.state == state
         ]
-        return min(active, key=lambda unit: unit.members[0].started_at)
 
-    def _report(self, worker_id: str, ended: tuple[str, int] | None = None) -> None:
+    def _end(self, unit: Unit, kind: EndKind) -> None:
+        """Report the ends of all runs of a unit."""
+        for member in unit.members:
+            if not member.ended:
+                task = str(unit.task_id(member.index))
+                self._report(member.worker_ref.worker_id, (task, unit.run), kind)
+
+    def _report(
+        self,
+        worker_id: str,
+        ended: tuple[str, int] | None = None,
+        kind: EndKind = EndKind.DONE,
+    ) -> None:
         """Deliver a worker's next report, with one more ended run if it is given."""
         last = self.reports.get(worker_id)
         ends = last.ended if last else ()
         if ended is not None:
             number = ends[-1].number + 1 if ends else 1
-            end = EndedRun(
-                number=number, task=ended[0], run=ended[1], kind=EndKind.DONE
-            )
+            end = EndedRun(number=number, task=ended[0], run=ended[1], kind=kind)
             ends = (*ends[-3:], end)
         report = self.reports[worker_id] = WorkerReport(
             agent_id=f"agent-{worker_id}",
--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -136,8 +136,9 @@
     """
     compared = ComparedPasses()
     monkeypatch.setattr(scheduler, "take_snapshot", compared.take_snapshot)
-    # With the limit, a pass with memory reaches units that a full pass does not.
+    # With the limits, a pass with memory searches for other units than a full pass.
     monkeypatch.setattr(planner, "EVICTION_SEARCH_LIMIT", 10_000)
+    monkeypatch.setattr(planner, "EVICTION_SEARCH_INTERVAL", 0.0)
     random = Random(seed)
     world = World(workers=6)
     world.advance(4)
