Interpret charts from tables of their transitions

The interpreter looked for ancestors, descendants and history at each event, which no chart of the project has.

Change: a chart is still read and validated by sismic from its file. Its transitions are then bound once, by state and event, to the classes of their guards and actions. A chart with nested states or actions on entry is refused. Two transitions that could both be taken are an error, as before.

--- a/packages/wasabispur-core/src/wasabispur_core/chart.py
+++ b/packages/wasabispur-core/src/wasabispur_core/chart.py
@@ -7,17 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from copy import deepcopy
+from collections.abc import Iterable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from ruamel.yaml.error import YAMLError
-from sismic.code import Evaluator
 from sismic.exceptions import StatechartError
-from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
-from sismic.model import Event, Statechart
+from sismic.model import BasicState, FinalState, Statechart
 
 from .action import Action, Guard, holds, perform
 from .command import Command
@@ -29,14 +27,33 @@
 ActionClass = type[Action[Any, Any]]
 GuardClass = type[Guard[Any, Any]]
 
+EVENTLESS = ""
+"""Key of the transitions that need no event."""
+
 
 def split_names(code: str | None) -> list[str]:
     """Split the code of an action or guard in a chart into names."""
     return (code or "").replace(",", " ").split()
 
 
+@dataclass(frozen=True, slots=True)
+class Transition:
+    """Represent a transition with its guards and actions.
+
+    A transition without a target leaves the state as it is. guards contains each guard
+    with the result that it has to have.
+    """
+
+    target: str
+    guards: tuple[tuple[GuardClass, bool], ...]
+    actions: tuple[ActionClass, ...]
+
+
 class Chart:
-    """Bind a state chart to the classes of its actions and guards."""
+    """Bind a state chart to the classes of its actions and guards.
+
+    transitions contains the transitions by source state and event.
+    """
 
     def __init__(
         self,
@@ -49,8 +66,20 @@
         self.statechart = statechart
         self.actions = {snake_case(cls.__name__): cls for cls in actions}
         self.guards = {snake_case(cls.__name__): cls for cls in guards}
-        self.statecharts_by_state: dict[str, Statechart] = {}
         self.check_names()
+        self.check_states()
+        root = statechart.state_for(statechart.root)
+        self.initial: str = root.initial
+        self.final_states = frozenset(
+            name
+            for name in statechart.states
+            if isinstance(statechart.state_for(name), FinalState)
+        )
+        self.transitions: dict[str, dict[str, list[Transition]]] = {}
+        for transition in statechart.transitions:
+            by_event = self.transitions.setdefault(transition.source, {})
+            same_event = by_event.setdefault(transition.event or EVENTLESS, [])
+            same_event.append(self._bound_transition(transition))
 
     def check_names(self) -> None:
         """Raise ChartError if an action or guard of the chart has no class."""
@@ -62,6 +91,21 @@
                 if name != "not" and name not in self.guards:
                     raise self.unknown_name_error("guard", name)
 
+    def check_states(self) -> None:
+        """Raise ChartError if the chart has nested states or actions on entry or exit.
+
+        The interpreter supports what the charts of this project need.
+        """
+        root = self.statechart.root
+        for name in self.statechart.children_for(root):
+            state = self.statechart.state_for(name)
+            supported = isinstance(state, (BasicState, FinalState))
+            if not supported or state.on_entry or state.on_exit:
+                raise ChartError(
+                    f"chart {self.name} has the unsupported state {name!r}",
+                    "use states below the root only, and actions on transitions",
+                )
+
     def unknown_name_error(self, kind: str, name: str) -> ChartError:
         """Return the error for an action or guard name that has no class."""
         return ChartError(
@@ -74,102 +118,55 @@
         names: list[str] = []
         for transition in self.statechart.transitions:
             names += split_names(transition.action)
-        for state_name in self.statechart.states:
-            state = self.statechart.state_for(state_name)
-            names += split_names(getattr(state, "on_entry", None))
-            names += split_names(getattr(state, "on_exit", None))
         return names
 
     def start(self) -> Lifecycle:
         """Return a new lifecycle in the chart's initial state."""
-        return Lifecycle(self, self.statechart)
+        return Lifecycle(self, self.initial)
 
     def resume(self, state: str) -> Lifecycle:
         """Return a lifecycle in a recorded state.
 
-        The interpreter always starts in the initial state, so each recorded state
-        gets a copy of the chart. Raise ChartError if the chart lacks the state.
+        Raise ChartError if the chart lacks the state.
         """
         if state not in self.statechart.states:
             raise ChartError(
                 f"chart {self.name} has no state {state!r}",
                 "upgrade this process to the version that wrote the record",
             )
-        if state not in self.statecharts_by_state:
-            copy = deepcopy(self.statechart)
-            copy.state_for(copy.root).initial = state
-            self.statecharts_by_state[state] = copy
-        return Lifecycle(self, self.statecharts_by_state[state])
-
-
-class _ChartEvaluator(Evaluator):  # type: ignore[misc]
-    """Evaluate named actions and guards for the sismic interpreter."""
+        return Lifecycle(self, state)
 
-    def __init__(
-        self,
-        interpreter: Interpreter | None = None,
-        *,
-        initial_context: Mapping[str, Any] | None = None,
-    ) -> None:
-        self.lifecycle: Lifecycle = (initial_context or {})["lifecycle"]
-
-    @property
-    def context(self) -> Mapping[str, Any]:
-        return {}
-
-    def execute_statechart(self, statechart: Statechart) -> None:
-        """Skip the preamble, because the charts of this project have none."""
-
-    def execute_on_entry(self, state: Any) -> list[Event]:
-        self.lifecycle.state = state.name
-        return self._execute_code(getattr(state, "on_entry", None))
-
-    def _evaluate_code(
-        self, code: str, *, additional_context: Mapping[str, Any] | None = None
-    ) -> bool:
-        negated = False
-        for name in split_names(code):
+    def _bound_transition(self, transition: Any) -> Transition:
+        guards: list[tuple[GuardClass, bool]] = []
+        expected = True
+        for name in split_names(transition.guard):
             if name == "not":
-                negated = True
+                expected = False
                 continue
-            if self.lifecycle.evaluate_guard(name) == negated:
-                return False
-            negated = False
-        return True
-
-    def _execute_code(
-        self,
-        code: str | None,
-        *,
-        additional_context: Mapping[str, Any] | None = None,
-    ) -> list[Event]:
-        for name in split_names(code):
-            self.lifecycle.perform_action(name)
-        return []
+            guards.append((self.guards[name], expected))
+            expected = True
+        return Transition(
+            target=transition.target or "",
+            guards=tuple(guards),
+            actions=tuple(
+                self.actions[name] for name in split_names(transition.action)
+            ),
+        )
 
 
 class Lifecycle:
     """Track the state of one object in a chart."""
 
-    __slots__ = ("chart", "commands", "interpreter", "state", "transition_context")
+    __slots__ = ("chart", "state")
 
-    def __init__(self, chart: Chart, statechart: Statechart) -> None:
+    def __init__(self, chart: Chart, state: str) -> None:
         self.chart = chart
-        self.state = ""
-        self.transition_context: tuple[Any, Any, Message, float] | None = None
-        self.commands: list[Command] = []
-        self.interpreter = Interpreter(
-            statechart,
-            evaluator_klass=_ChartEvaluator,
-            initial_context={"lifecycle": self},
-            ignore_contract=True,
-        )
-        self.interpreter.execute()
+        self.state = state
 
     @property
     def final(self) -> bool:
         """Return whether the lifecycle is in a final state."""
-        return bool(self.interpreter.final)
+        return self.state in self.chart.final_states
 
     def handle(
         self, message: Message, component: Any, subject: Any, now: float
@@ -179,36 +176,55 @@
         Raise UnexpectedEventError if the current state has no transition for it.
         """
         name = event_name(message)
-        state = self.state
-        self.transition_context = (component, subject, message, now)
-        self.commands = []
-        step = self.interpreter.queue(Event(name)).execute_once()
-        if step is None or not step.transitions:
+        context = (component, subject, message, now)
+        commands = self._follow_eventless(context)
+        transition = self._enabled(name, context)
+        if transition is None:
             raise UnexpectedEventError(
-                f"chart {self.chart.name} has no transition for {name} in {state}",
+                f"chart {self.chart.name} has no transition for {name} in {self.state}",
                 "add a transition to the chart; one without a target ignores the event",
             )
-        self.interpreter.execute()
-        self.transition_context = None
-        return self.commands
+        commands += self._follow(transition, context)
+        return commands + self._follow_eventless(context)
 
-    def evaluate_guard(self, name: str) -> bool:
-        """Evaluate one guard by name."""
-        if self.transition_context is None:
-            raise ChartError(
-                f"guard {name!r} of chart {self.chart.name} runs without an event",
-                "use guards on transitions only",
+    def _follow_eventless(
+        self, context: tuple[Any, Any, Message, float]
+    ) -> list[Command]:
+        """Follow transitions without an event until none is enabled."""
+        commands: list[Command] = []
+        while transition := self._enabled(EVENTLESS, context):
+            commands += self._follow(transition, context)
+        return commands
+
+    def _enabled(
+        self, event: str, context: tuple[Any, Any, Message, float]
+    ) -> Transition | None:
+        """Return the transition whose guards hold; raise ChartError if several do."""
+        enabled = [
+            transition
+            for transition in self.chart.transitions.get(self.state, {}).get(event, ())
+            if all(
+                bool(holds(guard(*context))) is expected
+                for guard, expected in transition.guards
             )
-        return holds(self.chart.guards[name](*self.transition_context))
-
-    def perform_action(self, name: str) -> None:
-        """Perform one action by name."""
-        if self.transition_context is None:
+        ]
+        if len(enabled) > 1:
             raise ChartError(
-                f"action {name!r} of chart {self.chart.name} runs without an event",
-                "move it from the initial state to a transition",
+                f"chart {self.chart.name} has several transitions for "
+                f"{event or 'no event'} in {self.state}",
+                "make their guards exclude each other",
             )
-        self.commands += perform(self.chart.actions[name](*self.transition_context))
+        return enabled[0] if enabled else None
+
+    def _follow(
+        self, transition: Transition, context: tuple[Any, Any, Message, float]
+    ) -> list[Command]:
+        """Perform the transition's actions and enter its target."""
+        commands: list[Command] = []
+        for action in transition.actions:
+            commands += perform(action(*context))
+        self.state = transition.target or self.state
+        return commands
 
 
 class ChartCatalogue:
