Keep periodic work and answers after unexpected errors

Cause: looked for what operators of similar systems report: one unexpected error took a process down. It could happen here in three ways. An error while a timer's message was handled lost the timer, and with it the ticks of owners and agents. An error of the scheduler in a tick lost the renewal that stood beside it, so that the owner lost the shard, never claimed it again, and the next owner met the same error. An answer of the store or of a worker to an actor with a full mailbox was dropped, so that a report was never written or a worker never polled again.

Change: an actor sets a timer again, after 1 s, if its message could not be handled. The shard keeps the scheduler's errors apart from the ownership, logs them (409), and after ten in a row lets the scheduler read all rows again (410). Answers and changes from feeds are queued like timers; their number is bounded by the calls in flight. The simulated worlds fail on event 409, so that no check inside a scheduler is lost.

--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -60,7 +60,7 @@
         self.runner = FleetRunner(
             timers, state, self.table, self.worker, self.open_feed
         )
-        self.worker.receiver = self.runner.post
+        self.worker.receiver = self.runner.post_urgent
         self.runner.observer = self.metrics.observe
         self.actors = (self.table, self.worker, self.runner)
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -50,7 +50,9 @@
         self.table = table
         self.worker = worker
         self.feed = open_feed(
-            order_table(self.agent_id), (order_prefix(self.agent_id),), self.post
+            order_table(self.agent_id),
+            (order_prefix(self.agent_id),),
+            self.post_urgent,
         )
 
     async def opened(self) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -74,6 +74,13 @@
 GUARANTEE_MET = LogEvent(
     408, "INFO", "guaranteed shape {shape} of {organisation} can be met again"
 )
+SCHEDULER_FAILED = LogEvent(
+    409, "ERROR", "the scheduler failed on {message_name}: {error}"
+)
+SCHEDULER_RELOADED = LogEvent(
+    410, "WARNING", "the scheduler of shard {shard} reads all rows again"
+)
+
 JOB_ACCEPTED = LogEvent(420, "INFO", "job {job} of {organisation} accepted")
 JOB_REFUSED = LogEvent(421, "INFO", "job {job} of {organisation} refused: {reason}")
 JOB_UNCERTAIN = LogEvent(
--- a/packages/wasabispur-core/src/wasabispur_core/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/shard.py
@@ -13,13 +13,17 @@
 from typing import Any
 
 from . import ownership
-from .command import Command, SetTimer
-from .message import Message
+from .command import Command, SetTimer, WriteLog
+from .error import UnhandledMessageError
+from .log_event import SCHEDULER_FAILED, SCHEDULER_RELOADED
+from .message import event_name, Message
 from .ownership import (
     NotifyScheduler,
     Ownership,
     OwnershipTick,
     ReleaseOwnership,
+    ShardAcquired,
+    ShardLost,
     WriteRow,
 )
 from .store import RowsRead, RowsUnavailable, StoreResult
@@ -27,6 +31,9 @@
 TICK_INTERVAL = 0.5
 """Seconds between two checks of leases and queues."""
 
+RELOAD_AFTER_FAILURES = 10
+"""Consecutive unexpected errors of the scheduler after which it reads all rows anew."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardTick(Message):
@@ -39,6 +46,7 @@
 
     decide_jobs is the decision function of the scheduler, which acts under the
     shard's lease. tick is the message that tells the scheduler that time has passed.
+    failures counts the consecutive messages on which the scheduler failed.
     """
 
     ownership: Ownership
@@ -46,6 +54,7 @@
     decide_jobs: Callable[[Message, Any, float], list[Command]]
     tick: Message
     tick_interval: float = TICK_INTERVAL
+    failures: int = 0
 
 
 def decide(message: Message, state: Shard, now: float) -> list[Command]:
@@ -65,7 +74,7 @@
 @singledispatch
 def route(message: Message, state: Shard, now: float) -> list[Command]:
     """Pass a message to the component of the shard that handles it."""
-    return state.decide_jobs(message, state.scheduler, now)
+    return _decide_jobs(message, state, now)
 
 
 @route.register(StoreResult)
@@ -90,7 +99,7 @@
         message=message,
     )
     claim = ownership.decide(OwnershipTick(), state.ownership, now)
-    return [timer, *claim, *state.decide_jobs(state.tick, state.scheduler, now)]
+    return [timer, *claim, *_decide_jobs(state.tick, state, now)]
 
 
 @singledispatch
@@ -103,9 +112,43 @@
 
 @handle_internally.register
 def _(command: NotifyScheduler, state: Shard, now: float) -> list[Command]:
-    return state.decide_jobs(command.message, state.scheduler, now)
+    return _decide_jobs(command.message, state, now)
 
 
 @handle_internally.register
 def _(command: WriteRow, state: Shard, now: float) -> list[Command]:
     return ownership.decide(command, state.ownership, now)
+
+
+def _decide_jobs(message: Message, state: Shard, now: float) -> list[Command]:
+    """Pass a message to the scheduler, whose errors leave the ownership untouched.
+
+    Without this, an error on one job would end the renewals of the lease, at one entry
+    after another. State that stays faulty is read again from the store.
+    """
+    try:
+        commands = state.decide_jobs(message, state.scheduler, now)
+    except UnhandledMessageError:
+        raise
+    except Exception as error:
+        state.failures += 1
+        fields = {"message_name": event_name(message), "error": repr(error)}
+        log = WriteLog(number=SCHEDULER_FAILED.number, fields=fields)
+        if state.failures % RELOAD_AFTER_FAILURES or not state.scheduler.owning:
+            return [log]
+        return [log, *_reload_scheduler(state, now)]
+    state.failures = 0
+    return commands
+
+
+def _reload_scheduler(state: Shard, now: float) -> list[Command]:
+    """Let the scheduler begin anew, as after a gain of the ownership."""
+    epoch = state.ownership.lease.epoch
+    log = WriteLog(
+        number=SCHEDULER_RELOADED.number, fields={"shard": state.ownership.shard}
+    )
+    return [
+        log,
+        *state.decide_jobs(ShardLost(), state.scheduler, now),
+        *state.decide_jobs(ShardAcquired(epoch=epoch), state.scheduler, now),
+    ]
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/actor.py
@@ -26,6 +26,12 @@
 MAILBOX_LIMIT = 20_000
 """Messages that may wait in one mailbox."""
 
+FAILED_TIMER_DELAY = 1.0
+"""Seconds after which the message of a timer is handled again if its handler failed.
+
+Many timers are set by the handler of the one before, and would stop otherwise.
+"""
+
 Handler = Callable[[Any], Awaitable[None] | None]
 
 
@@ -50,6 +56,7 @@
         self.timers = timers
         self.mailbox: asyncio.Queue[Message] = asyncio.Queue()
         self.overloaded = False
+        self.handler_failed = False
         self.subscriptions: dict[str, Subscription] = {}
         self.task: asyncio.Task[None] | None = None
 
@@ -66,9 +73,9 @@
     def post_urgent(self, message: Message) -> None:
         """Queue a message even if the mailbox is at its limit.
 
-        This is for messages whose number is bounded elsewhere, such as timers and
-        the ends of sessions. If one of them were dropped, the state that it cleans
-        up would never be removed.
+        This is for messages whose number is bounded elsewhere, such as timers, answers
+        to calls, changes from feeds and the ends of sessions. If one of them were
+        dropped, the call would never end or the state would never be removed.
         """
         self.mailbox.put_nowait(message)
 
@@ -104,7 +111,10 @@
                 if isinstance(message, Close):
                     break
                 self._clear_overload()
-                await self.handle(message)
+                if isinstance(message, _TimerFired):
+                    await self._handle_timer(message)
+                else:
+                    await self.handle(message)
         finally:
             for subscription in self.subscriptions.values():
                 subscription.cancel()
@@ -121,10 +131,12 @@
                 await result
         except MailboxFullError:
             # The actor whose mailbox is full has logged the rejection.
-            return
+            self.handler_failed = True
         except WasabispurError as error:
+            self.handler_failed = True
             log(MESSAGE_REJECTED, actor=self.name, message_name=name, error=str(error))
         except Exception as error:
+            self.handler_failed = True
             log_failure(
                 HANDLER_FAILED, actor=self.name, message_name=name, error=str(error)
             )
@@ -162,7 +174,14 @@
         if not isinstance(message, _TimerFired):
             return
         self.subscriptions.pop(message.timer_id, None)
-        self.post_urgent(message.message)
+        self.post_urgent(message)
+
+    async def _handle_timer(self, timer: _TimerFired) -> None:
+        """Handle the message of a timer, and set the timer again after a failure."""
+        self.handler_failed = False
+        await self.handle(timer.message)
+        if self.handler_failed and timer.timer_id not in self.subscriptions:
+            self.set_timer(timer.timer_id, FAILED_TIMER_DELAY, timer.message)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -128,7 +128,7 @@
                 error=str(error),
             )
             answer = CallLost(call_id=command.call_id, reason="the call failed")
-        self.post(answer)
+        self.post_urgent(answer)
 
     async def closed(self) -> None:
         """Stop the threads and close the connections."""
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
@@ -123,14 +123,16 @@
 @execute.register
 def _(command: Transact, actor: Any) -> None:
     actor.table.post(
-        ApplyTransaction(transaction=command.transaction, receiver=actor.post)
+        ApplyTransaction(transaction=command.transaction, receiver=actor.post_urgent)
     )
 
 
 @execute.register
 def _(command: ReadRows, actor: Any) -> None:
     actor.table.post(
-        FetchRows(read_id=command.read_id, prefix=command.prefix, receiver=actor.post)
+        FetchRows(
+            read_id=command.read_id, prefix=command.prefix, receiver=actor.post_urgent
+        )
     )
 
 
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -102,7 +102,7 @@
         """Open a feed for each table."""
         for table in (*command.watched, *command.read):
             watched = table in command.watched
-            feed = self.open_feed(table, PREFIXES[table], watched, self.post)
+            feed = self.open_feed(table, PREFIXES[table], watched, self.post_urgent)
             feed.start()
             self.feeds.append(feed)
 
--- a/packages/wasabispur/src/wasabispur/policy_watcher.py
+++ b/packages/wasabispur/src/wasabispur/policy_watcher.py
@@ -32,7 +32,7 @@
         super().__init__("policy-watcher", timers)
         self.decode = decode
         self.listeners = list(listeners)
-        self.feed = open_feed(self.post)
+        self.feed = open_feed(self.post_urgent)
         self.table = table
         self.version = 0
         self.connected = False
--- a/tests/actor/test_actor.py
+++ b/tests/actor/test_actor.py
@@ -142,3 +142,39 @@
         assert actor.mailbox.empty()
 
     run(main())
+
+
+class Ticking(Actor):
+    """Set a timer again each time it fires, and fail on some of them."""
+
+    def __init__(self, timers: FakeTimerService, errors: list[Exception]) -> None:
+        super().__init__("ticking", timers)
+        self.errors = errors
+        self.ticks = 0
+
+    def on_note(self, message: Note) -> None:
+        if self.errors:
+            raise self.errors.pop(0)
+        self.ticks += 1
+        self.set_timer("tick", 0.25, message)
+
+
+@pytest.mark.parametrize(
+    "error", [ValueError("planted"), ProtocolError("planted", "none")]
+)
+def test_timer_is_set_again_after_its_handler_failed(error):
+    """Guard against periodic work that one unexpected error ends for good."""
+
+    async def main() -> None:
+        timers = FakeTimerService()
+        actor = Ticking(timers, [error])
+        actor.start()
+        actor.set_timer("tick", 0.25, Note(number=1))
+        for _ in range(12):
+            timers.advance(0.25)
+            for _ in range(5):
+                await asyncio.sleep(0)
+        await actor.close()
+        assert actor.ticks >= 4
+
+    run(main())
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -28,6 +28,7 @@
     to_value,
 )
 from wasabispur_core.job_shard import new_shard
+from wasabispur_core.log_event import SCHEDULER_FAILED
 from wasabispur_core.member import FromAgent
 from wasabispur_core.permit import FromEntry, SendToEntryLink
 from wasabispur_core.protocol import (
@@ -337,6 +338,7 @@
                     wrapped = FromAgent(agent_id=source.name, message=command.message)
                     self.send_over_link(entry.name, source.name, entry, wrapped)
             case WriteLog():
+                assert command.number != SCHEDULER_FAILED.number, command.fields
                 self.logged.append(command)
             case Transact():
                 self.post(source, self.transact(command.transaction, source))
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -22,6 +22,7 @@
     Transact,
     WriteLog,
 )
+from wasabispur_core.log_event import SCHEDULER_FAILED
 from wasabispur_core.message import Message
 from wasabispur_core.ownership import Ownership, ReleaseOwnership
 from wasabispur_core.ownership_action import ownership_chart
@@ -177,6 +178,8 @@
     @execute.register
     def _(self, command: WriteLog) -> None:
         self.logs.append(command.number)
+        if command.number == SCHEDULER_FAILED.number:
+            assert self.world.scheduler_may_fail, command.fields
 
     @execute.register
     def _(self, command: Transact) -> None:
@@ -309,6 +312,7 @@
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
         self.delayed_starts = False
+        self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
         self.done: dict[str, float] = {}
