--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -73,6 +73,9 @@
 LIST_RETRY_DELAY = 0.25
 """Seconds before the lists are requested again after a failure."""
 
+LEASE_RENEWAL_SILENCE = 2.0
+"""Seconds without a confirmed report after which a lease is renewed at once."""
+
 DEAD_AFTER_REFUSALS = 2
 """Consecutive refused connections that show that the worker's process has ended."""
 
@@ -234,12 +237,20 @@
     worker_id, report = found
     report.in_flight = ""
     report.version = message.versions[report_key(worker_id)]
+    silence = report.sent_at - report.confirmed_at
     report.confirmed_at = report.sent_at
     if report.removed:
         del state.reports[worker_id]
         return []
     worker = state.workers.get(worker_id)
-    return _advance(worker, state, now) if worker else []
+    if worker is None:
+        return []
+    commands = _advance(worker, state, now)
+    if worker.runs and silence > LEASE_RENEWAL_SILENCE:
+        # The poll in progress may last until the lease is over.
+        context = run_context(worker, state)
+        commands.append(list_runs_command(context, 0.0, now))
+    return commands
 
 
 @decide.register
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -312,6 +312,7 @@
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
         self.delayed_starts = False
+        self.start_delay = 4.0
         self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
@@ -483,7 +484,9 @@
         lost = self.delayed_starts and isinstance(command, StartRun)
         if lost:
             self.timers.subscribe(
-                4.0, lambda _: self._serve_delayed(worker, command), Message()
+                self.start_delay,
+                lambda _: self._serve_delayed(worker, command),
+                Message(),
             )
             self._answer_unreachable(agent, command, refused=False)
             return
