Stop no work while workers have yet to report

Change: after a takeover or an outage no unit is preempted until all workers that accept units have reported, 1.2 s at most; workers report each second.

Result: test_new_owner_stops_nothing_before_all_workers_reported and test_nothing_is_stopped_while_workers_have_yet_to_report failed before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -132,7 +132,8 @@
 
     changed contains the ids of the workers that differ from the last snapshot. It is
     None if results of earlier passes don't hold, because a worker was added or removed
-    or may now host other units than before.
+    or may now host other units than before. settling is set if some workers have yet to
+    report after a takeover or an outage.
     """
 
     now: float
@@ -140,6 +141,7 @@
     waiting: tuple[WaitingUnit, ...]
     running: tuple[RunningUnit, ...]
     changed: frozenset[str] | None = None
+    settling: bool = False
 
 
 class WaitReason(StrEnum):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -155,6 +155,7 @@
 
     def __init__(self, snapshot: Snapshot, planner: Planner) -> None:
         self.now = snapshot.now
+        self.settling = snapshot.settling
         self.workers = {
             worker.worker_ref.worker_id: worker for worker in snapshot.workers
         }
@@ -389,7 +390,12 @@
         return [*preemptions, Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING)]
 
     def _loss_limit(self, unit: WaitingUnit) -> float:
-        """Return the limit of lost work in core-seconds for an eviction."""
+        """Return the limit of lost work in core-seconds for an eviction.
+
+        While workers have yet to report, one of them may have room.
+        """
+        if self.settling:
+            return NO_EVICTION
         if unit.guaranteed:
             return inf
         if unit.priority > 0:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -34,6 +34,9 @@
 Its tasks take several times as long away from their data or over several racks.
 """
 
+REPORT_WAIT_TIME = 1.2
+"""Seconds in which all workers report once after a takeover or an outage."""
+
 DEFAULT_ESTIMATE = 5.0
 """Seconds that a task is assumed to run if its caller gave no estimate."""
 
@@ -61,6 +64,8 @@
         waiting=tuple(view.waiting.values()),
         running=tuple(view.running.values()),
         changed=None if changed_workers is None else changed_workers | cheaper,
+        settling=now - state.reports_since < REPORT_WAIT_TIME
+        and any(worker.awaiting_report for worker in view.workers.values()),
     )
 
 
--- a/tests/workload/test_reservation.py
+++ b/tests/workload/test_reservation.py
@@ -66,3 +66,17 @@
     gone = replace(workers[0], ready=False, free=demand(0))
     remaining = replace(snapshot([gone, workers[1]], [first], victims), changed=None)
     assert stopped(planner.decide(remaining)) == {"v1"}
+
+
+def test_nothing_is_stopped_while_workers_have_yet_to_report():
+    """Guard against work that a new owner stops although another worker has room.
+
+    It knew the reports of few workers, and stopped a run that was nearly done.
+    """
+    workers = [worker(0, used=8), worker(1, ready=False, awaiting_report=True)]
+    victims = [running("v0", 0, 8, lost_work=1.0)]
+    urgent = waiting("urgent", 8, priority=0, guaranteed=True)
+    taken_over = replace(snapshot(workers, [urgent], victims), settling=True)
+    planner = Planner()
+    assert stopped(planner.decide(taken_over)) == set()
+    assert stopped(planner.decide(snapshot(workers, [urgent], victims))) == {"v0"}
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -422,3 +422,20 @@
     world.advance(5)
     for agent in world.agents.values():
         assert agent.logs.count(REPORT_FAILED.number) <= 12
+
+
+def test_new_owner_stops_nothing_before_all_workers_reported():
+    """Guard against work that is stopped because of reports that are yet unread."""
+    world = started_world(workers=4)
+    long = world.submit(tasks(3, 8), queue_name="bulk", duration=6)
+    world.advance(1)
+    for entry in world.entries:
+        entry.partitioned = True
+    world.kill_entry(world.entries.index(world.owner()))
+    for entry in world.entries:
+        entry.partitioned = False
+    urgent = world.submit(tasks(1, 8), queue_name="urgent", entry=1, duration=1)
+    world.advance(12)
+    assert world.state_of(urgent).job_state is COMPLETED
+    assert world.state_of(long).job_state is COMPLETED
+    assert len(world.starts) == 4
