Split the planner into the order, the pass, bounds and victims

Moves and renames only: waiting_order (order of the waiting units), planning_pass (one pass), planner (what is kept between passes), victim (what may be stopped), eviction_bound (lower bounds), eviction (the search).

--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -0,0 +1,415 @@
+"""Decide on the waiting units in one pass of the planner.
+
+With a backlog, most units wait for the same reason from one pass to the next. A pass
+looks at the needs that earlier passes could not place only on the workers that have
+changed, so that it costs little in a large fleet.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from copy import copy
+from dataclasses import dataclass, field
+from heapq import nsmallest
+from math import inf
+from typing import Any, TYPE_CHECKING
+
+from .eviction import can_free_room, cheapest_eviction, Eviction
+from .eviction_bound import least_cost, least_task_costs
+from .plan import (
+    Decision,
+    Place,
+    Preempt,
+    RunningUnit,
+    Snapshot,
+    Trust,
+    Wait,
+    WaitingUnit,
+    WaitReason,
+    WorkerSnapshot,
+)
+from .unit import UnitId
+from .unit_placement import (
+    choose_placement,
+    count_fitting,
+    host_groups,
+    host_key,
+    HostGroups,
+    reserve,
+    step_key,
+)
+from .victim import VictimIndex
+from .waiting_order import queue_order
+
+if TYPE_CHECKING:
+    from .planner import Planner
+
+LOSS_SHARE_LIMIT = 0.15
+"""Limit of lost work for a unit without a guarantee, as a share of its own work."""
+
+TIGHT_SLACK = 1.5
+"""Seconds before and after the latest in-time start in which slack is tight."""
+
+TIGHT_LOSS_SHARE_LIMIT = 0.4
+"""Limit of the share of lost work for a unit with tight slack."""
+
+EVICTION_SEARCH_LIMIT = 8
+"""Units without a guarantee for which one pass searches the fleet for an eviction.
+
+The limit bounds the time of a pass; the next pass goes on with the other units.
+"""
+
+EVICTION_SEARCH_INTERVAL = 0.25
+"""Seconds for which a search for a gang without a guarantee is not repeated.
+
+Several changes share one search then; a search costs more than the rest of a pass.
+"""
+
+NO_EVICTION = -1.0
+"""Loss limit of a unit that preempts no other one, and of an omitted search."""
+
+Need = tuple[Any, ...]
+HostKey = tuple[Any, ...]
+"""Keys that are equal for units with the same need, or for the same workers."""
+
+
+@dataclass(slots=True, kw_only=True)
+class UnmetNeed:
+    """Describe why units with the same need were not placed.
+
+    No eviction costs loss_limit core-seconds or less, but for those on the workers in
+    unsearched, which have changed since. hosts contains the workers that may host the
+    units, and task_costs lower bounds on the costs of a unit's tasks there. searched_at
+    is the time of the last search in monotonic seconds.
+    """
+
+    reason: WaitReason
+    loss_limit: float
+    hosts: HostGroups
+    unsearched: frozenset[str] = frozenset()
+    task_costs: list[float] = field(default_factory=list)
+    searched_at: float = -inf
+
+
+class PlanningPass:
+    """Represent the state of one pass: free resources, victims, and failed searches."""
+
+    def __init__(self, snapshot: Snapshot, planner: Planner) -> None:
+        self.now = snapshot.now
+        self.settling = snapshot.settling
+        self.workers = {
+            worker.worker_ref.worker_id: worker for worker in snapshot.workers
+        }
+        self.copied: set[str] = set()
+        self.victims = VictimIndex(snapshot.running, snapshot.now)
+        self.known: dict[Need, UnmetNeed] = {}
+        self.changed: set[str] = set()
+        self.hosts_by_key = planner.hosts_by_key
+        if snapshot.changed is None or not planner.unmet:
+            self.hosts_by_key.clear()
+        else:
+            self.known = planner.unmet
+            # What a unit keeps in reserve is decided again in each pass.
+            self.changed = set(snapshot.changed).union(*planner.reservations.values())
+        self.unmet: dict[Need, UnmetNeed] = {}
+        self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
+        self.last_reservations = planner.reservations
+        self.decided: set[UnitId] = set()
+        self.reservations: dict[UnitId, tuple[str, ...]] = {}
+        self.trial_begun = False
+        self.eviction_searches_left = EVICTION_SEARCH_LIMIT
+        self.unfinished = False
+        for unit in snapshot.running:
+            if unit.stopping:
+                self._add_releasing(unit)
+
+    def all_unmet(self) -> dict[Need, UnmetNeed]:
+        """Return the needs that the pass could not place."""
+        return self.unmet_before_eviction | self.unmet
+
+    def decide(self, group: list[WaitingUnit]) -> list[Decision]:
+        """Return the decisions on identical units, and the preemptions for them."""
+        need = _need(group[0])
+        decisions: list[Decision] = []
+        for unit in group:
+            if unit.unit_id in self.decided:
+                continue
+            found = self._decide_unit(unit, need)
+            decisions += found
+            if isinstance(found[-1], Wait) and need in self.unmet:
+                # The tasks of a step are identical: if one of them can't be placed,
+                # neither can another one.
+                break
+        return decisions
+
+    def keep_reservations(self, waiting: Iterable[WaitingUnit]) -> list[Decision]:
+        """Place the units for which others were stopped, or keep their workers.
+
+        This comes before all other decisions, so that no other unit takes the room.
+        """
+        if not self.last_reservations:
+            return []
+        units = [unit for unit in waiting if unit.unit_id in self.last_reservations]
+        decisions: list[Decision] = []
+        for unit in sorted(units, key=lambda unit: queue_order(unit, self.now)):
+            found = self._decide_reserved(unit, self.last_reservations[unit.unit_id])
+            decisions += found
+            if found:
+                self.decided.add(unit.unit_id)
+        return decisions
+
+    def _decide_reserved(
+        self, unit: WaitingUnit, reserved: tuple[str, ...]
+    ) -> list[Decision]:
+        hosts = self._hosts(unit)
+        placement = choose_placement(unit, self._groups(hosts))
+        if placement is not None:
+            return self._place(unit, placement)
+        if not hosts.ids.issuperset(reserved):
+            return []
+        for worker_id, count in Counter(reserved).items():
+            worker = self.workers[worker_id]
+            if count_fitting(unit, worker, worker.free + worker.releasing) < count:
+                return []
+        kept = [self.workers[worker_id] for worker_id in reserved]
+        return self._apply_eviction(unit, Eviction(placement=kept))
+
+    def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
+        loss_limit = self._loss_limit(unit)
+        unmet = self.unmet.get(need)
+        known = self.known.get(need)
+        if unmet is not None:
+            # An identical unit or one with the same need found no room in this pass.
+            if loss_limit <= unmet.loss_limit:
+                return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+            return self._evict(unit, need, unmet.hosts, loss_limit, known)
+        if known is not None:
+            return self._decide_again(unit, need, known, loss_limit)
+        hosts = self._hosts(unit)
+        placement = choose_placement(unit, self._groups(hosts))
+        if placement is not None:
+            return self._place(unit, placement)
+        return self._evict(unit, need, hosts, loss_limit, None)
+
+    def _decide_again(
+        self, unit: WaitingUnit, need: Need, known: UnmetNeed, loss_limit: float
+    ) -> list[Decision]:
+        """Decide on a unit whose need the last pass could not place.
+
+        What the last pass found still holds on the workers that have not changed.
+        """
+        changed_ids = self._changed_hosts(known)
+        changed = [self.workers[worker_id] for worker_id in changed_ids]
+        roomy = [one for one in changed if count_fitting(unit, one, one.free)]
+        if roomy:
+            # A single task needs a single worker; a gang may need all of them.
+            groups = [roomy]
+            if unit.size > 1:
+                groups = self._groups(known.hosts, changed_ids)
+            placement = choose_placement(unit, groups)
+            if placement is not None:
+                return self._place(unit, placement)
+        limit = max(loss_limit, known.loss_limit)
+        if loss_limit > known.loss_limit or any(
+            can_free_room(unit, worker, self.victims, limit) for worker in changed
+        ):
+            return self._evict(unit, need, known.hosts, loss_limit, known)
+        self.unmet[need] = known
+        return [Wait(unit_id=unit.unit_id, reason=known.reason)]
+
+    def _place(
+        self, unit: WaitingUnit, placement: list[WorkerSnapshot]
+    ) -> list[Decision]:
+        self._reserve(unit, placement)
+        chosen = tuple(worker.worker_ref for worker in placement)
+        return [Place(unit_id=unit.unit_id, placement=chosen)]
+
+    def _evict(
+        self,
+        unit: WaitingUnit,
+        need: Need,
+        hosts: HostGroups,
+        loss_limit: float,
+        known: UnmetNeed | None,
+    ) -> list[Decision]:
+        """Return the preemptions that make room for a unit that was not placed.
+
+        known is what the last pass found for the same need, in which there was no
+        eviction either.
+        """
+        if known is not None and loss_limit > known.loss_limit:
+            known = None
+        unmet = UnmetNeed(
+            reason=WaitReason.NO_ROOM if hosts.ids else WaitReason.NO_WORKER,
+            loss_limit=NO_EVICTION,
+            hosts=hosts,
+        )
+        if hosts.ids and loss_limit > NO_EVICTION:
+            if self._too_costly(unit, hosts, loss_limit, known, unmet):
+                unmet.loss_limit = loss_limit
+            elif self._may_search(unit, known):
+                unmet.searched_at = self.now
+                groups = self._eviction_groups(unit, hosts, known)
+                eviction = cheapest_eviction(unit, groups, self.victims, loss_limit)
+                if eviction is not None:
+                    return self._apply_eviction(unit, eviction)
+                unmet.loss_limit = loss_limit
+            elif known is not None:
+                unmet.loss_limit = known.loss_limit
+                unmet.searched_at = known.searched_at
+                unmet.unsearched = self._changed_hosts(known)
+        self.unmet[need] = unmet
+        return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+
+    def _too_costly(
+        self,
+        unit: WaitingUnit,
+        hosts: HostGroups,
+        loss_limit: float,
+        known: UnmetNeed | None,
+        unmet: UnmetNeed,
+    ) -> bool:
+        """Return whether lower bounds rule out an eviction, and record the bounds.
+
+        Lost work only grows on workers that have not changed, so that earlier bounds
+        hold there. Units that need a rack are left to the search, which is short.
+        """
+        if unit.size == 1 or len(hosts.groups) != 1:
+            return False
+        searched: Iterable[str] = hosts.ids
+        earlier: list[float] = []
+        if known is not None and known.task_costs:
+            searched = self._changed_hosts(known)
+            earlier = known.task_costs
+        workers = [self.workers[worker_id] for worker_id in searched]
+        costs = least_task_costs(unit, workers, self.victims, loss_limit)
+        unmet.task_costs = nsmallest(unit.size, [*earlier, *costs])
+        return least_cost(unit, unmet.task_costs) > loss_limit
+
+    def _changed_hosts(self, known: UnmetNeed) -> frozenset[str]:
+        """Return the workers on which what the last pass found may not hold."""
+        return (known.hosts.ids & self.changed) | known.unsearched
+
+    def _may_search(self, unit: WaitingUnit, known: UnmetNeed | None) -> bool:
+        """Return whether the pass may search for an eviction, and count the search."""
+        if unit.guaranteed:
+            return True
+        if (
+            unit.size > 1
+            and known is not None
+            and self.now - known.searched_at < EVICTION_SEARCH_INTERVAL
+        ):
+            return False
+        if not self.eviction_searches_left:
+            self.unfinished = True
+            return False
+        self.eviction_searches_left -= 1
+        return True
+
+    def _apply_eviction(self, unit: WaitingUnit, eviction: Eviction) -> list[Decision]:
+        """Keep the resources for the unit, and return the preemptions."""
+        for victim in eviction.victims:
+            self._add_releasing(victim)
+            self.changed.update(one.worker_id for one in victim.placement)
+        # A victim may free more than the unit needs, also on other workers.
+        self.unmet_before_eviction |= self.unmet
+        self.known = self.known | self.unmet
+        self.unmet = {}
+        self._reserve(unit, eviction.placement)
+        self.reservations[unit.unit_id] = tuple(
+            worker.worker_ref.worker_id for worker in eviction.placement
+        )
+        self.victims.exclude(eviction.victims)
+        preemptions = [
+            Preempt(
+                unit_id=victim.unit_id,
+                beneficiary=unit.unit_id,
+                lost_work=victim.lost_work_at(self.now),
+            )
+            for victim in eviction.victims
+        ]
+        return [*preemptions, Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING)]
+
+    def _loss_limit(self, unit: WaitingUnit) -> float:
+        """Return the limit of lost work in core-seconds for an eviction.
+
+        While workers have yet to report, one of them may have room.
+        """
+        if self.settling:
+            return NO_EVICTION
+        if unit.guaranteed:
+            return inf
+        if unit.priority > 0:
+            return NO_EVICTION
+        slack = unit.objective - unit.remaining - self.now
+        tight = abs(slack) <= TIGHT_SLACK
+        return (TIGHT_LOSS_SHARE_LIMIT if tight else LOSS_SHARE_LIMIT) * unit.work
+
+    def _eviction_groups(
+        self, unit: WaitingUnit, hosts: HostGroups, known: UnmetNeed | None
+    ) -> list[list[WorkerSnapshot]]:
+        """Return the groups of workers in which there may be an eviction."""
+        if known is None:
+            return self._groups(hosts)
+        changed = self._changed_hosts(known)
+        if unit.size > 1:
+            return self._groups(hosts, changed)
+        # Preemptions for a single task all take place on its worker.
+        return [[self.workers[worker_id] for worker_id in changed]]
+
+    def _hosts(self, unit: WaitingUnit) -> HostGroups:
+        """Return the workers that may host the unit, loaded or not."""
+        key = host_key(unit)
+        if key not in self.hosts_by_key:
+            self.hosts_by_key[key] = host_groups(unit, self.workers.values())
+        return self.hosts_by_key[key]
+
+    def _groups(
+        self, hosts: HostGroups, changed: frozenset[str] | None = None
+    ) -> list[list[WorkerSnapshot]]:
+        """Return the groups, or those that contain one of the changed workers."""
+        return [
+            [self.workers[worker_id] for worker_id in group]
+            for group in hosts.groups
+            if changed is None or not changed.isdisjoint(group)
+        ]
+
+    def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
+        workers = [self._writable(worker) for worker in placement]
+        reserve(unit, workers)
+        if any(worker.trust is Trust.TRIAL for worker in workers):
+            # A worker on trial hosts no second unit, also if the first one is not
+            # started after all.
+            self.trial_begun = True
+            self.known = {}
+            self.hosts_by_key.clear()
+
+    def _add_releasing(self, unit: RunningUnit) -> None:
+        """Count the resources of a stopping unit as being released."""
+        for worker_ref in unit.placement:
+            worker = self.workers.get(worker_ref.worker_id)
+            if worker is not None:
+                self._writable(worker).releasing += unit.demand
+
+    def _writable(self, worker: WorkerSnapshot) -> WorkerSnapshot:
+        """Return the pass's own copy of a worker, since snapshots are kept."""
+        worker_id = worker.worker_ref.worker_id
+        if worker_id not in self.copied:
+            self.copied.add(worker_id)
+            duplicate = copy(self.workers[worker_id])
+            duplicate.tasks_of_step = dict(duplicate.tasks_of_step)
+            self.workers[worker_id] = duplicate
+        return self.workers[worker_id]
+
+
+def _need(unit: WaitingUnit) -> Need:
+    """Return all that decides whether the unit fits, and which units it may preempt."""
+    return (
+        *host_key(unit),
+        unit.size,
+        unit.same_rack,
+        unit.payload_bytes,
+        unit.priority,
+        step_key(unit) if unit.tasks_per_worker else None,
+    )
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given, strategies as st
 
-from wasabispur_core.workload import planner
+from wasabispur_core.workload import planning_pass
 from wasabispur_core.workload.plan import (
     Evacuate,
     Move,
@@ -393,8 +393,8 @@
         ("placement", "choose_placement"),
         ("evictions", "cheapest_eviction"),
     ):
-        function = getattr(planner, attribute)
-        monkeypatch.setattr(planner, attribute, counting(name, function))
+        function = getattr(planning_pass, attribute)
+        monkeypatch.setattr(planning_pass, attribute, counting(name, function))
     full = [worker(number, used=8) for number in range(4)]
     units = [waiting(f"j{number}", 8, priority=0) for number in range(20)]
     victims = [running(f"v{n}", n, 8, lost_work=1e6) for n in range(4)]
--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from wasabispur_core.workload import planner, scheduler
+from wasabispur_core.workload import planning_pass, scheduler
 from wasabispur_core.workload.fleet_state import FleetState
 from wasabispur_core.workload.fleet_view import FleetView
 from wasabispur_core.workload.plan import (
@@ -137,8 +137,8 @@
     compared = ComparedPasses()
     monkeypatch.setattr(scheduler, "take_snapshot", compared.take_snapshot)
     # With the limits, a pass with memory searches for other units than a full pass.
-    monkeypatch.setattr(planner, "EVICTION_SEARCH_LIMIT", 10_000)
-    monkeypatch.setattr(planner, "EVICTION_SEARCH_INTERVAL", 0.0)
+    monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_LIMIT", 10_000)
+    monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_INTERVAL", 0.0)
     random = Random(seed)
     world = World(workers=6)
     world.advance(4)
