--- a/tests/process/link_system.py
+++ b/tests/process/link_system.py
@@ -77,6 +77,16 @@
 
     def __enter__(self) -> LinkSystem:
         self.relay = RelayThread(self.control_port)
+        try:
+            self.start_all()
+        except BaseException:
+            # Without a with block that was entered, nothing else ends the processes.
+            self.__exit__()
+            raise
+        return self
+
+    def start_all(self) -> None:
+        """Start the processes, and wait until a request is answered."""
         self.start_entry()
         self.start(
             "endpoint",
@@ -86,7 +96,6 @@
             str(self.endpoint_port),
         )
         self.start_agent()
-        return self
 
     def __exit__(self, *error) -> None:
         for process in self.processes.values():
