Decide units with a guarantee before kept reservations of others

Cause: found when the change was read: a unit without a guarantee kept the room that was freed for it also against a guarantee's unit that came meanwhile.

Change: guaranteed units are decided first, with their own reservations.

Result: test_guaranteed_unit_takes_room_kept_for_another failed before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -39,9 +39,14 @@
         """
         planning_pass = PlanningPass(snapshot, self)
         decisions: list[Decision] = relocations(snapshot)
-        decisions += planning_pass.keep_reservations(snapshot.waiting)
-        for group in waiting_groups(snapshot):
-            decisions += planning_pass.decide(group)
+        groups = waiting_groups(snapshot)
+        # A unit with a guarantee may still take the room kept for one without.
+        for guaranteed in (True, False):
+            chosen = [group for group in groups if group[0].guaranteed is guaranteed]
+            for group in chosen:
+                decisions += planning_pass.keep_reservations(group)
+            for group in chosen:
+                decisions += planning_pass.decide(group)
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
         self.reservations = planning_pass.reservations
         self.unfinished = planning_pass.unfinished
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -40,7 +40,6 @@
     step_key,
 )
 from .victim import VictimIndex
-from .waiting_order import queue_order
 
 if TYPE_CHECKING:
     from .planner import Planner
@@ -143,17 +142,15 @@
                 break
         return decisions
 
-    def keep_reservations(self, waiting: Iterable[WaitingUnit]) -> list[Decision]:
+    def keep_reservations(self, group: list[WaitingUnit]) -> list[Decision]:
         """Place the units for which others were stopped, or keep their workers.
 
-        This comes before all other decisions, so that no other unit takes the room.
+        This comes before the decisions on other units, so that none takes the room.
         """
-        if not self.last_reservations:
-            return []
-        units = [unit for unit in waiting if unit.unit_id in self.last_reservations]
         decisions: list[Decision] = []
-        for unit in sorted(units, key=lambda unit: queue_order(unit, self.now)):
-            found = self._decide_reserved(unit, self.last_reservations[unit.unit_id])
+        for unit in group:
+            reserved = self.last_reservations.get(unit.unit_id)
+            found = self._decide_reserved(unit, reserved) if reserved else []
             decisions += found
             if found:
                 self.decided.add(unit.unit_id)
--- a/tests/workload/test_reservation.py
+++ b/tests/workload/test_reservation.py
@@ -80,3 +80,15 @@
     planner = Planner()
     assert stopped(planner.decide(taken_over)) == set()
     assert stopped(planner.decide(snapshot(workers, [urgent], victims))) == {"v0"}
+
+
+def test_guaranteed_unit_takes_room_kept_for_another():
+    """Guard against a guarantee that waits for a unit without one."""
+    planner = Planner()
+    workers = [worker(0, used=8)]
+    victims = [running("v0", 0, 8, lost_work=1.0)]
+    urgent = waiting("urgent", 8, priority=0, objective=20.0, remaining=9.0)
+    assert stopped(planner.decide(snapshot(workers, [urgent], victims))) == {"v0"}
+    guaranteed = waiting("guaranteed", 8, priority=0, guaranteed=True)
+    decisions = planner.decide(snapshot([worker(0)], [urgent, guaranteed]))
+    assert placed(decisions) == {"guaranteed": ["w0"]}
