Name the test chart's parts plainly, and build the measured queues once

Found when the whole change was read again: test_lifecycle.py described its chart by figurative names, three queues of measure planner repeated each other, and a line of RunningUnit's docstring was too long.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -94,10 +94,10 @@
 
     lost_work is the work in core-seconds that is lost if the unit stops at measured_at,
     which is in monotonic seconds, and loss_rate its growth in core-seconds per second.
-    stopping is set if the unit has been told to stop. ends_in is the estimated remaining time of its
-    run, leaves_in the time after which the first of its workers leaves, and
-    stalled_for the longest time for which one of its runs has made no progress, all in
-    seconds.
+    stopping is set if the unit has been told to stop. ends_in is the estimated
+    remaining time of its run, leaves_in the time after which the first of its workers
+    leaves, and stalled_for the longest time for which one of its runs has made no
+    progress, all in seconds.
     """
 
     unit_id: UnitId
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -74,34 +74,26 @@
     FleetSize(650, 300),
 )
 
-QUEUES = {
-    "urgent": Queue(
-        name="urgent",
-        host="h",
-        prefix="/u/",
-        service="s",
-        priority=0,
-        max_attempts=3,
-        stretch=1.5,
-    ),
-    "batch": Queue(
-        name="batch",
-        host="h",
-        prefix="/b/",
-        service="s",
-        priority=1,
-        max_attempts=4,
-        stretch=3.0,
-    ),
-    "bulk": Queue(
-        name="bulk",
+
+def _queue(name: str, priority: int, max_attempts: int, stretch: float) -> Queue:
+    return Queue(
+        name=name,
         host="h",
-        prefix="/c/",
+        prefix=f"/{name}/",
         service="s",
-        priority=2,
-        max_attempts=3,
-        stretch=3.0,
-    ),
+        priority=priority,
+        max_attempts=max_attempts,
+        stretch=stretch,
+    )
+
+
+QUEUES = {
+    queue.name: queue
+    for queue in (
+        _queue("urgent", 0, 3, 1.5),
+        _queue("batch", 1, 4, 3.0),
+        _queue("bulk", 2, 3, 3.0),
+    )
 }
 
 
--- a/tests/chart/test_lifecycle.py
+++ b/tests/chart/test_lifecycle.py
@@ -15,100 +15,100 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Knocked(Message):
-    """Ask the door to open."""
+class OpenRequested(Message):
+    """Ask the connection to open."""
 
-    polite: bool = True
+    allowed: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Pushed(Message):
-    """Ask the door to close."""
+class CloseRequested(Message):
+    """Ask the connection to close."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Creaked(Command):
+class ActionPerformed(Command):
     """Report one performed action."""
 
     name: str
 
 
-class Creak(Action):
-    """Report that the door moves."""
+class RecordOpening(Action):
+    """Report that the connection opens."""
 
     __slots__ = ()
 
 
-class Slam(Action):
-    """Report that the door closes."""
+class RecordClosing(Action):
+    """Report that the connection closes."""
 
     __slots__ = ()
 
 
-class Polite(Guard):
-    """Hold if the visitor is polite."""
+class Allowed(Guard):
+    """Hold if the request is allowed."""
 
     __slots__ = ()
 
 
-class Drafty(Guard):
-    """Hold if the subject says that there is a draft."""
+class Expired(Guard):
+    """Hold if the subject says that it has expired."""
 
     __slots__ = ()
 
 
 @perform.register
-def _(action: Creak) -> list[Command]:
-    return [Creaked(name="creak")]
+def _(action: RecordOpening) -> list[Command]:
+    return [ActionPerformed(name="record_opening")]
 
 
 @perform.register
-def _(action: Slam) -> list[Command]:
-    return [Creaked(name="slam")]
+def _(action: RecordClosing) -> list[Command]:
+    return [ActionPerformed(name="record_closing")]
 
 
 @holds.register
-def _(guard: Polite) -> bool:
-    return guard.message.polite
+def _(guard: Allowed) -> bool:
+    return guard.message.allowed
 
 
 @holds.register
-def _(guard: Drafty) -> bool:
-    return guard.subject == "draft"
+def _(guard: Expired) -> bool:
+    return guard.subject == "expired"
 
 
 HEAD = """statechart:
-  name: door
+  name: connection
   root state:
-    name: door
-    initial: shut
+    name: connection
+    initial: closed
     states:
 """
-DOOR = """      - name: shut
+CONNECTION = """      - name: closed
         transitions:
-          - event: knocked
+          - event: open_requested
             target: open
-            guard: polite
-            action: creak
-          - event: knocked
-            guard: not polite
-            action: slam
+            guard: allowed
+            action: record_opening
+          - event: open_requested
+            guard: not allowed
+            action: record_closing
       - name: open
         transitions:
-          - target: shut
-            guard: drafty
-            action: slam
-          - event: pushed
-            target: gone
-      - name: gone
+          - target: closed
+            guard: expired
+            action: record_closing
+          - event: close_requested
+            target: ended
+      - name: ended
         type: final
 """
 
 
 def chart(tmp_path: Path, states: str) -> Chart:
-    (tmp_path / "door.yaml").write_text(HEAD + states, encoding="utf-8")
+    (tmp_path / "connection.yaml").write_text(HEAD + states, encoding="utf-8")
     return ChartCatalogue(tmp_path).bind(
-        "door", actions=[Creak, Slam], guards=[Polite, Drafty]
+        "connection", actions=[RecordOpening, RecordClosing], guards=[Allowed, Expired]
     )
 
 
@@ -118,54 +118,62 @@
 
 def test_transition_whose_guards_hold_is_followed(tmp_path):
     """Guard against a wrong choice between the transitions for one event."""
-    door = chart(tmp_path, DOOR).start()
-    assert names(door.handle(Knocked(polite=False), None, "", 0.0)) == ["slam"]
-    assert door.state == "shut"
-    assert names(door.handle(Knocked(), None, "", 0.0)) == ["creak"]
-    assert door.state == "open"
-    assert not door.final
-    door.handle(Pushed(), None, "", 0.0)
-    assert door.final
+    connection = chart(tmp_path, CONNECTION).start()
+    assert names(connection.handle(OpenRequested(allowed=False), None, "", 0.0)) == [
+        "record_closing"
+    ]
+    assert connection.state == "closed"
+    assert names(connection.handle(OpenRequested(), None, "", 0.0)) == [
+        "record_opening"
+    ]
+    assert connection.state == "open"
+    assert not connection.final
+    connection.handle(CloseRequested(), None, "", 0.0)
+    assert connection.final
     with pytest.raises(UnexpectedEventError):
-        door.handle(Pushed(), None, "", 0.0)
+        connection.handle(CloseRequested(), None, "", 0.0)
 
 
 def test_transitions_without_an_event_follow_at_once(tmp_path):
     """Guard against a lifecycle that stays in a state that it has to pass."""
-    door = chart(tmp_path, DOOR).start()
-    assert names(door.handle(Knocked(), None, "draft", 0.0)) == ["creak", "slam"]
-    assert door.state == "shut"
+    connection = chart(tmp_path, CONNECTION).start()
+    assert names(connection.handle(OpenRequested(), None, "expired", 0.0)) == [
+        "record_opening",
+        "record_closing",
+    ]
+    assert connection.state == "closed"
 
 
 def test_lifecycle_resumes_in_a_recorded_state(tmp_path):
     """Guard against a restarted owner that begins its units anew."""
-    door = chart(tmp_path, DOOR).resume("open")
-    door.handle(Pushed(), None, "", 0.0)
-    assert door.state == "gone"
+    connection = chart(tmp_path, CONNECTION).resume("open")
+    connection.handle(CloseRequested(), None, "", 0.0)
+    assert connection.state == "ended"
     with pytest.raises(ChartError, match="no state"):
-        chart(tmp_path, DOOR).resume("ajar")
+        chart(tmp_path, CONNECTION).resume("unknown")
 
 
 def test_ambiguous_transitions_are_refused(tmp_path):
     """Guard against a chart whose behaviour depends on the order of its lines."""
-    ambiguous = DOOR.replace("            guard: not polite\n", "")
-    door = chart(tmp_path, ambiguous).start()
+    ambiguous = CONNECTION.replace("            guard: not allowed\n", "")
+    connection = chart(tmp_path, ambiguous).start()
     with pytest.raises(ChartError, match="several transitions"):
-        door.handle(Knocked(), None, "", 0.0)
-    assert door.state == "shut"
+        connection.handle(OpenRequested(), None, "", 0.0)
+    assert connection.state == "closed"
 
 
 @pytest.mark.parametrize(
     "states",
     [
-        DOOR.replace(
-            "      - name: shut\n", "      - name: shut\n        on entry: slam\n"
+        CONNECTION.replace(
+            "      - name: closed\n",
+            "      - name: closed\n        on entry: record_closing\n",
         ),
-        DOOR
-        + """      - name: lobby
-        initial: hall
+        CONNECTION
+        + """      - name: nested
+        initial: inner
         states:
-          - name: hall
+          - name: inner
 """,
     ],
 )
