--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -110,6 +110,9 @@
 UNIT_MOVED = LogEvent(
     435, "INFO", "relocating run {run} of {job}.{unit}: no progress for {stalled} s"
 )
+UNIT_WAITING = LogEvent(
+    438, "INFO", "{job}.{unit} waits: {reason}; up to {loss_limit} may be lost for it"
+)
 RUN_ENDED = LogEvent(428, "INFO", "run {run} of {task} on {worker} ended: {how}")
 JOB_ENDED = LogEvent(429, "INFO", "job {job} ended as {state} after {took} s")
 WORKER_STATE_READ = LogEvent(430, "INFO", "worker {worker} ({incarnation}) is {state}")
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -25,7 +25,8 @@
 
     arrived_at is in monotonic seconds of the owner, and ended_at in seconds on the
     store's clock. occurrences counts the occurrences whose units have been created.
-    failed_on contains the workers on which runs of the job failed.
+    failed_on contains the workers on which runs of the job failed, and wait_reasons why
+    units of an occurrence's step last began to wait.
     """
 
     spec: JobSpec
@@ -36,6 +37,7 @@
     occurrences: int = 0
     cancelled: bool = False
     failed_on: set[str] = field(default_factory=set)
+    wait_reasons: dict[tuple[int, int], str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -190,6 +190,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Wait(Decision):
-    """Keep the unit and the identical ones after it waiting, for the given reason."""
+    """Keep the unit and the identical ones after it waiting, for the given reason.
+
+    loss_limit is the work in core-seconds that an eviction for the unit may lose, and
+    least_cost a lower bound on the cost of making room, known for urgent units that
+    begin to wait.
+    """
 
     reason: WaitReason
+    loss_limit: float = 0.0
+    least_cost: float | None = None
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -80,7 +80,9 @@
     No eviction costs loss_limit core-seconds or less, but for those on the workers in
     unsearched, which have changed since. hosts contains the workers that may host the
     units, and task_costs lower bounds on the costs of a unit's tasks there. searched_at
-    is the time of the last search in monotonic seconds.
+    is the time of the last search in monotonic seconds. least_cost is a lower bound on
+    the cost of making room when the first unit began to wait, if that was an urgent
+    one.
     """
 
     reason: WaitReason
@@ -89,6 +91,16 @@
     unsearched: frozenset[str] = frozenset()
     task_costs: list[float] = field(default_factory=list)
     searched_at: float = -inf
+    least_cost: float | None = None
+
+    def wait(self, unit: WaitingUnit, loss_limit: float) -> Wait:
+        """Return the decision to keep a unit with this need waiting."""
+        return Wait(
+            unit_id=unit.unit_id,
+            reason=self.reason,
+            loss_limit=max(loss_limit, 0.0),
+            least_cost=self.least_cost,
+        )
 
 
 class PlanningPass:
@@ -179,7 +191,7 @@
         if unmet is not None:
             # An identical unit or one with the same need found no room in this pass.
             if loss_limit <= unmet.loss_limit:
-                return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+                return [unmet.wait(unit, loss_limit)]
             return self._evict(unit, need, unmet.hosts, loss_limit, known)
         if known is not None:
             return self._decide_again(unit, need, known, loss_limit)
@@ -213,7 +225,7 @@
         ):
             return self._evict(unit, need, known.hosts, loss_limit, known)
         self.unmet[need] = known
-        return [Wait(unit_id=unit.unit_id, reason=known.reason)]
+        return [known.wait(unit, loss_limit)]
 
     def _place(
         self, unit: WaitingUnit, placement: list[WorkerSnapshot]
@@ -256,8 +268,21 @@
                 unmet.loss_limit = known.loss_limit
                 unmet.searched_at = known.searched_at
                 unmet.unsearched = self._changed_hosts(known)
+        unmet.least_cost = self._cost_of_room(unit, hosts, known)
         self.unmet[need] = unmet
-        return [Wait(unit_id=unit.unit_id, reason=unmet.reason)]
+        return [unmet.wait(unit, loss_limit)]
+
+    def _cost_of_room(
+        self, unit: WaitingUnit, hosts: HostGroups, known: UnmetNeed | None
+    ) -> float | None:
+        """Return a lower bound on the cost of making room for an urgent unit.
+
+        It is computed once for a need, as it only serves the log.
+        """
+        if known is not None or unit.priority > 0 or not hosts.ids:
+            return known.least_cost if known is not None else None
+        workers = [self.workers[worker_id] for worker_id in hosts.ids]
+        return least_cost(unit, least_task_costs(unit, workers, self.victims, inf))
 
     def _too_costly(
         self,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -31,7 +31,7 @@
 )
 from .fleet_view import FleetView
 from .fleet_write import flush, remove_ended, write_queue_counts
-from .plan import Decision, Evacuate, Move, Place, Preempt
+from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
 from .policy import PolicyChanged
 from .report_reconciliation import (
@@ -52,6 +52,7 @@
     add_occurrence,
     cancel,
     evacuate,
+    log_wait,
     move,
     occurrence_count,
     place,
@@ -279,6 +280,11 @@
     return evacuate(decision, state, now)
 
 
+@apply_decision.register
+def _(decision: Wait, state: FleetState, now: float) -> list[Command]:
+    return log_wait(decision, state, now)
+
+
 @apply_decision.register
 def _(decision: Move, state: FleetState, now: float) -> list[Command]:
     return move(decision, state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -18,10 +18,11 @@
     UNIT_MOVED,
     UNIT_PLACED,
     UNIT_PREEMPTED,
+    UNIT_WAITING,
 )
 from ..message import Message
 from .fleet_state import FleetState, Job
-from .plan import Decision, Evacuate, Move, Preempt
+from .plan import Decision, Evacuate, Move, Preempt, Wait
 from .progress import JobState, MemberRecord, UnitRecord
 from .spec import StepSpec
 from .unit import (
@@ -46,6 +47,9 @@
 DEFAULT_ATTEMPTS = 1
 """Attempt limit for a task whose queue was removed from the configuration."""
 
+MAX_LOGGED_COST = 1e6
+"""Core-seconds that stand in a log record for a cost without a limit."""
+
 REFUSAL_BACKOFF = 0.25
 """Seconds before a unit is placed again after a worker has refused it."""
 
@@ -115,6 +119,33 @@
     return _relocate(decision, "stalled", UNIT_MOVED, extra_fields, state, now)
 
 
+def log_wait(decision: Wait, state: FleetState, now: float) -> list[Command]:
+    """Log why a unit waits, once for each reason and step of an occurrence."""
+    unit = state.unit(decision.unit_id)
+    if unit is None:
+        return []
+    job = state.jobs[unit.unit_id.job_id]
+    step = (unit.unit_id.occurrence, unit.unit_id.step)
+    if job.wait_reasons.get(step) == decision.reason:
+        return []
+    job.wait_reasons[step] = decision.reason
+    fields: dict[str, object] = {
+        "job": unit.unit_id.job_id,
+        "unit": _unit_name(unit),
+        "reason": decision.reason.value,
+        "tasks": unit.size,
+        "cpu": unit.demand.cpu,
+        "accelerators": unit.demand.accelerators,
+        "estimate": unit.step.estimate,
+        "guaranteed": unit.unit_id.job_id in state.view.covered,
+        "waited": round(now - unit.ready_at, 3),
+        "loss_limit": round(decision.loss_limit, 1),
+    }
+    if decision.least_cost is not None:
+        fields["least_cost"] = round(min(decision.least_cost, MAX_LOGGED_COST), 1)
+    return [WriteLog(number=UNIT_WAITING.number, fields=fields)]
+
+
 def end_run(
     unit: Unit, ended: RunEnded, worker_id: str, state: FleetState, now: float
 ) -> list[Command]:
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -434,3 +434,14 @@
     back = worker(3, rack=1, ready=False, awaiting_report=True)
     assert placed(decide([worker(2, rack=2), back], [task])) == {}
     assert placed(decide([worker(2, rack=2)], [task])) == {"j": ["w2"]}
+
+
+def test_wait_of_an_urgent_unit_tells_what_making_room_would_cost():
+    """Guard against a late urgent unit of which the logs don't tell what held it."""
+    urgent = waiting("urgent", 8, priority=0)
+    busy = running("bulk", 0, 8, lost_work=1000.0)
+    found = decide([worker(0, used=8)], [urgent], [busy])
+    assert isinstance(found[0], Wait)
+    assert found[0].least_cost is not None
+    assert 1000.0 <= found[0].least_cost < inf
+    assert 0.0 < found[0].loss_limit < found[0].least_cost
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -9,6 +9,7 @@
     CALL_UNANSWERED,
     CANCELLATION_ANSWERED,
     REPORT_FAILED,
+    UNIT_WAITING,
 )
 from wasabispur_core.workload.intake_message import CallOutcome
 from wasabispur_core.workload.progress import JobState
@@ -439,3 +440,14 @@
     assert world.state_of(urgent).job_state is COMPLETED
     assert world.state_of(long).job_state is COMPLETED
     assert len(world.starts) == 4
+
+
+def test_waiting_unit_is_logged_once_for_each_reason():
+    """Guard against a log that grows with each planning pass of a waiting unit."""
+    world = World(workers=1)
+    world.advance(4)
+    world.submit(tasks(8), duration=6.0)
+    world.advance(0.5)
+    world.submit(tasks(4), queue_name="bulk", duration=1.0)
+    world.advance(4)
+    assert world.owner().logs.count(UNIT_WAITING.number) == 1
