Add an experiment that plays loads against the owner's scheduler

The experiment plays the product's scheduler and planner against simulated workers, with jobs whose estimates are wrong: python -m wasabispur_standins bench fleet. The simulated owner is shared with measure planner.

--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -0,0 +1,87 @@
+"""Define the command that plays loads against the shard owner's scheduler."""
+
+from __future__ import annotations
+
+import json
+
+import click
+from loguru import logger
+
+from .fleet_experiment import add_results, play_load, QueueResult
+
+HEADER = (
+    f"{'queue':8} {'jobs':>6} {'in time':>8} {'late':>6} {'too late':>8} "
+    f"{'wait p50':>9} {'wait p95':>9} {'stopped':>8} {'lost work':>10}"
+)
+NOTE = "waits in seconds, lost work in core-seconds (an accelerator counts as 8 cores)"
+
+
+@click.command("fleet")
+@click.option("--workers", type=click.IntRange(1, 1000), default=77, show_default=True)
+@click.option(
+    "--organisations", type=click.IntRange(1, 100), default=10, show_default=True
+)
+@click.option(
+    "--rate",
+    type=click.FloatRange(0.01, 100),
+    default=2.0,
+    show_default=True,
+    help="Jobs a second.",
+)
+@click.option(
+    "--seconds",
+    type=click.FloatRange(1, 3600),
+    default=60.0,
+    show_default=True,
+    help="Simulated time of each load.",
+)
+@click.option("--seeds", type=click.IntRange(1, 100), default=4, show_default=True)
+@click.option(
+    "--output", type=click.Choice(["table", "json"]), default="table", show_default=True
+)
+def fleet_experiment(
+    workers: int,
+    organisations: int,
+    rate: float,
+    seconds: float,
+    seeds: int,
+    output: str,
+) -> None:
+    """Play loads with wrong estimates, and print what callers of each queue get."""
+    logger.remove()
+    results = add_results(
+        [
+            play_load(workers, organisations, rate, seconds, seed)
+            for seed in range(1, seeds + 1)
+        ]
+    )
+    if output == "json":
+        rows = {queue: _row(result) for queue, result in results.items()}
+        click.echo(json.dumps(rows, indent=2))
+        return
+    click.echo(HEADER)
+    for queue, result in results.items():
+        click.echo(_table_line(queue, result))
+    click.echo(NOTE)
+
+
+def _row(result: QueueResult) -> dict[str, float]:
+    return {
+        "jobs": result.owed,
+        "in_time": result.share(result.in_time),
+        "late": result.share(result.late),
+        "too_late": result.share(result.too_late),
+        "wait_p50_s": result.wait(0.5),
+        "wait_p95_s": result.wait(0.95),
+        "stopped": result.preemptions,
+        "lost_core_seconds": result.lost_work,
+    }
+
+
+def _table_line(queue: str, result: QueueResult) -> str:
+    return (
+        f"{queue:8} {result.owed:6} {result.share(result.in_time):8.3f} "
+        f"{result.share(result.late):6.3f} {result.share(result.too_late):8.3f} "
+        f"{result.wait(0.5):9.2f} {result.wait(0.95):9.2f} "
+        f"{result.preemptions:8} {result.lost_work:10.0f}"
+    )
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -0,0 +1,253 @@
+"""Play a load against the shard owner's scheduler on simulated time.
+
+The scheduler and its planner are the product's; workers, their agents and the table
+service are replaced by delays. It shows what callers of each queue get, and how much
+work is thrown away.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from wasabispur_core.workload.fleet_state import (
+    ClocksRead,
+    FleetTick,
+    JobArrived,
+    PlanningPassDue,
+)
+from wasabispur_core.workload.policy import Organisation
+from wasabispur_core.workload.unit import ACTIVE, ENDED_STATES, STOPPING, Unit, UnitId
+from wasabispur_core.workload.worker import EndKind
+
+from .fleet_load import generate_jobs, GeneratedJob, JOB_CLASSES
+from .simulated_owner import CAPACITY, SimulatedOwner
+
+RACK_SIZE = 6
+GUARANTEED_SHARE = 0.62
+"""Share of the accelerators that the organisations' guarantees cover together."""
+
+START_DELAY = 0.1
+REPORT_DELAY = 0.1
+STOP_DELAY = 0.4
+RESTORE_TIME = 0.1
+"""Seconds from a decision to a start, from an end to the owner's knowledge of it, from
+a stop to the end, and to continue from a checkpoint."""
+
+TICK_INTERVAL = 0.25
+LIST_INTERVAL = 1.0
+"""Seconds between two ticks of the owner, and between two lists of a worker's runs."""
+
+SLOW_WORKER_FACTOR = 1.3
+"""Factor by which runs take longer on every third worker."""
+
+OBJECTIVE_MULTIPLE = 3.0
+"""Multiple of its objective after which the end of a job has no value."""
+
+
+@dataclass(slots=True)
+class QueueResult:
+    """Count what the callers of one queue got; lost_work is in core-seconds."""
+
+    in_time: int = 0
+    late: int = 0
+    too_late: int = 0
+    preemptions: int = 0
+    lost_work: float = 0.0
+    waits: list[float] = field(default_factory=list)
+
+    @property
+    def owed(self) -> int:
+        """Return the number of jobs."""
+        return self.in_time + self.late + self.too_late
+
+    def share(self, count: int) -> float:
+        """Return a number of jobs as a share of all jobs."""
+        return count / self.owed if self.owed else 0.0
+
+    def wait(self, share: float) -> float:
+        """Return the seconds within which a share of the units started."""
+        waits = sorted(self.waits)
+        return waits[min(int(len(waits) * share), len(waits) - 1)] if waits else 0.0
+
+    def add(self, other: QueueResult) -> None:
+        """Add the result of another load."""
+        self.in_time += other.in_time
+        self.late += other.late
+        self.too_late += other.too_late
+        self.preemptions += other.preemptions
+        self.lost_work += other.lost_work
+        self.waits += other.waits
+
+
+@dataclass(slots=True)
+class _SimulatedRun:
+    """Represent a run of a unit: its work in seconds, and the worker's slowness."""
+
+    run: int
+    started_at: float
+    slowness: float
+    work_left: float
+    stopping: bool = False
+
+
+class FleetExperiment(SimulatedOwner):
+    """Represent an owner, its fleet and a load, driven by events in time order."""
+
+    def __init__(
+        self, workers: int, organisations: int, jobs: Sequence[GeneratedJob]
+    ) -> None:
+        super().__init__(now=0.0, rack_size=RACK_SIZE)
+        self.jobs = {job.spec.job_id: job for job in jobs}
+        self.numbers = count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.runs: dict[UnitId, _SimulatedRun] = {}
+        self.work_left: dict[UnitId, float] = {}
+        self.results = {one.queue.name: QueueResult() for one in JOB_CLASSES}
+        guarantee = GUARANTEED_SHARE * workers * CAPACITY.accelerators / organisations
+        self.decide(ClocksRead(store_time=0.0, wall_time=0.0))
+        self.own(
+            [job_class.queue for job_class in JOB_CLASSES],
+            [
+                Organisation(name=f"o{number}", guaranteed_accelerators=int(guarantee))
+                for number in range(organisations)
+            ],
+            workers,
+        )
+        for job in jobs:
+            self._later(job.arrives_at, self._arrival(job))
+        self._later(0.0, self._tick)
+
+    def play(self, duration: float) -> dict[str, QueueResult]:
+        """Return what callers got within a duration in seconds, by queue."""
+        while self.events and self.events[0][0] <= duration:
+            self.now, _, event = heappop(self.events)
+            event()
+            self._pass()
+        self.now = duration
+        for job in self.state.jobs.values():
+            self._count_job(job.spec.job_id)
+        return self.results
+
+    def _later(self, at: float, event: Callable[[], None]) -> None:
+        heappush(self.events, (at, next(self.numbers), event))
+
+    def _arrival(self, job: GeneratedJob) -> Callable[[], None]:
+        return lambda: self.decide(JobArrived(spec=job.spec))
+
+    def _tick(self) -> None:
+        self.confirm_workers()
+        self.decide(FleetTick())
+        if round(self.now / TICK_INTERVAL) % round(LIST_INTERVAL / TICK_INTERVAL) == 0:
+            for worker_id in list(self.reports):
+                self.report(worker_id)
+        self._later(self.now + TICK_INTERVAL, self._tick)
+
+    def _pass(self) -> None:
+        changed = set(self.state.view.changed_units)
+        if self.state.pass_scheduled:
+            self.decide(PlanningPassDue())
+        for unit_id in changed | self.state.view.changed_units:
+            self._follow(unit_id)
+
+    def _follow(self, unit_id: UnitId) -> None:
+        """Simulate the start of a new run, and the stop of a preempted one."""
+        unit = self.state.unit(unit_id)
+        if unit is None:
+            return
+        known = self.runs.get(unit_id)
+        if unit.state == ACTIVE and (known is None or known.run != unit.run):
+            self._start(unit)
+        elif unit.state == STOPPING and known is not None and not known.stopping:
+            known.stopping = True
+            self.results[self._queue_of(unit)].preemptions += 1
+            self._later(self.now + STOP_DELAY, lambda: self._stop(unit, known))
+
+    def _start(self, unit: Unit) -> None:
+        job = self.jobs[unit.unit_id.job_id]
+        left = self.work_left.get(unit.unit_id, job.run_time)
+        slow = any(int(one.worker_ref.worker_id[1:]) % 3 == 2 for one in unit.members)
+        run = self.runs[unit.unit_id] = _SimulatedRun(
+            run=unit.run,
+            started_at=self.now + START_DELAY,
+            slowness=SLOW_WORKER_FACTOR if slow else 1.0,
+            work_left=left,
+        )
+        if unit.run == 1:
+            waited = run.started_at - job.arrives_at
+            self.results[self._queue_of(unit)].waits.append(waited)
+        end = run.started_at + left * run.slowness + REPORT_DELAY
+        self._later(end, lambda: self._finish(unit, run, EndKind.DONE))
+
+    def _stop(self, unit: Unit, run: _SimulatedRun) -> None:
+        if self.runs.get(unit.unit_id) is not run:
+            return
+        worked = max(self.now - run.started_at, 0.0)
+        if unit.step.checkpointing:
+            left = run.work_left - worked / run.slowness + RESTORE_TIME
+            self.work_left[unit.unit_id] = max(left, RESTORE_TIME)
+            worked = RESTORE_TIME
+        cores = unit.size * unit.step.demand.weight
+        self.results[self._queue_of(unit)].lost_work += worked * cores
+        self._finish(unit, run, EndKind.STOPPED)
+
+    def _finish(self, unit: Unit, run: _SimulatedRun, kind: EndKind) -> None:
+        if self.runs.get(unit.unit_id) is not run or unit.state in ENDED_STATES:
+            return
+        if run.stopping and kind is EndKind.DONE:
+            return
+        self.end(unit, kind)
+
+    def percent(self, unit: Unit) -> int:
+        """Return the completed share of a unit's run, as workers list it."""
+        run = self.runs.get(unit.unit_id)
+        if run is None or run.run != unit.run:
+            return 0
+        total = self.jobs[unit.unit_id.job_id].run_time
+        done = max(self.now - run.started_at, 0.0) / run.slowness
+        percent = int(100 * (1 - (run.work_left - done) / total))
+        return min(max(percent, 0), 99)
+
+    def _queue_of(self, unit: Unit) -> str:
+        return self.jobs[unit.unit_id.job_id].spec.queue
+
+    def _count_job(self, job_id: str) -> None:
+        """Count a job by the multiple of its objective that it took."""
+        generated, job = self.jobs[job_id], self.state.jobs[job_id]
+        queue = self.state.policy.queues[generated.spec.queue]
+        objective = queue.stretch * generated.run_time + queue.target
+        ended_at = job.ended_at if job.state.ended else self.now
+        took = ended_at - generated.arrives_at
+        result = self.results[queue.name]
+        if took <= objective:
+            # A job that can still be in time when the experiment ends isn't owed.
+            result.in_time += job.state.ended
+        elif took <= OBJECTIVE_MULTIPLE * objective:
+            result.late += job.state.ended
+        else:
+            result.too_late += 1
+
+
+def play_load(
+    workers: int, organisations: int, rate: float, duration: float, seed: int
+) -> dict[str, QueueResult]:
+    """Return what callers get of one load, by queue.
+
+    rate is in jobs a second and duration in seconds.
+    """
+    jobs = generate_jobs(rate, duration, organisations, Random(seed))
+    return FleetExperiment(workers, organisations, jobs).play(duration)
+
+
+def add_results(
+    results: Sequence[dict[str, QueueResult]],
+) -> dict[str, QueueResult]:
+    """Return the sum of the results of several loads, by queue."""
+    total: dict[str, QueueResult] = {}
+    for result in results:
+        for queue, one in result.items():
+            total.setdefault(queue, QueueResult()).add(one)
+    return total
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
@@ -0,0 +1,141 @@
+"""Generate the jobs of a fleet whose callers' estimates are wrong, for experiments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp
+from random import Random
+
+from wasabispur_core.workload.policy import Queue
+from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
+
+ACCELERATORS = (1, 2, 4, 8, 8)
+"""Accelerators of one task, each as likely as the others."""
+
+WIDTH_SPREAD = 0.8
+RUN_TIME_SPREAD = 0.4
+"""Sigma of the log-normal numbers of tasks and run times of a class."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobClass:
+    """Describe the jobs of one queue.
+
+    share is the part of all jobs, width the mean number of tasks, run_time the mean run
+    time of a task in seconds, and estimate_error the largest relative error of a
+    caller's estimate. checkpointing is the share of jobs that save their work.
+    """
+
+    queue: Queue
+    share: float
+    width: float
+    demand: Resources
+    run_time: float
+    estimate_error: float
+    gang: bool
+    checkpointing: float
+    accelerators: tuple[int, ...] = ACCELERATORS
+
+
+def _queue(name: str, priority: int, stretch: float, target: float) -> Queue:
+    return Queue(
+        name=name,
+        host="h",
+        prefix=f"/{name}/",
+        service="s",
+        priority=priority,
+        max_attempts=3,
+        stretch=stretch,
+        target=target,
+    )
+
+
+JOB_CLASSES = (
+    JobClass(
+        queue=_queue("urgent", 0, 1.5, 0.4),
+        share=0.64,
+        width=5.0,
+        demand=Resources(cpu=7_500, memory=39_000),
+        run_time=5.0,
+        estimate_error=0.9,
+        gang=True,
+        checkpointing=0.0,
+    ),
+    JobClass(
+        queue=_queue("batch", 1, 3.0, 1.2),
+        share=0.24,
+        width=8.0,
+        demand=Resources(cpu=26_000, memory=110_000),
+        run_time=17.0,
+        estimate_error=0.2,
+        gang=True,
+        checkpointing=0.45,
+    ),
+    JobClass(
+        queue=_queue("bulk", 2, 3.0, 3.0),
+        share=0.12,
+        width=39.0,
+        demand=Resources(cpu=5_600, memory=29_000),
+        run_time=19.0,
+        estimate_error=0.2,
+        gang=False,
+        checkpointing=0.45,
+        accelerators=(1,),
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GeneratedJob:
+    """Describe one job: when it arrives, and how long its tasks really take.
+
+    Both are in seconds.
+    """
+
+    arrives_at: float
+    spec: JobSpec
+    run_time: float
+
+
+def generate_jobs(
+    rate: float, duration: float, organisations: int, random: Random
+) -> list[GeneratedJob]:
+    """Return the jobs that arrive within a duration, at a rate in jobs a second."""
+    jobs: list[GeneratedJob] = []
+    arrives_at = random.expovariate(rate)
+    while arrives_at < duration:
+        jobs.append(_generate_job(len(jobs), arrives_at, organisations, random))
+        arrives_at += random.expovariate(rate)
+    return jobs
+
+
+def _generate_job(
+    number: int, arrives_at: float, organisations: int, random: Random
+) -> GeneratedJob:
+    job_class = random.choices(JOB_CLASSES, [one.share for one in JOB_CLASSES])[0]
+    run_time = job_class.run_time * _log_normal(RUN_TIME_SPREAD, random)
+    error = random.uniform(-job_class.estimate_error, job_class.estimate_error)
+    accelerators = random.choice(job_class.accelerators)
+    step = StepSpec(
+        count=max(1, round(job_class.width * _log_normal(WIDTH_SPREAD, random))),
+        demand=job_class.demand + Resources(accelerators=accelerators),
+        estimate=run_time * (1 + error),
+        gang=job_class.gang,
+        checkpointing=random.random() < job_class.checkpointing,
+    )
+    # A few organisations send most jobs.
+    organisation = min(random.randrange(organisations), random.randrange(organisations))
+    spec = JobSpec(
+        job_id=f"{number:016x}",
+        queue=job_class.queue.name,
+        organisation=f"o{organisation}",
+        payload="x" * 200,
+        accepted_at=arrives_at,
+        steps=(step,),
+    )
+    return GeneratedJob(arrives_at=arrives_at, spec=spec, run_time=run_time)
+
+
+def _log_normal(spread: float, random: Random) -> float:
+    """Return a log-normal factor with a mean of one."""
+    return exp(random.gauss(0.0, spread) - spread * spread / 2)
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -8,45 +8,20 @@
 from random import Random
 from statistics import mean
 
-from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.ownership import ShardAcquired
-from wasabispur_core.workload.fleet_state import (
-    FleetState,
-    JobArrived,
-    PlanningPassDue,
-    TableReady,
-)
+from wasabispur_core.workload.fleet_state import JobArrived, PlanningPassDue
 from wasabispur_core.workload.plan import Snapshot
 from wasabispur_core.workload.planner import plan
-from wasabispur_core.workload.policy import (
-    FleetPolicy,
-    Organisation,
-    PolicyChanged,
-    Queue,
-)
-from wasabispur_core.workload.scheduler import (
-    decide,
-    LOADED_TABLES,
-    new_fleet_state,
-)
+from wasabispur_core.workload.policy import Organisation, Queue
 from wasabispur_core.workload.snapshot import take_snapshot
 from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
 from wasabispur_core.workload.unit import ACTIVE, STOPPING, Unit
-from wasabispur_core.workload.worker import (
-    EndedRun,
-    EndKind,
-    ListedRun,
-    ReportArrived,
-    WorkerInfo,
-    WorkerReport,
-)
+from wasabispur_core.workload.worker import EndKind
 
 from .measure_fit import fit, Line, Sample
+from .simulated_owner import SimulatedOwner
 
-CAPACITY = Resources(cpu=64_000, memory=262_144, accelerators=8)
 RACK_SIZE = 13
-HORIZON = 13.5
-"""Lease horizon in seconds; no worker is silent for as long in a measurement."""
+ORGANISATION_COUNT = 24
 
 CHANGES = 60
 """Ended runs whose CPU time is averaged for each size."""
@@ -87,29 +62,26 @@
     )
 
 
-QUEUES = {
-    queue.name: queue
-    for queue in (
-        _queue("urgent", 0, 3, 1.5),
-        _queue("batch", 1, 4, 3.0),
-        _queue("bulk", 2, 3, 3.0),
-    )
-}
+QUEUES = (
+    _queue("urgent", 0, 3, 1.5),
+    _queue("batch", 1, 4, 3.0),
+    _queue("bulk", 2, 3, 3.0),
+)
 
 
-class PlannerBench:
+class PlannerBench(SimulatedOwner):
     """Represent an owner with a full fleet and a backlog, driven by its messages."""
 
     def __init__(self, size: FleetSize, random: Random) -> None:
+        super().__init__(now=1000.0, rack_size=RACK_SIZE)
         self.size = size
         self.random = random
-        self.now = 1000.0
         self.jobs = 0
-        self.state: FleetState = new_fleet_state(ChartCatalogue(), HORIZON)
-        self.reports: dict[str, WorkerReport] = {}
-        self._own()
-        for number in range(size.workers):
-            self._report(f"w{number:03}")
+        organisations = [
+            Organisation(name=f"o{number}", guaranteed_accelerators=8)
+            for number in range(ORGANISATION_COUNT)
+        ]
+        self.own(QUEUES, organisations, size.workers)
         while len(self.state.waiting) < size.waiting:
             self._submit()
             self._pass()
@@ -119,11 +91,11 @@
         self.now += CHANGE_INTERVAL
         unit = min(self._units(ACTIVE), key=lambda unit: unit.members[0].started_at)
         begun = time.process_time()
-        self._end(unit, EndKind.DONE)
+        self.end(unit, EndKind.DONE)
         self._pass()
         used = time.process_time() - begun
         for stopped in self._units(STOPPING):
-            self._end(stopped, EndKind.STOPPED)
+            self.end(stopped, EndKind.STOPPED)
         while len(self.state.waiting) < self.size.waiting:
             self._submit()
         self._pass()
@@ -143,29 +115,18 @@
         )
         return time.process_time() - begun
 
-    def _own(self) -> None:
-        names = [f"o{number}" for number in range(24)]
-        organisations = {
-            name: Organisation(name=name, guaranteed_accelerators=8) for name in names
-        }
-        policy = FleetPolicy(version=1, queues=QUEUES, organisations=organisations)
-        self._decide(PolicyChanged(policy=policy))
-        self._decide(ShardAcquired(epoch=1))
-        for table in LOADED_TABLES:
-            self._decide(TableReady(table=table))
-
     def _submit(self) -> None:
         self.jobs += 1
         queue = self.random.choice(("urgent", "batch", "bulk"))
         spec = JobSpec(
             job_id=f"{self.jobs:016x}",
             queue=queue,
-            organisation=f"o{self.random.randrange(24)}",
+            organisation=f"o{self.random.randrange(ORGANISATION_COUNT)}",
             payload="x" * 200,
             accepted_at=self.now,
             steps=(self._step(queue),),
         )
-        self._decide(JobArrived(spec=spec))
+        self.decide(JobArrived(spec=spec))
 
     def _step(self, queue: str) -> StepSpec:
         accelerators = self.random.choice((1, 2, 4, 8, 8))
@@ -196,76 +157,10 @@
             if unit.state == state
         ]
 
-    def _end(self, unit: Unit, kind: EndKind) -> None:
-        """Report the ends of all runs of a unit."""
-        for member in unit.members:
-            if not member.ended:
-                task = str(unit.task_id(member.index))
-                self._report(member.worker_ref.worker_id, (task, unit.run), kind)
-
-    def _report(
-        self,
-        worker_id: str,
-        ended: tuple[str, int] | None = None,
-        kind: EndKind = EndKind.DONE,
-    ) -> None:
-        """Deliver a worker's next report, with one more ended run if it is given."""
-        last = self.reports.get(worker_id)
-        ends = last.ended if last else ()
-        if ended is not None:
-            number = ends[-1].number + 1 if ends else 1
-            end = EndedRun(number=number, task=ended[0], run=ended[1], kind=kind)
-            ends = (*ends[-3:], end)
-        report = self.reports[worker_id] = WorkerReport(
-            agent_id=f"agent-{worker_id}",
-            number=last.number + 1 if last else 1,
-            info=self._info(worker_id, last.info.sequence + 1 if last else 1),
-            listing=last.listing + 1 if last else 1,
-            runs=self._runs(worker_id, ended),
-            ended=ends,
-        )
-        self._decide(ReportArrived(report=report))
-
-    def _info(self, worker_id: str, sequence: int) -> WorkerInfo:
-        return WorkerInfo(
-            worker_id=worker_id,
-            incarnation="1",
-            service="s",
-            data_centre="a1",
-            address=f"{worker_id}:80",
-            capacity=CAPACITY,
-            labels=("a", f"r1-{int(worker_id[1:]) // RACK_SIZE}"),
-            sequence=sequence,
-        )
-
-    def _runs(
-        self, worker_id: str, ended: tuple[str, int] | None
-    ) -> tuple[ListedRun, ...]:
-        units = [
-            self.state.unit(unit_id)
-            for unit_id in self.state.units_by_worker.get(worker_id, ())
-        ]
-        runs = [
-            (str(unit.task_id(member.index)), unit.run)
-            for unit in units
-            if unit is not None
-            for member in unit.members
-            if member.worker_ref.worker_id == worker_id and not member.ended
-        ]
-        return tuple(
-            ListedRun(task=task, run=run, percent=50)
-            for task, run in runs
-            if (task, run) != ended
-        )
-
     def _pass(self) -> None:
-        for worker in self.state.workers.values():
-            worker.seen_at = self.now
+        self.confirm_workers()
         self.state.capacity_changed = True
-        self._decide(PlanningPassDue())
-
-    def _decide(self, message: object) -> None:
-        decide(message, self.state, self.now)  # type: ignore[arg-type]
+        self.decide(PlanningPassDue())
 
 
 def measure_planner(seed: int) -> Sequence[Line]:
--- /dev/null
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -0,0 +1,146 @@
+"""Drive the shard owner's scheduler without processes, for measurements."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.message import Message
+from wasabispur_core.ownership import ShardAcquired
+from wasabispur_core.workload.fleet_state import FleetState, TableReady
+from wasabispur_core.workload.policy import (
+    FleetPolicy,
+    Organisation,
+    PolicyChanged,
+    Queue,
+)
+from wasabispur_core.workload.scheduler import (
+    decide,
+    LOADED_TABLES,
+    new_fleet_state,
+)
+from wasabispur_core.workload.spec import Resources
+from wasabispur_core.workload.unit import Unit
+from wasabispur_core.workload.worker import (
+    EndedRun,
+    EndKind,
+    ListedRun,
+    ReportArrived,
+    WorkerInfo,
+    WorkerReport,
+)
+
+CAPACITY = Resources(cpu=64_000, memory=262_144, accelerators=8)
+HORIZON = 13.5
+"""Lease horizon in seconds; no worker is silent for as long in a measurement."""
+
+REPORTED_ENDS = 4
+"""Number of ended runs that a report repeats."""
+
+
+class SimulatedOwner:
+    """Represent an owner and its fleet, driven by messages on simulated time."""
+
+    def __init__(self, now: float, rack_size: int) -> None:
+        self.now = now
+        self.rack_size = rack_size
+        self.state: FleetState = new_fleet_state(ChartCatalogue(), HORIZON)
+        self.reports: dict[str, WorkerReport] = {}
+
+    def own(
+        self,
+        queues: Iterable[Queue],
+        organisations: Iterable[Organisation],
+        workers: int,
+    ) -> None:
+        """Acquire the shard with a configuration and a fleet of idle workers."""
+        policy = FleetPolicy(
+            version=1,
+            queues={queue.name: queue for queue in queues},
+            organisations={one.name: one for one in organisations},
+        )
+        self.decide(PolicyChanged(policy=policy))
+        self.decide(ShardAcquired(epoch=1))
+        for table in LOADED_TABLES:
+            self.decide(TableReady(table=table))
+        for number in range(workers):
+            self.report(f"w{number:03}")
+
+    def decide(self, message: Message) -> None:
+        """Let the scheduler handle a message."""
+        decide(message, self.state, self.now)
+
+    def confirm_workers(self) -> None:
+        """Count all workers as having reported now, without the cost of reports."""
+        for worker in self.state.workers.values():
+            worker.seen_at = self.now
+
+    def end(self, unit: Unit, kind: EndKind) -> None:
+        """Report the ends of all runs of a unit."""
+        checkpoint = "saved" if unit.step.checkpointing else ""
+        for member in list(unit.members):
+            if not member.ended:
+                worker_id = member.worker_ref.worker_id
+                task = str(unit.task_id(member.index))
+                end = EndedRun(
+                    number=self._next_end(worker_id),
+                    task=task,
+                    run=unit.run,
+                    kind=kind,
+                    checkpoint=checkpoint,
+                )
+                self.report(worker_id, end)
+
+    def report(self, worker_id: str, ended: EndedRun | None = None) -> None:
+        """Deliver a worker's next report, with one more ended run if it is given."""
+        last = self.reports.get(worker_id)
+        ends = last.ended if last else ()
+        if ended is not None:
+            ends = (*ends[1 - REPORTED_ENDS :], ended)
+        number = last.number + 1 if last else 1
+        report = self.reports[worker_id] = WorkerReport(
+            agent_id=f"agent-{worker_id}",
+            number=number,
+            info=self._info(worker_id, number),
+            listing=number,
+            runs=self._listed_runs(worker_id, ended),
+            ended=ends,
+        )
+        self.decide(ReportArrived(report=report))
+
+    def percent(self, unit: Unit) -> int:
+        """Return the completed share of a unit's run, as workers list it."""
+        return 50
+
+    def _next_end(self, worker_id: str) -> int:
+        last = self.reports.get(worker_id)
+        return last.ended[-1].number + 1 if last and last.ended else 1
+
+    def _info(self, worker_id: str, sequence: int) -> WorkerInfo:
+        return WorkerInfo(
+            worker_id=worker_id,
+            incarnation="1",
+            service="s",
+            data_centre="a1",
+            address=f"{worker_id}:80",
+            capacity=CAPACITY,
+            labels=("a", f"r1-{int(worker_id[1:]) // self.rack_size}"),
+            sequence=sequence,
+        )
+
+    def _listed_runs(
+        self, worker_id: str, ended: EndedRun | None
+    ) -> tuple[ListedRun, ...]:
+        ended_task = ended.task if ended is not None else ""
+        units = [
+            self.state.unit(unit_id)
+            for unit_id in self.state.units_by_worker.get(worker_id, ())
+        ]
+        return tuple(
+            ListedRun(task=task, run=unit.run, percent=self.percent(unit))
+            for unit in units
+            if unit is not None
+            for member in unit.members
+            if member.worker_ref.worker_id == worker_id and not member.ended
+            if (task := str(unit.task_id(member.index))) != ended_task
+        )
--- /dev/null
+++ b/tests/workload/test_fleet_experiment.py
@@ -0,0 +1,38 @@
+"""Test the experiment tool, and what callers get of the loads that it plays."""
+
+from __future__ import annotations
+
+import json
+
+from click.testing import CliRunner
+
+from wasabispur_standins.experiment_command import fleet_experiment
+from wasabispur_standins.fleet_experiment import play_load
+
+
+def test_same_seed_plays_the_same_load():
+    """Guard against results that can't be compared between two versions."""
+    first = play_load(workers=12, organisations=4, rate=0.4, duration=30.0, seed=3)
+    again = play_load(workers=12, organisations=4, rate=0.4, duration=30.0, seed=3)
+    assert first == again
+
+
+def test_idle_fleet_serves_all_jobs_in_time():
+    """Guard against an experiment that counts jobs as late that met their objective."""
+    results = play_load(workers=77, organisations=10, rate=0.2, duration=60.0, seed=1)
+    assert results["urgent"].in_time == results["urgent"].owed > 0
+    assert not sum(result.preemptions for result in results.values())
+
+
+def test_command_prints_one_row_for_each_queue():
+    """Guard against a queue that is missing from the results."""
+    options = ["--workers", "12", "--rate", "0.3", "--seconds", "20", "--seeds", "1"]
+    printed = CliRunner().invoke(fleet_experiment, [*options, "--output", "json"])
+    assert printed.exit_code == 0
+    assert set(json.loads(printed.output)) == {"urgent", "batch", "bulk"}
+    table = CliRunner().invoke(fleet_experiment, options)
+    assert [line.split()[0] for line in table.output.splitlines()[1:4]] == [
+        "urgent",
+        "batch",
+        "bulk",
+    ]
