Give up a task after three workers crashed under it

Cause: only ends that a worker lists as failed count as attempts. A run whose worker crashed was reported as refused, or lost if the worker returned first; both set the unit free and left no trace. Evidence: failures 0 in each event 428 of both tasks, on one owner.

Change: the agent reports a run as crashed if the worker's process ended after the start was sent and without notice, and so does the owner for a new incarnation. The crashes are counted for each task in the progress row, so that they outlast owners and agents; the third ends the job. Suspected units run apart and, after two crashes, alone if a worker can be had, so that neighbours are told apart and keep their work. A silent or a leaving worker does not count. A long run clears the unit.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -113,6 +113,9 @@
 UNIT_WAITING = LogEvent(
     438, "INFO", "{job}.{unit} waits: {reason}; up to {loss_limit} may be lost for it"
 )
+UNIT_GIVEN_UP = LogEvent(
+    439, "WARNING", "{job}.{unit} is given up: {crashes} workers crashed under a task"
+)
 RUN_ENDED = LogEvent(428, "INFO", "run {run} of {task} on {worker} ended: {how}")
 JOB_ENDED = LogEvent(429, "INFO", "job {job} ended as {state} after {took} s")
 WORKER_STATE_READ = LogEvent(430, "INFO", "worker {worker} ({incarnation}) is {state}")
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/crash_history.py
@@ -0,0 +1,70 @@
+"""Count the workers that crashed under the tasks of a unit.
+
+The shard's owner gives up a unit whose task crashes each worker that starts it, and
+places a suspected one where a further crash harms the least other work.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+CRASH_LIMIT = 3
+"""Number of workers that may crash under one task before its unit is given up."""
+
+DANGEROUS_CRASHES = 2
+"""Number of crashes under one task after which its unit should run alone."""
+
+CLEARANCE_TIME = 30.0
+CLEARANCE_FACTOR = 2.0
+"""Bounds of the run time that clears a unit, in seconds and in crashed run times.
+
+Over hours, a long task is hit by crashes that have nothing to do with it.
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashHistory:
+    """Describe the crashes under one unit.
+
+    workers maps the position of a task to the number of workers that crashed under it,
+    and longest_run is the longest time that such a run took, in seconds.
+    """
+
+    workers: dict[int, int] = field(default_factory=dict)
+    longest_run: float = 0.0
+
+    @property
+    def most(self) -> int:
+        """Return the largest number of workers that crashed under one task."""
+        return max(self.workers.values(), default=0)
+
+    @property
+    def dangerous(self) -> bool:
+        """Return whether the unit should run alone on its workers."""
+        return self.most >= DANGEROUS_CRASHES
+
+    @property
+    def limit_reached(self) -> bool:
+        """Return whether the unit is given up."""
+        return self.most >= CRASH_LIMIT
+
+    def after_run(self, run_time: float) -> CrashHistory:
+        """Return the history after a run that did not end with a crash.
+
+        A run that outlasts the crashed ones by far shows that the crashes had another
+        cause.
+        """
+        clearance = max(CLEARANCE_TIME, CLEARANCE_FACTOR * self.longest_run)
+        return NO_CRASHES if run_time > clearance else self
+
+    def after_crash(self, position: int, run_time: float) -> CrashHistory:
+        """Return the history after a worker crashed under a run of a task."""
+        known = self.after_run(run_time)
+        count = known.workers.get(position, 0) + 1
+        return CrashHistory(
+            workers=known.workers | {position: count},
+            longest_run=round(max(known.longest_run, run_time), 2),
+        )
+
+
+NO_CRASHES = CrashHistory()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -48,7 +48,8 @@
     unknown_runs are listed runs that the owner did not order, written_orders the orders
     row as last written, and acknowledged the number of the last ended run that has been
     applied. failed_units contains the units whose runs failed there since the last
-    success. The worker gets no units before suspected_until.
+    success. The worker gets no units before suspected_until. leaving is set once it has
+    announced that it leaves.
     """
 
     agent_id: str
@@ -63,6 +64,7 @@
     written_orders: WorkerOrders | None = None
     failed_units: set[UnitId] = field(default_factory=set)
     suspected_until: float = 0.0
+    leaving: bool = False
 
     @property
     def worker_id(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -30,7 +30,8 @@
     is set for a worker that accepts runs but whose last report is too old. releasing
     is the amount of resources held by units that are being stopped. payload_bytes is
     the size of the payloads in the worker's orders row, and tasks_of_step counts its
-    tasks by job, occurrence and step.
+    tasks by job, occurrence and step. suspects counts its units under which a worker
+    has crashed, and closed is set while a dangerous one has begun there.
     """
 
     worker_ref: WorkerRef
@@ -46,6 +47,8 @@
     trust: Trust = Trust.FULL
     payload_bytes: int = 0
     tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    suspects: int = 0
+    closed: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,7 +61,9 @@
     remaining the estimated run time of the unit and of the longest chain of steps that
     depend on it, both in seconds. failed_on contains the workers on which its runs
     failed. The workers in avoided_workers are used last. With waits_for_rack, the unit
-    waits for workers of a better rack that are expected to report.
+    waits for workers of a better rack that are expected to report. suspected is set if
+    a worker has crashed under the unit, and dangerous if several have. An isolated unit
+    may only run on workers that run nothing else.
     """
 
     unit_id: UnitId
@@ -81,6 +86,9 @@
     failed_on: frozenset[str] = frozenset()
     waits_for_rack: bool = False
     attempts_left: int = 1
+    suspected: bool = False
+    dangerous: bool = False
+    isolated: bool = False
 
     @property
     def work(self) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -433,5 +433,6 @@
         unit.same_rack,
         unit.payload_bytes,
         unit.priority,
+        unit.isolated,
         step_key(unit) if unit.tasks_per_worker else None,
     )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from .crash_history import CrashHistory, NO_CRASHES
+
 
 class JobState(StrEnum):
     """Define the state of a job that callers see."""
@@ -41,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UnitRecord:
-    """Describe the stored state of one unit: a whole gang or a single task."""
+    """Describe the stored state of one unit: a whole gang or a single task.
+
+    crashes contains the workers that crashed under its tasks.
+    """
 
     occurrence: int = 0
     step: int = 0
@@ -51,6 +56,7 @@
     failures: int = 0
     checkpoint: str = ""
     members: tuple[MemberRecord, ...] = ()
+    crashes: CrashHistory = NO_CRASHES
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -38,7 +38,9 @@
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
     elif worker.info.incarnation != report.info.incarnation:
-        commands += end_lost_runs(worker_id, state, now, keep=report.info.incarnation)
+        commands += end_runs_of_former_incarnations(
+            worker, report.info.incarnation, state, now
+        )
         worker.acknowledged = 0
         restore_trust(worker)
         commands.append(_log_worker(report))
@@ -55,6 +57,9 @@
         state.view.changed_workers.add(worker_id)
     worker.agent_id = report.agent_id
     worker.info = report.info
+    if report.info.state is not WorkerState.UNREACHABLE:
+        # A worker that can't be reached leaves if it had announced that.
+        worker.leaving = report.info.state is not WorkerState.READY
     worker.report_number = report.number
     worker.confirmed |= state.active
     worker.seen_at = now
@@ -94,8 +99,9 @@
             worker.acknowledged = ended.number
             state.dirty_workers.add(worker.worker_id)
     for refused in report.refused:
+        kind = EndKind.CRASHED if refused.crashed else EndKind.REFUSED
         commands += _apply_run_end(
-            worker, refused.task, refused.run, EndKind.REFUSED, "", state, now
+            worker, refused.task, refused.run, kind, "", state, now
         )
     unknown_runs = tuple(
         run for run in report.runs if not _is_expected(run, worker, state)
@@ -110,10 +116,22 @@
     return commands + suspect_stalled(worker, state, now)
 
 
+def end_runs_of_former_incarnations(
+    worker: Worker, incarnation: str, state: FleetState, now: float
+) -> list[Command]:
+    """End the runs that a worker had before its restart as the given incarnation."""
+    kind = EndKind.LOST if worker.leaving else EndKind.CRASHED
+    return end_lost_runs(worker.worker_id, state, now, kind, keep=incarnation)
+
+
 def end_lost_runs(
-    worker_id: str, state: FleetState, now: float, keep: str = ""
+    worker_id: str,
+    state: FleetState,
+    now: float,
+    kind: EndKind = EndKind.LOST,
+    keep: str = "",
 ) -> list[Command]:
-    """End the runs on a worker as lost, except those of the incarnation to keep."""
+    """End the runs on a worker, except those of the incarnation to keep."""
     commands: list[Command] = []
     for unit_id in list(state.units_by_worker.get(worker_id, ())):
         unit = state.unit(unit_id)
@@ -124,7 +142,7 @@
                 continue
             if keep and member.worker_ref.incarnation == keep:
                 continue
-            ended = RunEnded(index=member.index, kind=EndKind.LOST)
+            ended = RunEnded(index=member.index, kind=kind)
             commands += end_run(unit, ended, worker_id, state, now)
     return commands
 
@@ -133,13 +151,17 @@
     """End the runs on workers that were replaced before this entry was the owner.
 
     An agent removes a report only once nothing can run on the worker, so recorded runs
-    on a worker without a report have ended too.
+    on a worker without a report have ended too. Nothing tells whether such a worker had
+    announced that it leaves, so that its end counts as a crash: a task that crashes
+    each worker must not gain attempts from the loss of an owner.
     """
     commands = _remove_replaced_workers(state, now)
+    crashed = EndKind.CRASHED
     for worker in state.workers.values():
-        commands += end_lost_runs(worker.worker_id, state, now, worker.info.incarnation)
+        worker_id, incarnation = worker.worker_id, worker.info.incarnation
+        commands += end_lost_runs(worker_id, state, now, crashed, keep=incarnation)
     for worker_id in set(state.units_by_worker) - set(state.workers):
-        commands += end_lost_runs(worker_id, state, now)
+        commands += end_lost_runs(worker_id, state, now, crashed)
     return commands
 
 
@@ -160,7 +182,7 @@
             gone and not state.units_by_worker.get(worker.worker_id)
         ):
             continue
-        commands += _remove_worker(worker, state, now)
+        commands += _remove_worker(worker, EndKind.LOST, state, now)
     return commands
 
 
@@ -175,7 +197,8 @@
             continue
         replaced, latest[place] = sorted((other, worker), key=_age_order)
         if _age_order(replaced) < _age_order(latest[place]):
-            commands += _remove_worker(replaced, state, now)
+            kind = EndKind.LOST if replaced.leaving else EndKind.CRASHED
+            commands += _remove_worker(replaced, kind, state, now)
     return commands
 
 
@@ -183,8 +206,11 @@
     return incarnation_sort_key(worker.info.incarnation)
 
 
-def _remove_worker(worker: Worker, state: FleetState, now: float) -> list[Command]:
-    commands = end_lost_runs(worker.worker_id, state, now) if state.active else []
+def _remove_worker(
+    worker: Worker, kind: EndKind, state: FleetState, now: float
+) -> list[Command]:
+    """Remove a worker, and end its runs in the given way."""
+    commands = end_lost_runs(worker.worker_id, state, now, kind) if state.active else []
     del state.workers[worker.worker_id]
     state.dirty_workers.discard(worker.worker_id)
     silent = round(now - worker.seen_at, 1)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -76,7 +76,12 @@
     # not list it. An abandoned run can't be at the worker any more, because the worker
     # is gone or its lease has expired. A key is a task and the number of its run.
     refused = tuple(
-        RefusedRun(task=key[0], run=key[1], reason=run.refusal_reason or "stopped")
+        RefusedRun(
+            task=key[0],
+            run=key[1],
+            reason=run.refusal_reason or "stopped",
+            crashed=run.crashed,
+        )
         for key, run in sorted(worker.ordered.items())
         if run.lifecycle.state == "barred" or run.abandoned
     )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -18,6 +18,7 @@
     RunRetryDue,
     StartRejected,
     StartRun,
+    StartUnanswered,
     StopAccepted,
     StopRun,
 )
@@ -92,6 +93,12 @@
     __slots__ = ()
 
 
+class DiscountUnsentStart(RunAction):
+    """Record that a start had no effect, if no connection was made for it."""
+
+    __slots__ = ()
+
+
 class ScheduleRetry(RunAction):
     """Retry the call after a delay that doubles with each retry."""
 
@@ -137,6 +144,7 @@
 def _(action: SendStart) -> list[Command]:
     context, run = action.state, action.subject
     worker = context.worker
+    run.start_calls += 1
     end = lease_end(worker, context.report, context.times, action.now)
     start = StartRun(
         worker_id=worker.info.worker_id,
@@ -201,6 +209,14 @@
     return [list_runs_command(action.state, 0.0, action.now)]
 
 
+@perform.register
+def _(action: DiscountUnsentStart) -> list[Command]:
+    message = action.message
+    if isinstance(message, StartUnanswered) and not message.sent:
+        action.subject.start_calls -= 1
+    return []
+
+
 @perform.register
 def _(action: ScheduleRetry) -> list[Command]:
     worker, run = action.state.worker, action.subject
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -141,12 +141,20 @@
     return commands
 
 
-def abandon_runs(worker: LocalWorker, reason: str, state: RunnerState) -> None:
-    """Report all ordered runs of a worker that is gone as refused, with the reason."""
+def abandon_runs(
+    worker: LocalWorker, reason: str, state: RunnerState, crashed: bool = False
+) -> None:
+    """Report all ordered runs of a worker that is gone as refused, with the reason.
+
+    crashed is set if the worker's process ended without having announced it.
+    """
+    listed = {(run.task, run.run) for run in worker.runs}
     worker.runs = ()
     changed = False
-    for run in worker.ordered.values():
+    for key, run in worker.ordered.items():
         changed |= not run.refusal_reason and not run.lifecycle.final
+        if crashed and not run.abandoned and not run.lifecycle.final:
+            run.crashed = run.start_calls > 0 or key in listed
         run.refusal_reason = run.refusal_reason or reason
         run.abandoned = True
     state.reports[worker.info.worker_id].changed |= changed
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -62,6 +62,7 @@
 from .worker import (
     incarnation_sort_key,
     OrdersArrived,
+    WorkerState,
 )
 
 TICK_INTERVAL = 0.25
@@ -188,7 +189,8 @@
         fields = {"worker": message.worker_id, "reason": message.reason}
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
     if worker.refused_connections >= DEAD_AFTER_REFUSALS:
-        abandon_runs(worker, WORKER_DEAD, state)
+        crashed = worker.info.state is WorkerState.READY
+        abandon_runs(worker, WORKER_DEAD, state, crashed)
     due = ListRetryDue(worker_id=message.worker_id)
     timer_id = f"list:{message.worker_id}"
     timer = SetTimer(timer_id=timer_id, delay=LIST_RETRY_DELAY, message=due)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
@@ -79,9 +79,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StartUnanswered(RunAnswer):
-    """Report a start without an answer; the worker may start the run even later."""
+    """Report a start without an answer; the worker may start the run even later.
+
+    If sent is not set, no connection was made, and the call had no effect.
+    """
 
     reason: str
+    sent: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -35,7 +35,8 @@
     unconfirmed is set until the worker's lists show whether the worker has the run
     already. abandoned is set once the worker can't have the run any more, because its
     process has ended or its lease has expired. refusal_reason is the reason why the run
-    did not start. stop_accepted_at is the time at which the worker accepted a stop, in
+    did not start, and crashed is set if the worker's process ended under the run.
+    start_calls counts the calls that may have started it. stop_accepted_at is the time at which the worker accepted a stop, in
     monotonic seconds. retries counts the retries of unanswered calls.
     """
 
@@ -45,6 +46,8 @@
     unconfirmed: bool = False
     abandoned: bool = False
     refusal_reason: str = ""
+    start_calls: int = 0
+    crashed: bool = False
     stop_accepted_at: float = inf
     retries: int = 0
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -37,6 +37,15 @@
 REPORT_WAIT_TIME = 1.2
 """Seconds in which all workers report once after a takeover or an outage."""
 
+ISOLATION_WAIT_TIME = 2.5
+"""Seconds for which a dangerous unit waits for workers that run nothing else.
+
+In a fleet that is never idle it would wait forever.
+"""
+
+ISOLATION_TIME = 2.0
+"""Seconds of a dangerous unit's run during which its workers get no other unit."""
+
 DEFAULT_ESTIMATE = 5.0
 """Seconds that a task is assumed to run if its caller gave no estimate."""
 
@@ -87,6 +96,7 @@
             and worker_id not in view.changed_workers
             and known.ready is is_ready(worker, now)
             and known.trust is trust_level(worker, now)
+            and not (known.closed and not _is_closed(worker, state, now))
         ):
             continue
         derived = view.workers[worker_id] = _worker_snapshot(worker, state, now)
@@ -157,7 +167,7 @@
         view.aging_units.add(unit.unit_id)
         return
     waiting = view.waiting[unit.unit_id] = _waiting(unit, job, queue, state, now)
-    if waiting.waits_for_rack:
+    if waiting.waits_for_rack or waiting.isolated:
         view.aging_units.add(unit.unit_id)
 
 
@@ -207,6 +217,7 @@
         ready=ready,
         awaiting_report=not ready and info.state is WorkerState.READY,
         trust=trust_level(worker, now),
+        closed=_is_closed(worker, state, now),
     )
     for unit_id in state.units_by_worker.get(worker.worker_id, ()):
         unit = state.unit(unit_id)
@@ -219,9 +230,21 @@
         )
         snapshot.tasks_of_step[step] = snapshot.tasks_of_step.get(step, 0) + count
         snapshot.payload_bytes += len(state.jobs[unit_id.job_id].spec.payload)
+        snapshot.suspects += unit.crashes.most > 0
     return snapshot
 
 
+def _is_closed(worker: Worker, state: FleetState, now: float) -> bool:
+    """Return whether a dangerous unit has just begun on the worker."""
+    units = map(state.unit, state.units_by_worker.get(worker.worker_id, ()))
+    return any(
+        unit.crashes.dangerous
+        and now - min(one.started_at for one in unit.members) < ISOLATION_TIME
+        for unit in units
+        if unit is not None
+    )
+
+
 def _waiting(
     unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
 ) -> WaitingUnit:
@@ -254,6 +277,9 @@
         failed_on=frozenset(unit.failed_on),
         waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
         attempts_left=queue.max_attempts - unit.failures,
+        suspected=unit.crashes.most > 0,
+        dangerous=unit.crashes.dangerous,
+        isolated=unit.crashes.dangerous and now - unit.ready_at < ISOLATION_WAIT_TIME,
     )
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -11,6 +11,7 @@
 
 from ..chart import Lifecycle
 from ..message import Message
+from .crash_history import CrashHistory, NO_CRASHES
 from .progress import MemberRecord, UnitRecord
 from .run_progress import RunProgress
 from .spec import Resources, StepSpec, TaskId
@@ -100,7 +101,8 @@
     the checkpoint from which the current run started. run_failed is set once a member
     of the current run has failed. avoided_workers contains the workers that refused or
     lost a run of the unit or on which it stalled, and failed_on those on which it
-    failed. stored_row is the stored record as a row value, or None after a change.
+    failed. crashes contains the workers that crashed under its tasks. stored_row is the
+    stored record as a row value, or None after a change.
     """
 
     unit_id: UnitId
@@ -117,6 +119,7 @@
     failed_on: set[str] = field(default_factory=set)
     preemptions: int = 0
     backoff_until: float = 0.0
+    crashes: CrashHistory = NO_CRASHES
     stored_row: dict[str, Any] | None = None
 
     @property
@@ -142,6 +145,16 @@
         """Return whether a run of some member is not known to have ended."""
         return any(not member.ended for member in self.members)
 
+    def crashes_after(self, ended: RunEnded, now: float) -> CrashHistory:
+        """Return the history of crashes after the end of one member's run."""
+        member = next((one for one in self.members if one.index == ended.index), None)
+        if member is None or member.ended:
+            return self.crashes
+        run_time = now - member.started_at
+        if ended.kind is EndKind.CRASHED:
+            return self.crashes.after_crash(ended.index, run_time)
+        return self.crashes.after_run(run_time)
+
     def task_id(self, index: int) -> TaskId:
         """Return the id of one of the unit's tasks."""
         return TaskId(
@@ -172,4 +185,5 @@
             failures=self.failures,
             checkpoint=self.checkpoint,
             members=members,
+            crashes=self.crashes,
         )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -42,7 +42,7 @@
 
 
 class RecordRunEnd(UnitAction):
-    """Record the end of one member, its checkpoint and whether it failed."""
+    """Record the end of one member, its checkpoint, and a failure or a crash."""
 
     __slots__ = ()
 
@@ -83,8 +83,8 @@
     __slots__ = ()
 
 
-class AttemptsExhausted(UnitGuard):
-    """Check that the run failed and was the last allowed attempt."""
+class MustNotRunAgain(UnitGuard):
+    """Check that the last attempt failed or that too many workers have crashed."""
 
     __slots__ = ()
 
@@ -119,8 +119,13 @@
 
 
 @holds.register
-def _(guard: AttemptsExhausted) -> bool:
+def _(guard: MustNotRunAgain) -> bool:
     unit, message = guard.subject, guard.message
+    if (
+        isinstance(message, RunEnded)
+        and unit.crashes_after(message, guard.now).limit_reached
+    ):
+        return True
     if unit.step.long_running:
         return False
     failed = unit.run_failed or (
@@ -150,6 +155,7 @@
     unit, message = action.subject, action.message
     if not isinstance(message, RunEnded):
         return []
+    unit.crashes = unit.crashes_after(message, action.now)
     for member in unit.members:
         if member.index == message.index:
             member.ended = True
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -15,6 +15,7 @@
     LogEvent,
     RUN_ENDED,
     UNIT_EVACUATED,
+    UNIT_GIVEN_UP,
     UNIT_MOVED,
     UNIT_PLACED,
     UNIT_PREEMPTED,
@@ -155,7 +156,7 @@
     handle_unit_event(unit, ended, state, now)
     # Workers in failed_on are excluded while others remain, and those in
     # avoided_workers are only used last.
-    if ended.kind is EndKind.FAILED:
+    if ended.kind in (EndKind.FAILED, EndKind.CRASHED):
         unit.failed_on.add(worker_id)
     if ended.kind in (EndKind.REFUSED, EndKind.LOST):
         unit.avoided_workers.add(worker_id)
@@ -170,13 +171,18 @@
         "worker": worker_id,
         "how": ended.kind.value,
         "failures": unit.failures,
+        "crashes": unit.crashes.most,
         "state": unit.state,
     }
-    job = state.jobs[unit.unit_id.job_id]
-    return [
-        WriteLog(number=RUN_ENDED.number, fields=fields),
-        *update_job(job, state, now),
-    ]
+    commands: list[Command] = [WriteLog(number=RUN_ENDED.number, fields=fields)]
+    if unit.state == FAILED and unit.crashes.limit_reached:
+        fields = {
+            "job": unit.unit_id.job_id,
+            "unit": _unit_name(unit),
+            "crashes": unit.crashes.most,
+        }
+        commands.append(WriteLog(number=UNIT_GIVEN_UP.number, fields=fields))
+    return [*commands, *update_job(state.jobs[unit.unit_id.job_id], state, now)]
 
 
 def cancel(job: Job, state: FleetState, now: float) -> list[Command]:
@@ -247,6 +253,7 @@
         failures=record.failures,
         checkpoint=record.checkpoint,
         start_checkpoint=record.checkpoint,
+        crashes=record.crashes,
         ready_at=now,
     )
     unit.members = [
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -186,13 +186,16 @@
     return min(bounds)
 
 
-def reserve(unit: WaitingUnit, placement: Iterable[WorkerSnapshot]) -> None:
+def reserve(unit: WaitingUnit, placement: Sequence[WorkerSnapshot]) -> None:
     """Subtract the unit's demand from the free resources of its workers."""
     for worker in placement:
         worker.free -= unit.demand
         worker.payload_bytes += unit.payload_bytes
         step = step_key(unit)
         worker.tasks_of_step[step] = worker.tasks_of_step.get(step, 0) + 1
+    for worker in {id(worker): worker for worker in placement}.values():
+        worker.suspects += unit.suspected
+        worker.closed |= unit.dangerous
 
 
 def step_key(unit: WaitingUnit) -> tuple[str, int, int]:
@@ -218,10 +221,14 @@
 
 def _packing_order(
     unit: WaitingUnit, worker: WorkerSnapshot
-) -> tuple[bool, bool, float, float, str]:
+) -> tuple[bool, bool, bool, bool, float, float, str]:
     left = worker.free - unit.demand
     return (
         worker.worker_ref.worker_id in unit.avoided_workers,
+        # Suspected units run apart, to find the one that crashes its workers, and beside
+        # few others.
+        unit.suspected and worker.suspects > 0,
+        unit.suspected and bool(worker.tasks_of_step),
         worker.trust is not Trust.FULL,
         left.accelerators,
         left.cpu,
@@ -237,6 +244,8 @@
     already_placed is the number of tasks that the current search has placed on the
     worker.
     """
+    if worker.closed or (unit.isolated and worker.tasks_of_step):
+        return 0
     fitting = unit.demand.count_in(free, unit.size)
     if not fitting:
         return 0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/waiting_order.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/waiting_order.py
@@ -54,4 +54,11 @@
 
 def _step_key(unit: WaitingUnit) -> tuple[Any, ...]:
     """Return a key that is the same for identical units."""
-    return (*step_key(unit), unit.failed_on, unit.attempts_left > 1)
+    return (
+        *step_key(unit),
+        unit.failed_on,
+        unit.attempts_left > 1,
+        unit.suspected,
+        unit.dangerous,
+        unit.isolated,
+    )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -28,8 +28,9 @@
 
     LAPSED: its lease expired on the worker. BROKEN: another member of its gang ended.
     ALONE: its gang was not complete in time. REFUSED: the worker or its agent did not
-    start it. LOST: the worker was restarted or replaced, or no report on it has
-    arrived for the lease horizon.
+    start it. CRASHED: the worker's process ended under it without having announced
+    that it leaves. LOST: the worker left, or no report on it has arrived for the lease
+    horizon.
     """
 
     DONE = "done"
@@ -39,6 +40,7 @@
     BROKEN = "broken"
     ALONE = "alone"
     REFUSED = "refused"
+    CRASHED = "crashed"
     LOST = "lost"
 
 
@@ -70,11 +72,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RefusedRun:
-    """Describe a run that the worker or its agent has refused for good."""
+    """Describe a run that is not at the worker and can't start there any more.
+
+    crashed is set if the worker's process ended after the agent had asked it to start
+    the run, and had not announced that it leaves.
+    """
 
     task: str
     run: int
     reason: str
+    crashed: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -89,6 +89,13 @@
 HEARTBEAT_INTERVAL = 1.5
 """Seconds between two heartbeats of a worker."""
 
+CRASH_RECOVERY_TIME = 3.0
+"""Seconds until a worker that crashed is back."""
+
+CRASH_LIMIT = 3
+STARTS_AFTER_CRASHES = 2
+"""Workers that may crash under one task, and starts that are allowed after that."""
+
 CAPACITY = Resources(cpu=8000, memory=8000, accelerators=8)
 ORGANISATIONS = ("peachtree", "prairie")
 
@@ -311,6 +318,9 @@
         self.cancelled: dict[str, float] = {}
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
+        self.deadly_tasks: set[str] = set()
+        self.crashes: dict[str, set[tuple[str, int]]] = {}
+        self.starts_after_crashes: dict[str, int] = {}
         self.delayed_starts = False
         self.start_delay = 4.0
         self.scheduler_may_fail = False
@@ -532,9 +542,10 @@
             )
         elif isinstance(command, StartRun):
             run = {"task": command.task, "run": command.run}
-            agent.post_later(
-                0.3, StartUnanswered(**worker_fields, **run, reason="fault")
+            answer = StartUnanswered(
+                **worker_fields, **run, reason="fault", sent=not refused
             )
+            agent.post_later(0.3, answer)
         elif isinstance(command, StopRun):
             run = {"task": command.task, "run": command.run}
             agent.post_later(
@@ -579,6 +590,8 @@
             return StartRejected(**worker_fields, **run, reason=reason)
         if not known:
             self._note_start(command, worker)
+            if command.task in self.deadly_tasks:
+                self.crash_worker(worker)
         return StartAccepted(**worker_fields, **run)
 
     def _simulated_run(self, command: StartRun) -> Running:
@@ -624,6 +637,10 @@
         attempts = self.policy.queues[self.specs[job_id].path.split("/")[1]]
         if self.failures.get(task, 0) >= attempts.max_attempts:
             self.violations.append(f"{task} started after its last attempt")
+        if len(self.crashes.get(task, ())) >= CRASH_LIMIT:
+            self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
+        if self.starts_after_crashes.get(task, 0) > STARTS_AFTER_CRASHES:
+            self.violations.append(f"{task} started after it crashed too many workers")
 
     def _check(self) -> None:
         for worker in self.workers.values():
@@ -734,6 +751,21 @@
         self.store.listeners.pop(self.agents[name], None)
         self.agents[name] = Agent(self, name)
 
+    def crash_worker(self, worker: SimulatedWorker) -> None:
+        """Crash a worker, which is back after a while with empty state."""
+        for task in worker.runs:
+            if task in self.deadly_tasks:
+                crashed = self.crashes.setdefault(task, set())
+                crashed.add((worker.worker_id, worker.born))
+        worker.up = False
+        born = worker.born
+
+        def recover(_: Message) -> None:
+            if not worker.up and worker.born == born:
+                self.restart_worker(worker)
+
+        self.timers.subscribe(CRASH_RECOVERY_TIME, recover, Message())
+
     def restart_worker(self, worker: SimulatedWorker) -> None:
         """Restart a worker with empty state.
 
