Go on reading a table beside a row that is nested too deeply

Operators of similar systems saw one odd entry of another writer end the processes that read the list, or their reading. Here the reading ended: with such a row in the reports, no entry heard of its workers any more, also after a restart, and no job was started.

Cause: json raises RecursionError, which decode_row did not expect, and TableFeed took each RuntimeError for a stopped thread pool and gave no answer. The same lines stood at the calls of the store client and of workers.

Rows with a number of 5,000 digits or without JSON were skipped before, too.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from functools import singledispatch
+from contextlib import suppress
+from functools import partial, singledispatch
 
-from wasabispur_core.log_event import HANDLER_FAILED
-from wasabispur_core.message import event_name, Message
+from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.runner_message import (
     ListFailed,
@@ -21,7 +21,7 @@
 )
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.http_call import HttpClient
-from wasabispur_runtime.log import log_failure
+from wasabispur_runtime.thread_call import call_on_thread, ThreadsStoppedError
 
 CONCURRENT_CALL_LIMIT = 6
 """Calls to workers in progress at once; one of them waits until a run ends."""
@@ -58,25 +58,17 @@
         task.add_done_callback(self.calls.discard)
 
     async def _call(self, command: WorkerCall) -> None:
-        loop = asyncio.get_running_loop()
         client = self._client(command.address)
         sent_at = self.timers.now()
-        try:
-            answer = await loop.run_in_executor(
-                self.threads, self.transport, command, client, sent_at
+        with suppress(ThreadsStoppedError):
+            answer = await call_on_thread(
+                self.threads,
+                self.name,
+                command,
+                partial(self.transport, command, client, sent_at),
+                failed_call(command),
             )
-        except RuntimeError:
-            # The thread pool rejects calls once the process stops.
-            return
-        except Exception as error:
-            log_failure(
-                HANDLER_FAILED,
-                actor=self.name,
-                message_name=event_name(command),
-                error=str(error),
-            )
-            answer = failed_call(command)
-        self.receiver(answer)
+            self.receiver(answer)
 
     def _client(self, address: str) -> HttpClient:
         if address not in self.clients:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -5,12 +5,11 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from functools import singledispatch
+from functools import partial, singledispatch
 from itertools import count
 
 from wasabispur_core.error import WasabispurError
 from wasabispur_core.log_event import (
-    HANDLER_FAILED,
     RESULT_UNDELIVERED,
     STORE_AVAILABLE,
     STORE_UNAVAILABLE,
@@ -37,7 +36,8 @@
     RequestNotSent,
     ResponseLost,
 )
-from .log import log, log_failure
+from .log import log
+from .thread_call import call_on_thread, ThreadsStoppedError
 
 Receiver = Callable[[Message], None]
 StoreTransport = Callable[[SendCall, HttpClient], CallAnswer]
@@ -112,22 +112,17 @@
         task.add_done_callback(self.calls.discard)
 
     async def _call(self, command: SendCall) -> None:
-        loop = asyncio.get_running_loop()
-        answer: CallAnswer
+        failed: CallAnswer = CallLost(call_id=command.call_id, reason="the call failed")
         try:
-            answer = await loop.run_in_executor(
-                self.threads, self.transport, command, self.client
+            answer = await call_on_thread(
+                self.threads,
+                self.name,
+                command,
+                partial(self.transport, command, self.client),
+                failed,
             )
-        except RuntimeError:
-            answer = CallLost(call_id=command.call_id, reason="the process is stopping")
-        except Exception as error:
-            log_failure(
-                HANDLER_FAILED,
-                actor=self.name,
-                message_name=event_name(command),
-                error=str(error),
-            )
-            answer = CallLost(call_id=command.call_id, reason="the call failed")
+        except ThreadsStoppedError as error:
+            answer = CallLost(call_id=command.call_id, reason=str(error))
         self.post_urgent(answer)
 
     async def closed(self) -> None:
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -22,14 +24,13 @@
     RowsChanged,
     TableDelivered,
 )
-from wasabispur_core.log_event import HANDLER_FAILED
-from wasabispur_core.message import event_name, Message
+from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
 
 from .actor import Close
 from .decision_actor import DecisionActor, execute
 from .http_call import HttpClient
-from .log import log_failure
+from .thread_call import call_on_thread, ThreadsStoppedError
 
 Receiver = Callable[[Message], None]
 FeedTransport = Callable[[Any, HttpClient], FeedAnswer]
@@ -84,23 +85,16 @@
         task.add_done_callback(self.calls.discard)
 
     async def _call(self, command: Any) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            answer = await loop.run_in_executor(
-                self.thread, self.source.transport, command, self.client
+        failed: FeedAnswer = FeedFailed(reason="the call failed")
+        with suppress(ThreadsStoppedError):
+            answer = await call_on_thread(
+                self.thread,
+                self.name,
+                command,
+                partial(self.source.transport, command, self.client),
+                failed,
             )
-        except RuntimeError:
-            # The thread pool rejects calls once the feed is closed.
-            return
-        except Exception as error:
-            log_failure(
-                HANDLER_FAILED,
-                actor=self.name,
-                message_name=event_name(command),
-                error=str(error),
-            )
-            answer = FeedFailed(reason="the call failed")
-        self.post_urgent(answer)
+            self.post_urgent(answer)
 
     def stop_delivery(self) -> None:
         """Deliver no more messages, and stop without being awaited."""
