Refuse heartbeats and rows with impossible values

A heartbeat with port 99999, a negative capacity or a number of 400 digits was accepted and went on into the report that other processes read; a capacity of 10**400 thousandths of a core then fails each planning pass with OverflowError. A job row with 10**9 tasks would exhaust the owner's memory.

Job estimates have to be finite, and a heartbeat's state one that a worker can announce.

The 23 cases of test_odd_entries.py on heartbeats, reports and jobs failed before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from ..error import ProtocolError
+from .row_check import row_problem
 
 SHARD = "main"
 """The only shard, because gangs, guarantees and priorities span all workers."""
@@ -111,15 +112,16 @@
     """Validate a row value and convert it to a dataclass."""
     key: Any = kind
     try:
-        return Success(_validator(key).validate_python(value))
+        decoded = _validator(key).validate_python(value)
     except ValidationError as error:
-        problem = error.errors(include_url=False)[0]
-        return Failure(
-            ProtocolError(
-                f"{problem['loc']}: {problem['msg']}",
-                "remove the row, or upgrade this process",
-            )
-        )
+        first = error.errors(include_url=False)[0]
+        return _refusal(f"{first['loc']}: {first['msg']}")
+    problem = row_problem(decoded)
+    return _refusal(problem) if problem else Success(decoded)
+
+
+def _refusal(problem: str) -> Failure[ProtocolError]:
+    return Failure(ProtocolError(problem, "remove the row, or upgrade this process"))
 
 
 @cache
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -9,6 +9,12 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+STEPS_LIMIT = 100
+"""Maximum number of steps of a job."""
+
+TASKS_LIMIT = 10_000
+"""Maximum number of tasks of a step."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Resources:
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -6,14 +6,20 @@
 from base64 import b64encode
 
 import pytest
+from pydantic import ValidationError
 
+from wasabispur.fleet_rows import decode_row
 from wasabispur_core.feed import ChangesDelivered, FetchChanges
+from wasabispur_core.store import Row
+from wasabispur_core.workload.rows import job_key, report_key
 from wasabispur_platform.store_wire import encode_value, send_feed_call
+from wasabispur_platform.worker_wire import HeartbeatBody
 from wasabispur_platform_standin.system import PlatformSystem
 from wasabispur_runtime.http_call import HttpResponse
 from wasabispur_standins.process import ProcessGroup, wait_for
 
 from .test_store_wire import FakeClient
+from .test_worker_wire import HEARTBEAT
 
 DEPTH = 20_000
 """Levels of nesting that no JSON parser of this language follows."""
@@ -76,3 +82,74 @@
         )
         for name in ODD_VALUES:
             assert f'"key": "report/{REPORT_PART}/{name}"' in logs
+
+
+ODD_FIELDS = [
+    {"address": "10.0.0.1:99999"},
+    {"address": "10.0.0.1:-1"},
+    {"address": "10.0.0.1:0"},
+    {"address": "xx"},
+    {"address": ":80"},
+    {"state": "gone"},
+    {"sequence": 10**400},
+    {"sequence": -1},
+    {"born": 10**30},
+    {"capacity": {"cpu": 10**200, "mem_mb": 1}},
+    {"capacity": {"cpu": 1, "mem_mb": -5}},
+    {"capacity": {"cpu": 1, "mem_mb": 1, "gpu": -1}},
+]
+
+
+@pytest.mark.parametrize("fields", ODD_FIELDS, ids=lambda fields: str(fields)[:40])
+def test_impossible_heartbeat_is_refused(fields):
+    """Guard against a heartbeat that puts impossible values into rows of others."""
+    with pytest.raises(ValidationError):
+        HeartbeatBody.model_validate_json(json.dumps({**HEARTBEAT, **fields}))
+
+
+INFO = {
+    "worker_id": "w",
+    "incarnation": "1",
+    "service": "s",
+    "data_centre": "a",
+    "address": "10.0.0.1:80",
+    "capacity": {"cpu": 8000, "memory": 100, "accelerators": 8},
+}
+ODD_INFO = [
+    {"address": "10.0.0.1:99999"},
+    {"incarnation": "x"},
+    {"incarnation": "9" * 400},
+    {"sequence": 10**400},
+    {"remaining": float("inf")},
+    {"capacity": {"cpu": 10**400}},
+    {"capacity": {"accelerators": -5}},
+]
+
+
+def report_row(**fields) -> Row:
+    value = {"agent_id": "a", "number": 1, "info": {**INFO, **fields}}
+    return Row(key=report_key("w"), version=1, operation_id="o", value=value)
+
+
+@pytest.mark.parametrize("fields", ODD_INFO, ids=lambda fields: str(fields)[:40])
+def test_impossible_report_names_no_worker(fields):
+    """Guard against a report that fails each planning pass of the owner."""
+    assert decode_row(report_row()) is not None
+    assert decode_row(report_row(**fields)) is None
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        {"count": 10**9, "demand": {"cpu": 1}},
+        {"count": 1, "demand": {"cpu": -1}},
+        {"count": 1, "demand": {"cpu": 10**400}},
+        {"count": 1, "demand": {"cpu": 1}, "estimate": float("inf")},
+    ],
+    ids=lambda step: str(step)[:40],
+)
+def test_impossible_job_is_not_scheduled(step):
+    """Guard against a job row that exhausts the owner's memory or fails its passes."""
+    value = {"job_id": "j", "steps": [step]}
+    row = Row(key=job_key("j"), version=1, operation_id="o", value=value)
+    assert decode_row(row) is None
