Prove that no start exceeds a capacity that is not guarded or that shrinks

No fault was found. The simulated world got workers that don't guard their capacity, slow stops and a capacity that changes, and checks each start against what binds: the present capacity, or one that was larger within 4 s and one heartbeat.

--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -14,7 +14,7 @@
 )
 
 STOP_DELAY = 0.2
-"""Seconds on the worker's clock from a stop command to the end of the run."""
+"""Default seconds on the worker's clock from a stop command to the end of the run."""
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
     task that may not start again. Expirations counts how often the lease expired, and
     expirations_at_end has that count by the number of an end. Noted lists the tasks
     whose successful end was acknowledged before the lease expired: only these must
-    never run again.
+    never run again. A worker that guards its capacity rejects starts that exceed it.
     """
 
     worker_id: str
@@ -66,6 +66,8 @@
     silent: bool = False
     draining: bool = False
     sick: bool = False
+    guards: bool = True
+    stop_delay: float = STOP_DELAY
     stalled: bool = False
     sequence: int = 0
     next_heartbeat: float = 0.0
@@ -122,7 +124,7 @@
         if lease_end <= self.clock:
             return "late"
         self.extend_lease(lease_end)
-        if not run.demand.fits(self.free_resources()):
+        if self.guards and not run.demand.fits(self.free_resources()):
             return "room"
         self.runs[run.task] = run
         return ""
@@ -138,7 +140,7 @@
         self.barred[task] = max(self.barred.get(task, 0), run)
         present = self.runs.get(task)
         if present is not None and present.run <= run and present.stopping_at is None:
-            present.stopping_at = self.clock + STOP_DELAY
+            present.stopping_at = self.clock + self.stop_delay
         return True
 
     def end(self, task: str, kind: EndKind) -> Running:
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -89,6 +89,9 @@
 HEARTBEAT_INTERVAL = 1.5
 """Seconds between two heartbeats of a worker."""
 
+CAPACITY_NOTICE = 4.0 + HEARTBEAT_INTERVAL
+"""Seconds after which a capacity that has shrunk binds: for contact, and one beat."""
+
 CRASH_RECOVERY_TIME = 3.0
 """Seconds until a worker that crashed is back."""
 
@@ -321,6 +324,7 @@
         self.deadly_tasks: set[str] = set()
         self.crashes: dict[str, set[tuple[str, int]]] = {}
         self.starts_after_crashes: dict[str, int] = {}
+        self.capacities: dict[str, list[tuple[float, Resources]]] = {}
         self.delayed_starts = False
         self.start_delay = 4.0
         self.scheduler_may_fail = False
@@ -637,13 +641,28 @@
         attempts = self.policy.queues[self.specs[job_id].path.split("/")[1]]
         if self.failures.get(task, 0) >= attempts.max_attempts:
             self.violations.append(f"{task} started after its last attempt")
+        if not self._allows_load(worker):
+            self.violations.append(f"{task} started beyond the capacity")
         if len(self.crashes.get(task, ())) >= CRASH_LIMIT:
             self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
         if self.starts_after_crashes.get(task, 0) > STARTS_AFTER_CRASHES:
             self.violations.append(f"{task} started after it crashed too many workers")
 
+    def _allows_load(self, worker: SimulatedWorker) -> bool:
+        """Return whether a capacity that still binds covers the worker's runs."""
+        used = worker.capacity - worker.free_resources()
+        binding = [worker.capacity]
+        noticed = self.timers.now() - CAPACITY_NOTICE
+        for until, capacity in self.capacities.get(worker.worker_id, ()):
+            if until > noticed:
+                binding.append(capacity)
+        return any(used.fits(capacity) for capacity in binding)
+
     def _check(self) -> None:
         for worker in self.workers.values():
+            if worker.worker_id in self.capacities:
+                # Its runs may exceed a capacity that has shrunk; starts are checked.
+                continue
             if not Resources().fits(worker.free_resources()):
                 self.violations.append(f"{worker.worker_id} is over its capacity")
         assert not self.violations, self.violations[:3]
@@ -751,6 +770,12 @@
         self.store.listeners.pop(self.agents[name], None)
         self.agents[name] = Agent(self, name)
 
+    def set_capacity(self, worker: SimulatedWorker, capacity: Resources) -> None:
+        """Change what a worker offers, as its next heartbeat tells."""
+        known = self.capacities.setdefault(worker.worker_id, [])
+        known.append((self.timers.now(), worker.capacity))
+        worker.capacity = capacity
+
     def crash_worker(self, worker: SimulatedWorker) -> None:
         """Crash a worker, which is back after a while with empty state."""
         for task in worker.runs:
