Split the planner's memory and the limit of lost work from its pass

What is kept between passes stands in planner_memory.py, the limit of lost work in loss_limit.py; behaviour is unchanged (test_planner_memory.py compares each pass of random histories with a whole one).

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -7,30 +7,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from .plan import Decision, Snapshot
-from .planning_pass import HostKey, Need, PlanningPass, UnmetNeed
+from .planner_memory import PlannerMemory
+from .planning_pass import PlanningPass
 from .relocation import relocations
-from .unit import UnitId
-from .unit_placement import HostGroups
 from .waiting_order import waiting_groups
 
 
-@dataclass(slots=True, kw_only=True)
-class Planner:
-    """Keep the results of planning passes that later passes can use.
-
-    unmet contains the needs that the last pass could not place, and hosts_by_key the
-    workers that may host a unit. reservations contains, for each unit that waits for
-    preempted units to stop, the ids of the workers that will run its tasks. unfinished
-    is set if that pass reached its limit of searches.
-    """
-
-    unmet: dict[Need, UnmetNeed] = field(default_factory=dict)
-    hosts_by_key: dict[HostKey, HostGroups] = field(default_factory=dict)
-    reservations: dict[UnitId, tuple[str, ...]] = field(default_factory=dict)
-    unfinished: bool = False
+class Planner(PlannerMemory):
+    """Decide on the units of one snapshot after the other."""
 
     def decide(self, snapshot: Snapshot) -> list[Decision]:
         """Return relocations, preemptions, and decisions on the waiting units.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -10,13 +10,12 @@
 from collections import Counter
 from collections.abc import Iterable
 from copy import copy
-from dataclasses import dataclass, field
 from heapq import nsmallest
 from math import inf
-from typing import Any, TYPE_CHECKING
 
 from .eviction import can_free_room, cheapest_eviction, Eviction
 from .eviction_bound import least_cost, least_task_costs
+from .loss_limit import eviction_loss_limit, NO_EVICTION
 from .plan import (
     Decision,
     Place,
@@ -29,6 +28,7 @@
     WaitReason,
     WorkerSnapshot,
 )
+from .planner_memory import Need, need_of, PlannerMemory, UnmetNeed
 from .unit import UnitId
 from .unit_placement import (
     choose_placement,
@@ -37,22 +37,9 @@
     host_key,
     HostGroups,
     reserve,
-    step_key,
 )
 from .victim import VictimIndex
 
-if TYPE_CHECKING:
-    from .planner import Planner
-
-LOSS_SHARE_LIMIT = 0.4
-"""Limit of lost work for a unit without a guarantee, as a share of its own work."""
-
-TIGHT_SLACK = 1.5
-"""Seconds before and after the latest in-time start in which slack is tight."""
-
-TIGHT_LOSS_SHARE_LIMIT = 1.0
-"""Limit of the share for a unit with tight slack: no more is lost than it does."""
-
 EVICTION_SEARCH_LIMIT = 8
 """Units without a guarantee for which one pass searches the fleet for an eviction.
 
@@ -65,48 +52,11 @@
 Several changes share one search then; a search costs more than the rest of a pass.
 """
 
-NO_EVICTION = -1.0
-"""Loss limit of a unit that preempts no other one, and of an omitted search."""
-
-Need = tuple[Any, ...]
-HostKey = tuple[Any, ...]
-"""Keys that are equal for units with the same need, or for the same workers."""
-
-
-@dataclass(slots=True, kw_only=True)
-class UnmetNeed:
-    """Describe why units with the same need were not placed.
-
-    No eviction costs loss_limit core-seconds or less, but for those on the workers in
-    unsearched, which have changed since. hosts contains the workers that may host the
-    units, and task_costs lower bounds on the costs of a unit's tasks there. searched_at
-    is the time of the last search in monotonic seconds. least_cost is a lower bound on
-    the cost of making room when the first unit began to wait, if that was an urgent
-    one.
-    """
-
-    reason: WaitReason
-    loss_limit: float
-    hosts: HostGroups
-    unsearched: frozenset[str] = frozenset()
-    task_costs: list[float] = field(default_factory=list)
-    searched_at: float = -inf
-    least_cost: float | None = None
-
-    def wait(self, unit: WaitingUnit, loss_limit: float) -> Wait:
-        """Return the decision to keep a unit with this need waiting."""
-        return Wait(
-            unit_id=unit.unit_id,
-            reason=self.reason,
-            loss_limit=max(loss_limit, 0.0),
-            least_cost=self.least_cost,
-        )
-
 
 class PlanningPass:
     """Represent the state of one pass: free resources, victims, and failed searches."""
 
-    def __init__(self, snapshot: Snapshot, planner: Planner) -> None:
+    def __init__(self, snapshot: Snapshot, memory: PlannerMemory) -> None:
         self.now = snapshot.now
         self.settling = snapshot.settling
         self.workers = {
@@ -116,16 +66,16 @@
         self.victims = VictimIndex(snapshot.running, snapshot.now)
         self.known: dict[Need, UnmetNeed] = {}
         self.changed: set[str] = set()
-        self.hosts_by_key = planner.hosts_by_key
-        if snapshot.changed is None or not planner.unmet:
+        self.hosts_by_key = memory.hosts_by_key
+        if snapshot.changed is None or not memory.unmet:
             self.hosts_by_key.clear()
         else:
-            self.known = planner.unmet
+            self.known = memory.unmet
             # What a unit keeps in reserve is decided again in each pass.
-            self.changed = set(snapshot.changed).union(*planner.reservations.values())
+            self.changed = set(snapshot.changed).union(*memory.reservations.values())
         self.unmet: dict[Need, UnmetNeed] = {}
         self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
-        self.last_reservations = planner.reservations
+        self.last_reservations = memory.reservations
         self.decided: set[UnitId] = set()
         self.reservations: dict[UnitId, tuple[str, ...]] = {}
         self.trial_begun = False
@@ -141,7 +91,7 @@
 
     def decide(self, group: list[WaitingUnit]) -> list[Decision]:
         """Return the decisions on identical units, and the preemptions for them."""
-        need = _need(group[0])
+        need = need_of(group[0])
         decisions: list[Decision] = []
         for unit in group:
             if unit.unit_id in self.decided:
@@ -185,7 +135,7 @@
         return self._apply_eviction(unit, Eviction(placement=kept))
 
     def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
-        loss_limit = self._loss_limit(unit)
+        loss_limit = eviction_loss_limit(unit, self.now, self.settling)
         unmet = self.unmet.get(need)
         known = self.known.get(need)
         if unmet is not None:
@@ -353,21 +303,6 @@
         ]
         return [*preemptions, Wait(unit_id=unit.unit_id, reason=WaitReason.STOPPING)]
 
-    def _loss_limit(self, unit: WaitingUnit) -> float:
-        """Return the limit of lost work in core-seconds for an eviction.
-
-        While workers have yet to report, one of them may have room.
-        """
-        if self.settling:
-            return NO_EVICTION
-        if unit.guaranteed:
-            return inf
-        if unit.priority > 0:
-            return NO_EVICTION
-        slack = unit.objective - unit.remaining - self.now
-        tight = abs(slack) <= TIGHT_SLACK
-        return (TIGHT_LOSS_SHARE_LIMIT if tight else LOSS_SHARE_LIMIT) * unit.work
-
     def _eviction_groups(
         self, unit: WaitingUnit, hosts: HostGroups, known: UnmetNeed | None
     ) -> list[list[WorkerSnapshot]]:
@@ -423,16 +358,3 @@
             duplicate.tasks_of_step = dict(duplicate.tasks_of_step)
             self.workers[worker_id] = duplicate
         return self.workers[worker_id]
-
-
-def _need(unit: WaitingUnit) -> Need:
-    """Return all that decides whether the unit fits, and which units it may preempt."""
-    return (
-        *host_key(unit),
-        unit.size,
-        unit.same_rack,
-        unit.payload_bytes,
-        unit.priority,
-        unit.isolated,
-        step_key(unit) if unit.tasks_per_worker else None,
-    )
