Show on real processes that a task that crashes its executors is given up

The stand-in of an executor ends for the payload "crash"; the test starts it again and counts three crashes until the job has failed.

--- a/tests/adapter/test_platform_process.py
+++ b/tests/adapter/test_platform_process.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from wasabispur_platform_standin.executor import CRASH_SPEC
 from wasabispur_platform_standin.system import PlatformSystem
 from wasabispur_standins.process import ProcessGroup, wait_for
 
@@ -177,3 +178,26 @@
     )
     path.write_text(text)
     assert system.children[name].process.poll() is None
+
+
+def test_task_that_crashes_its_executors_is_given_up(tmp_path):
+    """Guard against real processes that start such a task again without end."""
+    with ProcessGroup(tmp_path) as group:
+        system = PlatformSystem(group)
+        system.wait_ready()
+        job = "00000000000000d2"
+        step = {"count": 1, "cpu": 1000, "mem_mb": 10, "estimate_ms": 300}
+        body = {"spec": CRASH_SPEC, "steps": [step]}
+        assert system.client("POST", "entry-0", job, body).status == 200
+        crashes = 0
+
+        def given_up() -> bool:
+            nonlocal crashes
+            for name in system.executors:
+                if system.children[name].process.poll() is not None:
+                    crashes += 1
+                    system.restart(name)
+            return system.state("entry-1", job) == "failed"
+
+        wait_for("the end of the job", given_up, limit=60)
+        assert crashes == 3
