Run a broken gang again once its members show that the lost one ended

Cause: the last member counted as running until its worker had been silent for the lease horizon, and each new owner begins to count the silence anew. Evidence: ten ends as broken at 3.2 s, the eleventh as lost at 50.37 s, and three owners in between.

Change: a member is broken only because another one ended. If all known ends are broken and the open members are on one worker that does not report, they have ended, and the gang runs again. The kind of each end is kept in the progress row for the next owner. A worker that reports lists the end itself, so that failed attempts still count.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -31,7 +31,8 @@
     """Describe the worker of one task of a unit, and whether its run has ended.
 
     started_at is in seconds on the store's clock. A later owner needs it to compute
-    how much work would be lost if it stopped the run.
+    how much work would be lost if it stopped the run. broken is set if the run ended
+    because another member of its gang had ended.
     """
 
     index: int = 0
@@ -39,6 +40,7 @@
     incarnation: str
     ended: bool = False
     started_at: float = 0.0
+    broken: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -11,6 +11,7 @@
 from ..command import Command, WriteLog
 from ..log_event import WORKER_LOST, WORKER_STATE_READ
 from .fleet_state import FleetState, new_worker, Worker
+from .snapshot import REPORT_AGE_LIMIT
 from .spec import TaskId
 from .unit import RunEnded, Unit, UnitId, UnitMember
 from .unit_lifecycle import end_run
@@ -147,6 +148,34 @@
     return commands
 
 
+def end_broken_gangs(state: FleetState, now: float) -> list[Command]:
+    """End the members on silent workers whose end the other members show.
+
+    A gang whose worker is gone for good runs again without waiting for the lease
+    horizon. A worker that still reports lists the end itself, and how it came.
+    """
+    commands: list[Command] = []
+    for worker in state.workers.values():
+        if now - worker.seen_at <= REPORT_AGE_LIMIT:
+            continue
+        for unit_id in list(state.units_by_worker.get(worker.worker_id, ())):
+            unit = state.unit(unit_id)
+            if unit is not None and unit.shows_end_on(worker.worker_id):
+                commands += _end_members(unit, worker.worker_id, state, now)
+    return commands
+
+
+def _end_members(
+    unit: Unit, worker_id: str, state: FleetState, now: float
+) -> list[Command]:
+    commands: list[Command] = []
+    for member in list(unit.members):
+        if not member.ended:
+            ended = RunEnded(index=member.index, kind=EndKind.LOST)
+            commands += end_run(unit, ended, worker_id, state, now)
+    return commands
+
+
 def end_orphaned_runs(state: FleetState, now: float) -> list[Command]:
     """End the runs on workers that were replaced before this entry was the owner.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -36,6 +36,7 @@
 from .policy import PolicyChanged
 from .report_reconciliation import (
     apply_report,
+    end_broken_gangs,
     end_lost_runs,
     end_orphaned_runs,
     remove_silent_workers,
@@ -236,7 +237,7 @@
     if not state.active:
         return []
     state.capacity_changed = True
-    commands = remove_silent_workers(state, now)
+    commands = [*remove_silent_workers(state, now), *end_broken_gangs(state, now)]
     for job in list(state.jobs.values()):
         commands += _start_due_occurrences(job, state, now)
     return [*commands, *write_queue_counts(state), *remove_ended(state, now)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -49,13 +49,15 @@
 class UnitMember:
     """Represent one task of a unit in the unit's current run.
 
-    started_at is the time of the order in monotonic seconds.
+    started_at is the time of the order in monotonic seconds. broken is set if the run
+    ended because another member had ended.
     """
 
     index: int
     worker_ref: WorkerRef
     ended: bool = False
     started_at: float = 0.0
+    broken: bool = False
     progress: RunProgress = field(default_factory=RunProgress)
 
 
@@ -145,6 +147,22 @@
         """Return whether a run of some member is not known to have ended."""
         return any(not member.ended for member in self.members)
 
+    def shows_end_on(self, worker_id: str) -> bool:
+        """Return whether the ends of the others show that those on a worker ended.
+
+        A member is broken because another one had ended before. If all that are known
+        to have ended are broken, the first to end is one that has yet to be reported.
+        """
+        ended = [member for member in self.members if member.ended]
+        return (
+            bool(ended)
+            and all(member.broken for member in ended)
+            and all(
+                member.ended or member.worker_ref.worker_id == worker_id
+                for member in self.members
+            )
+        )
+
     def crashes_after(self, ended: RunEnded, now: float) -> CrashHistory:
         """Return the history of crashes after the end of one member's run."""
         member = next((one for one in self.members if one.index == ended.index), None)
@@ -173,6 +191,7 @@
                 incarnation=member.worker_ref.incarnation,
                 ended=member.ended,
                 started_at=round(member.started_at + store_offset, 2),
+                broken=member.broken,
             )
             for member in self.members
         )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -159,6 +159,7 @@
     for member in unit.members:
         if member.index == message.index:
             member.ended = True
+            member.broken = message.kind is EndKind.BROKEN
     if message.checkpoint and unit.step.checkpointing:
         unit.checkpoint = message.checkpoint
     unit.run_failed |= message.kind in COUNTED_FAILURES
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -264,6 +264,7 @@
             ),
             ended=member.ended,
             started_at=_started_at(member, state, now),
+            broken=member.broken,
         )
         for member in record.members
     ]
--- /dev/null
+++ b/tests/workload/test_broken_gang.py
@@ -0,0 +1,83 @@
+"""Test how a gang continues whose member was lost with its worker."""
+
+from __future__ import annotations
+
+from wasabispur_core.workload.worker import EndKind
+
+from .world import COMPLETED, gang, World
+
+RESTART_LIMIT = 6.0
+"""Seconds within which a broken gang runs again, far less than a lease horizon."""
+
+
+def world_with_gang(size: int = 4) -> tuple[World, str]:
+    """Return a world in which a gang runs on one worker for each task."""
+    world = World(workers=size + 1)
+    world.advance(4)
+    job = world.submit(gang(size, 8), duration=30.0)
+    world.advance(1)
+    assert len(world.starts) == size
+    return world, job
+
+
+def lose_worker(world: World, worker_id: str, job: str, kind: EndKind) -> None:
+    """Remove a worker with its agent, and end the other members of the gang."""
+    lost = world.workers[worker_id]
+    lost.up = False
+    world.agents[lost.agent_id].alive = False
+    for worker in world.workers.values():
+        for task in list(worker.runs):
+            if worker is not lost and task.startswith(job):
+                worker.end(task, kind)
+
+
+def test_gang_runs_again_once_the_others_show_that_the_lost_member_ended():
+    """Guard against a gang that waits for a worker that is gone for good."""
+    world, job = world_with_gang()
+    lose_worker(world, world.starts[0][3], job, EndKind.BROKEN)
+    world.advance(RESTART_LIMIT)
+    assert [run for _, _, run, _ in world.starts].count(2) == 4
+    world.advance(40)
+    assert world.state_of(job).job_state is COMPLETED
+
+
+def test_gang_runs_again_after_a_takeover():
+    """Guard against a new owner that no longer knows how the members ended."""
+    world, job = world_with_gang()
+    lose_worker(world, world.starts[0][3], job, EndKind.BROKEN)
+    world.advance(1)
+    for index in range(3):
+        world.kill_entry(index)
+    world.advance(RESTART_LIMIT + 4)
+    assert [run for _, _, run, _ in world.starts].count(2) == 4
+
+
+def test_gang_waits_if_the_silent_member_may_still_start():
+    """Guard against a second run beside a member whose start is carried out late."""
+    world, job = world_with_gang()
+    lose_worker(world, world.starts[0][3], job, EndKind.ALONE)
+    world.advance(RESTART_LIMIT)
+    assert [run for _, _, run, _ in world.starts].count(2) == 0
+
+
+def test_gang_waits_for_two_silent_workers():
+    """Guard against a member that goes on at one worker while another one ended."""
+    world, job = world_with_gang()
+    first, second = (where for _, _, _, where in world.starts[:2])
+    world.agents[world.workers[second].agent_id].partitioned = True
+    lose_worker(world, first, job, EndKind.BROKEN)
+    world.advance(RESTART_LIMIT)
+    assert [run for _, _, run, _ in world.starts].count(2) == 0
+
+
+def test_failure_of_a_member_still_counts_as_an_attempt():
+    """Guard against a failed attempt that is taken for the loss of a worker."""
+    world, job = world_with_gang()
+    failing = world.workers[world.starts[0][3]]
+    for worker in world.workers.values():
+        for task in list(worker.runs):
+            worker.end(task, EndKind.FAILED if worker is failing else EndKind.BROKEN)
+    world.advance(RESTART_LIMIT)
+    owner = world.owner()
+    unit = next(iter(owner.fleet.jobs[job].units.values()))
+    assert unit.failures == 1
