State the failure in test docstrings, and set up simulated queues once

The queues of measure planner and bench fleet, and the workers of test_reservation.py, were set up in copies.

--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
@@ -9,6 +9,8 @@
 from wasabispur_core.workload.policy import Queue
 from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
 
+from .simulated_owner import simulated_queue
+
 ACCELERATORS = (1, 2, 4, 8, 8)
 """Accelerators of one task, each as likely as the others."""
 
@@ -37,22 +39,9 @@
     accelerators: tuple[int, ...] = ACCELERATORS
 
 
-def _queue(name: str, priority: int, stretch: float, target: float) -> Queue:
-    return Queue(
-        name=name,
-        host="h",
-        prefix=f"/{name}/",
-        service="s",
-        priority=priority,
-        max_attempts=3,
-        stretch=stretch,
-        target=target,
-    )
-
-
 JOB_CLASSES = (
     JobClass(
-        queue=_queue("urgent", 0, 1.5, 0.4),
+        queue=simulated_queue("urgent", 0, 1.5, 0.4),
         share=0.64,
         width=5.0,
         demand=Resources(cpu=7_500, memory=39_000),
@@ -62,7 +51,7 @@
         checkpointing=0.0,
     ),
     JobClass(
-        queue=_queue("batch", 1, 3.0, 1.2),
+        queue=simulated_queue("batch", 1, 3.0, 1.2),
         share=0.24,
         width=8.0,
         demand=Resources(cpu=26_000, memory=110_000),
@@ -72,7 +61,7 @@
         checkpointing=0.45,
     ),
     JobClass(
-        queue=_queue("bulk", 2, 3.0, 3.0),
+        queue=simulated_queue("bulk", 2, 3.0, 3.0),
         share=0.12,
         width=39.0,
         demand=Resources(cpu=5_600, memory=29_000),
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -11,14 +11,14 @@
 from wasabispur_core.workload.fleet_state import JobArrived, PlanningPassDue
 from wasabispur_core.workload.plan import Snapshot
 from wasabispur_core.workload.planner import plan
-from wasabispur_core.workload.policy import Organisation, Queue
+from wasabispur_core.workload.policy import Organisation
 from wasabispur_core.workload.snapshot import take_snapshot
 from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
 from wasabispur_core.workload.unit import ACTIVE, STOPPING, Unit
 from wasabispur_core.workload.worker import EndKind
 
 from .measure_fit import fit, Line, Sample
-from .simulated_owner import SimulatedOwner
+from .simulated_owner import simulated_queue, SimulatedOwner
 
 RACK_SIZE = 13
 ORGANISATION_COUNT = 24
@@ -50,22 +50,10 @@
 )
 
 
-def _queue(name: str, priority: int, max_attempts: int, stretch: float) -> Queue:
-    return Queue(
-        name=name,
-        host="h",
-        prefix=f"/{name}/",
-        service="s",
-        priority=priority,
-        max_attempts=max_attempts,
-        stretch=stretch,
-    )
-
-
 QUEUES = (
-    _queue("urgent", 0, 3, 1.5),
-    _queue("batch", 1, 4, 3.0),
-    _queue("bulk", 2, 3, 3.0),
+    simulated_queue("urgent", 0, 1.5),
+    simulated_queue("batch", 1, 3.0),
+    simulated_queue("bulk", 2, 3.0),
 )
 
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -38,6 +38,22 @@
 """Number of ended runs that a report repeats."""
 
 
+def simulated_queue(
+    name: str, priority: int, stretch: float, target: float = 0.0
+) -> Queue:
+    """Return a queue of the simulated configuration; target is in seconds."""
+    return Queue(
+        name=name,
+        host="h",
+        prefix=f"/{name}/",
+        service="s",
+        priority=priority,
+        max_attempts=3,
+        stretch=stretch,
+        target=target,
+    )
+
+
 class SimulatedOwner:
     """Represent an owner and its fleet, driven by messages on simulated time."""
 
--- a/tests/workload/test_policy_watcher.py
+++ b/tests/workload/test_policy_watcher.py
@@ -60,8 +60,7 @@
 def test_store_that_is_back_is_tried_at_once():
     """Guard against calls that are delayed for seconds after an outage.
 
-    In pbs-dispatch trouble-3 the store was reachable again at 22.2 s, and its clients
-    retried between 22.3 and 24.2 s.
+    Clients retried up to two seconds after the store was reachable again.
     """
     watcher, _, table = new_watcher()
     watcher.on_feed_health(FeedHealth(table="t", healthy=False))
--- a/tests/workload/test_reservation.py
+++ b/tests/workload/test_reservation.py
@@ -43,11 +43,17 @@
     assert placed(decisions) == {"first": ["w0"]}
 
 
+def two_full_workers():
+    """Return two full workers, and the units on them, the first of which costs less."""
+    workers = [worker(0, used=8), worker(1, used=8)]
+    victims = [running("v0", 0, 8, lost_work=1.0), running("v1", 1, 8, lost_work=2.0)]
+    return workers, victims
+
+
 def test_unit_is_placed_elsewhere_if_room_is_free_sooner():
     """Guard against a unit that waits for a stop while another worker is idle."""
     planner = Planner()
-    workers = [worker(0, used=8), worker(1, used=8)]
-    victims = [running("v0", 0, 8, lost_work=1.0), running("v1", 1, 8, lost_work=2.0)]
+    workers, victims = two_full_workers()
     first = waiting("first", 8, priority=0, guaranteed=True)
     assert stopped(planner.decide(snapshot(workers, [first], victims))) == {"v0"}
     stopping = [replace(victims[0], stopping=True)]
@@ -59,8 +65,7 @@
 def test_lost_reservation_is_replaced():
     """Guard against a unit that waits for a worker that is gone."""
     planner = Planner()
-    workers = [worker(0, used=8), worker(1, used=8)]
-    victims = [running("v0", 0, 8, lost_work=1.0), running("v1", 1, 8, lost_work=2.0)]
+    workers, victims = two_full_workers()
     first = waiting("first", 8, priority=0, guaranteed=True)
     planner.decide(snapshot(workers, [first], victims))
     gone = replace(workers[0], ready=False, free=demand(0))
--- a/tests/workload/test_resume.py
+++ b/tests/workload/test_resume.py
@@ -35,7 +35,7 @@
 def test_restarted_owner_resumes_at_once(owner, resumes, expected):
     """Guard against 2 s without an owner after each restart of the owner.
 
-    In pbs-dispatch scale-1 all processes were running again 1.7 s after they had been
-    killed, and the first task started 2.3 s later.
+    All processes were running again 1.7 s after they had been killed, and the first
+    task started 2.3 s later.
     """
     assert claims("a", owner, resumes) is expected
--- a/tests/workload/test_store_trial.py
+++ b/tests/workload/test_store_trial.py
@@ -60,9 +60,8 @@
 def test_no_write_is_sent_to_a_store_that_another_connection_missed():
     """Guard against unknown outcomes of writes that are sent during an outage.
 
-    In pbs-dispatch trouble-3 the client's first call after each pause was a caller's
-    job. Its lost answer gave 504, and the caller used up its attempts within half a
-    second.
+    The client's first call after each pause was a caller's job. Its lost answer gave
+    504, and the caller used up its attempts within half a second.
     """
     client = Client()
     client.handle(ServiceUnreachable())
