Log a finite limit for units with a guarantee

Event 438 wrote Infinity for a unit whose guarantee allows any loss, which is no JSON. The test failed before. The docstring of OrderedRun is wrapped again.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -36,8 +36,9 @@
     already. abandoned is set once the worker can't have the run any more, because its
     process has ended or its lease has expired. refusal_reason is the reason why the run
     did not start, and crashed is set if the worker's process ended under the run.
-    start_calls counts the calls that may have started it. stop_accepted_at is the time at which the worker accepted a stop, in
-    monotonic seconds. retries counts the retries of unanswered calls.
+    start_calls counts the calls that may have started it. stop_accepted_at is the time
+    at which the worker accepted a stop, in monotonic seconds. retries counts the
+    retries of unanswered calls.
     """
 
     order: RunOrder
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -49,7 +49,7 @@
 """Attempt limit for a task whose queue was removed from the configuration."""
 
 MAX_LOGGED_COST = 1e6
-"""Core-seconds that stand in a log record for a cost without a limit."""
+"""Core-seconds that stand in a log record for infinity, which JSON lacks."""
 
 REFUSAL_BACKOFF = 0.25
 """Seconds before a unit is placed again after a worker has refused it."""
@@ -140,7 +140,7 @@
         "estimate": unit.step.estimate,
         "guaranteed": unit.unit_id.job_id in state.view.covered,
         "waited": round(now - unit.ready_at, 3),
-        "loss_limit": round(decision.loss_limit, 1),
+        "loss_limit": round(min(decision.loss_limit, MAX_LOGGED_COST), 1),
     }
     if decision.least_cost is not None:
         fields["least_cost"] = round(min(decision.least_cost, MAX_LOGGED_COST), 1)
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
+from math import inf
 
 from wasabispur_core.feed import FeedHealth
 from wasabispur_core.log_event import (
@@ -12,8 +14,10 @@
     UNIT_WAITING,
 )
 from wasabispur_core.workload.intake_message import CallOutcome
+from wasabispur_core.workload.plan import Wait, WaitReason
 from wasabispur_core.workload.progress import JobState
 from wasabispur_core.workload.run_progress import RunProgress
+from wasabispur_core.workload.unit_lifecycle import log_wait
 from wasabispur_core.workload.worker import ReportArrived, WorkerReport
 
 from .world import COMPLETED, gang, tasks, World
@@ -451,3 +455,15 @@
     world.submit(tasks(4), queue_name="bulk", duration=1.0)
     world.advance(4)
     assert world.owner().logs.count(UNIT_WAITING.number) == 1
+
+
+def test_wait_of_a_guaranteed_unit_is_valid_json():
+    """Guard against a log line that other JSON parsers refuse, for an infinite limit."""
+    world = started_world(workers=1)
+    fleet = world.owner().fleet
+    job = world.submit(tasks(1, 8), queue_name="urgent", duration=9.0)
+    world.advance(1)
+    unit_id = next(iter(fleet.jobs[job].units))
+    wait = Wait(unit_id=unit_id, reason=WaitReason.NO_ROOM, loss_limit=inf)
+    (command,) = log_wait(wait, fleet, world.timers.now())
+    json.dumps(command.fields, allow_nan=False)
