Log why a run counts as ended, and when an agent takes runs for gone

Event 428 said refused for a start that the worker rejected, one that never left, a barred run, a worker whose process is gone and a lease that is over; the reason was in the report's row and was dropped by the owner. It now has the reason, also for ends that the owner itself concludes. The new event 448 says that an agent takes a worker's ordered runs for gone, why, how many lists it has had from the worker, and how long its lease has been over. Event 442 says unreachable, where it said leaving, for a worker that announced nothing.

The three copies of started_world in the tests are one, in world.py.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -151,6 +151,9 @@
 REPORT_FAILED = LogEvent(
     447, "WARNING", "report of worker {worker} was not written: {reason}"
 )
+RUNS_ABANDONED = LogEvent(
+    448, "WARNING", "no ordered run can be on worker {worker} any more: {reason}"
+)
 POLICY_IN_FORCE = LogEvent(
     450, "INFO", "configuration {version} is in force with {queues} queues"
 )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import singledispatch
 
 from ..command import Command, WriteLog
 from ..log_event import WORKER_LOST, WORKER_STATE_READ
@@ -16,15 +17,23 @@
 from .unit import RunEnded, Unit, UnitId, UnitMember
 from .unit_lifecycle import end_run
 from .worker import (
+    EndedRun,
     EndKind,
     incarnation_sort_key,
     ListedRun,
+    RefusedRun,
     WorkerInfo,
     WorkerReport,
     WorkerState,
 )
 from .worker_trust import restore_trust, suspect_stalled, update_trust
 
+RESTARTED = "the worker restarted"
+REPLACED = "another worker runs at its address"
+REPORT_REMOVED = "its agent removed the report"
+NO_REPORT = "no report for the lease horizon"
+END_SHOWN_BY_OTHERS = "the other members show its end"
+
 CATCH_UP_TIME = 3.0
 """Seconds without a gap in the reports after which a worker can count as silent."""
 
@@ -94,16 +103,11 @@
     commands: list[Command] = []
     for ended in sorted(report.ended, key=lambda end: end.number):
         if ended.number > worker.acknowledged:
-            commands += _apply_run_end(
-                worker, ended.task, ended.run, ended.kind, ended.checkpoint, state, now
-            )
+            commands += _apply_run_end(ended, worker, state, now)
             worker.acknowledged = ended.number
             state.dirty_workers.add(worker.worker_id)
     for refused in report.refused:
-        kind = EndKind.CRASHED if refused.crashed else EndKind.REFUSED
-        commands += _apply_run_end(
-            worker, refused.task, refused.run, kind, "", state, now
-        )
+        commands += _apply_run_end(refused, worker, state, now)
     unknown_runs = tuple(
         run for run in report.runs if not _is_expected(run, worker, state)
     )
@@ -122,17 +126,23 @@
 ) -> list[Command]:
     """End the runs that a worker had before its restart as the given incarnation."""
     kind = EndKind.LOST if worker.leaving else EndKind.CRASHED
-    return end_lost_runs(worker.worker_id, state, now, kind, keep=incarnation)
+    return end_lost_runs(
+        worker.worker_id, RESTARTED, state, now, kind, keep=incarnation
+    )
 
 
 def end_lost_runs(
     worker_id: str,
+    reason: str,
     state: FleetState,
     now: float,
     kind: EndKind = EndKind.LOST,
     keep: str = "",
 ) -> list[Command]:
-    """End the runs on a worker, except those of the incarnation to keep."""
+    """End the runs on a worker, except those of the incarnation to keep.
+
+    The reason is logged with each of them.
+    """
     commands: list[Command] = []
     for unit_id in list(state.units_by_worker.get(worker_id, ())):
         unit = state.unit(unit_id)
@@ -143,7 +153,7 @@
                 continue
             if keep and member.worker_ref.incarnation == keep:
                 continue
-            ended = RunEnded(index=member.index, kind=kind)
+            ended = RunEnded(index=member.index, kind=kind, reason=reason)
             commands += end_run(unit, ended, worker_id, state, now)
     return commands
 
@@ -171,7 +181,9 @@
     commands: list[Command] = []
     for member in list(unit.members):
         if not member.ended:
-            ended = RunEnded(index=member.index, kind=EndKind.LOST)
+            ended = RunEnded(
+                index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
+            )
             commands += end_run(unit, ended, worker_id, state, now)
     return commands
 
@@ -188,9 +200,11 @@
     crashed = EndKind.CRASHED
     for worker in state.workers.values():
         worker_id, incarnation = worker.worker_id, worker.info.incarnation
-        commands += end_lost_runs(worker_id, state, now, crashed, keep=incarnation)
+        commands += end_lost_runs(
+            worker_id, RESTARTED, state, now, crashed, keep=incarnation
+        )
     for worker_id in set(state.units_by_worker) - set(state.workers):
-        commands += end_lost_runs(worker_id, state, now, crashed)
+        commands += end_lost_runs(worker_id, REPORT_REMOVED, state, now, crashed)
     return commands
 
 
@@ -211,7 +225,7 @@
             gone and not state.units_by_worker.get(worker.worker_id)
         ):
             continue
-        commands += _remove_worker(worker, EndKind.LOST, state, now)
+        commands += _remove_worker(worker, EndKind.LOST, NO_REPORT, state, now)
     return commands
 
 
@@ -227,7 +241,7 @@
         replaced, latest[place] = sorted((other, worker), key=_age_order)
         if _age_order(replaced) < _age_order(latest[place]):
             kind = EndKind.LOST if replaced.leaving else EndKind.CRASHED
-            commands += _remove_worker(replaced, kind, state, now)
+            commands += _remove_worker(replaced, kind, REPLACED, state, now)
     return commands
 
 
@@ -236,10 +250,12 @@
 
 
 def _remove_worker(
-    worker: Worker, kind: EndKind, state: FleetState, now: float
+    worker: Worker, kind: EndKind, reason: str, state: FleetState, now: float
 ) -> list[Command]:
     """Remove a worker, and end its runs in the given way."""
-    commands = end_lost_runs(worker.worker_id, state, now, kind) if state.active else []
+    commands: list[Command] = []
+    if state.active:
+        commands += end_lost_runs(worker.worker_id, reason, state, now, kind)
     del state.workers[worker.worker_id]
     state.dirty_workers.discard(worker.worker_id)
     silent = round(now - worker.seen_at, 1)
@@ -248,23 +264,34 @@
 
 
 def _apply_run_end(
-    worker: Worker,
-    task: str,
-    run: int,
-    kind: EndKind,
-    checkpoint: str,
-    state: FleetState,
-    now: float,
+    reported: EndedRun | RefusedRun, worker: Worker, state: FleetState, now: float
 ) -> list[Command]:
-    found = _find_member(task, run, worker, state)
+    found = _find_member(reported.task, reported.run, worker, state)
     if found is None:
         return []
     unit, member = found
-    commands = update_trust(worker, unit, kind, state, now)
-    ended = RunEnded(index=member.index, kind=kind, checkpoint=checkpoint)
+    ended = _run_ended(reported, member.index)
+    commands = update_trust(worker, unit, ended.kind, state, now)
     return commands + end_run(unit, ended, worker.worker_id, state, now)
 
 
+@singledispatch
+def _run_ended(reported: EndedRun | RefusedRun, index: int) -> RunEnded:
+    """Return the end of a member's run that a report contains."""
+    raise TypeError(f"{type(reported).__name__} is no reported end")
+
+
+@_run_ended.register
+def _(reported: EndedRun, index: int) -> RunEnded:
+    return RunEnded(index=index, kind=reported.kind, checkpoint=reported.checkpoint)
+
+
+@_run_ended.register
+def _(reported: RefusedRun, index: int) -> RunEnded:
+    kind = EndKind.CRASHED if reported.crashed else EndKind.REFUSED
+    return RunEnded(index=index, kind=kind, reason=reported.reason)
+
+
 def _find_member(
     task: str, run: int, worker: Worker, state: FleetState
 ) -> tuple[Unit, UnitMember] | None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -30,6 +30,7 @@
 """Bounds in seconds of the delay before an unanswered call is retried."""
 
 LEAVING = "leaving"
+UNREACHABLE = "unreachable"
 
 
 class RunContext:
@@ -75,8 +76,8 @@
     __slots__ = ()
 
 
-class RecordDraining(RunAction):
-    """Record that the run was refused because the worker accepts no runs any more."""
+class RecordNotReady(RunAction):
+    """Record that the run was refused because the worker leaves or is unreachable."""
 
     __slots__ = ()
 
@@ -190,10 +191,11 @@
 
 
 @perform.register
-def _(action: RecordDraining) -> list[Command]:
+def _(action: RecordNotReady) -> list[Command]:
     worker, run = action.state.worker, action.subject
-    run.refusal_reason = LEAVING
-    fields = _fields(worker, run) | {"reason": LEAVING}
+    unreachable = worker.state is WorkerState.UNREACHABLE
+    run.refusal_reason = UNREACHABLE if unreachable else LEAVING
+    fields = _fields(worker, run) | {"reason": run.refusal_reason}
     return [WriteLog(number=RUN_REFUSED.number, fields=fields)]
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -10,7 +10,7 @@
 from math import inf
 
 from ..command import Command, WriteLog
-from ..log_event import RUN_CONCLUDED
+from ..log_event import RUN_CONCLUDED, RUNS_ABANDONED
 from ..message import Message
 from .report_writer import write_report
 from .run_action import list_runs_command, RunContext
@@ -142,22 +142,38 @@
 
 
 def abandon_runs(
-    worker: LocalWorker, reason: str, state: RunnerState, crashed: bool = False
-) -> None:
+    worker: LocalWorker,
+    reason: str,
+    state: RunnerState,
+    now: float,
+    crashed: bool = False,
+) -> list[Command]:
     """Report all ordered runs of a worker that is gone as refused, with the reason.
 
     crashed is set if the worker's process ended without having announced it.
     """
     listed = {(run.task, run.run) for run in worker.runs}
     worker.runs = ()
-    changed = False
+    abandoned = 0
     for key, run in worker.ordered.items():
-        changed |= not run.refusal_reason and not run.lifecycle.final
-        if crashed and not run.abandoned and not run.lifecycle.final:
-            run.crashed = run.start_calls > 0 or key in listed
+        if not run.abandoned and not run.lifecycle.final:
+            run.crashed = crashed and (run.start_calls > 0 or key in listed)
+            abandoned += 1
         run.refusal_reason = run.refusal_reason or reason
         run.abandoned = True
-    state.reports[worker.info.worker_id].changed |= changed
+    if not abandoned:
+        return []
+    state.reports[worker.info.worker_id].changed = True
+    lease_known = worker.lease_until > -inf
+    fields = {
+        "worker": worker.info.worker_id,
+        "incarnation": worker.info.incarnation,
+        "reason": reason,
+        "runs": abandoned,
+        "lists": worker.list_count,
+        "lease_over": round(now - worker.lease_until, 3) if lease_known else None,
+    }
+    return [WriteLog(number=RUNS_ABANDONED.number, fields=fields)]
 
 
 def run_context(worker: LocalWorker, state: RunnerState) -> RunContext:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -125,9 +125,9 @@
         return []
     worker.departed = True
     worker.runs = ()
-    abandon_runs(worker, WORKER_DEAD, state)
+    commands = abandon_runs(worker, WORKER_DEAD, state, now)
     state.reports[message.worker_id].changed = True
-    return _advance(worker, state, now)
+    return [*commands, *_advance(worker, state, now)]
 
 
 @decide.register
@@ -190,7 +190,7 @@
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
     if worker.refused_connections >= DEAD_AFTER_REFUSALS:
         crashed = worker.info.state is WorkerState.READY
-        abandon_runs(worker, WORKER_DEAD, state, crashed)
+        commands += abandon_runs(worker, WORKER_DEAD, state, now, crashed)
     due = ListRetryDue(worker_id=message.worker_id)
     timer_id = f"list:{message.worker_id}"
     timer = SetTimer(timer_id=timer_id, delay=LIST_RETRY_DELAY, message=due)
@@ -225,7 +225,7 @@
     commands: list[Command] = [timer]
     for worker in list(state.workers.values()):
         if not worker.reachable and now > worker.lease_until:
-            abandon_runs(worker, LEASE_EXPIRED, state)
+            commands += abandon_runs(worker, LEASE_EXPIRED, state, now)
         if _is_expired(worker, now):
             commands += _remove_worker(worker, state, now)
     return [*commands, *_advance_all(state, now)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -40,6 +40,7 @@
     end_lost_runs,
     end_orphaned_runs,
     remove_silent_workers,
+    REPORT_REMOVED,
 )
 from .rows import (
     JOB_TABLE,
@@ -198,7 +199,9 @@
     if worker is None:
         return []
     state.dirty_workers.discard(message.worker_id)
-    return end_lost_runs(worker.worker_id, state, now) if state.active else []
+    if not state.active:
+        return []
+    return end_lost_runs(worker.worker_id, REPORT_REMOVED, state, now)
 
 
 @handle_message.register
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -87,11 +87,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunEnded(Message):
-    """Report that the run of one member ended, and how."""
+    """Report that the run of one member ended, and how.
+
+    reason says why the run counts as ended if its worker did not list the end.
+    """
 
     index: int
     kind: EndKind
     checkpoint: str = ""
+    reason: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -170,6 +170,7 @@
         "ran": round(now - begun, 2),
         "worker": worker_id,
         "how": ended.kind.value,
+        "reason": ended.reason,
         "failures": unit.failures,
         "crashes": unit.crashes.most,
         "state": unit.state,
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -6,13 +6,7 @@
 
 from wasabispur_core.workload.progress import JobState
 
-from .world import COMPLETED, gang, tasks, World
-
-
-def started_world(**fields) -> World:
-    world = World(**fields)
-    world.advance(4)
-    return world
+from .world import COMPLETED, gang, started_world, tasks, World
 
 
 def deadly_job(world: World, *steps, positions=(0,), **fields) -> str:
--- a/tests/workload/test_operator_report.py
+++ b/tests/workload/test_operator_report.py
@@ -12,18 +12,12 @@
 
 from wasabispur_core.workload.policy import PolicyChanged
 
-from .world import COMPLETED, tasks, World
+from .world import COMPLETED, started_world, tasks, World
 
 LONG = 60.0
 """Seconds of a run that outlasts every lease of a test."""
 
 
-def started_world(**fields) -> World:
-    world = World(**fields)
-    world.advance(4)
-    return world
-
-
 def lease_horizon(world: World) -> float:
     """Return the seconds for which an agent extends leases without a report."""
     return next(iter(world.agents.values())).state.times.horizon
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -20,13 +20,7 @@
 from wasabispur_core.workload.unit_lifecycle import log_wait
 from wasabispur_core.workload.worker import ReportArrived, WorkerReport
 
-from .world import COMPLETED, gang, tasks, World
-
-
-def started_world(**fields) -> World:
-    world = World(**fields)
-    world.advance(4)
-    return world
+from .world import COMPLETED, gang, started_world, tasks, World
 
 
 def test_completed_job_is_visible_at_every_entry():
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -143,6 +143,7 @@
         self.queued_messages: list[Message] = []
         self.timers: dict[str, Any] = {}
         self.logs: list[int] = []
+        self.records: list[WriteLog] = []
 
     def post(self, message: Message) -> None:
         """Deliver a message, or queue it while the process is paused."""
@@ -188,6 +189,7 @@
     @execute.register
     def _(self, command: WriteLog) -> None:
         self.logs.append(command.number)
+        self.records.append(command)
         if command.number == SCHEDULER_FAILED.number:
             assert self.world.scheduler_may_fail, command.fields
 
@@ -326,6 +328,7 @@
         self.starts_after_crashes: dict[str, int] = {}
         self.capacities: dict[str, list[tuple[float, Resources]]] = {}
         self.delayed_starts = False
+        self.lost_answers: set[str] = set()
         self.start_delay = 4.0
         self.scheduler_may_fail = False
         self.list_calls = 0
@@ -505,6 +508,9 @@
             self._answer_unreachable(agent, command, refused=False)
             return
         answer = self._serve(command, worker, sent_at)
+        if command.worker_id in self.lost_answers:
+            self._answer_unreachable(agent, command, refused=False)
+            return
         delay = CALL_LATENCY
         if isinstance(command, ListRuns) and command.wait and not worker.ended:
             # The long poll is shortened, so that lists show recent states.
@@ -823,6 +829,7 @@
         """Clear all injected faults, and restart workers that are down."""
         self.store.down = self.store.losing = self.store.late = False
         self.delayed_starts = False
+        self.lost_answers.clear()
         for process in [*self.entries, *self.agents.values()]:
             process.partitioned = False
             if process.paused:
@@ -840,6 +847,13 @@
         return job is not None and job.state.ended
 
 
+def started_world(**fields: Any) -> World:
+    """Return a world in which the first owner has read all reports."""
+    world = World(**fields)
+    world.advance(4)
+    return world
+
+
 def gang(count: int, accelerators: int = 1, **fields: Any) -> StepSpec:
     """Return a step whose tasks form a gang."""
     return tasks(count, accelerators, gang=True, **fields)
