--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -9,7 +9,6 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.run_action import ordered_run_chart
 from wasabispur_core.workload.runner_state import LeaseTimes, RunnerState
@@ -17,7 +16,7 @@
 from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import StoreTransport
 from wasabispur_runtime.table_client import TableClient
-from wasabispur_runtime.table_feed import FeedSource, FeedTransport, TableFeed
+from wasabispur_runtime.table_feed import FeedFactory, FeedTransport
 from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
 from .fleet_runner import FleetRunner
@@ -41,7 +40,12 @@
         self.settings = settings
         self.timers = timers
         self.catalogue = ChartCatalogue()
-        self.feed_transport = feed_transport
+        feeds = FeedFactory(
+            timers=timers,
+            url=settings.store_url,
+            transport=feed_transport,
+            catalogue=self.catalogue,
+        )
         self.table = TableClient(
             timers,
             settings.store_url,
@@ -57,28 +61,11 @@
             run_chart=ordered_run_chart(self.catalogue),
             new_operation_id=lambda: uuid4().hex,
         )
-        self.runner = FleetRunner(
-            timers, state, self.table, self.worker, self.open_feed
-        )
+        self.runner = FleetRunner(timers, state, self.table, self.worker, feeds)
         self.worker.receiver = self.runner.post_urgent
         self.runner.observer = self.metrics.observe
         self.actors = (self.table, self.worker, self.runner)
 
-    def open_feed(
-        self,
-        table: str,
-        prefixes: tuple[str, ...],
-        receiver: Callable[[Message], None],
-    ) -> TableFeed:
-        """Return a new feed of a table."""
-        source = FeedSource(
-            url=self.settings.store_url,
-            transport=self.feed_transport,
-            table=table,
-            prefixes=prefixes,
-        )
-        return TableFeed(self.timers, source, receiver, Random(), self.catalogue)
-
     def apply_lease_times(self, times: LeaseTimes) -> None:
         """Use other lease durations from now on."""
         self.runner.state.times = times
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from returns.result import Failure
 
 from wasabispur_core.circuit import ServiceReachable, ServiceUnreachable
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import ROW_REFUSED
-from wasabispur_core.message import Message
 from wasabispur_core.store import Row
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.fleet_state import TableReady
@@ -26,13 +23,10 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
-from wasabispur_runtime.table_feed import TableFeed
+from wasabispur_runtime.table_feed import FeedFactory
 
 from .worker_caller import WorkerCaller
 
-OpenFeed = Callable[[str, tuple[str, ...], Callable[[Message], None]], TableFeed]
-"""Create a feed from the name of its table, its prefixes and its receiver."""
-
 
 class FleetRunner(DecisionActor):
     """Execute orders at the workers, and report the state of their runs."""
@@ -43,13 +37,13 @@
         state: RunnerState,
         table: Actor,
         worker: WorkerCaller,
-        open_feed: OpenFeed,
+        feeds: FeedFactory,
     ) -> None:
         super().__init__("fleet-runner", timers, state, decide)
         self.agent_id = state.agent_id
         self.table = table
         self.worker = worker
-        self.feed = open_feed(
+        self.feed = feeds.create(
             order_table(self.agent_id),
             (order_prefix(self.agent_id),),
             self.post_urgent,
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -107,6 +107,33 @@
         self.client.close()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FeedFactory:
+    """Create the feeds of one process from one store's tables."""
+
+    timers: TimerService
+    url: str
+    transport: FeedTransport
+    catalogue: ChartCatalogue
+
+    def create(
+        self,
+        table: str,
+        prefixes: tuple[str, ...],
+        receiver: Receiver,
+        watched: bool = True,
+    ) -> TableFeed:
+        """Return a new feed of a table's rows; the feed is not started."""
+        source = FeedSource(
+            url=self.url,
+            transport=self.transport,
+            table=table,
+            prefixes=prefixes,
+            watched=watched,
+        )
+        return TableFeed(self.timers, source, receiver, Random(), self.catalogue)
+
+
 def _discard(message: Message) -> None:
     """Ignore a message of a feed whose delivery was stopped."""
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from functools import partial
 from random import Random
 from uuid import uuid4
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.circuit import OPEN
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.message import Message
 from wasabispur_core.ownership import Ownership, ReleaseOwnership
 from wasabispur_core.ownership_action import ownership_chart
 from wasabispur_core.shard import Shard
@@ -26,7 +25,7 @@
 from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import StoreTransport
 from wasabispur_runtime.table_client import TableClient
-from wasabispur_runtime.table_feed import FeedSource, FeedTransport, TableFeed
+from wasabispur_runtime.table_feed import FeedFactory, FeedTransport
 from wasabispur_runtime.timer_service import sleep
 from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
@@ -94,7 +93,12 @@
         self.settings = settings
         self.timers = timers
         self.catalogue = ChartCatalogue()
-        self.feed_transport = feed_transport
+        feeds = FeedFactory(
+            timers=timers,
+            url=settings.store_url,
+            transport=feed_transport,
+            catalogue=self.catalogue,
+        )
         self.stopping = False
         self.table = TableClient(
             timers,
@@ -106,15 +110,13 @@
             STORE_TRANSACTION_TIMEOUT,
             allow_trial_writes=False,
         )
-        self.scheduler = FleetScheduler(
-            timers, self._shard(), self.table, self.open_feed
-        )
+        self.scheduler = FleetScheduler(timers, self._shard(), self.table, feeds)
         self.intake = JobIntake(timers, self._intake_state(), self.table)
         table, prefix = policy_location
         self.policy = PolicyWatcher(
             timers,
             decode_policy,
-            lambda receiver: self.open_feed(table, (prefix,), True, receiver),
+            partial(feeds.create, table, (prefix,)),
             (self.intake, self.scheduler),
             self.table,
         )
@@ -139,23 +141,6 @@
         fleet = self.scheduler.shard.scheduler
         fleet.horizon = max(fleet.horizon, owner_horizon(times))
 
-    def open_feed(
-        self,
-        table: str,
-        prefixes: tuple[str, ...],
-        watched: bool,
-        receiver: Callable[[Message], None],
-    ) -> TableFeed:
-        """Return a new feed of a table's rows; the feed is not started."""
-        source = FeedSource(
-            url=self.settings.store_url,
-            transport=self.feed_transport,
-            table=table,
-            prefixes=prefixes,
-            watched=watched,
-        )
-        return TableFeed(self.timers, source, receiver, Random(), self.catalogue)
-
     async def run(self, server: EntryServer, stop: asyncio.Event) -> None:
         """Serve until stop is set, then shut down gracefully."""
         for actor in self.actors:
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import SHARD_OWNED, SHARD_OWNERSHIP_LOST
@@ -23,7 +22,7 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
-from wasabispur_runtime.table_feed import TableFeed
+from wasabispur_runtime.table_feed import FeedFactory, TableFeed
 
 from .fleet_rows import decode_removal, decode_rows
 
@@ -33,24 +32,17 @@
     REPORT_TABLE: tuple(report_prefixes()),
 }
 
-OpenFeed = Callable[[str, tuple[str, ...], bool, Callable[[Message], None]], TableFeed]
-"""Makes the feed of a table.
-
-The arguments are the table's name, key prefixes, whether to watch for changes after the
-first read, and the receiver of the messages.
-"""
-
 
 class FleetScheduler(DecisionActor):
     """Maintain the shard's lease and schedule all workers while it is held."""
 
     def __init__(
-        self, timers: TimerService, shard: Shard, table: Actor, open_feed: OpenFeed
+        self, timers: TimerService, shard: Shard, table: Actor, feeds: FeedFactory
     ) -> None:
         super().__init__("fleet-scheduler", timers, shard, decide)
         self.shard = shard
         self.table = table
-        self.open_feed = open_feed
+        self.factory = feeds
         self.feeds: list[TableFeed] = []
         self.owned = False
 
@@ -102,7 +94,9 @@
         """Open a feed for each table."""
         for table in (*command.watched, *command.read):
             watched = table in command.watched
-            feed = self.open_feed(table, PREFIXES[table], watched, self.post_urgent)
+            feed = self.factory.create(
+                table, PREFIXES[table], self.post_urgent, watched
+            )
             feed.start()
             self.feeds.append(feed)
 
