--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -9,18 +9,16 @@
 from wasabispur_core.heartbeat_policy import heartbeat_interval, HeartbeatIntervals
 from wasabispur_core.member import FromAgent
 from wasabispur_core.message import Message
-from wasabispur_core.protocol import Announce, Heartbeat, Leaving, Welcome
+from wasabispur_core.protocol import Announce, Leaving, Welcome
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.stream import (
-    abort_connection,
-    MessageStream,
-)
+from wasabispur_runtime.stream import abort_connection
 
 from .handshake import receive_handshake
+from .member_session import MemberSession
 
 
-class AgentSession(MessageStream):
+class AgentSession(MemberSession):
     """Serve the stream of one agent.
 
     Received messages go to the membership, wrapped with the agent's id. superseded
@@ -37,17 +35,14 @@
         bundle_version: Callable[[], int],
     ) -> None:
         self.announce = announce
-        self.membership = membership
         self.superseded = False
         super().__init__(
             announce.agent_id,
             timers,
             stream,
-            receiver=self.forward,
-            heartbeat=lambda sequence: Heartbeat(
-                sequence=sequence, bundle_version=bundle_version()
-            ),
-            interval=interval,
+            membership,
+            interval,
+            bundle_version,
             initiator=False,
         )
 
--- a/packages/wasabispur/src/wasabispur/peer_session.py
+++ b/packages/wasabispur/src/wasabispur/peer_session.py
@@ -8,15 +8,13 @@
 
 from wasabispur_core.member import FromPeer
 from wasabispur_core.message import Message
-from wasabispur_core.protocol import Heartbeat, PeerHello
+from wasabispur_core.protocol import PeerHello
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
-from wasabispur_runtime.stream import (
-    abort_connection,
-    MessageStream,
-)
+from wasabispur_runtime.stream import abort_connection
 
 from .handshake import receive_handshake
+from .member_session import MemberSession
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,7 +33,7 @@
     reason: str
 
 
-class PeerSession(MessageStream):
+class PeerSession(MemberSession):
     """Serve the stream to one peer.
 
     Received messages go to the membership, wrapped with the peer's id.
@@ -52,17 +50,14 @@
         initiator: bool,
     ) -> None:
         self.hello = hello
-        self.membership = membership
         super().__init__(
             hello.entry_id,
             timers,
             stream,
-            receiver=self.forward,
-            heartbeat=lambda sequence: Heartbeat(
-                sequence=sequence, bundle_version=bundle_version()
-            ),
-            interval=interval,
-            initiator=initiator,
+            membership,
+            interval,
+            bundle_version,
+            initiator,
         )
 
     def forward(self, message: Message) -> None:
