Count crashes under runs that a former lifetime of the agent reported

Callers would see a task that crashes each worker tried more often than its limit (BUDGET). An agent called a run crashed only if it had started or listed the run itself. If the worker's process ended just after a restart of the agent, before an answer to its first request, the run was reported as refused, and the count of crashes missed it. A second restart would have lost the evidence too: the first report of a restarted agent without lists replaced the row by one without runs and ends.

The report's row has the runs that the same incarnation listed to the former lifetime. The agent now reads them with the row's number, as a validated report; a row that can't be read, or one on another incarnation, is no evidence. Runs and ends of that row are reported on until the worker lists its own, under the former count of lists, so that the owner doesn't take them for newer progress. Whether a run was listed and whether the process ended are kept apart, since refused connections come before the row has been read. Runs that were only ordered while the agent was down count as refused, as before.

A run that was started and not listed yet when the agent was killed is still no crash, as no row says that it was started.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -90,7 +90,7 @@
         agent_id=state.agent_id,
         number=report.number,
         info=replace(worker.info, state=worker.state),
-        listing=worker.list_count,
+        listing=worker.former_listing + worker.list_count,
         runs=worker.runs,
         ended=worker.ended[:ENDS_LIMIT],
         refused=refused,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -24,7 +24,7 @@
     RunSeen,
     StopOrdered,
 )
-from .worker import RunOrder, WorkerOrders
+from .worker import ListedRun, RunOrder, WorkerOrders, WorkerReport
 
 
 def apply_orders(worker: LocalWorker, state: RunnerState, now: float) -> list[Command]:
@@ -75,6 +75,7 @@
         worker.ordered[key] = run
         # After a restart of the agent, the worker may have the run already.
         run.unconfirmed = True
+        run.listed = key in listed_keys(worker.runs)
     if order.stop:
         return handle_run_event(worker, key, StopOrdered(), state, now)
     if run.unconfirmed and not _can_grant_lease(worker, state):
@@ -96,13 +97,14 @@
 
     requested_at is the time of the request for the lists in monotonic seconds.
     """
-    running = {(run.task, run.run) for run in worker.runs}
+    running = listed_keys(worker.runs)
     ended = {(run.task, run.run): run for run in worker.ended}
     commands: list[Command] = []
     for key, run in list(worker.ordered.items()):
         event: Message = RunMissing(requested_at=requested_at)
         if key in running:
             event = RunSeen()
+            run.listed = True
         elif key in ended:
             event = RunEndSeen()
             if not run.lifecycle.final:
@@ -141,6 +143,29 @@
     return commands
 
 
+def listed_keys(runs: tuple[ListedRun, ...]) -> set[tuple[str, int]]:
+    """Return the tasks and run numbers in a worker's list of active runs."""
+    return {(run.task, run.run) for run in runs}
+
+
+def apply_former_report(worker: LocalWorker, former: WorkerReport, gone: bool) -> None:
+    """Take over what a former lifetime of the agent reported on the worker.
+
+    Runs that the same incarnation listed then have been started, also if this process
+    gets no list any more. gone is set if nothing can run on the worker now.
+    """
+    if former.info.incarnation != worker.info.incarnation or worker.list_count:
+        return
+    listed = listed_keys(former.runs)
+    for key, run in worker.ordered.items():
+        run.listed |= key in listed
+    worker.ended = former.ended
+    # The owner must not take the former lists for newer ones.
+    worker.former_listing = former.listing
+    if not gone:
+        worker.runs = former.runs
+
+
 def abandon_runs(
     worker: LocalWorker,
     reason: str,
@@ -152,12 +177,11 @@
 
     crashed is set if the worker's process ended without having announced it.
     """
-    listed = {(run.task, run.run) for run in worker.runs}
     worker.runs = ()
     abandoned = 0
-    for key, run in worker.ordered.items():
+    for run in worker.ordered.values():
         if not run.abandoned and not run.lifecycle.final:
-            run.crashed = crashed and (run.start_calls > 0 or key in listed)
+            run.process_ended = crashed
             abandoned += 1
         run.refusal_reason = run.refusal_reason or reason
         run.abandoned = True
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -36,10 +36,11 @@
     run_snapshot,
     write_report,
 )
-from .rows import order_table, report_key
+from .rows import order_table, report_key, unpack
 from .run_action import list_runs_command
 from .run_dispatch import (
     abandon_runs,
+    apply_former_report,
     apply_orders,
     handle_run_event,
     reconcile_runs,
@@ -65,6 +66,7 @@
     incarnation_sort_key,
     OrdersArrived,
     WorkerInfo,
+    WorkerReport,
     WorkerState,
 )
 
@@ -191,7 +193,7 @@
         state.reports[message.worker_id].changed = True
         fields = {"worker": message.worker_id, "reason": message.reason}
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
-    if worker.refused_connections >= DEAD_AFTER_REFUSALS:
+    if _is_dead(worker):
         crashed = worker.info.state is WorkerState.READY
         commands += abandon_runs(worker, WORKER_DEAD, state, now, crashed)
     due = ListRetryDue(worker_id=message.worker_id)
@@ -227,7 +229,7 @@
     timer = SetTimer(timer_id=TICK_TIMER, delay=TICK_INTERVAL, message=message)
     commands: list[Command] = [timer]
     for worker in list(state.workers.values()):
-        if not worker.reachable and now > worker.lease_until:
+        if _is_lease_over(worker, now):
             commands += abandon_runs(worker, LEASE_EXPIRED, state, now)
         if _is_expired(worker, now):
             commands += _remove_worker(worker, state, now)
@@ -288,7 +290,13 @@
         number = row.value.get("number", 0)
         report.number = max(report.number, number if isinstance(number, int) else 0)
     worker = state.workers.get(message.read_id)
-    return _advance(worker, state, now) if worker else []
+    if worker is None:
+        return []
+    # The row may come from another writer; what can't be read is no evidence.
+    former = unpack(WorkerReport, row.value).value_or(None) if row else None
+    if former is not None:
+        apply_former_report(worker, former, _is_gone(worker, now))
+    return _advance(worker, state, now)
 
 
 @decide.register
@@ -373,6 +381,20 @@
     return [WriteLog(number=WORKER_REACHABLE.number, fields=fields)]
 
 
+def _is_dead(worker: LocalWorker) -> bool:
+    return worker.refused_connections >= DEAD_AFTER_REFUSALS
+
+
+def _is_lease_over(worker: LocalWorker, now: float) -> bool:
+    """Return whether the lease of a worker that can't be reached is over."""
+    return not worker.reachable and now > worker.lease_until
+
+
+def _is_gone(worker: LocalWorker, now: float) -> bool:
+    """Return whether nothing that was ordered before can run on the worker now."""
+    return worker.departed or _is_dead(worker) or _is_lease_over(worker, now)
+
+
 def _is_expired(worker: LocalWorker, now: float) -> bool:
     silent = now - max(worker.announced_at, worker.list_requested_at)
     return (worker.departed or not worker.reachable) and silent > REMOVE_AFTER
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -35,10 +35,11 @@
     unconfirmed is set until the worker's lists show whether the worker has the run
     already. abandoned is set once the worker can't have the run any more, because its
     process has ended or its lease has expired. refusal_reason is the reason why the run
-    did not start, and crashed is set if the worker's process ended under the run.
-    start_calls counts the calls that may have started it. stop_accepted_at is the time
-    at which the worker accepted a stop, in monotonic seconds. retries counts the
-    retries of unanswered calls.
+    did not start, and process_ended is set if the worker's process ended without having
+    announced it. start_calls counts the calls that may have started it, and listed is
+    set if the worker has listed it as active. stop_accepted_at is the time at which the
+    worker accepted a stop, in monotonic seconds. retries counts the retries of
+    unanswered calls.
     """
 
     order: RunOrder
@@ -48,7 +49,8 @@
     abandoned: bool = False
     refusal_reason: str = ""
     start_calls: int = 0
-    crashed: bool = False
+    listed: bool = False
+    process_ended: bool = False
     stop_accepted_at: float = inf
     retries: int = 0
 
@@ -57,6 +59,11 @@
         """Return the task and the run's number."""
         return self.order.task, self.order.run
 
+    @property
+    def crashed(self) -> bool:
+        """Return whether the worker's process ended under the run."""
+        return self.process_ended and (self.start_calls > 0 or self.listed)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClockReading:
@@ -77,8 +84,10 @@
     request that returned the newest lists, and lease_until the latest time at which the
     worker may take its lease as valid, whoever granted it. clock is the worker's clock
     with the newest lists, or None until the first lists arrive. runs and ended are
-    the newest lists, and list_count counts them. ordered contains the ordered runs by
-    task and run number. refused_connections counts the refused connections in a row.
+    the newest lists, and list_count counts the lists that this process received: until
+    the first, they are the lists that the last report had, and former_listing is its
+    count. ordered contains the ordered runs by task and run number. refused_connections
+    counts the refused connections in a row.
     """
 
     info: WorkerInfo
@@ -93,6 +102,7 @@
     ordered: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
     list_in_flight: bool = False
     list_count: int = 0
+    former_listing: int = 0
     list_failed_at: float = -inf
     refused_connections: int = 0
     departed: bool = False
--- a/tests/workload/test_restarted_agent.py
+++ b/tests/workload/test_restarted_agent.py
@@ -18,10 +18,10 @@
 """Seconds of a run that outlasts the restart of its agent."""
 
 
-def world_with_run(**fields) -> tuple[World, str, int]:
+def world_with_run(duration: float = RUN_TIME, **fields) -> tuple[World, str, int]:
     """Return a world, the worker that runs the only task, and its agent's index."""
     world = started_world(**fields)
-    world.submit(tasks(1), duration=RUN_TIME)
+    world.submit(tasks(1), duration=duration)
     world.advance(2)
     worker = next(one for one in world.workers.values() if one.runs)
     return world, worker.worker_id, sorted(world.agents).index(worker.agent_id)
