--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -28,7 +28,7 @@
     StoreUnavailable,
 )
 from .fleet_state import TableReady
-from .lease_clock import former_lease_end
+from .lease_clock import CONTACT_LIMIT, former_lease_end, is_lease_over
 from .report_writer import (
     find_report_write,
     replace_report_row,
@@ -36,10 +36,11 @@
     run_snapshot,
     write_report,
 )
-from .rows import order_table, report_key
+from .rows import order_table, report_key, unpack
 from .run_action import list_runs_command
 from .run_dispatch import (
     abandon_runs,
+    apply_former_report,
     apply_orders,
     handle_run_event,
     reconcile_runs,
@@ -65,6 +66,7 @@
     incarnation_sort_key,
     OrdersArrived,
     WorkerInfo,
+    WorkerReport,
     WorkerState,
 )
 
@@ -83,9 +85,6 @@
 DEAD_AFTER_REFUSALS = 2
 """Consecutive refused connections that show that the worker's process has ended."""
 
-REMOVE_AFTER = 20.0
-"""Seconds without contact after which an unreachable or departed worker is removed."""
-
 TICK_TIMER = "runner-tick"
 WORKER_DEAD = "the worker's process is gone"
 LEASE_EXPIRED = "the worker's lease is over"
@@ -191,7 +190,7 @@
         state.reports[message.worker_id].changed = True
         fields = {"worker": message.worker_id, "reason": message.reason}
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
-    if worker.refused_connections >= DEAD_AFTER_REFUSALS:
+    if _is_dead(worker):
         crashed = worker.info.state is WorkerState.READY
         commands += abandon_runs(worker, WORKER_DEAD, state, now, crashed)
     due = ListRetryDue(worker_id=message.worker_id)
@@ -227,7 +226,7 @@
     timer = SetTimer(timer_id=TICK_TIMER, delay=TICK_INTERVAL, message=message)
     commands: list[Command] = [timer]
     for worker in list(state.workers.values()):
-        if not worker.reachable and now > worker.lease_until:
+        if is_lease_over(worker, now):
             commands += abandon_runs(worker, LEASE_EXPIRED, state, now)
         if _is_expired(worker, now):
             commands += _remove_worker(worker, state, now)
@@ -288,7 +287,13 @@
         number = row.value.get("number", 0)
         report.number = max(report.number, number if isinstance(number, int) else 0)
     worker = state.workers.get(message.read_id)
-    return _advance(worker, state, now) if worker else []
+    if worker is None:
+        return []
+    # The row may come from another writer; what can't be read is no evidence.
+    former = unpack(WorkerReport, row.value).value_or(None) if row else None
+    if former is not None:
+        apply_former_report(worker, former, _is_gone(worker, now))
+    return _advance(worker, state, now)
 
 
 @decide.register
@@ -304,7 +309,9 @@
 
 def _new_worker(info: WorkerInfo, state: RunnerState, now: float) -> LocalWorker:
     """Return the state of a worker of which this process knows nothing yet."""
-    return LocalWorker(info=info, lease_until=former_lease_end(state.times, now))
+    return LocalWorker(
+        info=info, lease_until=former_lease_end(state.times, now), announced_at=now
+    )
 
 
 def _is_newer(message: WorkerAnnounced, worker: LocalWorker) -> bool:
@@ -373,9 +380,18 @@
     return [WriteLog(number=WORKER_REACHABLE.number, fields=fields)]
 
 
+def _is_dead(worker: LocalWorker) -> bool:
+    return worker.refused_connections >= DEAD_AFTER_REFUSALS
+
+
+def _is_gone(worker: LocalWorker, now: float) -> bool:
+    """Return whether nothing that was ordered before can run on the worker now."""
+    return worker.departed or _is_dead(worker) or is_lease_over(worker, now)
+
+
 def _is_expired(worker: LocalWorker, now: float) -> bool:
-    silent = now - max(worker.announced_at, worker.list_requested_at)
-    return (worker.departed or not worker.reachable) and silent > REMOVE_AFTER
+    """Return whether a worker is removed, upon which the owner ends its runs."""
+    return _is_gone(worker, now) and worker.silence(now) > CONTACT_LIMIT
 
 
 def _remove_worker(
