Name how runs end with their worker's process, in one place

"Lost if the worker is leaving, else crashed" stood twice in the reconciliation of reports, and the loop over a unit's open members on a worker twice as well. They are now Worker.end_of_process and Unit.open_members_on. _place_of is Worker.location, as "place" means the start of a unit elsewhere, and the flag moved, which is also set for new and restarted workers, says what it is for.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -16,7 +16,7 @@
 from .progress import JobProgress, JobState
 from .spec import JobSpec, NO_RESOURCES, Resources
 from .unit import Unit, UnitId
-from .worker import ListedRun, WorkerInfo, WorkerOrders, WorkerReport
+from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 
 
 @dataclass(slots=True, kw_only=True)
@@ -71,6 +71,16 @@
         """Return the id of the worker."""
         return self.info.worker_id
 
+    @property
+    def end_of_process(self) -> EndKind:
+        """Return how runs end if the worker's process ends now."""
+        return EndKind.LOST if self.leaving else EndKind.CRASHED
+
+    @property
+    def location(self) -> tuple[str, str]:
+        """Return the agent and the address, at which one worker runs at a time."""
+        return self.agent_id, self.info.address
+
 
 @dataclass(slots=True, kw_only=True)
 class FleetState:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -43,7 +43,7 @@
     worker_id = report.info.worker_id
     worker = state.workers.get(worker_id)
     commands: list[Command] = []
-    moved = True
+    replacement_possible = True
     if worker is None:
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
@@ -57,9 +57,8 @@
     elif report.number < worker.report_number and report.agent_id == worker.agent_id:
         return []
     else:
-        moved = _place_of(worker.agent_id, worker.info) != _place_of(
-            report.agent_id, report.info
-        )
+        location = report.agent_id, report.info.address
+        replacement_possible = worker.location != location
     if worker.info.state != report.info.state:
         commands.append(_log_worker(report))
     if not worker.confirmed or _offers_differ(worker.info, report.info):
@@ -74,7 +73,7 @@
     worker.confirmed |= state.active
     worker.seen_at = now
     worker.runs = report.runs
-    if moved:
+    if replacement_possible:
         commands += _remove_replaced_workers(state, now)
         # The worker's row may still contain orders for a former incarnation.
         state.dirty_workers.add(worker_id)
@@ -83,11 +82,6 @@
     return commands + reconcile(worker, report, state, now)
 
 
-def _place_of(agent_id: str, info: WorkerInfo) -> tuple[str, str]:
-    """Return the agent and the address, at which one worker runs at a time."""
-    return agent_id, info.address
-
-
 def _offers_differ(known: WorkerInfo, reported: WorkerInfo) -> bool:
     """Return whether a worker offers other capacity or accepts other units.
 
@@ -125,7 +119,7 @@
     worker: Worker, incarnation: str, state: FleetState, now: float
 ) -> list[Command]:
     """End the runs that a worker had before its restart as the given incarnation."""
-    kind = EndKind.LOST if worker.leaving else EndKind.CRASHED
+    kind = worker.end_of_process
     return end_lost_runs(
         worker.worker_id, RESTARTED, state, now, kind, keep=incarnation
     )
@@ -148,9 +142,7 @@
         unit = state.unit(unit_id)
         if unit is None:
             continue
-        for member in list(unit.members):
-            if member.ended or member.worker_ref.worker_id != worker_id:
-                continue
+        for member in unit.open_members_on(worker_id):
             if keep and member.worker_ref.incarnation == keep:
                 continue
             ended = RunEnded(index=member.index, kind=kind, reason=reason)
@@ -170,21 +162,13 @@
             continue
         for unit_id in list(state.units_by_worker.get(worker.worker_id, ())):
             unit = state.unit(unit_id)
-            if unit is not None and unit.shows_end_on(worker.worker_id):
-                commands += _end_members(unit, worker.worker_id, state, now)
-    return commands
-
-
-def _end_members(
-    unit: Unit, worker_id: str, state: FleetState, now: float
-) -> list[Command]:
-    commands: list[Command] = []
-    for member in list(unit.members):
-        if not member.ended:
-            ended = RunEnded(
-                index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
-            )
-            commands += end_run(unit, ended, worker_id, state, now)
+            if unit is None or not unit.shows_end_on(worker.worker_id):
+                continue
+            for member in unit.open_members_on(worker.worker_id):
+                ended = RunEnded(
+                    index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
+                )
+                commands += end_run(unit, ended, worker.worker_id, state, now)
     return commands
 
 
@@ -234,13 +218,13 @@
     latest: dict[tuple[str, str], Worker] = {}
     commands: list[Command] = []
     for worker in list(state.workers.values()):
-        place = _place_of(worker.agent_id, worker.info)
-        other = latest.setdefault(place, worker)
+        location = worker.location
+        other = latest.setdefault(location, worker)
         if other is worker:
             continue
-        replaced, latest[place] = sorted((other, worker), key=_age_order)
-        if _age_order(replaced) < _age_order(latest[place]):
-            kind = EndKind.LOST if replaced.leaving else EndKind.CRASHED
+        replaced, latest[location] = sorted((other, worker), key=_age_order)
+        if _age_order(replaced) < _age_order(latest[location]):
+            kind = replaced.end_of_process
             commands += _remove_worker(replaced, kind, REPLACED, state, now)
     return commands
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -151,6 +151,14 @@
         """Return whether a run of some member is not known to have ended."""
         return any(not member.ended for member in self.members)
 
+    def open_members_on(self, worker_id: str) -> list[UnitMember]:
+        """Return the members on a worker whose runs are not known to have ended."""
+        return [
+            member
+            for member in self.members
+            if not member.ended and member.worker_ref.worker_id == worker_id
+        ]
+
     def shows_end_on(self, worker_id: str) -> bool:
         """Return whether the ends of the others show that those on a worker ended.
 
