Ignore reports on a former incarnation of a worker

An agent that was restarted may receive a delayed heartbeat of a worker's former incarnation before one of the present incarnation, and reports that one as unreachable. The owner took any other incarnation than the known one for a later one, and ended the runs of the living incarnation as crashed. A new owner did the same with what it read: it took the incarnation of the last report for the present one, also where a run is recorded on a later one.

A report on a former incarnation is now ignored and logged (454, once for each incarnation). A new owner takes the latest incarnation on which an open run is recorded for the present one. If in truth the worker's clock was set back, its later incarnation is silent from then on; the worker is removed after the lease horizon as before, and then accepted.

The agent still overwrites the row with the report on the former incarnation; that costs renewals until the next heartbeat, but ends no run any more.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -151,6 +151,11 @@
 REPORT_FAILED = LogEvent(
     447, "WARNING", "report of worker {worker} was not written: {reason}"
 )
+REPORT_IGNORED = LogEvent(
+    454,
+    "WARNING",
+    "ignored a report on worker {worker} as {incarnation}; {known} is known",
+)
 RUNS_ABANDONED = LogEvent(
     448, "WARNING", "no ordered run can be on worker {worker} any more: {reason}"
 )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -49,7 +49,8 @@
     row as last written, and acknowledged the number of the last ended run that has been
     applied. failed_units contains the units whose runs failed there since the last
     success. The worker gets no units before suspected_until. leaving is set once it has
-    announced that it leaves.
+    announced that it leaves. ignored_incarnation is the former incarnation on which a
+    report was ignored last.
     """
 
     agent_id: str
@@ -65,6 +66,7 @@
     failed_units: set[UnitId] = field(default_factory=set)
     suspected_until: float = 0.0
     leaving: bool = False
+    ignored_incarnation: str = ""
 
     @property
     def worker_id(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -10,7 +10,7 @@
 from functools import singledispatch
 
 from ..command import Command, WriteLog
-from ..log_event import WORKER_LOST, WORKER_STATE_READ
+from ..log_event import REPORT_IGNORED, WORKER_LOST, WORKER_STATE_READ
 from .fleet_state import FleetState, new_worker, Worker
 from .snapshot import REPORT_AGE_LIMIT
 from .spec import TaskId
@@ -20,6 +20,7 @@
     EndedRun,
     EndKind,
     incarnation_sort_key,
+    is_later_incarnation,
     ListedRun,
     RefusedRun,
     WorkerInfo,
@@ -47,6 +48,8 @@
     if worker is None:
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
+    elif is_later_incarnation(worker.info.incarnation, report.info.incarnation):
+        return _ignore_report(report, worker)
     elif worker.info.incarnation != report.info.incarnation:
         commands += end_runs_of_former_incarnations(
             worker, report.info.incarnation, state, now
@@ -82,6 +85,27 @@
     return commands + reconcile(worker, report, state, now)
 
 
+def _ignore_report(report: WorkerReport, worker: Worker) -> list[Command]:
+    """Ignore a report on a former incarnation, which says nothing of the later one.
+
+    An agent that was restarted may receive a delayed heartbeat of a former incarnation
+    first. If instead the worker's clock was set back, the later incarnation is silent
+    from then on, and the worker is removed after the lease horizon.
+    """
+    incarnation = report.info.incarnation
+    if worker.ignored_incarnation == incarnation:
+        return []
+    worker.ignored_incarnation = incarnation
+    fields = {
+        "worker": worker.worker_id,
+        "incarnation": incarnation,
+        "known": worker.info.incarnation,
+        "agent": report.agent_id,
+        "state": report.info.state.value,
+    }
+    return [WriteLog(number=REPORT_IGNORED.number, fields=fields)]
+
+
 def _offers_differ(known: WorkerInfo, reported: WorkerInfo) -> bool:
     """Return whether a worker offers other capacity or accepts other units.
 
@@ -180,6 +204,8 @@
     announced that it leaves, so that its end counts as a crash: a task that crashes
     each worker must not gain attempts from the loss of an owner.
     """
+    for worker in state.workers.values():
+        _apply_recorded_incarnation(worker, state)
     commands = _remove_replaced_workers(state, now)
     crashed = EndKind.CRASHED
     for worker in state.workers.values():
@@ -192,6 +218,21 @@
     return commands
 
 
+def _apply_recorded_incarnation(worker: Worker, state: FleetState) -> None:
+    """Take a later incarnation, on which a run is recorded, for the present one.
+
+    Its runs may be active even if the last report is on a former incarnation.
+    """
+    for unit_id in state.units_by_worker.get(worker.worker_id, ()):
+        unit = state.unit(unit_id)
+        if unit is None:
+            continue
+        for member in unit.open_members_on(worker.worker_id):
+            recorded = member.worker_ref.incarnation
+            if is_later_incarnation(recorded, worker.info.incarnation):
+                worker.info = replace(worker.info, incarnation=recorded)
+
+
 def remove_silent_workers(state: FleetState, now: float) -> list[Command]:
     """Remove workers without a report for the lease horizon, and end their runs.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -116,6 +116,11 @@
     return len(incarnation), incarnation
 
 
+def is_later_incarnation(incarnation: str, other: str) -> bool:
+    """Return whether an incarnation of a worker started after another one."""
+    return incarnation_sort_key(incarnation) > incarnation_sort_key(other)
+
+
 def is_rack_label(label: str) -> bool:
     """Return whether a label names a rack, such as r1-3."""
     head, _, tail = label.partition("-")
--- /dev/null
+++ b/tests/workload/test_owner_knowledge.py
@@ -0,0 +1,92 @@
+"""Test what the shard's owner does not take for known: old reports, and its silence."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from wasabispur_core.log_event import REPORT_IGNORED
+from wasabispur_core.workload.runner_message import WorkerAnnounced
+from wasabispur_standins.simulated_worker import SimulatedWorker
+
+from .world import started_world, tasks, World
+
+LONG = 60.0
+"""Seconds of a run that outlasts every lease of a test."""
+
+
+def busy_worker(world: World) -> SimulatedWorker:
+    """Return the only worker that runs something."""
+    (worker,) = (worker for worker in world.workers.values() if worker.runs)
+    return worker
+
+
+def index_of_agent(world: World, worker: SimulatedWorker) -> int:
+    """Return the number of a worker's agent."""
+    return sorted(world.agents).index(worker.agent_id)
+
+
+def kill_owner(world: World) -> None:
+    """Kill all entries, so that another lifetime takes the shard over."""
+    for index in range(len(world.entries)):
+        world.kill_entry(index)
+
+
+def world_with_restarted_worker() -> tuple[World, SimulatedWorker]:
+    """Return a world in which the only task runs on a worker's second incarnation."""
+    world = started_world()
+    for worker in world.workers.values():
+        world.restart_worker(worker)
+    world.advance(2)
+    world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    return world, busy_worker(world)
+
+
+def announce_former_incarnation(
+    world: World, worker: SimulatedWorker, next_heartbeat: float
+) -> None:
+    """Restart an agent that receives a delayed heartbeat of a former incarnation.
+
+    The worker's own next heartbeat follows after the given number of seconds.
+    """
+    world.kill_agent(index_of_agent(world, worker))
+    worker.next_heartbeat = world.timers.now() + next_heartbeat
+    former = replace(worker.info(), incarnation=str(worker.born - 1))
+    world.agents[worker.agent_id].post(WorkerAnnounced(info=former))
+
+
+def test_report_on_a_former_incarnation_ends_no_run():
+    """Guard against a second run beside one on the worker's newer incarnation."""
+    world, worker = world_with_restarted_worker()
+    announce_former_incarnation(world, worker, next_heartbeat=2.0)
+    world.advance(10)
+    assert len(world.starts) == 1
+    logs = [record for entry in world.entries for record in entry.records]
+    ignored = [log.fields for log in logs if log.number == REPORT_IGNORED.number]
+    assert [(one["incarnation"], one["known"]) for one in ignored] == [("1", "2")]
+
+
+def test_new_owner_ends_no_run_for_a_report_on_a_former_incarnation():
+    """Guard against a new owner that takes the last report for the newest one."""
+    world, worker = world_with_restarted_worker()
+    announce_former_incarnation(world, worker, next_heartbeat=4.0)
+    world.advance(1)
+    kill_owner(world)
+    world.advance(10)
+    assert len(world.starts) == 1
+
+
+def test_worker_whose_clock_was_set_back_is_used_again():
+    """Guard against a living worker that is ignored for good."""
+    world, worker = world_with_restarted_worker()
+    task = next(iter(worker.runs))
+    for other in world.workers.values():
+        if other is not worker:
+            other.up = False
+    worker.reborn()
+    worker.born = 1
+    world.kill_agent(index_of_agent(world, worker))
+    world.advance(20)
+    assert [(name, where) for _, name, _, where in world.starts[1:]] == [
+        (task, worker.worker_id)
+    ]
