--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -16,7 +16,7 @@
 from .progress import JobProgress, JobState
 from .spec import JobSpec, NO_RESOURCES, Resources
 from .unit import Unit, UnitId
-from .worker import ListedRun, WorkerInfo, WorkerOrders, WorkerReport
+from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 
 
 @dataclass(slots=True, kw_only=True)
@@ -49,7 +49,8 @@
     row as last written, and acknowledged the number of the last ended run that has been
     applied. failed_units contains the units whose runs failed there since the last
     success. The worker gets no units before suspected_until. leaving is set once it has
-    announced that it leaves.
+    announced that it leaves. ignored_incarnation is the former incarnation on which a
+    report was ignored last.
     """
 
     agent_id: str
@@ -65,12 +66,23 @@
     failed_units: set[UnitId] = field(default_factory=set)
     suspected_until: float = 0.0
     leaving: bool = False
+    ignored_incarnation: str = ""
 
     @property
     def worker_id(self) -> str:
         """Return the id of the worker."""
         return self.info.worker_id
 
+    @property
+    def end_of_process(self) -> EndKind:
+        """Return how runs end if the worker's process ends now."""
+        return EndKind.LOST if self.leaving else EndKind.CRASHED
+
+    @property
+    def location(self) -> tuple[str, str]:
+        """Return the agent and the address, at which one worker runs at a time."""
+        return self.agent_id, self.info.address
+
 
 @dataclass(slots=True, kw_only=True)
 class FleetState:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -10,7 +10,7 @@
 from functools import singledispatch
 
 from ..command import Command, WriteLog
-from ..log_event import WORKER_LOST, WORKER_STATE_READ
+from ..log_event import REPORT_IGNORED, WORKER_LOST, WORKER_STATE_READ
 from .fleet_state import FleetState, new_worker, Worker
 from .snapshot import REPORT_AGE_LIMIT
 from .spec import TaskId
@@ -20,6 +20,7 @@
     EndedRun,
     EndKind,
     incarnation_sort_key,
+    is_later_incarnation,
     ListedRun,
     RefusedRun,
     WorkerInfo,
@@ -43,10 +44,12 @@
     worker_id = report.info.worker_id
     worker = state.workers.get(worker_id)
     commands: list[Command] = []
-    moved = True
+    replacement_possible = True
     if worker is None:
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
+    elif is_later_incarnation(worker.info.incarnation, report.info.incarnation):
+        return _ignore_report(report, worker)
     elif worker.info.incarnation != report.info.incarnation:
         commands += end_runs_of_former_incarnations(
             worker, report.info.incarnation, state, now
@@ -57,9 +60,8 @@
     elif report.number < worker.report_number and report.agent_id == worker.agent_id:
         return []
     else:
-        moved = _place_of(worker.agent_id, worker.info) != _place_of(
-            report.agent_id, report.info
-        )
+        location = report.agent_id, report.info.address
+        replacement_possible = worker.location != location
     if worker.info.state != report.info.state:
         commands.append(_log_worker(report))
     if not worker.confirmed or _offers_differ(worker.info, report.info):
@@ -74,7 +76,7 @@
     worker.confirmed |= state.active
     worker.seen_at = now
     worker.runs = report.runs
-    if moved:
+    if replacement_possible:
         commands += _remove_replaced_workers(state, now)
         # The worker's row may still contain orders for a former incarnation.
         state.dirty_workers.add(worker_id)
@@ -83,9 +85,25 @@
     return commands + reconcile(worker, report, state, now)
 
 
-def _place_of(agent_id: str, info: WorkerInfo) -> tuple[str, str]:
-    """Return the agent and the address, at which one worker runs at a time."""
-    return agent_id, info.address
+def _ignore_report(report: WorkerReport, worker: Worker) -> list[Command]:
+    """Ignore a report on a former incarnation, which says nothing of the later one.
+
+    An agent that was restarted may receive a delayed heartbeat of a former incarnation
+    first. If instead the worker's clock was set back, the later incarnation is silent
+    from then on, and the worker is removed after the lease horizon.
+    """
+    incarnation = report.info.incarnation
+    if worker.ignored_incarnation == incarnation:
+        return []
+    worker.ignored_incarnation = incarnation
+    fields = {
+        "worker": worker.worker_id,
+        "incarnation": incarnation,
+        "known": worker.info.incarnation,
+        "agent": report.agent_id,
+        "state": report.info.state.value,
+    }
+    return [WriteLog(number=REPORT_IGNORED.number, fields=fields)]
 
 
 def _offers_differ(known: WorkerInfo, reported: WorkerInfo) -> bool:
@@ -125,7 +143,7 @@
     worker: Worker, incarnation: str, state: FleetState, now: float
 ) -> list[Command]:
     """End the runs that a worker had before its restart as the given incarnation."""
-    kind = EndKind.LOST if worker.leaving else EndKind.CRASHED
+    kind = worker.end_of_process
     return end_lost_runs(
         worker.worker_id, RESTARTED, state, now, kind, keep=incarnation
     )
@@ -148,9 +166,7 @@
         unit = state.unit(unit_id)
         if unit is None:
             continue
-        for member in list(unit.members):
-            if member.ended or member.worker_ref.worker_id != worker_id:
-                continue
+        for member in unit.open_members_on(worker_id):
             if keep and member.worker_ref.incarnation == keep:
                 continue
             ended = RunEnded(index=member.index, kind=kind, reason=reason)
@@ -170,21 +186,13 @@
             continue
         for unit_id in list(state.units_by_worker.get(worker.worker_id, ())):
             unit = state.unit(unit_id)
-            if unit is not None and unit.shows_end_on(worker.worker_id):
-                commands += _end_members(unit, worker.worker_id, state, now)
-    return commands
-
-
-def _end_members(
-    unit: Unit, worker_id: str, state: FleetState, now: float
-) -> list[Command]:
-    commands: list[Command] = []
-    for member in list(unit.members):
-        if not member.ended:
-            ended = RunEnded(
-                index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
-            )
-            commands += end_run(unit, ended, worker_id, state, now)
+            if unit is None or not unit.shows_end_on(worker.worker_id):
+                continue
+            for member in unit.open_members_on(worker.worker_id):
+                ended = RunEnded(
+                    index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
+                )
+                commands += end_run(unit, ended, worker.worker_id, state, now)
     return commands
 
 
@@ -196,6 +204,8 @@
     announced that it leaves, so that its end counts as a crash: a task that crashes
     each worker must not gain attempts from the loss of an owner.
     """
+    for worker in state.workers.values():
+        _apply_recorded_incarnation(worker, state)
     commands = _remove_replaced_workers(state, now)
     crashed = EndKind.CRASHED
     for worker in state.workers.values():
@@ -208,6 +218,21 @@
     return commands
 
 
+def _apply_recorded_incarnation(worker: Worker, state: FleetState) -> None:
+    """Take a later incarnation, on which a run is recorded, for the present one.
+
+    Its runs may be active even if the last report is on a former incarnation.
+    """
+    for unit_id in state.units_by_worker.get(worker.worker_id, ()):
+        unit = state.unit(unit_id)
+        if unit is None:
+            continue
+        for member in unit.open_members_on(worker.worker_id):
+            recorded = member.worker_ref.incarnation
+            if is_later_incarnation(recorded, worker.info.incarnation):
+                worker.info = replace(worker.info, incarnation=recorded)
+
+
 def remove_silent_workers(state: FleetState, now: float) -> list[Command]:
     """Remove workers without a report for the lease horizon, and end their runs.
 
@@ -234,13 +259,13 @@
     latest: dict[tuple[str, str], Worker] = {}
     commands: list[Command] = []
     for worker in list(state.workers.values()):
-        place = _place_of(worker.agent_id, worker.info)
-        other = latest.setdefault(place, worker)
+        location = worker.location
+        other = latest.setdefault(location, worker)
         if other is worker:
             continue
-        replaced, latest[place] = sorted((other, worker), key=_age_order)
-        if _age_order(replaced) < _age_order(latest[place]):
-            kind = EndKind.LOST if replaced.leaving else EndKind.CRASHED
+        replaced, latest[location] = sorted((other, worker), key=_age_order)
+        if _age_order(replaced) < _age_order(latest[location]):
+            kind = replaced.end_of_process
             commands += _remove_worker(replaced, kind, REPLACED, state, now)
     return commands
 
