Report how tasks ended while no agent ran, from the worker's list

Callers of jobs saw work run a second time: a task finished at its worker while the agent was down, the restarted agent knew of no such task and answered "never started" to the owner's renewal, and the owner placed the job again, at-most-once jobs among them. The worker had the result in its list all the time. A checkpoint of a task that had stopped was lost in the same way.

Cause: the tombstones of an agent end with its process, and an empty store was taken for proof that a task had not run. The agent now records the ends that the worker lists, before it announces itself and with each poll, so that "never started" is said only of what the worker doesn't list.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -25,6 +25,7 @@
     RunAtWorker,
     stop_all,
     StopAtWorker,
+    TasksListed,
     TaskState,
 )
 from wasabispur_core.timer import TimerService
@@ -95,9 +96,16 @@
             self.drained.set()
 
     async def stop_previous_tasks(self) -> None:
-        """Stop the tasks of an earlier agent process; return once no task runs."""
-        while not await asyncio.to_thread(stop_remaining_tasks, self.client):
+        """Stop the tasks of an earlier agent process, and record how they ended.
+
+        Return once no task runs.
+        """
+        while True:
+            views = await asyncio.to_thread(stop_remaining_tasks, self.client)
+            if views is not None:
+                break
             await sleep(self.timers, POLL_INTERVAL)
+        self.on_message(list_report(views))
 
     def on_poll_due(self, message: PollDue) -> None:
         """Read the worker's tasks on a thread."""
@@ -112,6 +120,7 @@
         self.set_timer("poll", POLL_INTERVAL, PollDue())
         if message.views is None:
             return
+        self.on_message(list_report(message.views))
         for task_id in list(self.state.tasks):
             view = message.views.get(task_id)
             if view is not None and view.ended:
@@ -281,12 +290,20 @@
     return TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
 
 
-def stop_remaining_tasks(client: WorkerClient) -> bool:
-    """Stop all tasks at the worker; return whether none was running."""
+def list_report(views: dict[str, TaskView]) -> TasksListed:
+    """Return the report of all tasks that the worker lists."""
+    return TasksListed(
+        running=tuple(task_id for task_id, view in views.items() if not view.ended),
+        ended=tuple(end_report(view) for view in views.values() if view.ended),
+    )
+
+
+def stop_remaining_tasks(client: WorkerClient) -> dict[str, TaskView] | None:
+    """Stop all tasks at the worker; return its list, or None if a task was running."""
     tasks = client.tasks()
     if tasks is None:
-        return False
+        return None
     running = [task_id for task_id, view in tasks.items() if not view.ended]
     for task_id in running:
         client.stop(task_id)
-    return not running
+    return None if running else tasks
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -44,6 +44,14 @@
     task_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TasksListed(Message):
+    """Report the ids of the worker's running tasks, and how its other tasks ended."""
+
+    running: tuple[str, ...]
+    ended: tuple[TaskFinished | TaskStopped, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunAtWorker(Command):
     """Start a task at the worker; the lease is in seconds from now."""
@@ -158,6 +166,17 @@
     return task.lifecycle.handle(message, state, task, now)
 
 
+@decide.register
+def _(message: TasksListed, state: TaskState, now: float) -> list[Command]:
+    # A task may have ended while no agent ran, or under an earlier agent process. Only
+    # the worker then knows whether it finished.
+    for end in message.ended:
+        known = end.task_id in state.tasks or end.task_id in state.tombstones
+        if not known:
+            record_end(state, end.task_id, end)
+    return []
+
+
 @singledispatch
 def decide_for_owner(message: Message, state: TaskState, now: float) -> list[Command]:
     """Return the commands that a message from the shard's owner causes."""
--- a/tests/process/test_job_process.py
+++ b/tests/process/test_job_process.py
@@ -82,6 +82,19 @@
     assert len(system.starts(job_id)) == 2
 
 
+def test_work_that_finished_while_its_agent_was_down_is_not_run_again(system):
+    """Guard against a restarted agent that takes a finished task for never started."""
+    job_id = system.submit("e0", 4.0, tasks=1, accelerators=4)
+    system.wait_state("e0", job_id, "running", 30)
+    agent = system.job("e0", job_id)["workers"][0]
+    system.signal(agent, signal.SIGKILL)
+    system.processes[agent].wait(10)
+    wait_for(lambda: not system.running(job_id), 20, "the end at the worker")
+    system.start_agent(agent)
+    system.wait_state("e0", job_id, "completed", 30)
+    assert len(system.starts(job_id)) == 1
+
+
 def test_gang_outlives_an_outage_of_the_table_service(system):
     """Guard against lost work when the table service is unavailable.
 
