Stop tasks that the worker runs and its agent doesn't know

An agent that starts stops whatever its worker runs, once. A start of the former agent process that the worker executes after that ran on for its whole lease, or for its whole run time if shorter: the polls read the list and passed over ids that the agent doesn't know. The accelerators were taken, and placements there were refused.

Each poll now stops running tasks that the agent doesn't have.

Failing before: tests/job/test_restarted_agent.py:: test_task_that_its_agent_does_not_know_is_stopped: assert not {'j0.1.0': 15.0}

--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -174,7 +174,12 @@
         known = end.task_id in state.tasks or end.task_id in state.tombstones
         if not known:
             record_end(state, end.task_id, end)
-    return []
+    # A worker may execute a start after the agent process that sent it has died.
+    return [
+        StopAtWorker(task_id=task_id, checkpoint=False)
+        for task_id in message.running
+        if task_id not in state.tasks
+    ]
 
 
 @singledispatch
--- a/tests/job/test_restarted_agent.py
+++ b/tests/job/test_restarted_agent.py
@@ -27,3 +27,12 @@
     world.advance(10)
     assert world.ended_state(job_id) == "completed"
     assert len(world.started) == 1
+
+
+def test_task_that_its_agent_does_not_know_is_stopped():
+    """Guard against a late start whose run holds accelerators and nobody stops."""
+    world = World(agents=1)
+    agent = world.agents["w0"]
+    agent.running["j0.1.0"] = world.local(agent) + 15.0
+    world.advance(1)
+    assert not agent.running
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -101,7 +101,8 @@
     """Represent an agent and its worker.
 
     running maps task ids to lease ends, and ended the ids of ended tasks to the reports
-    of their ends. Both are the worker's and survive a restart of the agent.
+    of their ends. Both are the worker's and survive a restart of the agent. With
+    delays_calls set, late_calls collects starts and renewals instead of executing them.
     """
 
     state: TaskState = None
@@ -109,6 +110,8 @@
     running: dict = field(default_factory=dict)
     ended: dict = field(default_factory=dict)
     ignores_stops: bool = False
+    delays_calls: bool = False
+    late_calls: list = field(default_factory=list)
 
 
 class World:
@@ -362,6 +365,8 @@
                 self.post(source, self.transact(command.transaction, source))
             case ReadRows():
                 self.post(source, self.read(command, source))
+            case RunAtWorker() | RenewAtWorker() if source.delays_calls:
+                source.late_calls.append(command)
             case RunAtWorker():
                 self.run_at_worker(command, source)
             case RenewAtWorker():
@@ -374,6 +379,14 @@
             case _:
                 raise AssertionError(f"unknown command {command}")
 
+    def execute_late_calls(self, agent: Agent) -> None:
+        """Execute the delayed calls at the worker, whatever became of their agent."""
+        agent.delays_calls = False
+        calls, agent.late_calls = agent.late_calls, []
+        for call in calls:
+            self.execute(call, agent)
+        self.run()
+
     def record_sent(self, message: object) -> None:
         if isinstance(message, TaskReserved):
             self.reserved.add(message.task_id)
@@ -521,8 +534,8 @@
         held = {
             index
             for task_id in agent.running
-            for index in agent.state.tasks[task_id].reserve.accelerator_ids
             if task_id in agent.state.tasks
+            for index in agent.state.tasks[task_id].reserve.accelerator_ids
         }
         assert not held & set(reserve.accelerator_ids), "accelerator: held twice"
         if spec.at_most_once:
