--- a/tests/workload/test_former_knowledge.py
+++ b/tests/workload/test_former_knowledge.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
+from wasabispur_core.workload.lease_clock import CONTACT_LIMIT
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner import REMOVE_AFTER
 from wasabispur_core.workload.runner_message import WorkerAnnounced, WorkerLeft
 from wasabispur_core.workload.runner_state import LeaseTimes
 
@@ -55,7 +55,7 @@
     world, worker_id, _ = world_with_long_run()
     world.lost_answers.add(worker_id)
     world.workers[worker_id].next_heartbeat = float("inf")
-    world.advance(REMOVE_AFTER + 5)
+    world.advance(CONTACT_LIMIT + 5)
 
 
 def test_task_that_ended_at_a_removed_worker_is_not_run_again():
@@ -63,7 +63,7 @@
     world, worker_id, _ = world_with_long_run(duration=15.0)
     world.lost_answers.add(worker_id)
     world.workers[worker_id].next_heartbeat = float("inf")
-    world.advance(REMOVE_AFTER + 5)
+    world.advance(CONTACT_LIMIT + 5)
     world.lost_answers.clear()
     world.workers[worker_id].next_heartbeat = 0.0
     world.advance(5)
@@ -105,7 +105,7 @@
 
     world.transact = lose_removals
     worker.silent = True
-    world.advance(REMOVE_AFTER + 4)
+    world.advance(CONTACT_LIMIT + 4)
     assert worker_id not in world.agents[worker.agent_id].state.workers
     worker.silent = False
     world.advance(6)
