Bound the leases of a former lifetime by the horizon

A restarted agent took former leases for over after the longest duration of its own settings. That setting can change while runs go on, and the former lifetime may have granted longer ones: the run was released beside itself. Each lease ends at the horizon after a confirmed report at the latest, whatever the setting, so that the horizon is the bound.

test_former_lease_under_longer_settings_is_taken_as_valid failed before ("runs on w0 and w1").

--- a/packages/wasabispur-core/src/wasabispur_core/workload/lease_clock.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/lease_clock.py
@@ -56,11 +56,11 @@
 def former_lease_end(times: LeaseTimes, now: float) -> float:
     """Return the time at which leases are over that were granted before now.
 
-    An agent that meets a worker for the first time can't know which leases its own
-    former lifetime, or another agent, granted to it. They end by lease_end() of that
-    lifetime, at most the longest duration after its last call.
+    An agent that meets a worker can't know which leases its former lifetime granted to
+    it. lease_end() of that lifetime bounded them by the horizon; the longest duration
+    is no bound, as it may have been longer under former settings.
     """
-    return now + times.max_duration
+    return now + times.horizon
 
 
 def owner_horizon(times: LeaseTimes) -> float:
