Keep the report of a worker that comes back while its row is deleted

An agent that removed a worker marked the report as removed and began to delete its row. If the worker announced itself again while the deletion was under way, the commit dropped the report's state under the living worker, and every message about it failed with a KeyError until the next heartbeat of the worker. If the deletion failed, the mark stayed: the row was never deleted, and a worker that came back had its first new report taken for the deletion, with the same KeyError.

The state now says whether the write in progress is the deletion. Its commit under a living worker leaves a row that is absent, and the report is written anew. A failed deletion is retried by the tick while the worker is away; the row is read first, and left alone if another agent has written it. From the removal on, no report counts as confirmed, so that no run starts and no lease is extended at a worker that comes back until the store has a new report.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -49,6 +49,20 @@
     return [replace_report_row(worker_id, report, content, state, now)]
 
 
+def delete_report(worker_id: str, state: RunnerState, now: float) -> list[Command]:
+    """Delete the row of a removed worker, after reading it if its version is unknown.
+
+    The version is unknown after a failed deletion, which may have taken effect.
+    """
+    report = state.reports[worker_id]
+    if report.in_flight or report.reading or now < report.retry_at:
+        return []
+    if report.version is None:
+        report.reading = True
+        return [ReadRows(read_id=worker_id, prefix=report_key(worker_id))]
+    return [replace_report_row(worker_id, report, None, state, now)]
+
+
 def replace_report_row(
     worker_id: str,
     report: ReportState,
@@ -59,6 +73,7 @@
     """Replace the report's row, or delete the row if the content is None."""
     key = report_key(worker_id)
     report.in_flight = state.new_operation_id()
+    report.deleting = content is None
     report.sent_at = now
     return Transact(
         transaction=Transaction(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from math import inf
 
 from ..command import Command, SetTimer, WriteLog
 from ..error import UnhandledMessageError
@@ -30,8 +31,8 @@
 from .fleet_state import TableReady
 from .lease_clock import CONTACT_LIMIT, former_lease_end, is_lease_over
 from .report_writer import (
+    delete_report,
     find_report_write,
-    replace_report_row,
     REPORT_RETRY_DELAY,
     run_snapshot,
     write_report,
@@ -230,6 +231,9 @@
             commands += abandon_runs(worker, LEASE_EXPIRED, state, now)
         if _is_expired(worker, now):
             commands += _remove_worker(worker, state, now)
+    for worker_id in list(state.reports):
+        if worker_id not in state.workers:
+            commands += delete_report(worker_id, state, now)
     return [*commands, *_advance_all(state, now)]
 
 
@@ -241,14 +245,15 @@
     worker_id, report = found
     report.in_flight = ""
     report.version = message.versions[report_key(worker_id)]
-    silence = report.sent_at - report.confirmed_at
-    report.confirmed_at = report.sent_at
-    if report.removed:
-        del state.reports[worker_id]
-        return []
     worker = state.workers.get(worker_id)
     if worker is None:
+        del state.reports[worker_id]
         return []
+    if report.deleting:
+        # The worker came back while its row was being deleted.
+        return _advance(worker, state, now)
+    silence = report.sent_at - report.confirmed_at
+    report.confirmed_at = report.sent_at
     commands = _advance(worker, state, now)
     if worker.runs and silence > LEASE_RENEWAL_SILENCE:
         # The poll in progress may last until the lease is over.
@@ -288,6 +293,10 @@
         report.number = max(report.number, number if isinstance(number, int) else 0)
     worker = state.workers.get(message.read_id)
     if worker is None:
+        if row is not None and row.value.get("agent_id") == state.agent_id:
+            return delete_report(message.read_id, state, now)
+        # The row has been deleted, or the worker has moved to another agent.
+        del state.reports[message.read_id]
         return []
     # The row may come from another writer; what can't be read is no evidence.
     former = unpack(WorkerReport, row.value).value_or(None) if row else None
@@ -403,5 +412,6 @@
     if report.in_flight or report.version is None:
         return []
     del state.workers[worker_id]
-    report.removed = True
-    return [replace_report_row(worker_id, report, None, state, now)]
+    # If the worker comes back, no run starts until the owner has a new report.
+    report.confirmed_at = -inf
+    return delete_report(worker_id, state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -131,8 +131,8 @@
     Times are in monotonic seconds. version is the version of the row, or None if the
     row has to be read first. in_flight is the id of the write in progress, or empty.
     The row is neither read nor written before retry_at. confirmed_at is the time at
-    which the last report that the store confirmed was sent. removed is set while the
-    row is being deleted.
+    which the last report that the store confirmed was sent. deleting is set if the
+    write in progress deletes the row, as its worker was removed.
     """
 
     version: int | None = None
@@ -143,7 +143,7 @@
     confirmed_at: float = -inf
     retry_at: float = -inf
     changed: bool = True
-    removed: bool = False
+    deleting: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
