Take no worker for silent while the owner reads no reports

Callers would see a task run again after its last attempt (BUDGET). When the others of a gang ended as broken, the owner ended the member on a worker without a report for 3 s as lost, also if the owner itself had read no report, because its feed had failed or its process had been paused. The end as failed, which it read afterwards, was acknowledged and never counted.

end_broken_gangs now waits like remove_silent_workers until reports have arrived without a gap for CATCH_UP_TIME. test_owner_without_its_feed_takes_no_worker_for_silent failed before with "assert 4 == 0": four starts of run 2 during the outage of the feed.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -178,8 +178,11 @@
     """End the members on silent workers whose end the other members show.
 
     A gang whose worker is gone for good runs again without waiting for the lease
-    horizon. A worker that still reports lists the end itself, and how it came.
+    horizon. A worker that still reports lists the end itself, and how it came. No
+    worker counts as silent while its reports may be unread.
     """
+    if not _reports_are_read(state, now):
+        return []
     commands: list[Command] = []
     for worker in state.workers.values():
         if now - worker.seen_at <= REPORT_AGE_LIMIT:
@@ -240,7 +243,7 @@
     reports written during an outage or a pause may list ends that have yet to be
     applied.
     """
-    if now - state.reports_since < CATCH_UP_TIME:
+    if not _reports_are_read(state, now):
         return []
     commands: list[Command] = []
     for worker in list(state.workers.values()):
@@ -254,6 +257,11 @@
     return commands
 
 
+def _reports_are_read(state: FleetState, now: float) -> bool:
+    """Return whether reports have arrived without a gap for the catch-up time."""
+    return now - state.reports_since >= CATCH_UP_TIME
+
+
 def _remove_replaced_workers(state: FleetState, now: float) -> list[Command]:
     """Remove the workers that a later one replaced at the same agent and address."""
     latest: dict[tuple[str, str], Worker] = {}
--- a/tests/workload/test_broken_gang.py
+++ b/tests/workload/test_broken_gang.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from wasabispur_core.feed import FeedHealth
+from wasabispur_core.store import Row
+from wasabispur_core.workload.rows import report_key, REPORT_TABLE
+from wasabispur_core.workload.unit import Unit
 from wasabispur_core.workload.worker import EndKind
 
 from .world import COMPLETED, gang, World
@@ -31,6 +37,23 @@
                 worker.end(task, kind)
 
 
+def fail_gang(world: World, *failing_ids: str) -> None:
+    """Let the members on some workers fail, so that the others end as broken."""
+    for worker in world.workers.values():
+        for task in list(worker.runs):
+            if worker.worker_id in failing_ids:
+                world.failures[task] = world.failures.get(task, 0) + 1
+                worker.end(task, EndKind.FAILED)
+            else:
+                worker.end(task, EndKind.BROKEN)
+
+
+def unit_of(world: World, job: str) -> Unit:
+    """Return the only unit of a job, as the owner knows it."""
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    return unit
+
+
 def test_gang_runs_again_once_the_others_show_that_the_lost_member_ended():
     """Guard against a gang that waits for a worker that is gone for good."""
     world, job = world_with_gang()
@@ -73,11 +96,42 @@
 def test_failure_of_a_member_still_counts_as_an_attempt():
     """Guard against a failed attempt that is taken for the loss of a worker."""
     world, job = world_with_gang()
-    failing = world.workers[world.starts[0][3]]
-    for worker in world.workers.values():
-        for task in list(worker.runs):
-            worker.end(task, EndKind.FAILED if worker is failing else EndKind.BROKEN)
+    fail_gang(world, world.starts[0][3])
     world.advance(RESTART_LIMIT)
+    assert unit_of(world, job).failures == 1
+
+
+def hold_reports(world: World, worker_id: str) -> Callable[[], None]:
+    """Hold a worker's reports back from the owner; return what delivers them."""
     owner = world.owner()
-    unit = next(iter(owner.fleet.jobs[job].units.values()))
-    assert unit.failures == 1
+    tables, deliver = world.store.listeners[owner]
+    held = []
+
+    def filter_changes(rows: tuple[Row, ...], removed: tuple[str, ...]) -> None:
+        late = tuple(row for row in rows if row.key == report_key(worker_id))
+        held.extend(late)
+        deliver(tuple(row for row in rows if row not in late), removed)
+
+    def release() -> None:
+        world.store.listeners[owner] = tables, deliver
+        deliver(tuple(held), ())
+
+    world.store.listeners[owner] = tables, filter_changes
+    return release
+
+
+def test_owner_without_its_feed_takes_no_worker_for_silent():
+    """Guard against a failure that is lost because the owner could not read of it."""
+    world, job = world_with_gang()
+    failing_id = world.starts[0][3]
+    owner = world.owner()
+    release = hold_reports(world, failing_id)
+    fail_gang(world, failing_id)
+    world.advance(0.5)
+    owner.post(FeedHealth(table=REPORT_TABLE, healthy=False))
+    world.advance(RESTART_LIMIT)
+    assert [run for _, _, run, _ in world.starts].count(2) == 0
+    release()
+    owner.post(FeedHealth(table=REPORT_TABLE, healthy=True))
+    world.advance(1)
+    assert unit_of(world, job).failures == 1
