Store that a member of the current run has failed

Callers would see a gang run again after its last attempt (BUDGET). A failed member counts as an attempt once the whole run has ended. Only the owner's memory held it until then: the end was recorded and acknowledged, and an owner that took over while another member still ran counted no attempt for that run.

The unit's record has run_failed now; rows without it load as before. test_new_owner_counts_a_failure_whose_run_has_yet_to_end failed before with "assert 0 == 1" failures.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -47,7 +47,8 @@
 class UnitRecord:
     """Describe the stored state of one unit: a whole gang or a single task.
 
-    crashes contains the workers that crashed under its tasks.
+    run_failed is set once a member of the current run has failed, and crashes contains
+    the workers that crashed under the unit's tasks.
     """
 
     occurrence: int = 0
@@ -56,6 +57,7 @@
     state: str
     run: int = 0
     failures: int = 0
+    run_failed: bool = False
     checkpoint: str = ""
     members: tuple[MemberRecord, ...] = ()
     crashes: CrashHistory = NO_CRASHES
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -214,6 +214,7 @@
             state=self.state,
             run=self.run,
             failures=self.failures,
+            run_failed=self.run_failed,
             checkpoint=self.checkpoint,
             members=members,
             crashes=self.crashes,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -252,6 +252,7 @@
         lifecycle=state.unit_chart.resume(record.state),
         run=record.run,
         failures=record.failures,
+        run_failed=record.run_failed,
         checkpoint=record.checkpoint,
         start_checkpoint=record.checkpoint,
         crashes=record.crashes,
--- a/tests/workload/test_broken_gang.py
+++ b/tests/workload/test_broken_gang.py
@@ -135,3 +135,21 @@
     owner.post(FeedHealth(table=REPORT_TABLE, healthy=True))
     world.advance(1)
     assert unit_of(world, job).failures == 1
+
+
+def test_new_owner_counts_a_failure_whose_run_has_yet_to_end():
+    """Guard against an attempt that is forgotten if its owner is lost meanwhile."""
+    world, job = world_with_gang()
+    failing_id, cut_off_id = (where for _, _, _, where in world.starts[:2])
+    cut_off = world.agents[world.workers[cut_off_id].agent_id]
+    cut_off.partitioned = True
+    fail_gang(world, failing_id)
+    world.advance(1)
+    assert unit_of(world, job).run_failed
+    for index in range(3):
+        world.kill_entry(index)
+    world.advance(3)
+    cut_off.partitioned = False
+    world.deliver_missed_rows()
+    world.advance(2)
+    assert unit_of(world, job).failures == 1
