Remove a silent worker only after the owner has dropped its runs

An agent released the runs of a silent worker and deleted its report in the same tick, so that the owner never read the refusals. It ended the runs because the report was gone, and left the worker's orders row as it was, with the runs in it. If the worker came back, and had got no call for a run before, the agent started it from these orders as soon as its first new report was stored, while the run's successor was at work elsewhere, unless the owner replaced the orders sooner.

The agent now removes a worker whose lease is over only once the orders contain no run any more, which the owner drops when it reads the refusals. A worker that has deregistered is removed as before: it doesn't come back, and the owner may forget it before it writes the orders.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -399,8 +399,16 @@
 
 
 def _is_expired(worker: LocalWorker, now: float) -> bool:
-    """Return whether a worker is removed, upon which the owner ends its runs."""
-    return _is_gone(worker, now) and worker.silence(now) > CONTACT_LIMIT
+    """Return whether a worker that is gone is removed.
+
+    A worker that may come back is removed only after the owner has taken its runs out
+    of the orders, as they are reported as not there any more. The owner leaves the
+    orders of a worker without a report as they are, so that the worker would be told to
+    start these runs. A worker that has deregistered does not come back.
+    """
+    if worker.silence(now) <= CONTACT_LIMIT:
+        return False
+    return worker.departed or (_is_gone(worker, now) and not worker.ordered)
 
 
 def _remove_worker(
--- a/tests/workload/test_worker_removal.py
+++ b/tests/workload/test_worker_removal.py
@@ -12,7 +12,7 @@
 from wasabispur_core.workload.runner_state import LeaseTimes
 
 from .test_restarted_agent import world_with_run
-from .world import TIMES, World
+from .world import HEARTBEAT_INTERVAL, started_world, tasks, TIMES, World
 
 LONG_RUN_TIME = 200.0
 """Seconds of a run that outlasts the removal of its worker."""
@@ -100,3 +100,32 @@
     world.workers[worker_id].silent = True
     world.advance(REMOVAL_TIME)
     assert not has_report(world, worker_id)
+
+
+def test_worker_that_comes_back_after_its_removal_starts_no_former_order():
+    """Guard against orders that stay behind when the owner loses a report.
+
+    The worker got no call for the run, so that its lists don't show that it ended, and
+    the owner is too slow to replace the orders when the worker is back.
+    """
+    world = started_world(workers=2)
+    for worker in world.workers.values():
+        worker.silent = True
+    world.submit(tasks(1), duration=LONG_RUN_TIME)
+    world.advance(0.3)
+    ordered = [
+        worker_id
+        for agent in world.agents.values()
+        for worker_id, worker in agent.state.workers.items()
+        if worker.ordered
+    ]
+    assert len(ordered) == 1
+    for worker_id, worker in world.workers.items():
+        worker.silent = worker_id in ordered
+    world.advance(60)
+    assert not has_report(world, ordered[0])
+    assert len(world.starts) == 1
+    world.workers[ordered[0]].silent = False
+    world.owner().paused = True
+    world.advance(HEARTBEAT_INTERVAL + 0.3)
+    assert len(world.starts) == 1
