End a task's lease at a time on the worker's clock

Two runs of one job could be live at the same time: an agent sends a renewal, the worker executes it nine seconds later, and the agent has died meanwhile. The lease was a duration, counted by the worker from the execution, so that the task ran on for up to the delay beyond the end that the owner counts, and the owner placed the job again. A start that is executed late had the same effect.

The worker's list now shows its clock, and starts and renewals carry the lease's end as a time on that clock, computed as if the clock were slow by the largest drift. A late call prolongs nothing, and a start whose lease is over is refused. The duration stays as the second bound, for a worker whose clock was set back by a restart. An agent that has not read the clock grants no lease.

Failing before: tests/job/test_restarted_agent.py:: test_renewal_that_the_worker_executes_late_prolongs_no_lease: single_run: two runs of a job are live

The fake worker of test_worker_drain.py follows the client's new signature.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_client.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_client.py
@@ -44,11 +44,17 @@
 
 
 class TaskList(BaseModel):
-    """Represent the worker's list of tasks."""
+    """Represent the worker's list of tasks, and the worker's clock in seconds."""
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
     tasks: tuple[TaskView, ...]
+    clock: float
+
+    @property
+    def by_id(self) -> dict[str, TaskView]:
+        """Return the tasks by id."""
+        return {task.task_id: task for task in self.tasks}
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,8 +88,8 @@
             url, maxsize=CONNECTION_LIMIT, block=True
         )
 
-    def start(self, reserve: ReserveTask, lease: float) -> Answer:
-        """Start a task under a lease in seconds.
+    def start(self, reserve: ReserveTask, lease: float, lease_end: float) -> Answer:
+        """Start a task under a lease in seconds that ends by a time at the worker.
 
         A repeated call does not start the task a second time.
         """
@@ -92,13 +98,15 @@
             "accelerators": reserve.accelerators,
             "command": reserve.command,
             "lease": lease,
+            "lease_end": lease_end,
             "checkpoint": reserve.checkpoint,
         }
         return self._call_task("POST", "/v1/tasks", body)
 
-    def renew(self, task_id: str, lease: float) -> Answer:
-        """Extend a task's lease, so that it ends lease seconds from now."""
-        return self._call_task("POST", f"/v1/tasks/{task_id}/renew", {"lease": lease})
+    def renew(self, task_id: str, lease: float, lease_end: float) -> Answer:
+        """Extend a task's lease by seconds from now, up to a time at the worker."""
+        body = {"lease": lease, "lease_end": lease_end}
+        return self._call_task("POST", f"/v1/tasks/{task_id}/renew", body)
 
     def stop(self, task_id: str) -> Answer:
         """Request that a task stops; the task may take some time to end."""
@@ -108,12 +116,10 @@
         """Request that a task saves a checkpoint of its progress."""
         return self._call_task("POST", f"/v1/tasks/{task_id}/checkpoint", {})
 
-    def tasks(self) -> dict[str, TaskView] | None:
-        """Return all tasks by id, or None if the worker gave no valid answer."""
+    def tasks(self) -> TaskList | None:
+        """Return all tasks, or None if the worker gave no valid answer."""
         answer = self._call("GET", "/v1/tasks", None, TASK_LIST_ADAPTER)
-        if not isinstance(answer, TaskList):
-            return None
-        return {task.task_id: task for task in answer.tasks}
+        return answer if isinstance(answer, TaskList) else None
 
     def _call_task(self, method: str, path: str, body: dict[str, Any]) -> Answer:
         answer: Answer = self._call(method, path, body, TASK_ADAPTER)
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -11,6 +11,7 @@
 
 from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
 from wasabispur_core.message import event_name, Message
+from wasabispur_core.ownership import CLOCK_DRIFT
 from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import (
     Leaving,
@@ -51,15 +52,42 @@
     """Request the next read of the worker's tasks."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClockReading:
+    """Describe the worker's clock at a time, both in seconds.
+
+    read_at is on the agent's clock, and not before the worker read its own.
+    """
+
+    time: float
+    read_at: float
+
+    def lease_end(self, expiry: float) -> float:
+        """Return a time on the worker's clock that isn't after the agent's expiry.
+
+        A call that the worker executes late prolongs nothing, as the end of its lease
+        is a time and not a duration. The worker's clock may be slow.
+        """
+        return self.time + (expiry - self.read_at) * (1 - CLOCK_DRIFT)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TasksRead(Message):
-    """Deliver the worker's tasks, or None in views if the worker did not answer.
+    """Deliver the worker's tasks, or None in read if the worker did not answer.
 
     polled are the ids of the tasks that had been started before the read was sent.
     """
 
     polled: frozenset[str]
-    views: dict[str, TaskView] | None
+    read: WorkerRead | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerRead:
+    """Represent the worker's tasks by id, and its clock with them."""
+
+    views: dict[str, TaskView]
+    clock: ClockReading
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,6 +108,8 @@
         self.client = client
         self.links: dict[str, Actor] = {}
         self.threads = ThreadPoolExecutor(THREAD_LIMIT, thread_name_prefix="worker")
+        # Without the worker's clock, no lease can be granted.
+        self.clock: ClockReading | None = None
         # The last call for each task id. The calls for one task are made in order,
         # so that a stop can't overtake the start.
         self.last_calls: dict[str, asyncio.Task[None]] = {}
@@ -101,11 +131,23 @@
         Return once no task runs.
         """
         while True:
-            views = await asyncio.to_thread(stop_remaining_tasks, self.client)
-            if views is not None:
-                break
+            read = await asyncio.to_thread(self.read_tasks)
+            if read is not None:
+                running = running_tasks(read.views)
+                if not running:
+                    break
+                await asyncio.to_thread(stop_tasks, self.client, running)
             await sleep(self.timers, POLL_INTERVAL)
-        self.on_message(list_report(views))
+        self.clock = read.clock
+        self.on_message(list_report(read.views))
+
+    def read_tasks(self) -> WorkerRead | None:
+        """Return the worker's tasks and clock, or None if it did not answer."""
+        answer = self.client.tasks()
+        if answer is None:
+            return None
+        clock = ClockReading(time=answer.clock, read_at=self.timers.now())
+        return WorkerRead(views=answer.by_id, clock=clock)
 
     def on_poll_due(self, message: PollDue) -> None:
         """Read the worker's tasks on a thread."""
@@ -113,16 +155,18 @@
         polled = frozenset(
             task_id for task_id, task in tasks if task.lifecycle.state != "starting"
         )
-        self.call("", lambda: TasksRead(polled=polled, views=self.client.tasks()))
+        self.call("", lambda: TasksRead(polled=polled, read=self.read_tasks()))
 
     def on_tasks_read(self, message: TasksRead) -> None:
         """Report tasks that ended at the worker, and schedule the next read."""
         self.set_timer("poll", POLL_INTERVAL, PollDue())
-        if message.views is None:
+        if message.read is None:
             return
-        self.on_message(list_report(message.views))
+        self.clock = message.read.clock
+        views = message.read.views
+        self.on_message(list_report(views))
         for task_id in list(self.state.tasks):
-            view = message.views.get(task_id)
+            view = views.get(task_id)
             if view is not None and view.ended:
                 self.report(end_report(view))
             elif view is None and self.is_missing(task_id, message.polled):
@@ -142,9 +186,8 @@
         task = self.state.tasks.get(command.reserve.task_id)
         if task is None or task.lifecycle.state != "starting":
             return
-        lease = task.expiry - self.timers.now()
-        if lease > 0:
-            execute(RunAtWorker(reserve=command.reserve, lease=lease), self)
+        if task.expiry > self.timers.now():
+            execute(RunAtWorker(reserve=command.reserve, expiry=task.expiry), self)
 
     def report(self, message: TaskStarted | TaskFinished | TaskStopped) -> None:
         """Log the start or end of a task and pass it to the decision component."""
@@ -198,25 +241,30 @@
 
 @execute.register
 def _(command: RunAtWorker, actor: WorkerRunner) -> None:
-    reserve = command.reserve
-    expiry = actor.timers.now() + command.lease
-    actor.call(
-        reserve.task_id,
-        lambda: StartAnswered(
-            command=command,
-            answer=actor.client.start(reserve, expiry - actor.timers.now()),
-        ),
-    )
+    reserve, clock = command.reserve, actor.clock
+    if clock is None:
+        actor.report(stop_report(reserve.task_id, Reason.WORKER_UNREACHABLE))
+        return
+    lease_end = clock.lease_end(command.expiry)
+
+    def start() -> Message:
+        lease = command.expiry - actor.timers.now()
+        answer = actor.client.start(reserve, lease, lease_end)
+        return StartAnswered(command=command, answer=answer)
+
+    actor.call(reserve.task_id, start)
 
 
 @execute.register
 def _(command: RenewAtWorker, actor: WorkerRunner) -> None:
-    expiry = actor.timers.now() + command.lease
+    if actor.clock is None:
+        return
+    lease_end = actor.clock.lease_end(command.expiry)
 
     def renew() -> None:
-        lease = expiry - actor.timers.now()
+        lease = command.expiry - actor.timers.now()
         if lease > 0:
-            actor.client.renew(command.task_id, lease)
+            actor.client.renew(command.task_id, lease, lease_end)
 
     actor.call(command.task_id, renew)
 
@@ -290,20 +338,20 @@
     return TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
 
 
+def running_tasks(views: dict[str, TaskView]) -> tuple[str, ...]:
+    """Return the ids of the listed tasks that run."""
+    return tuple(task_id for task_id, view in views.items() if not view.ended)
+
+
 def list_report(views: dict[str, TaskView]) -> TasksListed:
     """Return the report of all tasks that the worker lists."""
     return TasksListed(
-        running=tuple(task_id for task_id, view in views.items() if not view.ended),
+        running=running_tasks(views),
         ended=tuple(end_report(view) for view in views.values() if view.ended),
     )
 
 
-def stop_remaining_tasks(client: WorkerClient) -> dict[str, TaskView] | None:
-    """Stop all tasks at the worker; return its list, or None if a task was running."""
-    tasks = client.tasks()
-    if tasks is None:
-        return None
-    running = [task_id for task_id, view in tasks.items() if not view.ended]
-    for task_id in running:
+def stop_tasks(client: WorkerClient, task_ids: tuple[str, ...]) -> None:
+    """Ask the worker to stop some tasks."""
+    for task_id in task_ids:
         client.stop(task_id)
-    return None if running else tasks
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -54,18 +54,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunAtWorker(Command):
-    """Start a task at the worker; the lease is in seconds from now."""
+    """Start a task at the worker; expiry is the lease's end on the agent's clock."""
 
     reserve: ReserveTask
-    lease: float
+    expiry: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RenewAtWorker(Command):
-    """Extend a task's lease at the worker to lease seconds from now."""
+    """Extend a task's lease at the worker; expiry is its end on the agent's clock."""
 
     task_id: str
-    lease: float
+    expiry: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/task_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task_action.py
@@ -179,14 +179,13 @@
 @perform.register
 def _(action: RunTask) -> list[Command]:
     task = action.subject
-    return [RunAtWorker(reserve=task.reserve, lease=task.expiry - action.now)]
+    return [RunAtWorker(reserve=task.reserve, expiry=task.expiry)]
 
 
 @perform.register
 def _(action: ForwardLease) -> list[Command]:
     task = action.subject
-    lease = task.expiry - action.now
-    return [RenewAtWorker(task_id=task.reserve.task_id, lease=lease)]
+    return [RenewAtWorker(task_id=task.reserve.task_id, expiry=task.expiry)]
 
 
 @perform.register
--- a/packages/wasabispur-standins/src/wasabispur_standins/worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker.py
@@ -41,7 +41,10 @@
 
 
 class StartBody(_Body):
-    """Validate the body of a start; lease is in seconds, memory in bytes."""
+    """Validate the body of a start; lease is in seconds, memory in bytes.
+
+    lease_end is a time on the worker's clock.
+    """
 
     task_id: Annotated[str, Field(min_length=1, max_length=128)]
     accelerators: Annotated[int, Field(ge=0)] = 0
@@ -49,6 +52,7 @@
     memory: Annotated[int, Field(ge=0)] = 0
     command: Annotated[str, Field(max_length=64 * 1024)] = "{}"
     lease: Lease
+    lease_end: float | None = None
     checkpoint: str = ""
 
     def call(self) -> StartTaskCall:
@@ -65,14 +69,19 @@
             accelerators=self.accelerators,
             command=command,
             lease=self.lease,
+            lease_end=self.lease_end,
             checkpoint=self.checkpoint,
         )
 
 
 class RenewBody(_Body):
-    """Validate the body of a renewal; lease is in seconds."""
+    """Validate the body of a renewal; lease is in seconds.
+
+    lease_end is a time on the worker's clock.
+    """
 
     lease: Lease
+    lease_end: float | None = None
 
 
 class ThrottleBody(_Body):
@@ -113,7 +122,7 @@
         if cherrypy.request.method == "POST":
             return json_answer(asdict(self.ask(read_model(StartBody).call())))
         if cherrypy.request.method == "GET":
-            return json_answer({"tasks": [asdict(t) for t in self.ask(ReadTasks())]})
+            return json_answer(asdict(self.ask(ReadTasks())))
         return method_not_allowed()
 
     @cherrypy.expose
@@ -131,7 +140,10 @@
     """Return the message for a command on a task; raise NotFoundError if unknown."""
     match command:
         case "renew":
-            return RenewCall(task_id=task_id, lease=read_model(RenewBody).lease)
+            body = read_model(RenewBody)
+            return RenewCall(
+                task_id=task_id, lease=body.lease, lease_end=body.lease_end
+            )
         case "throttle":
             return ThrottleCall(task_id=task_id, share=read_model(ThrottleBody).share)
         case "checkpoint":
--- a/packages/wasabispur-standins/src/wasabispur_standins/worker_message.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker_message.py
@@ -26,21 +26,29 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StartTaskCall(Message):
-    """Request to start a task under a lease in seconds; an id starts only once."""
+    """Request to start a task under a lease in seconds; an id starts only once.
+
+    The lease ends at lease_end on the worker's clock at the latest.
+    """
 
     task_id: str
     accelerators: int
     command: TaskCommand
     lease: float
     checkpoint: str
+    lease_end: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RenewCall(Message):
-    """Request to renew the lease of a task so that it ends lease seconds from now."""
+    """Request to renew the lease of a task so that it ends lease seconds from now.
+
+    The lease ends at lease_end on the worker's clock at the latest.
+    """
 
     task_id: str
     lease: float
+    lease_end: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-standins/src/wasabispur_standins/worker_state.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/worker_state.py
@@ -82,6 +82,14 @@
     result: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TaskListing:
+    """Represent all tasks, and the worker's clock in seconds."""
+
+    tasks: tuple[TaskView, ...]
+    clock: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Start:
     """Record one start of a task; at is in seconds on the worker's clock."""
@@ -193,6 +201,19 @@
     )
 
 
+def lease_end(message: StartTaskCall | RenewCall, now: float) -> float:
+    """Return the end of a lease; raise TaskConflictError if the lease is over."""
+    end = now + message.lease
+    if message.lease_end is not None:
+        end = min(end, message.lease_end)
+    if end <= now:
+        raise TaskConflictError(
+            f"the lease of {message.task_id} ended {now - end:.3f} s ago",
+            "ask the owner for a new lease",
+        )
+    return end
+
+
 def checkpoint_progress(checkpoint: str) -> float:
     """Return the progress in seconds from the name of a checkpoint, or 0."""
     text = checkpoint.rpartition(":")[2]
@@ -221,7 +242,7 @@
         command=message.command,
         started=now,
         updated=now,
-        lease_end=now + message.lease,
+        lease_end=lease_end(message, now),
         progress=checkpoint_progress(message.checkpoint),
         checkpoint=message.checkpoint,
     )
@@ -242,7 +263,7 @@
 def _(message: RenewCall, state: WorkerState, now: float) -> TaskView:
     state.advance(now)
     task = state.require_running(message.task_id)
-    task.lease_end = now + message.lease
+    task.lease_end = max(task.lease_end, lease_end(message, now))
     return task_view(task, now)
 
 
@@ -285,9 +306,10 @@
 
 
 @handle.register
-def _(message: ReadTasks, state: WorkerState, now: float) -> list[TaskView]:
+def _(message: ReadTasks, state: WorkerState, now: float) -> TaskListing:
     state.advance(now)
-    return [task_view(task, now) for task in state.tasks.values()]
+    views = tuple(task_view(task, now) for task in state.tasks.values())
+    return TaskListing(tasks=views, clock=now)
 
 
 @handle.register
--- a/tests/job/test_restarted_agent.py
+++ b/tests/job/test_restarted_agent.py
@@ -36,3 +36,17 @@
     agent.running["j0.1.0"] = world.local(agent) + 15.0
     world.advance(1)
     assert not agent.running
+
+
+def test_renewal_that_the_worker_executes_late_prolongs_no_lease():
+    """Guard against a run that outlasts the lease that its owner counts."""
+    world, _, agent = world_with_run()
+    agent.delays_calls = True
+    while not agent.late_calls:
+        world.advance(0.5)
+    world.kill_agent(agent.name)
+    world.advance(9)
+    world.execute_late_calls(agent)
+    assert agent.running
+    world.advance(30)
+    assert len(world.started) == 2
--- a/tests/job/test_worker_drain.py
+++ b/tests/job/test_worker_drain.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from wasabispur_agent.worker_client import TaskView
-from wasabispur_agent.worker_runner import DRAIN_TIMEOUT, WorkerRunner
+from wasabispur_agent.worker_client import TaskList, TaskView
+from wasabispur_agent.worker_runner import ClockReading, DRAIN_TIMEOUT, WorkerRunner
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.permit import FromEntry
 from wasabispur_core.protocol import ReserveTask, StartTask
@@ -26,11 +26,11 @@
     def view(self) -> TaskView:
         return TaskView(task_id=TASK, state=self.state)
 
-    def start(self, reserve, lease) -> TaskView:
+    def start(self, reserve, lease, lease_end) -> TaskView:
         return self.view()
 
-    def tasks(self) -> dict[str, TaskView]:
-        return {TASK: self.view()}
+    def tasks(self) -> TaskList:
+        return TaskList(tasks=(self.view(),), clock=0.0)
 
     def checkpoint(self, task_id) -> TaskView:
         return self.view()
@@ -45,6 +45,7 @@
     timers = FakeTimerService()
     state = TaskState("atl-1", 8, task_chart(ChartCatalogue()))
     runner = WorkerRunner(timers, state, worker)
+    runner.clock = ClockReading(time=0.0, read_at=0.0)
     runner.start()
     fields = {
         "task_id": TASK,
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -371,7 +371,7 @@
                 self.run_at_worker(command, source)
             case RenewAtWorker():
                 if command.task_id in source.running:
-                    source.running[command.task_id] = self.local(source) + command.lease
+                    source.running[command.task_id] = command.expiry
             case StopAtWorker():
                 if not source.ignores_stops:
                     saved = f"saved {command.task_id}" if command.checkpoint else ""
@@ -408,11 +408,11 @@
 
     def run_at_worker(self, command: RunAtWorker, agent: Agent) -> None:
         reserve = command.reserve
-        if reserve.task_id in self.started:
+        if reserve.task_id in self.started or self.local(agent) >= command.expiry:
             return
         self.check_start(reserve, agent)
         self.started.append(reserve.task_id)
-        agent.running[reserve.task_id] = self.local(agent) + command.lease
+        agent.running[reserve.task_id] = command.expiry
         started = TaskStarted(task_id=reserve.task_id, gang_epoch=0)
         self.post(agent, started)
 
--- a/tests/platform/test_worker_state.py
+++ b/tests/platform/test_worker_state.py
@@ -23,13 +23,23 @@
 )
 
 
-def start(state, task_id="t", accelerators=2, now=0.0, lease=10.0, checkpoint="", **c):
+def start(
+    state,
+    task_id="t",
+    accelerators=2,
+    now=0.0,
+    lease=10.0,
+    lease_end=None,
+    checkpoint="",
+    **c,
+):
     """Start a task and return its view."""
     call = StartTaskCall(
         task_id=task_id,
         accelerators=accelerators,
         command=TaskCommand(**c),
         lease=lease,
+        lease_end=lease_end,
         checkpoint=checkpoint,
     )
     return handle(call, state, now)
@@ -73,6 +83,19 @@
     assert read(state, 3.8).state == "running"
 
 
+def test_call_that_is_executed_late_prolongs_no_lease():
+    """Guard against a lease that lasts longer the later its call is executed."""
+    state = WorkerState()
+    start(state, run_time=90.0, lease=5.0, lease_end=5.0)
+    handle(RenewCall(task_id="t", lease=5.0, lease_end=8.0), state, 4.0)
+    with pytest.raises(TaskConflictError):
+        handle(RenewCall(task_id="t", lease=5.0, lease_end=7.5), state, 7.8)
+    assert read(state, 8.1).state == "expired"
+    with pytest.raises(TaskConflictError):
+        start(state, task_id="u", now=9.0, lease=5.0, lease_end=8.5)
+    assert len(state.starts) == 1
+
+
 def test_throttle_slows_and_a_checkpoint_saves_the_progress():
     """Guard against progress lost in a restart from a checkpoint."""
     state = WorkerState()
