Say "never started" only once a former agent's start can't take effect

A restarted agent answers "never started" for a task that it doesn't know. The worker may execute a start of the former agent process seconds later: the owner had placed the job again by then, and two runs were live, of at-most-once jobs too; a job that its caller had cancelled, and that was told as ended, ran after that.

Cause: an empty task store and a worker's list without the task were taken for proof. They are proof only once all leases have ended that the former process may have granted. With ends of leases as times on the worker's clock this is at most one full lease after the agent's start, so the bound needs no row. The agent now keeps silent on such a task until then (the owner repeats its command), and reports at once what the worker lists. An agent grants no lease longer than TASK_LEASE.

Cost: a task that a killed agent had reserved and not started, or whose machine lost the worker's list, is placed again up to 15 s after the agent's return, where it was at once before. A task that the worker lists costs nothing.

Failing before: tests/job/test_restarted_agent.py:: test_start_that_is_executed_after_a_restart_of_its_agent_runs_alone with delays of 1, 6 and 12 s (single_run: two runs of a job are live; 20 s passed already), and test_cancelled_job_does_not_end_before_a_late_start_is_ruled_out (result: an ended job runs again)

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -9,7 +9,7 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.protocol import Announce, Heartbeat
-from wasabispur_core.task import TaskState
+from wasabispur_core.task import former_lease_end, TaskState
 from wasabispur_core.task_action import task_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import log
@@ -31,7 +31,12 @@
 ) -> None:
     """Run an agent beside a worker until stop is set, then stop its tasks."""
     chart = task_chart(ChartCatalogue())
-    state = TaskState(settings.data_centre, settings.accelerators, chart)
+    state = TaskState(
+        settings.data_centre,
+        settings.accelerators,
+        chart,
+        former_lease_end=former_lease_end(timers.now()),
+    )
     runner = WorkerRunner(timers, state, WorkerClient(settings.local_url))
     bundles = build_bundle_actor(settings, timers, runner.links)
     router = EntryMessageRouter(runner=runner, bundles=bundles)
@@ -49,8 +54,8 @@
             welcome_receiver=runner.post,
         )
     log(PROCESS_STARTED, process=settings.agent_id)
-    # The agent announces itself only when no task runs at the worker. If it then
-    # reports that it doesn't know a task, the task is proved not to run.
+    # The agent announces itself only when no task runs at the worker. A start of an
+    # earlier agent process may still take effect until former_lease_end.
     stopping_previous = asyncio.create_task(runner.stop_previous_tasks())
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait(
--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_action.py
@@ -31,12 +31,13 @@
     MemberPhase,
     ReclaimRequested,
 )
-from .job_lease import adopted_lease_bound, adoption_deadline, lease_bound, TASK_LEASE
+from .job_lease import adopted_lease_bound, adoption_deadline, lease_bound
 from .job_record import Cause, JobState
 from .protocol import (
     Reason,
     ReserveTask,
     StartTask,
+    TASK_LEASE,
     TaskFinished,
     TaskRefused,
     TaskStopped,
--- a/packages/wasabispur-core/src/wasabispur_core/job_lease.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_lease.py
@@ -7,10 +7,10 @@
 
 from .job import AgentClock, SchedulerState
 from .ownership import CLOCK_DRIFT, OUTAGE_GRACE
+from .protocol import TASK_LEASE
 
-TASK_LEASE = 15.0
 TASK_RENEWAL_INTERVAL = 5.0
-"""Length of a task's lease, and interval between its renewals, in seconds."""
+"""Interval between the renewals of a task's lease, in seconds."""
 
 STOP_TIMEOUT = 5.0
 """Seconds that a worker may take to stop a task."""
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job_queue.py
@@ -21,12 +21,12 @@
     MemberLost,
     SchedulerState,
 )
-from .job_lease import lease_bound, TASK_LEASE, TASK_RENEWAL_INTERVAL
+from .job_lease import lease_bound, TASK_RENEWAL_INTERVAL
 from .job_placement import place_queued_jobs
 from .job_record import cancel_key, job_prefix, JobRecord
 from .message import Message
 from .ownership import ShardAcquired, ShardLost, WriteRow
-from .protocol import JobCancelled, JobSubmitted, Reason, RenewTasks
+from .protocol import JobCancelled, JobSubmitted, Reason, RenewTasks, TASK_LEASE
 
 LISTING_INTERVAL = 5.0
 """Seconds between two reads of the shard's job rows."""
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -319,6 +319,10 @@
     permit_id: PermitId
 
 
+TASK_LEASE = 15.0
+"""Length of a task's lease in seconds; an agent grants no longer one."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReserveTask(Message):
     """Reserve accelerators for a task until lease seconds after the anchor.
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task.py
@@ -22,6 +22,7 @@
     ReserveTask,
     StartTask,
     StopTask,
+    TASK_LEASE,
     TaskFinished,
     TaskInventory,
     TaskRefused,
@@ -104,12 +105,14 @@
     """Represent the tasks of one worker at its agent.
 
     tombstones maps an ended task to the report of its end. epochs and owners give the
-    latest epoch and owner of each shard.
+    latest epoch and owner of each shard. Until former_lease_end, on the agent's clock,
+    the worker may still execute a start that an earlier agent process sent.
     """
 
     data_centre: str
     accelerators: int
     chart: Chart
+    former_lease_end: float
     leaving: bool = False
     tasks: dict[str, Task] = field(default_factory=dict)
     tombstones: OrderedDict[str, Message] = field(default_factory=OrderedDict)
@@ -171,8 +174,8 @@
     # A task may have ended while no agent ran, or under an earlier agent process. Only
     # the worker then knows whether it finished.
     for end in message.ended:
-        known = end.task_id in state.tasks or end.task_id in state.tombstones
-        if not known:
+        known = state.tombstones.get(end.task_id)
+        if end.task_id not in state.tasks and (known is None or is_presumed(known)):
             record_end(state, end.task_id, end)
     # A worker may execute a start after the agent process that sent it has died.
     return [
@@ -194,12 +197,10 @@
 @decide_for_owner.register
 def _(message: ReserveTask, state: TaskState, now: float) -> list[Command]:
     if message.task_id in state.tombstones:
-        return [to_owner(state, message.shard, state.tombstones[message.task_id])]
+        return report_end(message.task_id, message.shard, state, now)
     task = state.tasks.get(message.task_id)
     if task is None:
-        # The anchor is the agent's clock in its last heartbeat.
-        expiry = message.anchor + message.lease
-        task = Task(message, state.chart.start(), expiry)
+        task = Task(message, state.chart.start(), lease_expiry(message))
     return task.lifecycle.handle(message, state, task, now)
 
 
@@ -212,7 +213,7 @@
 ) -> list[Command]:
     task = state.tasks.get(message.task_id)
     if task is None:
-        return [report_end(message.task_id, message.shard, state)]
+        return report_end(message.task_id, message.shard, state, now)
     return task.lifecycle.handle(message, state, task, now)
 
 
@@ -222,7 +223,7 @@
     for task_id in message.task_ids:
         task = state.tasks.get(task_id)
         if task is None:
-            commands.append(report_end(task_id, message.shard, state))
+            commands += report_end(task_id, message.shard, state, now)
         else:
             commands += task.lifecycle.handle(message, state, task, now)
     inventory = task_inventory(state, message.shard)
@@ -263,10 +264,31 @@
     return [SendToEntryLink(entry_id=entry_id, message=refused)]
 
 
-def report_end(task_id: str, shard: str, state: TaskState) -> Command:
+def lease_expiry(message: ReserveTask | StartTask | RenewTasks) -> float:
+    """Return the end of the lease that a command grants, on the agent's clock."""
+    # The anchor is the agent's clock in its last heartbeat.
+    return message.anchor + min(message.lease, TASK_LEASE)
+
+
+def former_lease_end(now: float) -> float:
+    """Return the time at which all leases have ended that were granted before now.
+
+    An agent that starts can't know which starts and renewals an earlier process sent.
+    Their leases end at a time on the worker's clock, however late they take effect.
+    """
+    return now + TASK_LEASE
+
+
+def is_presumed(end: Message) -> bool:
+    """Return whether an end was only concluded from the lack of any record."""
+    return isinstance(end, TaskStopped) and end.reason is Reason.NEVER_STARTED
+
+
+def report_end(task_id: str, shard: str, state: TaskState, now: float) -> list[Command]:
     """Return the report of the end of a task that the agent does not have.
 
-    A tombstone keeps the task from starting later.
+    A tombstone keeps the task from starting later. The owner repeats its command, so
+    that an agent that can't prove the end yet sends nothing.
     """
     end = state.tombstones.get(task_id)
     if end is None:
@@ -277,7 +299,9 @@
             task_id=task_id, gang_epoch=epoch, reason=Reason.NEVER_STARTED
         )
         record_end(state, task_id, end)
-    return to_owner(state, shard, end)
+    if is_presumed(end) and now < state.former_lease_end:
+        return []
+    return [to_owner(state, shard, end)]
 
 
 def record_end(state: TaskState, task_id: str, end: Message) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/task_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/task_action.py
@@ -23,6 +23,7 @@
     TaskStopped,
 )
 from .task import (
+    lease_expiry,
     LeaseExpired,
     record_end,
     RenewAtWorker,
@@ -172,7 +173,7 @@
 def _(action: ExtendLease) -> list[Command]:
     task, message = action.subject, action.message
     if isinstance(message, StartTask | RenewTasks):
-        task.expiry = max(task.expiry, message.anchor + message.lease)
+        task.expiry = max(task.expiry, lease_expiry(message))
     return [_lease_timer(action)]
 
 
--- a/tests/job/test_restarted_agent.py
+++ b/tests/job/test_restarted_agent.py
@@ -50,3 +50,47 @@
     assert agent.running
     world.advance(30)
     assert len(world.started) == 2
+
+
+def world_with_late_start(**fields):
+    """Return a world whose worker has yet to execute a start of its killed agent."""
+    world = World(agents=2)
+    world.advance(2)
+    for agent in world.agents.values():
+        agent.delays_calls = True
+    job_id = world.submit(tasks=1, accelerators=4, **fields)
+    while not any(agent.late_calls for agent in world.agents.values()):
+        world.advance(0.5)
+    late = next(agent for agent in world.agents.values() if agent.late_calls)
+    for agent in world.agents.values():
+        agent.delays_calls = False
+    world.kill_agent(late.name)
+    world.advance(1)
+    world.restart_agent(late.name)
+    return world, job_id, late
+
+
+@pytest.mark.parametrize("delay", [1, 6, 12, 20])
+@pytest.mark.parametrize("at_most_once", [False, True])
+def test_start_that_is_executed_after_a_restart_of_its_agent_runs_alone(
+    delay, at_most_once
+):
+    """Guard against a start that was told as never and takes effect later."""
+    world, job_id, agent = world_with_late_start(at_most_once=at_most_once)
+    world.advance(delay)
+    world.execute_late_calls(agent)
+    world.advance(30)
+    world.settle()
+    assert world.ended_state(job_id) == "completed"
+
+
+def test_cancelled_job_does_not_end_before_a_late_start_is_ruled_out():
+    """Guard against a cancelled job that runs after its caller heard of the end."""
+    world, job_id, agent = world_with_late_start()
+    world.cancel(job_id)
+    world.advance(8)
+    world.execute_late_calls(agent)
+    assert agent.running
+    world.advance(10)
+    assert not agent.running
+    assert world.ended_state(job_id) == "cancelled"
--- a/tests/job/test_worker_drain.py
+++ b/tests/job/test_worker_drain.py
@@ -43,7 +43,8 @@
 
 async def running(worker) -> tuple[FakeTimerService, WorkerRunner]:
     timers = FakeTimerService()
-    state = TaskState("atl-1", 8, task_chart(ChartCatalogue()))
+    chart = task_chart(ChartCatalogue())
+    state = TaskState("atl-1", 8, chart, former_lease_end=0.0)
     runner = WorkerRunner(timers, state, worker)
     runner.clock = ClockReading(time=0.0, read_at=0.0)
     runner.start()
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -51,6 +51,7 @@
 )
 from wasabispur_core.task import (
     decide as decide_task,
+    former_lease_end,
     RenewAtWorker,
     RunAtWorker,
     StopAtWorker,
@@ -182,7 +183,12 @@
         for task_id in list(agent.running):
             self.end_at_worker(agent, task_id, Reason.CANCELLED)
         chart = task_chart(CATALOGUE)
-        agent.state = TaskState(SHARD, agent.worker.accelerators, chart)
+        agent.state = TaskState(
+            SHARD,
+            agent.worker.accelerators,
+            chart,
+            former_lease_end=former_lease_end(self.local(agent)),
+        )
         agent.alive, agent.paused, agent.inbox, agent.timers = True, False, [], {}
         self.list_tasks(agent)
 
@@ -204,6 +210,7 @@
         if machine:
             agent.running.clear()
             agent.ended.clear()
+            agent.late_calls.clear()
         for entry in self.entries:
             self.detach(entry, name)
         self.run()
@@ -606,6 +613,7 @@
         self.held.clear()
         for agent in self.agents.values():
             agent.ignores_stops = False
+            self.execute_late_calls(agent)
         for process in [*self.entries.values(), *self.agents.values()]:
             if process.paused:
                 self.resume(process)
