--- a/packages/wasabispur-core/src/wasabispur_core/protocol/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol/task.py
@@ -11,6 +11,9 @@
 from ..message import Message
 from .reason import Reason
 
+TASK_LEASE = 15.0
+"""Length of a task's lease in seconds; an agent grants no longer one."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobSubmitted(Message):
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -51,6 +51,7 @@
 )
 from wasabispur_core.task import (
     decide as decide_task,
+    former_lease_end,
     RenewAtWorker,
     RunAtWorker,
     StopAtWorker,
@@ -182,7 +183,12 @@
         for task_id in list(agent.running):
             self.end_at_worker(agent, task_id, Reason.CANCELLED)
         chart = task_chart(CATALOGUE)
-        agent.state = TaskState(SHARD, agent.worker.accelerators, chart)
+        agent.state = TaskState(
+            SHARD,
+            agent.worker.accelerators,
+            chart,
+            former_lease_end=former_lease_end(self.local(agent)),
+        )
         agent.alive, agent.paused, agent.inbox, agent.timers = True, False, [], {}
         self.list_tasks(agent)
 
@@ -204,6 +210,7 @@
         if machine:
             agent.running.clear()
             agent.ended.clear()
+            agent.late_calls.clear()
         for entry in self.entries:
             self.detach(entry, name)
         self.run()
@@ -371,7 +378,7 @@
                 self.run_at_worker(command, source)
             case RenewAtWorker():
                 if command.task_id in source.running:
-                    source.running[command.task_id] = self.local(source) + command.lease
+                    source.running[command.task_id] = command.expiry
             case StopAtWorker():
                 if not source.ignores_stops:
                     saved = f"saved {command.task_id}" if command.checkpoint else ""
@@ -408,11 +415,11 @@
 
     def run_at_worker(self, command: RunAtWorker, agent: Agent) -> None:
         reserve = command.reserve
-        if reserve.task_id in self.started:
+        if reserve.task_id in self.started or self.local(agent) >= command.expiry:
             return
         self.check_start(reserve, agent)
         self.started.append(reserve.task_id)
-        agent.running[reserve.task_id] = self.local(agent) + command.lease
+        agent.running[reserve.task_id] = command.expiry
         started = TaskStarted(task_id=reserve.task_id, gang_epoch=0)
         self.post(agent, started)
 
@@ -606,6 +613,7 @@
         self.held.clear()
         for agent in self.agents.values():
             agent.ignores_stops = False
+            self.execute_late_calls(agent)
         for process in [*self.entries.values(), *self.agents.values()]:
             if process.paused:
                 self.resume(process)
