Count a failure that a silent worker lists after its gang runs again

When the others of a gang show that the member on a silent worker has ended, the gang runs again without waiting for the lease horizon, and the member's run was recorded as lost. If it had failed, its worker lists that once it is back; but the unit's run number had moved on, so that the end was acknowledged and never counted. A crash of that worker was not counted either.

Such an end is now recorded as unknown, in the unit's stored record, so that the next owner knows of it too; rows without the field load as before. If the worker lists the end as failed, it counts as one attempt of that run and the record goes with it, in one write, so that a repeated list counts nothing. If the worker turns out to have restarted without having announced it, the crash counts. If the worker is removed after the lease horizon, its lease has lapsed, and the end can't be taken note of any more. A gang whose next failure would be its last one is not ended early, and a unit whose unknown ends may have used up its attempts is not placed until they are known.

Other ends that the owner concludes need no such record: a restarted or replaced process lists no ends of before, and after the lease horizon, or once an agent takes the lease for over, the lease has lapsed before the end could be acknowledged.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -113,6 +113,7 @@
     pending_cancellations: set[str] = field(default_factory=set)
     progress: dict[str, JobProgress] = field(default_factory=dict)
     waiting: set[UnitId] = field(default_factory=set)
+    units_with_unknown_ends: set[UnitId] = field(default_factory=set)
     store_offset: float = 0.0
     wall_offset: float = 0.0
     pass_scheduled: bool = False
--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -43,12 +43,28 @@
     broken: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownEnd:
+    """Describe a run of one task that ended, without it being known how.
+
+    Its worker may still list the end. ran is the time that the run took in seconds, as
+    far as it is known.
+    """
+
+    run: int
+    index: int = 0
+    worker_id: str
+    incarnation: str
+    ran: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UnitRecord:
     """Describe the stored state of one unit: a whole gang or a single task.
 
-    run_failed is set once a member of the current run has failed, and crashes contains
-    the workers that crashed under the unit's tasks.
+    run_failed is set once a member of the current run has failed, crashes contains
+    the workers that crashed under the unit's tasks, and unknown_ends the runs that may
+    have failed.
     """
 
     occurrence: int = 0
@@ -61,6 +77,7 @@
     checkpoint: str = ""
     members: tuple[MemberRecord, ...] = ()
     crashes: CrashHistory = NO_CRASHES
+    unknown_ends: tuple[UnknownEnd, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -12,10 +12,11 @@
 from ..command import Command, WriteLog
 from ..log_event import REPORT_IGNORED, WORKER_LOST, WORKER_STATE_READ
 from .fleet_state import FleetState, new_worker, Worker
+from .progress import UnknownEnd
 from .snapshot import REPORT_AGE_LIMIT
 from .spec import TaskId
-from .unit import RunEnded, Unit, UnitId, UnitMember
-from .unit_lifecycle import end_run
+from .unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
+from .unit_lifecycle import attempt_limit, end_run, learn_end
 from .worker import (
     EndedRun,
     EndKind,
@@ -159,9 +160,14 @@
 ) -> list[Command]:
     """End the runs on a worker, except those of the incarnation to keep.
 
-    The reason is logged with each of them.
+    The reason is logged with each of them. Former runs there whose end is unknown will
+    not be listed any more, and ended in the same way.
     """
     commands: list[Command] = []
+    for former, end in _unknown_ends_on(worker_id, state):
+        if not keep or end.incarnation != keep:
+            learned = UnknownEndLearned(end=end, kind=kind)
+            commands += learn_end(former, learned, state, now)
     for unit_id in list(state.units_by_worker.get(worker_id, ())):
         unit = state.unit(unit_id)
         if unit is None:
@@ -179,7 +185,8 @@
 
     A gang whose worker is gone for good runs again without waiting for the lease
     horizon. A worker that still reports lists the end itself, and how it came. No
-    worker counts as silent while its reports may be unread.
+    worker counts as silent while its reports may be unread. As the end may have been a
+    failure, a gang on its last attempt waits.
     """
     if not _reports_are_read(state, now):
         return []
@@ -191,9 +198,12 @@
             unit = state.unit(unit_id)
             if unit is None or not unit.shows_end_on(worker.worker_id):
                 continue
+            attempts = attempt_limit(state.jobs[unit_id.job_id], state)
+            if not unit.step.long_running and unit.most_failures + 1 >= attempts:
+                continue
             for member in unit.open_members_on(worker.worker_id):
                 ended = RunEnded(
-                    index=member.index, kind=EndKind.LOST, reason=END_SHOWN_BY_OTHERS
+                    index=member.index, kind=EndKind.UNKNOWN, reason=END_SHOWN_BY_OTHERS
                 )
                 commands += end_run(unit, ended, worker.worker_id, state, now)
     return commands
@@ -216,7 +226,13 @@
         commands += end_lost_runs(
             worker_id, RESTARTED, state, now, crashed, keep=incarnation
         )
-    for worker_id in set(state.units_by_worker) - set(state.workers):
+    recorded = set(state.units_by_worker) | {
+        end.worker_id
+        for unit_id in state.units_with_unknown_ends
+        if (unit := state.unit(unit_id)) is not None
+        for end in unit.unknown_ends
+    }
+    for worker_id in recorded - set(state.workers):
         commands += end_lost_runs(worker_id, REPORT_REMOVED, state, now, crashed)
     return commands
 
@@ -301,13 +317,43 @@
 ) -> list[Command]:
     found = _find_member(reported.task, reported.run, worker, state)
     if found is None:
-        return []
+        return _learn_reported_end(reported, worker, state, now)
     unit, member = found
     ended = _run_ended(reported, member.index)
     commands = update_trust(worker, unit, ended.kind, state, now)
     return commands + end_run(unit, ended, worker.worker_id, state, now)
 
 
+def _learn_reported_end(
+    reported: EndedRun | RefusedRun, worker: Worker, state: FleetState, now: float
+) -> list[Command]:
+    """Apply an end that was recorded as unknown, and that the worker lists now."""
+    for unit, end in _unknown_ends_on(worker.worker_id, state):
+        if str(unit.task_id(end.index)) != reported.task or end.run != reported.run:
+            continue
+        if end.incarnation != worker.info.incarnation:
+            continue
+        kind = _run_ended(reported, end.index).kind
+        commands = update_trust(worker, unit, kind, state, now)
+        learned = UnknownEndLearned(end=end, kind=kind)
+        return commands + learn_end(unit, learned, state, now)
+    return []
+
+
+def _unknown_ends_on(
+    worker_id: str, state: FleetState
+) -> list[tuple[Unit, UnknownEnd]]:
+    """Return the former runs on a worker whose end is unknown, with their units."""
+    units = [state.unit(unit_id) for unit_id in sorted(state.units_with_unknown_ends)]
+    return [
+        (unit, end)
+        for unit in units
+        if unit is not None
+        for end in unit.unknown_ends
+        if end.worker_id == worker_id
+    ]
+
+
 @singledispatch
 def _run_ended(reported: EndedRun | RefusedRun, index: int) -> RunEnded:
     """Return the end of a member's run that a report contains."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -358,6 +358,7 @@
         state.progress,
         state.queue_counts,
         state.waiting,
+        state.units_with_unknown_ends,
     ):
         collection.clear()
     state.view = FleetView()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -149,6 +149,9 @@
     job = state.jobs[unit_id.job_id]
     queue = state.queue(job)
     if unit.state == WAITING and queue and not job.state.ended:
+        if unit.must_learn_ends(queue.max_attempts):
+            # The unit is marked as changed once the worker lists an end or is removed.
+            return set()
         _update_waiting(unit, job, queue, state, now)
     elif unit.state in (ACTIVE, STOPPING, CANCELLING) and unit.may_be_running:
         running = view.running[unit_id] = _running(unit, job, queue, state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -12,7 +12,7 @@
 from ..chart import Lifecycle
 from ..message import Message
 from .crash_history import CrashHistory, NO_CRASHES
-from .progress import MemberRecord, UnitRecord
+from .progress import MemberRecord, UnitRecord, UnknownEnd
 from .run_progress import RunProgress
 from .spec import Resources, StepSpec, TaskId
 from .worker import EndKind
@@ -98,6 +98,14 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownEndLearned(Message):
+    """Report how a run ended whose end was unknown so far."""
+
+    end: UnknownEnd
+    kind: EndKind
+
+
 @dataclass(slots=True, kw_only=True)
 class Unit:
     """Represent a unit and its current run.
@@ -107,8 +115,9 @@
     the checkpoint from which the current run started. run_failed is set once a member
     of the current run has failed. avoided_workers contains the workers that refused or
     lost a run of the unit or on which it stalled, and failed_on those on which it
-    failed. crashes contains the workers that crashed under its tasks. stored_row is the
-    stored record as a row value, or None after a change.
+    failed. crashes contains the workers that crashed under its tasks, and unknown_ends
+    the runs that ended without it being known how. stored_row is the stored record as a
+    row value, or None after a change.
     """
 
     unit_id: UnitId
@@ -126,6 +135,7 @@
     preemptions: int = 0
     backoff_until: float = 0.0
     crashes: CrashHistory = NO_CRASHES
+    unknown_ends: tuple[UnknownEnd, ...] = ()
     stored_row: dict[str, Any] | None = None
 
     @property
@@ -151,6 +161,16 @@
         """Return whether a run of some member is not known to have ended."""
         return any(not member.ended for member in self.members)
 
+    @property
+    def most_failures(self) -> int:
+        """Return the number of failed attempts if all unknown ends were failures."""
+        return self.failures + len({end.run for end in self.unknown_ends})
+
+    def must_learn_ends(self, attempts: int) -> bool:
+        """Return whether the unknown ends may have been the last of its attempts."""
+        limited = bool(self.unknown_ends) and not self.step.long_running
+        return limited and self.most_failures >= attempts
+
     def open_members_on(self, worker_id: str) -> list[UnitMember]:
         """Return the members on a worker whose runs are not known to have ended."""
         return [
@@ -185,6 +205,12 @@
             return self.crashes.after_crash(ended.index, run_time)
         return self.crashes.after_run(run_time)
 
+    def crashes_learned(self, learned: UnknownEndLearned) -> CrashHistory:
+        """Return the history of crashes once it is known how a former run ended."""
+        if learned.kind is not EndKind.CRASHED:
+            return self.crashes
+        return self.crashes.after_crash(learned.end.index, learned.end.ran)
+
     def task_id(self, index: int) -> TaskId:
         """Return the id of one of the unit's tasks."""
         return TaskId(
@@ -218,4 +244,5 @@
             checkpoint=self.checkpoint,
             members=members,
             crashes=self.crashes,
+            unknown_ends=self.unknown_ends,
         )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -10,7 +10,8 @@
 from ..action import Action, Guard, holds, perform
 from ..chart import Chart, ChartCatalogue
 from ..command import Command
-from .unit import RunEnded, Unit, UnitMember, UnitPlaced
+from .progress import UnknownEnd
+from .unit import RunEnded, Unit, UnitMember, UnitPlaced, UnknownEndLearned
 from .worker import EndKind
 
 COUNTED_FAILURES = frozenset((EndKind.FAILED,))
@@ -47,6 +48,12 @@
     __slots__ = ()
 
 
+class RecordLearnedEnd(UnitAction):
+    """Record how a former run ended, and count its failure or its crash."""
+
+    __slots__ = ()
+
+
 class EndAllMembers(UnitAction):
     """Mark all members as ended, because a gang completes as a whole."""
 
@@ -89,6 +96,12 @@
     __slots__ = ()
 
 
+class LearnedOfLastAttempt(UnitGuard):
+    """Check that a former run was the last attempt, or one crash too many."""
+
+    __slots__ = ()
+
+
 def unit_chart(catalogue: ChartCatalogue) -> Chart:
     """Return the unit state chart, bound to its actions and guards."""
     return catalogue.bind(
@@ -134,6 +147,17 @@
     return failed and unit.failures + 1 >= guard.state
 
 
+@holds.register
+def _(guard: LearnedOfLastAttempt) -> bool:
+    unit, message = guard.subject, guard.message
+    if not isinstance(message, UnknownEndLearned):
+        return False
+    if unit.crashes_learned(message).limit_reached:
+        return True
+    failed = message.kind in COUNTED_FAILURES and not unit.step.long_running
+    return failed and unit.failures + 1 >= guard.state
+
+
 @perform.register
 def _(action: BeginRun) -> list[Command]:
     unit, message = action.subject, action.message
@@ -160,12 +184,41 @@
         if member.index == message.index:
             member.ended = True
             member.broken = message.kind is EndKind.BROKEN
+            if message.kind is EndKind.UNKNOWN:
+                unit.unknown_ends += (_unknown_end(unit, member, action.now),)
     if message.checkpoint and unit.step.checkpointing:
         unit.checkpoint = message.checkpoint
     unit.run_failed |= message.kind in COUNTED_FAILURES
     return []
 
 
+def _unknown_end(unit: Unit, member: UnitMember, now: float) -> UnknownEnd:
+    return UnknownEnd(
+        run=unit.run,
+        index=member.index,
+        worker_id=member.worker_ref.worker_id,
+        incarnation=member.worker_ref.incarnation,
+        ran=round(now - member.started_at, 2),
+    )
+
+
+@perform.register
+def _(action: RecordLearnedEnd) -> list[Command]:
+    unit, message = action.subject, action.message
+    if not isinstance(message, UnknownEndLearned):
+        return []
+    unit.crashes = unit.crashes_learned(message)
+    failed = message.kind in COUNTED_FAILURES
+    unit.failures += failed
+    # A run counts as one attempt, however many of its members failed.
+    unit.unknown_ends = tuple(
+        end
+        for end in unit.unknown_ends
+        if end != message.end and not (failed and end.run == message.end.run)
+    )
+    return []
+
+
 @perform.register
 def _(action: EndAllMembers) -> list[Command]:
     for member in action.subject.members:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -40,6 +40,7 @@
     UnitPlaced,
     UnitPreempted,
     UnitReady,
+    UnknownEndLearned,
     WAITING,
     WorkerRef,
 )
@@ -51,6 +52,8 @@
 MAX_LOGGED_COST = 1e6
 """Core-seconds that stand in a log record for infinity, which JSON lacks."""
 
+LEARNED_LATER = "the end was unknown until now"
+
 REFUSAL_BACKOFF = 0.25
 """Seconds before a unit is placed again after a worker has refused it."""
 
@@ -61,9 +64,8 @@
     """Handle a message in the unit's state chart, and mark the rows to write."""
     job = state.jobs[unit.unit_id.job_id]
     queue = state.queue(job)
-    attempts = queue.max_attempts if queue else DEFAULT_ATTEMPTS
     _unindex_members(unit, state)
-    unit.lifecycle.handle(message, attempts, unit, now)
+    unit.lifecycle.handle(message, attempt_limit(job, state), unit, now)
     unit.stored_row = None
     _index_members(unit, state)
     state.dirty_jobs.add(job.spec.job_id)
@@ -71,6 +73,12 @@
         state.view.guarantees_changed = True
 
 
+def attempt_limit(job: Job, state: FleetState) -> int:
+    """Return the number of attempts after which a unit of the job has failed."""
+    queue = state.queue(job)
+    return queue.max_attempts if queue else DEFAULT_ATTEMPTS
+
+
 def place(
     unit: Unit, placement: tuple[WorkerRef, ...], state: FleetState, now: float
 ) -> list[Command]:
@@ -158,7 +166,7 @@
     # avoided_workers are only used last.
     if ended.kind in (EndKind.FAILED, EndKind.CRASHED):
         unit.failed_on.add(worker_id)
-    if ended.kind in (EndKind.REFUSED, EndKind.LOST):
+    if ended.kind in (EndKind.REFUSED, EndKind.LOST, EndKind.UNKNOWN):
         unit.avoided_workers.add(worker_id)
     if ended.kind is EndKind.REFUSED:
         unit.backoff_until = now + REFUSAL_BACKOFF
@@ -175,15 +183,47 @@
         "crashes": unit.crashes.most,
         "state": unit.state,
     }
-    commands: list[Command] = [WriteLog(number=RUN_ENDED.number, fields=fields)]
-    if unit.state == FAILED and unit.crashes.limit_reached:
-        fields = {
-            "job": unit.unit_id.job_id,
-            "unit": _unit_name(unit),
-            "crashes": unit.crashes.most,
-        }
-        commands.append(WriteLog(number=UNIT_GIVEN_UP.number, fields=fields))
-    return [*commands, *update_job(state.jobs[unit.unit_id.job_id], state, now)]
+    log = WriteLog(number=RUN_ENDED.number, fields=fields)
+    return [log, *_after_end(unit, state, now)]
+
+
+def learn_end(
+    unit: Unit, learned: UnknownEndLearned, state: FleetState, now: float
+) -> list[Command]:
+    """Apply to a unit and its job how one of its former runs ended."""
+    end = learned.end
+    if unit.state in ENDED_STATES:
+        return []
+    handle_unit_event(unit, learned, state, now)
+    if learned.kind in (EndKind.FAILED, EndKind.CRASHED):
+        unit.failed_on.add(end.worker_id)
+    fields = {
+        "job": unit.unit_id.job_id,
+        "task": str(unit.task_id(end.index)),
+        "run": end.run,
+        "ran": end.ran,
+        "worker": end.worker_id,
+        "how": learned.kind.value,
+        "reason": LEARNED_LATER,
+        "failures": unit.failures,
+        "crashes": unit.crashes.most,
+        "state": unit.state,
+    }
+    log = WriteLog(number=RUN_ENDED.number, fields=fields)
+    return [log, *_after_end(unit, state, now)]
+
+
+def _after_end(unit: Unit, state: FleetState, now: float) -> list[Command]:
+    """Update the job of a unit of which a run ended, and log if it is given up."""
+    commands = update_job(state.jobs[unit.unit_id.job_id], state, now)
+    if unit.state != FAILED or not unit.crashes.limit_reached:
+        return commands
+    fields = {
+        "job": unit.unit_id.job_id,
+        "unit": _unit_name(unit),
+        "crashes": unit.crashes.most,
+    }
+    return [WriteLog(number=UNIT_GIVEN_UP.number, fields=fields), *commands]
 
 
 def cancel(job: Job, state: FleetState, now: float) -> list[Command]:
@@ -256,6 +296,7 @@
         checkpoint=record.checkpoint,
         start_checkpoint=record.checkpoint,
         crashes=record.crashes,
+        unknown_ends=record.unknown_ends,
         ready_at=now,
     )
     unit.members = [
@@ -355,6 +396,10 @@
         state.waiting.add(unit.unit_id)
     else:
         state.waiting.discard(unit.unit_id)
+    if unit.unknown_ends and unit.state not in ENDED_STATES:
+        state.units_with_unknown_ends.add(unit.unit_id)
+    else:
+        state.units_with_unknown_ends.discard(unit.unit_id)
     for member in unit.members:
         if not member.ended:
             worker_id = member.worker_ref.worker_id
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -30,7 +30,7 @@
     ALONE: its gang was not complete in time. REFUSED: the worker or its agent did not
     start it. CRASHED: the worker's process ended under it without having announced
     that it leaves. LOST: the worker left, or no report on it has arrived for the lease
-    horizon.
+    horizon. UNKNOWN: the other members of its gang show that it ended, but not how.
     """
 
     DONE = "done"
@@ -42,6 +42,7 @@
     REFUSED = "refused"
     CRASHED = "crashed"
     LOST = "lost"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/workload/test_broken_gang.py
+++ b/tests/workload/test_broken_gang.py
@@ -6,19 +6,21 @@
 
 from wasabispur_core.feed import FeedHealth
 from wasabispur_core.store import Row
+from wasabispur_core.workload.lease_clock import owner_horizon
+from wasabispur_core.workload.progress import JobState
 from wasabispur_core.workload.rows import report_key, REPORT_TABLE
 from wasabispur_core.workload.unit import Unit
 from wasabispur_core.workload.worker import EndKind
 
-from .world import COMPLETED, gang, World
+from .world import Agent, COMPLETED, gang, TIMES, World
 
 RESTART_LIMIT = 6.0
 """Seconds within which a broken gang runs again, far less than a lease horizon."""
 
 
-def world_with_gang(size: int = 4) -> tuple[World, str]:
+def world_with_gang(size: int = 4, spare: int = 1) -> tuple[World, str]:
     """Return a world in which a gang runs on one worker for each task."""
-    world = World(workers=size + 1)
+    world = World(workers=size + spare)
     world.advance(4)
     job = world.submit(gang(size, 8), duration=30.0)
     world.advance(1)
@@ -153,3 +155,135 @@
     world.deliver_missed_rows()
     world.advance(2)
     assert unit_of(world, job).failures == 1
+
+
+def kill_owner(world: World) -> None:
+    """Kill all entries, and wait until another lifetime owns the shard."""
+    for index in range(3):
+        world.kill_entry(index)
+    world.advance(4)
+
+
+def runs_started(world: World) -> int:
+    """Return the number of the last run that was started."""
+    return max(run for _, _, run, _ in world.starts)
+
+
+def world_with_unread_failure() -> tuple[World, str, Agent]:
+    """Return a world with run 2 of a gang, and an agent that can't report run 1.
+
+    Run 1 failed at the worker of that agent.
+    """
+    world, job = world_with_gang()
+    failing_id = world.starts[0][3]
+    agent = world.agents[world.workers[failing_id].agent_id]
+    agent.partitioned = True
+    fail_gang(world, failing_id)
+    world.advance(RESTART_LIMIT)
+    assert runs_started(world) == 2
+    return world, job, agent
+
+
+def reconnect(world: World, agent: Agent, seconds: float = 1.0) -> None:
+    """Let an agent reach the store again."""
+    agent.partitioned = False
+    world.deliver_missed_rows()
+    world.advance(seconds)
+
+
+def fail_second_run(world: World, cut_off: Agent) -> None:
+    """Let a member of run 2 fail on a worker whose agent reports."""
+    failing_id = next(
+        where
+        for _, _, run, where in world.starts
+        if run == 2 and world.workers[where].agent_id != cut_off.name
+    )
+    fail_gang(world, failing_id)
+
+
+def test_failure_that_is_listed_after_the_next_start_counts_as_an_attempt():
+    """Guard against a third run of a gang that may fail twice."""
+    world, job, agent = world_with_unread_failure()
+    reconnect(world, agent)
+    assert unit_of(world, job).failures == 1
+    fail_second_run(world, agent)
+    world.advance(RESTART_LIMIT)
+    assert runs_started(world) == 2
+    assert world.state_of(job).job_state is JobState.FAILED
+
+
+def test_failure_that_is_listed_after_a_takeover_counts_once():
+    """Guard against a new owner that does not know which ends are unknown."""
+    world, job, agent = world_with_unread_failure()
+    kill_owner(world)
+    worker = world.workers[world.starts[0][3]]
+    listed = list(worker.ended)
+    reconnect(world, agent)
+    assert unit_of(world, job).failures == 1
+    # The acknowledgement does not reach the worker, which lists the end again.
+    world.agents[worker.agent_id].paused = True
+    worker.ended = listed
+    kill_owner(world)
+    world.agents[worker.agent_id].resume()
+    world.advance(1)
+    assert not worker.ended
+    assert unit_of(world, job).failures == 1
+
+
+def test_gang_waits_for_an_unknown_end_that_may_be_its_last_attempt():
+    """Guard against a start that a report on its way forbids."""
+    world, job, agent = world_with_unread_failure()
+    fail_second_run(world, agent)
+    world.advance(2)
+    assert runs_started(world) == 2
+    assert not world.ended(job)
+    reconnect(world, agent)
+    assert world.state_of(job).job_state is JobState.FAILED
+
+
+def test_gang_on_its_last_attempt_is_not_ended_early():
+    """Guard against the end of a silent member whose failure would be the last one."""
+    world, job = world_with_gang()
+    fail_gang(world, world.starts[0][3])
+    world.advance(1)
+    assert runs_started(world) == 2
+    failing_id = next(where for _, _, run, where in world.starts if run == 2)
+    agent = world.agents[world.workers[failing_id].agent_id]
+    agent.partitioned = True
+    fail_gang(world, failing_id)
+    world.advance(RESTART_LIMIT)
+    assert runs_started(world) == 2
+    reconnect(world, agent)
+    assert world.state_of(job).job_state is JobState.FAILED
+
+
+def test_gang_runs_again_once_the_worker_of_its_unknown_end_is_removed():
+    """Guard against a gang that waits for good for a worker that is gone."""
+    world, job = world_with_gang(spare=2)
+    lost_id = world.starts[0][3]
+    lose_worker(world, lost_id, job, EndKind.BROKEN)
+    world.advance(RESTART_LIMIT)
+    fail_second_run(world, world.agents[world.workers[lost_id].agent_id])
+    world.advance(2)
+    assert runs_started(world) == 2
+    world.advance(owner_horizon(TIMES))
+    assert runs_started(world) == 3
+    assert not unit_of(world, job).unknown_ends
+
+
+def test_crash_of_a_worker_with_an_unknown_end_is_counted():
+    """Guard against a deadly task that gains attempts from the silence of agents."""
+    world, job = world_with_gang()
+    crashed = world.workers[world.starts[0][3]]
+    agent = world.agents[crashed.agent_id]
+    agent.partitioned = True
+    crashed.up = False
+    for worker in world.workers.values():
+        for task in list(worker.runs):
+            if worker is not crashed:
+                worker.end(task, EndKind.BROKEN)
+    world.advance(RESTART_LIMIT)
+    assert runs_started(world) == 2
+    world.restart_worker(crashed)
+    reconnect(world, agent, seconds=3)
+    assert unit_of(world, job).crashes.workers == {0: 1}
