Run a failed gang on the same workers if the others can't hold it

Callers saw a gang that runs for ever: a gang of three tasks that failed once on three of four workers was never placed again, though it had attempts left and all workers were idle. Workers on which a unit failed were excluded as long as any other worker was left, also if those could not hold the unit. They are now excluded only if the others could hold the whole unit when idle, and are used last otherwise. The search for hosts is remembered by size, too, if a unit has failed somewhere, as its result depends on it.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -58,7 +58,8 @@
     """Exclude workers on which a run of the unit is likely to fail.
 
     If more than half of the workers are suspected, the cause lies elsewhere, and all
-    of them are used.
+    of them are used. Workers on which it failed are used if the others could not hold
+    the unit even when idle.
     """
     trusted = [worker for worker in possible if _trusted(unit, worker)]
     if 2 * len(trusted) < len(possible):
@@ -68,7 +69,7 @@
         for worker in trusted
         if worker.worker_ref.worker_id not in unit.failed_on
     ]
-    return elsewhere or trusted
+    return elsewhere if _can_hold(unit, elsewhere) else trusted
 
 
 def _trusted(unit: WaitingUnit, worker: WorkerSnapshot) -> bool:
@@ -112,7 +113,7 @@
         unit.failed_on,
         unit.attempts_left > 1,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes)
-        if _needs_rack(unit)
+        if _needs_rack(unit) or unit.failed_on
         else None,
     )
 
@@ -170,11 +171,12 @@
     racks: dict[str, list[WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
-    return [
-        members
-        for members in racks.values()
-        if sum(_count_when_idle(unit, worker) for worker in members) >= unit.size
-    ]
+    return [members for members in racks.values() if _can_hold(unit, members)]
+
+
+def _can_hold(unit: WaitingUnit, workers: Iterable[WorkerSnapshot]) -> bool:
+    """Return whether workers could run the whole unit if they were idle."""
+    return sum(_count_when_idle(unit, worker) for worker in workers) >= unit.size
 
 
 def _count_when_idle(unit: WaitingUnit, worker: WorkerSnapshot) -> int:
@@ -224,7 +226,7 @@
 ) -> tuple[bool, bool, bool, bool, float, float, str]:
     left = worker.free - unit.demand
     return (
-        worker.worker_ref.worker_id in unit.avoided_workers,
+        worker.worker_ref.worker_id in unit.avoided_workers | unit.failed_on,
         # Suspected units run apart, to find the one that crashes its workers, and beside
         # few others.
         unit.suspected and worker.suspects > 0,
