Let an owner wait for the configuration before it decides

Callers would see a job as failed that has attempts left (LOST). An entry may own the shard before it has read the configuration, as the rows and the configuration come by feeds of their own, and a restarted entry that was the owner claims the shard at once. Until then it knew no queue, and took each for one that was removed, whose tasks have one attempt: the first failure ended the job.

An owner that has read no configuration since its start now counts it among what it has yet to read, and acknowledges and decides nothing before. Nothing was placed without the queues before either. test_owner_without_the_configuration_gives_no_job_up failed before with "assert <JobState.FAILED: 'failed'> is <JobState.RUNNING: 'running'>".

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -88,7 +88,8 @@
 class FleetState:
     """Represent all jobs and workers while this entry is the owner.
 
-    loading contains the tables that have yet to be read. dirty_jobs and dirty_workers
+    loading contains the tables that have yet to be read, and the configuration if this
+    process has read none so far. dirty_jobs and dirty_workers
     contain the ids whose rows have to be written. pending_cancellations contains the
     jobs whose cancellation was read before the job. store_offset is the store's clock
     minus this process's clock, and wall_offset the wall clock minus this process's
@@ -127,7 +128,7 @@
 
     @property
     def active(self) -> bool:
-        """Return whether this entry is the owner and has read all rows."""
+        """Return whether this entry is the owner and has read all that it needs."""
         return self.owning and not self.loading
 
     def queue(self, job: Job) -> Queue | None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -1,8 +1,8 @@
 """Handle the messages to the scheduler, which decides where tasks run.
 
 Every entry instance has a scheduler, but only the owner of the shard decides. After it
-has acquired the shard, it reads all jobs, their progress and the reports on workers
-before its first decision.
+has acquired the shard, it reads all jobs, their progress, the reports on workers and
+the operators' configuration before its first decision.
 """
 
 from __future__ import annotations
@@ -76,6 +76,8 @@
 
 PASS_TIMER = "fleet-pass"
 LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE)
+POLICY = "policy"
+"""Name of the configuration among what an owner has yet to read."""
 
 
 def new_fleet_state(catalogue: ChartCatalogue, horizon: float) -> FleetState:
@@ -109,6 +111,9 @@
     state.owning = True
     state.epoch = message.epoch
     state.loading = set(LOADED_TABLES)
+    if not state.policy.version:
+        # Without the queues, one failure would end a job, whatever its attempts.
+        state.loading.add(POLICY)
     return [WatchTables(watched=(JOB_TABLE, REPORT_TABLE), read=(PROGRESS_TABLE,))]
 
 
@@ -126,19 +131,7 @@
     state.loading.discard(message.table)
     if message.table == REPORT_TABLE:
         state.reports_since = now
-    if state.loading or not state.owning:
-        return []
-    commands: list[Command] = []
-    for job in list(state.jobs.values()):
-        commands += _start_job(job, state, now)
-    commands += end_orphaned_runs(state, now)
-    state.dirty_workers.update(state.workers, state.units_by_worker)
-    fields = {
-        "epoch": state.epoch,
-        "jobs": len(state.jobs),
-        "workers": len(state.workers),
-    }
-    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
+    return _begin(state, now) if state.active else []
 
 
 @handle_message.register
@@ -206,11 +199,15 @@
 
 @handle_message.register
 def _(message: PolicyChanged, state: FleetState, now: float) -> list[Command]:
-    if message.policy.version > state.policy.version:
-        state.policy = message.policy
-        state.view.policy_changed = True
-        state.view.guarantees_changed = True
-    return []
+    if message.policy.version <= state.policy.version:
+        return []
+    state.policy = message.policy
+    state.view.policy_changed = True
+    state.view.guarantees_changed = True
+    if POLICY not in state.loading:
+        return []
+    state.loading.discard(POLICY)
+    return _begin(state, now) if state.active else []
 
 
 @handle_message.register
@@ -312,6 +309,21 @@
     )
 
 
+def _begin(state: FleetState, now: float) -> list[Command]:
+    """Start or restore all jobs, once the owner has read everything."""
+    commands: list[Command] = []
+    for job in list(state.jobs.values()):
+        commands += _start_job(job, state, now)
+    commands += end_orphaned_runs(state, now)
+    state.dirty_workers.update(state.workers, state.units_by_worker)
+    fields = {
+        "epoch": state.epoch,
+        "jobs": len(state.jobs),
+        "workers": len(state.workers),
+    }
+    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
+
+
 def _start_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the job's units, or restore those that a former owner recorded."""
     progress = state.progress.pop(job.spec.job_id, None)
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -5,7 +5,10 @@
 from dataclasses import replace
 
 from wasabispur_core.log_event import REPORT_IGNORED
+from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+from wasabispur_core.workload.progress import JobState
 from wasabispur_core.workload.runner_message import WorkerAnnounced
+from wasabispur_core.workload.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .world import started_world, tasks, World
@@ -90,3 +93,24 @@
     assert [(name, where) for _, name, _, where in world.starts[1:]] == [
         (task, worker.worker_id)
     ]
+
+
+def test_owner_without_the_configuration_gives_no_job_up():
+    """Guard against a job with attempts left that is shown as failed."""
+    world = started_world()
+    job = world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    policy, world.policy = world.policy, FleetPolicy()
+    kill_owner(world)
+    world.advance(4)
+    worker = busy_worker(world)
+    (task,) = worker.runs
+    worker.end(task, EndKind.FAILED)
+    world.failures[task] = 1
+    world.advance(1)
+    world.policy = policy
+    for entry in world.entries:
+        entry.post(PolicyChanged(policy=policy))
+    world.advance(1)
+    assert world.state_of(job).job_state is JobState.RUNNING
+    assert [run for _, _, run, _ in world.starts] == [1, 2]
