Take a missing report on a worker for silence, not for its end

Neither shows that the worker's lease is over: a row may be invalid, or have been removed by an agent that a worker has left for another one, while its runs go on.

The runs now end after the lease horizon without a report, counted from the last report or from the takeover, with the reason "there is no report on its worker", and as lost and not as crashed. If a report arrives before, the runs continue, or end with their incarnation.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -89,9 +89,10 @@
     """Represent all jobs and workers while this entry is the owner.
 
     loading contains the tables that have yet to be read, and the configuration if this
-    process has read none so far. dirty_jobs and dirty_workers
-    contain the ids whose rows have to be written. pending_cancellations contains the
-    jobs whose cancellation was read before the job. store_offset is the store's clock
+    process has read none so far. dirty_jobs and dirty_workers contain the ids whose
+    rows have to be written. pending_cancellations contains the jobs whose cancellation
+    was read before the job. unreported_since contains the workers with recorded runs
+    but without a report, with the time in monotonic seconds. store_offset is the store's clock
     minus this process's clock, and wall_offset the wall clock minus this process's
     clock, both in seconds. capacity_changed is set if another planning pass may lead to
     other decisions than the last one. horizon is the lease horizon in seconds.
@@ -115,6 +116,7 @@
     progress: dict[str, JobProgress] = field(default_factory=dict)
     waiting: set[UnitId] = field(default_factory=set)
     units_with_unknown_ends: set[UnitId] = field(default_factory=set)
+    unreported_since: dict[str, float] = field(default_factory=dict)
     store_offset: float = 0.0
     wall_offset: float = 0.0
     pass_scheduled: bool = False
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -32,7 +32,7 @@
 
 RESTARTED = "the worker restarted"
 REPLACED = "another worker runs at its address"
-REPORT_REMOVED = "its agent removed the report"
+REPORT_MISSING = "there is no report on its worker"
 NO_REPORT = "no report for the lease horizon"
 END_SHOWN_BY_OTHERS = "the other members show its end"
 
@@ -49,6 +49,13 @@
     if worker is None:
         worker = state.workers[worker_id] = new_worker(report)
         commands.append(_log_worker(report))
+        worker.seen_at = state.unreported_since.pop(worker_id, now)
+        _apply_recorded_incarnation(worker, state)
+        if worker.info.incarnation != report.info.incarnation:
+            return commands + _ignore_report(report, worker)
+        commands += end_runs_of_former_incarnations(
+            worker, report.info.incarnation, state, now
+        )
     elif is_later_incarnation(worker.info.incarnation, report.info.incarnation):
         return _ignore_report(report, worker)
     elif worker.info.incarnation != report.info.incarnation:
@@ -209,13 +216,13 @@
     return commands
 
 
-def end_orphaned_runs(state: FleetState, now: float) -> list[Command]:
-    """End the runs on workers that were replaced before this entry was the owner.
+def reconcile_recorded_runs(state: FleetState, now: float) -> list[Command]:
+    """End the recorded runs on workers that restarted or were replaced meanwhile.
 
-    An agent removes a report only once nothing can run on the worker, so recorded runs
-    on a worker without a report have ended too. Nothing tells whether such a worker had
-    announced that it leaves, so that its end counts as a crash: a task that crashes
-    each worker must not gain attempts from the loss of an owner.
+    Nothing tells whether such a worker had announced that it leaves, so that its end
+    counts as a crash: a task that crashes each worker must not gain attempts from the
+    loss of an owner. A worker without a report may be alive: the row may be invalid, or
+    its agent has yet to write it again. Its runs end after the lease horizon.
     """
     for worker in state.workers.values():
         _apply_recorded_incarnation(worker, state)
@@ -226,17 +233,34 @@
         commands += end_lost_runs(
             worker_id, RESTARTED, state, now, crashed, keep=incarnation
         )
-    recorded = set(state.units_by_worker) | {
-        end.worker_id
-        for unit_id in state.units_with_unknown_ends
-        if (unit := state.unit(unit_id)) is not None
-        for end in unit.unknown_ends
-    }
-    for worker_id in recorded - set(state.workers):
-        commands += end_lost_runs(worker_id, REPORT_REMOVED, state, now, crashed)
+    for worker_id in _workers_with_runs(state) - set(state.workers):
+        state.unreported_since[worker_id] = now
     return commands
 
 
+def remove_report(worker_id: str, state: FleetState) -> None:
+    """Forget a worker after the removal of its report.
+
+    The removal does not show that the worker's lease is over: another agent may have
+    begun to report on it. Its runs end after the lease horizon.
+    """
+    worker = state.workers.pop(worker_id, None)
+    if worker is None:
+        return
+    state.dirty_workers.discard(worker_id)
+    if state.active and worker_id in _workers_with_runs(state):
+        state.unreported_since[worker_id] = worker.seen_at
+
+
+def _workers_with_runs(state: FleetState) -> set[str]:
+    """Return the workers with recorded runs, or with ends that are unknown."""
+    units = [state.unit(unit_id) for unit_id in state.units_with_unknown_ends]
+    former = {
+        end.worker_id for unit in units if unit is not None for end in unit.unknown_ends
+    }
+    return former | {key for key, units in state.units_by_worker.items() if units}
+
+
 def _apply_recorded_incarnation(worker: Worker, state: FleetState) -> None:
     """Take a later incarnation, on which a run is recorded, for the present one.
 
@@ -270,6 +294,10 @@
         ):
             continue
         commands += _remove_worker(worker, EndKind.LOST, NO_REPORT, state, now)
+    for worker_id, since in list(state.unreported_since.items()):
+        if now - since >= state.horizon:
+            del state.unreported_since[worker_id]
+            commands += end_lost_runs(worker_id, REPORT_MISSING, state, now)
     return commands
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -37,10 +37,9 @@
 from .report_reconciliation import (
     apply_report,
     end_broken_gangs,
-    end_lost_runs,
-    end_orphaned_runs,
+    reconcile_recorded_runs,
+    remove_report,
     remove_silent_workers,
-    REPORT_REMOVED,
 )
 from .rows import (
     JOB_TABLE,
@@ -188,13 +187,8 @@
 
 @handle_message.register
 def _(message: ReportRemoved, state: FleetState, now: float) -> list[Command]:
-    worker = state.workers.pop(message.worker_id, None)
-    if worker is None:
-        return []
-    state.dirty_workers.discard(message.worker_id)
-    if not state.active:
-        return []
-    return end_lost_runs(worker.worker_id, REPORT_REMOVED, state, now)
+    remove_report(message.worker_id, state)
+    return []
 
 
 @handle_message.register
@@ -314,7 +308,7 @@
     commands: list[Command] = []
     for job in list(state.jobs.values()):
         commands += _start_job(job, state, now)
-    commands += end_orphaned_runs(state, now)
+    commands += reconcile_recorded_runs(state, now)
     state.dirty_workers.update(state.workers, state.units_by_worker)
     fields = {
         "epoch": state.epoch,
@@ -371,6 +365,7 @@
         state.queue_counts,
         state.waiting,
         state.units_with_unknown_ends,
+        state.unreported_since,
     ):
         collection.clear()
     state.view = FleetView()
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
+
+import pytest
 
 from wasabispur_core.log_event import REPORT_IGNORED
+from wasabispur_core.store import Condition, Transaction, Write
+from wasabispur_core.workload.lease_clock import owner_horizon
 from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.progress import JobState
+from wasabispur_core.workload.rows import report_key
 from wasabispur_core.workload.runner_message import WorkerAnnounced
 from wasabispur_core.workload.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
-from .world import started_world, tasks, World
+from .world import started_world, tasks, TIMES, World
 
 LONG = 60.0
 """Seconds of a run that outlasts every lease of a test."""
@@ -34,6 +40,18 @@
         world.kill_entry(index)
 
 
+def replace_row(world: World, key: str, value: dict[str, Any] | None) -> None:
+    """Replace or remove a row, as another writer may."""
+    version = world.store.rows[key].version
+    world.store.apply(
+        Transaction(
+            operation_id=world.new_operation_id(),
+            conditions=(Condition(key=key, version=version),),
+            writes=(Write(key=key, value=value),),
+        )
+    )
+
+
 def world_with_restarted_worker() -> tuple[World, SimulatedWorker]:
     """Return a world in which the only task runs on a worker's second incarnation."""
     world = started_world()
@@ -114,3 +132,66 @@
     world.advance(1)
     assert world.state_of(job).job_state is JobState.RUNNING
     assert [run for _, _, run, _ in world.starts] == [1, 2]
+
+
+def test_new_owner_waits_for_a_report_that_it_can_not_read():
+    """Guard against a second run because the row with a report is invalid."""
+    world = started_world()
+    world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    worker = busy_worker(world)
+    world.agents[worker.agent_id].partitioned = True
+    replace_row(world, report_key(worker.worker_id), {"agent_id": 7})
+    kill_owner(world)
+    world.advance(6)
+    assert world.owner() is not None
+    assert len(world.starts) == 1
+
+
+def test_run_on_a_worker_without_a_report_ends_after_the_lease_horizon():
+    """Guard against a run that is held for good by a worker that is gone."""
+    world = started_world()
+    world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    worker = busy_worker(world)
+    worker.up = False
+    world.agents[worker.agent_id].alive = False
+    replace_row(world, report_key(worker.worker_id), None)
+    kill_owner(world)
+    world.advance(6)
+    assert len(world.starts) == 1
+    world.advance(owner_horizon(TIMES))
+    assert [run for _, _, run, _ in world.starts] == [1, 2]
+
+
+def test_removed_report_ends_no_run_whose_lease_may_be_valid():
+    """Guard against a second run because a report on a living worker was removed."""
+    world = started_world()
+    world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    worker = busy_worker(world)
+    world.agents[worker.agent_id].partitioned = True
+    replace_row(world, report_key(worker.worker_id), None)
+    world.advance(6)
+    assert len(world.starts) == 1
+
+
+@pytest.mark.parametrize("later", [0, 1])
+def test_report_on_a_worker_without_one_continues_its_run(later):
+    """Guard against a run that is repeated, or held, once its worker reports again."""
+    world = started_world()
+    world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    worker = busy_worker(world)
+    agent = world.agents[worker.agent_id]
+    agent.partitioned = True
+    replace_row(world, report_key(worker.worker_id), None)
+    kill_owner(world)
+    world.advance(4)
+    if later:
+        world.restart_worker(worker)
+    agent.partitioned = False
+    world.deliver_missed_rows()
+    world.advance(4)
+    assert len(world.starts) == 1 + later
+    assert busy_worker(world).runs
