Require the lease horizon of the owner's state

A state without it would take each worker for silent at once, and end all its runs. new_fleet_state, which builds each state, always sets it; the default is removed so that nothing else can forget it.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -103,6 +103,7 @@
     """
 
     unit_chart: Chart
+    horizon: float
     owning: bool = False
     epoch: int = 0
     loading: set[str] = field(default_factory=set)
@@ -124,7 +125,6 @@
     view: FleetView = field(default_factory=FleetView)
     planner: Planner = field(default_factory=Planner)
     queue_counts: dict[str, int] = field(default_factory=dict)
-    horizon: float = 0.0
     reports_since: float = inf
     ticked_at: float = -inf
 
