--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -88,9 +88,11 @@
 class FleetState:
     """Represent all jobs and workers while this entry is the owner.
 
-    loading contains the tables that have yet to be read. dirty_jobs and dirty_workers
-    contain the ids whose rows have to be written. pending_cancellations contains the
-    jobs whose cancellation was read before the job. store_offset is the store's clock
+    loading contains the tables that have yet to be read, and the configuration if this
+    process has read none so far. dirty_jobs and dirty_workers contain the ids whose
+    rows have to be written. pending_cancellations contains the jobs whose cancellation
+    was read before the job. unreported_since contains the workers with recorded runs
+    but without a report, with the time in monotonic seconds. store_offset is the store's clock
     minus this process's clock, and wall_offset the wall clock minus this process's
     clock, both in seconds. capacity_changed is set if another planning pass may lead to
     other decisions than the last one. horizon is the lease horizon in seconds.
@@ -101,6 +103,7 @@
     """
 
     unit_chart: Chart
+    horizon: float
     owning: bool = False
     epoch: int = 0
     loading: set[str] = field(default_factory=set)
@@ -114,6 +117,7 @@
     progress: dict[str, JobProgress] = field(default_factory=dict)
     waiting: set[UnitId] = field(default_factory=set)
     units_with_unknown_ends: set[UnitId] = field(default_factory=set)
+    unreported_since: dict[str, float] = field(default_factory=dict)
     store_offset: float = 0.0
     wall_offset: float = 0.0
     pass_scheduled: bool = False
@@ -121,13 +125,12 @@
     view: FleetView = field(default_factory=FleetView)
     planner: Planner = field(default_factory=Planner)
     queue_counts: dict[str, int] = field(default_factory=dict)
-    horizon: float = 0.0
     reports_since: float = inf
     ticked_at: float = -inf
 
     @property
     def active(self) -> bool:
-        """Return whether this entry is the owner and has read all rows."""
+        """Return whether this entry is the owner and has read all that it needs."""
         return self.owning and not self.loading
 
     def queue(self, job: Job) -> Queue | None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -1,8 +1,8 @@
 """Handle the messages to the scheduler, which decides where tasks run.
 
 Every entry instance has a scheduler, but only the owner of the shard decides. After it
-has acquired the shard, it reads all jobs, their progress and the reports on workers
-before its first decision.
+has acquired the shard, it reads all jobs, their progress, the reports on workers and
+the operators' configuration before its first decision.
 """
 
 from __future__ import annotations
@@ -37,10 +37,9 @@
 from .report_reconciliation import (
     apply_report,
     end_broken_gangs,
-    end_lost_runs,
-    end_orphaned_runs,
+    reconcile_recorded_runs,
+    remove_report,
     remove_silent_workers,
-    REPORT_REMOVED,
 )
 from .rows import (
     JOB_TABLE,
@@ -76,6 +75,8 @@
 
 PASS_TIMER = "fleet-pass"
 LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE)
+POLICY = "policy"
+"""Name of the configuration among what an owner has yet to read."""
 
 
 def new_fleet_state(catalogue: ChartCatalogue, horizon: float) -> FleetState:
@@ -109,6 +110,9 @@
     state.owning = True
     state.epoch = message.epoch
     state.loading = set(LOADED_TABLES)
+    if not state.policy.version:
+        # Without the queues, one failure would end a job, whatever its attempts.
+        state.loading.add(POLICY)
     return [WatchTables(watched=(JOB_TABLE, REPORT_TABLE), read=(PROGRESS_TABLE,))]
 
 
@@ -126,19 +130,7 @@
     state.loading.discard(message.table)
     if message.table == REPORT_TABLE:
         state.reports_since = now
-    if state.loading or not state.owning:
-        return []
-    commands: list[Command] = []
-    for job in list(state.jobs.values()):
-        commands += _start_job(job, state, now)
-    commands += end_orphaned_runs(state, now)
-    state.dirty_workers.update(state.workers, state.units_by_worker)
-    fields = {
-        "epoch": state.epoch,
-        "jobs": len(state.jobs),
-        "workers": len(state.workers),
-    }
-    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
+    return _begin(state, now) if state.active else []
 
 
 @handle_message.register
@@ -195,22 +187,21 @@
 
 @handle_message.register
 def _(message: ReportRemoved, state: FleetState, now: float) -> list[Command]:
-    worker = state.workers.pop(message.worker_id, None)
-    if worker is None:
-        return []
-    state.dirty_workers.discard(message.worker_id)
-    if not state.active:
-        return []
-    return end_lost_runs(worker.worker_id, REPORT_REMOVED, state, now)
+    remove_report(message.worker_id, state)
+    return []
 
 
 @handle_message.register
 def _(message: PolicyChanged, state: FleetState, now: float) -> list[Command]:
-    if message.policy.version > state.policy.version:
-        state.policy = message.policy
-        state.view.policy_changed = True
-        state.view.guarantees_changed = True
-    return []
+    if message.policy.version <= state.policy.version:
+        return []
+    state.policy = message.policy
+    state.view.policy_changed = True
+    state.view.guarantees_changed = True
+    if POLICY not in state.loading:
+        return []
+    state.loading.discard(POLICY)
+    return _begin(state, now) if state.active else []
 
 
 @handle_message.register
@@ -312,6 +303,21 @@
     )
 
 
+def _begin(state: FleetState, now: float) -> list[Command]:
+    """Start or restore all jobs, once the owner has read everything."""
+    commands: list[Command] = []
+    for job in list(state.jobs.values()):
+        commands += _start_job(job, state, now)
+    commands += reconcile_recorded_runs(state, now)
+    state.dirty_workers.update(state.workers, state.units_by_worker)
+    fields = {
+        "epoch": state.epoch,
+        "jobs": len(state.jobs),
+        "workers": len(state.workers),
+    }
+    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
+
+
 def _start_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the job's units, or restore those that a former owner recorded."""
     progress = state.progress.pop(job.spec.job_id, None)
@@ -359,6 +365,7 @@
         state.queue_counts,
         state.waiting,
         state.units_with_unknown_ends,
+        state.unreported_since,
     ):
         collection.clear()
     state.view = FleetView()
