Take no refusal as proof while an unanswered start may take effect

An agent whose start call was lost took the worker's next word for the outcome of both: a stop that met an unknown id (404) ended the task as "never started", and so did a refused or unsent repeat of the start, and a list without the task after the stop. The worker could execute the first call afterwards, beside the run that the owner had placed elsewhere meanwhile.

The runner keeps the lease end of each unanswered start. Until then only the worker's own view of the task is an end; the start is repeated, and the task keeps its accelerators. The lease ends at a time on the worker's clock, so that after it the start is refused.

The job machine delays calls of agents too.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -98,6 +98,21 @@
     answer: Answer
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopAnswered(Message):
+    """Deliver the worker's answer to a stop."""
+
+    task_id: str
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RepeatDue(Message):
+    """Request that a start is repeated."""
+
+    command: RunAtWorker
+
+
 class WorkerRunner(DecisionActor):
     """Execute the decisions on tasks at the worker, on a bounded number of threads."""
 
@@ -110,6 +125,9 @@
         self.threads = ThreadPoolExecutor(THREAD_LIMIT, thread_name_prefix="worker")
         # Without the worker's clock, no lease can be granted.
         self.clock: ClockReading | None = None
+        # The end of the lease of each start whose answer was lost. Until then the
+        # worker may still execute it, whatever it answers to other calls.
+        self.unanswered: dict[str, float] = {}
         # The last call for each task id. The calls for one task are made in order,
         # so that a stop can't overtake the start.
         self.last_calls: dict[str, asyncio.Task[None]] = {}
@@ -175,14 +193,31 @@
     def is_missing(self, task_id: str, polled: frozenset[str]) -> bool:
         """Return whether the worker no longer lists a task that it ran."""
         state = self.state.tasks[task_id].lifecycle.state
-        return task_id in polled and state in ("running", "stopping")
+        ran = task_id in polled and state in ("running", "stopping")
+        return ran and not self.may_start(task_id)
+
+    def may_start(self, task_id: str) -> bool:
+        """Return whether the worker may still execute an unanswered start."""
+        end = self.unanswered.get(task_id)
+        return end is not None and self.timers.now() < end
 
     def on_start_answered(self, message: StartAnswered) -> None:
         """Report a start, or repeat it while its outcome is unknown."""
         handle_start_answer(message.answer, message.command, self)
 
-    def repeat_start(self, command: RunAtWorker) -> None:
+    def on_stop_answered(self, message: StopAnswered) -> None:
+        """Report a task's end if the answer to a stop proves it."""
+        task_id, answer = message.task_id, message.answer
+        if isinstance(answer, TaskView) and answer.ended:
+            self.report(end_report(answer))
+            return
+        unknown = isinstance(answer, ErrorResponse) and answer.status == 404
+        if unknown and not self.may_start(task_id):
+            self.report(stop_report(task_id, Reason.NEVER_STARTED))
+
+    def on_repeat_due(self, message: RepeatDue) -> None:
         """Repeat a start whose answer was lost; the worker starts a task only once."""
+        command = message.command
         task = self.state.tasks.get(command.reserve.task_id)
         if task is None or task.lifecycle.state != "starting":
             return
@@ -191,6 +226,7 @@
 
     def report(self, message: TaskStarted | TaskFinished | TaskStopped) -> None:
         """Log the start or end of a task and pass it to the decision component."""
+        self.unanswered.pop(message.task_id, None)
         if isinstance(message, TaskStarted):
             log(TASK_STARTED, task=message.task_id)
         else:
@@ -271,10 +307,11 @@
 
 @execute.register
 def _(command: StopAtWorker, actor: WorkerRunner) -> None:
-    def stop() -> Message | None:
+    def stop() -> Message:
         if command.checkpoint:
             actor.client.checkpoint(command.task_id)
-        return stop_result(command.task_id, actor.client.stop(command.task_id))
+        answer = actor.client.stop(command.task_id)
+        return StopAnswered(task_id=command.task_id, answer=answer)
 
     actor.call(command.task_id, stop)
 
@@ -295,24 +332,32 @@
 
 @handle_start_answer.register
 def _(answer: ErrorResponse, command: RunAtWorker, runner: WorkerRunner) -> None:
-    runner.report(stop_report(command.reserve.task_id, Reason.NO_CAPACITY))
+    report_refusal(command, Reason.NO_CAPACITY, runner)
 
 
 @handle_start_answer.register
 def _(answer: NoResponse, command: RunAtWorker, runner: WorkerRunner) -> None:
     if answer.sent:
-        runner.repeat_start(command)
+        task_id = command.reserve.task_id
+        known = runner.unanswered.get(task_id, command.expiry)
+        runner.unanswered[task_id] = max(known, command.expiry)
+        repeat_start(command, runner)
+        return
+    report_refusal(command, Reason.WORKER_UNREACHABLE, runner)
+
+
+def report_refusal(command: RunAtWorker, reason: Reason, runner: WorkerRunner) -> None:
+    """Report a start without effect, or repeat it while an earlier one may have one."""
+    if runner.may_start(command.reserve.task_id):
+        repeat_start(command, runner)
         return
-    runner.report(stop_report(command.reserve.task_id, Reason.WORKER_UNREACHABLE))
+    runner.report(stop_report(command.reserve.task_id, reason))
 
 
-def stop_result(task_id: str, answer: Answer) -> Message | None:
-    """Return the report of a task's end if the answer to a stop proves the end."""
-    if isinstance(answer, TaskView) and answer.ended:
-        return end_report(answer)
-    if isinstance(answer, ErrorResponse) and answer.status == 404:
-        return stop_report(task_id, Reason.NEVER_STARTED)
-    return None
+def repeat_start(command: RunAtWorker, runner: WorkerRunner) -> None:
+    """Repeat a start after a delay, which bounds the calls to a failing worker."""
+    timer_id = f"repeat:{command.reserve.task_id}"
+    runner.set_timer(timer_id, POLL_INTERVAL, RepeatDue(command=command))
 
 
 def end_report(view: TaskView) -> TaskFinished | TaskStopped:
--- a/tests/job/test_job_machine.py
+++ b/tests/job/test_job_machine.py
@@ -137,6 +137,14 @@
         agent = self.pick(self.world.agents.values(), index)
         agent.ignores_stops = not agent.ignores_stops
 
+    @rule(index=INDEX)
+    def delay_or_execute_calls(self, index):
+        agent = self.pick(self.world.agents.values(), index)
+        if agent.late_calls:
+            self.world.execute_late_calls(agent)
+        else:
+            agent.delays_calls = not agent.delays_calls
+
     def teardown(self):
         if hasattr(self, "world"):
             self.world.settle()
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -316,6 +316,21 @@
             running=tuple(agent.running), ended=tuple(agent.ended.values())
         )
         self.post(agent, listed)
+        # A task that the worker doesn't list has ended, unless its start is delayed.
+        for task_id, task in agent.state.tasks.items():
+            missing = task_id not in agent.running and task_id not in agent.ended
+            gone = missing and not self.may_start(agent, task_id)
+            if gone and task.lifecycle.state == "stopping":
+                self.end_at_worker(agent, task_id, Reason.WORKER_UNREACHABLE)
+
+    def may_start(self, agent: Agent, task_id: str) -> bool:
+        """Return whether the worker may still execute a delayed start of a task."""
+        return any(
+            isinstance(call, RunAtWorker)
+            and call.reserve.task_id == task_id
+            and self.local(agent) < call.expiry
+            for call in agent.late_calls
+        )
 
     def send_heartbeats(self) -> None:
         for entry, agent in sorted(self.attached):
@@ -380,7 +395,9 @@
                 if command.task_id in source.running:
                     source.running[command.task_id] = command.expiry
             case StopAtWorker():
-                if not source.ignores_stops:
+                if not source.ignores_stops and not self.may_start(
+                    source, command.task_id
+                ):
                     saved = f"saved {command.task_id}" if command.checkpoint else ""
                     self.end_at_worker(source, command.task_id, Reason.CANCELLED, saved)
             case _:
