Hold a job whose stored progress can't be read

A new owner took a progress row that it could not read, because it is invalid or of a later version, for the row of a job that has not started. A state that its chart lacks raised an error instead, in the middle of the start: the jobs after it had no units yet, and the next tick started them anew.

Such a job is held and logged (455): nothing of it is started, its row is not overwritten, its runs go on, and its ends are not acknowledged, so that an owner that can read the row continues it. It can be cancelled, which stops its runs. While its ends are unacknowledged, the later ends of their workers are listed again with each report, and applied once.

All four new tests failed before: two starts of the task instead of one, the ChartError twice, and the end acknowledged.

--- a/packages/wasabispur-core/src/wasabispur_core/chart.py
+++ b/packages/wasabispur-core/src/wasabispur_core/chart.py
@@ -124,12 +124,16 @@
         """Return a new lifecycle in the chart's initial state."""
         return Lifecycle(self, self.initial)
 
+    def has_state(self, state: str) -> bool:
+        """Return whether a recorded state is one of the chart's."""
+        return state in self.statechart.states
+
     def resume(self, state: str) -> Lifecycle:
         """Return a lifecycle in a recorded state.
 
         Raise ChartError if the chart lacks the state.
         """
-        if state not in self.statechart.states:
+        if not self.has_state(state):
             raise ChartError(
                 f"chart {self.name} has no state {state!r}",
                 "upgrade this process to the version that wrote the record",
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -151,6 +151,11 @@
 REPORT_FAILED = LogEvent(
     447, "WARNING", "report of worker {worker} was not written: {reason}"
 )
+JOB_HELD = LogEvent(
+    455,
+    "ERROR",
+    "job {job} is held, as its progress is unreadable; upgrade this process, or cancel",
+)
 REPORT_IGNORED = LogEvent(
     454,
     "WARNING",
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -26,7 +26,8 @@
     arrived_at is in monotonic seconds of the owner, and ended_at in seconds on the
     store's clock. occurrences counts the occurrences whose units have been created.
     failed_on contains the workers on which runs of the job failed, and wait_reasons why
-    units of an occurrence's step last began to wait.
+    units of an occurrence's step last began to wait. held is set if the job's stored
+    progress can't be read, so that nothing tells what has run or still runs.
     """
 
     spec: JobSpec
@@ -36,6 +37,7 @@
     units: dict[UnitId, Unit] = field(default_factory=dict)
     occurrences: int = 0
     cancelled: bool = False
+    held: bool = False
     failed_on: set[str] = field(default_factory=set)
     wait_reasons: dict[tuple[int, int], str] = field(default_factory=dict)
 
@@ -92,12 +94,13 @@
     process has read none so far. dirty_jobs and dirty_workers contain the ids whose
     rows have to be written. pending_cancellations contains the jobs whose cancellation
     was read before the job. unreported_since contains the workers with recorded runs
-    but without a report, with the time in monotonic seconds. store_offset is the store's clock
-    minus this process's clock, and wall_offset the wall clock minus this process's
-    clock, both in seconds. capacity_changed is set if another planning pass may lead to
-    other decisions than the last one. horizon is the lease horizon in seconds.
-    view is what the planner knew in its last pass, with the changes since, and planner
-    keeps what the pass found.
+    but without a report, with the time in monotonic seconds. progress contains the
+    progress as a former owner recorded it, until the job is restored, with None for a
+    record that can't be read. store_offset is the store's clock minus this process's
+    clock, and wall_offset the wall clock minus this process's clock, both in seconds.
+    capacity_changed is set if another planning pass may lead to other decisions than
+    the last one. horizon is the lease horizon in seconds. view is what the planner knew
+    in its last pass, with the changes since, and planner keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds.
     """
@@ -114,7 +117,7 @@
     dirty_jobs: set[str] = field(default_factory=set)
     dirty_workers: set[str] = field(default_factory=set)
     pending_cancellations: set[str] = field(default_factory=set)
-    progress: dict[str, JobProgress] = field(default_factory=dict)
+    progress: dict[str, JobProgress | None] = field(default_factory=dict)
     waiting: set[UnitId] = field(default_factory=set)
     units_with_unknown_ends: set[UnitId] = field(default_factory=set)
     unreported_since: dict[str, float] = field(default_factory=dict)
@@ -142,6 +145,11 @@
         job = self.jobs.get(unit_id.job_id)
         return job.units.get(unit_id) if job else None
 
+    def is_held(self, task: str) -> bool:
+        """Return whether the job of a task is held."""
+        job = self.jobs.get(task.partition(".")[0])
+        return job is not None and job.held
+
     def mark_worker(self, worker_id: str) -> None:
         """Mark a worker whose runs changed, so that its orders are written again."""
         self.dirty_workers.add(worker_id)
@@ -192,10 +200,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProgressArrived(Message):
-    """Deliver the progress of a job as recorded by a former owner."""
+    """Deliver the progress of a job as recorded by a former owner.
+
+    progress is None if the record can't be read.
+    """
 
     job_id: str
-    progress: JobProgress
+    progress: JobProgress | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -97,7 +97,11 @@
     """
     counts: dict[str, int] = {}
     for job in state.jobs.values():
-        if not job.state.ended and all(not unit.run for unit in job.units.values()):
+        if (
+            not job.state.ended
+            and not job.held
+            and all(not unit.run for unit in job.units.values())
+        ):
             counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
     if counts == state.queue_counts:
         return []
--- a/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
@@ -27,7 +27,7 @@
     runs += [
         RunOrder(task=run.task, run=run.run, job_id="", stop=True)
         for run in worker.unknown_runs
-        if (run.task, run.run) not in known
+        if (run.task, run.run) not in known and not state.is_held(run.task)
     ]
     return WorkerOrders(
         worker_id=worker.worker_id,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -127,9 +127,15 @@
 ) -> list[Command]:
     """Reconcile a report with the runs that are ordered on the worker."""
     commands: list[Command] = []
+    may_acknowledge = True
     for ended in sorted(report.ended, key=lambda end: end.number):
-        if ended.number > worker.acknowledged:
-            commands += _apply_run_end(ended, worker, state, now)
+        if ended.number <= worker.acknowledged:
+            continue
+        commands += _apply_run_end(ended, worker, state, now)
+        # Numbers are acknowledged in order, and ends are applied once however often
+        # they are listed.
+        may_acknowledge = may_acknowledge and not state.is_held(ended.task)
+        if may_acknowledge:
             worker.acknowledged = ended.number
             state.dirty_workers.add(worker.worker_id)
     for refused in report.refused:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -14,7 +14,12 @@
 from ..command import Command, SetTimer, WriteLog
 from ..error import UnhandledMessageError
 from ..feed import FeedHealth
-from ..log_event import CANCELLATION_READ_BY_OWNER, FLEET_LOADED, JOB_READ_BY_OWNER
+from ..log_event import (
+    CANCELLATION_READ_BY_OWNER,
+    FLEET_LOADED,
+    JOB_HELD,
+    JOB_READ_BY_OWNER,
+)
 from ..message import Message
 from ..ownership import RowCommitted, ShardAcquired, ShardLost
 from .fleet_state import (
@@ -34,6 +39,7 @@
 from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
 from .policy import PolicyChanged
+from .progress import JobProgress
 from .report_reconciliation import (
     apply_report,
     end_broken_gangs,
@@ -320,23 +326,38 @@
 
 def _start_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the job's units, or restore those that a former owner recorded."""
-    progress = state.progress.pop(job.spec.job_id, None)
-    if progress is not None:
-        job.state = progress.state
-        job.ended_at = progress.ended_at
-        for record in progress.units:
-            restore_unit(job, record, state, now)
-            job.occurrences = max(job.occurrences, record.occurrence + 1)
+    commands: list[Command] = []
+    if job.spec.job_id in state.progress:
+        progress = state.progress.pop(job.spec.job_id)
+        commands += _restore_job(job, progress, state, now)
     cancelled = job.spec.job_id in state.pending_cancellations
     state.pending_cancellations.discard(job.spec.job_id)
     if cancelled:
-        return cancel(job, state, now)
-    return _start_due_occurrences(job, state, now)
+        return commands + cancel(job, state, now)
+    return commands + _start_due_occurrences(job, state, now)
+
+
+def _restore_job(
+    job: Job, progress: JobProgress | None, state: FleetState, now: float
+) -> list[Command]:
+    """Restore the units that a former owner recorded, or hold the job."""
+    if progress is None or not all(
+        state.unit_chart.has_state(record.state) for record in progress.units
+    ):
+        job.held = True
+        fields = {"job": job.spec.job_id}
+        return [WriteLog(number=JOB_HELD.number, fields=fields)]
+    job.state = progress.state
+    job.ended_at = progress.ended_at
+    for record in progress.units:
+        restore_unit(job, record, state, now)
+        job.occurrences = max(job.occurrences, record.occurrence + 1)
+    return []
 
 
 def _start_due_occurrences(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the units of the occurrences that are due."""
-    if job.state.ended:
+    if job.state.ended or job.held:
         return []
     started = False
     while job.occurrences < occurrence_count(job) and _occurrence_due(job, state, now):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -231,10 +231,20 @@
     if job.state.ended:
         return []
     job.cancelled = True
+    if job.held:
+        _release(job, state)
     _cancel_units(job, state, now)
     return update_job(job, state, now)
 
 
+def _release(job: Job, state: FleetState) -> None:
+    """Let the runs of a held job be stopped, and their ends be acknowledged."""
+    for worker in state.workers.values():
+        if any(state.is_held(run.task) for run in worker.unknown_runs):
+            state.mark_worker(worker.worker_id)
+    job.held = False
+
+
 def update_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Unblock units whose dependencies are completed, and end a finished job."""
     if job.state.ended:
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -47,8 +47,7 @@
         spec = decode_value(JobSpec, row)
         return JobArrived(spec=spec) if spec else None
     if table == PROGRESS_TABLE:
-        progress = decode_value(JobProgress, row)
-        return ProgressArrived(job_id=name, progress=progress) if progress else None
+        return ProgressArrived(job_id=name, progress=decode_value(JobProgress, row))
     if table == REPORT_TABLE:
         report = decode_value(WorkerReport, row)
         return ReportArrived(report=report) if report else None
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from wasabispur_core.log_event import REPORT_IGNORED
+from wasabispur_core.log_event import JOB_HELD, REPORT_IGNORED
 from wasabispur_core.store import Condition, Transaction, Write
 from wasabispur_core.workload.lease_clock import owner_horizon
 from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.rows import report_key
+from wasabispur_core.workload.rows import progress_key, report_key
 from wasabispur_core.workload.runner_message import WorkerAnnounced
 from wasabispur_core.workload.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
@@ -195,3 +195,65 @@
     world.advance(4)
     assert len(world.starts) == 1 + later
     assert busy_worker(world).runs
+
+
+def world_with_unreadable_progress(**fields: Any) -> tuple[World, str, SimulatedWorker]:
+    """Return a world whose owner can't read the progress of a job that runs."""
+    world = started_world()
+    job = world.submit(tasks(1), duration=LONG)
+    world.advance(1)
+    worker = busy_worker(world)
+    key = progress_key(job)
+    record = world.store.rows[key].value | fields
+    replace_row(world, key, record)
+    kill_owner(world)
+    world.advance(5)
+    assert world.owner() is not None
+    return world, job, worker
+
+
+UNREADABLE = (
+    {"state": "of a later version"},
+    {"units": [{"state": "of a later version"}]},
+)
+
+
+@pytest.mark.parametrize("fields", UNREADABLE)
+def test_job_whose_progress_can_not_be_read_does_not_start_anew(fields):
+    """Guard against a job that is run again, with its completed tasks."""
+    world, job, worker = world_with_unreadable_progress(**fields)
+    other = world.submit(tasks(1), duration=1.0)
+    world.advance(3)
+    assert [task for _, task, _, _ in world.starts if job in task] == list(worker.runs)
+    assert world.ended(other)
+    held = [
+        record.fields["job"]
+        for entry in world.entries
+        for record in entry.records
+        if record.number == JOB_HELD.number
+    ]
+    assert held == [job]
+
+
+def test_end_is_not_acknowledged_whose_job_can_not_be_read():
+    """Guard against a completed task that a later owner runs again."""
+    world, _, worker = world_with_unreadable_progress(**UNREADABLE[0])
+    (task,) = worker.runs
+    worker.end(task, EndKind.DONE)
+    world.done[task] = world.timers.now()
+    other = world.submit(tasks(8), duration=1.0)
+    world.advance(5)
+    assert world.ended(other)
+    assert task in {end.task for end in worker.ended}
+
+
+def test_job_whose_progress_can_not_be_read_can_be_cancelled():
+    """Guard against a run that goes on after its job was cancelled."""
+    world, job, worker = world_with_unreadable_progress(**UNREADABLE[1])
+    # Without progress of the run, nothing else changes the orders for its worker.
+    worker.stalled = True
+    world.advance(2)
+    world.cancel(job)
+    world.advance(3)
+    assert not worker.runs
+    assert world.state_of(job).job_state is JobState.CANCELLED
