Start no removed job again that is delivered once more

Callers would see a job run again minutes after its end (TWICE, UNASKED). 300 s after its end a job is removed from the owner's state and from the store. If the table is read anew meanwhile, because the store has discarded its history, its first pages may hold rows that are removed by the time of the last page, and a job that the owner does not know counted as a new one, without progress.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 from math import inf
+from typing import NamedTuple
 
 from ..chart import Chart
 from ..message import Message
@@ -42,6 +43,13 @@
     wait_reasons: dict[tuple[int, int], str] = field(default_factory=dict)
 
 
+class RemovedJob(NamedTuple):
+    """Describe a job whose rows were removed; times are on the store's clock."""
+
+    accepted_at: float
+    removed_at: float
+
+
 @dataclass(slots=True, kw_only=True)
 class Worker:
     """Represent one worker as last reported; times are in monotonic seconds.
@@ -102,7 +110,8 @@
     the last one. horizon is the lease horizon in seconds. view is what the planner knew
     in its last pass, with the changes since, and planner keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
-    ticked_at the time of the last tick, both in monotonic seconds.
+    ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
+    contains the jobs whose rows may still be delivered although they were removed.
     """
 
     unit_chart: Chart
@@ -112,6 +121,7 @@
     loading: set[str] = field(default_factory=set)
     policy: FleetPolicy = field(default_factory=FleetPolicy)
     jobs: dict[str, Job] = field(default_factory=dict)
+    removed_jobs: dict[str, RemovedJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     units_by_worker: dict[str, set[UnitId]] = field(default_factory=dict)
     dirty_jobs: set[str] = field(default_factory=set)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -13,7 +13,7 @@
 
 from ..command import Command
 from ..ownership import WriteRow
-from .fleet_state import FleetState, Job
+from .fleet_state import FleetState, Job, RemovedJob
 from .orders import orders_for
 from .progress import JobProgress
 from .rows import (
@@ -77,7 +77,11 @@
     commands: list[Command] = []
     # ended_at is on the store's clock, and store_offset is the store's clock minus this
     # process's clock.
-    latest_end = now + state.store_offset - ENDED_JOB_RETENTION
+    store_time = now + state.store_offset
+    latest_end = store_time - ENDED_JOB_RETENTION
+    for job_id, removed in list(state.removed_jobs.items()):
+        if removed.removed_at < latest_end:
+            del state.removed_jobs[job_id]
     for job in list(state.jobs.values()):
         if not job.state.ended or job.ended_at >= latest_end:
             continue
@@ -85,6 +89,9 @@
             continue
         job_id = job.spec.job_id
         del state.jobs[job_id]
+        state.removed_jobs[job_id] = RemovedJob(
+            accepted_at=job.spec.accepted_at, removed_at=store_time
+        )
         for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id)):
             commands.append(WriteRow(key=key, value=None))
     return commands
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -53,6 +53,7 @@
     REPORT_TABLE,
 )
 from .snapshot import take_snapshot
+from .spec import JobSpec
 from .unit import WAITING
 from .unit_action import unit_chart
 from .unit_lifecycle import (
@@ -142,7 +143,7 @@
 @handle_message.register
 def _(message: JobArrived, state: FleetState, now: float) -> list[Command]:
     spec = message.spec
-    if spec.job_id in state.jobs:
+    if spec.job_id in state.jobs or _is_removed(spec, state):
         return []
     job = state.jobs[spec.job_id] = Job(spec=spec, arrived_at=now)
     state.view.guarantees_changed = True
@@ -309,6 +310,12 @@
     )
 
 
+def _is_removed(spec: JobSpec, state: FleetState) -> bool:
+    """Return whether the job was removed, and not submitted again since."""
+    removed = state.removed_jobs.get(spec.job_id)
+    return removed is not None and removed.accepted_at == spec.accepted_at
+
+
 def _begin(state: FleetState, now: float) -> list[Command]:
     """Start or restore all jobs, once the owner has read everything."""
     commands: list[Command] = []
@@ -377,6 +384,7 @@
     """Clear the state that is valid only while this entry is the owner."""
     for collection in (
         state.jobs,
+        state.removed_jobs,
         state.workers,
         state.units_by_worker,
         state.dirty_jobs,
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -9,6 +9,8 @@
 
 from wasabispur_core.log_event import JOB_HELD, REPORT_IGNORED
 from wasabispur_core.store import Condition, Transaction, Write
+from wasabispur_core.workload.fleet_state import JobArrived
+from wasabispur_core.workload.fleet_write import ENDED_JOB_RETENTION
 from wasabispur_core.workload.lease_clock import owner_horizon
 from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.progress import JobState
@@ -257,3 +259,27 @@
     world.advance(3)
     assert not worker.runs
     assert world.state_of(job).job_state is JobState.CANCELLED
+
+
+def test_removed_job_that_is_read_again_does_not_start_anew():
+    """Guard against a job that runs again because all rows were read meanwhile.
+
+    The feed reads the table anew after the store has discarded its history. Rows of its
+    first page may have been removed by the time of the last one.
+    """
+    world = started_world()
+    job = world.submit(tasks(1), duration=1.0)
+    world.advance(4)
+    fleet = world.owner().fleet
+    spec = fleet.jobs[job].spec
+    world.advance(ENDED_JOB_RETENTION)
+    assert job not in fleet.jobs
+    world.owner().post(JobArrived(spec=spec))
+    world.advance(2)
+    assert len(world.starts) == 1
+    # Once it is forgotten, a caller may submit it again.
+    world.done.clear()
+    accepted_at = fleet.store_offset + world.timers.now()
+    world.owner().post(JobArrived(spec=replace(spec, accepted_at=accepted_at)))
+    world.advance(2)
+    assert len(world.starts) == 2
