Bar only starts without an answer at a worker that is back

A worker that came back after a crash was told to stop each run that it had been started for in the last 30 s, also those whose start it had answered, and was reported only after that. A start that the only call for it brought about can't take effect again. test_starts_that_were_answered_are_not_barred_after_a_crash failed before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -73,6 +73,12 @@
     __slots__ = ()
 
 
+class RecordAnswer(RunAction):
+    """Record that the worker answered the only start call, so that none is under way."""
+
+    __slots__ = ()
+
+
 class RecordRejection(RunAction):
     """Record why the worker did not start the run."""
 
@@ -185,6 +191,13 @@
     return [WriteLog(number=RUN_STOP_ORDERED.number, fields=fields), stop]
 
 
+@perform.register
+def _(action: RecordAnswer) -> list[Command]:
+    if action.subject.start_calls == 1:
+        action.state.worker.started.pop(action.subject.key, None)
+    return []
+
+
 @perform.register
 def _(action: RecordRejection) -> list[Command]:
     worker, run, message = action.state.worker, action.subject, action.message
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -87,8 +87,9 @@
     the newest lists, and list_count counts the lists that this process received: until
     the first, they are the lists that the last report had, and former_listing is its
     count. ordered contains the ordered runs by task and run number. started contains the
-    times of the last start calls for runs, also of calls to former incarnations, and
-    former_runs the runs of those, which this incarnation bars before it is reported.
+    times of the last start calls for runs of which one may be without an answer, also of
+    calls to former incarnations, and former_runs the runs of those, which this
+    incarnation bars before it is reported.
     refused_connections counts the refused connections in a row.
     """
 
--- a/tests/workload/test_late_start.py
+++ b/tests/workload/test_late_start.py
@@ -89,3 +89,15 @@
     worker.next_heartbeat = world.timers.now() + START_DELAY
     world.advance(START_DELAY + 4.0)
     assert world.starts
+
+
+def test_starts_that_were_answered_are_not_barred_after_a_crash():
+    """Guard against a worker whose return waits for stops that prevent nothing."""
+    world = started_world(workers=2)
+    world.submit(tasks(4), duration=0.5)
+    world.advance(3)
+    worker = world.workers["w0"]
+    world.restart_worker(worker)
+    world.advance(2)
+    agent = world.agents[worker.agent_id]
+    assert not agent.state.workers["w0"].former_runs
