Take a worker as unreachable after two lost answers in a row

The request is now repeated at once, without a long poll and on another connection (the connection of a lost answer is closed), and the worker is unreachable only if that one fails too. Only recurring requests count, as they are made one after the other. Refused connections count as before. What ends runs is unchanged: a lease that is over, or refused connections.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -80,6 +80,12 @@
 LEASE_RENEWAL_SILENCE = 2.0
 """Seconds without a confirmed report after which a lease is renewed at once."""
 
+UNREACHABLE_AFTER_FAILURES = 2
+"""Consecutive failed requests for the lists after which a worker is unreachable.
+
+One lost answer says little: the next request goes out on another connection.
+"""
+
 DEAD_AFTER_REFUSALS = 2
 """Consecutive refused connections that show that the worker's process has ended."""
 
@@ -179,11 +185,15 @@
         return []
     if message.recurring:
         worker.list_in_flight = False
+        # Only recurring requests are made one after the other.
+        worker.failed_lists += 1
     commands: list[Command] = []
-    worker.list_failed_at = now
     worker.refused_connections = (
         worker.refused_connections + 1 if message.refused else 0
     )
+    if not message.refused and worker.failed_lists < UNREACHABLE_AFTER_FAILURES:
+        return _advance(worker, state, now)
+    worker.list_failed_at = now
     if worker.reachable and (
         worker.refused_connections >= DEAD_AFTER_REFUSALS or not message.refused
     ):
@@ -355,8 +365,10 @@
         ]
     worker.list_in_flight = True
     # The first answer is needed at once: it contains the worker's clock, without which
-    # no lease can be granted and no run started.
-    wait = LIST_POLL_WAIT if worker.clock is not None else 0.0
+    # no lease can be granted and no run started. After a failure, an immediate answer
+    # shows that the worker is reachable.
+    at_once = worker.clock is None or worker.failed_lists > 0
+    wait = 0.0 if at_once else LIST_POLL_WAIT
     return [
         *commands,
         list_runs_command(run_context(worker, state), wait, now, recurring=True),
@@ -364,7 +376,7 @@
 
 
 def _mark_reachable(worker: LocalWorker, state: RunnerState) -> list[Command]:
-    worker.refused_connections = 0
+    worker.refused_connections = worker.failed_lists = 0
     if worker.reachable:
         return []
     worker.reachable = True
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -78,7 +78,8 @@
     worker may take its lease as valid, whoever granted it. clock is the worker's clock
     with the newest lists, or None until the first lists arrive. runs and ended are
     the newest lists, and list_count counts them. ordered contains the ordered runs by
-    task and run number. refused_connections counts the refused connections in a row.
+    task and run number. failed_lists counts the recurring requests for the lists that
+    failed in a row, and refused_connections the refused connections.
     """
 
     info: WorkerInfo
@@ -94,6 +95,7 @@
     list_in_flight: bool = False
     list_count: int = 0
     list_failed_at: float = -inf
+    failed_lists: int = 0
     refused_connections: int = 0
     departed: bool = False
 
