--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -90,7 +90,8 @@
     times of the last start calls for runs of which one may be without an answer, also of
     calls to former incarnations, and former_runs the runs of those, which this
     incarnation bars before it is reported.
-    refused_connections counts the refused connections in a row.
+    failed_lists counts the recurring requests for the lists that failed in a row, and
+    refused_connections the refused connections.
     """
 
     info: WorkerInfo
@@ -109,6 +110,7 @@
     list_count: int = 0
     former_listing: int = 0
     list_failed_at: float = -inf
+    failed_lists: int = 0
     refused_connections: int = 0
     departed: bool = False
 
