Take no request before the entry knows which bundle is in force

A restarted entry served requests under the default classes until it had read the bundle: at once on an ordinary start, and for the whole of an outage of the table service. A class that the bundle removed was in use again, and one that the bundle made non-idempotent ran without a claim, so that a repeat through another entry would run it a second time.

An entry with a table service now answers "not run" until a bundle came into force (from the store, a peer or an agent), or until an answered read of the pointer shows that none was ever accepted; a failed read, or a pointer that can't be decoded, is no such answer. Without a table service there are no bundles, and nothing changes.

Cost: an entry that starts while the table service is down, and whose peers and agents have no bundle, refuses all requests until the service answers.

--- a/packages/wasabispur-core/src/wasabispur_core/bundle_version.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundle_version.py
@@ -102,6 +102,11 @@
     content: BundleContent
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoBundleInForce(Command):
+    """Report to the other actors of an entry that no bundle was ever accepted."""
+
+
 @dataclass(slots=True)
 class OfferState:
     """Represent the last reported version of a remote process, and the offers to it.
@@ -199,6 +204,9 @@
         except StoreError as error:
             fields = {"key": row.key, "error": str(error)}
             commands.append(WriteLog(number=BUNDLE_ROW_REFUSED.number, fields=fields))
+    pointed = any(row.key == POINTER_KEY for row in message.rows)
+    if message.read_id == POINTER_READ and not pointed and state.bundle is None:
+        commands.append(NoBundleInForce())
     return commands
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/protocol.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol.py
@@ -40,6 +40,7 @@
     ENTRY_LEAVING = "entry is leaving"
     KEY_MISSING = "class needs the Idempotency-Key header"
     KEY_REUSED = "idempotency key was used for another request"
+    BUNDLE_UNKNOWN = "entry has yet to learn which bundle is in force"
     UNKNOWN_CLASS = "class is not in the bundle"
     LENGTH_UNDECLARED = "response without a declared length"
     LEAVING = "agent is leaving"
--- a/packages/wasabispur/src/wasabispur/bundle_manager.py
+++ b/packages/wasabispur/src/wasabispur/bundle_manager.py
@@ -19,6 +19,7 @@
     ApplyBundle,
     BundleOffered,
     BundleVersionState,
+    NoBundleInForce,
     PollDue,
     ProcessKind,
     SendToRemoteProcess,
@@ -43,7 +44,8 @@
     """Maintain the bundle version in force at this entry.
 
     Polls the pointer row, and offers the bundle in force to agents and peers.
-    listeners receive ApplyBundle for every new version.
+    listeners receive ApplyBundle for every new version, and NoBundleInForce with each
+    poll before the first one.
     """
 
     def __init__(
@@ -110,8 +112,9 @@
     )
 
 
-@execute.register
-def _(command: ApplyBundle, actor: BundleManager) -> None:
+@execute.register(ApplyBundle)
+@execute.register(NoBundleInForce)
+def _(command: ApplyBundle | NoBundleInForce, actor: BundleManager) -> None:
     for listener in actor.listeners:
         listener.post(command)
 
--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -95,6 +95,8 @@
     version = build_version_state(settings)
     context = build_context(settings, membership, incarnation, version)
     actors = EntryActors(membership=membership, dispatcher=dispatcher, context=context)
+    # Without a table service there are no bundles.
+    dispatcher.classes_known = settings.table_url is None
     if settings.table_url is not None:
         table = TableClient(timers, settings.table_url, Random())
         dispatcher.table = table
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -6,6 +6,7 @@
 
 from wasabispur_core.bundle_version import (
     ApplyBundle,
+    NoBundleInForce,
     ProcessKind,
     RemoteProcess,
     RemoteProcessLost,
@@ -165,6 +166,9 @@
         """Update this entry's own status with the bundle version in force."""
         self.own = replace(self.own, bundle_version=message.version)
 
+    def on_no_bundle_in_force(self, message: NoBundleInForce) -> None:
+        """Keep this entry's own status, which begins without a version."""
+
     def admit_session(
         self, announced: MemberAnnounced, session: AgentSession | PeerSession
     ) -> bool:
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -9,7 +9,7 @@
 from functools import singledispatch
 from typing import Any
 
-from wasabispur_core.bundle_version import ApplyBundle
+from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce
 from wasabispur_core.log_event import REQUEST_ANSWERED, REQUEST_RECEIVED
 from wasabispur_core.message import Message
 from wasabispur_core.outcome import Outcome, ReplyToCaller
@@ -80,6 +80,8 @@
         self.table: Actor | MissingTable = MissingTable()
         self.waiting: dict[str, Future[Any]] = {}
         self.draining = False
+        # Until then a class may have another meaning than its default.
+        self.classes_known = False
         self.answered = asyncio.Event()
         self.drained = asyncio.Event()
 
@@ -87,7 +89,10 @@
         """Process a caller's request or lookup and keep the future for its reply."""
         request = message.message
         if self.draining and isinstance(request, RequestReceived):
-            message.reply.set_result(refuse_while_draining(request))
+            message.reply.set_result(refuse_request(request, Reason.ENTRY_LEAVING))
+            return
+        if not self.classes_known and isinstance(request, RequestReceived):
+            message.reply.set_result(refuse_request(request, Reason.BUNDLE_UNKNOWN))
             return
         if isinstance(request, RequestReceived):
             self.waiting[request.request_id] = message.reply
@@ -99,6 +104,11 @@
     def on_apply_bundle(self, message: ApplyBundle) -> None:
         """Apply the classes of the bundle that came into force."""
         self.on_message(ClassesChanged(classes=message.content.classes))
+        self.classes_known = True
+
+    def on_no_bundle_in_force(self, message: NoBundleInForce) -> None:
+        """Serve the default classes, as no bundle has replaced them."""
+        self.classes_known = True
 
     def on_drain_requested(self, message: DrainRequested) -> None:
         """Stop accepting requests."""
@@ -125,12 +135,12 @@
                 await self.drained.wait()
 
 
-def refuse_while_draining(request: RequestReceived) -> ReplyToCaller:
-    """Return the reply to a request that arrived during a planned stop."""
+def refuse_request(request: RequestReceived, reason: Reason) -> ReplyToCaller:
+    """Return the reply to a request that the entry does not take at present."""
     return ReplyToCaller(
         request_id=request.request_id,
         outcome=Outcome.NOT_RUN,
-        reason=Reason.ENTRY_LEAVING.value,
+        reason=reason.value,
     )
 
 
--- a/tests/bundle/cluster.py
+++ b/tests/bundle/cluster.py
@@ -26,6 +26,7 @@
     ApplyBundle,
     BundleOffered,
     BundleVersionState,
+    NoBundleInForce,
     PollDue,
     ProcessKind,
     RemoteProcess,
@@ -465,6 +466,11 @@
                 cluster.network.append(Envelope(other, command.message))
 
 
+@execute.register
+def _(command: NoBundleInForce, cluster: Cluster, node: Node) -> None:
+    assert node.version_state.bundle is None
+
+
 @execute.register
 def _(command: ApplyBundle, cluster: Cluster, node: Node) -> None:
     node.given = max(node.given, command.version)
