Claim no shard before the entry knows the guarantees and quotas

A restarted entry competed for its shards from its first tick, with no quotas and no guarantees until it had read the bundle. After a planned stop of the owner the shard is free at once, so that the new owner could place jobs beyond an organisation's quota and on accelerators that are guaranteed to others; nothing takes such a placement back but a reclaim.

The scheduler observes the shard's row once a bundle came into force, or it is known that none was accepted.

Failing before: tests/bundle/test_bundle_effect.py:: test_entry_claims_no_shard_before_it_knows_the_guarantees_and_quotas: assert 'tick:atl-1' not in {'tick:atl-1': ...}

--- a/packages/wasabispur/src/wasabispur/job_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/job_scheduler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wasabispur_core.bundle_version import ApplyBundle
+from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce
 from wasabispur_core.job_policy import policy_for_data_centre
 from wasabispur_core.log_event import SHARD_OWNED, SHARD_OWNERSHIP_LOST
 from wasabispur_core.message import Message
@@ -29,16 +29,27 @@
         self.membership = membership
         self.table = table
         self.owned = False
-
-    async def opened(self) -> None:
-        """Start to observe the shard's ownership."""
-        self.post(ShardTick())
+        self.observing = False
 
     def on_apply_bundle(self, message: ApplyBundle) -> None:
         """Apply the guarantees and quotas of the bundle that came into force."""
         self.on_message(
             policy_for_data_centre(message.content, self.shard.scheduler.shard)
         )
+        self.observe_ownership()
+
+    def on_no_bundle_in_force(self, message: NoBundleInForce) -> None:
+        """Schedule without guarantees and quotas, as no bundle has set any."""
+        self.observe_ownership()
+
+    def observe_ownership(self) -> None:
+        """Start to observe the shard's ownership, once the policy is known.
+
+        An owner that didn't know the quotas would place jobs beyond them.
+        """
+        if not self.observing:
+            self.observing = True
+            self.post(ShardTick())
 
     def on_rows_read(self, message: RowsRead) -> None:
         """Validate job rows; process other rows as they are."""
--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from random import Random
 
 from wasabispur.job_scheduler import JobScheduler
-from wasabispur_core.bundle_version import ApplyBundle, POLL_INTERVAL
+from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce, POLL_INTERVAL
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.circuit import OPEN_TIME_LIMIT
 from wasabispur_core.job_policy import policy_for_data_centre
@@ -60,3 +61,23 @@
     policy = policy_for_data_centre(content(), "sav-1")
     assert policy.guarantees == ()
     assert policy.quotas == {}
+
+
+def test_entry_claims_no_shard_before_it_knows_the_guarantees_and_quotas():
+    """Guard against jobs that are placed beyond a quota right after a restart."""
+
+    async def main() -> None:
+        timers = FakeTimerService()
+        shard = new_shard("entry-1", "atl-1", ChartCatalogue(), lambda: "operation")
+        other = Actor("other", timers)
+        scheduler = JobScheduler(timers, shard, membership=other, table=other)
+        scheduler.start()
+        await asyncio.sleep(0.01)
+        assert "tick:atl-1" not in scheduler.subscriptions
+        for _ in range(2):
+            scheduler.post(NoBundleInForce())
+            await asyncio.sleep(0.01)
+        assert "tick:atl-1" in scheduler.subscriptions
+        await scheduler.close()
+
+    asyncio.run(main())
