Run a unit that crashed two workers alone, on one of them if need be

A task under which two workers had crashed waited for an idle worker other than these two, and after 2.5 s ran beside innocent work, which its third crash took along, although the two were back and idle. After two crashes the unit is the likely cause, so that workers on which it failed are no worse than others. The first two crashes still happen on different workers.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -59,7 +59,8 @@
 
     If more than half of the workers are suspected, the cause lies elsewhere, and all
     of them are used. Workers on which it failed are used if the others could not hold
-    the unit even when idle.
+    the unit even when idle, or if several have crashed under the unit: then the unit is
+    the likely cause, and an idle one of them spares the work on the others.
     """
     trusted = [worker for worker in possible if _trusted(unit, worker)]
     if 2 * len(trusted) < len(possible):
@@ -69,7 +70,9 @@
         for worker in trusted
         if worker.worker_ref.worker_id not in unit.failed_on
     ]
-    return elsewhere if _can_hold(unit, elsewhere) else trusted
+    if unit.dangerous or not _can_hold(unit, elsewhere):
+        return trusted
+    return elsewhere
 
 
 def _trusted(unit: WaitingUnit, worker: WorkerSnapshot) -> bool:
@@ -111,6 +114,7 @@
         unit.data_rack,
         unit.waits_for_rack,
         unit.failed_on,
+        unit.dangerous,
         unit.attempts_left > 1,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes)
         if _needs_rack(unit) or unit.failed_on
