Count a refused connection among the failures that make a worker unreachable

Two failed requests in a row now make a worker unreachable, whatever failed. test_worker_is_unreachable_after_a_lost_answer_and_a_refused_connection failed before ("assert not True", the worker was reachable after 1 s). test_refused_connections_are_counted_as_before waits 1.5 s in place of 1 s: the lost long poll comes before the two refusals, which take 0.3 s each and are 0.25 s apart. What it requires is unchanged.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -209,7 +209,7 @@
         return _advance(worker, state, now)
     worker.list_failed_at = now
     if worker.reachable and (
-        worker.refused_connections >= DEAD_AFTER_REFUSALS or not message.refused
+        worker.failed_lists >= UNREACHABLE_AFTER_FAILURES or _is_dead(worker)
     ):
         worker.reachable = False
         state.reports[message.worker_id].changed = True
--- a/tests/workload/test_reachability.py
+++ b/tests/workload/test_reachability.py
@@ -70,11 +70,21 @@
     assert not records(world.agents.values(), WORKER_UNREACHABLE)
 
 
+def test_worker_is_unreachable_after_a_lost_answer_and_a_refused_connection():
+    """Guard against units that are placed on a worker whose process has ended."""
+    world = started_world(workers=1)
+    world.workers["w0"].up = False
+    world.advance(1)
+    worker = _local_workers(world)[0]
+    assert worker.refused_connections < DEAD_AFTER_REFUSALS
+    assert not worker.reachable
+
+
 def test_refused_connections_are_counted_as_before():
     """Guard against a dead process that is noticed later than its refusals show."""
     world = started_world(workers=1)
     world.workers["w0"].up = False
-    world.advance(1)
+    world.advance(1.5)
     worker = _local_workers(world)[0]
     assert worker.refused_connections >= DEAD_AFTER_REFUSALS
     assert not worker.reachable
