Let the soak wait for jobs whose callers got no answer

Soak seed 113 with disturbed executors reported that two tasks "still run". The job's submission had got no answer, so that the soak did not count it as accepted and did not wait for its end; entry-0 accepted it once the store was back (event 420), and its tasks ran once, for 6 s, and ended as done (events 443 and 429) while the soak looked.

--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -5,7 +5,9 @@
 reports.
 
 With disturbed executors, seed 109 shows tasks that ran twice at the same time on the
-code that took the lease of a restarted agent's former lifetime for over.
+code that took the lease of a restarted agent's former lifetime for over. Seed 113
+reported that the tasks of a job still ran: no caller had got an answer to it, so that
+the soak did not wait for its end.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 from wasabispur_core.workload.spec import Resources
 from wasabispur_core.workload.worker import EndKind
 from wasabispur_platform_standin.relays import RelayLoop
-from wasabispur_platform_standin.soak import Soak
+from wasabispur_platform_standin.soak import JobAnswers, Soak
 from wasabispur_standins.process import ProcessGroup
 from wasabispur_standins.simulated_worker import Running, SimulatedWorker
 
@@ -39,9 +41,22 @@
     assert worker.noted == noted
 
 
+@pytest.mark.parametrize(
+    ("statuses", "uncertain"),
+    [([504], True), ([0, 503], True), ([503], False), ([504, 200], False)],
+)
+def test_soak_waits_for_jobs_that_may_have_been_accepted(statuses, uncertain):
+    """Guard against reporting a run of a job whose caller got no answer."""
+    assert JobAnswers(1, statuses).uncertain is uncertain
+
+
 @pytest.mark.parametrize(
     ("seed", "disturb_executors", "seconds"),
-    [(1, False, SECONDS_OF_FAULTS), (109, True, SECONDS_OF_DISTURBED_EXECUTORS)],
+    [
+        (1, False, SECONDS_OF_FAULTS),
+        (109, True, SECONDS_OF_DISTURBED_EXECUTORS),
+        (113, True, SECONDS_OF_DISTURBED_EXECUTORS),
+    ],
 )
 def test_invariants_hold_under_random_faults(
     tmp_path, seed, disturb_executors, seconds
