Split the contact with workers from the runner, and lost runs from reports

What requests a worker's lists and decides that it is gone is worker_contact.py now, and the ends that no report lists are in lost_run.py. No change of behaviour; tests/workload passes as before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -16,7 +16,6 @@
 from ..log_event import (
     REPORT_FAILED,
     WORKER_ANNOUNCED,
-    WORKER_REACHABLE,
     WORKER_UNREACHABLE,
 )
 from ..message import Message
@@ -29,7 +28,7 @@
     StoreUnavailable,
 )
 from .fleet_state import TableReady
-from .lease_clock import CONTACT_LIMIT, former_lease_end, is_lease_over
+from .lease_clock import former_lease_end, is_lease_over
 from .report_writer import (
     delete_report,
     find_report_write,
@@ -71,16 +70,19 @@
     WorkerReport,
     WorkerState,
 )
+from .worker_contact import (
+    advance,
+    is_dead,
+    is_expired,
+    is_gone,
+    LIST_RETRY_DELAY,
+    mark_reachable,
+    remove_worker,
+)
 
 TICK_INTERVAL = 0.25
 """Seconds between two checks for work that is due."""
 
-LIST_POLL_WAIT = 1.0
-"""Seconds by which the worker delays the answer to a long poll if no run ends."""
-
-LIST_RETRY_DELAY = 0.25
-"""Seconds before the lists are requested again after a failure."""
-
 LEASE_RENEWAL_SILENCE = 2.0
 """Seconds without a confirmed report after which a lease is renewed at once."""
 
@@ -90,9 +92,6 @@
 One lost answer says little: the next request goes out on another connection.
 """
 
-DEAD_AFTER_REFUSALS = 2
-"""Consecutive refused connections that show that the worker's process has ended."""
-
 TICK_TIMER = "runner-tick"
 WORKER_DEAD = "the worker's process is gone"
 LEASE_EXPIRED = "the worker's lease is over"
@@ -119,9 +118,9 @@
     report = state.reports[info.worker_id]
     commands: list[Command] = []
     if worker is None or worker.info.incarnation != info.incarnation:
-        met = _new_worker(info, state, now)
-        met.started = worker.started if worker else {}
-        worker = state.workers[info.worker_id] = met
+        former_starts = worker.started if worker else {}
+        worker = state.workers[info.worker_id] = _new_worker(info, state, now)
+        worker.started = former_starts
         report.changed = True
         commands.append(_announcement_log(info.worker_id, state))
         if state.orders_read:
@@ -134,7 +133,7 @@
         commands.append(_announcement_log(info.worker_id, state))
     worker.info = info
     worker.announced_at = now
-    return [*commands, *apply_orders(worker, state, now), *_advance(worker, state, now)]
+    return [*commands, *apply_orders(worker, state, now), *advance(worker, state, now)]
 
 
 @decide.register
@@ -146,7 +145,7 @@
     # that only the worker's silence shows that its runs ended.
     worker.departed = True
     state.reports[message.worker_id].changed = True
-    return _advance(worker, state, now)
+    return advance(worker, state, now)
 
 
 @decide.register
@@ -168,7 +167,7 @@
     worker = state.workers.get(orders.worker_id)
     if worker is None:
         return []
-    return [*apply_orders(worker, state, now), *_advance(worker, state, now)]
+    return [*apply_orders(worker, state, now), *advance(worker, state, now)]
 
 
 @decide.register
@@ -179,8 +178,8 @@
     if message.recurring:
         worker.list_in_flight = False
     if message.sent_at < worker.list_requested_at:
-        return _advance(worker, state, now)
-    commands = _mark_reachable(worker, state)
+        return advance(worker, state, now)
+    commands = mark_reachable(worker, state)
     before = run_snapshot(worker)
     worker.list_requested_at = message.sent_at
     worker.list_count += 1
@@ -189,7 +188,7 @@
     worker.ended = message.ended
     commands += reconcile_runs(worker, message.sent_at, state, now)
     state.reports[message.worker_id].changed |= before != run_snapshot(worker)
-    return [*commands, *_advance(worker, state, now)]
+    return [*commands, *advance(worker, state, now)]
 
 
 @decide.register
@@ -206,16 +205,16 @@
         worker.refused_connections + 1 if message.refused else 0
     )
     if not message.refused and worker.failed_lists < UNREACHABLE_AFTER_FAILURES:
-        return _advance(worker, state, now)
+        return advance(worker, state, now)
     worker.list_failed_at = now
     if worker.reachable and (
-        worker.failed_lists >= UNREACHABLE_AFTER_FAILURES or _is_dead(worker)
+        worker.failed_lists >= UNREACHABLE_AFTER_FAILURES or is_dead(worker)
     ):
         worker.reachable = False
         state.reports[message.worker_id].changed = True
         fields = {"worker": message.worker_id, "reason": message.reason}
         commands.append(WriteLog(number=WORKER_UNREACHABLE.number, fields=fields))
-    if _is_dead(worker):
+    if is_dead(worker):
         crashed = worker.info.state is WorkerState.READY and not worker.departed
         commands += abandon_runs(worker, WORKER_DEAD, state, now, crashed)
     due = ListRetryDue(worker_id=message.worker_id)
@@ -227,7 +226,7 @@
 @decide.register
 def _(message: ListRetryDue, state: RunnerState, now: float) -> list[Command]:
     worker = state.workers.get(message.worker_id)
-    return _advance(worker, state, now) if worker else []
+    return advance(worker, state, now) if worker else []
 
 
 @decide.register(RunAnswer)
@@ -253,8 +252,8 @@
     for worker in list(state.workers.values()):
         if is_lease_over(worker, now):
             commands += abandon_runs(worker, LEASE_EXPIRED, state, now)
-        if _is_expired(worker, now):
-            commands += _remove_worker(worker, state, now)
+        if is_expired(worker, now):
+            commands += remove_worker(worker, state, now)
     for worker_id in list(state.reports):
         if worker_id not in state.workers:
             commands += delete_report(worker_id, state, now)
@@ -275,13 +274,14 @@
         return []
     if report.deleting:
         # The worker came back while its row was being deleted.
-        return _advance(worker, state, now)
+        return advance(worker, state, now)
     silence = report.sent_at - report.confirmed_at
     if silence > state.times.horizon and report.confirmed_at > -inf:
+        # The owner may have taken the runs for lost.
         report.session = state.new_operation_id()
         report.changed = True
     report.confirmed_at = report.sent_at
-    commands = _advance(worker, state, now)
+    commands = advance(worker, state, now)
     if worker.runs and silence > LEASE_RENEWAL_SILENCE:
         # The poll in progress may last until the lease is over.
         context = run_context(worker, state)
@@ -328,8 +328,8 @@
     # The row may come from another writer; what can't be read is no evidence.
     former = unpack(WorkerReport, row.value).value_or(None) if row else None
     if former is not None:
-        apply_former_report(worker, former, _is_gone(worker, now))
-    return _advance(worker, state, now)
+        apply_former_report(worker, former, is_gone(worker, now))
+    return advance(worker, state, now)
 
 
 @decide.register
@@ -384,83 +384,5 @@
 def _advance_all(state: RunnerState, now: float) -> list[Command]:
     commands: list[Command] = []
     for worker in list(state.workers.values()):
-        commands += _advance(worker, state, now)
+        commands += advance(worker, state, now)
     return commands
-
-
-def _advance(worker: LocalWorker, state: RunnerState, now: float) -> list[Command]:
-    """Write the report and request the worker's lists, if they are due."""
-    commands = write_report(worker, state, now)
-    if worker.list_in_flight or not state.orders_read:
-        return commands
-    if worker.departed and _is_dead(worker):
-        return commands
-    if now - worker.list_failed_at < LIST_RETRY_DELAY:
-        return commands
-    if worker.ended and now - worker.list_requested_at < LIST_RETRY_DELAY:
-        # A worker whose lists contain an ended run answers at once, so polling without
-        # a delay would spin. The runner sends the acknowledgement as soon as the
-        # owner's orders contain it.
-        due = ListRetryDue(worker_id=worker.info.worker_id)
-        timer_id = f"list:{worker.info.worker_id}"
-        return [
-            *commands,
-            SetTimer(timer_id=timer_id, delay=LIST_RETRY_DELAY, message=due),
-        ]
-    worker.list_in_flight = True
-    # The first answer is needed at once: it contains the worker's clock, without which
-    # no lease can be granted and no run started. After a failure, an immediate answer
-    # shows that the worker is reachable.
-    at_once = worker.clock is None or worker.failed_lists > 0
-    wait = 0.0 if at_once else LIST_POLL_WAIT
-    return [
-        *commands,
-        list_runs_command(run_context(worker, state), wait, now, recurring=True),
-    ]
-
-
-def _mark_reachable(worker: LocalWorker, state: RunnerState) -> list[Command]:
-    worker.refused_connections = worker.failed_lists = 0
-    if worker.reachable:
-        return []
-    worker.reachable = True
-    state.reports[worker.info.worker_id].changed = True
-    fields = {"worker": worker.info.worker_id}
-    return [WriteLog(number=WORKER_REACHABLE.number, fields=fields)]
-
-
-def _is_dead(worker: LocalWorker) -> bool:
-    return worker.refused_connections >= DEAD_AFTER_REFUSALS
-
-
-def _is_gone(worker: LocalWorker, now: float) -> bool:
-    """Return whether nothing that was ordered before can run on the worker now."""
-    return _is_dead(worker) or is_lease_over(worker, now)
-
-
-def _is_expired(worker: LocalWorker, now: float) -> bool:
-    """Return whether a worker that is gone is removed.
-
-    A worker that may come back is removed only after the owner has taken its runs out
-    of the orders, as they are reported as not there any more. The owner leaves the
-    orders of a worker without a report as they are, so that the worker would be told to
-    start these runs. A worker that has deregistered does not come back.
-    """
-    if worker.silence(now) <= CONTACT_LIMIT or not _is_gone(worker, now):
-        return False
-    return worker.departed or not worker.ordered
-
-
-def _remove_worker(
-    worker: LocalWorker, state: RunnerState, now: float
-) -> list[Command]:
-    """Remove a worker that is gone, and delete the row with the report on it."""
-    worker_id = worker.info.worker_id
-    report = state.reports[worker_id]
-    if report.in_flight or report.version is None:
-        return []
-    del state.workers[worker_id]
-    # If the worker comes back, no run starts until the owner has a new report.
-    report.confirmed_at = -inf
-    report.session = state.new_operation_id()
-    return delete_report(worker_id, state, now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -36,17 +36,17 @@
 )
 from .fleet_view import FleetView
 from .fleet_write import flush, remove_ended, write_queue_counts
-from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
-from .planner import Planner
-from .policy import PolicyChanged
-from .progress import JobProgress
-from .report_reconciliation import (
-    apply_report,
+from .lost_run import (
     end_broken_gangs,
     reconcile_recorded_runs,
     remove_report,
     remove_silent_workers,
 )
+from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
+from .planner import Planner
+from .policy import PolicyChanged
+from .progress import JobProgress
+from .report_reconciliation import apply_report
 from .rows import (
     JOB_TABLE,
     PROGRESS_TABLE,
