Let the simulation know of ends that an agent read before a restart

The fault lay in World.restart_worker, which forgot each end that was not acknowledged; it now forgets those that no agent has received. Ends that nobody knows of still count as lost.

--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -291,6 +291,9 @@
         self.post(RunnerTick())
 
     def decide(self, message: Message) -> list[Command]:
+        if isinstance(message, RunsListed):
+            done = (end.task for end in message.ended if end.kind is EndKind.DONE)
+            self.world.listed.update(done)
         return runner.decide(message, self.state, self.world.timers.now())
 
     def apply_rows(self, rows: tuple[Row, ...], removed: tuple[str, ...]) -> None:
@@ -346,6 +349,7 @@
         self.succeeded: set[str] = set()
         self.failures: dict[str, int] = {}
         self.acknowledged: set[str] = set()
+        self.listed: set[str] = set()
         self.violations: list[str] = []
         self.entries = [Entry(self, f"entry-{n}") for n in range(entries)]
         self.workers: dict[str, SimulatedWorker] = {}
@@ -845,7 +849,8 @@
         """Restart a worker with empty state, which loses unacknowledged ends."""
         self._forget_unacknowledged(worker, worker.expirations)
         for end in worker.ended:
-            if end.kind is EndKind.DONE and end.task not in self.acknowledged:
+            known = end.task in self.acknowledged or end.task in self.listed
+            if end.kind is EndKind.DONE and not known:
                 self.succeeded.discard(end.task)
         worker.reborn()
 
