Count a crash only under a run that is known to have begun

Callers would see a job as failed of which no task had failed so often (LOST). A start that got no answer counted as begun, so that the crash of its worker was a crash under the task, and the third one ended the job, although no start had been carried out.

A run has begun if the worker accepted or listed it, or if the connection broke under its start, as it does if the task crashes the worker at once. An answer that is late shows that the process lived on. A task that crashes a worker which goes dark at once, without closing its connections, is not counted for that run.

In the simulated world a worker that crashes under a call breaks the connection.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -16,6 +16,7 @@
 from .runner_message import (
     ListRuns,
     RunRetryDue,
+    StartAccepted,
     StartRejected,
     StartRun,
     StartUnanswered,
@@ -114,8 +115,8 @@
     __slots__ = ()
 
 
-class DiscountUnsentStart(RunAction):
-    """Record that a start had no effect, if no connection was made for it."""
+class RecordLostStart(RunAction):
+    """Record what the loss of a start's answer shows about its effect."""
 
     __slots__ = ()
 
@@ -205,8 +206,10 @@
 
 @perform.register
 def _(action: RecordAnswer) -> list[Command]:
-    if action.subject.start_calls == 1:
-        action.state.worker.started.pop(action.subject.key, None)
+    run = action.subject
+    run.begun |= isinstance(action.message, StartAccepted)
+    if run.start_calls == 1:
+        action.state.worker.started.pop(run.key, None)
     return []
 
 
@@ -244,10 +247,15 @@
 
 
 @perform.register
-def _(action: DiscountUnsentStart) -> list[Command]:
-    message = action.message
-    if isinstance(message, StartUnanswered) and not message.sent:
-        action.subject.start_calls -= 1
+def _(action: RecordLostStart) -> list[Command]:
+    run, message = action.subject, action.message
+    if not isinstance(message, StartUnanswered):
+        return []
+    if not message.sent:
+        run.start_calls -= 1
+    elif not message.timed_out:
+        # A task that crashes its worker breaks the connection.
+        run.begun = True
     return []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -83,7 +83,7 @@
         worker.ordered[key] = run
         # After a restart of the agent, the worker may have the run already.
         run.unconfirmed = True
-        run.listed = key in listed_keys(worker.runs)
+        run.begun = key in listed_keys(worker.runs)
     if order.stop:
         return handle_run_event(worker, key, StopOrdered(), state, now)
     if run.unconfirmed and not _can_start(worker, state):
@@ -113,7 +113,7 @@
         event: Message = RunMissing(requested_at=requested_at)
         if key in running:
             event = RunSeen()
-            run.listed = True
+            run.begun = True
         elif key in ended:
             event = RunEndSeen()
             if not run.lifecycle.final:
@@ -196,7 +196,7 @@
         return
     listed = listed_keys(former.runs)
     for key, run in worker.ordered.items():
-        run.listed |= key in listed
+        run.begun |= key in listed
     worker.ended = former.ended
     # The owner must not take the former lists for newer ones.
     worker.former_listing = former.listing
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
@@ -81,11 +81,13 @@
 class StartUnanswered(RunAnswer):
     """Report a start without an answer; the worker may start the run even later.
 
-    If sent is not set, no connection was made, and the call had no effect.
+    If sent is not set, no connection was made, and the call had no effect. timed_out is
+    set if the connection was intact until the agent gave up.
     """
 
     reason: str
     sent: bool = True
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -36,10 +36,10 @@
     already. abandoned is set once the worker can't have the run any more, because its
     process has ended or its lease has expired. refusal_reason is the reason why the run
     did not start, and process_ended is set if the worker's process ended without having
-    announced it. start_calls counts the calls that may have started it, and listed is
-    set if the worker has listed it as active. stop_accepted_at is the time at which the
-    worker accepted a stop, in monotonic seconds. retries counts the retries of
-    unanswered calls.
+    announced it. start_calls counts the calls that may have started it, and begun is
+    set once something shows that the worker began it. stop_accepted_at is the time at
+    which the worker accepted a stop, in monotonic seconds. retries counts the retries
+    of unanswered calls.
     """
 
     order: RunOrder
@@ -49,7 +49,7 @@
     abandoned: bool = False
     refusal_reason: str = ""
     start_calls: int = 0
-    listed: bool = False
+    begun: bool = False
     process_ended: bool = False
     stop_accepted_at: float = inf
     retries: int = 0
@@ -62,7 +62,7 @@
     @property
     def crashed(self) -> bool:
         """Return whether the worker's process ended under the run."""
-        return self.process_ended and (self.start_calls > 0 or self.listed)
+        return self.process_ended and self.begun
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
@@ -41,9 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseLost:
-    """Report that no complete response arrived; the call may have had an effect."""
+    """Report that no complete response arrived; the call may have had an effect.
+
+    timed_out is set if the connection was intact, and the response late.
+    """
 
     reason: str
+    timed_out: bool = False
 
 
 HttpResult = HttpResponse | RequestNotSent | ResponseLost
@@ -109,7 +113,8 @@
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return RequestNotSent(f"no connection: {type(error).__name__}", refused)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return ResponseLost(f"no answer: {type(error).__name__}")
+            late = isinstance(error, urllib3.exceptions.ReadTimeoutError)
+            return ResponseLost(f"no answer: {type(error).__name__}", timed_out=late)
         return _read_body(response, limit, deadline)
 
     def close(self) -> None:
@@ -129,7 +134,7 @@
                 return ResponseLost(f"the answer exceeds {limit} bytes")
             if time.monotonic() > deadline:
                 response.close()
-                return ResponseLost("the answer took too long")
+                return ResponseLost("the answer took too long", timed_out=True)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         response.close()
         return ResponseLost(f"incomplete answer: {type(error).__name__}")
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -122,3 +122,27 @@
         world.advance(3)
     world.advance(60)
     assert world.state_of(job).job_state is COMPLETED
+
+
+def test_start_that_was_not_carried_out_is_no_crash():
+    """Guard against a job that is given up for crashes of workers that it never used.
+
+    The start gets no answer in time, and its worker crashes before it carries it out.
+    """
+    world = started_world()
+    world.delayed_starts = True
+    world.start_delay = 30.0
+    job = world.submit(tasks(1))
+    for _ in range(4):
+        world.advance(1.5)
+        for agent in world.agents.values():
+            for worker_id, worker in agent.state.workers.items():
+                if worker.ordered:
+                    world.workers[worker_id].up = False
+        world.advance(2)
+    for worker in world.workers.values():
+        if not worker.up:
+            world.restart_worker(worker)
+    world.delayed_starts = False
+    world.advance(20)
+    assert world.state_of(job).job_state is COMPLETED
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -598,8 +598,14 @@
             )
         elif isinstance(command, StartRun):
             run = {"task": command.task, "run": command.run}
+            # The connection breaks if the worker crashes under the call.
+            worker = self.workers.get(command.worker_id)
             answer = StartUnanswered(
-                **worker_fields, **run, reason="fault", sent=not refused
+                **worker_fields,
+                **run,
+                reason="fault",
+                sent=not refused,
+                timed_out=worker is not None and worker.up,
             )
             agent.post_later(0.3, answer)
         elif isinstance(command, StopRun):
