--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -25,7 +25,7 @@
     StopOrdered,
 )
 from .worker import (
-    incarnation_sort_key,
+    is_later_incarnation,
     ListedRun,
     RunOrder,
     WorkerOrders,
@@ -164,9 +164,9 @@
     """
     orders = state.orders.get(worker.info.worker_id)
     keys = set(recent_starts(worker, now))
-    if orders is not None and incarnation_sort_key(
-        orders.incarnation
-    ) < incarnation_sort_key(worker.info.incarnation):
+    if orders is not None and is_later_incarnation(
+        worker.info.incarnation, orders.incarnation
+    ):
         keys |= {(order.task, order.run) for order in orders.runs}
     commands: list[Command] = []
     for key in sorted(keys):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
@@ -64,7 +64,7 @@
     RunnerState,
 )
 from .worker import (
-    incarnation_sort_key,
+    is_later_incarnation,
     OrdersArrived,
     WorkerInfo,
     WorkerReport,
@@ -354,9 +354,7 @@
     """Return whether a heartbeat is newer than the last heartbeat of its worker."""
     info, known = message.info, worker.info
     if info.incarnation != known.incarnation:
-        return incarnation_sort_key(info.incarnation) > incarnation_sort_key(
-            known.incarnation
-        )
+        return is_later_incarnation(info.incarnation, known.incarnation)
     if worker.departed and info.state is not WorkerState.READY:
         return False
     return info.sequence > known.sequence
