--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -350,10 +350,10 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(case: Callable[[Record], int]) -> int:
-    """Run a case, and return its exit status."""
+def run_case(case: Callable[[Record], int], file: str = "record.txt") -> int:
+    """Run a case, write its record to a file, and return its exit status."""
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(UNABLE))
-    record = Record(Path.cwd() / "record.txt")
+    record = Record(Path.cwd() / file)
     record.write("case", trouble=int(disturbed()))
     try:
         status = case(record)
--- a/review/common/executor.py
+++ b/review/common/executor.py
@@ -5,11 +5,12 @@
 import json
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from record import Record
-from wire import Answer, Call, call, HOST, JsonServer
+from wire import Answer, Call, call, HOST, JsonServer, SILENCE
 
 HEARTBEAT_INTERVAL = 1.5
 TICK = 0.01
@@ -51,6 +52,8 @@
     endings tells how the first, the second, ... run of a task ends; the last one
     holds for all later runs.
 
+    late, if set, returns the seconds after which a call is carried out without an
+    answer, or None. first_beat is the time from a start to the first heartbeat.
     A crash closes the port and forgets everything; restart begins a new lifetime,
     under the same id if none is given.
     """
@@ -75,6 +78,8 @@
         self.zone = zone
         self.record = record
         self.lock = threading.Condition()
+        self.late: Callable[[Call], float | None] | None = None
+        self.first_beat = 0.0
         self.up = False
         self.lifetime = 0
         self.restart()
@@ -136,6 +141,24 @@
         return int((time.monotonic() - self.born_at) * 1000)
 
     def _handle(self, request: Call) -> Answer:
+        delay = self.late(request) if self.late else None
+        if delay is None:
+            return self._execute(request)
+        threading.Thread(
+            target=self._execute_late, args=(request, delay), daemon=True
+        ).start()
+        return Answer(SILENCE)
+
+    def _execute_late(self, request: Call, delay: float) -> None:
+        """Carry out a call after a delay, whatever happened in between."""
+        time.sleep(delay)
+        if self.up:
+            answer = self._execute(request)
+            self.record.write(
+                "late-call", executor=self.id, path=request.path, status=answer.status
+            )
+
+    def _execute(self, request: Call) -> Answer:
         expected = request.headers.get("x-expect-instance", self.id)
         if request.method == "GET":
             return Answer(200)
@@ -251,6 +274,7 @@
                         self._end(run, run.ending)
 
     def _beat(self, lifetime: int) -> None:
+        time.sleep(self.first_beat)
         while True:
             with self.lock:
                 if not self.up or lifetime != self.lifetime:
