--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 TASK_SECONDS = 0.5
 SMALL_SECONDS = 0.5
-WATCH_SECONDS = 85.0
+WATCH_SECONDS = 75.0
 IDLE_LIMIT = 20.0
 """Seconds without a run, with most of the capacity free; the rule allows 3."""
 
--- a/review/3/agent.py
+++ b/review/3/agent.py
@@ -90,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case))
+    sys.exit(run_case(case, "agent-record.txt"))
