--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -156,6 +156,13 @@
     "ERROR",
     "job {job} is held, as its progress is unreadable; upgrade this process, or cancel",
 )
+JOB_NOT_STORED = LogEvent(
+    456, "ERROR", "job {job} has failed, as row {key} can't be stored: {reason}"
+)
+ROW_LEFT_OUT = LogEvent(457, "ERROR", "row {key} can't be stored: {reason}")
+CHECKPOINT_REFUSED = LogEvent(
+    458, "ERROR", "a checkpoint of {task} has {size} bytes; its work is not saved"
+)
 REPORT_IGNORED = LogEvent(
     454,
     "WARNING",
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -40,8 +40,14 @@
 BATCH_LIMIT = 50
 """Maximum number of job rows in one transaction."""
 
+BATCH_LIMIT_BYTES = 512 * 1024
+"""Maximum size of the rows in one transaction; the table service takes 1 MB.
+
+The rows grow by a third when they are encoded for the call.
+"""
+
 SHARD_SCHEMA = 1
-"""Version of the shard row's schema; a row with a newer version is never claimed."""
+"""Version of a shard's rows; a shard with a newer version is never claimed."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,12 +71,14 @@
 class WriteRow(Command):
     """Write a row on condition that this entry still owns the shard.
 
-    A value of None deletes the row. number identifies the write in RowCommitted.
+    A value of None deletes the row. number identifies the write in RowCommitted. size
+    is that of the value in bytes once the row is queued.
     """
 
     key: str
     value: dict[str, Any] | None
     number: int = 0
+    size: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +89,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowRejected(Message):
+    """Report that a fenced write can never take effect, and was left out."""
+
+    key: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardAcquired(Message):
     """Report that this entry owns the shard from now on."""
@@ -135,6 +151,8 @@
     observed is the row as an entry that doesn't own the shard last read it, and
     observed_since the time since which the row has stayed the same. in_flight_rows
     and pending are the rows in the current transaction and those that wait for one.
+    The next sent_alone of these get a transaction each, to find the one that the table
+    service rejects. schema is the version of the rows that this entry writes.
     """
 
     entry_id: str
@@ -151,6 +169,8 @@
     first_sent: float = -inf
     last_sent: float = -inf
     pending: list[WriteRow] = field(default_factory=list)
+    sent_alone: int = 0
+    schema: int = SHARD_SCHEMA
     lease_time: float = SHARD_LEASE
     renewal_interval: float = SHARD_RENEWAL_INTERVAL
     releasing: bool = False
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -5,13 +5,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from math import inf
 
 from .action import holds, perform
 from .chart import Chart, ChartCatalogue
-from .command import Command, ReadRows, Transact
+from .command import Command, ReadRows, Transact, WriteLog
+from .log_event import ROW_LEFT_OUT
 from .ownership import (
     BATCH_LIMIT,
+    BATCH_LIMIT_BYTES,
     CLOCK_DRIFT,
     NotifyScheduler,
     OBSERVATION_GAP,
@@ -22,13 +25,22 @@
     read_id,
     RESEND_DELAY,
     RowCommitted,
-    SHARD_SCHEMA,
+    RowRejected,
     ShardAcquired,
     ShardLost,
     ShardRowRead,
     WriteRow,
 )
-from .store import ABSENT, Committed, Condition, Transaction, Write
+from .store import (
+    ABSENT,
+    Committed,
+    Condition,
+    ROW_LIMIT_BYTES,
+    row_size,
+    StoreUnavailable,
+    Transaction,
+    Write,
+)
 
 
 class RecordVersion(OwnershipAction):
@@ -98,7 +110,13 @@
 
 
 class QueueWrite(OwnershipAction):
-    """Add a row to the next transaction."""
+    """Add a row to the next transaction, or leave it out if it is too large."""
+
+    __slots__ = ()
+
+
+class IsolateRows(OwnershipAction):
+    """Send the rows of a rejected transaction one by one, or leave out the only one."""
 
     __slots__ = ()
 
@@ -130,6 +148,12 @@
     __slots__ = ()
 
 
+class RowsRejected(OwnershipGuard):
+    """Check whether the current transaction can't succeed with the rows it has."""
+
+    __slots__ = ()
+
+
 class OwnOperation(OwnershipGuard):
     """Check whether this entry's last transaction wrote the row."""
 
@@ -152,7 +176,7 @@
         return False
     if message.row is None:
         return True
-    if message.row.value.get("schema", 0) > SHARD_SCHEMA:
+    if message.row.value.get("schema", 0) > state.schema:
         return False
     owner = message.row.value.get("owner")
     if not owner or (state.resumes and owner == state.entry_id):
@@ -243,6 +267,7 @@
     state.lease.held_until = state.lease.grace_until = -inf
     state.in_flight = state.observed = None
     state.in_flight_rows, state.pending = [], []
+    state.sent_alone = 0
     state.observed_since = inf
     return []
 
@@ -262,13 +287,44 @@
     return [Transact(transaction=state.in_flight)]
 
 
+@holds.register
+def _(guard: RowsRejected) -> bool:
+    message = guard.message
+    permanent = isinstance(message, StoreUnavailable) and message.permanent
+    return permanent and bool(guard.state.in_flight_rows)
+
+
 @perform.register
 def _(action: QueueWrite) -> list[Command]:
-    if isinstance(action.message, WriteRow):
-        action.state.pending.append(action.message)
+    row = action.message
+    if not isinstance(row, WriteRow):
+        return []
+    size = row_size(row.value)
+    if size > ROW_LIMIT_BYTES:
+        return _leave_out(row, f"{size} bytes exceed {ROW_LIMIT_BYTES}")
+    action.state.pending.append(replace(row, size=size))
     return []
 
 
+@perform.register
+def _(action: IsolateRows) -> list[Command]:
+    state, message = action.state, action.message
+    rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
+    if len(rows) > 1:
+        state.pending = [*rows, *state.pending]
+        state.sent_alone = len(rows)
+        return []
+    reason = message.reason if isinstance(message, StoreUnavailable) else ""
+    return _leave_out(rows[0], reason)
+
+
+def _leave_out(row: WriteRow, reason: str) -> list[Command]:
+    log = WriteLog(
+        number=ROW_LEFT_OUT.number, fields={"key": row.key, "reason": reason}
+    )
+    return [log, NotifyScheduler(message=RowRejected(key=row.key, reason=reason))]
+
+
 @holds.register
 def _(guard: Released) -> bool:
     state = guard.state
@@ -290,20 +346,37 @@
     due = action.now - state.first_sent >= state.renewal_interval or state.releasing
     if state.in_flight is not None or not (state.pending or due):
         return []
-    rows, state.pending = state.pending[:BATCH_LIMIT], state.pending[BATCH_LIMIT:]
-    return _send(state, rows, action.now)
+    return _send(state, _take_batch(state), action.now)
+
+
+def _take_batch(state: Ownership) -> list[WriteRow]:
+    """Take the rows of the next transaction from those that wait."""
+    limit = BATCH_LIMIT
+    if state.sent_alone:
+        limit = 1
+        state.sent_alone -= 1
+    count = size = 0
+    for row in state.pending[:limit]:
+        size += row.size
+        if count and size > BATCH_LIMIT_BYTES:
+            break
+        count += 1
+    rows, state.pending = state.pending[:count], state.pending[count:]
+    return rows
 
 
 def _send(state: Ownership, rows: list[WriteRow], now: float) -> list[Command]:
     shard_row = {
-        "schema": SHARD_SCHEMA,
+        "schema": state.schema,
         "owner": "" if state.releasing else state.entry_id,
         "epoch": state.lease.epoch,
         "lease": state.lease_time,
     }
     # A later write of the same row replaces an earlier one in the batch.
-    values = {row.key: row.value for row in rows}
-    writes = [Write(key=key, value=value) for key, value in values.items()]
+    last = {row.key: row for row in rows}
+    writes = [
+        Write(key=key, value=row.value, size=row.size) for key, row in last.items()
+    ]
     state.in_flight = Transaction(
         operation_id=state.new_operation_id(),
         conditions=(Condition(key=state.key, version=state.version),),
--- a/packages/wasabispur-core/src/wasabispur_core/store.py
+++ b/packages/wasabispur-core/src/wasabispur_core/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from .message import Message
@@ -14,8 +14,11 @@
 SUPERSEDED = -1
 """Version of a row that another write has replaced since; matches no row."""
 
-ROW_LIMIT_BYTES = 64 * 1024
-"""Maximum value of a row, encoded as JSON."""
+ROW_LIMIT_BYTES = 64 * 1024 - 256
+"""Maximum value of a row, encoded as JSON.
+
+The table service takes 64 KiB, which include the id of the operation.
+"""
 
 KEY_LIMIT = 512
 """Maximum length of a row's key in characters."""
@@ -41,10 +44,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Write:
-    """Put a value under a key, or delete the row if the value is None."""
+    """Put a value under a key, or delete the row if the value is None.
+
+    size is that of the value in bytes, or None if it has yet to be computed.
+    """
 
     key: str
     value: dict[str, Any] | None
+    size: int | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,9 +63,20 @@
     writes: tuple[Write, ...]
 
 
+def encode_json(value: Any) -> bytes:
+    """Return a value as JSON in the form in which rows are stored."""
+    text = json.dumps(value, ensure_ascii=False, separators=(",", ":"))
+    return text.encode(errors="surrogatepass")
+
+
 def row_size(value: dict[str, Any] | None) -> int:
     """Return the size in bytes of a row's value, encoded as JSON."""
-    return len(json.dumps(value).encode())
+    return len(encode_json(value)) if value is not None else 0
+
+
+def text_size(text: str) -> int:
+    """Return the size in bytes that a text takes in a row."""
+    return len(encode_json(text))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,10 +106,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreUnavailable(StoreResult):
-    """Report a failed call; if uncertain, the write may have taken effect."""
+    """Report a failed call; if uncertain, the write may have taken effect.
+
+    permanent is set if the same transaction can never succeed.
+    """
 
     reason: str
     uncertain: bool
+    permanent: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/transaction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/transaction.py
@@ -28,6 +28,7 @@
     StoreAccess,
 )
 from .store_call import (
+    CallRejected,
     ConditionsFailed,
     RowsFound,
     SendLookup,
@@ -148,7 +149,8 @@
 def oversized_row(transaction: Transaction) -> str:
     """Return the key of a row that exceeds the size limit, or an empty string."""
     for write in transaction.writes:
-        if row_size(write.value) > ROW_LIMIT_BYTES:
+        size = row_size(write.value) if write.size is None else write.size
+        if size > ROW_LIMIT_BYTES:
             return write.key
     return ""
 
@@ -291,9 +293,12 @@
 def _deliver_failure(action: TransactionAction) -> list[Command]:
     call = action.subject
     reason = call.reason or transaction_refusal(action.state, call.transaction)
+    uncertain = call.uncertain or bool(call.conflicts)
+    refused = isinstance(action.message, CallRejected)
     result = StoreUnavailable(
         operation_id=call.transaction.operation_id,
         reason=reason or "the time for the call is over",
-        uncertain=call.uncertain or bool(call.conflicts),
+        uncertain=uncertain,
+        permanent=not uncertain and (refused or bool(oversized_row(call.transaction))),
     )
     return finish_call(action.state, call, result)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/crash_history.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/crash_history.py
@@ -66,5 +66,14 @@
             longest_run=round(max(known.longest_run, run_time), 2),
         )
 
+    def combined(self, other: CrashHistory) -> CrashHistory:
+        """Return the history of this and of other tasks of the same unit."""
+        if not other.workers:
+            return self
+        return CrashHistory(
+            workers=self.workers | other.workers,
+            longest_run=max(self.longest_run, other.longest_run),
+        )
+
 
 NO_CRASHES = CrashHistory()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -5,16 +5,18 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import inf
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ..chart import Chart
 from ..message import Message
 from .fleet_view import FleetView
+from .occurrence import Occurrence, PageId, StepGraph
 from .planner import Planner
 from .policy import FleetPolicy, Queue
-from .progress import JobProgress, JobState
+from .progress import JobProgress, JobState, UnitPage
 from .spec import JobSpec, NO_RESOURCES, Resources
 from .unit import Unit, UnitId
 from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
@@ -25,10 +27,16 @@
     """Represent one job.
 
     arrived_at is in monotonic seconds of the owner, and ended_at in seconds on the
-    store's clock. occurrences counts the occurrences whose units have been created.
+    store's clock. units contains those that are not completed. occurrences counts the
+    occurrences that have begun, open_occurrences contains those that are not completed,
+    and unfilled the steps, by occurrence, of which not all units have been created.
+    begun is set once a unit has been placed, and failed once one has failed.
     failed_on contains the workers on which runs of the job failed, and wait_reasons why
     units of an occurrence's step last began to wait. held is set if the job's stored
-    progress can't be read, so that nothing tells what has run or still runs.
+    progress can't be read, so that nothing tells what has run or still runs. pages
+    contains the stored pages, dirty_pages those that have to be written, and
+    stored_progress the job's own row as last written. payload_bytes is the size of the
+    payload in a row.
     """
 
     spec: JobSpec
@@ -37,10 +45,35 @@
     ended_at: float = 0.0
     units: dict[UnitId, Unit] = field(default_factory=dict)
     occurrences: int = 0
+    open_occurrences: dict[int, Occurrence] = field(default_factory=dict)
+    unfilled: deque[tuple[int, int]] = field(default_factory=deque)
+    begun: bool = False
+    failed: bool = False
     cancelled: bool = False
     held: bool = False
     failed_on: set[str] = field(default_factory=set)
     wait_reasons: dict[tuple[int, int], str] = field(default_factory=dict)
+    pages: set[PageId] = field(default_factory=set)
+    dirty_pages: set[PageId] = field(default_factory=set)
+    stored_progress: dict[str, Any] | None = None
+    graph: StepGraph = field(init=False)
+    payload_bytes: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.graph = StepGraph(self.spec.steps)
+        self.payload_bytes = self.spec.payload_size
+
+
+@dataclass(slots=True, kw_only=True)
+class StoredProgress:
+    """Represent a job's progress as a former owner stored it.
+
+    readable is unset if one of the rows can't be read.
+    """
+
+    progress: JobProgress = field(default_factory=JobProgress)
+    pages: dict[PageId, UnitPage] = field(default_factory=dict)
+    readable: bool = True
 
 
 class RemovedJob(NamedTuple):
@@ -105,8 +138,8 @@
     rows have to be written. pending_cancellations contains the jobs whose cancellation
     was read before the job. unreported_since contains the workers with recorded runs
     but without a report, with the time in monotonic seconds. progress contains the
-    progress as a former owner recorded it, until the job is restored, with None for a
-    record that can't be read. store_offset is the store's clock minus this process's
+    progress as a former owner stored it, until the job is restored, and obsolete_rows the
+    keys of rows to remove. store_offset is the store's clock minus this process's
     clock, and wall_offset the wall clock minus this process's clock, both in seconds.
     capacity_changed is set if another planning pass may lead to other decisions than
     the last one. horizon is the lease horizon in seconds. view is what the planner knew
@@ -129,7 +162,8 @@
     dirty_jobs: set[str] = field(default_factory=set)
     dirty_workers: set[str] = field(default_factory=set)
     pending_cancellations: set[str] = field(default_factory=set)
-    progress: dict[str, JobProgress | None] = field(default_factory=dict)
+    progress: dict[str, StoredProgress] = field(default_factory=dict)
+    obsolete_rows: deque[str] = field(default_factory=deque)
     waiting: set[UnitId] = field(default_factory=set)
     units_with_unknown_ends: set[UnitId] = field(default_factory=set)
     unreported_since: dict[str, float] = field(default_factory=dict)
@@ -221,6 +255,18 @@
     progress: JobProgress | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnitPageArrived(Message):
+    """Deliver a page of a job's units as recorded by a former owner.
+
+    page is None if the record can't be read.
+    """
+
+    job_id: str
+    page_id: PageId
+    page: UnitPage | None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReportRemoved(Message):
     """Report that an agent has removed its report on a worker."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -1,9 +1,9 @@
 """Write the rows that changed through decisions of the shard's owner.
 
-The owner is an entry instance (a front-end process). The rows are the progress of jobs,
-the orders for workers (the runs that each worker should have) and the number of waiting
-jobs by queue. A unit is the part of a job that is scheduled as a whole, a gang or a
-single task.
+The owner is an entry instance (a front-end process). The rows are the progress of jobs
+and their units, the orders for workers (the runs that each worker should have) and the
+number of waiting jobs by queue. A unit is the part of a job that is scheduled as a
+whole, a gang or a single task.
 """
 
 from __future__ import annotations
@@ -14,8 +14,10 @@
 from ..command import Command
 from ..ownership import WriteRow
 from .fleet_state import FleetState, Job, RemovedJob
+from .job_steps import drop_page
+from .occurrence import PAGE_UNITS, PageId
 from .orders import orders_for
-from .progress import JobProgress
+from .progress import JobProgress, JobState, UnitPage
 from .rows import (
     cancel_key,
     job_key,
@@ -23,11 +25,16 @@
     pack,
     progress_key,
     queue_counts_key,
+    unit_page_key,
 )
+from .unit import UnitId
 
 ENDED_JOB_RETENTION = 300.0
 """Seconds for which callers can look up an ended job."""
 
+REMOVALS_PER_TICK = 40
+"""Rows of completed work that one tick removes, so that other writes don't wait."""
+
 
 def flush(state: FleetState) -> list[Command]:
     """Write the rows of all jobs and workers that changed, jobs first."""
@@ -35,26 +42,60 @@
     for job_id in sorted(state.dirty_jobs):
         job = state.jobs.get(job_id)
         if job is not None:
-            value = _progress_row(job, state.store_offset)
-            commands.append(WriteRow(key=progress_key(job_id), value=value))
+            commands += _write_progress(job, state.store_offset)
     commands += _write_orders(state)
     state.dirty_jobs.clear()
     state.dirty_workers.clear()
     return commands
 
 
-def _progress_row(job: Job, store_offset: float) -> dict[str, Any]:
-    """Return the progress row of a job, packing only the units that changed.
+def _write_progress(job: Job, store_offset: float) -> Iterator[Command]:
+    """Write the changed pages of a job, and its own row if that changed.
 
-    A job may have hundreds of units, of which few change between two writes.
+    The first page of a gang, which holds its state, is written after the others.
     """
-    units: list[dict[str, Any]] = []
-    for unit in job.units.values():
+    for page in sorted(job.dirty_pages, reverse=True):
+        row = page_row(job, page, store_offset)
+        yield WriteRow(key=unit_page_key(job.spec.job_id, page), value=row)
+    job.pages |= job.dirty_pages
+    job.dirty_pages.clear()
+    progress = pack(
+        JobProgress(
+            state=job.state,
+            ended_at=job.ended_at,
+            occurrences=job.occurrences,
+            open_occurrences=tuple(sorted(job.open_occurrences)),
+        )
+    )
+    if progress != job.stored_progress:
+        job.stored_progress = progress
+        yield WriteRow(key=progress_key(job.spec.job_id), value=progress)
+
+
+def page_row(job: Job, page: PageId, store_offset: float) -> dict[str, Any]:
+    """Return the row of a page, packing only the units that changed."""
+    step_state = job.open_occurrences[page.occurrence].steps[page.step]
+    mask = step_state.masks.get(page.number, 0)
+    units = list(_unit_rows(job, page, store_offset))
+    row = pack(UnitPage(completed=mask))
+    return row | {"units": units} if units else row
+
+
+def _unit_rows(job: Job, page: PageId, store_offset: float) -> Iterator[dict[str, Any]]:
+    job_id = job.spec.job_id
+    if job.spec.steps[page.step].gang:
+        unit = job.units.get(UnitId(job_id, page.occurrence, page.step, 0))
+        if unit is not None:
+            yield pack(unit.record(store_offset, page.number))
+        return
+    first = page.number * PAGE_UNITS
+    for position in range(first, first + PAGE_UNITS):
+        unit = job.units.get(UnitId(job_id, page.occurrence, page.step, position))
+        if unit is None:
+            continue
         if unit.stored_row is None:
             unit.stored_row = pack(unit.record(store_offset))
-        units.append(unit.stored_row)
-    row = pack(JobProgress(state=job.state, ended_at=job.ended_at))
-    return row | {"units": units} if units else row
+        yield unit.stored_row
 
 
 def _write_orders(state: FleetState) -> Iterator[Command]:
@@ -72,7 +113,8 @@
 def remove_ended(state: FleetState, now: float) -> list[Command]:
     """Remove ended jobs and their rows after the retention time.
 
-    A job stays while one of its runs may still be active on a worker.
+    A job stays while one of its runs may still be active on a worker, and until the
+    pages of its units are removed: a job without its own row would run again.
     """
     commands: list[Command] = []
     # ended_at is on the store's clock, and store_offset is the store's clock minus this
@@ -87,6 +129,10 @@
             continue
         if any(unit.may_be_running for unit in job.units.values()):
             continue
+        if job.pages:
+            for page in sorted(job.pages):
+                drop_page(page, job, state)
+            continue
         job_id = job.spec.job_id
         del state.jobs[job_id]
         state.removed_jobs[job_id] = RemovedJob(
@@ -97,18 +143,22 @@
     return commands
 
 
+def remove_obsolete_rows(state: FleetState) -> list[Command]:
+    """Remove some of the rows of completed work."""
+    count = min(len(state.obsolete_rows), REMOVALS_PER_TICK)
+    keys = [state.obsolete_rows.popleft() for _ in range(count)]
+    return [WriteRow(key=key, value=None) for key in keys]
+
+
 def write_queue_counts(state: FleetState) -> list[Command]:
     """Write the number of jobs by queue that have not started any run.
 
-    The run number of a unit is 0 until its first run.
+    Queues that are not configured any more are left out, as nobody can ask for them.
     """
     counts: dict[str, int] = {}
     for job in state.jobs.values():
-        if (
-            not job.state.ended
-            and not job.held
-            and all(not unit.run for unit in job.units.values())
-        ):
+        waits = job.state is JobState.PENDING and not job.begun and not job.held
+        if waits and job.spec.queue in state.policy.queues:
             counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
     if counts == state.queue_counts:
         return []
--- a/packages/wasabispur-core/src/wasabispur_core/workload/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/guaranteed_jobs.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from .fleet_state import FleetState, Job
-from .unit import ENDED_STATES
+from .occurrence import StepState
+from .spec import StepSpec
 
 
 def guaranteed_jobs(state: FleetState) -> set[str]:
@@ -23,24 +24,39 @@
         if queue is None or queue.priority != 0 or job.state.ended:
             continue
         name = job.spec.organisation
-        total = needed.get(name, 0) + _accelerators_needed(job)
-        if total <= _guarantee(name, state):
+        guarantee = _guarantee(name, state)
+        total = needed.get(name, 0) + _accelerators_needed(job, guarantee)
+        if total <= guarantee:
             needed[name] = total
             covered.add(job.spec.job_id)
     return covered
 
 
-def _accelerators_needed(job: Job) -> int:
-    """Return the maximum number of accelerators that the job needs at a time."""
-    by_occurrence: dict[int, dict[int, int]] = {}
-    for unit in job.units.values():
-        if unit.state in ENDED_STATES:
-            continue
-        steps = by_occurrence.setdefault(unit.unit_id.occurrence, {})
-        step = unit.unit_id.step
-        need = unit.size * unit.demand.accelerators
-        steps[step] = steps.get(step, 0) + need
-    return sum(max(steps.values()) for steps in by_occurrence.values())
+def _accelerators_needed(job: Job, limit: int) -> int:
+    """Return the maximum number of accelerators that the job needs at a time.
+
+    Any number over the limit stands for the need of a job that exceeds it.
+    """
+    steps = [
+        (number, step)
+        for number, step in enumerate(job.spec.steps)
+        if step.demand.accelerators
+    ]
+    total = 0
+    for occurrence in job.open_occurrences.values():
+        needs = (_step_need(step, occurrence.steps.get(n)) for n, step in steps)
+        total += max(needs, default=0)
+        if total > limit:
+            break
+    return total
+
+
+def _step_need(step: StepSpec, begun: StepState | None) -> int:
+    """Return the accelerators that the tasks of a step need that are not completed."""
+    completed = begun.completed if begun else 0
+    if step.gang:
+        return 0 if completed else step.count * step.demand.accelerators
+    return (step.count - completed) * step.demand.accelerators
 
 
 def _guarantee(organisation: str, state: FleetState) -> int:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -15,7 +15,15 @@
 from ..error import UnhandledMessageError
 from ..log_event import JOB_REFUSED, POLICY_IN_FORCE
 from ..message import Message
-from ..store import ABSENT, Condition, RowsRead, RowsUnavailable, StoreResult, Write
+from ..store import (
+    ABSENT,
+    Condition,
+    RowsRead,
+    RowsUnavailable,
+    StoreResult,
+    text_size,
+    Write,
+)
 from .fleet_state import ClocksRead
 from .intake_message import (
     AnswerCaller,
@@ -28,7 +36,7 @@
 from .intake_state import conditional_write, IntakeState, PendingCall
 from .policy import PolicyChanged, Queue
 from .rows import job_key, pack, progress_key, queue_counts_key
-from .spec import JobSpec
+from .spec import JobSpec, PAYLOAD_LIMIT_BYTES
 
 PENDING_CALL_LIMIT = 500
 """Largest number of requests in progress at one entry instance."""
@@ -157,6 +165,9 @@
         return refused(CallOutcome.NO_QUEUE, "no queue has this host and prefix")
     if not queue.anonymous and message.key_digest not in policy.keys:
         return refused(CallOutcome.NO_KEY, "send the key of an organisation")
+    problem = job_problem(message) if isinstance(message, SubmitJob) else ""
+    if problem:
+        return refused(CallOutcome.INVALID, problem)
     if len(state.calls) >= PENDING_CALL_LIMIT:
         return refused(
             CallOutcome.NOT_ACCEPTED,
@@ -174,6 +185,18 @@
     return queue
 
 
+def job_problem(message: SubmitJob) -> str:
+    """Return why a job can never be carried out, or an empty string."""
+    if "." in message.path.rpartition("/")[2]:
+        return "the job's id contains a dot; use letters and digits"
+    if text_size(message.payload) > PAYLOAD_LIMIT_BYTES:
+        return f"the payload exceeds {PAYLOAD_LIMIT_BYTES} bytes; shorten it"
+    for number, step in enumerate(message.steps):
+        if any(earlier >= number for earlier in step.after):
+            return f"step {number} waits for a step that is not before it; reorder them"
+    return ""
+
+
 def _open_call(
     chart: str, message: IntakeRequest, queue: Queue, state: IntakeState
 ) -> PendingCall:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
@@ -64,7 +64,10 @@
 
 
 class AnswerNotAccepted(CallAction):
-    """Answer that the job was not accepted and never runs."""
+    """Answer that the job was not accepted and never runs.
+
+    The answer tells whether the same job can be accepted later.
+    """
 
     __slots__ = ()
 
@@ -223,12 +226,14 @@
 @perform.register
 def _(action: AnswerNotAccepted) -> list[Command]:
     call = action.subject
-    reason = _reason(action.message)
+    message = action.message
+    reason = _reason(message)
+    permanent = isinstance(message, StoreUnavailable) and message.permanent
     answer = AnswerCaller(
         call_id=call.request.call_id,
-        outcome=CallOutcome.NOT_ACCEPTED,
+        outcome=CallOutcome.INVALID if permanent else CallOutcome.NOT_ACCEPTED,
         reason=reason,
-        retry_after=STORE_DOWN_RETRY_AFTER,
+        retry_after=0.0 if permanent else STORE_DOWN_RETRY_AFTER,
     )
     fields = _job_fields(call) | {"reason": reason}
     return [WriteLog(number=JOB_REFUSED.number, fields=fields), answer]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_message.py
@@ -18,11 +18,13 @@
 class CallOutcome(StrEnum):
     """Define the outcomes of a caller's request.
 
-    NOT_ACCEPTED: the job never runs. UNKNOWN: the request may have taken effect.
+    NOT_ACCEPTED: the job never runs. INVALID: the same job can never be accepted.
+    UNKNOWN: the request may have taken effect.
     """
 
     DONE = "done"
     NOT_ACCEPTED = "not accepted"
+    INVALID = "not valid"
     UNKNOWN = "unknown"
     NO_QUEUE = "no such queue"
     NO_JOB = "no such job"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/lost_run.py
@@ -14,7 +14,8 @@
 from .progress import UnknownEnd
 from .snapshot import REPORT_AGE_LIMIT
 from .unit import RunEnded, Unit, UnknownEndLearned
-from .unit_lifecycle import attempt_limit, end_run, learn_end
+from .unit_event import attempt_limit
+from .unit_lifecycle import end_run, learn_end
 from .worker import EndKind, incarnation_sort_key, is_later_incarnation, WorkerState
 
 RESTARTED = "the worker restarted"
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
@@ -0,0 +1,94 @@
+"""Follow how far the steps of a job's occurrences have come.
+
+The units of a step (gangs or single tasks) are created when the step may start, and
+dropped when they are completed, so that a job of many tasks takes little memory. Their
+records are stored in pages, because the store limits the size of a row.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from .spec import StepSpec
+
+PAGE_UNITS = 64
+"""Units, and members of one gang, whose records share a row."""
+
+OPEN_UNITS_LIMIT = 2_500
+"""Units of one job that exist at a time; a fleet runs about as many tasks."""
+
+OPEN_OCCURRENCES_LIMIT = 1_000
+"""Occurrences of one job that are in progress at a time."""
+
+
+class PageId(NamedTuple):
+    """Identify a page of the units of one step of an occurrence."""
+
+    occurrence: int
+    step: int
+    number: int
+
+
+def page_of(occurrence: int, step: int, position: int) -> PageId:
+    """Return the page with the unit, or the member of a gang, at a position."""
+    return PageId(occurrence, step, position // PAGE_UNITS)
+
+
+def unit_count(step: StepSpec) -> int:
+    """Return the number of units of the step; a gang is a single one."""
+    return 1 if step.gang else step.count
+
+
+def page_count(step: StepSpec) -> int:
+    """Return the number of pages for the units or members of the step."""
+    return -(-step.count // PAGE_UNITS)
+
+
+class StepGraph:
+    """Represent the dependencies between the steps of a job.
+
+    required contains for each step those that have to complete first, and dependents
+    those that wait for it. An entry in after that names no step is ignored.
+    """
+
+    def __init__(self, steps: tuple[StepSpec, ...]) -> None:
+        known = range(len(steps))
+        self.required = [frozenset(step.after).intersection(known) for step in steps]
+        self.dependents: list[list[int]] = [[] for _ in steps]
+        for number, required in enumerate(self.required):
+            for earlier in required:
+                self.dependents[earlier].append(number)
+        self.initial = [number for number in known if not self.required[number]]
+
+
+@dataclass(slots=True, kw_only=True)
+class StepState:
+    """Represent one step of an occurrence that has begun.
+
+    created is the position up to which units were created, completed the number of
+    completed ones, and masks their positions by page, as in UnitPage.
+    """
+
+    created: int = 0
+    completed: int = 0
+    masks: dict[int, int] = field(default_factory=dict)
+
+    def complete(self, position: int) -> None:
+        """Record that the unit at a position is completed."""
+        number, bit = divmod(position, PAGE_UNITS)
+        self.masks[number] = self.masks.get(number, 0) | 1 << bit
+        self.completed += 1
+
+    def is_completed(self, position: int) -> bool:
+        """Return whether the unit at a position is completed."""
+        number, bit = divmod(position, PAGE_UNITS)
+        return bool(self.masks.get(number, 0) >> bit & 1)
+
+
+@dataclass(slots=True, kw_only=True)
+class Occurrence:
+    """Represent one occurrence of a job: the steps that have begun or are completed."""
+
+    steps: dict[int, StepState] = field(default_factory=dict)
+    completed_steps: set[int] = field(default_factory=set)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
@@ -6,10 +6,27 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
+from ..store import text_size
 from .fleet_state import FleetState, Worker
 from .unit import ACTIVE, Unit
 from .worker import RunOrder, WorkerOrders
 
+RUN_ORDER_BYTES = 160
+"""Size of the longest order in an orders row, without its checkpoint."""
+
+UNKNOWN_RUNS_LIMIT = 100
+"""Runs that nobody ordered which a worker is told to stop at a time.
+
+More of them would not leave enough room for orders in the worker's row.
+"""
+
+
+def order_size(checkpoint: str) -> int:
+    """Return the size in bytes of a run's order with a checkpoint."""
+    return RUN_ORDER_BYTES + (text_size(checkpoint) if checkpoint else 0)
+
 
 def orders_for(worker: Worker, state: FleetState) -> WorkerOrders:
     """Return the runs that the worker should have, and those that it should stop."""
@@ -24,11 +41,12 @@
         if any(not order.stop for order in wanted):
             payloads[unit_id.job_id] = state.jobs[unit_id.job_id].spec.payload
     known = {(order.task, order.run) for order in runs}
-    runs += [
+    unknown = (
         RunOrder(task=run.task, run=run.run, job_id="", stop=True)
         for run in worker.unknown_runs
         if (run.task, run.run) not in known and not state.is_held(run.task)
-    ]
+    )
+    runs += islice(unknown, UNKNOWN_RUNS_LIMIT)
     return WorkerOrders(
         worker_id=worker.worker_id,
         incarnation=worker.info.incarnation,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -28,9 +28,9 @@
 
     The planner works on copies that it updates while it places units. awaiting_report
     is set for a worker that accepts runs but whose last report is too old. releasing
-    is the amount of resources held by units that are being stopped. payload_bytes is
-    the size of the payloads in the worker's orders row, and tasks_of_step counts its
-    tasks by job, occurrence and step. suspects counts its units under which a worker
+    is the amount of resources held by units that are being stopped. orders_bytes is
+    the size of the worker's orders row, and tasks_of_step counts its tasks by job,
+    occurrence and step. suspects counts its units under which a worker
     has crashed, and closed is set while a dangerous one has begun there.
     """
 
@@ -45,7 +45,7 @@
     awaiting_report: bool = False
     releasing: Resources = NO_RESOURCES
     trust: Trust = Trust.FULL
-    payload_bytes: int = 0
+    orders_bytes: int = 0
     tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
     suspects: int = 0
     closed: bool = False
@@ -59,7 +59,8 @@
     organisation's guarantee covers the job. objective is the time by which the whole
     job should end, target_span the time from its start to that objective, and
     remaining the estimated run time of the unit and of the longest chain of steps that
-    depend on it, both in seconds. failed_on contains the workers on which its runs
+    depend on it, both in seconds. payload_bytes and order_bytes are the sizes of the
+    job's payload and of a run's order in an orders row. failed_on contains the workers on which its runs
     failed. The workers in avoided_workers are used last. With waits_for_rack, the unit
     waits for workers of a better rack that are expected to report. suspected is set if
     a worker has crashed under the unit, and dangerous if several have. An isolated unit
@@ -78,6 +79,7 @@
     same_rack: bool = False
     tasks_per_worker: int = 0
     payload_bytes: int = 0
+    order_bytes: int = 0
     ready_at: float = 0.0
     objective: float = 0.0
     target_span: float = 0.0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
@@ -68,6 +68,7 @@
         unit.size,
         unit.same_rack,
         unit.payload_bytes,
+        unit.order_bytes,
         unit.priority,
         unit.isolated,
         step_key(unit) if unit.tasks_per_worker else None,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -80,13 +80,29 @@
     unknown_ends: tuple[UnknownEnd, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnitPage:
+    """Describe the stored state of some units of one step of an occurrence.
+
+    Bit n of completed is set if the unit at the page's position n is completed. A unit
+    that is neither completed nor in units has not been created.
+    """
+
+    completed: int = 0
+    units: tuple[UnitRecord, ...] = ()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobProgress:
     """Describe the stored state of a job.
 
     ended_at is in seconds on the store's clock, and zero while the job has not ended.
+    occurrences counts those that have begun, and open_occurrences contains the ones
+    that are not completed. units is only set in rows of versions without pages.
     """
 
     state: JobState = JobState.PENDING
     ended_at: float = 0.0
+    occurrences: int = 0
+    open_occurrences: tuple[int, ...] = ()
     units: tuple[UnitRecord, ...] = ()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -8,24 +8,29 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TypeVar
 
 from ..command import Command, ReadRows, Transact
-from ..store import ABSENT, Condition, Transaction, Write
+from ..store import ABSENT, Condition, row_size, Transaction, Write
 from .lease_clock import CONTACT_LIMIT
 from .rows import pack, report_key
 from .runner_state import LocalWorker, ReportState, RunnerState
 from .worker import RefusedRun, WorkerReport
 
+T = TypeVar("T")
+
 REPORT_RETRY_DELAY = 0.5
 """Seconds before a report is retried after a failed read or write of its row."""
 
 REPORT_INTERVAL = 1.0
 """Seconds after which a report is written even if the worker's state is unchanged."""
 
-ENDS_LIMIT = 300
-"""Largest number of unacknowledged ended runs in a report.
+REFUSALS_LIMIT_BYTES = 14_000
+ENDS_LIMIT_BYTES = 22_000
+RUNS_LIMIT_BYTES = 18_000
+"""Sizes of the lists in a report, since the table service limits a row to 64 KiB.
 
-The table service limits a row to 64 KiB.
+What is left out follows in a later report, once the owner has seen what comes first.
 """
 
 
@@ -112,12 +117,22 @@
         info=replace(worker.info, state=worker.state),
         session=report.session,
         listing=worker.former_listing + worker.list_count,
-        runs=worker.runs,
-        ended=worker.ended[:ENDS_LIMIT],
-        refused=refused,
+        runs=_first_of(worker.runs, RUNS_LIMIT_BYTES),
+        ended=_first_of(worker.ended, ENDS_LIMIT_BYTES),
+        refused=_first_of(refused, REFUSALS_LIMIT_BYTES),
     )
 
 
+def _first_of(items: tuple[T, ...], limit: int) -> tuple[T, ...]:
+    """Return the first items, as far as they fit into a number of bytes."""
+    size = 0
+    for count, item in enumerate(items):
+        size += row_size(pack(item)) + 1
+        if size > limit:
+            return items[:count]
+    return items
+
+
 def run_snapshot(worker: LocalWorker) -> tuple[object, ...]:
     """Return the part of a worker's state whose change triggers a report at once."""
     return {(run.task, run.run) for run in worker.runs}, worker.ended
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from ..error import ProtocolError
+from .occurrence import PageId
 from .row_check import row_problem
 
 SHARD = "main"
@@ -26,8 +27,16 @@
 """Number of tables over which the orders rows are distributed."""
 
 PROGRESS_TABLE = "progress"
+UNIT_TABLE = "unit"
 QUEUE_TABLE = "queue"
 REPORT_TABLE = "report"
+ROWS_SCHEMA = 2
+"""Version of the shard's rows: the units of jobs are stored in pages.
+
+An entry instance of an earlier version must not own the shard, since it would take the
+jobs for not started.
+"""
+
 REPORT_PART_COUNT = 8
 """Number of store parts over which reports are distributed.
 
@@ -67,6 +76,34 @@
     return progress_prefix() + job_id
 
 
+def unit_page_prefix() -> str:
+    """Return the prefix of the pages with the units of all jobs."""
+    return f"{UNIT_TABLE}/{SHARD}/"
+
+
+def unit_page_key(job_id: str, page: PageId) -> str:
+    """Return the key of a page of a job's units."""
+    return f"{unit_page_prefix()}{job_id}.{page.occurrence}.{page.step}.{page.number}"
+
+
+def parse_unit_page(name: str) -> tuple[str, PageId]:
+    """Return the job and the page that the last part of a key names.
+
+    Raise ValueError if it names none.
+    """
+    job_id, occurrence, step, number = name.rsplit(".", 3)
+    return job_id, PageId(int(occurrence), int(step), int(number))
+
+
+def job_of_row(key: str) -> str:
+    """Return the id of the job whose progress or units a row holds, or nothing."""
+    table, _, rest = key.partition("/")
+    name = rest.partition("/")[2]
+    if table == PROGRESS_TABLE:
+        return name
+    return parse_unit_page(name)[0] if table == UNIT_TABLE else ""
+
+
 def queue_counts_key() -> str:
     """Return the key of the row with the number of waiting jobs by queue."""
     return f"{QUEUE_TABLE}/{SHARD}/waiting"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -17,11 +17,11 @@
 from ..log_event import (
     CANCELLATION_READ_BY_OWNER,
     FLEET_LOADED,
-    JOB_HELD,
+    JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
 )
 from ..message import Message
-from ..ownership import RowCommitted, ShardAcquired, ShardLost
+from ..ownership import RowCommitted, RowRejected, ShardAcquired, ShardLost
 from .fleet_state import (
     CancelArrived,
     ClocksRead,
@@ -32,42 +32,48 @@
     PlanningPassDue,
     ProgressArrived,
     ReportRemoved,
+    StoredProgress,
     TableReady,
+    UnitPageArrived,
 )
 from .fleet_view import FleetView
-from .fleet_write import flush, remove_ended, write_queue_counts
+from .fleet_write import (
+    flush,
+    remove_ended,
+    remove_obsolete_rows,
+    write_queue_counts,
+)
+from .job_lifecycle import (
+    add_occurrence,
+    cancel,
+    fail_job,
+    occurrence_count,
+    update_job,
+)
+from .job_restore import restore_job
 from .lost_run import (
     end_broken_gangs,
     reconcile_recorded_runs,
     remove_report,
     remove_silent_workers,
 )
+from .occurrence import OPEN_OCCURRENCES_LIMIT
 from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
 from .policy import PolicyChanged
-from .progress import JobProgress
 from .report_reconciliation import apply_report
 from .rows import (
+    job_of_row,
     JOB_TABLE,
     PROGRESS_TABLE,
     REPORT_TABLE,
+    UNIT_TABLE,
 )
 from .snapshot import take_snapshot
 from .spec import JobSpec
 from .unit import WAITING
 from .unit_action import unit_chart
-from .unit_lifecycle import (
-    add_occurrence,
-    cancel,
-    evacuate,
-    log_wait,
-    move,
-    occurrence_count,
-    place,
-    preempt,
-    restore_unit,
-    update_job,
-)
+from .unit_lifecycle import evacuate, log_wait, move, place, preempt
 from .watch import StopWatching, WatchTables
 from .worker import ReportArrived, WorkerState
 
@@ -81,7 +87,7 @@
 """Seconds between two ticks above which the process is assumed to have paused."""
 
 PASS_TIMER = "fleet-pass"
-LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE)
+LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, UNIT_TABLE, REPORT_TABLE)
 POLICY = "policy"
 """Name of the configuration among what an owner has yet to read."""
 
@@ -120,7 +126,8 @@
     if not state.policy.version:
         # Without the queues, one failure would end a job, whatever its attempts.
         state.loading.add(POLICY)
-    return [WatchTables(watched=(JOB_TABLE, REPORT_TABLE), read=(PROGRESS_TABLE,))]
+    watched, read = (JOB_TABLE, REPORT_TABLE), (PROGRESS_TABLE, UNIT_TABLE)
+    return [WatchTables(watched=watched, read=read)]
 
 
 @handle_message.register
@@ -183,7 +190,23 @@
     if state.active:
         return []
     # Jobs and progress are read concurrently; the job's row may arrive later.
-    state.progress[message.job_id] = message.progress
+    stored = state.progress.setdefault(message.job_id, StoredProgress())
+    if message.progress is None:
+        stored.readable = False
+    else:
+        stored.progress = message.progress
+    return []
+
+
+@handle_message.register
+def _(message: UnitPageArrived, state: FleetState, now: float) -> list[Command]:
+    if state.active:
+        return []
+    stored = state.progress.setdefault(message.job_id, StoredProgress())
+    if message.page is None:
+        stored.readable = False
+    else:
+        stored.pages[message.page_id] = message.page
     return []
 
 
@@ -223,6 +246,20 @@
     return []
 
 
+@handle_message.register
+def _(message: RowRejected, state: FleetState, now: float) -> list[Command]:
+    job = state.jobs.get(job_of_row(message.key))
+    if job is None or job.state.ended:
+        return []
+    fields = {
+        "job": job.spec.job_id,
+        "key": message.key,
+        "reason": message.reason,
+    }
+    log = WriteLog(number=JOB_NOT_STORED.number, fields=fields)
+    return [log, *fail_job(job, state, now)]
+
+
 @handle_message.register
 def _(message: FeedHealth, state: FleetState, now: float) -> list[Command]:
     state.reports_since = now if message.healthy else inf
@@ -238,7 +275,8 @@
     if not state.active:
         return []
     state.capacity_changed = True
-    commands = [*remove_silent_workers(state, now), *end_broken_gangs(state, now)]
+    commands = remove_obsolete_rows(state)
+    commands += [*remove_silent_workers(state, now), *end_broken_gangs(state, now)]
     for job in list(state.jobs.values()):
         commands += _start_due_occurrences(job, state, now)
     return [*commands, *write_queue_counts(state), *remove_ended(state, now)]
@@ -334,9 +372,9 @@
 def _start_job(job: Job, state: FleetState, now: float) -> list[Command]:
     """Create the job's units, or restore those that a former owner recorded."""
     commands: list[Command] = []
-    if job.spec.job_id in state.progress:
-        progress = state.progress.pop(job.spec.job_id)
-        commands += _restore_job(job, progress, state, now)
+    stored = state.progress.pop(job.spec.job_id, None)
+    if stored is not None:
+        commands += restore_job(job, stored, state, now)
     cancelled = job.spec.job_id in state.pending_cancellations
     state.pending_cancellations.discard(job.spec.job_id)
     if cancelled:
@@ -344,33 +382,17 @@
     return commands + _start_due_occurrences(job, state, now)
 
 
-def _restore_job(
-    job: Job, progress: JobProgress | None, state: FleetState, now: float
-) -> list[Command]:
-    """Restore the units that a former owner recorded, or hold the job."""
-    if progress is None or not all(
-        state.unit_chart.has_state(record.state) for record in progress.units
-    ):
-        job.held = True
-        fields = {"job": job.spec.job_id}
-        return [WriteLog(number=JOB_HELD.number, fields=fields)]
-    job.state = progress.state
-    job.ended_at = progress.ended_at
-    for record in progress.units:
-        restore_unit(job, record, state, now)
-        job.occurrences = max(job.occurrences, record.occurrence + 1)
-    return []
-
-
 def _start_due_occurrences(job: Job, state: FleetState, now: float) -> list[Command]:
-    """Create the units of the occurrences that are due."""
+    """Begin the occurrences that are due, as far as few enough are in progress."""
     if job.state.ended or job.held:
         return []
-    started = False
-    while job.occurrences < occurrence_count(job) and _occurrence_due(job, state, now):
+    while (
+        job.occurrences < occurrence_count(job)
+        and len(job.open_occurrences) < OPEN_OCCURRENCES_LIMIT
+        and _occurrence_due(job, state, now)
+    ):
         add_occurrence(job, state)
-        started = True
-    return update_job(job, state, now) if started else []
+    return update_job(job, state, now)
 
 
 def _occurrence_due(job: Job, state: FleetState, now: float) -> bool:
@@ -392,6 +414,7 @@
         state.pending_cancellations,
         state.progress,
         state.queue_counts,
+        state.obsolete_rows,
         state.waiting,
         state.units_with_unknown_ends,
         state.unreported_since,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -10,6 +10,7 @@
 
 from .fleet_state import FleetState, Job, Worker
 from .guaranteed_jobs import guaranteed_jobs
+from .orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
 from .plan import RunningUnit, Snapshot, Trust, WaitingUnit, WorkerSnapshot
 from .policy import Queue
 from .spec import StepSpec
@@ -22,6 +23,7 @@
     WAITING,
     WorkerRef,
 )
+from .unit_placement import has_job
 from .worker import WorkerState
 from .worker_trust import stalled_for, trust_level
 
@@ -222,6 +224,8 @@
         trust=trust_level(worker, now),
         closed=_is_closed(worker, state, now),
     )
+    unknown_runs = min(len(worker.unknown_runs), UNKNOWN_RUNS_LIMIT)
+    snapshot.orders_bytes = unknown_runs * RUN_ORDER_BYTES
     for unit_id in state.units_by_worker.get(worker.worker_id, ()):
         unit = state.unit(unit_id)
         if unit is None:
@@ -231,8 +235,10 @@
             not member.ended and member.worker_ref.worker_id == worker.worker_id
             for member in unit.members
         )
+        if not has_job(snapshot, unit_id.job_id):
+            snapshot.orders_bytes += state.jobs[unit_id.job_id].payload_bytes
+        snapshot.orders_bytes += count * order_size(unit.start_checkpoint)
         snapshot.tasks_of_step[step] = snapshot.tasks_of_step.get(step, 0) + count
-        snapshot.payload_bytes += len(state.jobs[unit_id.job_id].spec.payload)
         snapshot.suspects += unit.crashes.most > 0
     return snapshot
 
@@ -271,7 +277,8 @@
         data_rack=step.data_rack,
         same_rack=step.same_rack and step.gang,
         tasks_per_worker=step.tasks_per_worker,
-        payload_bytes=len(job.spec.payload),
+        payload_bytes=job.payload_bytes,
+        order_bytes=order_size(unit.checkpoint),
         ready_at=unit.ready_at,
         objective=_objective_start(unit, job, state) + span,
         target_span=span,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -9,12 +9,17 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from ..store import text_size
+
 STEPS_LIMIT = 100
 """Maximum number of steps of a job."""
 
 TASKS_LIMIT = 10_000
 """Maximum number of tasks of a step."""
 
+PAYLOAD_LIMIT_BYTES = 32 * 1024
+"""Maximum size of a payload, encoded as JSON; half of an orders row."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Resources:
@@ -128,6 +133,11 @@
     repeat_interval: float = 0.0
     start_at: float = 0.0
 
+    @property
+    def payload_size(self) -> int:
+        """Return the size in bytes that the payload takes in a row."""
+        return text_size(self.payload)
+
 
 class TaskId(NamedTuple):
     """Identify one task of one occurrence of a job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
 from ..chart import Lifecycle
 from ..message import Message
 from .crash_history import CrashHistory, NO_CRASHES
+from .occurrence import PAGE_UNITS
 from .progress import MemberRecord, UnitRecord, UnknownEnd
 from .run_progress import RunProgress
 from .spec import Resources, StepSpec, TaskId
@@ -217,11 +218,16 @@
             self.unit_id.job_id, self.unit_id.occurrence, self.unit_id.step, index
         )
 
-    def record(self, store_offset: float) -> UnitRecord:
+    def record(self, store_offset: float, page: int | None = None) -> UnitRecord:
         """Return the stored record of the unit.
 
-        store_offset is the store's clock minus this process's clock in seconds.
+        store_offset is the store's clock minus this process's clock in seconds. With a
+        page, the record contains the part of a gang whose members that page stores.
         """
+
+        def included(index: int) -> bool:
+            return page is None or index // PAGE_UNITS == page
+
         members = tuple(
             MemberRecord(
                 index=member.index,
@@ -232,7 +238,12 @@
                 broken=member.broken,
             )
             for member in self.members
+            if included(member.index)
         )
+        crashes = self.crashes
+        if crashes.workers and page is not None:
+            counts = crashes.workers.items()
+            crashes = replace(crashes, workers={i: n for i, n in counts if included(i)})
         return UnitRecord(
             occurrence=self.unit_id.occurrence,
             step=self.unit_id.step,
@@ -243,6 +254,6 @@
             run_failed=self.run_failed,
             checkpoint=self.checkpoint,
             members=members,
-            crashes=self.crashes,
-            unknown_ends=self.unknown_ends,
+            crashes=crashes,
+            unknown_ends=tuple(end for end in self.unknown_ends if included(end.index)),
         )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -18,6 +18,10 @@
 """Ends that count as failed attempts; the system itself causes all others."""
 
 
+UNKNOWN_ENDS_LIMIT = 64
+"""Unknown ends of a long-running unit that are remembered."""
+
+
 class UnitAction(Action[Any, Unit]):
     """Define the base of the unit state chart's actions.
 
@@ -185,13 +189,20 @@
             member.ended = True
             member.broken = message.kind is EndKind.BROKEN
             if message.kind is EndKind.UNKNOWN:
-                unit.unknown_ends += (_unknown_end(unit, member, action.now),)
+                _add_unknown_end(unit, _unknown_end(unit, member, action.now))
     if message.checkpoint and unit.step.checkpointing:
         unit.checkpoint = message.checkpoint
     unit.run_failed |= message.kind in COUNTED_FAILURES
     return []
 
 
+def _add_unknown_end(unit: Unit, end: UnknownEnd) -> None:
+    """Record an end; of a step without an attempt limit, only the latest ones."""
+    unit.unknown_ends += (end,)
+    if unit.step.long_running:
+        unit.unknown_ends = unit.unknown_ends[-UNKNOWN_ENDS_LIMIT:]
+
+
 def _unknown_end(unit: Unit, member: UnitMember, now: float) -> UnknownEnd:
     return UnknownEnd(
         run=unit.run,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -13,8 +13,8 @@
 from .plan import Trust, WaitingUnit, WorkerSnapshot
 from .spec import Resources
 
-PAYLOAD_LIMIT = 40_000
-"""Bytes of payloads in one orders row; the store limits a row to 64 KiB."""
+ORDERS_LIMIT_BYTES = 60_000
+"""Size of the orders and payloads in one orders row; the store takes 64 KiB."""
 
 
 def eligible_workers(
@@ -116,7 +116,7 @@
         unit.failed_on,
         unit.dangerous,
         unit.attempts_left > 1,
-        (unit.size, unit.tasks_per_worker, unit.payload_bytes)
+        (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
         if _needs_rack(unit) or unit.failed_on
         else None,
     )
@@ -185,18 +185,34 @@
 
 def _count_when_idle(unit: WaitingUnit, worker: WorkerSnapshot) -> int:
     """Return how many tasks of the unit an idle worker holds."""
-    payload_bound = PAYLOAD_LIMIT // max(unit.payload_bytes, 1)
-    bounds = [unit.demand.count_in(worker.capacity, unit.size), payload_bound]
+    bounds = [
+        unit.demand.count_in(worker.capacity, unit.size),
+        _count_in_orders(unit, 0),
+    ]
     if unit.tasks_per_worker:
         bounds.append(unit.tasks_per_worker)
     return min(bounds)
 
 
+def _count_in_orders(unit: WaitingUnit, used: int) -> int:
+    """Return how many runs of the unit fit into an orders row of which some is used.
+
+    Room for the payload is required also where another unit of the job has brought it,
+    so that units with the same need fit equally.
+    """
+    room = ORDERS_LIMIT_BYTES - used - unit.payload_bytes
+    if room < 0:
+        return 0
+    return room // unit.order_bytes if unit.order_bytes else unit.size
+
+
 def reserve(unit: WaitingUnit, placement: Sequence[WorkerSnapshot]) -> None:
     """Subtract the unit's demand from the free resources of its workers."""
     for worker in placement:
         worker.free -= unit.demand
-        worker.payload_bytes += unit.payload_bytes
+        worker.orders_bytes += unit.order_bytes
+        if not has_job(worker, unit.unit_id.job_id):
+            worker.orders_bytes += unit.payload_bytes
         step = step_key(unit)
         worker.tasks_of_step[step] = worker.tasks_of_step.get(step, 0) + 1
     for worker in {id(worker): worker for worker in placement}.values():
@@ -209,6 +225,11 @@
     return unit.unit_id[:3]
 
 
+def has_job(worker: WorkerSnapshot, job_id: str) -> bool:
+    """Return whether the worker has a task of the job, and so its payload."""
+    return any(step[0] == job_id for step in worker.tasks_of_step)
+
+
 def _pack(
     unit: WaitingUnit, workers: Iterable[WorkerSnapshot]
 ) -> list[WorkerSnapshot] | None:
@@ -255,10 +276,8 @@
     fitting = unit.demand.count_in(free, unit.size)
     if not fitting:
         return 0
-    payloads = worker.payload_bytes + already_placed * unit.payload_bytes
-    payload_bound = (PAYLOAD_LIMIT - payloads) // max(unit.payload_bytes, 1)
-    if payload_bound < fitting:
-        fitting = payload_bound
+    used = worker.orders_bytes + already_placed * unit.order_bytes
+    fitting = min(fitting, _count_in_orders(unit, used))
     if unit.tasks_per_worker:
         present = worker.tasks_of_step.get(step_key(unit), 0) + already_placed
         fitting = min(fitting, unit.tasks_per_worker - present)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -13,6 +13,9 @@
 from ..message import Message
 from .spec import NO_RESOURCES, Resources
 
+CHECKPOINT_LIMIT_BYTES = 256
+"""Maximum size of a checkpoint, encoded as JSON, so that it fits into each row."""
+
 
 class WorkerState(StrEnum):
     """Define whether a worker accepts new runs."""
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
@@ -10,6 +10,8 @@
     Committed,
     Conflicted,
     Row,
+    ROW_LIMIT_BYTES,
+    row_size,
     StoreResult,
     StoreUnavailable,
     Transaction,
@@ -35,8 +37,18 @@
     late: bool = False
 
     def apply(self, transaction: Transaction) -> StoreResult:
-        """Apply a transaction, or return the keys whose conditions don't hold."""
+        """Apply a transaction, or return why it has no effect.
+
+        That is a condition that does not hold, or a row that is too large.
+        """
         operation_id = transaction.operation_id
+        if any(row_size(write.value) > ROW_LIMIT_BYTES for write in transaction.writes):
+            return StoreUnavailable(
+                operation_id=operation_id,
+                reason="a row is too large",
+                uncertain=False,
+                permanent=True,
+            )
         conflicts = tuple(
             item.key
             for item in transaction.conditions
--- a/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import asdict
 from functools import singledispatch
 from typing import Annotated, Any
@@ -13,7 +12,14 @@
 from wasabispur.bridge import Bridge
 from wasabispur.http_error import BadRequestError
 from wasabispur.http_request import read_model
-from wasabispur_core.store import Condition, Row, ROW_LIMIT_BYTES, Transaction, Write
+from wasabispur_core.store import (
+    Condition,
+    Row,
+    ROW_LIMIT_BYTES,
+    row_size,
+    Transaction,
+    Write,
+)
 from wasabispur_runtime.actor import Actor
 
 from .json_http import error_answer, json_answer, method_not_allowed
@@ -65,7 +71,7 @@
     def transaction(self) -> Transaction:
         """Return the transaction; raise BadRequestError if a row is too large."""
         for write in self.writes:
-            if len(json.dumps(write.value)) > ROW_LIMIT_BYTES:
+            if row_size(write.value) > ROW_LIMIT_BYTES:
                 raise BadRequestError(
                     f"row {write.key} exceeds {ROW_LIMIT_BYTES} bytes",
                     "keep large values in the object store",
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -18,7 +18,7 @@
 from wasabispur_core.workload.intake_action import call_charts
 from wasabispur_core.workload.intake_state import IntakeState
 from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.rows import SHARD
+from wasabispur_core.workload.rows import ROWS_SCHEMA, SHARD
 from wasabispur_core.workload.runner_state import LeaseTimes
 from wasabispur_core.workload.scheduler import decide, new_fleet_state
 from wasabispur_runtime.log import configure_output_log, log
@@ -169,6 +169,7 @@
             lease_time=OWNER_LEASE_TIME,
             renewal_interval=OWNER_RENEWAL_INTERVAL,
             resumes=True,
+            schema=ROWS_SCHEMA,
         )
         horizon = owner_horizon(self.settings.lease_times)
         return Shard(
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -15,13 +15,16 @@
     JobArrived,
     ProgressArrived,
     ReportRemoved,
+    UnitPageArrived,
 )
-from wasabispur_core.workload.progress import JobProgress
+from wasabispur_core.workload.progress import JobProgress, UnitPage
 from wasabispur_core.workload.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
+    parse_unit_page,
     PROGRESS_TABLE,
     REPORT_TABLE,
+    UNIT_TABLE,
     unpack,
 )
 from wasabispur_core.workload.spec import JobSpec
@@ -48,12 +51,24 @@
         return JobArrived(spec=spec) if spec else None
     if table == PROGRESS_TABLE:
         return ProgressArrived(job_id=name, progress=decode_value(JobProgress, row))
+    if table == UNIT_TABLE:
+        return _decode_unit_page(name, row)
     if table == REPORT_TABLE:
         report = decode_value(WorkerReport, row)
         return ReportArrived(report=report, version=row.version) if report else None
     return None
 
 
+def _decode_unit_page(name: str, row: Row) -> Message | None:
+    try:
+        job_id, page_id = parse_unit_page(name)
+    except ValueError as error:
+        log(ROW_REFUSED, key=row.key, error=str(error))
+        return None
+    page = decode_value(UnitPage, row)
+    return UnitPageArrived(job_id=job_id, page_id=page_id, page=page)
+
+
 def decode_removal(key: str) -> Message | None:
     """Return the scheduler's message for a removed row, or None if there is none."""
     table, _, rest = key.partition("/")
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -17,6 +17,8 @@
     PROGRESS_TABLE,
     report_prefixes,
     REPORT_TABLE,
+    unit_page_prefix,
+    UNIT_TABLE,
 )
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_runtime.actor import Actor
@@ -29,6 +31,7 @@
 PREFIXES = {
     JOB_TABLE: (job_prefix(),),
     PROGRESS_TABLE: (progress_prefix(),),
+    UNIT_TABLE: (unit_page_prefix(),),
     REPORT_TABLE: tuple(report_prefixes()),
 }
 
--- a/tests/workload/test_fleet_write.py
+++ b/tests/workload/test_fleet_write.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
 
 import pytest
 
-from wasabispur_core.workload.rows import order_key, pack, progress_key
+from wasabispur_core.workload.rows import (
+    order_key,
+    pack,
+    progress_key,
+    unit_page_prefix,
+)
 
 from .test_planner_memory import change
 from .world import TIME_STEP, World
@@ -27,6 +33,21 @@
     }
 
 
+def stored_units(world: World, job_id: str) -> tuple[list[dict], int]:
+    """Return the stored rows of a job's units, and the number of completed units."""
+    pages = [row.value for row in world.store.under(f"{unit_page_prefix()}{job_id}.")]
+    rows = [unit for page in pages for unit in page.get("units", ())]
+    return rows, sum(page.get("completed", 0).bit_count() for page in pages)
+
+
+def by_unit(rows: Iterable[dict]) -> dict[tuple, dict]:
+    """Return the rows of units, without the late fields, by the units' places."""
+    places = ("occurrence", "step", "index")
+    found = [(tuple(row.get(name, 0) for name in places), row) for row in rows]
+    assert len(dict(found)) == len(found)
+    return {place: comparable(row) for place, row in found}
+
+
 def settle(world: World) -> None:
     """Advance until the owner has no row to write."""
     ownership = world.owner().shard.ownership
@@ -64,10 +85,18 @@
     settle(world)
     fleet = world.owner().fleet
     for job_id, job in fleet.jobs.items():
-        units = world.store.rows[progress_key(job_id)].value["units"]
+        progress = world.store.rows[progress_key(job_id)].value
+        open_occurrences = list(progress.get("open_occurrences", ()))
+        assert progress == job.stored_progress
+        assert open_occurrences == sorted(job.open_occurrences)
+        stored, completed = stored_units(world, job_id)
         records = [unit.record(fleet.store_offset) for unit in job.units.values()]
-        stored = [comparable(row) for row in units]
-        assert stored == [comparable(pack(record)) for record in records]
+        assert by_unit(stored) == by_unit(pack(record) for record in records)
+        assert completed == sum(
+            step.completed
+            for occurrence in job.open_occurrences.values()
+            for step in occurrence.steps.values()
+        )
     for worker in fleet.workers.values():
         key = order_key(worker.agent_id, worker.worker_id)
         assert world.store.rows[key].value == pack(worker.written_orders)
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -24,7 +24,7 @@
 from wasabispur_core.workload.planner import plan
 from wasabispur_core.workload.spec import Resources
 from wasabispur_core.workload.unit import UnitId, WorkerRef
-from wasabispur_core.workload.unit_placement import PAYLOAD_LIMIT
+from wasabispur_core.workload.unit_placement import ORDERS_LIMIT_BYTES
 
 CAPACITY = Resources(cpu=64_000, memory=128_000, accelerators=8)
 
@@ -173,7 +173,7 @@
 
 def test_orders_of_one_worker_stay_under_the_row_limit():
     """Guard against an orders row larger than the store accepts."""
-    payload = PAYLOAD_LIMIT // 3
+    payload = ORDERS_LIMIT_BYTES // 3
     tasks = [waiting(f"x{n}", 0, payload_bytes=payload) for n in range(10)]
     assert len(placed(decide([worker(0)], tasks))) == 3
 
@@ -404,7 +404,7 @@
 
 def test_smaller_payload_is_still_placed_where_a_larger_one_was_not():
     """Guard against a unit that waits because a unit with a larger payload does."""
-    crowded = worker(1, payload_bytes=PAYLOAD_LIMIT - 100)
+    crowded = worker(1, orders_bytes=ORDERS_LIMIT_BYTES - 100)
     large = waiting("large", payload_bytes=500, objective=1.0)
     small = waiting("small", payload_bytes=50, objective=9.0)
     assert placed(decide([crowded], [large, small])) == {"small": ["w1"]}
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -49,7 +49,12 @@
     Queue,
 )
 from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.rows import order_prefix, order_table, unpack
+from wasabispur_core.workload.rows import (
+    order_prefix,
+    order_table,
+    ROWS_SCHEMA,
+    unpack,
+)
 from wasabispur_core.workload.run_action import ordered_run_chart
 from wasabispur_core.workload.runner_message import (
     ListFailed,
@@ -240,6 +245,7 @@
             world.new_operation_id,
             lease_time=2.0,
             renewal_interval=0.5,
+            schema=ROWS_SCHEMA,
         )
         state = scheduler.new_fleet_state(CATALOGUE, owner_horizon(TIMES))
         self.shard = Shard(
@@ -741,16 +747,22 @@
         duration: float = 2.0,
         entry: int = 0,
         job_id: str = "",
+        payload: str = "",
+        **fields: Any,
     ) -> str:
-        """Submit a job; the answer is recorded as time advances."""
+        """Submit a job; the answer is recorded as time advances.
+
+        fields are further fields of SubmitJob.
+        """
         job_id = job_id or f"{next(self.numbers):016x}"
         request = SubmitJob(
             call_id=self.new_operation_id(),
             host="host",
             path=f"/{queue_name}/{job_id}",
             key_digest=organisation,
-            payload=f"payload of {job_id}",
+            payload=payload or f"payload of {job_id}",
             steps=steps,
+            **fields,
         )
         self.specs.setdefault(job_id, request)
         self.attempts[job_id] = self.attempts.get(job_id, 0) + 1
