Compute the critical paths of a job's steps once

Cause: critical_path followed every path through the steps and remembered nothing, 2^(n-2) paths for n such steps, for each step of each waiting unit, on the event loop that also serves callers and renews the owner's lease.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -13,11 +13,12 @@
 from ..chart import Chart
 from ..message import Message
 from .fleet_view import FleetView
-from .occurrence import Occurrence, PageId, StepGraph
+from .occurrence import Occurrence, PageId
 from .planner import Planner
 from .policy import FleetPolicy, Queue
 from .progress import JobProgress, JobState, UnitPage
 from .spec import JobSpec, NO_RESOURCES, Resources
+from .step_graph import StepGraph
 from .unit import Unit, UnitId
 from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
@@ -45,23 +45,6 @@
     return -(-step.count // PAGE_UNITS)
 
 
-class StepGraph:
-    """Represent the dependencies between the steps of a job.
-
-    required contains for each step those that have to complete first, and dependents
-    those that wait for it. An entry in after that names no step is ignored.
-    """
-
-    def __init__(self, steps: tuple[StepSpec, ...]) -> None:
-        known = range(len(steps))
-        self.required = [frozenset(step.after).intersection(known) for step in steps]
-        self.dependents: list[list[int]] = [[] for _ in steps]
-        for number, required in enumerate(self.required):
-            for earlier in required:
-                self.dependents[earlier].append(number)
-        self.initial = [number for number in known if not self.required[number]]
-
-
 @dataclass(slots=True, kw_only=True)
 class StepState:
     """Represent one step of an occurrence that has begun.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -14,6 +14,7 @@
 from .plan import RunningUnit, Snapshot, Trust, WaitingUnit, WorkerSnapshot
 from .policy import Queue
 from .spec import StepSpec
+from .step_graph import run_estimate
 from .unit import (
     ACTIVE,
     CANCELLING,
@@ -48,10 +49,6 @@
 ISOLATION_TIME = 2.0
 """Seconds of a dangerous unit's run during which its workers get no other unit."""
 
-DEFAULT_ESTIMATE = 5.0
-"""Seconds that a task is assumed to run if its caller gave no estimate."""
-
-
 OVERRUN_SHARE = 0.25
 """Least remaining time of a run, as a share of the time it has run so far."""
 
@@ -192,22 +189,6 @@
     return worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
 
 
-def run_estimate(step: StepSpec) -> float:
-    """Return the estimated run time of one task of the step in seconds."""
-    return step.estimate or DEFAULT_ESTIMATE
-
-
-def critical_path(job: Job, step: int) -> float:
-    """Return the estimated seconds of a step and its longest chain of dependents."""
-    steps = job.spec.steps
-    dependent_paths = [
-        critical_path(job, number)
-        for number, other in enumerate(steps)
-        if step in other.after and number > step
-    ]
-    return run_estimate(steps[step]) + max(dependent_paths, default=0.0)
-
-
 def _worker_snapshot(worker: Worker, state: FleetState, now: float) -> WorkerSnapshot:
     info = worker.info
     ready = is_ready(worker, now)
@@ -258,12 +239,7 @@
     unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
 ) -> WaitingUnit:
     step = unit.step
-    chain = critical_path(job, unit.unit_id.step)
-    longest_path = max(
-        (critical_path(job, number) for number in range(len(job.spec.steps))),
-        default=0.0,
-    )
-    span = queue.stretch * longest_path + queue.target
+    span = queue.stretch * job.graph.longest_path + queue.target
     needs_rack = bool(step.data_rack) or (step.same_rack and unit.size > 1)
     return WaitingUnit(
         unit_id=unit.unit_id,
@@ -282,7 +258,7 @@
         ready_at=unit.ready_at,
         objective=_objective_start(unit, job, state) + span,
         target_span=span,
-        remaining=chain,
+        remaining=job.graph.critical_paths[unit.unit_id.step],
         avoided_workers=frozenset(unit.avoided_workers),
         failed_on=frozenset(unit.failed_on),
         waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
