Bound the owner's work for one message, and be not ready while the loop hangs

An entry whose loop hangs said that it is ready, as readiness was answered from values that no longer change.

Change: the members of a gang are indexed by worker, ends are looked up by the task's id, units and occurrences begin in portions, and pages, orders and evictions are walked once.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -32,6 +32,9 @@
 SETTINGS_REFUSED = LogEvent(
     110, "ERROR", "changed settings rejected; the old ones stay in effect: {error}"
 )
+LOOP_STALLED = LogEvent(
+    111, "WARNING", "the event loop served no message for {seconds} s"
+)
 HTTP_REQUEST_FAILED = LogEvent(107, "ERROR", "request for {path} failed: {error}")
 AGENT_ATTACHED = LogEvent(201, "INFO", "agent {agent} attached")
 AGENT_DETACHED = LogEvent(202, "WARNING", "agent {agent} detached: {reason}")
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -136,6 +136,12 @@
     text="log records that were not written",
     labels=("cause",),
 )
+LOOP_STALLS = Metric(
+    name="loop.stalls",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="times that the event loop served no message for seconds",
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -107,6 +108,7 @@
         self.cost_limit = cost_limit
         self.result = Eviction()
         self.chosen: set[int] = set()
+        self.placed: Counter[str] = Counter()
         self.workers = {worker.worker_ref.worker_id: worker for worker in group}
         self.free = {
             name: worker.free + worker.releasing
@@ -138,7 +140,7 @@
                 self.unit,
                 self.workers[name],
                 self.free[name],
-                self._placed_on(name),
+                self.placed[name],
                 self.chosen,
                 self.victims,
                 cost_left,
@@ -154,6 +156,7 @@
         self.result.placement.append(best.worker)
         self.chosen.update(id(victim) for victim in best.victims)
         name = best.worker.worker_ref.worker_id
+        self.placed[name] += 1
         affected = {name}
         for victim in best.victims:
             for worker_ref in victim.placement:
@@ -175,9 +178,6 @@
         if bound <= self.cost_limit:
             heappush(self.ranked, (bound, -1, name, self.versions[name], None))
 
-    def _placed_on(self, name: str) -> int:
-        return self.result.placement.count(self.workers[name])
-
 
 def _option(
     unit: WaitingUnit,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -37,7 +37,8 @@
     progress can't be read, so that nothing tells what has run or still runs. pages
     contains the stored pages, dirty_pages those that have to be written, and
     stored_progress the job's own row as last written. payload_bytes is the size of the
-    payload in a row.
+    payload in a row. new_units counts the units that were created with the message of
+    the number last_message.
     """
 
     spec: JobSpec
@@ -57,6 +58,8 @@
     pages: set[PageId] = field(default_factory=set)
     dirty_pages: set[PageId] = field(default_factory=set)
     stored_progress: dict[str, Any] | None = None
+    new_units: int = 0
+    last_message: int = 0
     graph: StepGraph = field(init=False)
     payload_bytes: int = field(init=False)
 
@@ -119,6 +122,11 @@
         """Return the id of the worker."""
         return self.info.worker_id
 
+    @property
+    def identity(self) -> tuple[str, str]:
+        """Return the worker's id and the incarnation that was reported last."""
+        return self.info.worker_id, self.info.incarnation
+
     @property
     def end_of_process(self) -> EndKind:
         """Return how runs end if the worker's process ends now."""
@@ -148,6 +156,7 @@
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
     contains the jobs whose rows may still be delivered although they were removed.
+    message_number counts the messages that were handled.
     """
 
     unit_chart: Chart
@@ -177,6 +186,7 @@
     queue_counts: dict[str, int] = field(default_factory=dict)
     reports_since: float = inf
     ticked_at: float = -inf
+    message_number: int = 0
 
     @property
     def active(self) -> bool:
@@ -210,9 +220,7 @@
             unit = self.unit(unit_id)
             if unit is None:
                 continue
-            for member in unit.members:
-                if member.ended or member.worker_ref.worker_id != worker.worker_id:
-                    continue
+            for member in unit.open_members_on(worker.worker_id):
                 counted.add(str(unit.task_id(member.index)))
                 allocated += unit.demand
         for run in worker.unknown_runs:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
@@ -6,7 +6,7 @@
 from ..log_event import JOB_ENDED
 from .fleet_state import FleetState, Job
 from .job_steps import begin_occurrence, close_if_completed
-from .occurrence import OPEN_UNITS_LIMIT, unit_count
+from .occurrence import NEW_UNITS_LIMIT, OPEN_UNITS_LIMIT, unit_count
 from .progress import JobState
 from .unit import ENDED_STATES, Unit, UnitCancelled, UnitId, UnitReady
 from .unit_event import handle_unit_event
@@ -70,8 +70,14 @@
 
 
 def create_units(job: Job, state: FleetState, now: float) -> None:
-    """Create units of the steps that have begun, up to the limit of open ones."""
-    while job.unfilled and len(job.units) < OPEN_UNITS_LIMIT:
+    """Create units of the steps that have begun, up to the limits."""
+    if job.last_message != state.message_number:
+        job.last_message, job.new_units = state.message_number, 0
+    while (
+        job.unfilled
+        and job.new_units < NEW_UNITS_LIMIT
+        and len(job.units) < OPEN_UNITS_LIMIT
+    ):
         number, step = job.unfilled[0]
         step_state = job.open_occurrences[number].steps[step]
         if step_state.created >= unit_count(job.spec.steps[step]):
@@ -79,6 +85,7 @@
             continue
         unit_id = UnitId(job.spec.job_id, number, step, step_state.created)
         step_state.created += 1
+        job.new_units += 1
         create_unit(unit_id, job, state, now)
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -21,7 +21,7 @@
 from .progress import MemberRecord, UnitPage, UnitRecord
 from .rows import pack
 from .unit import BLOCKED, COMPLETED, FAILED, Unit, UnitId, UnitMember, WorkerRef
-from .unit_event import index_members
+from .unit_event import index_unit
 
 Pages = dict[PageId, UnitPage]
 
@@ -47,8 +47,12 @@
     }
     numbers = sorted(begun.union(progress.open_occurrences))
     job.occurrences = max([progress.occurrences, *(number + 1 for number in numbers)])
+    by_occurrence: dict[int, Pages] = {number: {} for number in numbers}
+    for page_id in sorted(pages):
+        if page_id.occurrence in by_occurrence:
+            by_occurrence[page_id.occurrence][page_id] = pages[page_id]
     for number in numbers:
-        _restore_occurrence(job, number, pages, state, now)
+        _restore_occurrence(job, number, by_occurrence[number], state, now)
     for page in stored.pages:
         if page.occurrence not in job.open_occurrences:
             drop_page(page, job, state)
@@ -94,11 +98,10 @@
 ) -> None:
     """Restore the steps of an occurrence, and begin those that may begin."""
     occurrence = job.open_occurrences[number] = Occurrence()
-    for page_id in sorted(pages):
-        if page_id.occurrence != number or page_id.step >= len(job.spec.steps):
-            continue
-        step_state = occurrence.steps.setdefault(page_id.step, StepState())
-        _restore_page(job, page_id, pages[page_id], step_state, state, now)
+    for page_id, page in pages.items():
+        if page_id.step < len(job.spec.steps):
+            step_state = occurrence.steps.setdefault(page_id.step, StepState())
+            _restore_page(job, page_id, page, step_state, state, now)
     if job.state.ended:
         return
     for step, step_state in occurrence.steps.items():
@@ -173,17 +176,17 @@
             start_checkpoint=record.checkpoint,
             crashes=record.crashes,
             unknown_ends=record.unknown_ends,
-            members=members,
             ready_at=now,
         )
+        unit.set_members(members)
     else:
         unit.crashes = unit.crashes.combined(record.crashes)
         unit.unknown_ends += record.unknown_ends
         if record.run == unit.run:
-            unit.members += members
+            unit.set_members(unit.members + members)
     job.begun |= unit.run > 0
     job.failed |= unit.state == FAILED
-    index_members(unit, state)
+    index_unit(unit, unit.members_by_worker, state)
 
 
 def _restore_member(record: MemberRecord, state: FleetState, now: float) -> UnitMember:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
@@ -21,6 +21,13 @@
 OPEN_OCCURRENCES_LIMIT = 1_000
 """Occurrences of one job that are in progress at a time."""
 
+NEW_UNITS_LIMIT = 200
+NEW_OCCURRENCES_LIMIT = 50
+"""Units of a job that are created, and occurrences that begin, with one message.
+
+The others follow with the next tick, so that the owner's event loop is not held up.
+"""
+
 
 class PageId(NamedTuple):
     """Identify a page of the units of one step of an occurrence."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
@@ -67,8 +67,6 @@
             checkpoint=unit.start_checkpoint,
             stop=unit.state != ACTIVE,
         )
-        for member in unit.members
-        if not member.ended
-        and member.worker_ref.worker_id == worker.worker_id
-        and member.worker_ref.incarnation == worker.info.incarnation
+        for member in unit.open_members_on(worker.worker_id)
+        if member.worker_ref.incarnation == worker.info.incarnation
     ]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -15,7 +15,6 @@
     apply_recorded_incarnation,
     end_runs_of_former_incarnations,
     remove_replaced_workers,
-    unknown_ends_on,
 )
 from .spec import TaskId
 from .unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
@@ -170,10 +169,14 @@
     reported: EndedRun | RefusedRun, worker: Worker, state: FleetState, now: float
 ) -> list[Command]:
     """Apply an end that was recorded as unknown, and that the worker lists now."""
-    for unit, end in unknown_ends_on(worker.worker_id, state):
-        if str(unit.task_id(end.index)) != reported.task or end.run != reported.run:
+    found = _find_unit(reported.task, state)
+    if found is None:
+        return []
+    unit, position = found
+    for end in unit.unknown_ends:
+        if (end.index, end.run) != (position, reported.run):
             continue
-        if end.incarnation != worker.info.incarnation:
+        if (end.worker_id, end.incarnation) != worker.identity:
             continue
         kind = _run_ended(reported, end.index).kind
         commands = update_trust(worker, unit, kind, state, now)
@@ -203,31 +206,32 @@
     task: str, run: int, worker: Worker, state: FleetState
 ) -> tuple[Unit, UnitMember] | None:
     """Return the unit and member of a run on a worker, if the run has not ended."""
+    found = _find_unit(task, state)
+    if found is None:
+        return None
+    unit, position = found
+    member = unit.member(position)
+    if unit.run != run or member is None or member.ended:
+        return None
+    reference = member.worker_ref
+    if (reference.worker_id, reference.incarnation) != worker.identity:
+        return None
+    return unit, member
+
+
+def _find_unit(task: str, state: FleetState) -> tuple[Unit, int] | None:
+    """Return the unit of a task, if it is not completed, and the task's position."""
     try:
         task_id = TaskId.parse(task)
     except ValueError:
         return None
     job = state.jobs.get(task_id.job_id)
-    if job is None or task_id.step >= len(job.spec.steps):
+    if job is None or not 0 <= task_id.step < len(job.spec.steps):
         return None
     gang = job.spec.steps[task_id.step].gang
-    unit_id = UnitId(
-        task_id.job_id,
-        task_id.occurrence,
-        task_id.step,
-        0 if gang else task_id.position,
-    )
-    unit = job.units.get(unit_id)
-    if unit is None or unit.run != run:
-        return None
-    for member in unit.members:
-        same_incarnation = (
-            member.worker_ref.worker_id == worker.worker_id
-            and member.worker_ref.incarnation == worker.info.incarnation
-        )
-        if member.index == task_id.position and same_incarnation and not member.ended:
-            return unit, member
-    return None
+    position = 0 if gang else task_id.position
+    unit = job.units.get(UnitId(*task_id[:3], position))
+    return (unit, task_id.position) if unit is not None else None
 
 
 def _is_expected(run: ListedRun, worker: Worker, state: FleetState) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -15,7 +15,7 @@
 from .lease_clock import CONTACT_LIMIT
 from .rows import pack, report_key
 from .runner_state import LocalWorker, ReportState, RunnerState
-from .worker import RefusedRun, WorkerReport
+from .worker import listed_keys, RefusedRun, WorkerReport
 
 T = TypeVar("T")
 
@@ -135,7 +135,7 @@
 
 def run_snapshot(worker: LocalWorker) -> tuple[object, ...]:
     """Return the part of a worker's state whose change triggers a report at once."""
-    return {(run.task, run.run) for run in worker.runs}, worker.ended
+    return listed_keys(worker.runs), worker.ended
 
 
 def find_report_write(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
@@ -26,7 +26,7 @@
 )
 from .worker import (
     is_later_incarnation,
-    ListedRun,
+    listed_keys,
     RunOrder,
     WorkerOrders,
     WorkerReport,
@@ -57,33 +57,42 @@
     for key in list(worker.ordered):
         if key not in wanted:
             del worker.ordered[key]
+    listed = listed_keys(worker.runs)
     commands: list[Command] = []
     for key, order in wanted.items():
-        commands += _apply_order(worker, key, order, orders, state, now)
+        if key not in worker.ordered:
+            payload = orders.payloads.get(order.job_id, "")
+            run = _new_run(order, payload, state)
+            run.begun = key in listed
+            worker.ordered[key] = run
+        commands += _apply_order(worker, key, order, state, now)
     if orders.acknowledged > acknowledged:
         context = run_context(worker, state)
         commands.append(list_runs_command(context, 0.0, now))
     return commands
 
 
+def _new_run(order: RunOrder, payload: str, state: RunnerState) -> OrderedRun:
+    """Return a run that was not ordered before, as far as this process knows.
+
+    After a restart of the agent, the worker may have the run already.
+    """
+    return OrderedRun(
+        order=order,
+        payload=payload,
+        lifecycle=state.run_chart.start(),
+        unconfirmed=True,
+    )
+
+
 def _apply_order(
     worker: LocalWorker,
     key: tuple[str, int],
     order: RunOrder,
-    orders: WorkerOrders,
     state: RunnerState,
     now: float,
 ) -> list[Command]:
-    run = worker.ordered.get(key)
-    if run is None:
-        payload = orders.payloads.get(order.job_id, "")
-        run = OrderedRun(
-            order=order, payload=payload, lifecycle=state.run_chart.start()
-        )
-        worker.ordered[key] = run
-        # After a restart of the agent, the worker may have the run already.
-        run.unconfirmed = True
-        run.begun = key in listed_keys(worker.runs)
+    run = worker.ordered[key]
     if order.stop:
         return handle_run_event(worker, key, StopOrdered(), state, now)
     if run.unconfirmed and not _can_start(worker, state):
@@ -181,11 +190,6 @@
     return commands
 
 
-def listed_keys(runs: tuple[ListedRun, ...]) -> set[tuple[str, int]]:
-    """Return the tasks and run numbers in a worker's list of active runs."""
-    return {(run.task, run.run) for run in runs}
-
-
 def apply_former_report(worker: LocalWorker, former: WorkerReport, gone: bool) -> None:
     """Take over what a former lifetime of the agent reported on the worker.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -57,7 +57,7 @@
     remove_report,
     remove_silent_workers,
 )
-from .occurrence import OPEN_OCCURRENCES_LIMIT
+from .occurrence import NEW_OCCURRENCES_LIMIT, OPEN_OCCURRENCES_LIMIT
 from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
 from .policy import PolicyChanged
@@ -102,6 +102,7 @@
 
 def decide(message: Message, state: FleetState, now: float) -> list[Command]:
     """Handle one message, write changed rows and schedule a planning pass."""
+    state.message_number += 1
     commands = handle_message(message, state, now)
     if not state.active:
         return commands
@@ -386,11 +387,11 @@
     """Begin the occurrences that are due, as far as few enough are in progress."""
     if job.state.ended or job.held:
         return []
-    while (
-        job.occurrences < occurrence_count(job)
-        and len(job.open_occurrences) < OPEN_OCCURRENCES_LIMIT
-        and _occurrence_due(job, state, now)
-    ):
+    room = OPEN_OCCURRENCES_LIMIT - len(job.open_occurrences)
+    last = min(
+        job.occurrences + min(room, NEW_OCCURRENCES_LIMIT), occurrence_count(job)
+    )
+    while job.occurrences < last and _occurrence_due(job, state, now):
         add_occurrence(job, state)
     return update_job(job, state, now)
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -212,10 +212,7 @@
         if unit is None:
             continue
         step = unit_id[:3]
-        count = sum(
-            not member.ended and member.worker_ref.worker_id == worker.worker_id
-            for member in unit.members
-        )
+        count = len(unit.open_members_on(worker.worker_id))
         if not has_job(snapshot, unit_id.job_id):
             snapshot.orders_bytes += state.jobs[unit_id.job_id].payload_bytes
         snapshot.orders_bytes += count * order_size(unit.start_checkpoint)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -129,6 +129,7 @@
     checkpoint: str = ""
     start_checkpoint: str = ""
     members: list[UnitMember] = field(default_factory=list)
+    members_by_worker: dict[str, list[UnitMember]] = field(default_factory=dict)
     ready_at: float = 0.0
     run_failed: bool = False
     avoided_workers: set[str] = field(default_factory=set)
@@ -172,13 +173,32 @@
         limited = bool(self.unknown_ends) and not self.step.long_running
         return limited and self.most_failures >= attempts
 
+    def set_members(self, members: list[UnitMember]) -> None:
+        """Replace the members, which are in the order of their indices."""
+        self.members = members
+        self.members_by_worker = {}
+        for member in members:
+            worker_id = member.worker_ref.worker_id
+            self.members_by_worker.setdefault(worker_id, []).append(member)
+
+    def member(self, index: int) -> UnitMember | None:
+        """Return the member with an index, or None."""
+        if not self.members:
+            return None
+        offset = index - self.members[0].index
+        if 0 <= offset < len(self.members) and self.members[offset].index == index:
+            return self.members[offset]
+        return next((one for one in self.members if one.index == index), None)
+
     def open_members_on(self, worker_id: str) -> list[UnitMember]:
         """Return the members on a worker whose runs are not known to have ended."""
-        return [
-            member
-            for member in self.members
-            if not member.ended and member.worker_ref.worker_id == worker_id
-        ]
+        known = self.members_by_worker.get(worker_id, ())
+        return [member for member in known if not member.ended]
+
+    def is_open_on(self, worker_id: str) -> bool:
+        """Return whether a run on a worker is not known to have ended."""
+        known = self.members_by_worker.get(worker_id, ())
+        return any(not member.ended for member in known)
 
     def shows_end_on(self, worker_id: str) -> bool:
         """Return whether the ends of the others show that those on a worker ended.
@@ -198,7 +218,7 @@
 
     def crashes_after(self, ended: RunEnded, now: float) -> CrashHistory:
         """Return the history of crashes after the end of one member's run."""
-        member = next((one for one in self.members if one.index == ended.index), None)
+        member = self.member(ended.index)
         if member is None or member.ended:
             return self.crashes
         run_time = now - member.started_at
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
@@ -171,10 +171,11 @@
     unit.run_failed = False
     unit.start_checkpoint = unit.checkpoint
     first = unit.unit_id.position
-    unit.members = [
+    members = [
         UnitMember(index=first + offset, worker_ref=worker_ref, started_at=action.now)
         for offset, worker_ref in enumerate(message.placement)
     ]
+    unit.set_members(members)
     return []
 
 
@@ -184,12 +185,12 @@
     if not isinstance(message, RunEnded):
         return []
     unit.crashes = unit.crashes_after(message, action.now)
-    for member in unit.members:
-        if member.index == message.index:
-            member.ended = True
-            member.broken = message.kind is EndKind.BROKEN
-            if message.kind is EndKind.UNKNOWN:
-                _add_unknown_end(unit, _unknown_end(unit, member, action.now))
+    member = unit.member(message.index)
+    if member is not None:
+        member.ended = True
+        member.broken = message.kind is EndKind.BROKEN
+        if message.kind is EndKind.UNKNOWN:
+            _add_unknown_end(unit, _unknown_end(unit, member, action.now))
     if message.checkpoint and unit.step.checkpointing:
         unit.checkpoint = message.checkpoint
     unit.run_failed |= message.kind in COUNTED_FAILURES
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from ..message import Message
 from .fleet_state import FleetState, Job
 from .job_steps import changed_pages, complete_unit, pages_of
-from .unit import COMPLETED, ENDED_STATES, FAILED, Unit, WAITING
+from .unit import COMPLETED, ENDED_STATES, FAILED, RunEnded, Unit, WAITING
 
 DEFAULT_ATTEMPTS = 1
 """Attempt limit for a task whose queue was removed from the configuration."""
@@ -21,13 +23,19 @@
     """Handle a message in the unit's state chart, and mark the rows to write."""
     job = state.jobs[unit.unit_id.job_id]
     queue = state.queue(job)
-    crashes = unit.crashes
-    _unindex_members(unit, state)
+    former_state, former_crashes = unit.state, unit.crashes
+    former_workers = set(unit.members_by_worker)
     unit.lifecycle.handle(message, attempt_limit(job, state), unit, now)
     unit.stored_row = None
-    index_members(unit, state)
-    same_crashes = unit.crashes is crashes
-    pages = changed_pages(message, unit) if same_crashes else pages_of(unit)
+    state.capacity_changed = True
+    workers = former_workers.union(unit.members_by_worker)
+    pages = changed_pages(message, unit)
+    if unit.crashes is not former_crashes:
+        pages = pages_of(unit)
+    elif isinstance(message, RunEnded) and unit.state == former_state:
+        # The end of one of many members changes nothing for the others.
+        workers = _workers_of_member(unit, message.index)
+    index_unit(unit, workers, state)
     job.dirty_pages.update(pages)
     state.dirty_jobs.add(job.spec.job_id)
     if unit.state in ENDED_STATES and queue and queue.priority == 0:
@@ -43,17 +51,13 @@
     return queue.max_attempts if queue else DEFAULT_ATTEMPTS
 
 
-def _unindex_members(unit: Unit, state: FleetState) -> None:
-    state.capacity_changed = True
-    for member in unit.members:
-        if not member.ended:
-            worker_id = member.worker_ref.worker_id
-            state.units_by_worker.get(worker_id, set()).discard(unit.unit_id)
-            state.mark_worker(worker_id)
+def _workers_of_member(unit: Unit, index: int) -> set[str]:
+    member = unit.member(index)
+    return {member.worker_ref.worker_id} if member is not None else set()
 
 
-def index_members(unit: Unit, state: FleetState) -> None:
-    """Add the unit to the indexes that its state asks for."""
+def index_unit(unit: Unit, workers: Iterable[str], state: FleetState) -> None:
+    """Update the indexes of units by state, and by the workers that may have changed."""
     state.view.changed_units.add(unit.unit_id)
     if unit.state == WAITING:
         state.waiting.add(unit.unit_id)
@@ -63,8 +67,12 @@
         state.units_with_unknown_ends.add(unit.unit_id)
     else:
         state.units_with_unknown_ends.discard(unit.unit_id)
-    for member in unit.members:
-        if not member.ended:
-            worker_id = member.worker_ref.worker_id
-            state.units_by_worker.setdefault(worker_id, set()).add(unit.unit_id)
-            state.mark_worker(worker_id)
+    for worker_id in workers:
+        known = state.units_by_worker.setdefault(worker_id, set())
+        if unit.is_open_on(worker_id):
+            known.add(unit.unit_id)
+        elif unit.unit_id in known:
+            known.discard(unit.unit_id)
+        else:
+            continue
+        state.mark_worker(worker_id)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -136,7 +136,8 @@
         unit.avoided_workers.add(worker_id)
     if ended.kind is EndKind.REFUSED:
         unit.backoff_until = now + REFUSAL_BACKOFF
-    begun = next(m.started_at for m in unit.members if m.index == ended.index)
+    member = unit.member(ended.index)
+    begun = member.started_at if member is not None else now
     fields = {
         "job": unit.unit_id.job_id,
         "task": str(unit.task_id(ended.index)),
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -63,6 +63,11 @@
     idle: bool = False
 
 
+def listed_keys(runs: tuple[ListedRun, ...]) -> set[tuple[str, int]]:
+    """Return the tasks and run numbers in a worker's list of active runs."""
+    return {(run.task, run.run) for run in runs}
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndedRun:
     """Describe an ended run; number counts the ended runs of the incarnation."""
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -12,6 +12,7 @@
 
 from .measure_fit import print_lines
 from .measure_object import measure_objects
+from .measure_odd_job import print_odd_jobs
 from .measure_planner import measure_planner
 from .measure_request import measure_requests
 from .measure_stream import AGENT_KINDS, measure_agent, measure_entry
@@ -100,3 +101,9 @@
 def planner(seed: int) -> None:
     """Measure the owner's CPU time for an ended run at several fleet sizes."""
     print_lines(measure_planner(seed))
+
+
+@measure.command("odd-jobs")
+def odd_jobs() -> None:
+    """Measure for how long jobs of an odd shape occupy the owner at once."""
+    print_odd_jobs()
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -22,6 +22,7 @@
 from wasabispur_core.workload.runner_state import LeaseTimes
 from wasabispur_core.workload.scheduler import decide, new_fleet_state
 from wasabispur_runtime.log import configure_output_log, log
+from wasabispur_runtime.loop_monitor import LoopMonitor
 from wasabispur_runtime.metrics import registry
 from wasabispur_runtime.store_actor import StoreTransport
 from wasabispur_runtime.table_client import TableClient
@@ -121,16 +122,26 @@
             self.table,
         )
         self.scheduler.observer = self.intake.observer = self.metrics.observe
-        self.actors = (self.table, self.scheduler, self.intake, self.policy)
+        self.monitor = LoopMonitor(timers)
+        self.actors = (
+            self.table,
+            self.scheduler,
+            self.intake,
+            self.policy,
+            self.monitor,
+        )
 
     def is_ready(self) -> bool:
         """Return whether the entry accepts new connections.
 
-        While the store is unreachable, the entry can only refuse jobs, so the load
-        balancer has to send callers to other entries.
+        While the store is unreachable, the entry can only refuse jobs, and while its
+        event loop is stalled, it answers no call, so the load balancer has to send
+        callers to other entries.
         """
+        if self.stopping or self.monitor.stalled:
+            return False
         store_reachable = self.policy.connected and self.table.circuit != OPEN
-        return bool(self.policy.version) and store_reachable and not self.stopping
+        return bool(self.policy.version) and store_reachable
 
     def apply_lease_times(self, times: LeaseTimes) -> None:
         """Apply changed lease times to the wait for workers that stopped reporting.
