Return each connection to its pool, and abandon feed calls that do not end

Cause: an answer that was over its deadline or its limit was closed, but its connection not given back to the pool. A feed's pool has one connection and waited for it without a limit.

Change: a response gives its connection back on every way out, the wait for one is bounded, and a body that trickles in ends at its deadline. A feed abandons a call after 10 s, and its state shows in log lines and a metric. A configuration that was not confirmed for 5 s admits no callers.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
@@ -29,6 +29,9 @@
 CALL_TIMEOUT = 0.8
 """Seconds after which a call to a worker counts as unanswered."""
 
+CLIENTS_LIMIT = 16
+"""Workers to which connections are kept; each new one may have a new address."""
+
 CALL_FAILED = "the call failed in the agent"
 
 WorkerTransport = Callable[[WorkerCall, HttpClient, float], Message]
@@ -71,11 +74,14 @@
             self.receiver(answer)
 
     def _client(self, address: str) -> HttpClient:
-        if address not in self.clients:
-            self.clients[address] = HttpClient(
-                f"http://{address}", CONCURRENT_CALL_LIMIT, CALL_TIMEOUT
-            )
-        return self.clients[address]
+        client = self.clients.pop(address, None) or HttpClient(
+            f"http://{address}", CONCURRENT_CALL_LIMIT, CALL_TIMEOUT
+        )
+        self.clients[address] = client
+        if len(self.clients) > CLIENTS_LIMIT:
+            # The dictionary is in the order of the last use.
+            self.clients.pop(next(iter(self.clients))).close()
+        return client
 
     async def closed(self) -> None:
         """Stop the threads and close the connections."""
--- a/packages/wasabispur-core/src/wasabispur_core/feed.py
+++ b/packages/wasabispur-core/src/wasabispur_core/feed.py
@@ -12,7 +12,7 @@
 from .action import Action, Guard, holds, perform
 from .chart import Chart, ChartCatalogue, Lifecycle
 from .command import Command, SetTimer, WriteLog
-from .log_event import FEED_HISTORY_GONE, FEED_LOST, TABLE_READ
+from .log_event import FEED_HISTORY_GONE, FEED_LOST, FEED_STALE, TABLE_READ
 from .message import Message
 from .store import Row
 
@@ -26,6 +26,9 @@
 RETRY_DELAY_LIMIT = 0.8
 """Base and limit in seconds of the jittered delay before a retry."""
 
+STALE_LOG_INTERVAL = 5.0
+"""Seconds between two log lines on a feed without answers."""
+
 FEED_TIMER = "feed"
 
 
@@ -127,7 +130,9 @@
     prefixes are the key prefixes of the table's rows: pages are read by prefix, and
     changes by table. If watched is set, the feed delivers later changes too. version is
     the version of the table up to which it has been read, after is the key that the
-    next page follows, and failures counts consecutive failed calls.
+    next page follows, and failures counts consecutive failed calls. lost_at is the time
+    of the first of them, and logged_at that of the last log line on them, both in
+    monotonic seconds.
     """
 
     table: str
@@ -140,6 +145,8 @@
     version: int | None = None
     rows: list[Row] = field(default_factory=list)
     failures: int = 0
+    lost_at: float = 0.0
+    logged_at: float = 0.0
     deliveries: int = 0
 
 
@@ -186,7 +193,7 @@
 
 
 class ReportFailure(FeedAction):
-    """Report each failed call to the receiver, and log the first of a series."""
+    """Report each failed call to the receiver, and log a series now and then."""
 
     __slots__ = ()
 
@@ -342,14 +349,23 @@
 
 @perform.register
 def _(action: ReportFailure) -> list[Command]:
-    message, state = action.message, action.state
+    message, state, now = action.message, action.state, action.now
     state.failures += 1
     unhealthy = FeedHealth(table=state.table, healthy=False)
-    if state.failures > 1:
-        return [unhealthy]
     reason = message.reason if isinstance(message, FeedFailed) else ""
-    fields = {"table": state.table, "reason": reason, "version": state.version}
-    return [WriteLog(number=FEED_LOST.number, fields=fields), unhealthy]
+    fields: dict[str, object] = {
+        "table": state.table,
+        "reason": reason,
+        "version": state.version,
+    }
+    if state.failures == 1:
+        state.lost_at = state.logged_at = now
+        return [WriteLog(number=FEED_LOST.number, fields=fields), unhealthy]
+    if now - state.logged_at < STALE_LOG_INTERVAL:
+        return [unhealthy]
+    state.logged_at = now
+    fields["seconds"] = round(now - state.lost_at, 1)
+    return [WriteLog(number=FEED_STALE.number, fields=fields), unhealthy]
 
 
 @perform.register
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -194,6 +194,12 @@
     601, "ERROR", "{store} is unavailable; its circuit breaker is open"
 )
 FEED_LOST = LogEvent(604, "WARNING", "feed of {table} interrupted: {reason}")
+FEED_STALE = LogEvent(
+    607, "WARNING", "feed of {table} has had no answer for {seconds} s: {reason}"
+)
+FEED_CALL_ABANDONED = LogEvent(
+    608, "ERROR", "a call of the feed of {table} did not end within {seconds} s"
+)
 TABLE_READ = LogEvent(605, "INFO", "read {rows} rows of {table} at version {version}")
 FEED_HISTORY_GONE = LogEvent(
     606, "WARNING", "changes of {table} were missed; reading the whole table"
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -142,6 +142,13 @@
     unit="1",
     text="times that the event loop served no message for seconds",
 )
+FEED_FAILURES = Metric(
+    name="feed.failures",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="calls of a feed that failed or did not end",
+    labels=("actor",),
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from math import inf
 
 from ..command import Command, ReadRows, WriteLog
 from ..error import UnhandledMessageError
@@ -34,10 +35,13 @@
     SubmitJob,
 )
 from .intake_state import conditional_write, IntakeState, PendingCall
-from .policy import PolicyChanged, Queue
+from .policy import PolicyChanged, PolicyHealth, Queue
 from .rows import job_key, pack, progress_key, queue_counts_key
 from .spec import JobSpec, PAYLOAD_LIMIT_BYTES
 
+POLICY_AGE_LIMIT = 5.0
+"""Seconds for which an unconfirmed configuration still admits callers."""
+
 PENDING_CALL_LIMIT = 500
 """Largest number of requests in progress at one entry instance."""
 
@@ -65,6 +69,15 @@
     return [WriteLog(number=POLICY_IN_FORCE.number, fields=fields)]
 
 
+@decide.register
+def _(message: PolicyHealth, state: IntakeState, now: float) -> list[Command]:
+    if message.confirmed:
+        state.policy_lost_at = inf
+    else:
+        state.policy_lost_at = min(state.policy_lost_at, now)
+    return []
+
+
 @decide.register
 def _(message: ClocksRead, state: IntakeState, now: float) -> list[Command]:
     state.store_offset = message.store_time - now
@@ -73,7 +86,7 @@
 
 @decide.register
 def _(message: IntakeRequest, state: IntakeState, now: float) -> list[Command]:
-    admitted = _admit(message, state)
+    admitted = _admit(message, state, now)
     if isinstance(admitted, AnswerCaller):
         return _refuse(message, admitted)
     return start_call(message, admitted, state, now)
@@ -147,7 +160,9 @@
     return _read(call, state, job_key(call.job_id), progress_key(call.job_id))
 
 
-def _admit(message: IntakeRequest, state: IntakeState) -> Queue | AnswerCaller:
+def _admit(
+    message: IntakeRequest, state: IntakeState, now: float
+) -> Queue | AnswerCaller:
     """Return the request's queue, or the answer that refuses the request."""
     policy = state.policy
 
@@ -160,6 +175,13 @@
         return refused(
             CallOutcome.NOT_ACCEPTED, "no configuration yet", NO_POLICY_RETRY_AFTER
         )
+    if now - state.policy_lost_at > POLICY_AGE_LIMIT:
+        # A later version may have withdrawn the caller's key or the queue.
+        return refused(
+            CallOutcome.NOT_ACCEPTED,
+            "the configuration may be out of date",
+            NO_POLICY_RETRY_AFTER,
+        )
     queue = policy.queue_for(message.host, message.path)
     if queue is None:
         return refused(CallOutcome.NO_QUEUE, "no queue has this host and prefix")
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake_state.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 from ..chart import Chart, Lifecycle
 from ..command import Command, Transact
@@ -35,7 +36,8 @@
     calls contains the requests in progress by their call ids, and operations the call
     id of each read or write in flight. uncertain contains the ids of jobs that may have
     been accepted or cancelled by a write whose answer was lost. store_offset is the
-    table service's clock minus this process's clock, in seconds.
+    table service's clock minus this process's clock, in seconds. policy_lost_at is the
+    time since which the configuration is not confirmed, in monotonic seconds.
     """
 
     charts: dict[str, Chart]
@@ -45,6 +47,7 @@
     operations: dict[str, str] = field(default_factory=dict)
     uncertain: dict[str, None] = field(default_factory=dict)
     store_offset: float = 0.0
+    policy_lost_at: float = inf
 
 
 def conditional_write(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
@@ -71,6 +71,13 @@
         return max(matches, key=lambda queue: len(queue.prefix), default=None)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PolicyHealth(Message):
+    """Report whether the latest configuration is known to be the one in force."""
+
+    confirmed: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PolicyChanged(Message):
     """Deliver a version of the configuration."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -60,7 +60,7 @@
 from .occurrence import NEW_OCCURRENCES_LIMIT, OPEN_OCCURRENCES_LIMIT
 from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
-from .policy import PolicyChanged
+from .policy import PolicyChanged, PolicyHealth
 from .report_reconciliation import apply_report
 from .rows import (
     job_of_row,
@@ -235,6 +235,12 @@
     return _begin(state, now) if state.active else []
 
 
+@handle_message.register
+def _(message: PolicyHealth, state: FleetState, now: float) -> list[Command]:
+    # Accepted jobs go on under the last known configuration.
+    return []
+
+
 @handle_message.register
 def _(message: ClocksRead, state: FleetState, now: float) -> list[Command]:
     state.store_offset = message.store_time - now
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
@@ -9,9 +9,10 @@
 
 import urllib3
 
+POOL_TIMEOUT = 1
 CONNECT_TIMEOUT = 0.5
 CALL_TIMEOUT = 2.0
-"""Limits in seconds on connecting and on a whole call.
+"""Limits in seconds on the wait for a free connection, on connecting, and on a call.
 
 They bound the time for which a hung connection blocks a thread.
 """
@@ -43,11 +44,13 @@
 class ResponseLost:
     """Report that no complete response arrived; the call may have had an effect.
 
-    timed_out is set if the connection was intact, and the response late.
+    timed_out is set if the connection was intact, and the response late. too_long is
+    set if the response exceeds the caller's limit, as a repetition would, too.
     """
 
     reason: str
     timed_out: bool = False
+    too_long: bool = False
 
 
 HttpResult = HttpResponse | RequestNotSent | ResponseLost
@@ -91,7 +94,8 @@
         """Return the response, or why there is none.
 
         A response of more than limit bytes counts as lost. A timeout in seconds
-        replaces the client's default.
+        replaces the client's default. Besides the wait for a free connection, a call ends
+        after twice the timeout at the latest, also if the response trickles in.
         """
         total = timeout or self.timeout
         deadline = time.monotonic() + total
@@ -102,6 +106,7 @@
                 body=body,
                 headers=headers,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT, total=total),
+                pool_timeout=POOL_TIMEOUT,
                 retries=False,
                 redirect=False,
                 preload_content=False,
@@ -109,6 +114,7 @@
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.EmptyPoolError,
         ) as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return RequestNotSent(f"no connection: {type(error).__name__}", refused)
@@ -125,18 +131,29 @@
 def _read_body(
     response: urllib3.response.BaseHTTPResponse, limit: int, deadline: float
 ) -> HttpResult:
-    body = bytearray()
+    """Read a response, and return its connection to the pool on every way out."""
+    complete = False
     try:
-        for chunk in response.stream(CHUNK_BYTES, decode_content=False):
-            body += chunk
-            if len(body) > limit:
-                response.close()
-                return ResponseLost(f"the answer exceeds {limit} bytes")
-            if time.monotonic() > deadline:
-                response.close()
-                return ResponseLost("the answer took too long", timed_out=True)
+        result = _read_all(response, limit, deadline)
+        complete = isinstance(result, HttpResponse)
+        return result
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        response.close()
         return ResponseLost(f"incomplete answer: {type(error).__name__}")
-    response.release_conn()
+    finally:
+        if not complete:
+            # The rest of the response must not be taken for the answer to another call.
+            response.close()
+        response.release_conn()
+
+
+def _read_all(
+    response: urllib3.response.BaseHTTPResponse, limit: int, deadline: float
+) -> HttpResult:
+    body = bytearray()
+    while chunk := response.read1(CHUNK_BYTES, decode_content=False):
+        body += chunk
+        if len(body) > limit:
+            return ResponseLost(f"the answer exceeds {limit} bytes", too_long=True)
+        if time.monotonic() > deadline:
+            return ResponseLost("the answer took too long", timed_out=True)
     return HttpResponse(response.status, bytes(body))
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -24,19 +24,35 @@
     RowsChanged,
     TableDelivered,
 )
+from wasabispur_core.log_event import FEED_CALL_ABANDONED
 from wasabispur_core.message import Message
+from wasabispur_core.metric import FEED_FAILURES
 from wasabispur_core.timer import TimerService
 
 from .actor import Close
 from .decision_actor import DecisionActor, execute
 from .http_call import HttpClient
+from .log import log
+from .metrics import registry
 from .thread_call import call_on_thread, ThreadsStoppedError
 
+CALL_LIMIT = 10.0
+"""Seconds after which a call counts as hung; its own time limits are shorter."""
+
+OVERDUE_TIMER = "overdue"
+
 Receiver = Callable[[Message], None]
 FeedTransport = Callable[[Any, HttpClient], FeedAnswer]
 """Make one blocking feed call in the protocol of the platform's store."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallOverdue(Message):
+    """Report that a call of the feed has reached its limit."""
+
+    call_number: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FeedSource:
     """Describe the source of a feed: the store, its protocol, and one table.
@@ -70,9 +86,9 @@
         super().__init__(f"feed:{source.table}", timers, state, decide)
         self.source = source
         self.receiver = receiver
-        self.client = HttpClient(source.url, 1, source.call_timeout)
-        self.thread = ThreadPoolExecutor(1, thread_name_prefix=self.name)
+        self.client, self.thread = self._new_client(), self._new_thread()
         self.calls: set[asyncio.Task[None]] = set()
+        self.call_number = 0
 
     async def opened(self) -> None:
         """Request the first read."""
@@ -80,12 +96,16 @@
 
     def send(self, command: Any) -> None:
         """Make one call on the feed's thread."""
+        self.call_number += 1
+        overdue = CallOverdue(call_number=self.call_number)
+        self.set_timer(OVERDUE_TIMER, CALL_LIMIT, overdue)
         task = asyncio.get_running_loop().create_task(self._call(command))
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
     async def _call(self, command: Any) -> None:
         failed: FeedAnswer = FeedFailed(reason="the call failed")
+        number = self.call_number
         with suppress(ThreadsStoppedError):
             answer = await call_on_thread(
                 self.thread,
@@ -94,7 +114,37 @@
                 partial(self.source.transport, command, self.client),
                 failed,
             )
-            self.post_urgent(answer)
+            if number == self.call_number:
+                self.cancel_timer(OVERDUE_TIMER)
+                self.post_urgent(answer)
+
+    def on_feed_failed(self, message: FeedFailed) -> None:
+        """Count the failed call, and decide on the next one."""
+        registry.count(FEED_FAILURES, actor=self.name)
+        self.on_message(message)
+
+    def on_call_overdue(self, message: CallOverdue) -> None:
+        """Abandon a call that does not end, with its thread and its connection.
+
+        Without this, one call that hangs would end the feed for good.
+        """
+        if message.call_number != self.call_number:
+            return
+        log(FEED_CALL_ABANDONED, table=self.source.table, seconds=CALL_LIMIT)
+        self.call_number += 1
+        self._release_thread()
+        self.client, self.thread = self._new_client(), self._new_thread()
+        self.on_feed_failed(FeedFailed(reason="the call did not end"))
+
+    def _new_client(self) -> HttpClient:
+        return HttpClient(self.source.url, 1, self.source.call_timeout)
+
+    def _new_thread(self) -> ThreadPoolExecutor:
+        return ThreadPoolExecutor(1, thread_name_prefix=self.name)
+
+    def _release_thread(self) -> None:
+        self.thread.shutdown(wait=False, cancel_futures=True)
+        self.client.close()
 
     def stop_delivery(self) -> None:
         """Deliver no more messages, and stop without being awaited."""
@@ -103,8 +153,7 @@
 
     async def closed(self) -> None:
         """Stop the thread and close the connection."""
-        self.thread.shutdown(wait=False, cancel_futures=True)
-        self.client.close()
+        self._release_thread()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur/src/wasabispur/policy_watcher.py
+++ b/packages/wasabispur/src/wasabispur/policy_watcher.py
@@ -10,7 +10,7 @@
 from wasabispur_core.store import Row
 from wasabispur_core.timer import TimerService
 from wasabispur_core.workload.fleet_state import ClocksRead
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged, PolicyHealth
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.table_feed import TableFeed
 
@@ -56,8 +56,9 @@
         self._apply_rows(message.rows)
 
     def on_feed_health(self, message: FeedHealth) -> None:
-        """Record whether the store is reachable and report it to the table client."""
+        """Report whether the store is reachable, and the configuration confirmed."""
         self.connected = message.healthy
+        self._notify_listeners(PolicyHealth(confirmed=message.healthy))
         self.table.post(ServiceReachable() if message.healthy else ServiceUnreachable())
 
     def _apply_rows(self, rows: Iterable[Row]) -> None:
--- /dev/null
+++ b/tests/actor/test_http_call.py
@@ -0,0 +1,220 @@
+"""Test the calls over a pool of connections against a server that misbehaves."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from wasabispur_runtime.http_call import (
+    CHUNK_BYTES,
+    HttpClient,
+    HttpResponse,
+    HttpResult,
+    POOL_TIMEOUT,
+    RequestNotSent,
+    ResponseLost,
+)
+
+TIMEOUT = 0.5
+"""Seconds of a call in these tests."""
+
+PATIENCE = 30.0
+"""Seconds after which a call counts as hung, however slow the machine is."""
+
+LIMIT = 10 * CHUNK_BYTES
+SMALL = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+Answer = Callable[[socket.socket, threading.Event], None]
+
+
+def head(length: int) -> bytes:
+    """Return the head of a response with a body of a length."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+
+
+class Server:
+    """Answer each request by a function: the first ones by those given, then well."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers = list(answers)
+        self.stopped = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Serve each connection on a thread."""
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: socket.socket) -> None:
+        """Answer the requests on one connection."""
+        try:
+            with connection:
+                while connection.recv(65_536):
+                    answer = self.answers.pop(0) if self.answers else well
+                    answer(connection, self.stopped)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """End the threads."""
+        self.stopped.set()
+        self.listener.close()
+
+
+def well(connection: socket.socket, stopped: threading.Event) -> None:
+    """Answer as expected."""
+    connection.sendall(SMALL)
+
+
+def half(connection: socket.socket, stopped: threading.Event) -> None:
+    """Send all but the end of a body, and then nothing more."""
+    connection.sendall(head(3 * CHUNK_BYTES) + bytes(2 * CHUNK_BYTES))
+    stopped.wait(PATIENCE)
+
+
+def half_after_the_deadline(
+    connection: socket.socket, stopped: threading.Event
+) -> None:
+    """Send the larger part of a body late, as to a caller that was paused."""
+    connection.sendall(head(3 * CHUNK_BYTES) + bytes(100))
+    time.sleep(0.8 * TIMEOUT)
+    connection.sendall(bytes(CHUNK_BYTES))
+    time.sleep(0.8 * TIMEOUT)
+    connection.sendall(bytes(CHUNK_BYTES))
+    stopped.wait(PATIENCE)
+
+
+def trickle(connection: socket.socket, stopped: threading.Event) -> None:
+    """Send a body byte by byte, forever."""
+    connection.sendall(head(CHUNK_BYTES))
+    while not stopped.wait(TIMEOUT / 5):
+        connection.sendall(b"x")
+
+
+def too_long(connection: socket.socket, stopped: threading.Event) -> None:
+    """Send more than the caller accepts."""
+    connection.sendall(head(2 * LIMIT) + bytes(2 * LIMIT))
+
+
+def cut(connection: socket.socket, stopped: threading.Event) -> None:
+    """Close the connection in the middle of a body."""
+    connection.sendall(head(3 * CHUNK_BYTES) + bytes(2 * CHUNK_BYTES))
+    connection.close()
+
+
+def malformed_chunk(connection: socket.socket, stopped: threading.Event) -> None:
+    """Send a chunk whose size is no number."""
+    head_bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.sendall(head_bytes + b"2\r\nab\r\nzz\r\n")
+    connection.close()
+
+
+def silent(connection: socket.socket, stopped: threading.Event) -> None:
+    """Send nothing."""
+    stopped.wait(PATIENCE)
+
+
+BAD_ANSWERS = (
+    half,
+    half_after_the_deadline,
+    trickle,
+    too_long,
+    cut,
+    malformed_chunk,
+    silent,
+)
+
+
+@pytest.fixture
+def serve() -> Iterator[Callable[..., Server]]:
+    """Return a function that starts a server for the test."""
+    servers: list[Server] = []
+
+    def start(*answers: Answer) -> Server:
+        servers.append(Server(*answers))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def call(client: HttpClient) -> HttpResult:
+    """Return the result of a call, or fail if it hangs."""
+    results: list[HttpResult] = []
+    thread = threading.Thread(
+        target=lambda: results.append(client.call("GET", "/", None, LIMIT)), daemon=True
+    )
+    thread.start()
+    thread.join(PATIENCE)
+    assert results, "the call hangs"
+    return results[0]
+
+
+def new_client(server: Server, connections: int = 1) -> HttpClient:
+    """Return a client with few connections."""
+    return HttpClient(f"http://127.0.0.1:{server.port}", connections, TIMEOUT)
+
+
+@pytest.mark.parametrize("answer", BAD_ANSWERS, ids=lambda one: one.__name__)
+def test_answer_that_is_not_read_to_its_end_costs_no_connection(serve, answer):
+    """Guard against a connection that is not given back, so that later calls hang.
+
+    An entry that was paused applied no configuration any more.
+    """
+    client = new_client(serve(answer, answer))
+    for _ in range(2):
+        assert isinstance(call(client), ResponseLost)
+    assert call(client) == HttpResponse(200, b"ok")
+
+
+def test_rest_of_an_answer_is_not_taken_for_the_next_one(serve):
+    """Guard against a connection that is used again in the middle of a response."""
+    client = new_client(serve(half))
+    assert isinstance(call(client), ResponseLost)
+    for _ in range(3):
+        assert call(client) == HttpResponse(200, b"ok")
+
+
+def test_chunked_and_large_answers_are_read_whole(serve):
+    """Guard against a body that ends with the first piece that arrives."""
+
+    def chunked(connection: socket.socket, stopped: threading.Event) -> None:
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(3):
+            connection.sendall(b"4\r\nabcd\r\n")
+        connection.sendall(b"0\r\n\r\n")
+
+    def large(connection: socket.socket, stopped: threading.Event) -> None:
+        connection.sendall(head(5 * CHUNK_BYTES))
+        for _ in range(5):
+            connection.sendall(bytes(CHUNK_BYTES))
+
+    client = new_client(serve(chunked, large))
+    assert call(client) == HttpResponse(200, 3 * b"abcd")
+    assert call(client) == HttpResponse(200, bytes(5 * CHUNK_BYTES))
+    assert call(client) == HttpResponse(200, b"ok")
+
+
+def test_call_does_not_wait_for_a_connection_without_end(serve):
+    """Guard against a thread that hangs while all connections are in use."""
+    client = HttpClient(f"http://127.0.0.1:{serve(silent).port}", 1, PATIENCE)
+    thread = threading.Thread(
+        target=lambda: client.call("GET", "/", None, LIMIT), daemon=True
+    )
+    thread.start()
+    while client.pool.pool.qsize():
+        time.sleep(0.01)
+    begun = time.monotonic()
+    assert isinstance(call(client), RequestNotSent)
+    assert time.monotonic() - begun >= POOL_TIMEOUT / 2
--- a/tests/workload/test_policy_watcher.py
+++ b/tests/workload/test_policy_watcher.py
@@ -7,7 +7,10 @@
 from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.store import Row
 from wasabispur_core.timer import FakeTimerService
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+from wasabispur_core.workload.intake import POLICY_AGE_LIMIT
+from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged, PolicyHealth
+
+from .world import started_world, tasks
 
 
 class Listener:
@@ -69,3 +72,22 @@
     watcher.on_feed_health(FeedHealth(table="t", healthy=True))
     assert watcher.connected
     assert table.messages == [ServiceUnreachable(), ServiceReachable()]
+
+
+def test_configuration_that_is_not_confirmed_admits_no_callers_for_long():
+    """Guard against an entry that serves a withdrawn key because its feed is lost."""
+    world = started_world()
+    entry = world.entries[0]
+    entry.post(PolicyHealth(confirmed=False))
+    world.advance(1)
+    entry.post(PolicyHealth(confirmed=False))
+    early = world.submit(tasks(1))
+    world.advance(POLICY_AGE_LIMIT)
+    late = world.submit(tasks(1))
+    world.advance(0.5)
+    assert early in world.accepted
+    assert late in world.refused
+    entry.post(PolicyHealth(confirmed=True))
+    again = world.submit(tasks(1))
+    world.advance(0.5)
+    assert again in world.accepted
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -46,6 +46,7 @@
     FleetPolicy,
     Organisation,
     PolicyChanged,
+    PolicyHealth,
     Queue,
 )
 from wasabispur_core.workload.progress import JobState
@@ -269,7 +270,7 @@
         if isinstance(message, asks) or _is_for(message, self.intake.operations):
             return intake.decide(message, self.intake, now)
         commands = decide_shard(message, self.shard, now)
-        if isinstance(message, (PolicyChanged, ClocksRead)):
+        if isinstance(message, (PolicyChanged, PolicyHealth, ClocksRead)):
             commands += intake.decide(message, self.intake, now)
         return commands
 
