Keep the terms of its queue with each accepted job

Cause: the planner and the attempt limit read the queue from the present configuration only.

Change: a job's row keeps service, attempts, priority, stretch and target. A job follows its queue while that is configured, keeps at least its attempts, and goes on as it was accepted afterwards. For rows without terms the owner keeps those of the present configuration; where nothing is known, a job waits and doesn't fail.

The simulated world notes the attempts of a job when it is submitted, since its queue may be gone when a run starts.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import Any, NamedTuple
 
@@ -17,7 +17,7 @@
 from .planner import Planner
 from .policy import FleetPolicy, Queue
 from .progress import JobProgress, JobState, UnitPage
-from .spec import JobSpec, NO_RESOURCES, Resources
+from .spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
 from .step_graph import StepGraph
 from .unit import Unit, UnitId
 from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
@@ -37,7 +37,9 @@
     progress can't be read, so that nothing tells what has run or still runs. pages
     contains the stored pages, dirty_pages those that have to be written, and
     stored_progress the job's own row as last written. payload_bytes is the size of the
-    payload in a row. new_units counts the units that were created with the message of
+    payload in a row. accepted_terms are those of the job's
+    queue when it was accepted, or was first known, and terms those under terms_version
+    of the configuration. new_units counts the units that were created with the message of
     the number last_message.
     """
 
@@ -58,12 +60,16 @@
     pages: set[PageId] = field(default_factory=set)
     dirty_pages: set[PageId] = field(default_factory=set)
     stored_progress: dict[str, Any] | None = None
+    accepted_terms: QueueTerms | None = None
+    terms: QueueTerms | None = None
+    terms_version: int = -1
     new_units: int = 0
     last_message: int = 0
     graph: StepGraph = field(init=False)
     payload_bytes: int = field(init=False)
 
     def __post_init__(self) -> None:
+        self.accepted_terms = self.spec.terms
         self.graph = StepGraph(self.spec.steps)
         self.payload_bytes = self.spec.payload_size
 
@@ -193,9 +199,18 @@
         """Return whether this entry is the owner and has read all that it needs."""
         return self.owning and not self.loading
 
-    def queue(self, job: Job) -> Queue | None:
-        """Return the queue of a job, or None if it is no longer configured."""
-        return self.policy.queues.get(job.spec.queue)
+    def terms(self, job: Job) -> QueueTerms | None:
+        """Return what the job's queue grants to it, or None if that is unknown.
+
+        A job follows its queue to another service, priority or objective, and keeps at
+        least the attempts with which it was accepted. Once the queue is removed, it goes
+        on as it was accepted.
+        """
+        if job.terms_version != self.policy.version:
+            job.terms_version = self.policy.version
+            queue = self.policy.queues.get(job.spec.queue)
+            job.terms = _combined(queue, job.accepted_terms)
+        return job.terms
 
     def unit(self, unit_id: UnitId) -> Unit | None:
         """Return the unit with the given id, or None."""
@@ -308,6 +323,13 @@
     """Trigger a planning pass over the waiting units."""
 
 
+def _combined(queue: Queue | None, accepted: QueueTerms | None) -> QueueTerms | None:
+    if queue is None or accepted is None:
+        return queue.terms if queue is not None else accepted
+    attempts = max(queue.max_attempts, accepted.max_attempts)
+    return replace(queue.terms, max_attempts=attempts)
+
+
 def new_worker(report: WorkerReport) -> Worker:
     """Return the state of a worker from its first report."""
     return Worker(agent_id=report.agent_id, info=report.info)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -65,6 +65,7 @@
             ended_at=job.ended_at,
             occurrences=job.occurrences,
             open_occurrences=tuple(sorted(job.open_occurrences)),
+            terms=job.accepted_terms if job.spec.terms is None else None,
         )
     )
     if progress != job.stored_progress:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/guaranteed_jobs.py
@@ -20,8 +20,8 @@
     needed: dict[str, int] = {}
     covered: set[str] = set()
     for job in sorted(state.jobs.values(), key=lambda job: job.spec.accepted_at):
-        queue = state.queue(job)
-        if queue is None or queue.priority != 0 or job.state.ended:
+        terms = state.terms(job)
+        if terms is None or terms.priority != 0 or job.state.ended:
             continue
         name = job.spec.organisation
         guarantee = _guarantee(name, state)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -131,6 +131,7 @@
         repeats=message.repeats,
         repeat_interval=message.repeat_interval,
         start_at=message.start_at,
+        terms=queue.terms,
     )
     key = job_key(call.job_id)
     return [
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
@@ -54,6 +54,24 @@
     return _end_job(job, JobState.FAILED, state, now)
 
 
+def learn_terms(job: Job, state: FleetState, now: float) -> list[Command]:
+    """Keep what the queue of a job without terms grants, in case it is removed.
+
+    Failures that were counted before may have been all of the attempts.
+    """
+    if job.accepted_terms is not None or job.held or not state.active:
+        return []
+    job.accepted_terms = terms = state.terms(job)
+    if terms is None:
+        return []
+    state.dirty_jobs.add(job.spec.job_id)
+    exhausted = any(
+        unit.failures >= terms.max_attempts and not unit.step.long_running
+        for unit in job.units.values()
+    )
+    return fail_job(job, state, now) if exhausted and not job.state.ended else []
+
+
 def occurrence_count(job: Job) -> int:
     """Return the total number of the job's occurrences."""
     return max(job.spec.repeats, 1)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -38,6 +38,7 @@
     job.state = progress.state
     job.ended_at = progress.ended_at
     job.stored_progress = pack(progress)
+    job.accepted_terms = job.spec.terms or progress.terms
     job.pages = set(stored.pages)
     unpaged = _pages_of(progress.units)
     pages = stored.pages | unpaged
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
@@ -9,6 +9,7 @@
 from hashlib import sha256
 
 from ..message import Message
+from .spec import QueueTerms
 
 KEY_DIGEST_BYTES = 16
 """Length in bytes of the digest that identifies an organisation's API key."""
@@ -23,10 +24,9 @@
 class Queue:
     """Describe one queue, selected by host and path prefix.
 
-    priority 0 is the most urgent. The objective of a job is its estimated duration
-    times stretch plus target, which is in seconds. max_attempts limits the attempts of
-    a task, and anonymous queues accept calls without an API key. Submissions to a queue
-    with needs_advice are refused, because advice is not supported.
+    service, priority, max_attempts, stretch and target are as in QueueTerms. Anonymous
+    queues accept calls without an API key. Submissions to a queue with needs_advice are
+    refused, because advice is not supported.
     """
 
     name: str
@@ -40,6 +40,17 @@
     anonymous: bool = False
     needs_advice: bool = False
 
+    @property
+    def terms(self) -> QueueTerms:
+        """Return what the queue grants to its jobs."""
+        return QueueTerms(
+            service=self.service,
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            stretch=self.stretch,
+            target=self.target,
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/progress.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from .crash_history import CrashHistory, NO_CRASHES
+from .spec import QueueTerms
 
 
 class JobState(StrEnum):
@@ -98,11 +99,13 @@
 
     ended_at is in seconds on the store's clock, and zero while the job has not ended.
     occurrences counts those that have begun, and open_occurrences contains the ones
-    that are not completed. units is only set in rows of versions without pages.
+    that are not completed. terms are those of the job's queue, if its own row has none.
+    units is only set in rows of versions without pages.
     """
 
     state: JobState = JobState.PENDING
     ended_at: float = 0.0
     occurrences: int = 0
     open_occurrences: tuple[int, ...] = ()
+    terms: QueueTerms | None = None
     units: tuple[UnitRecord, ...] = ()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -47,6 +47,7 @@
     add_occurrence,
     cancel,
     fail_job,
+    learn_terms,
     occurrence_count,
     update_job,
 )
@@ -229,10 +230,14 @@
     state.policy = message.policy
     state.view.policy_changed = True
     state.view.guarantees_changed = True
-    if POLICY not in state.loading:
-        return []
-    state.loading.discard(POLICY)
-    return _begin(state, now) if state.active else []
+    state.capacity_changed = True
+    if POLICY in state.loading:
+        state.loading.discard(POLICY)
+        return _begin(state, now) if state.active else []
+    commands: list[Command] = []
+    for job in state.jobs.values():
+        commands += learn_terms(job, state, now)
+    return commands
 
 
 @handle_message.register
@@ -382,6 +387,7 @@
     stored = state.progress.pop(job.spec.job_id, None)
     if stored is not None:
         commands += restore_job(job, stored, state, now)
+    commands += learn_terms(job, state, now)
     cancelled = job.spec.job_id in state.pending_cancellations
     state.pending_cancellations.discard(job.spec.job_id)
     if cancelled:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -12,8 +12,7 @@
 from .guaranteed_jobs import guaranteed_jobs
 from .orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
 from .plan import RunningUnit, Snapshot, Trust, WaitingUnit, WorkerSnapshot
-from .policy import Queue
-from .spec import StepSpec
+from .spec import QueueTerms, StepSpec
 from .step_graph import run_estimate
 from .unit import (
     ACTIVE,
@@ -146,14 +145,14 @@
     if unit is None:
         return set()
     job = state.jobs[unit_id.job_id]
-    queue = state.queue(job)
-    if unit.state == WAITING and queue and not job.state.ended:
-        if unit.must_learn_ends(queue.max_attempts):
+    terms = state.terms(job)
+    if unit.state == WAITING and terms and not job.state.ended:
+        if unit.must_learn_ends(terms.max_attempts):
             # The unit is marked as changed once the worker lists an end or is removed.
             return set()
-        _update_waiting(unit, job, queue, state, now)
+        _update_waiting(unit, job, terms, state, now)
     elif unit.state in (ACTIVE, STOPPING, CANCELLING) and unit.may_be_running:
-        running = view.running[unit_id] = _running(unit, job, queue, state, now)
+        running = view.running[unit_id] = _running(unit, job, terms, state, now)
         if running.stalled_for or running.leaves_in < inf:
             view.aging_units.add(unit_id)
         if known is not None and _costs_less(running, known, now):
@@ -162,13 +161,13 @@
 
 
 def _update_waiting(
-    unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
+    unit: Unit, job: Job, terms: QueueTerms, state: FleetState, now: float
 ) -> None:
     view = state.view
     if unit.backoff_until > now:
         view.aging_units.add(unit.unit_id)
         return
-    waiting = view.waiting[unit.unit_id] = _waiting(unit, job, queue, state, now)
+    waiting = view.waiting[unit.unit_id] = _waiting(unit, job, terms, state, now)
     if waiting.waits_for_rack or waiting.isolated:
         view.aging_units.add(unit.unit_id)
 
@@ -233,16 +232,16 @@
 
 
 def _waiting(
-    unit: Unit, job: Job, queue: Queue, state: FleetState, now: float
+    unit: Unit, job: Job, terms: QueueTerms, state: FleetState, now: float
 ) -> WaitingUnit:
     step = unit.step
-    span = queue.stretch * job.graph.longest_path + queue.target
+    span = terms.stretch * job.graph.longest_path + terms.target
     needs_rack = bool(step.data_rack) or (step.same_rack and unit.size > 1)
     return WaitingUnit(
         unit_id=unit.unit_id,
-        service=queue.service,
+        service=terms.service,
         organisation=job.spec.organisation,
-        priority=queue.priority,
+        priority=terms.priority,
         guaranteed=job.spec.job_id in state.view.covered,
         demand=unit.demand,
         size=unit.size,
@@ -259,7 +258,7 @@
         avoided_workers=frozenset(unit.avoided_workers),
         failed_on=frozenset(unit.failed_on),
         waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
-        attempts_left=queue.max_attempts - unit.failures,
+        attempts_left=terms.max_attempts - unit.failures,
         suspected=unit.crashes.most > 0,
         dangerous=unit.crashes.dangerous,
         isolated=unit.crashes.dangerous and now - unit.ready_at < ISOLATION_WAIT_TIME,
@@ -267,7 +266,7 @@
 
 
 def _running(
-    unit: Unit, job: Job, queue: Queue | None, state: FleetState, now: float
+    unit: Unit, job: Job, terms: QueueTerms | None, state: FleetState, now: float
 ) -> RunningUnit:
     placement = tuple(member.worker_ref for member in unit.members if not member.ended)
     begun = min((member.started_at for member in unit.members), default=now)
@@ -275,7 +274,7 @@
     weight = len(placement) * unit.step.demand.weight
     saves_work = unit.step.checkpointing
     worked = now - begun - stalled
-    priority = queue.priority if queue else 0
+    priority = terms.priority if terms else 0
     return RunningUnit(
         unit_id=unit.unit_id,
         priority=priority,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -114,11 +114,28 @@
     max_unavailable: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueTerms:
+    """Describe what a queue grants to its jobs.
+
+    service names the workers that run them, and priority 0 is the most urgent. The
+    objective of a job is its estimated duration times stretch plus target, which is in
+    seconds. max_attempts limits the attempts of a task.
+    """
+
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobSpec:
     """Describe an accepted job.
 
-    accepted_at is on the store's clock and start_at on the wall clock, both in
+    terms are those of its queue when it was accepted; rows of versions without them
+    have none. accepted_at is on the store's clock and start_at on the wall clock, both in
     seconds. repeats is the number of occurrences, repeat_interval seconds apart. If
     repeats is zero, the job runs once, starts immediately and ignores start_at.
     """
@@ -132,6 +149,7 @@
     repeats: int = 0
     repeat_interval: float = 0.0
     start_at: float = 0.0
+    terms: QueueTerms | None = None
 
     @property
     def payload_size(self) -> int:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterable
 
 from ..message import Message
@@ -13,8 +14,8 @@
 from .job_steps import changed_pages, complete_unit, pages_of
 from .unit import COMPLETED, ENDED_STATES, FAILED, RunEnded, Unit, WAITING
 
-DEFAULT_ATTEMPTS = 1
-"""Attempt limit for a task whose queue was removed from the configuration."""
+UNKNOWN_ATTEMPTS = sys.maxsize
+"""Attempt limit of a job whose queue is unknown; none of its units is placed."""
 
 
 def handle_unit_event(
@@ -22,7 +23,7 @@
 ) -> None:
     """Handle a message in the unit's state chart, and mark the rows to write."""
     job = state.jobs[unit.unit_id.job_id]
-    queue = state.queue(job)
+    terms = state.terms(job)
     former_state, former_crashes = unit.state, unit.crashes
     former_workers = set(unit.members_by_worker)
     unit.lifecycle.handle(message, attempt_limit(job, state), unit, now)
@@ -38,7 +39,7 @@
     index_unit(unit, workers, state)
     job.dirty_pages.update(pages)
     state.dirty_jobs.add(job.spec.job_id)
-    if unit.state in ENDED_STATES and queue and queue.priority == 0:
+    if unit.state in ENDED_STATES and terms and terms.priority == 0:
         state.view.guarantees_changed = True
     job.failed |= unit.state == FAILED
     if unit.state == COMPLETED:
@@ -47,8 +48,8 @@
 
 def attempt_limit(job: Job, state: FleetState) -> int:
     """Return the number of attempts after which a unit of the job has failed."""
-    queue = state.queue(job)
-    return queue.max_attempts if queue else DEFAULT_ATTEMPTS
+    terms = state.terms(job)
+    return terms.max_attempts if terms else UNKNOWN_ATTEMPTS
 
 
 def _workers_of_member(unit: Unit, index: int) -> set[str]:
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -336,6 +336,7 @@
         self.refused: set[str] = set()
         self.attempts: dict[str, int] = {}
         self.refusals: dict[str, int] = {}
+        self.attempt_limits: dict[str, int] = {}
         self.cancelled: dict[str, float] = {}
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
@@ -709,8 +710,7 @@
                 name = str(TaskId(job_id, 0, earlier, index))
                 if name not in self.succeeded:
                     self.violations.append(f"{task} started before {name} was done")
-        attempts = self.policy.queues[self.specs[job_id].path.split("/")[1]]
-        if self.failures.get(task, 0) >= attempts.max_attempts:
+        if self.failures.get(task, 0) >= self.attempt_limits[job_id]:
             self.violations.append(f"{task} started after its last attempt")
         if not self._allows_load(worker):
             self.violations.append(f"{task} started beyond the capacity")
@@ -767,12 +767,20 @@
         )
         self.specs.setdefault(job_id, request)
         self.attempts[job_id] = self.attempts.get(job_id, 0) + 1
+        limit = self.policy.queues[queue_name].max_attempts
+        self.attempt_limits.setdefault(job_id, limit)
         self.durations.setdefault(job_id, duration)
         self._post_request(
             request, entry, lambda outcome: self._note_submit(job_id, outcome)
         )
         return job_id
 
+    def configure(self, policy: FleetPolicy) -> None:
+        """Put a configuration in force at all entries."""
+        self.policy = policy
+        for entry in self.entries:
+            entry.post(PolicyChanged(policy=policy))
+
     def cancel(self, job_id: str, entry: int = 0) -> None:
         """Request the cancellation of a job."""
         request = CancelJob(
