Limit the units of a step that were never placed, instead of those of a job

Cause: the limit of 2,500 units of a job held up lasting tasks beyond it for good, as none completes, and let a step without room take all of them.

Change: a step has at most 250 units that have never been placed, and a job 10,000 in all. More than 10,000 lasting tasks are refused at the submission.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -37,7 +37,7 @@
 from .intake_state import conditional_write, IntakeState, PendingCall
 from .policy import PolicyChanged, PolicyHealth, Queue
 from .rows import job_key, pack, progress_key, queue_counts_key
-from .spec import JobSpec, PAYLOAD_LIMIT_BYTES
+from .spec import JobSpec, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
 
 POLICY_AGE_LIMIT = 5.0
 """Seconds for which an unconfirmed configuration still admits callers."""
@@ -217,6 +217,9 @@
     for number, step in enumerate(message.steps):
         if any(earlier >= number for earlier in step.after):
             return f"step {number} waits for a step that is not before it; reorder them"
+    lasting = sum(step.count for step in message.steps if step.long_running)
+    if lasting * max(message.repeats, 1) > LASTING_TASKS_LIMIT:
+        return f"more than {LASTING_TASKS_LIMIT} lasting tasks; submit several jobs"
     return ""
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
@@ -6,7 +6,12 @@
 from ..log_event import JOB_ENDED
 from .fleet_state import FleetState, Job
 from .job_steps import begin_occurrence, close_if_completed
-from .occurrence import NEW_UNITS_LIMIT, OPEN_UNITS_LIMIT, unit_count
+from .occurrence import (
+    NEW_UNITS_LIMIT,
+    OPEN_UNITS_LIMIT,
+    unit_count,
+    UNPLACED_UNITS_LIMIT,
+)
 from .progress import JobState
 from .unit import ENDED_STATES, Unit, UnitCancelled, UnitId, UnitReady
 from .unit_event import handle_unit_event
@@ -98,7 +103,10 @@
     ):
         number, step = job.unfilled[0]
         step_state = job.open_occurrences[number].steps[step]
-        if step_state.created >= unit_count(job.spec.steps[step]):
+        if (
+            step_state.created >= unit_count(job.spec.steps[step])
+            or step_state.unplaced >= UNPLACED_UNITS_LIMIT
+        ):
             job.unfilled.popleft()
             continue
         unit_id = UnitId(job.spec.job_id, number, step, step_state.created)
@@ -107,8 +115,21 @@
         create_unit(unit_id, job, state, now)
 
 
+def count_placement(unit: Unit, job: Job) -> None:
+    """Count the placement of a unit, after which its step may have another one."""
+    job.begun = True
+    if unit.run > 1:
+        return
+    _, number, step, _ = unit.unit_id
+    step_state = job.open_occurrences[number].steps[step]
+    if step_state.unplaced == UNPLACED_UNITS_LIMIT:
+        job.unfilled.append((number, step))
+    step_state.unplaced -= 1
+
+
 def create_unit(unit_id: UnitId, job: Job, state: FleetState, now: float) -> None:
     """Create a unit that waits for its first placement."""
+    job.open_occurrences[unit_id.occurrence].steps[unit_id.step].unplaced += 1
     unit = job.units[unit_id] = Unit(
         unit_id=unit_id,
         step=job.spec.steps[unit_id.step],
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -135,6 +135,7 @@
         if record.index < count:
             _restore_unit(job, page_id, record, state, now)
             step_state.created = max(step_state.created, record.index + 1)
+            step_state.unplaced += record.run == 0
 
 
 def _create_missing_units(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/occurrence.py
@@ -15,8 +15,14 @@
 PAGE_UNITS = 64
 """Units, and members of one gang, whose records share a row."""
 
-OPEN_UNITS_LIMIT = 2_500
-"""Units of one job that exist at a time; a fleet runs about as many tasks."""
+OPEN_UNITS_LIMIT = 10_000
+"""Units of one job that exist at a time, more than a fleet runs tasks."""
+
+UNPLACED_UNITS_LIMIT = 250
+"""Units of one step that exist and have never been placed.
+
+A step for which there is no room takes nothing from the limit of the others.
+"""
 
 OPEN_OCCURRENCES_LIMIT = 1_000
 """Occurrences of one job that are in progress at a time."""
@@ -56,11 +62,13 @@
 class StepState:
     """Represent one step of an occurrence that has begun.
 
-    created is the position up to which units were created, completed the number of
-    completed ones, and masks their positions by page, as in UnitPage.
+    created is the position up to which units were created, unplaced the number of them
+    that have never run, completed the number of completed ones, and masks their
+    positions by page, as in UnitPage.
     """
 
     created: int = 0
+    unplaced: int = 0
     completed: int = 0
     masks: dict[int, int] = field(default_factory=dict)
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -17,6 +17,9 @@
 TASKS_LIMIT = 10_000
 """Maximum number of tasks of a step."""
 
+LASTING_TASKS_LIMIT = 10_000
+"""Maximum number of tasks of a job that run until it is cancelled, all at once."""
+
 PAYLOAD_LIMIT_BYTES = 32 * 1024
 """Maximum size of a payload, encoded as JSON; half of an orders row."""
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -19,7 +19,7 @@
     UNIT_WAITING,
 )
 from .fleet_state import FleetState
-from .job_lifecycle import update_job
+from .job_lifecycle import count_placement, update_job
 from .plan import Decision, Evacuate, Move, Preempt, Wait
 from .unit import (
     ACTIVE,
@@ -49,7 +49,7 @@
 ) -> list[Command]:
     """Start a run of the unit on the chosen workers."""
     handle_unit_event(unit, UnitPlaced(placement=placement), state, now)
-    state.jobs[unit.unit_id.job_id].begun = True
+    count_placement(unit, state.jobs[unit.unit_id.job_id])
     fields = {
         "job": unit.unit_id.job_id,
         "unit": _unit_name(unit),
--- a/tests/workload/test_large_jobs.py
+++ b/tests/workload/test_large_jobs.py
@@ -32,6 +32,7 @@
     pack,
     progress_key,
     report_key,
+    ROWS_SCHEMA,
     unit_page_prefix,
 )
 from wasabispur_core.workload.runner_state import (
@@ -381,3 +382,50 @@
     report = state.reports[worker.info.worker_id]
     report.in_flight, report.changed, report.version = "", True, 1
     return worker, state
+
+
+def test_step_without_room_does_not_hold_up_the_others():
+    """Guard against a job whose first step takes all of the units that may exist."""
+    world = started_world(workers=4)
+    job = world.submit(
+        light_tasks(TASKS_LIMIT, label="no such label"),
+        light_tasks(600),
+        duration=0.5,
+    )
+    world.advance(6)
+    assert len(world.starts) == 600
+    assert not world.ended(job)
+
+
+def test_all_tasks_of_a_lasting_step_run():
+    """Guard against lasting tasks that are never started, as none of them completes."""
+    world = started_world(workers=4)
+    job = world.submit(light_tasks(600, long_running=True), duration=LONG)
+    world.advance(4)
+    assert len(world.starts) == 600
+    kill_owner(world)
+    world.advance(5)
+    assert sum(len(worker.runs) for worker in world.workers.values()) == 600
+    assert world.state_of(job).job_state is JobState.RUNNING
+    too_many = world.submit(
+        light_tasks(TASKS_LIMIT, long_running=True),
+        light_tasks(1, long_running=True),
+    )
+    assert outcome(world, too_many) is CallOutcome.INVALID
+
+
+def test_entry_of_an_earlier_version_does_not_own_the_shard():
+    """Guard against an owner that takes jobs in pages for jobs that have not started."""
+    world = started_world()
+    world.submit(tasks(2), duration=LONG)
+    world.advance(1)
+    for index, entry in enumerate(world.entries):
+        world.kill_entry(index)
+        world.entries[index].shard.ownership.schema = ROWS_SCHEMA - 1
+        assert entry.shard.ownership.schema == ROWS_SCHEMA
+    world.advance(6)
+    assert world.owner() is None
+    world.kill_entry(0)
+    world.advance(6)
+    assert world.owner() is world.entries[0]
+    assert len(world.starts) == 2
