Refuse job ids that don't suit keys, and remove the rows of cancelled held jobs

Cause: an id with a dot could name another job's cancellation row, and a long one outgrow an order; the pages of a held job that was cancelled stayed, and an ended job with an unreadable page was held again by the next owner.

Change: ids have up to 32 letters, digits, hyphens and underscores. An ended job needs no pages to be restored, and its pages are removed with it.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -78,12 +78,11 @@
 class StoredProgress:
     """Represent a job's progress as a former owner stored it.
 
-    readable is unset if one of the rows can't be read.
+    progress or a page is None if its row can't be read.
     """
 
-    progress: JobProgress = field(default_factory=JobProgress)
-    pages: dict[PageId, UnitPage] = field(default_factory=dict)
-    readable: bool = True
+    progress: JobProgress | None = field(default_factory=JobProgress)
+    pages: dict[PageId, UnitPage | None] = field(default_factory=dict)
 
 
 class RemovedJob(NamedTuple):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
@@ -37,7 +37,7 @@
 from .intake_state import conditional_write, IntakeState, PendingCall
 from .policy import PolicyChanged, PolicyHealth, Queue
 from .rows import job_key, pack, progress_key, queue_counts_key
-from .spec import JobSpec, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
+from .spec import JOB_ID_PATTERN, JobSpec, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
 
 POLICY_AGE_LIMIT = 5.0
 """Seconds for which an unconfirmed configuration still admits callers."""
@@ -188,7 +188,7 @@
         return refused(CallOutcome.NO_QUEUE, "no queue has this host and prefix")
     if not queue.anonymous and message.key_digest not in policy.keys:
         return refused(CallOutcome.NO_KEY, "send the key of an organisation")
-    problem = job_problem(message) if isinstance(message, SubmitJob) else ""
+    problem = job_problem(message, queue) if isinstance(message, SubmitJob) else ""
     if problem:
         return refused(CallOutcome.INVALID, problem)
     if len(state.calls) >= PENDING_CALL_LIMIT:
@@ -208,10 +208,10 @@
     return queue
 
 
-def job_problem(message: SubmitJob) -> str:
+def job_problem(message: SubmitJob, queue: Queue) -> str:
     """Return why a job can never be carried out, or an empty string."""
-    if "." in message.path.rpartition("/")[2]:
-        return "the job's id contains a dot; use letters and digits"
+    if not JOB_ID_PATTERN.fullmatch(message.path.removeprefix(queue.prefix)):
+        return "the job's id is not valid; use up to 32 letters and digits"
     if text_size(message.payload) > PAYLOAD_LIMIT_BYTES:
         return f"the payload exceeds {PAYLOAD_LIMIT_BYTES} bytes; shorten it"
     for number, step in enumerate(message.steps):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -18,7 +18,7 @@
     StepState,
     unit_count,
 )
-from .progress import MemberRecord, UnitPage, UnitRecord
+from .progress import JobProgress, MemberRecord, UnitPage, UnitRecord
 from .rows import pack
 from .unit import BLOCKED, COMPLETED, FAILED, Unit, UnitId, UnitMember, WorkerRef
 from .unit_event import index_unit
@@ -31,7 +31,9 @@
 ) -> list[Command]:
     """Restore a job's occurrences and units, or hold the job if that can't be done."""
     progress = stored.progress
-    if not stored.readable or not _has_known_states(stored, state):
+    job.pages = set(stored.pages)
+    pages = _readable_pages(stored, state)
+    if progress is None or (pages is None and not progress.state.ended):
         job.held = True
         fields = {"job": job.spec.job_id}
         return [WriteLog(number=JOB_HELD.number, fields=fields)]
@@ -39,27 +41,14 @@
     job.ended_at = progress.ended_at
     job.stored_progress = pack(progress)
     job.accepted_terms = job.spec.terms or progress.terms
-    job.pages = set(stored.pages)
-    unpaged = _pages_of(progress.units)
-    pages = stored.pages | unpaged
-    # The pages of an occurrence may have been stored before its job's own row.
-    begun = {
-        page.occurrence for page in pages if page.occurrence >= progress.occurrences
-    }
-    numbers = sorted(begun.union(progress.open_occurrences))
-    job.occurrences = max([progress.occurrences, *(number + 1 for number in numbers)])
-    by_occurrence: dict[int, Pages] = {number: {} for number in numbers}
-    for page_id in sorted(pages):
-        if page_id.occurrence in by_occurrence:
-            by_occurrence[page_id.occurrence][page_id] = pages[page_id]
-    for number in numbers:
-        _restore_occurrence(job, number, by_occurrence[number], state, now)
-    for page in stored.pages:
+    _restore_occurrences(job, progress, pages or {}, state, now)
+    for page in sorted(stored.pages):
         if page.occurrence not in job.open_occurrences:
             drop_page(page, job, state)
-    if unpaged:
+    if progress.units:
+        # The next write of the job's own row leaves out its units.
         job.dirty_pages.update(
-            page for page in unpaged if page.occurrence in job.open_occurrences
+            page for page in pages or () if page.occurrence in job.open_occurrences
         )
         state.dirty_jobs.add(job.spec.job_id)
     if job.state.ended:
@@ -68,11 +57,37 @@
     return []
 
 
-def _has_known_states(stored: StoredProgress, state: FleetState) -> bool:
-    records = [*stored.progress.units]
-    for page in stored.pages.values():
-        records += page.units
-    return all(state.unit_chart.has_state(record.state) for record in records)
+def _readable_pages(stored: StoredProgress, state: FleetState) -> Pages | None:
+    """Return all pages, or None if a row or a state in it is unknown."""
+    pages: Pages = {}
+    for page_id, page in stored.pages.items():
+        if page is None:
+            return None
+        pages[page_id] = page
+    unpaged = stored.progress.units if stored.progress is not None else ()
+    records = [*unpaged, *(record for page in pages.values() for record in page.units)]
+    if not all(state.unit_chart.has_state(record.state) for record in records):
+        return None
+    return pages | _pages_of(unpaged)
+
+
+def _restore_occurrences(
+    job: Job, progress: JobProgress, pages: Pages, state: FleetState, now: float
+) -> None:
+    """Restore the occurrences that are not completed.
+
+    The pages of one may have been stored before the job's own row counted it.
+    """
+    begun = {page.occurrence for page in pages}
+    numbers = set(progress.open_occurrences)
+    numbers |= {number for number in begun if number >= progress.occurrences}
+    job.occurrences = max([progress.occurrences, *(number + 1 for number in numbers)])
+    by_occurrence: dict[int, Pages] = {number: {} for number in numbers}
+    for page_id in sorted(pages):
+        if page_id.occurrence in by_occurrence:
+            by_occurrence[page_id.occurrence][page_id] = pages[page_id]
+    for number in sorted(numbers):
+        _restore_occurrence(job, number, by_occurrence[number], state, now)
 
 
 def _pages_of(records: Iterable[UnitRecord]) -> Pages:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -193,10 +193,7 @@
         return []
     # Jobs and progress are read concurrently; the job's row may arrive later.
     stored = state.progress.setdefault(message.job_id, StoredProgress())
-    if message.progress is None:
-        stored.readable = False
-    else:
-        stored.progress = message.progress
+    stored.progress = message.progress
     return []
 
 
@@ -205,10 +202,7 @@
     if state.active:
         return []
     stored = state.progress.setdefault(message.job_id, StoredProgress())
-    if message.page is None:
-        stored.readable = False
-    else:
-        stored.pages[message.page_id] = message.page
+    stored.pages[message.page_id] = message.page
     return []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -17,6 +18,9 @@
 TASKS_LIMIT = 10_000
 """Maximum number of tasks of a step."""
 
+JOB_ID_PATTERN = re.compile(r"[0-9A-Za-z_-]{1,32}")
+"""Ids of jobs. They are parts of the keys of rows, and of orders of a bounded size."""
+
 LASTING_TASKS_LIMIT = 10_000
 """Maximum number of tasks of a job that run until it is cancelled, all at once."""
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
@@ -1,7 +1,7 @@
 """Drive one unit through the unit state chart, and update what is derived from it.
 
-That are the indexes of waiting units and of units by worker, and the pages and rows
-that have to be written.
+This includes the indexes of waiting units and of units by worker, and the marks on
+pages and rows that have to be written.
 """
 
 from __future__ import annotations
@@ -69,11 +69,13 @@
     else:
         state.units_with_unknown_ends.discard(unit.unit_id)
     for worker_id in workers:
-        known = state.units_by_worker.setdefault(worker_id, set())
+        known = state.units_by_worker.get(worker_id, set())
         if unit.is_open_on(worker_id):
-            known.add(unit.unit_id)
+            state.units_by_worker.setdefault(worker_id, known).add(unit.unit_id)
         elif unit.unit_id in known:
             known.discard(unit.unit_id)
         else:
             continue
+        if not known:
+            del state.units_by_worker[worker_id]
         state.mark_worker(worker_id)
--- a/tests/workload/test_large_jobs.py
+++ b/tests/workload/test_large_jobs.py
@@ -17,7 +17,8 @@
     Write,
 )
 from wasabispur_core.workload.crash_history import CrashHistory
-from wasabispur_core.workload.intake_message import CallOutcome
+from wasabispur_core.workload.fleet_write import ENDED_JOB_RETENTION
+from wasabispur_core.workload.intake_message import CallOutcome, SubmitJob
 from wasabispur_core.workload.occurrence import OPEN_UNITS_LIMIT, PAGE_UNITS
 from wasabispur_core.workload.progress import (
     JobState,
@@ -429,3 +430,41 @@
     world.advance(6)
     assert world.owner() is world.entries[0]
     assert len(world.starts) == 2
+
+
+@pytest.mark.parametrize("job_id", ["", "a.cancel", "a/b", 33 * "a", "\u5370"])
+def test_job_whose_id_does_not_suit_keys_is_refused(job_id):
+    """Guard against an id that names another job's cancellation, or outgrows a row."""
+    world = started_world()
+    request = SubmitJob(
+        call_id="c",
+        host="host",
+        path=f"/batch/{job_id}",
+        key_digest="peachtree",
+        payload="p",
+        steps=(light_tasks(1),),
+    )
+    world.entries[0].post(request)
+    world.advance(0.5)
+    assert world.answers["c"].outcome is CallOutcome.INVALID
+
+
+def test_cancelled_job_with_an_unreadable_page_is_removed():
+    """Guard against rows of a held job that stay after it was cancelled."""
+    world = started_world()
+    job = world.submit(tasks(2), duration=LONG)
+    world.advance(1)
+    (page,) = pages(world, job)
+    write = Write(key=page.key, value={"units": 7})
+    world.store.apply(Transaction(operation_id="x", conditions=(), writes=(write,)))
+    kill_owner(world)
+    world.advance(5)
+    world.cancel(job)
+    world.advance(2)
+    kill_owner(world)
+    world.advance(6)
+    assert not world.owner().fleet.jobs[job].held
+    assert not any(worker.runs for worker in world.workers.values())
+    world.advance(ENDED_JOB_RETENTION + 5)
+    assert not pages(world, job)
+    assert progress_key(job) not in world.store.rows
