Count a crash under an unanswered start as uncertain

Cause: a connection that broke under an unanswered start was taken for proof that the start had been carried out and had crashed the worker, and so was the restart of a worker that had never listed an ordered run.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/lost_run.py
@@ -63,7 +63,12 @@
         for member in unit.open_members_on(worker_id):
             if keep and member.worker_ref.incarnation == keep:
                 continue
-            ended = RunEnded(index=member.index, kind=kind, reason=reason)
+            ended = RunEnded(
+                index=member.index,
+                kind=kind,
+                reason=reason,
+                uncertain=member.progress.listed_at is None,
+            )
             commands += end_run(unit, ended, worker_id, state, now)
     return commands
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -199,7 +199,12 @@
 @_run_ended.register
 def _(reported: RefusedRun, index: int) -> RunEnded:
     kind = EndKind.CRASHED if reported.crashed else EndKind.REFUSED
-    return RunEnded(index=index, kind=kind, reason=reported.reason)
+    return RunEnded(
+        index=index,
+        kind=kind,
+        reason=reported.reason,
+        uncertain=reported.uncertain,
+    )
 
 
 def _find_member(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
@@ -106,6 +106,7 @@
             run=key[1],
             reason=run.refusal_reason or "stopped",
             crashed=run.crashed,
+            uncertain=run.crashed and not run.begun,
         )
         for key, run in sorted(worker.ordered.items())
         if run.lifecycle.state == "barred" or run.abandoned
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Any
 
 from ..action import Action, Guard, holds, perform
@@ -61,6 +62,13 @@
         return orders is not None and orders.session in ("", self.report.session)
 
 
+PROMPT_CRASH_TIME = 0.2
+"""Seconds after a start within which the worker's crash shows that it was carried out.
+
+A worker answers a start at once, so that one without an answer for longer is late.
+"""
+
+
 class RunAction(Action[RunContext, OrderedRun]):
     """Define the base of the actions in the ordered_run chart."""
 
@@ -254,8 +262,10 @@
     if not message.sent:
         run.start_calls -= 1
     elif not message.timed_out:
-        # A task that crashes its worker breaks the connection.
-        run.begun = True
+        # A task that crashes its worker breaks the connection, and does so soon.
+        sent_at = action.state.worker.started.get(run.key, -inf)
+        run.begun |= action.now - sent_at <= PROMPT_CRASH_TIME
+        run.may_have_begun = True
     return []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
@@ -36,8 +36,9 @@
     already. abandoned is set once the worker can't have the run any more, because its
     process has ended or its lease has expired. refusal_reason is the reason why the run
     did not start, and process_ended is set if the worker's process ended without having
-    announced it. start_calls counts the calls that may have started it, and begun is
-    set once something shows that the worker began it. stop_accepted_at is the time at
+    announced it. start_calls counts the calls that may have started it. begun is set
+    once something shows that the worker began it, and may_have_begun once the connection
+    of such a call broke. stop_accepted_at is the time at
     which the worker accepted a stop, in monotonic seconds. retries counts the retries
     of unanswered calls.
     """
@@ -50,6 +51,7 @@
     refusal_reason: str = ""
     start_calls: int = 0
     begun: bool = False
+    may_have_begun: bool = False
     process_ended: bool = False
     stop_accepted_at: float = inf
     retries: int = 0
@@ -61,8 +63,8 @@
 
     @property
     def crashed(self) -> bool:
-        """Return whether the worker's process ended under the run."""
-        return self.process_ended and self.begun
+        """Return whether the worker's process ended under the run, or may have."""
+        return self.process_ended and (self.begun or self.may_have_begun)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from ..chart import Lifecycle
@@ -91,12 +91,14 @@
     """Report that the run of one member ended, and how.
 
     reason says why the run counts as ended if its worker did not list the end.
+    uncertain is set if the run may not have begun.
     """
 
     index: int
     kind: EndKind
     checkpoint: str = ""
     reason: str = ""
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -223,7 +225,7 @@
             return self.crashes
         run_time = now - member.started_at
         if ended.kind is EndKind.CRASHED:
-            return self.crashes.after_crash(ended.index, run_time)
+            return self.crashes.after_crash(ended.index, run_time, ended.uncertain)
         return self.crashes.after_run(run_time)
 
     def crashes_learned(self, learned: UnknownEndLearned) -> CrashHistory:
@@ -262,8 +264,7 @@
         )
         crashes = self.crashes
         if crashes.workers and page is not None:
-            counts = crashes.workers.items()
-            crashes = replace(crashes, workers={i: n for i, n in counts if included(i)})
+            crashes = crashes.of_positions(included)
         return UnitRecord(
             occurrence=self.unit_id.occurrence,
             step=self.unit_id.step,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
@@ -84,13 +84,15 @@
     """Describe a run that is not at the worker and can't start there any more.
 
     crashed is set if the worker's process ended after the agent had asked it to start
-    the run, and had not announced that it leaves.
+    the run, and had not announced that it leaves. uncertain is set if the run may not
+    have begun then.
     """
 
     task: str
     run: int
     reason: str
     crashed: bool = False
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -146,3 +146,38 @@
     world.delayed_starts = False
     world.advance(20)
     assert world.state_of(job).job_state is COMPLETED
+
+
+def test_crash_long_after_an_unanswered_start_does_not_prove_that_it_began():
+    """Guard against a job that is given up for crashes of workers that it never used.
+
+    Starts are carried out late, and the worker crashes while a call is in progress.
+    """
+    world = started_world()
+    world.delayed_starts = True
+    world.start_delay = 30.0
+    job = world.submit(tasks(1))
+    for _ in range(3):
+        crash_under_start(world)
+        world.advance(2)
+    assert not world.ended(job)
+    for worker in world.workers.values():
+        if not worker.up:
+            world.restart_worker(worker)
+    world.delayed_starts = False
+    world.advance(20)
+    assert world.state_of(job).job_state is COMPLETED
+
+
+def crash_under_start(world: World) -> None:
+    """Crash the worker to which a start was sent some time ago without an answer."""
+    for _ in range(100):
+        world.advance(0.05)
+        now = world.timers.now()
+        for agent in world.agents.values():
+            for worker_id, worker in agent.state.workers.items():
+                ages = [now - at for at in worker.started.values()]
+                if worker.ordered and any(0.2 < age < 0.28 for age in ages):
+                    world.workers[worker_id].up = False
+                    return
+    raise AssertionError("no start was in progress")
