Keep a job until the rows of its units are removed, and accept a left-out row

Cause: a removed job could leave rows of units behind if the ownership changed at that moment; the scheduler of gang jobs did not know the message that a row was left out, and its error dropped the commands beside it.

Change: an ended job is removed once no row waits for removal. The message is handled; the job waits, as a log event says.

--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/job.py
@@ -20,7 +20,7 @@
 from .guarantee import GuaranteePlan
 from .job_record import job_key, JobRecord
 from .message import Message
-from .ownership import RowCommitted, ShardLease
+from .ownership import RowCommitted, RowRejected, ShardLease
 from .placement import Assignment
 from .run_time import RunTimes
 from .worker_health import HealthTracker
@@ -295,6 +295,12 @@
     return handle_job_event(message, scheduler, job, now)
 
 
+@decide.register
+def _(message: RowRejected, scheduler: SchedulerState, now: float) -> list[Command]:
+    # The job goes no further without its row, which a log event names.
+    return []
+
+
 @decide.register
 def _(message: RowCommitted, scheduler: SchedulerState, now: float) -> list[Command]:
     for job in list(scheduler.jobs.values()):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -36,11 +36,11 @@
     units of an occurrence's step last began to wait. held is set if the job's stored
     progress can't be read, so that nothing tells what has run or still runs. pages
     contains the stored pages, dirty_pages those that have to be written, and
-    stored_progress the job's own row as last written. payload_bytes is the size of the
-    payload in a row. accepted_terms are those of the job's
-    queue when it was accepted, or was first known, and terms those under terms_version
-    of the configuration. new_units counts the units that were created with the message of
-    the number last_message.
+    stored_progress the job's own row as last written. accepted_terms are those of the
+    job's queue when it was accepted, or was first known, and terms those under
+    terms_version of the configuration. new_units counts the units that were created
+    with the message of the number last_message. graph contains the dependencies of the
+    steps, and payload_bytes is the size of the payload in a row.
     """
 
     spec: JobSpec
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
@@ -130,9 +130,9 @@
             continue
         if any(unit.may_be_running for unit in job.units.values()):
             continue
-        if job.pages:
-            for page in sorted(job.pages):
-                drop_page(page, job, state)
+        for page in sorted(job.pages):
+            drop_page(page, job, state)
+        if state.obsolete_rows:
             continue
         job_id = job.spec.job_id
         del state.jobs[job_id]
--- a/tests/workload/test_large_jobs.py
+++ b/tests/workload/test_large_jobs.py
@@ -470,5 +470,6 @@
     assert not world.owner().fleet.jobs[job].held
     assert not any(worker.runs for worker in world.workers.values())
     world.advance(ENDED_JOB_RETENTION + 5)
+    assert job not in world.owner().fleet.jobs
     assert not pages(world, job)
     assert progress_key(job) not in world.store.rows
--- a/tests/workload/test_rejected_row.py
+++ b/tests/workload/test_rejected_row.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import Command, Transact
+from wasabispur_core.job import decide as decide_jobs
 from wasabispur_core.log_event import JOB_NOT_STORED
 from wasabispur_core.message import Message
 from wasabispur_core.ownership import (
@@ -123,6 +126,12 @@
     assert max(owner.sizes) <= BATCH_LIMIT_BYTES
 
 
+def test_scheduler_of_gang_jobs_goes_on_without_a_rejected_row():
+    """Guard against an error that drops the commands for the other rows."""
+    state = SimpleNamespace()
+    assert decide_jobs(RowRejected(key="job/d/j", reason="400"), state, 0.0) == []
+
+
 def test_job_whose_page_is_rejected_fails_alone():
     """Guard against a job that can't be stored and stops the scheduling of all."""
     world = started_world()
