Log the rack, the room elsewhere and the length of a wait

The line now has the rack of the data, whether a gang needs one rack, the number of workers considered, how many tasks would fit on any ready worker, the used share of the scarcest resource, and how many steps wait before it. It is repeated after 4 s and then at intervals that double, at most 12 lines for a step and 10 repeats a second in all. The lines moved to wait_log.py.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -114,7 +114,10 @@
     435, "INFO", "relocating run {run} of {job}.{unit}: no progress for {stalled} s"
 )
 UNIT_WAITING = LogEvent(
-    438, "INFO", "{job}.{unit} waits: {reason}; up to {loss_limit} may be lost for it"
+    438,
+    "INFO",
+    "{job}.{unit} has waited {waited} s: {reason} on {hosts} workers, {fitting} of"
+    " {tasks} tasks fit on any; up to {loss_limit} may be lost for it",
 )
 UNIT_GIVEN_UP = LogEvent(
     439, "WARNING", "{job}.{unit} is given up: {crashes} workers crashed under a task"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -23,6 +23,26 @@
 from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 
 
+@dataclass(slots=True, kw_only=True)
+class LoggedWait:
+    """Represent what was logged of the waits of one step of an occurrence.
+
+    repeat_at is the monotonic time in seconds from which the wait is logged again.
+    """
+
+    reason: str = ""
+    repeat_at: float = 0.0
+    lines: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class WaitLines:
+    """Count the lines of one second about waits that were logged before."""
+
+    second: int = 0
+    count: int = 0
+
+
 @dataclass(slots=True, kw_only=True)
 class Job:
     """Represent one job.
@@ -32,8 +52,8 @@
     occurrences that have begun, open_occurrences contains those that are not completed,
     and unfilled the steps, by occurrence, of which not all units have been created.
     begun is set once a unit has been placed, and failed once one has failed.
-    failed_on contains the workers on which runs of the job failed, and wait_reasons why
-    units of an occurrence's step last began to wait. held is set if the job's stored
+    failed_on contains the workers on which runs of the job failed, and waits what was
+    logged of the waits of an occurrence's step. held is set if the job's stored
     progress can't be read, so that nothing tells what has run or still runs. pages
     contains the stored pages, dirty_pages those that have to be written, and
     stored_progress the job's own row as last written. accepted_terms are those of the
@@ -56,7 +76,7 @@
     cancelled: bool = False
     held: bool = False
     failed_on: set[str] = field(default_factory=set)
-    wait_reasons: dict[tuple[int, int], str] = field(default_factory=dict)
+    waits: dict[tuple[int, int], LoggedWait] = field(default_factory=dict)
     pages: set[PageId] = field(default_factory=set)
     dirty_pages: set[PageId] = field(default_factory=set)
     stored_progress: dict[str, Any] | None = None
@@ -161,7 +181,8 @@
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
     contains the jobs whose rows may still be delivered although they were removed.
-    message_number counts the messages that were handled.
+    message_number counts the messages that were handled, and wait_lines the lines about
+    long waits.
     """
 
     unit_chart: Chart
@@ -192,6 +213,7 @@
     reports_since: float = inf
     ticked_at: float = -inf
     message_number: int = 0
+    wait_lines: WaitLines = field(default_factory=WaitLines)
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_steps.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_steps.py
@@ -70,7 +70,7 @@
     del job.open_occurrences[number]
     state.view.guarantees_changed = True
     for step_number, step in enumerate(job.spec.steps):
-        job.wait_reasons.pop((number, step_number), None)
+        job.waits.pop((number, step_number), None)
         for page_number in range(page_count(step)):
             drop_page(PageId(number, step_number, page_number), job, state)
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -204,9 +204,12 @@
 
     loss_limit is the work in core-seconds that an eviction for the unit may lose, and
     least_cost a lower bound on the cost of making room, known for urgent units that
-    begin to wait.
+    begin to wait. hosts is the number of workers that were considered, and ahead the
+    number of decisions to wait that precede this one in the order of placement.
     """
 
     reason: WaitReason
     loss_limit: float = 0.0
     least_cost: float | None = None
+    hosts: int = 0
+    ahead: int = 0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from .plan import Decision, Snapshot
+from dataclasses import replace
+
+from .plan import Decision, Snapshot, Wait
 from .planner_memory import PlannerMemory
 from .planning_pass import PlanningPass
 from .relocation import relocations
@@ -35,7 +37,17 @@
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
         self.reservations = planning_pass.reservations
         self.unfinished = planning_pass.unfinished
-        return decisions
+        return _count_ahead(decisions)
+
+
+def _count_ahead(decisions: list[Decision]) -> list[Decision]:
+    """Record in each decision to wait how many others precede it."""
+    waits = 0
+    for number, decision in enumerate(decisions):
+        if isinstance(decision, Wait):
+            decisions[number] = replace(decision, ahead=waits)
+            waits += 1
+    return decisions
 
 
 def plan(snapshot: Snapshot) -> list[Decision]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
@@ -42,6 +42,7 @@
             reason=self.reason,
             loss_limit=max(loss_limit, 0.0),
             least_cost=self.least_cost,
+            hosts=len(self.hosts.ids),
         )
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -74,7 +74,8 @@
 from .spec import JobSpec
 from .unit import WAITING
 from .unit_action import unit_chart
-from .unit_lifecycle import evacuate, log_wait, move, place, preempt
+from .unit_lifecycle import evacuate, move, place, preempt
+from .wait_log import log_wait
 from .watch import StopWatching, WatchTables
 from .worker import ReportArrived, WorkerState
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -16,11 +16,10 @@
     UNIT_MOVED,
     UNIT_PLACED,
     UNIT_PREEMPTED,
-    UNIT_WAITING,
 )
 from .fleet_state import FleetState
 from .job_lifecycle import count_placement, update_job
-from .plan import Decision, Evacuate, Move, Preempt, Wait
+from .plan import Decision, Evacuate, Move, Preempt
 from .unit import (
     ACTIVE,
     ENDED_STATES,
@@ -35,9 +34,6 @@
 from .unit_event import handle_unit_event
 from .worker import EndKind
 
-MAX_LOGGED_COST = 1e6
-"""Core-seconds that stand in a log record for infinity, which JSON lacks."""
-
 LEARNED_LATER = "the end was unknown until now"
 
 REFUSAL_BACKOFF = 0.25
@@ -52,7 +48,7 @@
     count_placement(unit, state.jobs[unit.unit_id.job_id])
     fields = {
         "job": unit.unit_id.job_id,
-        "unit": _unit_name(unit),
+        "unit": unit_name(unit),
         "run": unit.run,
         "workers": sorted({worker_ref.worker_id for worker_ref in placement}),
         "waited": round(now - unit.ready_at, 3),
@@ -70,7 +66,7 @@
     handle_unit_event(unit, UnitPreempted(reason=beneficiary), state, now)
     fields = {
         "job": unit.unit_id.job_id,
-        "unit": _unit_name(unit),
+        "unit": unit_name(unit),
         "run": unit.run,
         "beneficiary": beneficiary,
         "lost_work": round(decision.lost_work, 1),
@@ -94,33 +90,6 @@
     return _relocate(decision, "stalled", UNIT_MOVED, extra_fields, state, now)
 
 
-def log_wait(decision: Wait, state: FleetState, now: float) -> list[Command]:
-    """Log why a unit waits, once for each reason and step of an occurrence."""
-    unit = state.unit(decision.unit_id)
-    if unit is None:
-        return []
-    job = state.jobs[unit.unit_id.job_id]
-    step = (unit.unit_id.occurrence, unit.unit_id.step)
-    if job.wait_reasons.get(step) == decision.reason:
-        return []
-    job.wait_reasons[step] = decision.reason
-    fields: dict[str, object] = {
-        "job": unit.unit_id.job_id,
-        "unit": _unit_name(unit),
-        "reason": decision.reason.value,
-        "tasks": unit.size,
-        "cpu": unit.demand.cpu,
-        "accelerators": unit.demand.accelerators,
-        "estimate": unit.step.estimate,
-        "guaranteed": unit.unit_id.job_id in state.view.covered,
-        "waited": round(now - unit.ready_at, 3),
-        "loss_limit": round(min(decision.loss_limit, MAX_LOGGED_COST), 1),
-    }
-    if decision.least_cost is not None:
-        fields["least_cost"] = round(min(decision.least_cost, MAX_LOGGED_COST), 1)
-    return [WriteLog(number=UNIT_WAITING.number, fields=fields)]
-
-
 def end_run(
     unit: Unit, ended: RunEnded, worker_id: str, state: FleetState, now: float
 ) -> list[Command]:
@@ -187,7 +156,7 @@
         return commands
     fields = {
         "job": unit.unit_id.job_id,
-        "unit": _unit_name(unit),
+        "unit": unit_name(unit),
         "crashes": unit.crashes.most,
     }
     return [WriteLog(number=UNIT_GIVEN_UP.number, fields=fields), *commands]
@@ -205,9 +174,10 @@
     if unit is None or unit.state != ACTIVE:
         return []
     handle_unit_event(unit, UnitPreempted(reason=reason), state, now)
-    fields = {"job": unit.unit_id.job_id, "unit": _unit_name(unit), "run": unit.run}
+    fields = {"job": unit.unit_id.job_id, "unit": unit_name(unit), "run": unit.run}
     return [WriteLog(number=event.number, fields=fields | extra_fields)]
 
 
-def _unit_name(unit: Unit) -> str:
+def unit_name(unit: Unit) -> str:
+    """Return the name of a unit within its job, as log records have it."""
     return ".".join(str(part) for part in unit.unit_id[1:])
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -17,7 +17,7 @@
 from wasabispur_core.workload.plan import Wait, WaitReason
 from wasabispur_core.workload.progress import JobState
 from wasabispur_core.workload.run_progress import RunProgress
-from wasabispur_core.workload.unit_lifecycle import log_wait
+from wasabispur_core.workload.wait_log import log_wait
 from wasabispur_core.workload.worker import ReportArrived, WorkerReport
 
 from .world import COMPLETED, gang, started_world, tasks, World
