Play racks in the fleet experiment, and count jobs that run nothing

The table has the runs away from their rack, the jobs that ran nothing for 3 s or more while they fit twice over and at most half of each resource was in use, and the longest such time.

--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -11,9 +11,14 @@
 
 HEADER = (
     f"{'queue':8} {'jobs':>6} {'in time':>8} {'late':>6} {'too late':>8} "
-    f"{'wait p50':>9} {'wait p95':>9} {'stopped':>8} {'lost work':>10}"
+    f"{'wait p50':>9} {'wait p95':>9} {'stopped':>8} {'lost work':>10} "
+    f"{'remote':>7} {'lost':>5} {'idle':>6}"
+)
+NOTE = (
+    "waits in seconds, lost work in core-seconds (an accelerator counts as 8 cores);\n"
+    "remote runs are away from their rack; lost jobs ran nothing for 3 s or more beside\n"
+    "enough idle workers, idle is the longest such time in seconds"
 )
-NOTE = "waits in seconds, lost work in core-seconds (an accelerator counts as 8 cores)"
 
 
 @click.command("fleet")
@@ -35,6 +40,13 @@
     show_default=True,
     help="Simulated time of each load.",
 )
+@click.option(
+    "--rack-size",
+    type=click.IntRange(0, 1000),
+    default=0,
+    show_default=True,
+    help="Workers a rack, with jobs that prefer one; 0 for jobs without racks.",
+)
 @click.option("--seeds", type=click.IntRange(1, 100), default=4, show_default=True)
 @click.option(
     "--output", type=click.Choice(["table", "json"]), default="table", show_default=True
@@ -44,6 +56,7 @@
     organisations: int,
     rate: float,
     seconds: float,
+    rack_size: int,
     seeds: int,
     output: str,
 ) -> None:
@@ -51,7 +64,7 @@
     logger.remove()
     results = add_results(
         [
-            play_load(workers, organisations, rate, seconds, seed)
+            play_load(workers, organisations, rate, seconds, seed, rack_size)
             for seed in range(1, seeds + 1)
         ]
     )
@@ -75,6 +88,9 @@
         "wait_p95_s": result.wait(0.95),
         "stopped": result.preemptions,
         "lost_core_seconds": result.lost_work,
+        "remote_runs": result.remote_runs,
+        "lost_jobs": result.lost,
+        "longest_idle_s": result.longest_idle,
     }
 
 
@@ -83,5 +99,6 @@
         f"{queue:8} {result.owed:6} {result.share(result.in_time):8.3f} "
         f"{result.share(result.late):6.3f} {result.share(result.too_late):8.3f} "
         f"{result.wait(0.5):9.2f} {result.wait(0.95):9.2f} "
-        f"{result.preemptions:8} {result.lost_work:10.0f}"
+        f"{result.preemptions:8} {result.lost_work:10.0f} "
+        f"{result.remote_runs:7} {result.lost:5} {result.longest_idle:6.1f}"
     )
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -24,6 +24,7 @@
 from wasabispur_core.workload.worker import EndKind
 
 from .fleet_load import generate_jobs, GeneratedJob, JOB_CLASSES
+from .idle_job import IdleJobs, LOST_AFTER
 from .simulated_owner import CAPACITY, SimulatedOwner
 
 RACK_SIZE = 6
@@ -44,13 +45,21 @@
 SLOW_WORKER_FACTOR = 1.3
 """Factor by which runs take longer on every third worker."""
 
+REMOTE_FACTOR = 3.0
+"""Factor by which runs take longer away from their data, or over several racks."""
+
 OBJECTIVE_MULTIPLE = 3.0
 """Multiple of its objective after which the end of a job has no value."""
 
 
 @dataclass(slots=True)
 class QueueResult:
-    """Count what the callers of one queue got; lost_work is in core-seconds."""
+    """Count what the callers of one queue got; lost_work is in core-seconds.
+
+    idle_times contains for each job the longest time in seconds for which it had
+    nothing running beside enough idle workers. remote_runs counts the runs away from
+    the rack that they prefer.
+    """
 
     in_time: int = 0
     late: int = 0
@@ -58,6 +67,8 @@
     preemptions: int = 0
     lost_work: float = 0.0
     waits: list[float] = field(default_factory=list)
+    idle_times: dict[str, float] = field(default_factory=dict)
+    remote_runs: int = 0
 
     @property
     def owed(self) -> int:
@@ -73,6 +84,16 @@
         waits = sorted(self.waits)
         return waits[min(int(len(waits) * share), len(waits) - 1)] if waits else 0.0
 
+    @property
+    def lost(self) -> int:
+        """Return the number of jobs that had nothing running for too long."""
+        return sum(time >= LOST_AFTER for time in self.idle_times.values())
+
+    @property
+    def longest_idle(self) -> float:
+        """Return the longest time in seconds for which a job had nothing running."""
+        return max(self.idle_times.values(), default=0.0)
+
     def add(self, other: QueueResult) -> None:
         """Add the result of another load."""
         self.in_time += other.in_time
@@ -81,6 +102,9 @@
         self.preemptions += other.preemptions
         self.lost_work += other.lost_work
         self.waits += other.waits
+        self.remote_runs += other.remote_runs
+        for job_id, time in other.idle_times.items():
+            self.idle_times[f"{len(self.idle_times)}:{job_id}"] = time
 
 
 @dataclass(slots=True)
@@ -98,9 +122,14 @@
     """Represent an owner, its fleet and a load, driven by events in time order."""
 
     def __init__(
-        self, workers: int, organisations: int, jobs: Sequence[GeneratedJob]
+        self,
+        workers: int,
+        organisations: int,
+        jobs: Sequence[GeneratedJob],
+        rack_size: int = RACK_SIZE,
     ) -> None:
-        super().__init__(now=0.0, rack_size=RACK_SIZE)
+        super().__init__(now=0.0, rack_size=rack_size)
+        self.idle = IdleJobs()
         self.jobs = {job.spec.job_id: job for job in jobs}
         self.numbers = count()
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -141,6 +170,10 @@
     def _tick(self) -> None:
         self.confirm_workers()
         self.decide(FleetTick())
+        for job_id, time in self.idle.update(self.state, self.now).items():
+            queue = self.jobs[job_id].spec.queue
+            known = self.results[queue].idle_times
+            known[job_id] = max(time, known.get(job_id, 0.0))
         if round(self.now / TICK_INTERVAL) % round(LIST_INTERVAL / TICK_INTERVAL) == 0:
             for worker_id in list(self.reports):
                 self.report(worker_id)
@@ -176,12 +209,24 @@
             slowness=SLOW_WORKER_FACTOR if slow else 1.0,
             work_left=left,
         )
+        if self._is_remote(unit):
+            run.slowness *= REMOTE_FACTOR
+            self.results[self._queue_of(unit)].remote_runs += 1
         if unit.run == 1:
             waited = run.started_at - job.arrives_at
             self.results[self._queue_of(unit)].waits.append(waited)
         end = run.started_at + left * run.slowness + REPORT_DELAY
         self._later(end, lambda: self._finish(unit, run, EndKind.DONE))
 
+    def _is_remote(self, unit: Unit) -> bool:
+        """Return whether a run is away from its data, or over several racks."""
+        racks = {
+            self.state.workers[one.worker_ref.worker_id].info.rack
+            for one in unit.members
+        }
+        spread = unit.step.gang and unit.step.same_rack and len(racks) > 1
+        return spread or bool(unit.step.data_rack and racks != {unit.step.data_rack})
+
     def _stop(self, unit: Unit, run: _SimulatedRun) -> None:
         if self.runs.get(unit.unit_id) is not run:
             return
@@ -232,14 +277,22 @@
 
 
 def play_load(
-    workers: int, organisations: int, rate: float, duration: float, seed: int
+    workers: int,
+    organisations: int,
+    rate: float,
+    duration: float,
+    seed: int,
+    rack_size: int = 0,
 ) -> dict[str, QueueResult]:
     """Return what callers get of one load, by queue.
 
-    rate is in jobs a second and duration in seconds.
+    rate is in jobs a second and duration in seconds. With a rack_size, some of the jobs
+    prefer a rack of so many workers.
     """
-    jobs = generate_jobs(rate, duration, organisations, Random(seed))
-    return FleetExperiment(workers, organisations, jobs).play(duration)
+    racks = workers // rack_size if rack_size else 0
+    jobs = generate_jobs(rate, duration, organisations, Random(seed), racks)
+    size = rack_size or RACK_SIZE
+    return FleetExperiment(workers, organisations, jobs, size).play(duration)
 
 
 def add_results(
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import exp
 from random import Random
 
 from wasabispur_core.workload.policy import Queue
 from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
 
-from .simulated_owner import simulated_queue
+from .simulated_owner import rack_name, simulated_queue
 
 ACCELERATORS = (1, 2, 4, 8, 8)
 """Accelerators of one task, each as likely as the others."""
@@ -18,6 +18,10 @@
 RUN_TIME_SPREAD = 0.4
 """Sigma of the log-normal numbers of tasks and run times of a class."""
 
+DATA_RACK_SHARE = 0.3
+SAME_RACK_SHARE = 0.6
+"""Shares of the jobs whose data is in one rack, and of the gangs that need one rack."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class JobClass:
@@ -87,15 +91,30 @@
 
 
 def generate_jobs(
-    rate: float, duration: float, organisations: int, random: Random
+    rate: float, duration: float, organisations: int, random: Random, racks: int = 0
 ) -> list[GeneratedJob]:
-    """Return the jobs that arrive within a duration, at a rate in jobs a second."""
+    """Return the jobs that arrive within a duration, at a rate in jobs a second.
+
+    With racks, which is their number, some of the jobs prefer one of them.
+    """
     jobs: list[GeneratedJob] = []
     arrives_at = random.expovariate(rate)
     while arrives_at < duration:
         jobs.append(_generate_job(len(jobs), arrives_at, organisations, random))
         arrives_at += random.expovariate(rate)
-    return jobs
+    return [_with_racks(job, racks, random) for job in jobs] if racks else jobs
+
+
+def _with_racks(job: GeneratedJob, racks: int, random: Random) -> GeneratedJob:
+    """Return the job with the data of its step in a rack, and a gang in one rack."""
+    (step,) = job.spec.steps
+    data_rack = rack_name(random.randrange(racks))
+    step = replace(
+        step,
+        data_rack=data_rack if random.random() < DATA_RACK_SHARE else "",
+        same_rack=step.gang and random.random() < SAME_RACK_SHARE,
+    )
+    return replace(job, spec=replace(job.spec, steps=(step,)))
 
 
 def _generate_job(
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -54,6 +54,11 @@
     )
 
 
+def rack_name(number: int) -> str:
+    """Return the label of a rack."""
+    return f"r1-{number}"
+
+
 class SimulatedOwner:
     """Represent an owner and its fleet, driven by messages on simulated time."""
 
@@ -140,7 +145,7 @@
             data_centre="a1",
             address=f"{worker_id}:80",
             capacity=CAPACITY,
-            labels=("a", f"r1-{int(worker_id[1:]) // self.rack_size}"),
+            labels=("a", rack_name(int(worker_id[1:]) // self.rack_size)),
             sequence=sequence,
         )
 
