Wait for a rack only while that pays

Cause: a preference was a constraint without an end. eligible_workers kept to the rack of the data as long as a worker there could host a task when idle, also if lasting tasks held the rack, or if a gang was wider than the rack; _worker_groups kept a gang to one rack likewise. On any other rack a task takes remote_factor times as long, but it runs.

No work is stopped for a unit away from its rack without a guarantee. A rack that can't hold a gang at all is no preference any more. remote_factor comes from the settings.

test_planner_memory.py sets CHECK_INTERVAL to 0 as it does with the interval of searches, since between two forecasts a decision to wait is kept; no comparison is left out.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -14,6 +14,7 @@
 from ..message import Message
 from .fleet_view import FleetView
 from .occurrence import Occurrence, PageId
+from .plan import DEFAULT_REMOTE_FACTOR
 from .planner import Planner
 from .policy import FleetPolicy, Queue
 from .progress import JobProgress, JobState, UnitPage
@@ -176,7 +177,8 @@
     keys of rows to remove. store_offset is the store's clock minus this process's
     clock, and wall_offset the wall clock minus this process's clock, both in seconds.
     capacity_changed is set if another planning pass may lead to other decisions than
-    the last one. horizon is the lease horizon in seconds. view is what the planner knew
+    the last one. horizon is the lease horizon in seconds, and remote_factor how many
+    times as long a task takes away from the rack that it prefers. view is what the planner knew
     in its last pass, with the changes since, and planner keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
@@ -187,6 +189,7 @@
 
     unit_chart: Chart
     horizon: float
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
     owning: bool = False
     epoch: int = 0
     loading: set[str] = field(default_factory=set)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/loss_limit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/loss_limit.py
@@ -26,12 +26,14 @@
     """Return the limit of lost work in core-seconds for an eviction.
 
     While workers have yet to report, which settling tells, one of them may have room.
+    Away from its rack a unit takes several times as long, so that stopping others for
+    it is worth little.
     """
     if settling:
         return NO_EVICTION
     if unit.guaranteed:
         return inf
-    if unit.priority > 0:
+    if unit.priority > 0 or unit.relaxed:
         return NO_EVICTION
     slack = unit.objective - unit.remaining - now
     tight = abs(slack) <= TIGHT_SLACK
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -11,8 +11,16 @@
 from math import inf
 
 from .spec import NO_RESOURCES, Resources
+from .step_graph import DEFAULT_ESTIMATE
 from .unit import UnitId, WorkerRef
 
+OVERRUN_SHARE = 0.25
+"""Least remaining time of a run, as a share of the time it has run so far."""
+
+
+DEFAULT_REMOTE_FACTOR = 2.0
+"""Factor on run times away from the preferred rack, if the settings don't tell it."""
+
 
 class Trust(Enum):
     """Define which units a worker gets: any, one at a time as a trial, or none."""
@@ -59,12 +67,16 @@
     organisation's guarantee covers the job. objective is the time by which the whole
     job should end, target_span the time from its start to that objective, and
     remaining the estimated run time of the unit and of the longest chain of steps that
-    depend on it, both in seconds. payload_bytes and order_bytes are the sizes of the
+    depend on it, both in seconds. run_time is the estimated run time of the unit alone
+    in seconds, on workers that it prefers; a long_running unit has no end of its own.
+    data_rack and same_rack are preferences: in other racks, or over several, the unit
+    takes several times as long. payload_bytes and order_bytes are the sizes of the
     job's payload and of a run's order in an orders row. failed_on contains the workers on which its runs
     failed. The workers in avoided_workers are used last. With waits_for_rack, the unit
     waits for workers of a better rack that are expected to report. suspected is set if
     a worker has crashed under the unit, and dangerous if several have. An isolated unit
-    may only run on workers that run nothing else.
+    may only run on workers that run nothing else. relaxed is set if a preference has
+    been dropped.
     """
 
     unit_id: UnitId
@@ -84,6 +96,8 @@
     objective: float = 0.0
     target_span: float = 0.0
     remaining: float = 0.0
+    run_time: float = DEFAULT_ESTIMATE
+    long_running: bool = False
     avoided_workers: frozenset[str] = frozenset()
     failed_on: frozenset[str] = frozenset()
     waits_for_rack: bool = False
@@ -91,6 +105,7 @@
     suspected: bool = False
     dangerous: bool = False
     isolated: bool = False
+    relaxed: bool = False
 
     @property
     def work(self) -> float:
@@ -105,7 +120,8 @@
     lost_work is the work in core-seconds that is lost if the unit stops at measured_at,
     which is in monotonic seconds, and loss_rate its growth in core-seconds per second.
     stopping is set if the unit has been told to stop. ends_in is the estimated
-    remaining time of its run, leaves_in the time after which the first of its workers
+    remaining time of its run, run_time the estimate of its whole run, which is infinite
+    if it has no end of its own, leaves_in the time after which the first of its workers
     leaves, and stalled_for the longest time for which one of its runs has made no
     progress, all in seconds.
     """
@@ -122,6 +138,7 @@
     stopping: bool = False
     preemptions: int = 0
     ends_in: float = 0.0
+    run_time: float = DEFAULT_ESTIMATE
     leaves_in: float = inf
     checkpointing: bool = False
     stalled_for: float = 0.0
@@ -130,6 +147,11 @@
         """Return the work in core-seconds that is lost if the unit stops now."""
         return self.lost_work + self.loss_rate * (now - self.measured_at)
 
+    def remaining_at(self, now: float) -> float:
+        """Return the seconds until the run ends by its estimate, which may be low."""
+        elapsed = now - self.measured_at
+        return max(self.run_time - elapsed, OVERRUN_SHARE * elapsed)
+
     def lost_time(self, now: float) -> float:
         """Return the seconds of run time that are lost if the unit stops now."""
         weight = len(self.placement) * self.demand.weight
@@ -143,7 +165,8 @@
     changed contains the ids of the workers that differ from the last snapshot. It is
     None if results of earlier passes don't hold, because a worker was added or removed
     or may now host other units than before. settling is set if some workers have yet to
-    report after a takeover or an outage.
+    report after a takeover or an outage. remote_factor is how many times as long a task
+    takes away from the rack that it prefers.
     """
 
     now: float
@@ -152,6 +175,7 @@
     running: tuple[RunningUnit, ...]
     changed: frozenset[str] | None = None
     settling: bool = False
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
 
 
 class WaitReason(StrEnum):
@@ -159,6 +183,7 @@
 
     NO_WORKER = "no worker fits"
     NO_ROOM = "no room"
+    RACK = "no room in its rack yet"
     STOPPING = "room is being freed"
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner.py
@@ -37,6 +37,7 @@
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
         self.reservations = planning_pass.reservations
         self.unfinished = planning_pass.unfinished
+        self.rack_checks = planning_pass.rack_wait.checks
         return _count_ahead(decisions)
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from .plan import Wait, WaitingUnit, WaitReason
+from .rack_wait import CheckKey, RackCheck
 from .unit import UnitId
 from .unit_placement import host_key, HostGroups, step_key
 
@@ -53,13 +54,15 @@
     unmet contains the needs that the last pass could not place, and hosts_by_key the
     workers that may host a unit. reservations contains, for each unit that waits for
     preempted units to stop, the ids of the workers that will run its tasks. unfinished
-    is set if that pass reached its limit of searches.
+    is set if that pass reached its limit of searches. rack_checks contains which units
+    wait for a rack.
     """
 
     unmet: dict[Need, UnmetNeed] = field(default_factory=dict)
     hosts_by_key: dict[HostKey, HostGroups] = field(default_factory=dict)
     reservations: dict[UnitId, tuple[str, ...]] = field(default_factory=dict)
     unfinished: bool = False
+    rack_checks: dict[CheckKey, RackCheck] = field(default_factory=dict)
 
 
 def need_of(unit: WaitingUnit) -> Need:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -10,8 +10,10 @@
 from collections import Counter
 from collections.abc import Iterable
 from copy import copy
+from dataclasses import replace
 from heapq import nsmallest
 from math import inf
+from typing import TypeGuard
 
 from .eviction import can_free_room, cheapest_eviction, Eviction
 from .eviction_bound import least_cost, least_task_costs
@@ -29,6 +31,8 @@
     WorkerSnapshot,
 )
 from .planner_memory import Need, need_of, PlannerMemory, UnmetNeed
+from .preference import drop, preferences, relaxed_units
+from .rack_wait import RackWait
 from .unit import UnitId
 from .unit_placement import (
     choose_placement,
@@ -58,6 +62,7 @@
 
     def __init__(self, snapshot: Snapshot, memory: PlannerMemory) -> None:
         self.now = snapshot.now
+        self.rack_wait = RackWait(snapshot, memory.rack_checks)
         self.settling = snapshot.settling
         self.workers = {
             worker.worker_ref.worker_id: worker for worker in snapshot.workers
@@ -98,12 +103,23 @@
                 continue
             found = self._decide_unit(unit, need)
             decisions += found
-            if isinstance(found[-1], Wait) and need in self.unmet:
+            if self._blocks_group(found[-1], need):
                 # The tasks of a step are identical: if one of them can't be placed,
                 # neither can another one.
                 break
         return decisions
 
+    def _blocks_group(self, decision: Decision, need: Need) -> bool:
+        """Return whether units with the same need get the same decision.
+
+        If too many wait for a rack, the next one may be placed in another rack.
+        """
+        return (
+            isinstance(decision, Wait)
+            and decision.reason is not WaitReason.RACK
+            and need in self.unmet
+        )
+
     def keep_reservations(self, group: list[WaitingUnit]) -> list[Decision]:
         """Place the units for which others were stopped, or keep their workers.
 
@@ -121,11 +137,14 @@
     def _decide_reserved(
         self, unit: WaitingUnit, reserved: tuple[str, ...]
     ) -> list[Decision]:
-        hosts = self._hosts(unit)
-        placement = choose_placement(unit, self._groups(hosts))
-        if placement is not None:
-            return self._place(unit, placement)
-        if not hosts.ids.issuperset(reserved):
+        for candidate in (unit, *relaxed_units(unit)):
+            hosts = self._hosts(candidate)
+            placement = choose_placement(candidate, self._groups(hosts))
+            if placement is not None:
+                return self._place(unit, placement)
+            if hosts.ids.issuperset(reserved):
+                break
+        else:
             return []
         for worker_id, count in Counter(reserved).items():
             worker = self.workers[worker_id]
@@ -135,6 +154,27 @@
         return self._apply_eviction(unit, Eviction(placement=kept))
 
     def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
+        """Return the decisions on a unit, without its preferences if it can't wait."""
+        found = self._decide_strictly(unit, need)
+        candidate = unit
+        for preference in preferences(unit):
+            if not _is_unplaced(found[-1]):
+                break
+            if self._may_wait(unit, candidate):
+                return [replace(found[-1], reason=WaitReason.RACK)]
+            candidate = drop(preference, candidate)
+            found = self._decide_strictly(candidate, need_of(candidate))
+        return found
+
+    def _may_wait(self, unit: WaitingUnit, candidate: WaitingUnit) -> bool:
+        """Return whether the unit waits on for the workers of a candidate."""
+        hosts = self._hosts(candidate)
+        if not hosts.ids or not hosts.groups:
+            # The workers of the rack have yet to report.
+            return candidate.waits_for_rack
+        return self.rack_wait.pays(unit, candidate, self._groups(hosts), self.workers)
+
+    def _decide_strictly(self, unit: WaitingUnit, need: Need) -> list[Decision]:
         loss_limit = eviction_loss_limit(unit, self.now, self.settling)
         unmet = self.unmet.get(need)
         known = self.known.get(need)
@@ -335,6 +375,7 @@
     def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
         workers = [self._writable(worker) for worker in placement]
         reserve(unit, workers)
+        self.rack_wait.begin(unit, workers)
         if any(worker.trust is Trust.TRIAL for worker in workers):
             # A worker on trial hosts no second unit, also if the first one is not
             # started after all.
@@ -358,3 +399,8 @@
             duplicate.tasks_of_step = dict(duplicate.tasks_of_step)
             self.workers[worker_id] = duplicate
         return self.workers[worker_id]
+
+
+def _is_unplaced(decision: Decision) -> TypeGuard[Wait]:
+    """Return whether the decision is to wait, with no room being freed."""
+    return isinstance(decision, Wait) and decision.reason is not WaitReason.STOPPING
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/preference.py
@@ -0,0 +1,62 @@
+"""Define what a waiting unit prefers, and how it is placed without that.
+
+A preference differs from a constraint in that it may be dropped: a task away from the
+rack of its data takes several times as long, but it runs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from .plan import WaitingUnit
+
+
+@dataclass(frozen=True, slots=True)
+class Preference:
+    """Define the base of a unit's preferences for workers."""
+
+
+@dataclass(frozen=True, slots=True)
+class DataRack(Preference):
+    """Prefer the workers in the rack of the unit's data."""
+
+
+@dataclass(frozen=True, slots=True)
+class SingleRack(Preference):
+    """Prefer workers that are all in one rack."""
+
+
+def preferences(unit: WaitingUnit) -> list[Preference]:
+    """Return the unit's preferences in the order in which they are dropped."""
+    found: list[Preference] = []
+    if unit.data_rack:
+        found.append(DataRack())
+    if unit.same_rack and unit.size > 1:
+        found.append(SingleRack())
+    return found
+
+
+@singledispatch
+def drop(preference: Preference, unit: WaitingUnit) -> WaitingUnit:
+    """Return the unit without one of its preferences."""
+    raise TypeError(f"{type(preference).__name__} is no preference; register drop()")
+
+
+@drop.register
+def _(preference: DataRack, unit: WaitingUnit) -> WaitingUnit:
+    return replace(unit, data_rack="", waits_for_rack=False, relaxed=True)
+
+
+@drop.register
+def _(preference: SingleRack, unit: WaitingUnit) -> WaitingUnit:
+    return replace(unit, same_rack=False, waits_for_rack=False, relaxed=True)
+
+
+def relaxed_units(unit: WaitingUnit) -> list[WaitingUnit]:
+    """Return the unit with one preference less after the other."""
+    relaxed: list[WaitingUnit] = []
+    for preference in preferences(unit):
+        unit = drop(preference, unit)
+        relaxed.append(unit)
+    return relaxed
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -59,7 +59,7 @@
     remove_silent_workers,
 )
 from .occurrence import NEW_OCCURRENCES_LIMIT, OPEN_OCCURRENCES_LIMIT
-from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
+from .plan import Decision, DEFAULT_REMOTE_FACTOR, Evacuate, Move, Place, Preempt, Wait
 from .planner import Planner
 from .policy import PolicyChanged, PolicyHealth
 from .report_reconciliation import apply_report
@@ -94,12 +94,19 @@
 """Name of the configuration among what an owner has yet to read."""
 
 
-def new_fleet_state(catalogue: ChartCatalogue, horizon: float) -> FleetState:
+def new_fleet_state(
+    catalogue: ChartCatalogue,
+    horizon: float,
+    remote_factor: float = DEFAULT_REMOTE_FACTOR,
+) -> FleetState:
     """Return the state of an entry that is not the owner.
 
-    horizon is the lease horizon in seconds.
+    horizon is the lease horizon in seconds, and remote_factor how many times as long a
+    task takes away from the rack that it prefers.
     """
-    return FleetState(unit_chart=unit_chart(catalogue), horizon=horizon)
+    return FleetState(
+        unit_chart=unit_chart(catalogue), horizon=horizon, remote_factor=remote_factor
+    )
 
 
 def decide(message: Message, state: FleetState, now: float) -> list[Command]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -11,7 +11,14 @@
 from .fleet_state import FleetState, Job, Worker
 from .guaranteed_jobs import guaranteed_jobs
 from .orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
-from .plan import RunningUnit, Snapshot, Trust, WaitingUnit, WorkerSnapshot
+from .plan import (
+    OVERRUN_SHARE,
+    RunningUnit,
+    Snapshot,
+    Trust,
+    WaitingUnit,
+    WorkerSnapshot,
+)
 from .spec import QueueTerms, StepSpec
 from .step_graph import run_estimate
 from .unit import (
@@ -48,9 +55,6 @@
 ISOLATION_TIME = 2.0
 """Seconds of a dangerous unit's run during which its workers get no other unit."""
 
-OVERRUN_SHARE = 0.25
-"""Least remaining time of a run, as a share of the time it has run so far."""
-
 
 def take_snapshot(state: FleetState, now: float) -> Snapshot:
     """Return the input of a planning pass, derived from what changed since the last."""
@@ -73,6 +77,7 @@
         changed=None if changed_workers is None else changed_workers | cheaper,
         settling=now - state.reports_since < REPORT_WAIT_TIME
         and any(worker.awaiting_report for worker in view.workers.values()),
+        remote_factor=state.remote_factor,
     )
 
 
@@ -255,6 +260,8 @@
         objective=_objective_start(unit, job, state) + span,
         target_span=span,
         remaining=job.graph.critical_paths[unit.unit_id.step],
+        run_time=run_estimate(step),
+        long_running=step.long_running,
         avoided_workers=frozenset(unit.avoided_workers),
         failed_on=frozenset(unit.failed_on),
         waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
@@ -288,6 +295,7 @@
         stopping=unit.state != ACTIVE,
         preemptions=unit.preemptions,
         ends_in=_ends_in(unit, now - begun, now),
+        run_time=_run_time(unit, state),
         checkpointing=unit.step.checkpointing,
         stalled_for=stalled,
         leaves_in=min(
@@ -311,6 +319,21 @@
     return max(remaining_times)
 
 
+def _run_time(unit: Unit, state: FleetState) -> float:
+    """Return the estimated time of the current run, also away from its rack."""
+    if unit.step.long_running:
+        return inf
+    racks = {
+        worker.info.rack
+        for member in unit.members
+        if (worker := state.workers.get(member.worker_ref.worker_id)) is not None
+    }
+    wanted = {unit.step.data_rack} if unit.step.data_rack else racks
+    spread = unit.step.gang and unit.step.same_rack and len(racks) > 1
+    remote = spread or not racks <= wanted
+    return run_estimate(unit.step) * (state.remote_factor if remote else 1.0)
+
+
 def _estimated_remaining(step: StepSpec, elapsed: float) -> float:
     """Return the remaining seconds by the estimate, which may be far too low."""
     return max(run_estimate(step) - elapsed, OVERRUN_SHARE * elapsed)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -89,6 +89,16 @@
 NO_RESOURCES = Resources()
 
 
+def used_share(free: Resources, capacity: Resources) -> float:
+    """Return the used share of the resource of which most is used."""
+    pairs = (
+        (free.cpu, capacity.cpu),
+        (free.memory, capacity.memory),
+        (free.accelerators, capacity.accelerators),
+    )
+    return max((1 - left / total for left, total in pairs if total), default=0.0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StepSpec:
     """Describe one step of a job.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -22,25 +22,26 @@
 ) -> list[WorkerSnapshot]:
     """Return the workers that satisfy the unit's constraints, loaded or not.
 
-    The rack of the data is a constraint as long as a worker in this rack could run the
-    task, because a task in another rack takes several times as long.
+    With a rack of the data, these are the workers in this rack if they could hold the
+    unit when idle, because a task in another rack takes several times as long.
     """
     capable = [worker for worker in workers if _could_host(unit, worker)]
     possible = [worker for worker in capable if worker.ready]
     allowed = _exclude_suspected(unit, possible)
-    near = [worker for worker in allowed if worker.rack == unit.data_rack]
     if not unit.data_rack:
         return allowed
-    if (
-        not near
-        and unit.waits_for_rack
-        and any(
-            worker.awaiting_report and worker.rack == unit.data_rack
+    near = [worker for worker in allowed if worker.rack == unit.data_rack]
+    if _can_hold(unit, near):
+        return near
+    if unit.waits_for_rack:
+        awaiting_report = [
+            worker
             for worker in capable
-        )
-    ):
-        return []
-    return near or allowed
+            if worker.awaiting_report and worker.rack == unit.data_rack
+        ]
+        if _can_hold(unit, [*near, *awaiting_report]):
+            return []
+    return allowed
 
 
 def _could_host(unit: WaitingUnit, worker: WorkerSnapshot) -> bool:
@@ -117,7 +118,7 @@
         unit.dangerous,
         unit.attempts_left > 1,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
-        if _needs_rack(unit) or unit.failed_on
+        if _needs_rack(unit) or unit.failed_on or (unit.data_rack and unit.size > 1)
         else None,
     )
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/wait_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/wait_log.py
@@ -10,7 +10,7 @@
 from ..log_event import UNIT_WAITING
 from .fleet_state import FleetState, LoggedWait
 from .plan import Wait, WorkerSnapshot
-from .spec import Resources
+from .spec import NO_RESOURCES, used_share
 from .unit import Unit
 from .unit_lifecycle import unit_name
 
@@ -104,18 +104,8 @@
 
 def _used_share(workers: list[WorkerSnapshot]) -> float:
     """Return the used share of the resource of which most is used."""
-    free, capacity = Resources(), Resources()
+    free = capacity = NO_RESOURCES
     for worker in workers:
         free += worker.free
         capacity += worker.capacity
     return round(used_share(free, capacity), 3)
-
-
-def used_share(free: Resources, capacity: Resources) -> float:
-    """Return the used share of the resource of which most is used."""
-    pairs = (
-        (free.cpu, capacity.cpu),
-        (free.memory, capacity.memory),
-        (free.accelerators, capacity.accelerators),
-    )
-    return max((1 - left / total for left, total in pairs if total), default=0.0)
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -137,6 +137,7 @@
         self.work_left: dict[UnitId, float] = {}
         self.results = {one.queue.name: QueueResult() for one in JOB_CLASSES}
         guarantee = GUARANTEED_SHARE * workers * CAPACITY.accelerators / organisations
+        self.state.remote_factor = REMOTE_FACTOR
         self.decide(ClocksRead(store_time=0.0, wall_time=0.0))
         self.own(
             [job_class.queue for job_class in JOB_CLASSES],
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -4,12 +4,16 @@
 
 from dataclasses import dataclass
 
+from wasabispur_core.workload.plan import DEFAULT_REMOTE_FACTOR
 from wasabispur_core.workload.runner_state import LeaseTimes
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetEntrySettings:
-    """Define an entry's settings; addresses are host:port, grace is in seconds."""
+    """Define an entry's settings; addresses are host:port, grace is in seconds.
+
+    remote_factor is how many times as long a task takes away from its preferred rack.
+    """
 
     entry_id: str
     data_centre: str
@@ -19,4 +23,5 @@
     metrics_address: str
     lease_times: LeaseTimes
     grace: float
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
     log_level: str = "INFO"
--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from wasabispur_core.workload import planning_pass, scheduler
+from wasabispur_core.workload import planning_pass, rack_wait, scheduler
 from wasabispur_core.workload.fleet_state import FleetState
 from wasabispur_core.workload.fleet_view import FleetView
 from wasabispur_core.workload.plan import (
@@ -139,6 +139,8 @@
     # With the limits, a pass with memory searches for other units than a full pass.
     monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_LIMIT", 10_000)
     monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_INTERVAL", 0.0)
+    # Between two forecasts, a pass with memory keeps a decision to wait for a rack.
+    monkeypatch.setattr(rack_wait, "CHECK_INTERVAL", 0.0)
     random = Random(seed)
     world = World(workers=6)
     world.advance(4)
