Log each step of a takeover with its age, and measure its time

An owner logged 402 and, once everything was read, 433; nothing stood between the two, nor after them.

Change: 411 when the shard is claimed, with the former owner and for how long its row was unchanged; 412 for each table, with its rows, and for the configuration; 413 every 3 s while something has yet to be read; 414 for the first planning pass. Each has its age since the claim and since the step before. 433 has the time since the claim, which is also the metric takeover.time.

Seen failing on the code before: "ImportError: cannot import name 'FIRST_PLANNING_PASS' from 'wasabispur_core.log_event'". Measured: tests/workload, tests/chart and tests/metrics pass.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -83,6 +83,29 @@
 SCHEDULER_RELOADED = LogEvent(
     410, "WARNING", "the scheduler of shard {shard} reads all rows again"
 )
+SHARD_CLAIMED = LogEvent(
+    411,
+    "INFO",
+    "claiming shard {shard} in epoch {epoch}; the row of owner {former} has been"
+    " unchanged for {unchanged} s",
+)
+TAKEOVER_STEP = LogEvent(
+    412,
+    "INFO",
+    "takeover in epoch {epoch}: {step} is known with {rows} rows {age} s after the"
+    " claim, {since_step} s after the step before",
+)
+TAKEOVER_PENDING = LogEvent(
+    413,
+    "WARNING",
+    "takeover in epoch {epoch}: {age} s after the claim {loading} have yet to be read",
+)
+FIRST_PLANNING_PASS = LogEvent(
+    414,
+    "INFO",
+    "takeover in epoch {epoch}: the first planning pass begins {age} s after the claim,"
+    " {waiting} units wait",
+)
 
 JOB_ACCEPTED = LogEvent(420, "INFO", "job {job} of {organisation} accepted")
 JOB_REFUSED = LogEvent(421, "INFO", "job {job} of {organisation} refused: {reason}")
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -129,6 +129,13 @@
     unit="1",
     text="times that this entry took over ownership and read all rows",
 )
+TAKEOVER_TIME = Metric(
+    name="takeover.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    text="time from the claim of the shard until this entry has read all rows",
+    bounds=DURATION_BOUNDS,
+)
 RECORDS_LOST = Metric(
     name="log.dropped",
     kind=MetricKind.COUNTER,
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -99,9 +99,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardAcquired(Message):
-    """Report that this entry owns the shard from now on."""
+    """Report that this entry owns the shard from now on.
+
+    claim_time is the time in seconds from the first sending of the claim until its
+    answer.
+    """
 
     epoch: int
+    claim_time: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -11,7 +11,7 @@
 from .action import holds, perform
 from .chart import Chart, ChartCatalogue
 from .command import Command, ReadRows, Transact, WriteLog
-from .log_event import ROW_LEFT_OUT
+from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED
 from .ownership import (
     BATCH_LIMIT,
     BATCH_LIMIT_BYTES,
@@ -232,7 +232,14 @@
     row = message.row if isinstance(message, ShardRowRead) else None
     state.version = row.version if row else ABSENT
     state.lease.epoch = int(row.value["epoch"]) + 1 if row else 1
-    return _send(state, [], action.now)
+    fields = {
+        "shard": state.shard,
+        "epoch": state.lease.epoch,
+        "former": row.value.get("owner", "") if row else "",
+        "unchanged": round(max(action.now - state.observed_since, 0.0), 3),
+    }
+    log = WriteLog(number=SHARD_CLAIMED.number, fields=fields)
+    return [log, *_send(state, [], action.now)]
 
 
 @perform.register
@@ -253,7 +260,11 @@
 
 @perform.register
 def _(action: NotifyAcquired) -> list[Command]:
-    return [NotifyScheduler(message=ShardAcquired(epoch=action.state.lease.epoch))]
+    state = action.state
+    acquired = ShardAcquired(
+        epoch=state.lease.epoch, claim_time=action.now - state.first_sent
+    )
+    return [NotifyScheduler(message=acquired)]
 
 
 @perform.register
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -19,6 +19,7 @@
 from .progress import JobProgress, JobState, UnitPage
 from .spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
 from .step_graph import StepGraph
+from .takeover import Takeover
 from .unit import Unit, UnitId
 from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 
@@ -182,7 +183,7 @@
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
     contains the jobs whose rows may still be delivered although they were removed.
     message_number counts the messages that were handled, and wait_lines the lines about
-    long waits.
+    long waits. takeover is the takeover in which this entry became the owner, or None.
     """
 
     unit_chart: Chart
@@ -214,6 +215,7 @@
     ticked_at: float = -inf
     message_number: int = 0
     wait_lines: WaitLines = field(default_factory=WaitLines)
+    takeover: Takeover | None = None
 
     @property
     def active(self) -> bool:
@@ -321,9 +323,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TableReady(Message):
-    """Report that all rows of a table have been delivered."""
+    """Report that all rows of a table have been delivered, and how many there were."""
 
     table: str
+    rows: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -72,6 +72,7 @@
 )
 from .snapshot import take_snapshot
 from .spec import JobSpec
+from .takeover import begin_takeover, log_first_pass, log_pending, log_step
 from .unit import WAITING
 from .unit_action import unit_chart
 from .unit_lifecycle import evacuate, move, place, preempt
@@ -125,6 +126,7 @@
     _reset_state(state)
     state.owning = True
     state.epoch = message.epoch
+    state.takeover = begin_takeover(message.epoch, message.claim_time, now)
     state.loading = set(LOADED_TABLES)
     if not state.policy.version:
         # Without the queues, one failure would end a job, whatever its attempts.
@@ -147,7 +149,7 @@
     state.loading.discard(message.table)
     if message.table == REPORT_TABLE:
         state.reports_since = now
-    return _begin(state, now) if state.active else []
+    return _continue_takeover(message.table, message.rows, state, now)
 
 
 @handle_message.register
@@ -228,7 +230,7 @@
     state.capacity_changed = True
     if POLICY in state.loading:
         state.loading.discard(POLICY)
-        return _begin(state, now) if state.active else []
+        return _continue_takeover(POLICY, 1, state, now)
     commands: list[Command] = []
     for job in state.jobs.values():
         commands += learn_terms(job, state, now)
@@ -280,7 +282,9 @@
         state.reports_since = now
     state.ticked_at = now
     if not state.active:
-        return []
+        if state.takeover is None:
+            return []
+        return [*log_pending(state.takeover, state.loading, now)]
     state.capacity_changed = True
     commands = remove_obsolete_rows(state)
     commands += [*remove_silent_workers(state, now), *end_broken_gangs(state, now)]
@@ -296,6 +300,8 @@
     if not state.active:
         return []
     commands: list[Command] = []
+    if state.takeover is not None:
+        commands += log_first_pass(state.takeover, len(state.waiting), now)
     for decision in state.planner.decide(take_snapshot(state, now)):
         commands += apply_decision(decision, state, now)
     state.capacity_changed |= state.planner.unfinished
@@ -361,6 +367,16 @@
     return removed is not None and removed.accepted_at == spec.accepted_at
 
 
+def _continue_takeover(
+    step: str, rows: int, state: FleetState, now: float
+) -> list[Command]:
+    """Log that a step of the takeover has ended, and begin after the last one."""
+    commands: list[Command] = []
+    if state.takeover is not None:
+        commands.append(log_step(state.takeover, step, rows, state.loading, now))
+    return commands + _begin(state, now) if state.active else commands
+
+
 def _begin(state: FleetState, now: float) -> list[Command]:
     """Start or restore all jobs, once the owner has read everything."""
     commands: list[Command] = []
@@ -372,6 +388,7 @@
         "epoch": state.epoch,
         "jobs": len(state.jobs),
         "workers": len(state.workers),
+        "took": state.takeover.age(now) if state.takeover else 0.0,
     }
     return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
 
@@ -431,5 +448,6 @@
     state.view = FleetView()
     state.planner = Planner()
     state.loading = set()
+    state.takeover = None
     state.pass_scheduled = False
     state.reports_since = inf
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -27,6 +27,7 @@
     RUN_ORDERS,
     RUNS_ENDED,
     RUNS_STOPPED,
+    TAKEOVER_TIME,
     TAKEOVERS,
     UNIT_WAIT,
 )
@@ -52,7 +53,7 @@
             UNIT_PREEMPTED.number: lambda f: self._stopped("preemption"),
             UNIT_EVACUATED.number: lambda f: self._stopped("drain"),
             UNIT_MOVED.number: lambda f: self._stopped("stall"),
-            FLEET_LOADED.number: lambda f: registry.count(TAKEOVERS),
+            FLEET_LOADED.number: self._taken_over,
             RUN_ORDERED.number: lambda f: self._ordered("start"),
             RUN_STOP_ORDERED.number: lambda f: self._ordered("stop"),
             RUN_REFUSED.number: lambda f: self._ordered("refused"),
@@ -72,6 +73,10 @@
         self.reported_drops = dict(self.sink.total_dropped)
         return "".join(f"{line}\n" for line in format_series(self.registry.read()))
 
+    def _taken_over(self, fields: Fields) -> None:
+        self.registry.count(TAKEOVERS)
+        self.registry.record(TAKEOVER_TIME, fields["took"])
+
     def _job_ended(self, fields: Fields) -> None:
         labels = {"class_": fields["queue"], "outcome": fields["state"]}
         self.registry.record(JOB_TIME, fields["took"], **labels)
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -63,7 +63,7 @@
         self._update_clocks(message.store_time)
         for row_message in decode_rows(message.rows):
             self.on_message(row_message)
-        self.on_message(TableReady(table=message.table))
+        self.on_message(TableReady(table=message.table, rows=len(message.rows)))
 
     def on_rows_changed(self, message: RowsChanged) -> None:
         """Apply the changed and removed rows of a table."""
