Refuse conditions with a negative version in the stand-ins of the store

Cause: the platform's store refuses a transaction with a negative version in a condition as malformed (400). The simulated store, the table service and the stand-in of the platform's store compared it with the row's version, and answered with a conflict. An owner that took SUPERSEDED (-1) for the version of its row therefore read the row in every test, and gave the shard up.

--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
@@ -39,16 +39,14 @@
     def apply(self, transaction: Transaction) -> StoreResult:
         """Apply a transaction, or return why it has no effect.
 
-        That is a condition that does not hold, or a row that is too large.
+        That is a condition that does not hold or has an invalid version, or a row that
+        is too large.
         """
         operation_id = transaction.operation_id
         if any(row_size(write.value) > ROW_LIMIT_BYTES for write in transaction.writes):
-            return StoreUnavailable(
-                operation_id=operation_id,
-                reason="a row is too large",
-                uncertain=False,
-                permanent=True,
-            )
+            return rejected(transaction, "a row is too large")
+        if any(item.version < ABSENT for item in transaction.conditions):
+            return rejected(transaction, "a version is negative")
         conflicts = tuple(
             item.key
             for item in transaction.conditions
@@ -93,6 +91,16 @@
         )
 
 
+def rejected(transaction: Transaction, reason: str) -> StoreUnavailable:
+    """Return the result of a transaction that can never succeed."""
+    return StoreUnavailable(
+        operation_id=transaction.operation_id,
+        reason=reason,
+        uncertain=False,
+        permanent=True,
+    )
+
+
 def unavailable(transaction: Transaction, uncertain: bool) -> StoreUnavailable:
     """Return the result of a transaction that got no answer.
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
@@ -13,6 +13,7 @@
 from wasabispur.http_error import BadRequestError
 from wasabispur.http_request import read_model
 from wasabispur_core.store import (
+    ABSENT,
     Condition,
     Row,
     ROW_LIMIT_BYTES,
@@ -51,7 +52,7 @@
     """Validate the condition that a row has a version."""
 
     key: Key
-    version: int
+    version: Annotated[int, Field(ge=ABSENT)]
 
 
 class WriteBody(_Body):
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -257,3 +257,20 @@
         assert client.timers.now() >= 1.4
 
     run_table_scenario(scenario, LONG_CALL_TIMEOUT)
+
+
+def test_condition_with_a_negative_version_is_refused_for_good():
+    """Guard against a stand-in that takes the version of a replaced row for valid.
+
+    The platform's store refuses such a condition as malformed. A conflict in its place
+    hid an owner that went on with this version after another entry had claimed its shard.
+    """
+
+    async def scenario(stand_in, state, client):
+        write = put(client.receive_result, version=SUPERSEDED)
+        result = (await client.ask(write))[0]
+        assert isinstance(result, StoreUnavailable)
+        assert result.permanent
+        assert not state.rows
+
+    run_table_scenario(scenario)
