Count the open units by why they run, wait or are kept back

unit_list.py sorts each unit of the jobs that have not ended: running, offered, changed since the last pass, refused a moment ago, waiting for an unknown end, of an unknown queue, of a held job, not created. A unit in none of them is a fault, as are created units that are neither known nor completed, and steps with units to create that no message will create. The owner logs the counts with the longest waits once a second while a unit has waited for over a second, or one is in no list (event 460). The simulated world checks it after each advance, so all its tests and random histories do.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -180,6 +180,13 @@
 POLICY_IN_FORCE = LogEvent(
     450, "INFO", "configuration {version} is in force with {queues} queues"
 )
+UNITS_LISTED = LogEvent(
+    460,
+    "INFO",
+    "units: {running} run, {offered} wait for room, {changed} for the next pass,"
+    " {backoff} after a refusal, {unknown_end} for an end, {no_terms} for a queue,"
+    " {held} jobs are held, {not_created} not created, {unlisted} in no list",
+)
 ROW_REFUSED = LogEvent(451, "ERROR", "row {key} is invalid: {error}")
 CALL_REFUSED = LogEvent(452, "INFO", "{method} {path} refused: {reason}")
 ANNOUNCEMENT_MALFORMED = LogEvent(453, "WARNING", "malformed announcement: {error}")
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -182,7 +182,7 @@
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
     contains the jobs whose rows may still be delivered although they were removed.
     message_number counts the messages that were handled, and wait_lines the lines about
-    long waits.
+    long waits. units_listed_at is the time at which the open units were last counted.
     """
 
     unit_chart: Chart
@@ -214,6 +214,7 @@
     ticked_at: float = -inf
     message_number: int = 0
     wait_lines: WaitLines = field(default_factory=WaitLines)
+    units_listed_at: float = -inf
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
@@ -75,6 +75,7 @@
 from .unit import WAITING
 from .unit_action import unit_chart
 from .unit_lifecycle import evacuate, move, place, preempt
+from .unit_list import log_lists
 from .wait_log import log_wait
 from .watch import StopWatching, WatchTables
 from .worker import ReportArrived, WorkerState
@@ -286,6 +287,7 @@
     commands += [*remove_silent_workers(state, now), *end_broken_gangs(state, now)]
     for job in list(state.jobs.values()):
         commands += _start_due_occurrences(job, state, now)
+    commands += log_lists(state, now)
     return [*commands, *write_queue_counts(state), *remove_ended(state, now)]
 
 
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -74,6 +74,7 @@
 )
 from wasabispur_core.workload.runner_state import LeaseTimes, RunnerState
 from wasabispur_core.workload.spec import Resources, StepSpec, TaskId
+from wasabispur_core.workload.unit_list import count_units
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_core.workload.worker import EndKind, OrdersArrived, WorkerOrders
 from wasabispur_standins.simulated_store import SimulatedStore, unavailable
@@ -756,6 +757,10 @@
                 continue
             if not Resources().fits(worker.free_resources()):
                 self.violations.append(f"{worker.worker_id} is over its capacity")
+        for entry in self.entries:
+            if entry.alive and entry.fleet.active:
+                found = count_units(entry.fleet, self.timers.now())
+                assert not found.unlisted, f"nothing will place {found.unlisted}"
         assert not self.violations, self.violations[:3]
 
     # Callers
