Create no units of an occurrence that is completed

At a limit of new or open units a step stays in the queue of steps to fill after its last unit was created. If that unit then completes its occurrence, the next creation looks the occurrence up and fails. The tick fails at this job each time, so that no later job begins an occurrence, no silent worker's end is stored and no row is written; other messages succeed in between, so that the count of failures in a row never leads to a reload.

An entry of the queue whose occurrence is completed is dropped.

Measured: with OPEN_UNITS_LIMIT at 1 the new test failed with "{'message_name': 'report_arrived', 'error': 'KeyError(0)'}" (409), and passes now. With the limits as they are no history was found that gets there; the random histories do not.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_lifecycle.py
@@ -102,9 +102,13 @@
         and len(job.units) < OPEN_UNITS_LIMIT
     ):
         number, step = job.unfilled[0]
-        step_state = job.open_occurrences[number].steps[step]
+        occurrence = job.open_occurrences.get(number)
+        # At a limit a step stays in the queue after its last unit was created, so that
+        # its occurrence may have been completed since.
+        step_state = occurrence.steps[step] if occurrence is not None else None
         if (
-            step_state.created >= unit_count(job.spec.steps[step])
+            step_state is None
+            or step_state.created >= unit_count(job.spec.steps[step])
             or step_state.unplaced >= UNPLACED_UNITS_LIMIT
         ):
             job.unfilled.popleft()
