End the wait for a run that its worker has never listed

A gang whose member is on a silent worker runs again as soon as the other members show that the run is over; the silent member's end counts as unknown. If it may have been the last attempt, the unit is kept from the planner until the worker lists the end, restarts or is removed (must_learn_ends). But the start of that member may never have reached its worker.

A run with an unknown end that a worker's lists lack for the lease horizon now counts as lost, which is no failed attempt. A worker lists an end until it is acknowledged, in all of its incarnation, and within the horizon a start that is carried out late is listed; test_run_that_begins_late_is_not_taken_for_lost holds that down.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -123,7 +123,8 @@
     applied. failed_units contains the units whose runs failed there since the last
     success. The worker gets no units before suspected_until. leaving is set once it has
     announced that it leaves. ignored_incarnation is the former incarnation on which a
-    report was ignored last.
+    report was ignored last. unlisted_since contains, by task and number, the runs there
+    with an unknown end, and the time since which the worker's lists lack them.
     """
 
     agent_id: str
@@ -141,6 +142,7 @@
     suspected_until: float = 0.0
     leaving: bool = False
     ignored_incarnation: str = ""
+    unlisted_since: dict[tuple[str, int], float] = field(default_factory=dict)
 
     @property
     def worker_id(self) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
@@ -19,6 +19,7 @@
 from .spec import TaskId
 from .unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
 from .unit_lifecycle import end_run, learn_end
+from .unlisted_run import learn_unlisted_ends
 from .worker import (
     EndedRun,
     EndKind,
@@ -150,6 +151,7 @@
     if report.listing != worker.listing:
         worker.listing = report.listing
         _update_progress(worker, state, now)
+        commands += learn_unlisted_ends(worker, report, state, now)
     return commands + suspect_stalled(worker, state, now)
 
 
--- a/tests/workload/test_kept_back.py
+++ b/tests/workload/test_kept_back.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 from wasabispur_core.workload import job_lifecycle
+from wasabispur_core.workload.lease_clock import owner_horizon
+from wasabispur_core.workload.unit import FAILED, Unit
+from wasabispur_core.workload.unit_list import count_units, UnitList
+from wasabispur_core.workload.worker import EndedRun, EndKind
+from wasabispur_standins.simulated_worker import SimulatedWorker
 
-from .world import COMPLETED, started_world, tasks
+from .world import COMPLETED, gang, started_world, tasks, TIMES, World
 
 
 def test_job_goes_on_if_the_last_created_unit_completes_an_occurrence(monkeypatch):
@@ -20,3 +25,69 @@
     )
     world.advance(10)
     assert world.state_of(job).job_state is COMPLETED
+
+
+def world_with_unlisted_member() -> tuple[World, Unit, SimulatedWorker]:
+    """Return a world with run 2 of a gang, of whose run 1 a member never began.
+
+    The agent of that member's worker can't report, so that the end of this member and
+    of another one there is unknown.
+    """
+    world = started_world(workers=4)
+    job = world.submit(gang(4, 4), duration=60.0)
+    world.advance(1)
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    lost = world.workers[unit.members[0].worker_ref.worker_id]
+    first, second = (str(unit.task_id(one.index)) for one in unit.members[:2])
+    assert {first, second} == set(lost.runs)
+    world.agents[lost.agent_id].partitioned = True
+    del lost.runs[second]
+    lost.end(first, EndKind.LAPSED)
+    end_all(world, EndKind.BROKEN)
+    world.advance(6)
+    assert (unit.run, len(unit.unknown_ends)) == (2, 2)
+    return world, unit, lost
+
+
+def end_all(world: World, kind: EndKind) -> None:
+    """End all runs of all workers."""
+    for worker in world.workers.values():
+        for task in list(worker.runs):
+            if kind is EndKind.FAILED:
+                world.failures[task] = world.failures.get(task, 0) + 1
+            worker.end(task, kind)
+
+
+def reconnect(world: World, worker: SimulatedWorker) -> None:
+    """Let the agent of a worker reach the store again."""
+    world.agents[worker.agent_id].partitioned = False
+    world.deliver_missed_rows()
+    world.advance(2)
+
+
+def test_gang_runs_again_if_a_member_with_an_unknown_end_never_began():
+    """Guard against a gang that waits for the end of a run that no worker had."""
+    world, unit, lost = world_with_unlisted_member()
+    end_all(world, EndKind.FAILED)
+    world.advance(1)
+    reconnect(world, lost)
+    counts = count_units(world.owner().fleet, world.timers.now()).counts
+    assert counts == {UnitList.UNKNOWN_END: 1}
+    world.advance(owner_horizon(TIMES))
+    assert (unit.run, unit.failures) == (3, 1)
+
+
+def test_run_that_begins_late_is_not_taken_for_lost():
+    """Guard against a third run while a former one may still fail as the last attempt."""
+    world, unit, lost = world_with_unlisted_member()
+    end_all(world, EndKind.FAILED)
+    world.advance(1)
+    reconnect(world, lost)
+    world.advance(owner_horizon(TIMES) - 4)
+    second = unit.task_id(unit.members[1].index)
+    lost.ends += 1
+    failed = EndedRun(number=lost.ends, task=str(second), run=1, kind=EndKind.FAILED)
+    lost.ended.append(failed)
+    lost.expirations_at_end[lost.ends] = lost.expirations
+    world.advance(2)
+    assert unit.state == FAILED
