--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -125,7 +125,8 @@
     applied. failed_units contains the units whose runs failed there since the last
     success. The worker gets no units before suspected_until. leaving is set once it has
     announced that it leaves. ignored_incarnation is the former incarnation on which a
-    report was ignored last.
+    report was ignored last. unlisted_since contains, by task and number, the runs there
+    with an unknown end, and the time since which the worker's lists lack them.
     """
 
     agent_id: str
@@ -143,6 +144,7 @@
     suspected_until: float = 0.0
     leaving: bool = False
     ignored_incarnation: str = ""
+    unlisted_since: dict[tuple[str, int], float] = field(default_factory=dict)
 
     @property
     def worker_id(self) -> str:
@@ -186,6 +188,7 @@
     contains the jobs whose rows may still be delivered although they were removed.
     message_number counts the messages that were handled, and wait_lines the lines about
     long waits. takeover is the takeover in which this entry became the owner, or None.
+    units_listed_at is the time at which the open units were last counted.
     """
 
     unit_chart: Chart
@@ -219,6 +222,7 @@
     message_number: int = 0
     wait_lines: WaitLines = field(default_factory=WaitLines)
     takeover: Takeover | None = None
+    units_listed_at: float = -inf
 
     @property
     def active(self) -> bool:
