--- a/tests/adapter/test_worker_wire.py
+++ b/tests/adapter/test_worker_wire.py
@@ -119,6 +119,8 @@
         answer(200, {"clock_ms": 1, "born": 78}),
         answer(200, {"clock_ms": 1, "running": [["j"]]}),
         answer(200, {"clock_ms": 1, "ended_runs": [[1, "j", 1, "vanished", ""]]}),
+        answer(200, {"clock_ms": 1, "ended_runs": [[1, "j", 1, "unknown", ""]]}),
+        answer(200, {"clock_ms": 1, "ended_runs": [[1, "j", 1, "crashed", ""]]}),
         answer(200, {"running": []}),
         HttpResponse(200, b"\xff\x00"),
         answer(409, {"reason": "fence"}),
