Log the allocated capacity by cause, and check it against the workers

With 460 the owner logs for the service of the longest wait what is allocated and what is unused, by cause (event 461): listed, ordered, stopping and unknown runs, runs on silent workers and on those that leave; free resources, those on workers that get no units and why, and reservations. Allocated and unused sum up to the capacity. FleetState.allocated builds no more names of tasks for workers without unknown runs.

World.watch_allocation compares, from 4 s after the end of all faults and for 8 s, what the owner counts on each worker with what the worker runs; a difference may last 3 s, the time that a unit may wait beside free capacity. The random histories of the workload machine end with it.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -187,6 +187,12 @@
     " {backoff} after a refusal, {unknown_end} for an end, {no_terms} for a queue,"
     " {held} jobs are held, {not_created} not created, {unlisted} in no list",
 )
+CAPACITY_ALLOCATED = LogEvent(
+    461,
+    "INFO",
+    "capacity of {service}: {capacity}; allocated {allocated}; unused {unused};"
+    " reserved {reserved}",
+)
 ROW_REFUSED = LogEvent(451, "ERROR", "row {key} is invalid: {error}")
 CALL_REFUSED = LogEvent(452, "INFO", "{method} {path} refused: {reason}")
 ANNOUNCEMENT_MALFORMED = LogEvent(453, "WARNING", "malformed announcement: {error}")
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -253,17 +253,28 @@
 
     def allocated(self, worker: Worker) -> Resources:
         """Return the resources of all runs on a worker, including runs just ordered."""
-        allocated = NO_RESOURCES
-        counted: set[str] = set()
+        allocated = self.allocated_to_unknown_runs(worker)
         for unit_id in self.units_by_worker.get(worker.worker_id, ()):
             unit = self.unit(unit_id)
-            if unit is None:
-                continue
-            for member in unit.open_members_on(worker.worker_id):
-                counted.add(str(unit.task_id(member.index)))
-                allocated += unit.demand
+            if unit is not None:
+                count = len(unit.open_members_on(worker.worker_id))
+                allocated += unit.demand.times(count)
+        return allocated
+
+    def allocated_to_unknown_runs(self, worker: Worker) -> Resources:
+        """Return the resources of the runs on a worker that are of no open member."""
+        allocated = NO_RESOURCES
+        if not worker.unknown_runs:
+            return allocated
+        units = map(self.unit, self.units_by_worker.get(worker.worker_id, ()))
+        ordered = {
+            str(unit.task_id(member.index))
+            for unit in units
+            if unit is not None
+            for member in unit.open_members_on(worker.worker_id)
+        }
         for run in worker.unknown_runs:
-            if run.task not in counted:
+            if run.task not in ordered:
                 allocated += self._demand_of(run.task)
         return allocated
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -181,10 +181,11 @@
 
 def is_ready(worker: Worker, now: float) -> bool:
     """Return whether a worker accepts new runs and has reported recently."""
-    return _is_fresh(worker, now) and worker.info.state is WorkerState.READY
+    return is_fresh(worker, now) and worker.info.state is WorkerState.READY
 
 
-def _is_fresh(worker: Worker, now: float) -> bool:
+def is_fresh(worker: Worker, now: float) -> bool:
+    """Return whether a worker has reported to this owner recently."""
     return worker.confirmed and now - worker.seen_at <= REPORT_AGE_LIMIT
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_list.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_list.py
@@ -13,6 +13,7 @@
 
 from ..command import Command, WriteLog
 from ..log_event import UNITS_LISTED
+from .allocation_log import log_allocation
 from .fleet_state import FleetState, Job
 from .occurrence import unit_count, UNPLACED_UNITS_LIMIT
 from .unit import ACTIVE, CANCELLING, ENDED_STATES, STOPPING, Unit, UnitId, WAITING
@@ -177,7 +178,8 @@
         if waited
     }
     fields["unlisted_units"] = found.unlisted
-    return [WriteLog(number=UNITS_LISTED.number, fields=fields)]
+    log = WriteLog(number=UNITS_LISTED.number, fields=fields)
+    return [log, *log_allocation(state, now)]
 
 
 def _name(unit_id: UnitId) -> str:
--- a/tests/workload/test_unit_list.py
+++ b/tests/workload/test_unit_list.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.log_event import UNITS_LISTED
+from wasabispur_core.log_event import CAPACITY_ALLOCATED, UNITS_LISTED
 from wasabispur_core.workload.unit_list import count_units, UnitList
 
 from .world import started_world, tasks
@@ -59,3 +59,27 @@
     fleet.view.aging_units.clear()
     known.clear()
     assert listed(world).unlisted == [".".join(map(str, unit_id))]
+
+
+def test_capacity_is_logged_by_cause_while_a_unit_waits():
+    """Guard against "no room" in a log that can't tell a full fleet from silent workers."""
+    world = started_world(workers=4)
+    owner = world.owner()
+    world.submit(tasks(3, 8), duration=60)
+    world.advance(1)
+    running = [one for one in world.workers.values() if one.runs]
+    idle = next(one for one in world.workers.values() if not one.runs)
+    running[0].silent = True
+    world.agents[running[0].agent_id].paused = True
+    idle.draining = True
+    world.advance(5)
+    world.submit(tasks(1, 8))
+    world.advance(3)
+    line = [one for one in owner.records if one.number == CAPACITY_ALLOCATED.number][-1]
+    accelerators = {
+        kind: {cause: amounts[2] for cause, amounts in line.fields[kind].items()}
+        for kind in ("allocated", "unused")
+    }
+    assert accelerators["allocated"] == {"active": 16, "silent": 8}
+    assert accelerators["unused"] == {"free": 0, "silent": 0, "not_ready": 8}
+    assert line.fields["capacity"] == [32000, 32000, 32]
--- a/tests/workload/test_workload_machine.py
+++ b/tests/workload/test_workload_machine.py
@@ -19,7 +19,7 @@
 
 from wasabispur_core.workload.spec import TaskId
 
-from .world import gang, ORGANISATIONS, tasks, World
+from .world import CALM_TIME, gang, ORGANISATIONS, tasks, World
 
 INDEX = st.integers(0, 20)
 CALL_FAULT = st.integers(0, 2)
@@ -31,6 +31,9 @@
 SETTLING_SECONDS = 600
 """Seconds that suffice to run all accepted tasks in sequence, with retries."""
 
+WATCHED_SECONDS = 8.0
+"""Seconds after the faults in which the owner's picture of the workers is checked."""
+
 CANCEL_LIMIT = 4.0
 """Seconds after a cancellation until no task of the job runs, if all faults ended."""
 
@@ -197,7 +200,8 @@
         world.clear_faults()
         for worker in world.workers.values():
             worker.draining = False
-        world.advance(5)
+        world.advance(CALM_TIME)
+        world.watch_allocation(WATCHED_SECONDS)
         end = world.timers.now() + SETTLING_SECONDS
         while world.timers.now() < end and not all(map(world.ended, world.accepted)):
             world.advance(5)
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -100,6 +100,10 @@
 CAPACITY_NOTICE = 4.0 + HEARTBEAT_INTERVAL
 """Seconds after which a capacity that has shrunk binds: for contact, and one beat."""
 
+CALM_TIME = 4.0
+WAIT_LIMIT = 3.0
+"""Seconds after the end of all faults, and then of a wait beside free capacity."""
+
 CRASH_RECOVERY_TIME = 3.0
 """Seconds until a worker that crashed is back."""
 
@@ -396,6 +400,27 @@
             self._heartbeats()
         self._check()
 
+    def watch_allocation(self, seconds: float) -> None:
+        """Advance the time without faults, and compare what the owner counts as used.
+
+        A difference from what a worker runs may last until the next lists and reports,
+        and no longer than a unit may wait beside capacity that is free.
+        """
+        differs_since: dict[str, float] = {}
+        for _ in range(round(seconds / TIME_STEP)):
+            self.advance(TIME_STEP)
+            owner = self.owner()
+            for worker in self.workers.values():
+                known = owner.fleet.workers.get(worker.worker_id) if owner else None
+                used = worker.capacity - worker.free_resources()
+                if known is not None and owner and owner.fleet.allocated(known) == used:
+                    differs_since.pop(worker.worker_id, None)
+                    continue
+                since = differs_since.setdefault(worker.worker_id, self.timers.now())
+                if self.timers.now() - since >= WAIT_LIMIT:
+                    counted = owner.fleet.allocated(known) if owner and known else None
+                    raise AssertionError(f"{worker.worker_id}: {counted}, not {used}")
+
     def _advance_runs(self, seconds: float) -> None:
         for worker in self.workers.values():
             if not worker.up:
