End an ownership whose row another entry has replaced

Cause: if the answer to an owner's transaction is lost and another entry claims the shard before the look-up, the transaction counts as committed with the shard's row at SUPERSEDED (-1). AcceptCommit took -1 for the row's version. Each later transaction had the condition "version -1", which the store refuses as malformed, so the conflict that makes an owner read its row never came.

Change: the chart has the guard "superseded" for owning and claiming. The lease ends at once, the row is read, and the ownership is lost when the row shows another write. The transaction stays in flight meanwhile, so nothing is sent under another version, and a failed read is followed by a resend, which leads to the row again. The rows of the transaction have taken effect before the other claim, so the next owner reads them; the scheduler isn't told of them, as it may act on them only as the owner. A release that was followed by a claim stays one.

The simulated world can look up the effect of a lost answer, as the table client does. A state machine freezes owners in such transactions.

--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -38,6 +38,7 @@
     ROW_LIMIT_BYTES,
     row_size,
     StoreUnavailable,
+    SUPERSEDED,
     Transaction,
     Write,
 )
@@ -91,6 +92,12 @@
     __slots__ = ()
 
 
+class EndLease(OwnershipAction):
+    """End the lease, because another write has replaced the shard's row."""
+
+    __slots__ = ()
+
+
 class DiscardClaim(OwnershipAction):
     """Discard the lease and all unwritten rows."""
 
@@ -154,6 +161,12 @@
     __slots__ = ()
 
 
+class Superseded(OwnershipGuard):
+    """Check whether another write has replaced the row since the committed one."""
+
+    __slots__ = ()
+
+
 class OwnOperation(OwnershipGuard):
     """Check whether this entry's last transaction wrote the row."""
 
@@ -250,6 +263,20 @@
     return _accept(action.state, message.versions[action.state.key])
 
 
+@holds.register
+def _(guard: Superseded) -> bool:
+    message = guard.message
+    if not isinstance(message, Committed):
+        return False
+    return message.versions[guard.state.key] == SUPERSEDED
+
+
+@perform.register
+def _(action: EndLease) -> list[Command]:
+    _end_lease(action.state)
+    return []
+
+
 @perform.register
 def _(action: AcceptRow) -> list[Command]:
     message = action.message
@@ -275,7 +302,7 @@
 @perform.register
 def _(action: DiscardClaim) -> list[Command]:
     state = action.state
-    state.lease.held_until = state.lease.grace_until = -inf
+    _end_lease(state)
     state.in_flight = state.observed = None
     state.in_flight_rows, state.pending = [], []
     state.sent_alone = 0
@@ -398,6 +425,10 @@
     return [Transact(transaction=state.in_flight)]
 
 
+def _end_lease(state: Ownership) -> None:
+    state.lease.held_until = state.lease.grace_until = -inf
+
+
 def _accept(state: Ownership, version: int) -> list[Command]:
     rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
     state.version = version
--- a/tests/workload/test_workload_machine.py
+++ b/tests/workload/test_workload_machine.py
@@ -231,3 +231,38 @@
         pass
 
     run_state_machine_as_test(seed(number)(SeededMachine), settings=SETTINGS)
+
+
+def test_guarantees_hold_if_lost_answers_are_looked_up():
+    """Guard against a former owner that goes on, as its transaction took effect.
+
+    The processes find the effect of a transaction whose answer was lost, as the table
+    client does, also if another entry has claimed the shard since.
+    """
+
+    class LookingUpMachine(WorkloadMachine):
+        @initialize(jobs=st.integers(0, 3))
+        def start(self, jobs):
+            super().start(jobs)
+            self.world.looks_up = True
+
+        @rule(seconds=st.sampled_from([0.5, 3.0, 8.0]))
+        def freeze_owner_in_a_transaction(self, seconds):
+            owners = [e for e in self.world.entries if e.fleet.active and not e.paused]
+            self.world.submit(tasks(2))
+            self.world.advance(0.2)
+            self.world.store.losing, self.world.store.late = True, False
+            self.world.advance(0.5)
+            for owner in owners:
+                owner.paused = True
+            self.world.store.losing = False
+            self.world.advance(seconds)
+            for owner in owners:
+                owner.resume()
+
+        def teardown(self):
+            super().teardown()
+            owning = [e.name for e in self.world.entries if e.fleet.owning]
+            assert len(owning) == 1
+
+    run_state_machine_as_test(seed(1)(LookingUpMachine), settings=SETTINGS)
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -28,7 +28,15 @@
 from wasabispur_core.ownership import Ownership, ReleaseOwnership
 from wasabispur_core.ownership_action import ownership_chart
 from wasabispur_core.shard import decide as decide_shard, Shard, ShardTick
-from wasabispur_core.store import Row, RowsRead, RowsUnavailable
+from wasabispur_core.store import (
+    ABSENT,
+    Committed,
+    Row,
+    RowsRead,
+    RowsUnavailable,
+    SUPERSEDED,
+    Transaction,
+)
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_core.workload import intake, runner, scheduler
 from wasabispur_core.workload.fleet_state import ClocksRead, FleetTick, TableReady
@@ -353,6 +361,7 @@
         self.late_every = 1
         self.late_numbers = count()
         self.start_delay = 4.0
+        self.looks_up = False
         self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
@@ -463,11 +472,44 @@
                 )
             else:
                 store.apply(transaction)
-            process.post_later(1.0, unavailable(transaction, uncertain=True))
+            self._answer_lost(process, transaction)
             return
         result = store.apply(transaction)
         process.post_later(STORE_LATENCY, result)
 
+    def _answer_lost(self, process: Process, transaction: Transaction) -> None:
+        """Deliver what becomes of a transaction whose answer was lost.
+
+        With looks_up set, the process's client reads the written rows once the process
+        runs again, as the table client does, and may find the transaction's effect.
+        """
+
+        def answer(_: Message) -> None:
+            if self.looks_up and process.paused and process.alive:
+                self.timers.subscribe(TIME_STEP, answer, Message())
+                return
+            applied = self.looks_up and not self.store.down and not process.partitioned
+            result = self._found_effect(transaction) if applied else None
+            process.post(result or unavailable(transaction, uncertain=True))
+
+        self.timers.subscribe(1.0, answer, Message())
+
+    def _found_effect(self, transaction: Transaction) -> Committed | None:
+        """Return what a look-up of the written rows tells, or None if there is no sign."""
+        rows = self.store.rows
+        versions: dict[str, int] = {}
+        for write in transaction.writes:
+            row = rows.get(write.key)
+            own = row is not None and row.operation_id == transaction.operation_id
+            versions[write.key] = SUPERSEDED
+            if row is not None and own:
+                versions[write.key] = row.version
+            elif row is None and write.value is None:
+                versions[write.key] = ABSENT
+        if not any(version > ABSENT for version in versions.values()):
+            return None
+        return Committed(operation_id=transaction.operation_id, versions=versions)
+
     def watch(self, process: Process, tables: set[str], prefix: str = "") -> None:
         """Deliver all rows of the tables, and then every change."""
 
