Leave a row out only if the shard's row alone can be stored

Cause: any rejection (400) of an owner's transaction was put down to its rows. They were sent one by one, left out (457) one by one, and their jobs failed (456), although the shard's row, which is in each transaction, was at fault. A renewal without rows that was rejected was sent again forever, a claim too.

Change: after a rejected transaction the shard's row is sent alone. Only if it is stored are the rows sent one by one, and a single row is left out only after another such trial.

A row that can't be stored costs two more transactions than before, one of them for the batch.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -106,6 +106,12 @@
     "takeover in epoch {epoch}: the first planning pass begins {age} s after the claim,"
     " {waiting} units wait",
 )
+SHARD_ROW_REJECTED = LogEvent(
+    415,
+    "ERROR",
+    "the store rejects {key} by itself, so no other row is at fault: {reason};"
+    " {waiting} rows wait, the lease ends in {lease_left} s",
+)
 
 JOB_ACCEPTED = LogEvent(420, "INFO", "job {job} of {organisation} accepted")
 JOB_REFUSED = LogEvent(421, "INFO", "job {job} of {organisation} refused: {reason}")
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership.py
@@ -157,7 +157,9 @@
     observed_since the time since which the row has stayed the same. in_flight_rows
     and pending are the rows in the current transaction and those that wait for one.
     The next sent_alone of these get a transaction each, to find the one that the table
-    service rejects. schema is the version of the rows that this entry writes.
+    service rejects. refused are the rows of a rejected transaction while the shard's
+    row is sent alone, to find out whether they are at fault, and refusal says why it was
+    rejected. schema is the version of the rows that this entry writes.
     """
 
     entry_id: str
@@ -175,6 +177,8 @@
     last_sent: float = -inf
     pending: list[WriteRow] = field(default_factory=list)
     sent_alone: int = 0
+    refused: list[WriteRow] = field(default_factory=list)
+    refusal: str = ""
     schema: int = SHARD_SCHEMA
     lease_time: float = SHARD_LEASE
     renewal_interval: float = SHARD_RENEWAL_INTERVAL
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -11,7 +11,8 @@
 from .action import holds, perform
 from .chart import Chart, ChartCatalogue
 from .command import Command, ReadRows, Transact, WriteLog
-from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED
+from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED, SHARD_ROW_REJECTED
+from .message import Message
 from .ownership import (
     BATCH_LIMIT,
     BATCH_LIMIT_BYTES,
@@ -122,8 +123,23 @@
     __slots__ = ()
 
 
-class IsolateRows(OwnershipAction):
-    """Send the rows of a rejected transaction one by one, or leave out the only one."""
+class SendShardRow(OwnershipAction):
+    """Send the shard's row alone after a transaction was rejected."""
+
+    __slots__ = ()
+
+
+class JudgeRows(OwnershipAction):
+    """Send the rows of a rejected transaction one by one, or leave out the only one.
+
+    The shard's row was stored alone in between, so one of these rows is at fault.
+    """
+
+    __slots__ = ()
+
+
+class LogRejection(OwnershipAction):
+    """Log that the table service rejects the shard's row by itself."""
 
     __slots__ = ()
 
@@ -167,6 +183,18 @@
     __slots__ = ()
 
 
+class ShardRowRejected(OwnershipGuard):
+    """Check whether the shard's row can't be written, even alone."""
+
+    __slots__ = ()
+
+
+class LeaseHeld(OwnershipGuard):
+    """Check whether the last confirmed lease has not ended."""
+
+    __slots__ = ()
+
+
 class OwnOperation(OwnershipGuard):
     """Check whether this entry's last transaction wrote the row."""
 
@@ -304,7 +332,7 @@
     state = action.state
     _end_lease(state)
     state.in_flight = state.observed = None
-    state.in_flight_rows, state.pending = [], []
+    state.in_flight_rows, state.pending, state.refused = [], [], []
     state.sent_alone = 0
     state.observed_since = inf
     return []
@@ -327,9 +355,21 @@
 
 @holds.register
 def _(guard: RowsRejected) -> bool:
-    message = guard.message
-    permanent = isinstance(message, StoreUnavailable) and message.permanent
-    return permanent and bool(guard.state.in_flight_rows)
+    return _is_permanent(guard.message) and bool(guard.state.in_flight_rows)
+
+
+@holds.register
+def _(guard: ShardRowRejected) -> bool:
+    return _is_permanent(guard.message) and not guard.state.in_flight_rows
+
+
+@holds.register
+def _(guard: LeaseHeld) -> bool:
+    return guard.state.lease.may_start(guard.now)
+
+
+def _is_permanent(message: Message) -> bool:
+    return isinstance(message, StoreUnavailable) and message.permanent
 
 
 @perform.register
@@ -345,15 +385,37 @@
 
 
 @perform.register
-def _(action: IsolateRows) -> list[Command]:
+def _(action: SendShardRow) -> list[Command]:
     state, message = action.state, action.message
-    rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
-    if len(rows) > 1:
-        state.pending = [*rows, *state.pending]
-        state.sent_alone = len(rows)
-        return []
-    reason = message.reason if isinstance(message, StoreUnavailable) else ""
-    return _leave_out(rows[0], reason)
+    state.refused = state.in_flight_rows
+    state.refusal = message.reason if isinstance(message, StoreUnavailable) else ""
+    return _send(state, [], action.now)
+
+
+@perform.register
+def _(action: JudgeRows) -> list[Command]:
+    state = action.state
+    rows, state.refused = state.refused, []
+    if len(rows) == 1:
+        return _leave_out(rows[0], state.refusal)
+    state.pending = [*rows, *state.pending]
+    state.sent_alone = max(state.sent_alone, len(rows))
+    return []
+
+
+@perform.register
+def _(action: LogRejection) -> list[Command]:
+    state, message = action.state, action.message
+    state.in_flight = None
+    fields = {
+        "key": state.key,
+        "reason": message.reason if isinstance(message, StoreUnavailable) else "",
+        "version": state.version,
+        "epoch": state.lease.epoch,
+        "waiting": len(state.refused) + len(state.pending),
+        "lease_left": round(max(state.lease.held_until - action.now, 0.0), 3),
+    }
+    return [WriteLog(number=SHARD_ROW_REJECTED.number, fields=fields)]
 
 
 def _leave_out(row: WriteRow, reason: str) -> list[Command]:
@@ -369,7 +431,7 @@
     if state.in_flight is None or not state.releasing:
         return False
     value = state.in_flight.writes[0].value or {}
-    return not value.get("owner") and not state.pending
+    return not value.get("owner") and not (state.pending or state.refused)
 
 
 @perform.register
