--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
@@ -11,7 +11,8 @@
 from .action import holds, perform
 from .chart import Chart, ChartCatalogue
 from .command import Command, ReadRows, Transact, WriteLog
-from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED
+from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED, SHARD_ROW_REJECTED
+from .message import Message
 from .ownership import (
     BATCH_LIMIT,
     BATCH_LIMIT_BYTES,
@@ -38,6 +39,7 @@
     ROW_LIMIT_BYTES,
     row_size,
     StoreUnavailable,
+    SUPERSEDED,
     Transaction,
     Write,
 )
@@ -91,6 +93,12 @@
     __slots__ = ()
 
 
+class EndLease(OwnershipAction):
+    """End the lease, because another write has replaced the shard's row."""
+
+    __slots__ = ()
+
+
 class DiscardClaim(OwnershipAction):
     """Discard the lease and all unwritten rows."""
 
@@ -115,8 +123,23 @@
     __slots__ = ()
 
 
-class IsolateRows(OwnershipAction):
-    """Send the rows of a rejected transaction one by one, or leave out the only one."""
+class SendShardRow(OwnershipAction):
+    """Send the shard's row alone after a transaction was rejected."""
+
+    __slots__ = ()
+
+
+class JudgeRows(OwnershipAction):
+    """Send the rows of a rejected transaction one by one, or leave out the only one.
+
+    The shard's row was stored alone in between, so one of these rows is at fault.
+    """
+
+    __slots__ = ()
+
+
+class LogRejection(OwnershipAction):
+    """Log that the table service rejects the shard's row by itself."""
 
     __slots__ = ()
 
@@ -154,6 +177,24 @@
     __slots__ = ()
 
 
+class Superseded(OwnershipGuard):
+    """Check whether another write has replaced the row since the committed one."""
+
+    __slots__ = ()
+
+
+class ShardRowRejected(OwnershipGuard):
+    """Check whether the shard's row can't be written, even alone."""
+
+    __slots__ = ()
+
+
+class LeaseHeld(OwnershipGuard):
+    """Check whether the last confirmed lease has not ended."""
+
+    __slots__ = ()
+
+
 class OwnOperation(OwnershipGuard):
     """Check whether this entry's last transaction wrote the row."""
 
@@ -250,6 +291,20 @@
     return _accept(action.state, message.versions[action.state.key])
 
 
+@holds.register
+def _(guard: Superseded) -> bool:
+    message = guard.message
+    if not isinstance(message, Committed):
+        return False
+    return message.versions[guard.state.key] == SUPERSEDED
+
+
+@perform.register
+def _(action: EndLease) -> list[Command]:
+    _end_lease(action.state)
+    return []
+
+
 @perform.register
 def _(action: AcceptRow) -> list[Command]:
     message = action.message
@@ -275,9 +330,9 @@
 @perform.register
 def _(action: DiscardClaim) -> list[Command]:
     state = action.state
-    state.lease.held_until = state.lease.grace_until = -inf
+    _end_lease(state)
     state.in_flight = state.observed = None
-    state.in_flight_rows, state.pending = [], []
+    state.in_flight_rows, state.pending, state.refused = [], [], []
     state.sent_alone = 0
     state.observed_since = inf
     return []
@@ -300,9 +355,21 @@
 
 @holds.register
 def _(guard: RowsRejected) -> bool:
-    message = guard.message
-    permanent = isinstance(message, StoreUnavailable) and message.permanent
-    return permanent and bool(guard.state.in_flight_rows)
+    return _is_permanent(guard.message) and bool(guard.state.in_flight_rows)
+
+
+@holds.register
+def _(guard: ShardRowRejected) -> bool:
+    return _is_permanent(guard.message) and not guard.state.in_flight_rows
+
+
+@holds.register
+def _(guard: LeaseHeld) -> bool:
+    return guard.state.lease.may_start(guard.now)
+
+
+def _is_permanent(message: Message) -> bool:
+    return isinstance(message, StoreUnavailable) and message.permanent
 
 
 @perform.register
@@ -318,15 +385,37 @@
 
 
 @perform.register
-def _(action: IsolateRows) -> list[Command]:
+def _(action: SendShardRow) -> list[Command]:
     state, message = action.state, action.message
-    rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
-    if len(rows) > 1:
-        state.pending = [*rows, *state.pending]
-        state.sent_alone = len(rows)
-        return []
-    reason = message.reason if isinstance(message, StoreUnavailable) else ""
-    return _leave_out(rows[0], reason)
+    state.refused = state.in_flight_rows
+    state.refusal = message.reason if isinstance(message, StoreUnavailable) else ""
+    return _send(state, [], action.now)
+
+
+@perform.register
+def _(action: JudgeRows) -> list[Command]:
+    state = action.state
+    rows, state.refused = state.refused, []
+    if len(rows) == 1:
+        return _leave_out(rows[0], state.refusal)
+    state.pending = [*rows, *state.pending]
+    state.sent_alone = max(state.sent_alone, len(rows))
+    return []
+
+
+@perform.register
+def _(action: LogRejection) -> list[Command]:
+    state, message = action.state, action.message
+    state.in_flight = None
+    fields = {
+        "key": state.key,
+        "reason": message.reason if isinstance(message, StoreUnavailable) else "",
+        "version": state.version,
+        "epoch": state.lease.epoch,
+        "waiting": len(state.refused) + len(state.pending),
+        "lease_left": round(max(state.lease.held_until - action.now, 0.0), 3),
+    }
+    return [WriteLog(number=SHARD_ROW_REJECTED.number, fields=fields)]
 
 
 def _leave_out(row: WriteRow, reason: str) -> list[Command]:
@@ -342,7 +431,7 @@
     if state.in_flight is None or not state.releasing:
         return False
     value = state.in_flight.writes[0].value or {}
-    return not value.get("owner") and not state.pending
+    return not value.get("owner") and not (state.pending or state.refused)
 
 
 @perform.register
@@ -398,6 +487,10 @@
     return [Transact(transaction=state.in_flight)]
 
 
+def _end_lease(state: Ownership) -> None:
+    state.lease.held_until = state.lease.grace_until = -inf
+
+
 def _accept(state: Ownership, version: int) -> list[Command]:
     rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
     state.version = version
