Count allocated capacity in whole numbers for the log

The line with the allocated capacity built several resource objects for each unit, in each second of a wait.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/allocation_log.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from ..command import Command, WriteLog
 from ..log_event import CAPACITY_ALLOCATED
 from .fleet_state import FleetState, Worker
@@ -16,7 +18,8 @@
 from .unit import ACTIVE, Unit, UnitId
 from .worker import WorkerState
 
-Shares = dict[str, Resources]
+Shares = dict[str, list[int]]
+"""Thousandths of a core, MB and accelerators by cause, as log records have them."""
 
 ACTIVE_RUNS = "active"
 ORDERED_RUNS = "ordered"
@@ -40,56 +43,57 @@
     allocated, unused, capacity = allocation(terms.service, state, now)
     fields: dict[str, object] = {
         "service": terms.service,
-        "capacity": _amounts(capacity),
-        "allocated": {cause: _amounts(used) for cause, used in allocated.items()},
-        "unused": {cause: _amounts(left) for cause, left in unused.items()},
-        "reserved": _amounts(_reserved(terms.service, state)),
+        "capacity": capacity,
+        "allocated": allocated,
+        "unused": unused,
+        "reserved": _reserved(terms.service, state),
     }
     return [WriteLog(number=CAPACITY_ALLOCATED.number, fields=fields)]
 
 
 def allocation(
     service: str, state: FleetState, now: float
-) -> tuple[Shares, Shares, Resources]:
+) -> tuple[Shares, Shares, list[int]]:
     """Return the allocated and the unused resources by cause, and the capacity.
 
     The first two sum up to the capacity.
     """
     allocated: Shares = {}
     unused: Shares = {}
-    capacity = NO_RESOURCES
+    capacity: Shares = {}
     for worker in state.workers.values():
         if worker.info.service != service:
             continue
-        capacity += worker.info.capacity
-        used = NO_RESOURCES
-        for cause, demand in _allocated_on(worker, state, now):
-            _add(allocated, cause, demand)
-            used += demand
-        _add(unused, _unused_cause(worker, state, now), worker.info.capacity - used)
-    return allocated, unused, capacity
+        unused_cause = _unused_cause(worker, state, now)
+        _add(capacity, service, worker.info.capacity, 1)
+        _add(unused, unused_cause, worker.info.capacity, 1)
+        for cause, demand, count in _allocated_on(worker, state, now):
+            _add(allocated, cause, demand, count)
+            _add(unused, unused_cause, demand, -count)
+    return allocated, unused, capacity.get(service, [0, 0, 0])
 
 
 def _allocated_on(
     worker: Worker, state: FleetState, now: float
-) -> list[tuple[str, Resources]]:
-    """Return the demands of the runs on a worker, with the causes to count them."""
-    found: list[tuple[str, Resources]] = []
+) -> Iterator[tuple[str, Resources, int]]:
+    """Yield the demands and numbers of a worker's runs, with the causes to count them."""
     cause = _worker_cause(worker, now)
     for unit_id in state.units_by_worker.get(worker.worker_id, ()):
         unit = state.unit(unit_id)
         if unit is None:
             continue
         members = unit.open_members_on(worker.worker_id)
-        listed = sum(one.progress.listed_at is not None for one in members)
         if cause or unit.state != ACTIVE:
-            demand = unit.demand.times(len(members))
-            found.append((cause or STOPPING_RUNS, demand))
+            yield cause or STOPPING_RUNS, unit.demand, len(members)
             continue
-        found.append((ACTIVE_RUNS, unit.demand.times(listed)))
-        found.append((ORDERED_RUNS, unit.demand.times(len(members) - listed)))
+        listed = sum(one.progress.listed_at is not None for one in members)
+        if listed:
+            yield ACTIVE_RUNS, unit.demand, listed
+        if listed < len(members):
+            yield ORDERED_RUNS, unit.demand, len(members) - listed
     unknown = state.allocated_to_unknown_runs(worker)
-    return [*found, (cause or UNKNOWN_RUNS, unknown)]
+    if unknown != NO_RESOURCES:
+        yield cause or UNKNOWN_RUNS, unknown, 1
 
 
 def _worker_cause(worker: Worker, now: float) -> str:
@@ -111,14 +115,14 @@
     return causes.get(known.trust, FREE)
 
 
-def _reserved(service: str, state: FleetState) -> Resources:
+def _reserved(service: str, state: FleetState) -> list[int]:
     """Return the resources that are kept for units while others stop for them."""
-    reserved = NO_RESOURCES
+    reserved: Shares = {}
     for unit_id, workers in state.planner.reservations.items():
         unit = _unit_of_service(unit_id, service, state)
         if unit is not None:
-            reserved += unit.demand.times(len(workers))
-    return reserved
+            _add(reserved, service, unit.demand, len(workers))
+    return reserved.get(service, [0, 0, 0])
 
 
 def _unit_of_service(unit_id: UnitId, service: str, state: FleetState) -> Unit | None:
@@ -129,11 +133,8 @@
     return unit if terms is not None and terms.service == service else None
 
 
-def _add(shares: Shares, cause: str, amount: Resources) -> None:
-    if amount != NO_RESOURCES:
-        shares[cause] = shares.get(cause, NO_RESOURCES) + amount
-
-
-def _amounts(amount: Resources) -> list[int]:
-    """Return thousandths of a core, MB and accelerators, as log records have them."""
-    return [amount.cpu, amount.memory, amount.accelerators]
+def _add(shares: Shares, cause: str, demand: Resources, count: int) -> None:
+    share = shares.setdefault(cause, [0, 0, 0])
+    share[0] += count * demand.cpu
+    share[1] += count * demand.memory
+    share[2] += count * demand.accelerators
