Restore the end of a gang's run from the page that has it

The first page of a gang of more than 64 members holds its state and is written after the others, maybe by a later transaction. If the owner is lost in between, the first page says that the gang runs while another page has the end of its last member.

A later page of the same run whose record has left the running states now ends the run, with its failures and checkpoint.

It puts an earlier first page back instead of splitting a transaction.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -20,11 +20,24 @@
 )
 from .progress import JobProgress, MemberRecord, UnitPage, UnitRecord
 from .rows import pack
-from .unit import BLOCKED, COMPLETED, FAILED, Unit, UnitId, UnitMember, WorkerRef
+from .unit import (
+    ACTIVE,
+    BLOCKED,
+    CANCELLING,
+    COMPLETED,
+    FAILED,
+    STOPPING,
+    Unit,
+    UnitId,
+    UnitMember,
+    WorkerRef,
+)
 from .unit_event import index_unit
 
 Pages = dict[PageId, UnitPage]
 
+RUNNING_STATES = frozenset((ACTIVE, STOPPING, CANCELLING))
+
 
 def restore_job(
     job: Job, stored: StoredProgress, state: FleetState, now: float
@@ -201,11 +214,27 @@
         unit.unknown_ends += record.unknown_ends
         if record.run == unit.run:
             unit.set_members(unit.members + members)
+            if unit.state in RUNNING_STATES and record.state not in RUNNING_STATES:
+                _end_recorded_run(unit, record, state)
     job.begun |= unit.run > 0
     job.failed |= unit.state == FAILED
     index_unit(unit, unit.members_by_worker, state)
 
 
+def _end_recorded_run(unit: Unit, record: UnitRecord, state: FleetState) -> None:
+    """Take over the end of a gang's run from a page that is newer than the first one.
+
+    No worker lists an end again that another owner has applied to the last member, so
+    that nothing else would end the run.
+    """
+    unit.lifecycle = state.unit_chart.resume(record.state)
+    unit.failures = record.failures
+    unit.run_failed = record.run_failed
+    unit.checkpoint = unit.start_checkpoint = record.checkpoint
+    for member in unit.members:
+        member.ended = True
+
+
 def _restore_member(record: MemberRecord, state: FleetState, now: float) -> UnitMember:
     worker_ref = WorkerRef(worker_id=record.worker_id, incarnation=record.incarnation)
     return UnitMember(
--- a/tests/workload/test_kept_back.py
+++ b/tests/workload/test_kept_back.py
@@ -4,7 +4,9 @@
 
 from wasabispur_core.workload import job_lifecycle
 from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.unit import FAILED, Unit
+from wasabispur_core.workload.occurrence import PageId
+from wasabispur_core.workload.rows import unit_page_key
+from wasabispur_core.workload.unit import FAILED, STOPPING, Unit, WAITING
 from wasabispur_core.workload.unit_list import count_units, UnitList
 from wasabispur_core.workload.worker import EndedRun, EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
@@ -91,3 +93,40 @@
     lost.expirations_at_end[lost.ends] = lost.expirations
     world.advance(2)
     assert unit.state == FAILED
+
+
+def test_gang_runs_again_if_its_first_page_lacks_the_last_end():
+    """Guard against a gang that neither runs nor waits after a takeover.
+
+    The pages of a large gang may be stored by two transactions, and the owner be lost
+    between them.
+    """
+    world = started_world(workers=8)
+    job = world.submit(gang(128, 0), duration=60.0)
+    world.advance(2)
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    last = str(unit.task_id(100))
+    slow = next(one for one in world.workers.values() if last in one.runs)
+    slow.stop_delay = 60.0
+    for worker in world.workers.values():
+        for task in [one for one in worker.runs if one != last]:
+            worker.end(task, EndKind.BROKEN)
+    world.advance(1)
+    assert unit.state == STOPPING
+    first_page = unit_page_key(job, PageId(0, 0, 0))
+    earlier = world.store.rows[first_page]
+    # No worker may host a second run before the owner is lost.
+    for worker in world.workers.values():
+        worker.draining = True
+    world.advance(2)
+    slow.end(last, EndKind.STOPPED)
+    world.advance(1)
+    assert (unit.state, unit.run) == (WAITING, 1)
+    for index in range(3):
+        world.kill_entry(index)
+    world.store.rows[first_page] = earlier
+    for worker in world.workers.values():
+        worker.draining = False
+    world.advance(10)
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    assert unit.run == 2
