End the waits for workers that are not suspected

Cause: a unit was never placed on a worker on which it had failed while others could have held it when idle. If lasting tasks took these others for good, it waited without end. A worker on trial got no unit beside another one, so that a lasting task there kept it on trial for good, and a last attempt was never made on trial.

Change: both are preferences now, which are dropped after those for racks. The bound follows from the work: a unit with attempts left waits no longer than one run takes, and a last attempt waits until the job has no value. A lasting task, or a job that runs nothing in a quiet service, waits IDLE_JOB_WAIT, as for racks. Workers under suspicion (Trust.NONE) still get nothing; that ends by itself after SUSPICION_TIMEOUT. The limits of attempts and crashes are as before. The wait is logged with a reason of its own.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -73,10 +73,11 @@
     takes several times as long. payload_bytes and order_bytes are the sizes of the
     job's payload and of a run's order in an orders row. failed_on contains the workers on which its runs
     failed. The workers in avoided_workers are used last. With waits_for_rack, the unit
-    waits for workers of a better rack that are expected to report. suspected is set if
-    a worker has crashed under the unit, and dangerous if several have. An isolated unit
-    may only run on workers that run nothing else. relaxed is set if a preference has
-    been dropped.
+    waits for workers of a better rack that are expected to report. With accepts_trial,
+    the unit may run on a worker on trial that has other units, and make its last
+    attempt there. suspected is set if a worker has crashed under the unit, and
+    dangerous if several have. An isolated unit may only run on workers that run nothing
+    else.
     """
 
     unit_id: UnitId
@@ -102,6 +103,7 @@
     failed_on: frozenset[str] = frozenset()
     waits_for_rack: bool = False
     attempts_left: int = 1
+    accepts_trial: bool = False
     suspected: bool = False
     dangerous: bool = False
     isolated: bool = False
@@ -184,6 +186,7 @@
     NO_WORKER = "no worker fits"
     NO_ROOM = "no room"
     RACK = "no room in its rack yet"
+    SUSPICION = "no room on unsuspected workers yet"
     STOPPING = "room is being freed"
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -11,10 +11,12 @@
 from collections.abc import Iterable
 from copy import copy
 from dataclasses import replace
+from functools import singledispatchmethod
 from heapq import nsmallest
 from math import inf
 from typing import TypeGuard
 
+from .caution_wait import caution_pays
 from .eviction import can_free_room, cheapest_eviction, Eviction
 from .eviction_bound import least_cost, least_task_costs
 from .loss_limit import eviction_loss_limit, NO_EVICTION
@@ -31,7 +33,7 @@
     WorkerSnapshot,
 )
 from .planner_memory import Need, need_of, PlannerMemory, UnmetNeed
-from .preference import drop, preferences, relaxed_units
+from .preference import Caution, drop, Preference, preferences, relaxed_units
 from .rack_wait import RackWait
 from .unit import UnitId
 from .unit_placement import (
@@ -160,14 +162,44 @@
         for preference in preferences(unit):
             if not _is_unplaced(found[-1]):
                 break
-            if self._may_wait(unit, candidate):
-                return [replace(found[-1], reason=WaitReason.RACK)]
-            candidate = drop(preference, candidate)
+            relaxed = drop(preference, candidate)
+            if not self._may_matter(preference, candidate, relaxed):
+                continue
+            reason = self._reason_to_wait(preference, unit, candidate)
+            if reason is not None:
+                return [replace(found[-1], reason=reason)]
+            candidate = relaxed
             found = self._decide_strictly(candidate, need_of(candidate))
         return found
 
-    def _may_wait(self, unit: WaitingUnit, candidate: WaitingUnit) -> bool:
-        """Return whether the unit waits on for the workers of a candidate."""
+    @singledispatchmethod
+    def _may_matter(
+        self, preference: Preference, candidate: WaitingUnit, relaxed: WaitingUnit
+    ) -> bool:
+        """Return whether a unit may be placed once the preference is dropped."""
+        return True
+
+    @_may_matter.register
+    def _(
+        self, preference: Caution, candidate: WaitingUnit, relaxed: WaitingUnit
+    ) -> bool:
+        return not self._hosts(relaxed).ids <= self._hosts(candidate).ids
+
+    @singledispatchmethod
+    def _reason_to_wait(
+        self, preference: Preference, unit: WaitingUnit, candidate: WaitingUnit
+    ) -> WaitReason | None:
+        """Return why the unit waits on for the workers of a candidate, if it does."""
+        return WaitReason.RACK if self._rack_wait_pays(unit, candidate) else None
+
+    @_reason_to_wait.register
+    def _(
+        self, preference: Caution, unit: WaitingUnit, candidate: WaitingUnit
+    ) -> WaitReason | None:
+        waits = caution_pays(unit, self.rack_wait, self.workers)
+        return WaitReason.SUSPICION if waits else None
+
+    def _rack_wait_pays(self, unit: WaitingUnit, candidate: WaitingUnit) -> bool:
         hosts = self._hosts(candidate)
         if not hosts.ids or not hosts.groups:
             # The workers of the rack have yet to report.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/preference.py
@@ -27,13 +27,35 @@
     """Prefer workers that are all in one rack."""
 
 
+@dataclass(frozen=True, slots=True)
+class Caution(Preference):
+    """Define the base of preferences that save the unit's attempts."""
+
+
+@dataclass(frozen=True, slots=True)
+class OtherWorkers(Caution):
+    """Prefer workers on which no run of the unit has failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class TrustedWorkers(Caution):
+    """Prefer workers that are not on trial, but for one unit with attempts left."""
+
+
 def preferences(unit: WaitingUnit) -> list[Preference]:
-    """Return the unit's preferences in the order in which they are dropped."""
+    """Return the unit's preferences in the order in which they are dropped.
+
+    Racks come first, as a run away from them takes longer, but uses up no attempt.
+    """
     found: list[Preference] = []
     if unit.data_rack:
         found.append(DataRack())
     if unit.same_rack and unit.size > 1:
         found.append(SingleRack())
+    if unit.failed_on and not unit.dangerous:
+        found.append(OtherWorkers())
+    if not unit.accepts_trial:
+        found.append(TrustedWorkers())
     return found
 
 
@@ -53,6 +75,18 @@
     return replace(unit, same_rack=False, waits_for_rack=False, relaxed=True)
 
 
+@drop.register
+def _(preference: OtherWorkers, unit: WaitingUnit) -> WaitingUnit:
+    # The workers on which the unit failed are still used last.
+    avoided = unit.avoided_workers | unit.failed_on
+    return replace(unit, failed_on=frozenset(), avoided_workers=avoided)
+
+
+@drop.register
+def _(preference: TrustedWorkers, unit: WaitingUnit) -> WaitingUnit:
+    return replace(unit, accepts_trial=True)
+
+
 def relaxed_units(unit: WaitingUnit) -> list[WaitingUnit]:
     """Return the unit with one preference less after the other."""
     relaxed: list[WaitingUnit] = []
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
@@ -111,11 +111,12 @@
         if unit.guaranteed:
             limit = min(limit, GUARANTEED_WAIT)
         idle = unit.unit_id.job_id not in self.busy_jobs
-        if unit.long_running or (idle and self._is_quiet(unit.service, workers)):
+        if unit.long_running or (idle and self.is_quiet(unit.service, workers)):
             limit = min(limit, IDLE_JOB_WAIT)
         return limit
 
-    def _is_quiet(self, service: str, workers: Mapping[str, WorkerSnapshot]) -> bool:
+    def is_quiet(self, service: str, workers: Mapping[str, WorkerSnapshot]) -> bool:
+        """Return whether little of the service's capacity is in use."""
         if service not in self.quiet:
             free = capacity = NO_RESOURCES
             for worker in workers.values():
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -78,7 +78,8 @@
 
 def _trusted(unit: WaitingUnit, worker: WorkerSnapshot) -> bool:
     if worker.trust is Trust.TRIAL:
-        return unit.attempts_left > 1 and not worker.tasks_of_step
+        alone = unit.attempts_left > 1 and not worker.tasks_of_step
+        return alone or unit.accepts_trial
     return worker.trust is Trust.FULL
 
 
@@ -117,6 +118,7 @@
         unit.failed_on,
         unit.dangerous,
         unit.attempts_left > 1,
+        unit.accepts_trial,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
         if _needs_rack(unit) or unit.failed_on or (unit.data_rack and unit.size > 1)
         else None,
--- /dev/null
+++ b/tests/workload/test_waits.py
@@ -0,0 +1,138 @@
+"""Test that each wait of a unit has an end, and that it lasts no longer than it pays."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import inf
+
+import pytest
+
+from wasabispur_core.workload.plan import Snapshot, Trust, Wait, WaitReason
+from wasabispur_core.workload.planner import Planner
+
+from .test_planner import decide, placed, running, stopped, waiting, worker
+from .world import started_world, tasks
+
+
+def snapshot(now: float, workers, waiting_units, running_units=()) -> Snapshot:
+    return Snapshot(
+        now=now,
+        workers=tuple(workers),
+        waiting=tuple(waiting_units),
+        running=tuple(running_units),
+    )
+
+
+def test_room_freed_in_another_rack_is_used():
+    """Guard against a unit that waits without end beside the room freed for it.
+
+    The unit kept its reservation in another rack, but was only placed in its own.
+    """
+    near, far = worker(0, 0, used=8), worker(1, 1, used=8)
+    lasting = running("near", 0, 8, guaranteed=True, priority=0, run_time=inf)
+    victim = running("victim", 1, 8)
+    unit = waiting("unit", 8, priority=0, guaranteed=True, data_rack="r1-0")
+    planner = Planner()
+    decisions = planner.decide(snapshot(0.0, [near, far], [unit], [lasting, victim]))
+    assert stopped(decisions) == {"victim"}
+    stopping = replace(victim, stopping=True)
+    decisions = planner.decide(snapshot(0.1, [near, far], [unit], [lasting, stopping]))
+    assert placed(decisions) == {}
+    decisions = planner.decide(snapshot(0.5, [near, worker(1, 1)], [unit], [lasting]))
+    assert placed(decisions) == {"unit": ["w1"]}
+
+
+def lasting(number: int):
+    """Return a task without an end that fills a worker."""
+    return running(f"l{number}", number, 8, run_time=inf, priority=0)
+
+
+def taken_for_good(first, **fields) -> tuple[list, list]:
+    """Return a worker and two that lasting tasks fill, and these tasks."""
+    full = [worker(number, used=8) for number in (1, 2)]
+    return [first, *full], [lasting(1), lasting(2)]
+
+
+@pytest.mark.parametrize(
+    ("attempts_left", "latest"),
+    # The last attempt waits until the job, due at 10 s, has no value at 30 s.
+    [(2, 4.0), (1, 28.0)],
+)
+def test_unit_is_tried_again_where_it_failed(attempts_left, latest):
+    """Guard against a unit that waits without end for room behind lasting tasks.
+
+    The unit had failed on the only worker that comes free.
+    """
+    workers, units = taken_for_good(worker(0))
+    unit = waiting(
+        "unit",
+        failed_on=frozenset({"w0"}),
+        attempts_left=attempts_left,
+        run_time=4.0,
+        remaining=2.0,
+    )
+    (decision,) = decide(workers, [unit], units, now=latest - 0.1)
+    assert isinstance(decision, Wait)
+    assert decision.reason is WaitReason.SUSPICION
+    assert placed(decide(workers, [unit], units, now=latest)) == {"unit": ["w0"]}
+
+
+@pytest.mark.parametrize("attempts_left", [1, 2])
+def test_job_without_a_run_is_tried_soon_in_a_quiet_service(attempts_left):
+    """Guard against a job that counts as lost, since it runs nothing beside free room.
+
+    All workers with its label but the one on which it failed were taken for good.
+    """
+    workers, units = taken_for_good(worker(0))
+    others = [worker(number, labels=("b", "r1-0")) for number in range(3, 8)]
+    unit = waiting(
+        "unit",
+        label="a",
+        failed_on=frozenset({"w0"}),
+        attempts_left=attempts_left,
+        run_time=60.0,
+    )
+    assert placed(decide([*workers, *others], [unit], units, now=1.9)) == {}
+    found = placed(decide([*workers, *others], [unit], units, now=2.1))
+    assert found == {"unit": ["w0"]}
+
+
+@pytest.mark.parametrize("attempts_left", [1, 2])
+def test_worker_on_trial_beside_a_lasting_task_gets_a_unit(attempts_left):
+    """Guard against a worker that is on trial for ever.
+
+    A lasting task there never ended, so that no other unit could show that the worker
+    is sound; a last attempt was never made on trial.
+    """
+    lasting_step = {("l0", 0, 0): 1}
+    first = worker(0, used=1, trust=Trust.TRIAL, tasks_of_step=lasting_step)
+    workers, units = taken_for_good(first)
+    units.append(running("l0", 0, 1, run_time=inf, priority=0))
+    unit = waiting("unit", attempts_left=attempts_left, run_time=4.0, remaining=2.0)
+    assert placed(decide(workers, [unit], units, now=3.9)) == {}
+    assert placed(decide(workers, [unit], units, now=28.0)) == {"unit": ["w0"]}
+
+
+def test_caution_does_not_delay_a_unit_without_another_choice():
+    """Guard against a wait for workers that no unit may ever use."""
+    unit = waiting("unit", failed_on=frozenset({"w0", "w1"}))
+    assert placed(decide([worker(0), worker(1)], [unit]))["unit"]
+    (decision,) = decide([worker(0, used=8)], [waiting("unit")])
+    assert isinstance(decision, Wait)
+    assert decision.reason is WaitReason.NO_ROOM
+
+
+def test_job_that_failed_beside_lasting_tasks_is_completed():
+    """Guard against a job with an attempt left that runs nothing any more."""
+    world = started_world(workers=2)
+    world.submit(tasks(1, 8, long_running=True), duration=900)
+    world.advance(1)
+    (busy,) = [one.worker_id for one in world.workers.values() if one.runs]
+    (free,) = [one for one in world.workers.values() if one.worker_id != busy]
+    free.sick = True
+    job = world.submit(tasks(1, 8), duration=4)
+    world.advance(1)
+    assert any(task.startswith(job) for task in world.failures)
+    free.sick = False
+    world.advance(10)
+    assert world.ended(job)
