Prefer other workers to one that refuses a unit repeatedly

Cause: a unit that its worker refused was placed again after REFUSAL_BACKOFF, and avoided workers are only the last choice among those it may use.

Change: the owner counts the refusals of a unit that follow each other on one worker. After REFUSAL_LIMIT of them the others are preferred, as those on which it has not failed are, so that a wait for its rack is weighed against the other racks.

After it the unit starts in another rack, and all tests in tests/workload pass.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -71,11 +71,12 @@
     in seconds, on workers that it prefers; a long_running unit has no end of its own.
     data_rack and same_rack are preferences: in other racks, or over several, the unit
     takes several times as long. payload_bytes and order_bytes are the sizes of the
-    job's payload and of a run's order in an orders row. failed_on contains the workers on which its runs
-    failed. The workers in avoided_workers are used last. With waits_for_rack, the unit
-    waits for workers of a better rack that are expected to report. With accepts_trial,
-    the unit may run on a worker on trial that has other units, and make its last
-    attempt there. suspected is set if a worker has crashed under the unit, and
+    job's payload and of a run's order in an orders row. failed_on contains the workers
+    on which its runs failed, and refused_by those that refused several in succession.
+    The workers in avoided_workers are used last. With waits_for_rack, the unit waits
+    for workers of a better rack that are expected to report. With accepts_trial, the
+    unit may run on a worker on trial that has other units, and make its last attempt
+    there. suspected is set if a worker has crashed under the unit, and
     dangerous if several have. An isolated unit may only run on workers that run nothing
     else.
     """
@@ -101,6 +102,7 @@
     long_running: bool = False
     avoided_workers: frozenset[str] = frozenset()
     failed_on: frozenset[str] = frozenset()
+    refused_by: frozenset[str] = frozenset()
     waits_for_rack: bool = False
     attempts_left: int = 1
     accepts_trial: bool = False
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -196,7 +196,7 @@
     def _(
         self, preference: Caution, unit: WaitingUnit, candidate: WaitingUnit
     ) -> WaitReason | None:
-        waits = caution_pays(unit, self.rack_wait, self.workers)
+        waits = caution_pays(preference, unit, self.rack_wait, self.workers)
         return WaitReason.SUSPICION if waits else None
 
     def _rack_wait_pays(self, unit: WaitingUnit, candidate: WaitingUnit) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/preference.py
@@ -42,16 +42,24 @@
     """Prefer workers that are not on trial, but for one unit with attempts left."""
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptingWorkers(Caution):
+    """Prefer workers that have not refused the unit several times in succession."""
+
+
 def preferences(unit: WaitingUnit) -> list[Preference]:
     """Return the unit's preferences in the order in which they are dropped.
 
-    Racks come first, as a run away from them takes longer, but uses up no attempt.
+    Those that save attempts come last: a run away from its rack only takes longer, and
+    a worker that refuses uses up no attempt.
     """
     found: list[Preference] = []
     if unit.data_rack:
         found.append(DataRack())
     if unit.same_rack and unit.size > 1:
         found.append(SingleRack())
+    if unit.refused_by:
+        found.append(AcceptingWorkers())
     if unit.failed_on and not unit.dangerous:
         found.append(OtherWorkers())
     if not unit.accepts_trial:
@@ -87,6 +95,12 @@
     return replace(unit, accepts_trial=True)
 
 
+@drop.register
+def _(preference: AcceptingWorkers, unit: WaitingUnit) -> WaitingUnit:
+    avoided = unit.avoided_workers | unit.refused_by
+    return replace(unit, refused_by=frozenset(), avoided_workers=avoided)
+
+
 def relaxed_units(unit: WaitingUnit) -> list[WaitingUnit]:
     """Return the unit with one preference less after the other."""
     relaxed: list[WaitingUnit] = []
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -56,6 +56,13 @@
 """Seconds of a dangerous unit's run during which its workers get no other unit."""
 
 
+REFUSAL_LIMIT = 2
+"""Runs of a unit that a worker refuses in succession before others are preferred.
+
+The first refusal often comes from a report that was behind.
+"""
+
+
 def take_snapshot(state: FleetState, now: float) -> Snapshot:
     """Return the input of a planning pass, derived from what changed since the last."""
     view = state.view
@@ -265,6 +272,7 @@
         long_running=step.long_running,
         avoided_workers=frozenset(unit.avoided_workers),
         failed_on=frozenset(unit.failed_on),
+        refused_by=_refused_by(unit),
         waits_for_rack=needs_rack and now - unit.ready_at < RACK_WAIT_TIME,
         attempts_left=terms.max_attempts - unit.failures,
         suspected=unit.crashes.most > 0,
@@ -273,6 +281,14 @@
     )
 
 
+def _refused_by(unit: Unit) -> frozenset[str]:
+    return frozenset(
+        worker_id
+        for worker_id, count in unit.refusals.items()
+        if count >= REFUSAL_LIMIT
+    )
+
+
 def _running(
     unit: Unit, job: Job, terms: QueueTerms | None, state: FleetState, now: float
 ) -> RunningUnit:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -118,7 +119,8 @@
     the checkpoint from which the current run started. run_failed is set once a member
     of the current run has failed. avoided_workers contains the workers that refused or
     lost a run of the unit or on which it stalled, and failed_on those on which it
-    failed. crashes contains the workers that crashed under its tasks, and unknown_ends
+    failed. refusals counts the latest runs of the unit that a worker has refused in
+    succession. crashes contains the workers that crashed under its tasks, and unknown_ends
     the runs that ended without it being known how. stored_row is the stored record as a
     row value, or None after a change.
     """
@@ -136,6 +138,7 @@
     run_failed: bool = False
     avoided_workers: set[str] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
+    refusals: Counter[str] = field(default_factory=Counter)
     preemptions: int = 0
     backoff_until: float = 0.0
     crashes: CrashHistory = NO_CRASHES
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
@@ -103,7 +103,10 @@
         unit.failed_on.add(worker_id)
     if ended.kind in (EndKind.REFUSED, EndKind.LOST, EndKind.UNKNOWN):
         unit.avoided_workers.add(worker_id)
-    if ended.kind is EndKind.REFUSED:
+    if ended.kind is not EndKind.REFUSED:
+        del unit.refusals[worker_id]
+    else:
+        unit.refusals[worker_id] += 1
         unit.backoff_until = now + REFUSAL_BACKOFF
     member = unit.member(ended.index)
     begun = member.started_at if member is not None else now
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -59,21 +59,22 @@
     """Exclude workers on which a run of the unit is likely to fail.
 
     If more than half of the workers are suspected, the cause lies elsewhere, and all
-    of them are used. Workers on which it failed are used if the others could not hold
-    the unit even when idle, or if several have crashed under the unit: then the unit is
-    the likely cause, and an idle one of them spares the work on the others.
+    of them are used. Workers that refused it or on which it failed are used if the
+    others could not hold the unit even when idle; the latter also if several have
+    crashed under the unit: then the unit is the likely cause, and an idle one of them
+    spares the work on the others.
     """
     trusted = [worker for worker in possible if _trusted(unit, worker)]
     if 2 * len(trusted) < len(possible):
         trusted = possible
-    elsewhere = [
-        worker
-        for worker in trusted
-        if worker.worker_ref.worker_id not in unit.failed_on
-    ]
-    if unit.dangerous or not _can_hold(unit, elsewhere):
-        return trusted
-    return elsewhere
+    failed_on = frozenset() if unit.dangerous else unit.failed_on
+    for excluded in (failed_on | unit.refused_by, failed_on):
+        elsewhere = [
+            worker for worker in trusted if worker.worker_ref.worker_id not in excluded
+        ]
+        if _can_hold(unit, elsewhere):
+            return elsewhere
+    return trusted
 
 
 def _trusted(unit: WaitingUnit, worker: WorkerSnapshot) -> bool:
@@ -116,11 +117,12 @@
         unit.data_rack,
         unit.waits_for_rack,
         unit.failed_on,
+        unit.refused_by,
         unit.dangerous,
         unit.attempts_left > 1,
         unit.accepts_trial,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
-        if _needs_rack(unit) or unit.failed_on or (unit.data_rack and unit.size > 1)
+        if _needs_rack(unit) or unit.failed_on or unit.refused_by
         else None,
     )
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/waiting_order.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/waiting_order.py
@@ -57,6 +57,7 @@
     return (
         *step_key(unit),
         unit.failed_on,
+        unit.refused_by,
         unit.attempts_left > 1,
         unit.suspected,
         unit.dangerous,
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -9,6 +9,7 @@
 
 from wasabispur_core.workload.plan import Snapshot, Trust, Wait, WaitReason
 from wasabispur_core.workload.planner import Planner
+from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
 from .world import started_world, tasks
@@ -136,3 +137,45 @@
     free.sick = False
     world.advance(10)
     assert world.ended(job)
+
+
+def test_unit_that_its_rack_refuses_starts_elsewhere(monkeypatch):
+    """Guard against a worker that refuses a unit again and again while others idle.
+
+    The owner saw room on one worker of the unit's rack, which refused each start, and
+    a lasting task held the other one.
+    """
+    world = started_world(workers=4)
+    world.submit(tasks(1, 8, data_rack="r1-0", long_running=True), duration=900)
+    world.advance(1)
+    (refusing,) = [
+        one for one in world.workers.values() if one.rack == "r1-0" and not one.runs
+    ]
+    refuse_starts(monkeypatch, refusing)
+    job = world.submit(tasks(1, 8, data_rack="r1-0"), duration=1)
+    world.advance(3)
+    assert any(task.startswith(job) for _, task, _, _ in world.starts)
+
+
+def test_worker_that_refused_a_unit_is_asked_again(monkeypatch):
+    """Guard against a unit that waits for good because its only free worker refused."""
+    world = started_world(workers=2)
+    world.submit(tasks(1, 8, long_running=True), duration=900)
+    world.advance(1)
+    (refusing,) = [one for one in world.workers.values() if not one.runs]
+    with monkeypatch.context() as context:
+        refuse_starts(context, refusing)
+        job = world.submit(tasks(1, 8), duration=1)
+        world.advance(6)
+    world.advance(4)
+    assert world.ended(job)
+
+
+def refuse_starts(monkeypatch, refusing: SimulatedWorker) -> None:
+    """Let a worker refuse all starts for want of room."""
+    start = SimulatedWorker.start
+
+    def refuse(worker, run, epoch, lease_end):
+        return "room" if worker is refusing else start(worker, run, epoch, lease_end)
+
+    monkeypatch.setattr(SimulatedWorker, "start", refuse)
