Skip preferences that make no difference to a unit's workers

Cause: a gang that no rack could hold when idle may already run on all workers. It was nevertheless taken to prefer one rack: with a backlog, passes made a forecast over all workers for it, and searched all of them a second time.

Change: a preference is only weighed if the unit has other workers or other groups of them without it. What is decided is the same otherwise; such a unit now waits with the reason NO_ROOM.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -163,7 +163,8 @@
             if not _is_unplaced(found[-1]):
                 break
             relaxed = drop(preference, candidate)
-            if not self._may_matter(preference, candidate, relaxed):
+            if self._hosts(relaxed) == self._hosts(candidate):
+                # The preference is void, as no rack could hold the unit, for example.
                 continue
             reason = self._reason_to_wait(preference, unit, candidate)
             if reason is not None:
@@ -172,19 +173,6 @@
             found = self._decide_strictly(candidate, need_of(candidate))
         return found
 
-    @singledispatchmethod
-    def _may_matter(
-        self, preference: Preference, candidate: WaitingUnit, relaxed: WaitingUnit
-    ) -> bool:
-        """Return whether a unit may be placed once the preference is dropped."""
-        return True
-
-    @_may_matter.register
-    def _(
-        self, preference: Caution, candidate: WaitingUnit, relaxed: WaitingUnit
-    ) -> bool:
-        return not self._hosts(relaxed).ids <= self._hosts(candidate).ids
-
     @singledispatchmethod
     def _reason_to_wait(
         self, preference: Preference, unit: WaitingUnit, candidate: WaitingUnit
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -9,6 +9,7 @@
 
 from wasabispur_core.workload.plan import Snapshot, Trust, Wait, WaitReason
 from wasabispur_core.workload.planner import Planner
+from wasabispur_core.workload.rack_forecast import RackForecast
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
@@ -171,6 +172,25 @@
     assert world.ended(job)
 
 
+def test_void_preference_needs_no_forecast(monkeypatch):
+    """Guard against a pass that is many times slower than without waits for racks.
+
+    A forecast over all workers was made for each gang that no rack could hold, although
+    such a gang gains nothing from waiting for one.
+    """
+    forecasts = []
+    monkeypatch.setattr(
+        RackForecast,
+        "expected_wait",
+        lambda self, unit, *_: forecasts.append(unit) or (inf, ""),
+    )
+    workers = [worker(number, number, used=8) for number in range(4)]
+    gang = waiting("gang", 8, size=2, same_rack=True)
+    (decision,) = decide(workers, [gang], [running("r", n, 8) for n in range(4)])
+    assert decision.reason is WaitReason.NO_ROOM
+    assert not forecasts
+
+
 def refuse_starts(monkeypatch, refusing: SimulatedWorker) -> None:
     """Let a worker refuse all starts for want of room."""
     start = SimulatedWorker.start
