--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -7,13 +7,22 @@
 
 import pytest
 
+from wasabispur_core.workload.crash_history import NO_CRASHES
 from wasabispur_core.workload.plan import Snapshot, Trust, Wait, WaitReason
 from wasabispur_core.workload.planner import Planner
 from wasabispur_core.workload.rack_forecast import RackForecast
+from wasabispur_core.workload.snapshot import (
+    ISOLATION_TIME,
+    ISOLATION_WAIT_TIME,
+    RACK_WAIT_TIME,
+    REPORT_AGE_LIMIT,
+    REPORT_WAIT_TIME,
+)
+from wasabispur_core.workload.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
-from .world import started_world, tasks
+from .world import HEARTBEAT_INTERVAL, started_world, tasks
 
 
 def snapshot(now: float, workers, waiting_units, running_units=()) -> Snapshot:
@@ -191,6 +200,82 @@
     assert not forecasts
 
 
+def test_avoided_worker_is_used_if_it_alone_has_room():
+    """Guard against a unit that waits for others than a worker that lost its run."""
+    workers, units = taken_for_good(worker(0))
+    unit = waiting("unit", avoided_workers=frozenset({"w0"}))
+    assert placed(decide(workers, [unit], units)) == {"unit": ["w0"]}
+
+
+def test_rack_whose_workers_never_report_is_given_up():
+    """Guard against a unit that waits without end for workers that left unnoticed."""
+    world = started_world(workers=4)
+    for one in world.workers.values():
+        one.silent = one.rack == "r1-0"
+    world.advance(REPORT_AGE_LIMIT + 2 * HEARTBEAT_INTERVAL)
+    job = world.submit(tasks(1, 8, data_rack="r1-0"), duration=1)
+    world.advance(RACK_WAIT_TIME + 1.0)
+    assert any(task.startswith(job) for _, task, _, _ in world.starts)
+
+
+def test_settling_ends_although_a_worker_stays_silent():
+    """Guard against an urgent job that waits for a report before others are stopped."""
+    world = started_world(workers=2)
+    world.submit(tasks(2, 8), queue_name="bulk", duration=900)
+    world.advance(1)
+    next(iter(world.workers.values())).silent = True
+    world.kill_entry(world.entries.index(world.owner()))
+    while world.owner() is None:
+        world.advance(0.1)
+    urgent = world.submit(tasks(1, 8), queue_name="urgent", duration=1, entry=1)
+    world.advance(REPORT_WAIT_TIME + 3.0)
+    assert any(task.startswith(urgent) for _, task, _, _ in world.starts)
+
+
+def test_isolation_ends_on_a_busy_fleet():
+    """Guard against a dangerous unit that waits for a worker that runs nothing."""
+    world = started_world(workers=1)
+    world.submit(tasks(1, 1, long_running=True), duration=900)
+    world.advance(1)
+    job = world.submit(tasks(1, 1), duration=1)
+    world.advance(0.2)
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    unit.crashes = NO_CRASHES.after_crash(0, 0.1).after_crash(0, 0.1)
+    begun = unit.run
+    world.owner().fleet.view.changed_units.add(unit.unit_id)
+    world.workers["w0"].end(f"{job}.0.0.0", EndKind.LAPSED)
+    world.advance(1)
+    assert unit.run == begun
+    world.advance(ISOLATION_WAIT_TIME)
+    assert unit.run == begun + 1
+
+
+def test_worker_closed_by_a_dangerous_unit_opens_again():
+    """Guard against a worker that gets no unit beside a dangerous one that runs on."""
+    world = started_world(workers=1)
+    job = world.submit(tasks(1, 1), duration=900)
+    world.advance(1)
+    (unit,) = world.owner().fleet.jobs[job].units.values()
+    unit.crashes = NO_CRASHES.after_crash(0, 0.1).after_crash(0, 0.1)
+    other = world.submit(tasks(1, 1), duration=1)
+    world.advance(ISOLATION_TIME + 1.0)
+    assert any(task.startswith(other) for _, task, _, _ in world.starts)
+
+
+def test_reservation_ends_with_the_room_of_its_worker():
+    """Guard against a reservation whose worker can't host the unit any more."""
+    full = [worker(0, used=8), worker(1, used=8)]
+    victims = [running("v0", 0, 8, lost_work=1.0), running("v1", 1, 8, lost_work=2.0)]
+    unit = waiting("unit", 8, priority=0, guaranteed=True)
+    planner = Planner()
+    decisions = planner.decide(snapshot(0.0, full, [unit], victims))
+    assert stopped(decisions) == {"v0"}
+    # Another run has taken the room that the first victim released.
+    taken = [running("other", 0, 8, guaranteed=True, priority=0), victims[1]]
+    decisions = planner.decide(snapshot(1.0, full, [unit], taken))
+    assert stopped(decisions) == {"v1"}
+
+
 def refuse_starts(monkeypatch, refusing: SimulatedWorker) -> None:
     """Let a worker refuse all starts for want of room."""
     start = SimulatedWorker.start
