Compare passes with and without memory over longer histories

Cause: the comparison had no lasting tasks, no steps bound to a label, one estimate for all steps, and no workers that are added, replaced or removed; and no time passed without a change, with which alone the waits for racks and for unsuspected workers end.

Change: a second test plays such histories, and limits the number of open jobs so that the service has room at times. The first test is as before.

--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from copy import deepcopy
-from dataclasses import fields
+from dataclasses import fields, replace
 from random import Random
 
 import pytest
@@ -27,6 +27,19 @@
 STEPS = 120
 """Random changes of one history."""
 
+LONG_STEPS = 100
+"""Random changes of one history with lasting tasks and changing workers."""
+
+LASTING_JOBS_LIMIT = 3
+"""Jobs of lasting tasks at a time, so that other jobs still start."""
+
+OPEN_JOBS_LIMIT = 8
+"""Jobs at a time, so that the service has room at times."""
+
+WORKERS_LIMIT = 9
+IDLE_TIME = 6.0
+"""Seconds without any change, longer than the bounds of most waits."""
+
 
 def full_snapshot(state: FleetState, now: float) -> Snapshot:
     """Return a snapshot that is derived from the whole state."""
@@ -150,3 +163,94 @@
     assert compared.passes > STEPS
     assert compared.remembered > STEPS / 3
     assert compared.decided > STEPS / 3
+
+
+class LongHistory:
+    """Make random changes of the load and of the workers, and pauses between them."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.world = World(workers=6)
+        self.jobs: list[str] = []
+        self.lasting: list[str] = []
+        self.added = 6
+        self.world.advance(4)
+
+    def step(self) -> None:
+        """Make one change, and let some time pass."""
+        kinds = [self.submit] * 6 + [self.submit_lasting, self.cancel_lasting]
+        kinds += [self.add_worker, self.remove_worker, self.wait]
+        kinds += [lambda: change(self.world, self.random)] * 4
+        self.random.choice(kinds)()
+        self.world.advance(self.random.choice([0.05, 0.2, 0.5, 1.0]))
+
+    def submit(self, lasting: bool = False) -> str:
+        """Submit a job with preferences for racks, labels and wrong estimates."""
+        random = self.random
+        self.jobs = [job for job in self.jobs if not self.world.ended(job)]
+        if len(self.jobs) >= OPEN_JOBS_LIMIT:
+            self.world.cancel(self.jobs.pop(0))
+        step = tasks if lasting else random.choice([gang, tasks])
+        spec = step(
+            random.randint(1, 6),
+            random.choice([1, 2, 4, 8]),
+            same_rack=random.random() < 0.5,
+            checkpointing=random.random() < 0.3,
+            data_rack=random.choice(["", "r1-0", "r1-1", "r1-2"]),
+            label=random.choice(["", "", "a", "r1-0", "r1-1"]),
+            tasks_per_worker=random.choice([0, 0, 1]),
+            long_running=lasting,
+        )
+        job = self.world.submit(
+            replace(spec, estimate=random.choice([0.0, 0.5, 2.0, 8.0])),
+            queue_name=random.choice(["urgent", "batch", "bulk"]),
+            organisation=random.choice(ORGANISATIONS),
+            duration=900 if lasting else random.choice([0.3, 2.0, 9.0]),
+        )
+        self.jobs.append(job)
+        return job
+
+    def submit_lasting(self) -> None:
+        if len(self.lasting) < LASTING_JOBS_LIMIT:
+            self.lasting.append(self.submit(lasting=True))
+
+    def cancel_lasting(self) -> None:
+        if self.lasting:
+            self.world.cancel(self.lasting.pop(0))
+
+    def add_worker(self) -> None:
+        if len(self.world.workers) < WORKERS_LIMIT:
+            self.world.add_worker(self.added)
+            self.added += 1
+
+    def remove_worker(self) -> None:
+        """Remove a worker for good, or replace it by another one."""
+        worker_id = self.random.choice(sorted(self.world.workers))
+        if self.random.random() < 0.5 or len(self.world.workers) <= 4:
+            self.world.replace_worker(worker_id, f"x{self.added}")
+            self.added += 1
+        else:
+            self.world.workers.pop(worker_id).up = False
+
+    def wait(self) -> None:
+        self.world.advance(IDLE_TIME)
+
+
+@pytest.mark.parametrize("seed", [101, 102, 103])
+def test_long_history_with_memory_is_decided_as_without(seed, monkeypatch):
+    """Guard against waits that a planner with memory ends later than one without.
+
+    Lasting tasks take racks for good, and the waits for racks and for unsuspected
+    workers end with the time alone, without any change of a worker.
+    """
+    compared = ComparedPasses()
+    monkeypatch.setattr(scheduler, "take_snapshot", compared.take_snapshot)
+    monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_LIMIT", 10_000)
+    monkeypatch.setattr(planning_pass, "EVICTION_SEARCH_INTERVAL", 0.0)
+    monkeypatch.setattr(rack_wait, "CHECK_INTERVAL", 0.0)
+    history = LongHistory(seed)
+    for _ in range(LONG_STEPS):
+        history.step()
+    assert compared.passes > LONG_STEPS
+    assert compared.remembered > LONG_STEPS / 3
+    assert compared.decided > LONG_STEPS / 3
