--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -76,9 +76,9 @@
     The workers in avoided_workers are used last. With waits_for_rack, the unit waits
     for workers of a better rack that are expected to report. With accepts_trial, the
     unit may run on a worker on trial that has other units, and make its last attempt
-    there. suspected is set if a worker has crashed under the unit, and
-    dangerous if several have. An isolated unit may only run on workers that run nothing
-    else.
+    there. suspected is set if a worker has crashed under the unit, and dangerous if
+    several have. An isolated unit may only run on workers that run nothing else.
+    relaxed is set if a preference for a rack has been dropped.
     """
 
     unit_id: UnitId
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -139,15 +139,23 @@
     def _decide_reserved(
         self, unit: WaitingUnit, reserved: tuple[str, ...]
     ) -> list[Decision]:
+        """Return the decisions on a unit with a reservation, or none if it is over.
+
+        The unit is placed without the preferences that were dropped before others were
+        stopped for it.
+        """
         for candidate in (unit, *relaxed_units(unit)):
             hosts = self._hosts(candidate)
             placement = choose_placement(candidate, self._groups(hosts))
             if placement is not None:
-                return self._place(unit, placement)
+                return self._place(candidate, placement)
             if hosts.ids.issuperset(reserved):
-                break
-        else:
-            return []
+                return self._keep_reserved(candidate, reserved)
+        return []
+
+    def _keep_reserved(
+        self, unit: WaitingUnit, reserved: tuple[str, ...]
+    ) -> list[Decision]:
         for worker_id, count in Counter(reserved).items():
             worker = self.workers[worker_id]
             if count_fitting(unit, worker, worker.free + worker.releasing) < count:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -122,7 +122,10 @@
         unit.attempts_left > 1,
         unit.accepts_trial,
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
-        if _needs_rack(unit) or unit.failed_on or unit.refused_by
+        if _needs_rack(unit)
+        or unit.failed_on
+        or unit.refused_by
+        or (unit.data_rack and unit.size > 1)
         else None,
     )
 
