Use room freed over several racks, and keep hosts of a spread gang apart

Callers of a guaranteed gang that needs two racks waited without end beside the room that was freed for it, and the work that was stopped waited too: the hosts of a gang that prefers one rack contain all workers, so that the reservation looked like one within its preference, and the gang without it was never tried. A gang with a failed run or with data in a rack shared one entry of the planner's memory with itself without the preference, so that it was never spread, or spread at once.

Change: a reservation belongs to the candidate of which one group contains it, and the key of a unit's hosts tells whether it needs one rack.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -149,7 +149,7 @@
             placement = choose_placement(candidate, self._groups(hosts))
             if placement is not None:
                 return self._place(candidate, placement)
-            if hosts.ids.issuperset(reserved):
+            if any(set(group).issuperset(reserved) for group in hosts.groups):
                 return self._keep_reserved(candidate, reserved)
         return []
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
@@ -121,6 +121,7 @@
         unit.dangerous,
         unit.attempts_left > 1,
         unit.accepts_trial,
+        _needs_rack(unit),
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
         if _needs_rack(unit)
         or unit.failed_on
