Forecast the room of a rack once for all units with the same demand

Change: the room over time is computed once for each group of workers and demand, and again only in racks in which something was placed. Units that wait claim their room by group, not by the name of the rack, so that a unit of another service takes none; tasks of the step that are present count where a step is limited on each worker.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from .plan import Snapshot, WaitingUnit, WorkerSnapshot
-from .rack_forecast import RackForecast
+from .rack_forecast import Group, RackForecast
 from .spec import NO_RESOURCES, used_share
 from .unit import UnitId
 
@@ -36,12 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RackCheck:
-    """Describe whether a unit waits for a rack until a time in monotonic seconds.
+    """Describe whether a unit waits for a group of workers, usually those of a rack.
 
-    rack is empty if the unit does not wait.
+    The group is empty if the unit does not wait. until is the time in monotonic seconds
+    at which that is decided again.
     """
 
-    rack: str
+    group: Group
     until: float
 
 
@@ -86,9 +87,9 @@
         if check is None or self.now >= check.until:
             check = self._check(unit, candidate, groups, workers)
         self.checks[key] = check
-        if check.rack:
-            self.forecast.claim(candidate, check.rack)
-        return bool(check.rack)
+        if check.group:
+            self.forecast.claim(candidate, check.group)
+        return bool(check.group)
 
     def _check(
         self,
@@ -101,9 +102,11 @@
         until = self.now + CHECK_INTERVAL
         left = unit.ready_at + self._limit(unit, workers) - self.now
         if left <= 0:
-            return RackCheck("", until)
-        expected, rack = self.forecast.expected_wait(candidate, groups, left)
-        return RackCheck(rack if expected <= left else "", min(until, self.now + left))
+            return RackCheck((), until)
+        expected, group = self.forecast.expected_wait(candidate, groups)
+        if expected > left:
+            return RackCheck((), until)
+        return RackCheck(group, min(until, self.now + left))
 
     def _limit(self, unit: WaitingUnit, workers: Mapping[str, WorkerSnapshot]) -> float:
         """Return the seconds for which the unit waits at most."""
