--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -286,7 +286,7 @@
             return NO_RESOURCES
         step = int(parts[1])
         steps = job.spec.steps
-        return steps[step].demand if step < len(steps) else NO_RESOURCES
+        return steps[step].reserved if step < len(steps) else NO_RESOURCES
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
@@ -120,6 +120,14 @@
     latency_target: float = 0.0
     max_unavailable: int = 0
 
+    @property
+    def reserved(self) -> Resources:
+        """Return the resources that one task reserves; a filling one reserves no cpu."""
+        if not self.filling:
+            return self.demand
+        demand = self.demand
+        return Resources(memory=demand.memory, accelerators=demand.accelerators)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QueueTerms:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -154,11 +154,8 @@
 
     @property
     def demand(self) -> Resources:
-        """Return the demand of one task; a filling task reserves no cpu."""
-        if not self.step.filling:
-            return self.step.demand
-        demand = self.step.demand
-        return Resources(memory=demand.memory, accelerators=demand.accelerators)
+        """Return the resources that one task reserves."""
+        return self.step.reserved
 
     @property
     def may_be_running(self) -> bool:
