Make no planning pass while the lease of the shard is over

Cause: planning didn't look at the lease. An owner that woke up after another entry had taken over read the jobs accepted meanwhile and placed them, before the store had answered it: both entries logged 426 for one job. While the store was away, an owner went on to log placements that no agent could read of.

Change: the scheduler knows the lease of its shard, as that of gang jobs does, and makes no pass while it is over. One line (416) says so, and the next message under a confirmed lease begins a pass.

Ruled out for now: ending the ownership with its lease. Writes are fenced by the row's version, and an owner that confirms late keeps what it has read.

Seen failing on the code before, in test_lease_over.py: "assert 2 == 0" (placements by the former owner after it woke up), and "assert 0 == 1" (no 416). Measured: tests/workload, tests/chart, tests/job, tests/metrics and tests/adapter pass.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -12,6 +12,7 @@
 
 from ..chart import Chart
 from ..message import Message
+from ..ownership import ShardLease
 from .fleet_view import FleetView
 from .occurrence import Occurrence, PageId
 from .planner import Planner
@@ -184,6 +185,8 @@
     contains the jobs whose rows may still be delivered although they were removed.
     message_number counts the messages that were handled, and wait_lines the lines about
     long waits. takeover is the takeover in which this entry became the owner, or None.
+    lease is the ownership's lease, or None in a simulation without one, and suspended is
+    set while no planning pass is made because the lease is over.
     """
 
     unit_chart: Chart
@@ -216,12 +219,18 @@
     message_number: int = 0
     wait_lines: WaitLines = field(default_factory=WaitLines)
     takeover: Takeover | None = None
+    lease: ShardLease | None = None
+    suspended: bool = False
 
     @property
     def active(self) -> bool:
         """Return whether this entry is the owner and has read all that it needs."""
         return self.owning and not self.loading
 
+    def may_plan(self, now: float) -> bool:
+        """Return whether the lease of the shard is held."""
+        return self.lease is None or self.lease.may_start(now)
+
     def terms(self, job: Job) -> QueueTerms | None:
         """Return what the job's queue grants to it, or None if that is unknown.
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -185,7 +185,7 @@
         horizon = owner_horizon(self.settings.lease_times)
         return Shard(
             ownership,
-            new_fleet_state(self.catalogue, horizon),
+            new_fleet_state(self.catalogue, horizon, ownership.lease),
             decide_jobs=decide,
             tick=FleetTick(),
             tick_interval=OWNER_TICK_INTERVAL,
--- /dev/null
+++ b/tests/workload/test_lease_over.py
@@ -0,0 +1,53 @@
+"""Test an owner whose lease is over and that has not confirmed it again."""
+
+from __future__ import annotations
+
+from wasabispur_core.log_event import PLANNING_SUSPENDED, UNIT_PLACED
+
+from .world import COMPLETED, started_world, tasks
+
+
+def test_owner_that_wakes_up_after_its_lease_places_nothing():
+    """Guard against two entries that log placements of one job.
+
+    The former owner was frozen while another entry took over. It read the jobs that had
+    been accepted meanwhile, and placed them before the store had answered it.
+    """
+    world = started_world()
+    former = world.owner()
+    other = (world.entries.index(former) + 1) % len(world.entries)
+    former.paused = True
+    world.advance(0.5)
+    job = world.submit(tasks(2), duration=1.0, entry=other)
+    world.advance(8)
+    placed = former.logs.count(UNIT_PLACED.number)
+    former.resume()
+    world.advance(2)
+    assert former.logs.count(UNIT_PLACED.number) == placed
+    assert not former.fleet.owning
+    assert world.state_of(job, other).job_state is COMPLETED
+
+
+def test_owner_plans_nothing_while_the_store_is_away_and_goes_on_after_it():
+    """Guard against placements that are logged and can't be stored.
+
+    The lines told for as long as the store was away that an entry placed work that no
+    agent could read of; and against an owner that doesn't begin again.
+    """
+    world = started_world()
+    owner = world.owner()
+    blocked = world.submit(tasks(4, 8), duration=4.0)
+    world.advance(1)
+    waiting = world.submit(tasks(2, 8), duration=1.0)
+    world.advance(0.5)
+    placed = owner.logs.count(UNIT_PLACED.number)
+    world.store.down = True
+    world.advance(8)
+    for worker in world.workers.values():
+        assert not worker.runs
+    assert owner.logs.count(UNIT_PLACED.number) == placed
+    (line,) = [one for one in owner.records if one.number == PLANNING_SUSPENDED.number]
+    assert 0 <= line.fields["over"] < 1.0
+    world.clear_faults()
+    world.advance(10)
+    assert all(world.ended(job) for job in (blocked, waiting))
