--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -226,6 +226,8 @@
     def remove_worker(self) -> None:
         """Remove a worker for good, or replace it by another one."""
         worker_id = self.random.choice(sorted(self.world.workers))
+        # Ends that were not acknowledged are lost with it, so that tasks run again.
+        self.world.restart_worker(self.world.workers[worker_id])
         if self.random.random() < 0.5 or len(self.world.workers) <= 4:
             self.world.replace_worker(worker_id, f"x{self.added}")
             self.added += 1
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -276,6 +276,24 @@
     assert stopped(decisions) == {"v1"}
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [{"data_rack": "r1-9"}, {"failed_on": frozenset({"w9"})}],
+    ids=["data without workers", "failed before"],
+)
+def test_gang_is_spread_if_no_rack_has_room_for_good(fields):
+    """Guard against a gang that waits for one rack although it may be spread.
+
+    The workers of a gang that may be spread were looked up under the same key as those
+    of one that keeps to a rack.
+    """
+    workers = [worker(number, number, used=4) for number in range(2)]
+    units = [running(f"l{n}", n, 4, run_time=inf, priority=0) for n in range(2)]
+    gang = waiting("gang", 1, size=5, same_rack=True, **fields)
+    (decision,) = decide(workers, [gang], units, now=9.0)
+    assert {chosen.worker_id for chosen in decision.placement} == {"w0", "w1"}
+
+
 def refuse_starts(monkeypatch, refusing: SimulatedWorker) -> None:
     """Let a worker refuse all starts for want of room."""
     start = SimulatedWorker.start
