Stop waiting for a run whose stop has no effect

Cause: the resources of a stopping unit counted as being released for as long as its worker reported the run. A unit for which it was stopped kept its reservation there, and no other unit was stopped for it.

Change: a unit records since when it is in its state. STOP_LIMIT after the stop, the resources no longer count as being released; the reservation ends, and room is searched elsewhere. The room itself stays taken until the run has ended, so that no capacity is exceeded. A further test shows that a late job, which goes last in the order, is placed beside newcomers in a half empty service; it passes before the change, too.

Measured: before the change test_unit_does_not_wait_for_a_stop_without_effect E AssertionError: assert set() == {'v1'} After it the test passes, as do all tests in tests/workload.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
@@ -207,6 +207,7 @@
             crashes=record.crashes,
             unknown_ends=record.unknown_ends,
             ready_at=now,
+            state_since=now,
         )
         unit.set_members(members)
     else:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -123,7 +123,7 @@
 
     lost_work is the work in core-seconds that is lost if the unit stops at measured_at,
     which is in monotonic seconds, and loss_rate its growth in core-seconds per second.
-    stopping is set if the unit has been told to stop. ends_in is the estimated
+    stopping is set if the unit has been told to stop, which was at stopping_since. ends_in is the estimated
     remaining time of its run, run_time the estimate of its whole run, which is infinite
     if it has no end of its own, leaves_in the time after which the first of its workers
     leaves, and stalled_for the longest time for which one of its runs has made no
@@ -140,6 +140,7 @@
     loss_rate: float = 0.0
     measured_at: float = 0.0
     stopping: bool = False
+    stopping_since: float = 0.0
     preemptions: int = 0
     ends_in: float = 0.0
     run_time: float = DEFAULT_ESTIMATE
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -58,6 +58,13 @@
 Several changes share one search then; a search costs more than the rest of a pass.
 """
 
+STOP_LIMIT = 4.0
+"""Seconds for which the resources of a stopping unit count as being released.
+
+A stop takes up to 1.5 s. A worker that never carries it out must not keep a unit
+waiting for room that doesn't come free.
+"""
+
 
 class PlanningPass:
     """Represent the state of one pass: free resources, victims, and failed searches."""
@@ -89,7 +96,7 @@
         self.eviction_searches_left = EVICTION_SEARCH_LIMIT
         self.unfinished = False
         for unit in snapshot.running:
-            if unit.stopping:
+            if unit.stopping and self.now - unit.stopping_since < STOP_LIMIT:
                 self._add_releasing(unit)
 
     def all_unmet(self) -> dict[Need, UnmetNeed]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
@@ -310,6 +310,7 @@
         loss_rate=0.0 if stalled or saves_work else weight,
         measured_at=begun,
         stopping=unit.state != ACTIVE,
+        stopping_since=unit.state_since,
         preemptions=unit.preemptions,
         ends_in=_ends_in(unit, now - begun, now),
         run_time=_run_time(unit, state),
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
@@ -114,8 +114,9 @@
 class Unit:
     """Represent a unit and its current run.
 
-    ready_at is the time since which the unit waits, and backoff_until the time before
-    which it is not placed, both in monotonic seconds of the owner. start_checkpoint is
+    ready_at is the time since which the unit waits, state_since the time since which it
+    is in its state, and backoff_until the time before which it is not placed, all in
+    monotonic seconds of the owner. start_checkpoint is
     the checkpoint from which the current run started. run_failed is set once a member
     of the current run has failed. avoided_workers contains the workers that refused or
     lost a run of the unit or on which it stalled, and failed_on those on which it
@@ -135,6 +136,7 @@
     members: list[UnitMember] = field(default_factory=list)
     members_by_worker: dict[str, list[UnitMember]] = field(default_factory=dict)
     ready_at: float = 0.0
+    state_since: float = 0.0
     run_failed: bool = False
     avoided_workers: set[str] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
@@ -27,6 +27,8 @@
     former_state, former_crashes = unit.state, unit.crashes
     former_workers = set(unit.members_by_worker)
     unit.lifecycle.handle(message, attempt_limit(job, state), unit, now)
+    if unit.state != former_state:
+        unit.state_since = now
     unit.stored_row = None
     state.capacity_changed = True
     workers = former_workers.union(unit.members_by_worker)
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -294,6 +294,36 @@
     assert {chosen.worker_id for chosen in decision.placement} == {"w0", "w1"}
 
 
+def test_unit_does_not_wait_for_a_stop_without_effect():
+    """Guard against a unit that waits without end for a run that never stops.
+
+    Its worker went on reporting the run, and the unit kept its reservation there.
+    """
+    full = [worker(0, used=8), worker(1, used=8)]
+    victims = [running("v0", 0, 8, lost_work=1.0), running("v1", 1, 8, lost_work=2.0)]
+    unit = waiting("unit", 8, priority=0, guaranteed=True)
+    planner = Planner()
+    decisions = planner.decide(snapshot(0.0, full, [unit], victims))
+    assert stopped(decisions) == {"v0"}
+    stopping = [replace(victims[0], stopping=True), victims[1]]
+    unchanged = replace(
+        snapshot(0.1, full, [unit], stopping), changed=frozenset({"w0"})
+    )
+    assert stopped(planner.decide(unchanged)) == set()
+    unchanged = replace(unchanged, now=3.9, changed=frozenset())
+    assert stopped(planner.decide(unchanged)) == set()
+    unchanged = replace(unchanged, now=4.2)
+    assert stopped(planner.decide(unchanged)) == {"v1"}
+
+
+def test_late_job_is_placed_beside_newcomers_in_a_half_empty_service():
+    """Guard against a job without value that goes last for ever though it has room."""
+    workers = [worker(number, used=8 if number < 4 else 0) for number in range(8)]
+    late = waiting("late", 8, size=2, objective=-90.0)
+    newcomers = [waiting(f"n{n}", 1, objective=99.0) for n in range(16)]
+    assert "late" in placed(decide(workers, [*newcomers, late]))
+
+
 def refuse_starts(monkeypatch, refusing: SimulatedWorker) -> None:
     """Let a worker refuse all starts for want of room."""
     start = SimulatedWorker.start
