Move small tasks out of the way of a gang in a quiet service

Cause: a unit of a priority above 0 preempts nothing, so that single small tasks scattered over the workers keep a gang of whole workers waiting, however empty the service is.

Change: after SCATTER_WAIT a unit of a job that runs nothing may stop less urgent units in a quiet service if its hosts have room for it twice over in all. The loss is limited as for an urgent unit, to a share of the unit's own work, and what is stopped finds room elsewhere.

Measured: the two first tests of test_scattered_room.py failed before ('assert 0 == 3', no task started within 3 s; 'assert 0 == 2') and pass now; the others show that nothing is stopped if the gang has just begun to wait, the service is busy, the job runs already, or the tasks are as urgent. tests/workload/test_planner.py and test_planner_memory.py pass.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/loss_limit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/loss_limit.py
@@ -33,6 +33,8 @@
         return NO_EVICTION
     if unit.guaranteed:
         return inf
+    if unit.displaces:
+        return LOSS_SHARE_LIMIT * unit.work
     if unit.priority > 0 or unit.relaxed:
         return NO_EVICTION
     slack = unit.objective - unit.remaining - now
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -78,7 +78,8 @@
     unit may run on a worker on trial that has other units, and make its last attempt
     there. suspected is set if a worker has crashed under the unit, and dangerous if
     several have. An isolated unit may only run on workers that run nothing else.
-    relaxed is set if a preference for a rack has been dropped.
+    relaxed is set if a preference for a rack has been dropped. displaces is set if the unit may preempt
+    less urgent units whatever its priority, as they fit elsewhere.
     """
 
     unit_id: UnitId
@@ -110,6 +111,7 @@
     dangerous: bool = False
     isolated: bool = False
     relaxed: bool = False
+    displaces: bool = False
 
     @property
     def work(self) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning_pass.py
@@ -186,8 +186,20 @@
                 return [replace(found[-1], reason=reason)]
             candidate = relaxed
             found = self._decide_strictly(candidate, need_of(candidate))
+        if _is_unplaced(found[-1]) and self._may_displace(unit, candidate):
+            candidate = replace(candidate, displaces=True)
+            found = self._decide_strictly(candidate, need_of(candidate))
         return found
 
+    def _may_displace(self, unit: WaitingUnit, candidate: WaitingUnit) -> bool:
+        """Return whether less urgent units may be stopped to move them elsewhere.
+
+        Small tasks that are scattered over all workers would keep a gang waiting in a
+        service that is nearly empty.
+        """
+        host_ids = self._hosts(candidate).ids
+        return self.rack_wait.lacks_whole_workers(unit, host_ids, self.workers)
+
     @singledispatchmethod
     def _reason_to_wait(
         self, preference: Preference, unit: WaitingUnit, candidate: WaitingUnit
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
@@ -26,6 +26,12 @@
 The users draw the line at a half; the owner's picture is some reports behind.
 """
 
+SCATTER_WAIT = 0.75
+"""Seconds after which an idle job may displace small tasks in a quiet service.
+
+A stop and the start after it have to end before the job counts as lost.
+"""
+
 GUARANTEED_WAIT = 1.0
 """Seconds for which a unit waits whose organisation has a guarantee for it."""
 
@@ -118,6 +124,27 @@
             limit = min(limit, IDLE_JOB_WAIT)
         return limit
 
+    def lacks_whole_workers(
+        self,
+        unit: WaitingUnit,
+        host_ids: Iterable[str],
+        workers: Mapping[str, WorkerSnapshot],
+    ) -> bool:
+        """Return whether an idle job waits although its hosts have room in all for it.
+
+        The room has to suffice twice, so that what is stopped for the unit finds room.
+        """
+        if self.now - unit.ready_at < SCATTER_WAIT:
+            return False
+        if unit.unit_id.job_id in self.busy_jobs:
+            return False
+        if not self.is_quiet(unit.service, workers):
+            return False
+        free = NO_RESOURCES
+        for worker_id in host_ids:
+            free += workers[worker_id].free
+        return unit.demand.times(2 * unit.size).fits(free)
+
     def is_quiet(self, service: str, workers: Mapping[str, WorkerSnapshot]) -> bool:
         """Return whether little of the service's capacity is in use."""
         if service not in self.quiet:
