--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
@@ -181,7 +181,8 @@
     clock, and wall_offset the wall clock minus this process's clock, both in seconds.
     capacity_changed is set if another planning pass may lead to other decisions than
     the last one. horizon is the lease horizon in seconds, and remote_factor how many
-    times as long a task takes away from the rack that it prefers. view is what the planner knew
+    times as long a task takes away from the rack that it prefers. view is what the
+    planner knew
     in its last pass, with the changes since, and planner keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 from math import inf
 
-from .spec import NO_RESOURCES, Resources
+from .spec import NO_RESOURCES, Resources, used_share
 from .step_graph import DEFAULT_ESTIMATE
 from .unit import UnitId, WorkerRef
 
@@ -59,6 +60,15 @@
     closed: bool = False
 
 
+def used_share_of(workers: Iterable[WorkerSnapshot]) -> float:
+    """Return the used share of the workers' resource of which most is used."""
+    free = capacity = NO_RESOURCES
+    for worker in workers:
+        free += worker.free
+        capacity += worker.capacity
+    return used_share(free, capacity)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaitingUnit:
     """Describe a unit that waits for placement; times are in monotonic seconds.
@@ -78,8 +88,8 @@
     unit may run on a worker on trial that has other units, and make its last attempt
     there. suspected is set if a worker has crashed under the unit, and dangerous if
     several have. An isolated unit may only run on workers that run nothing else.
-    relaxed is set if a preference for a rack has been dropped. displaces is set if the unit may preempt
-    less urgent units whatever its priority, as they fit elsewhere.
+    relaxed is set if a preference for a rack has been dropped. displaces is set if the
+    unit may preempt less urgent units whatever its priority, as they fit elsewhere.
     """
 
     unit_id: UnitId
@@ -125,9 +135,10 @@
 
     lost_work is the work in core-seconds that is lost if the unit stops at measured_at,
     which is in monotonic seconds, and loss_rate its growth in core-seconds per second.
-    stopping is set if the unit has been told to stop, which was at stopping_since. ends_in is the estimated
-    remaining time of its run, run_time the estimate of its whole run, which is infinite
-    if it has no end of its own, leaves_in the time after which the first of its workers
+    stopping is set if the unit has been told to stop, which was at stopping_since.
+    ends_in is the estimated remaining time of its run, run_time the estimate of its
+    whole run, which is infinite if it has no end of its own, leaves_in the time after
+    which the first of its workers
     leaves, and stalled_for the longest time for which one of its runs has made no
     progress, all in seconds.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_forecast.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rack_forecast.py
@@ -11,13 +11,11 @@
 from operator import itemgetter
 
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
+from .relocation import EVACUATION_TIME
 from .spec import NO_RESOURCES, Resources
 from .unit import WorkerRef
 from .unit_placement import step_key
 
-STOP_TIME = 1.5
-"""Upper bound in seconds for stopping a run and reporting its end."""
-
 SLOTS_LIMIT = 10_000
 """Tasks of one unit that are counted on one worker."""
 
@@ -141,7 +139,7 @@
             unaccounted -= release[1]
             if release[0] < inf:
                 ends.append(release)
-        ends.append((STOP_TIME, _positive(unaccounted), ("", 0, 0)))
+        ends.append((EVACUATION_TIME, _positive(unaccounted), ("", 0, 0)))
         for time, demand, ended_step in sorted(ends, key=itemgetter(0)):
             free += demand
             present -= ended_step == step
@@ -156,7 +154,9 @@
             return self.releases
         releases: dict[str, list[Release]] = {}
         for unit in self.running:
-            remaining = STOP_TIME if unit.stopping else unit.remaining_at(self.now)
+            remaining = (
+                EVACUATION_TIME if unit.stopping else unit.remaining_at(self.now)
+            )
             release = remaining, unit.demand, unit.unit_id[:3]
             for worker_ref in unit.placement:
                 releases.setdefault(worker_ref.worker_id, []).append(release)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from .plan import Snapshot, WaitingUnit, WorkerSnapshot
+from .plan import Snapshot, used_share_of, WaitingUnit, WorkerSnapshot
 from .rack_forecast import Group, RackForecast
-from .spec import NO_RESOURCES, used_share
+from .spec import NO_RESOURCES
 from .unit import UnitId
 
 IDLE_JOB_WAIT = 2.0
@@ -148,10 +148,10 @@
     def is_quiet(self, service: str, workers: Mapping[str, WorkerSnapshot]) -> bool:
         """Return whether little of the service's capacity is in use."""
         if service not in self.quiet:
-            free = capacity = NO_RESOURCES
-            for worker in workers.values():
-                if worker.service == service and worker.ready:
-                    free += worker.free
-                    capacity += worker.capacity
-            self.quiet[service] = used_share(free, capacity) < QUIET_SHARE
+            ready = [
+                worker
+                for worker in workers.values()
+                if worker.service == service and worker.ready
+            ]
+            self.quiet[service] = used_share_of(ready) < QUIET_SHARE
         return self.quiet[service]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/wait_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/wait_log.py
@@ -9,8 +9,7 @@
 from ..command import Command, WriteLog
 from ..log_event import UNIT_WAITING
 from .fleet_state import FleetState, LoggedWait
-from .plan import Wait, WorkerSnapshot
-from .spec import NO_RESOURCES, used_share
+from .plan import used_share_of, Wait, WorkerSnapshot
 from .unit import Unit
 from .unit_lifecycle import unit_name
 
@@ -60,7 +59,7 @@
         "hosts": decision.hosts,
         "fitting": _count_fitting(unit, workers),
         "workers": len(workers),
-        "used": _used_share(workers),
+        "used": round(used_share_of(workers), 3),
         "ahead": decision.ahead,
         "failed_on": len(unit.failed_on),
     }
@@ -100,12 +99,3 @@
 def _count_fitting(unit: Unit, workers: list[WorkerSnapshot]) -> int:
     """Return how many tasks of the unit fit into free resources, in any rack."""
     return sum(unit.demand.count_in(one.free, unit.size) for one in workers)
-
-
-def _used_share(workers: list[WorkerSnapshot]) -> float:
-    """Return the used share of the resource of which most is used."""
-    free = capacity = NO_RESOURCES
-    for worker in workers:
-        free += worker.free
-        capacity += worker.capacity
-    return round(used_share(free, capacity), 3)
--- a/tests/workload/test_rejected_shard_row.py
+++ b/tests/workload/test_rejected_shard_row.py
@@ -16,6 +16,7 @@
     ShardLost,
 )
 from wasabispur_core.store import Row, RowsRead, StoreUnavailable, Transaction
+from wasabispur_standins.simulated_store import rejected
 
 from .test_rejected_row import Owner, rejected_keys, rows
 from .world import COMPLETED, started_world, tasks
@@ -138,12 +139,7 @@
 
     def refuse(transaction: Transaction):
         if any(write.key == "shard/main" for write in transaction.writes):
-            return StoreUnavailable(
-                operation_id=transaction.operation_id,
-                reason="400",
-                uncertain=False,
-                permanent=True,
-            )
+            return rejected(transaction, "400")
         return apply(transaction)
 
     world.store.apply = refuse
