--- a/features/steps/table_service_steps.py
+++ b/features/steps/table_service_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from tests.platform.harness import connected_client, running_stand_in, set_faults
 
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Committed,
     Condition,
     Conflicted,
--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -8,11 +8,11 @@
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.heartbeat_policy import near_entries
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.permit import PermitState
-from wasabispur_core.permit_action import attempt_chart
+from wasabispur_core.membership.heartbeat_policy import near_entries
 from wasabispur_core.protocol import Announce, Heartbeat, Role
+from wasabispur_core.requests.permit import PermitState
+from wasabispur_core.requests.permit_action import attempt_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/bundle_actor.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/bundle_actor.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     ApplyBundle,
     BundleVersionState,
     decide,
     ProcessKind,
     SendToRemoteProcess,
 )
-from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import Announce
+from wasabispur_core.requests.permit import SendToEntryLink
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
--- a/packages/wasabispur-agent/src/wasabispur_agent/endpoint_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/endpoint_runner.py
@@ -8,8 +8,13 @@
 
 from wasabispur_core.log_event import ATTEMPT_ENDED, ATTEMPT_STARTED
 from wasabispur_core.message import event_name, Message
-from wasabispur_core.permit import CallEndpoint, decide, PermitState, SendToEntryLink
 from wasabispur_core.protocol import Leaving
+from wasabispur_core.requests.permit import (
+    CallEndpoint,
+    decide,
+    PermitState,
+    SendToEntryLink,
+)
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_link.py
@@ -11,8 +11,8 @@
 
 from wasabispur_core.log_event import STREAM_OPENED
 from wasabispur_core.message import Message
-from wasabispur_core.permit import FromEntry, SendToEntryLink
 from wasabispur_core.protocol import Announce, Heartbeat, Welcome
+from wasabispur_core.requests.permit import FromEntry, SendToEntryLink
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.codec import FROM_AGENT, TO_AGENT
 from wasabispur_runtime.link import Link, LinkEnded, WELCOME_TIMEOUT
--- a/packages/wasabispur-agent/src/wasabispur_agent/entry_routing.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/entry_routing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     BundleOffered,
     ProcessKind,
     RemoteProcess,
@@ -13,8 +13,8 @@
     VersionReported,
 )
 from wasabispur_core.message import Message
-from wasabispur_core.permit import FromEntry
 from wasabispur_core.protocol import HeartbeatAck, OfferBundle
+from wasabispur_core.requests.permit import FromEntry
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.link import LinkEnded
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -9,12 +9,12 @@
 from uuid import uuid4
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import FREQUENT_TRIALS
-from wasabispur_core.feed import LONG_POLL_TIMEOUT
 from wasabispur_core.log_event import PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.storage.circuit import FREQUENT_TRIALS
+from wasabispur_core.storage.feed import LONG_POLL_TIMEOUT
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.run_action import ordered_run_chart
-from wasabispur_core.workload.runner_state import LeaseTimes, RunnerState
+from wasabispur_core.workload.agent.run_action import ordered_run_chart
+from wasabispur_core.workload.agent.runner_state import LeaseTimes, RunnerState
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.metrics import registry
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -4,23 +4,23 @@
 
 from returns.result import Failure
 
-from wasabispur_core.circuit import ServiceReachable, ServiceUnreachable
-from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import ROW_REFUSED
-from wasabispur_core.store import Row
+from wasabispur_core.storage.circuit import ServiceReachable, ServiceUnreachable
+from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.storage.store import Row
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.fleet_state import TableReady
-from wasabispur_core.workload.health_check import CheckHealth
-from wasabispur_core.workload.rows import order_prefix, order_table, unpack
-from wasabispur_core.workload.runner import decide
-from wasabispur_core.workload.runner_message import (
+from wasabispur_core.workload.agent.health_check import CheckHealth
+from wasabispur_core.workload.agent.runner import decide
+from wasabispur_core.workload.agent.runner_message import (
     ListRuns,
     RunnerTick,
     StartRun,
     StopRun,
 )
-from wasabispur_core.workload.runner_state import RunnerState
-from wasabispur_core.workload.worker import OrdersArrived, WorkerOrders
+from wasabispur_core.workload.agent.runner_state import RunnerState
+from wasabispur_core.workload.owner.fleet_state import TableReady
+from wasabispur_core.workload.rows import order_prefix, order_table, unpack
+from wasabispur_core.workload.workers.worker import OrdersArrived, WorkerOrders
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.log import log
--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_settings.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from wasabispur_core.workload.runner_state import HealthTimes, LeaseTimes
+from wasabispur_core.workload.agent.runner_state import HealthTimes, LeaseTimes
 
 DEFAULT_HEALTH_TIMES = HealthTimes(interval=0.5, timeout=0.4)
 """Interval and timeout in seconds with which a turn of 1.4 s of a flap is seen."""
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -7,10 +7,10 @@
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
+from wasabispur_core.jobs.task import former_lease_end, TaskState
+from wasabispur_core.jobs.task_action import task_chart
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
 from wasabispur_core.protocol import Announce, Heartbeat
-from wasabispur_core.task import former_lease_end, TaskState
-from wasabispur_core.task_action import task_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import log
 
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_caller.py
@@ -10,8 +10,8 @@
 
 from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.health_check import CheckHealth, HealthAnswered
-from wasabispur_core.workload.runner_message import (
+from wasabispur_core.workload.agent.health_check import CheckHealth, HealthAnswered
+from wasabispur_core.workload.agent.runner_message import (
     ListFailed,
     ListRuns,
     StartRun,
@@ -20,7 +20,7 @@
     StopUnanswered,
     WorkerCall,
 )
-from wasabispur_core.workload.worker import HealthAnswer
+from wasabispur_core.workload.workers.worker import HealthAnswer
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.http_call import HttpClient
 from wasabispur_runtime.thread_call import call_on_thread, ThreadsStoppedError
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -9,10 +9,17 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from wasabispur_core.jobs.task import (
+    decide,
+    RenewAtWorker,
+    RunAtWorker,
+    stop_all,
+    StopAtWorker,
+    TasksListed,
+    TaskState,
+)
 from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
 from wasabispur_core.message import event_name, Message
-from wasabispur_core.ownership import CLOCK_DRIFT
-from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import (
     Leaving,
     Reason,
@@ -20,15 +27,8 @@
     TaskStarted,
     TaskStopped,
 )
-from wasabispur_core.task import (
-    decide,
-    RenewAtWorker,
-    RunAtWorker,
-    stop_all,
-    StopAtWorker,
-    TasksListed,
-    TaskState,
-)
+from wasabispur_core.requests.permit import SendToEntryLink
+from wasabispur_core.sharding.ownership import CLOCK_DRIFT
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how versions of the settings bundle are proposed, accepted and applied."""
--- a/packages/wasabispur-core/src/wasabispur_core/bundle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle.py
@@ -14,9 +14,9 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from .error import WasabispurError
-from .guarantee import GuaranteedShape
-from .work_class import WorkClass
+from ..error import WasabispurError
+from ..jobs.guarantee import GuaranteedShape
+from ..work_class import WorkClass
 
 CONTENT_SCHEMA = 1
 """Schema of the content that this release reads and writes."""
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_action.py
@@ -11,7 +11,10 @@
 
 from dataclasses import replace
 
-from .action import Action, perform
+from ..action import Action, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import CancelTimer, Command, Transact
+from ..storage.store import ABSENT, Condition, Transaction, Write
 from .bundle import BundleError, canonical_json, digest_of
 from .bundle_guard import ChangeGuard, signature_refusal
 from .bundle_operation import (
@@ -38,9 +41,6 @@
     version_key,
     version_record,
 )
-from .chart import Chart, ChartCatalogue
-from .command import CancelTimer, Command, Transact
-from .store import ABSENT, Condition, Transaction, Write
 
 
 class ChangeAction(Action[BundleChangeState, Operation]):
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_change.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_change.py
@@ -11,6 +11,19 @@
 
 from functools import singledispatch
 
+from ..command import CancelTimer, Command, ReadRows, SetTimer, Transact
+from ..error import StoreError, UnhandledMessageError, WasabispurError
+from ..jobs.fleet import WorkerAttached, WorkerDetached, WorkerLeaving
+from ..message import Message
+from ..storage.store import (
+    ABSENT,
+    Committed,
+    Conflicted,
+    Row,
+    RowsRead,
+    RowsUnavailable,
+    StoreUnavailable,
+)
 from .bundle import BundleError, check_content
 from .bundle_action import conflict_error, fail_operation, out_of_order_error
 from .bundle_operation import (
@@ -32,19 +45,6 @@
 from .bundle_packing import check_packing
 from .bundle_query import continue_query, fail_query, start_query
 from .bundle_record import change_key, ChangeRecord, POINTER_KEY, version_record
-from .command import CancelTimer, Command, ReadRows, SetTimer, Transact
-from .error import StoreError, UnhandledMessageError, WasabispurError
-from .fleet import WorkerAttached, WorkerDetached, WorkerLeaving
-from .message import Message
-from .store import (
-    ABSENT,
-    Committed,
-    Conflicted,
-    Row,
-    RowsRead,
-    RowsUnavailable,
-    StoreUnavailable,
-)
 
 OPERATION_LIMIT = 100
 """Largest number of operations in progress at one entry instance."""
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_guard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_guard.py
@@ -6,14 +6,9 @@
 
 from __future__ import annotations
 
-from .action import Guard, holds, TransitionContext
+from ..action import Guard, holds, TransitionContext
 from .bundle import signature_payload
-from .bundle_operation import (
-    BundleChangeState,
-    Operation,
-    ProposeBundle,
-    SignOffBundle,
-)
+from .bundle_operation import BundleChangeState, Operation, ProposeBundle, SignOffBundle
 from .bundle_record import ChangeRecord, ChangeState
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_operation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_operation.py
@@ -9,14 +9,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ..chart import Chart, Lifecycle
+from ..command import Command
+from ..jobs.fleet import Fleet
+from ..message import Message
+from ..protocol import SignedBundle
+from ..storage.store import ABSENT, Row, Transaction
 from .bundle import BundleContent, BundleError
 from .bundle_record import ChangeRecord, RecordReader, VersionRecord
-from .chart import Chart, Lifecycle
-from .command import Command
-from .fleet import Fleet
-from .message import Message
-from .protocol import SignedBundle
-from .store import ABSENT, Row, Transaction
 
 
 class BundleConflictError(BundleError):
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_packing.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_packing.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Mapping
 
+from ..jobs.fleet import Fleet
+from ..jobs.guarantee import Guarantee, unsatisfiable_guarantees
 from .bundle import BundleContent, BundleError
-from .fleet import Fleet
-from .guarantee import Guarantee, unsatisfiable_guarantees
 
 
 class UnpackableGuaranteeError(BundleError):
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_query.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_query.py
@@ -8,6 +8,9 @@
 
 from functools import singledispatch
 
+from ..command import Command, ReadRows
+from ..error import StoreError
+from ..storage.store import Row
 from .bundle_operation import (
     BundleChangeState,
     BundleQuery,
@@ -27,9 +30,6 @@
     POINTER_KEY,
     VERSION_PREFIX,
 )
-from .command import Command, ReadRows
-from .error import StoreError
-from .store import Row
 
 QUERY_LIMIT = 100
 """Largest number of queries in progress at one entry instance."""
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_record.py
@@ -10,8 +10,8 @@
 from enum import Enum
 from typing import Any, Protocol
 
+from ..protocol import SignedBundle
 from .bundle import BundleContent
-from .protocol import SignedBundle
 
 RECORD_SCHEMA = 1
 """Schema of the bundle rows that this release reads and writes."""
--- a/packages/wasabispur-core/src/wasabispur_core/bundle_version.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_version.py
@@ -14,15 +14,15 @@
 from functools import singledispatch
 from random import Random
 
+from ..command import Command, ReadRows, SetTimer, WriteLog
+from ..error import StoreError, UnhandledMessageError
+from ..log_event import BUNDLE_IN_FORCE, BUNDLE_REFUSED, BUNDLE_ROW_REFUSED
+from ..message import Message
+from ..protocol import BundleInForce, OfferBundle, SignedBundle
+from ..storage.store import Row, RowsRead, RowsUnavailable
 from .bundle import BundleContent, BundleError, digest_of, signature_payload
 from .bundle_operation import SignatureVerifier
 from .bundle_record import POINTER_KEY, RecordReader, version_key
-from .command import Command, ReadRows, SetTimer, WriteLog
-from .error import StoreError, UnhandledMessageError
-from .log_event import BUNDLE_IN_FORCE, BUNDLE_REFUSED, BUNDLE_ROW_REFUSED
-from .message import Message
-from .protocol import BundleInForce, OfferBundle, SignedBundle
-from .store import Row, RowsRead, RowsUnavailable
 
 POLL_INTERVAL = 2.0
 """Longest time in seconds between two polls of the pointer."""
--- a/packages/wasabispur-core/src/wasabispur_core/command.py
+++ b/packages/wasabispur-core/src/wasabispur_core/command.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .message import Message
-from .store import Transaction
+from .storage.store import Transaction
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/explain.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/explain.py
@@ -8,7 +8,7 @@
 
 from dataclasses import replace
 
-from .command import Command
+from ..command import Command
 from .gang import write_record
 from .job import Job, SchedulerState
 from .job_placement import choose_assignments, within_quota
--- a/packages/wasabispur-core/src/wasabispur_core/fleet.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/fleet.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .message import Message
+from ..message import Message
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/gang.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/gang.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from .command import CancelTimer, Command, SendToAgent, SetTimer
+from ..command import CancelTimer, Command, SendToAgent, SetTimer
+from ..protocol import Reason, StopTask
+from ..sharding.ownership import WriteRow
 from .job import (
     ENDED_PHASES,
     GangMember,
@@ -16,9 +18,7 @@
     SchedulerState,
 )
 from .job_record import cancel_key, ended_key, job_key, JobRecord, to_value
-from .ownership import WriteRow
 from .placement import Assignment
-from .protocol import Reason, StopTask
 
 FAILED_WORKERS_LIMIT = 3
 """Number of workers on which a job fails before it is held."""
--- a/packages/wasabispur-core/src/wasabispur_core/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job.py
@@ -12,19 +12,19 @@
 from functools import singledispatch
 from typing import Any
 
-from .action import Action, Guard
-from .chart import Chart, Lifecycle
-from .command import Command
-from .error import UnhandledMessageError
+from ..action import Action, Guard
+from ..chart import Chart, Lifecycle
+from ..command import Command
+from ..error import UnhandledMessageError
+from ..message import Message
+from ..sharding.ownership import RowCommitted, RowRejected, ShardLease
+from ..workload.run_times.run_time import RunTimeModel
 from .fleet import Fleet, WorkerAttached, WorkerDetached, WorkerLeaving
 from .guarantee import GuaranteePlan
 from .job_record import job_key, JobRecord
 from .job_run_time import new_run_times
-from .message import Message
-from .ownership import RowCommitted, RowRejected, ShardLease
 from .placement import Assignment
 from .worker_health import HealthTracker
-from .workload.run_time import RunTimeModel
 
 ENDED_LIMIT = 10_000
 """Maximum number of ended job ids that an owner remembers.
--- a/packages/wasabispur-core/src/wasabispur_core/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_action.py
@@ -8,10 +8,19 @@
 
 from dataclasses import replace
 
+from ..action import perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command, SendToAgent
+from ..protocol import (
+    Reason,
+    ReserveTask,
+    StartTask,
+    TASK_LEASE,
+    TaskFinished,
+    TaskRefused,
+    TaskStopped,
+)
 from . import job_guard as job_guard
-from .action import perform
-from .chart import Chart, ChartCatalogue
-from .command import Command, SendToAgent
 from .gang import (
     archive_record,
     cancel_gang_timer,
@@ -34,15 +43,6 @@
 from .job_lease import adopted_lease_bound, adoption_deadline, lease_bound
 from .job_record import Cause, JobState
 from .job_run_time import record_job
-from .protocol import (
-    Reason,
-    ReserveTask,
-    StartTask,
-    TASK_LEASE,
-    TaskFinished,
-    TaskRefused,
-    TaskStopped,
-)
 from .reclaim import placement_cause
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_call.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_call.py
@@ -9,8 +9,20 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from .command import Command, ReadRows, Transact
-from .error import UnhandledMessageError
+from ..command import Command, ReadRows, Transact
+from ..error import UnhandledMessageError
+from ..message import Message
+from ..protocol import JobCancelled, JobSubmitted
+from ..storage.store import (
+    ABSENT,
+    Committed,
+    Condition,
+    Conflicted,
+    RowsUnavailable,
+    StoreUnavailable,
+    Transaction,
+    Write,
+)
 from .job_record import (
     cancel_key,
     ended_key,
@@ -22,18 +34,6 @@
     shard_of,
     to_value,
 )
-from .message import Message
-from .protocol import JobCancelled, JobSubmitted
-from .store import (
-    ABSENT,
-    Committed,
-    Condition,
-    Conflicted,
-    RowsUnavailable,
-    StoreUnavailable,
-    Transaction,
-    Write,
-)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/job_guard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_guard.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from .action import holds
+from ..action import holds
 from .gang import failed_workers, FAILED_WORKERS_LIMIT
 from .job import JobGuard, MemberPhase
 from .job_record import JobState
--- a/packages/wasabispur-core/src/wasabispur_core/job_lease.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_lease.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
+from ..protocol import TASK_LEASE
+from ..sharding.ownership import CLOCK_DRIFT, OUTAGE_GRACE
 from .job import AgentClock, SchedulerState
-from .ownership import CLOCK_DRIFT, OUTAGE_GRACE
-from .protocol import TASK_LEASE
 
 TASK_RENEWAL_INTERVAL = 5.0
 """Interval between the renewals of a task's lease, in seconds."""
--- a/packages/wasabispur-core/src/wasabispur_core/job_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_placement.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..command import Command, WriteLog
+from ..log_event import GUARANTEE_LOST, GUARANTEE_MET
+from ..message import Message
+from ..sharding.ownership import WriteRow
 from .backfill import add_reservation, reserved_for_others
-from .command import Command, WriteLog
 from .fleet import Fleet
 from .guarantee import Guarantee, GuaranteePlan, repack
 from .job import (
@@ -24,9 +27,6 @@
     SchedulerState,
 )
 from .job_record import guarantee_key, JobRecord, JobSpec
-from .log_event import GUARANTEE_LOST, GUARANTEE_MET
-from .message import Message
-from .ownership import WriteRow
 from .placement import Assignment, free_capacity, impossible_reason, place_gang
 from .reclaim import (
     assigned_accelerators,
--- a/packages/wasabispur-core/src/wasabispur_core/job_policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_policy.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-from .bundle import BundleContent
-from .bundle_packing import guarantees_in
+from ..bundles.bundle import BundleContent
+from ..bundles.bundle_packing import guarantees_in
 from .job_placement import PolicyChanged
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/job_queue.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_queue.py
@@ -7,7 +7,10 @@
 
 from dataclasses import dataclass
 
-from .command import Command, ReadRows, SendToAgent
+from ..command import Command, ReadRows, SendToAgent
+from ..message import Message
+from ..protocol import JobCancelled, JobSubmitted, Reason, RenewTasks, TASK_LEASE
+from ..sharding.ownership import ShardAcquired, ShardLost, WriteRow
 from .explain import record_causes
 from .gang import stop_commands
 from .job import (
@@ -24,9 +27,6 @@
 from .job_lease import lease_bound, TASK_RENEWAL_INTERVAL
 from .job_placement import place_queued_jobs
 from .job_record import cancel_key, job_prefix, JobRecord
-from .message import Message
-from .ownership import ShardAcquired, ShardLost, WriteRow
-from .protocol import JobCancelled, JobSubmitted, Reason, RenewTasks, TASK_LEASE
 
 LISTING_INTERVAL = 5.0
 """Seconds between two reads of the shard's job rows."""
--- a/packages/wasabispur-core/src/wasabispur_core/job_run_time.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_run_time.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+from ..workload.run_times.run_time import RunGroup, RunKind, RunOutcome, RunTimeModel
 from .job_record import JobRecord
-from .workload.run_time import RunGroup, RunKind, RunOutcome, RunTimeModel
 
 UNKNOWN_RUN_TIME = 3600.0
 """Expected seconds of a job that has neither an estimate nor a history."""
--- a/packages/wasabispur-core/src/wasabispur_core/job_shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_shard.py
@@ -7,14 +7,14 @@
 
 from collections.abc import Callable
 
+from ..chart import ChartCatalogue
+from ..sharding.ownership import Ownership
+from ..sharding.ownership_action import ownership_chart
+from ..sharding.shard import Shard
 from . import task_report as task_report
-from .chart import ChartCatalogue
 from .job import decide, SchedulerState
 from .job_action import job_chart
 from .job_queue import JobTick
-from .ownership import Ownership
-from .ownership_action import ownership_chart
-from .shard import Shard
 
 
 def new_shard(
--- a/packages/wasabispur-core/src/wasabispur_core/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/task.py
@@ -10,13 +10,12 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from .action import Action, Guard
-from .chart import Chart, Lifecycle
-from .command import Command
-from .error import UnhandledMessageError
-from .message import Message
-from .permit import FromEntry, SendToEntryLink
-from .protocol import (
+from ..action import Action, Guard
+from ..chart import Chart, Lifecycle
+from ..command import Command
+from ..error import UnhandledMessageError
+from ..message import Message
+from ..protocol import (
     Reason,
     RenewTasks,
     ReserveTask,
@@ -31,6 +30,7 @@
     TaskStopped,
     Welcome,
 )
+from ..requests.permit import FromEntry, SendToEntryLink
 
 TASK_TOMBSTONE_LIMIT = 10_000
 """Maximum number of ended tasks that an agent remembers."""
--- a/packages/wasabispur-core/src/wasabispur_core/task_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/task_action.py
@@ -7,10 +7,10 @@
 
 from dataclasses import replace
 
-from .action import holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import CancelTimer, Command, SetTimer
-from .protocol import (
+from ..action import holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import CancelTimer, Command, SetTimer
+from ..protocol import (
     Reason,
     RenewTasks,
     ReserveTask,
--- a/packages/wasabispur-core/src/wasabispur_core/task_report.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/task_report.py
@@ -7,20 +7,10 @@
 
 from functools import singledispatch
 
-from .command import Command, SendToAgent
-from .job import (
-    AgentClock,
-    decide,
-    ENDED_PHASES,
-    GangMember,
-    handle_job_event,
-    MemberLost,
-    MemberPhase,
-    SchedulerState,
-)
-from .member import FromAgent
-from .message import Message
-from .protocol import (
+from ..command import Command, SendToAgent
+from ..membership.member import FromAgent
+from ..message import Message
+from ..protocol import (
     Heartbeat,
     Reason,
     StopTask,
@@ -32,6 +22,16 @@
     TaskStatus,
     TaskStopped,
 )
+from .job import (
+    AgentClock,
+    decide,
+    ENDED_PHASES,
+    GangMember,
+    handle_job_event,
+    MemberLost,
+    MemberPhase,
+    SchedulerState,
+)
 
 TaskReport = TaskReserved | TaskRefused | TaskStarted | TaskFinished | TaskStopped
 
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Track which processes belong to the system."""
--- a/packages/wasabispur-core/src/wasabispur_core/heartbeat_policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/membership/heartbeat_policy.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from .protocol import Announce, Role
+from ..protocol import Announce, Role
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/member.py
+++ b/packages/wasabispur-core/src/wasabispur_core/membership/member.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass, field, replace
 from functools import singledispatch
 
-from .action import Action, perform
-from .chart import Chart, ChartCatalogue, Lifecycle
-from .command import CancelTimer, Command, SendToEntry, SetTimer
-from .error import UnhandledMessageError
-from .message import Message
-from .protocol import MembersDigest, MemberStatus
+from ..action import Action, perform
+from ..chart import Chart, ChartCatalogue, Lifecycle
+from ..command import CancelTimer, Command, SendToEntry, SetTimer
+from ..error import UnhandledMessageError
+from ..message import Message
+from ..protocol import MembersDigest, MemberStatus
 
 SUSPICION_TIMEOUT = 10.0
 """Seconds within which a member without a stream has to reconnect."""
--- a/packages/wasabispur-core/src/wasabispur_core/peer_directory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/membership/peer_directory.py
@@ -13,11 +13,11 @@
 from random import Random
 from typing import Any
 
-from .command import Command, ReadRows, SetTimer, Transact, WriteLog
-from .error import StoreError, UnhandledMessageError
-from .log_event import ENTRY_ROW_REFUSED
-from .message import Message
-from .store import (
+from ..command import Command, ReadRows, SetTimer, Transact, WriteLog
+from ..error import StoreError, UnhandledMessageError
+from ..log_event import ENTRY_ROW_REFUSED
+from ..message import Message
+from ..storage.store import (
     Committed,
     Condition,
     Conflicted,
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how requests reach endpoints, and how each of them ends."""
--- a/packages/wasabispur-core/src/wasabispur_core/admission.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/admission.py
@@ -9,8 +9,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from .protocol import Reason
-from .work_class import WorkClass
+from ..protocol import Reason
+from ..work_class import WorkClass
 
 INTERVAL_WEIGHT = 0.1
 """Weight of a new sample in the moving average of the time between two starts."""
--- a/packages/wasabispur-core/src/wasabispur_core/claim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/claim.py
@@ -13,9 +13,9 @@
 from typing import Any
 from urllib.parse import quote
 
-from .message import Message
-from .protocol import AttemptCompleted
-from .store import ABSENT, Row, ROW_LIMIT_BYTES, row_size
+from ..message import Message
+from ..protocol import AttemptCompleted
+from ..storage.store import ABSENT, Row, ROW_LIMIT_BYTES, row_size
 
 CLAIM_SCHEMA = 1
 """Version of the format of claim rows."""
--- a/packages/wasabispur-core/src/wasabispur_core/claim_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/claim_action.py
@@ -4,7 +4,17 @@
 
 from functools import singledispatch
 
-from .action import holds, perform
+from ..action import holds, perform
+from ..command import Command, ReadRows, SetTimer, Transact
+from ..message import Message
+from ..storage.store import (
+    ABSENT,
+    Committed,
+    Condition,
+    StoreUnavailable,
+    Transaction,
+    Write,
+)
 from .claim import (
     claim_key,
     claim_value,
@@ -16,13 +26,10 @@
     fingerprint,
     RELEASED,
 )
-from .command import Command, ReadRows, SetTimer, Transact
-from .message import Message
 from .outcome import Outcome, ReplyToCaller
 from .request import Request, RequestAction, RequestGuard
 from .request_message import ClaimCheckDue
 from .request_reply import reply_to_caller
-from .store import ABSENT, Committed, Condition, StoreUnavailable, Transaction, Write
 
 CLAIM_CHECK_BASE_DELAY = 0.2
 CLAIM_CHECK_DELAY_LIMIT = 5.0
--- a/packages/wasabispur-core/src/wasabispur_core/outcome.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/outcome.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .command import Command
+from ..command import Command
 
 
 class Outcome(Enum):
--- a/packages/wasabispur-core/src/wasabispur_core/permit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/permit.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from .chart import Chart, Lifecycle
-from .command import Command
-from .error import UnhandledMessageError
-from .message import Message
-from .protocol import (
+from ..chart import Chart, Lifecycle
+from ..command import Command
+from ..error import UnhandledMessageError
+from ..message import Message
+from ..protocol import (
     AttemptCompleted,
     AttemptNotRun,
     AttemptUnknown,
--- a/packages/wasabispur-core/src/wasabispur_core/permit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/permit_action.py
@@ -4,19 +4,11 @@
 
 from functools import singledispatch
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import CancelTimer, Command, SetTimer
-from .message import Message
-from .permit import (
-    Attempt,
-    CallEndpoint,
-    PERMIT_LIFETIME,
-    PermitExpired,
-    PermitState,
-    SendToEntryLink,
-)
-from .protocol import (
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import CancelTimer, Command, SetTimer
+from ..message import Message
+from ..protocol import (
     AttemptNotRun,
     AttemptRunning,
     CancelAttempt,
@@ -25,6 +17,14 @@
     Reason,
     StartAttempt,
 )
+from .permit import (
+    Attempt,
+    CallEndpoint,
+    PERMIT_LIFETIME,
+    PermitExpired,
+    PermitState,
+    SendToEntryLink,
+)
 
 
 class PermitAction(Action[PermitState, Attempt]):
--- a/packages/wasabispur-core/src/wasabispur_core/request.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request.py
@@ -14,21 +14,18 @@
 from functools import singledispatch
 from random import Random
 
-from .action import Action, Guard
+from ..action import Action, Guard
+from ..chart import Chart, Lifecycle
+from ..command import Command, SetTimer
+from ..error import UnhandledMessageError
+from ..membership.member import FromAgent
+from ..message import Message
+from ..protocol import AttemptCompleted, PermitId, Reason
+from ..storage.store import ABSENT
+from ..work_class import default_classes, WorkClass
 from .admission import Admission, QueueKey
-from .chart import Chart, Lifecycle
-from .command import Command, SetTimer
-from .error import UnhandledMessageError
-from .member import FromAgent
-from .message import Message
 from .outcome import Outcome, ReplyToCaller
-from .protocol import AttemptCompleted, PermitId, Reason
-from .request_history import (
-    LookUpRequest,
-    ReplyToLookup,
-    RequestHistory,
-    RequestStatus,
-)
+from .request_history import LookUpRequest, ReplyToLookup, RequestHistory, RequestStatus
 from .request_message import (
     AgentAttached,
     AgentDetached,
@@ -43,8 +40,6 @@
 )
 from .retry import RetryBudget
 from .routing import choose_endpoint, EndpointView, SpillBudget
-from .store import ABSENT
-from .work_class import default_classes, WorkClass
 
 DISPATCH_INTERVAL = 0.1
 """Seconds between two dispatches of a service while requests wait."""
--- a/packages/wasabispur-core/src/wasabispur_core/request_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_action.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from .action import perform
-from .command import Command, SendToAgent, SetTimer
-from .outcome import Outcome, ReplyToCaller
-from .protocol import (
+from ..action import perform
+from ..command import Command, SendToAgent, SetTimer
+from ..protocol import (
     CancelAttempt,
     PermitGranted,
     Reason,
@@ -13,6 +12,7 @@
     ResolveAttempt,
     StartAttempt,
 )
+from .outcome import Outcome, ReplyToCaller
 from .request import Request, RequestAction
 from .request_guard import check_admission
 from .request_message import ResolveTimedOut, RetryDue
--- a/packages/wasabispur-core/src/wasabispur_core/request_chart.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_chart.py
@@ -2,14 +2,8 @@
 
 from __future__ import annotations
 
-from . import (
-    claim_action,
-    request_action,
-    request_guard,
-    request_reply,
-    request_store,
-)
-from .chart import Chart, ChartCatalogue
+from ..chart import Chart, ChartCatalogue
+from . import claim_action, request_action, request_guard, request_reply, request_store
 from .request import RequestAction, RequestGuard
 
 # Importing a module registers its actions, guards and message handlers.
--- a/packages/wasabispur-core/src/wasabispur_core/request_class.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_class.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from .command import Command
-from .message import Message
+from ..command import Command
+from ..message import Message
+from ..work_class import WorkClass
 from .request import decide, RequestState
-from .work_class import WorkClass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/request_guard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_guard.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from .action import holds
+from ..action import holds
+from ..protocol import Reason
 from .admission import Rejection
-from .protocol import Reason
 from .request import RequestAction, RequestGuard
 from .request_reply import failure_reason
 from .retry import ATTEMPT_LIMIT
--- a/packages/wasabispur-core/src/wasabispur_core/request_history.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_history.py
@@ -5,8 +5,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from .command import Command
-from .message import Message
+from ..command import Command
+from ..message import Message
 from .outcome import Outcome, ReplyToCaller
 
 HISTORY_LIMIT = 20_000
--- a/packages/wasabispur-core/src/wasabispur_core/request_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_message.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from .message import Message
+from ..message import Message
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/request_reply.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_reply.py
@@ -4,26 +4,21 @@
 
 from functools import singledispatch
 
-from .action import perform
-from .claim import ClaimMismatched, ClaimOwned, ClaimResponseTooLarge
-from .command import CancelTimer, Command
-from .message import Message
-from .outcome import Outcome, ReplyToCaller
-from .protocol import (
+from ..action import perform
+from ..command import CancelTimer, Command
+from ..message import Message
+from ..protocol import (
     AttemptCompleted,
     AttemptNotRun,
     AttemptUnknown,
     PermitRefused,
     Reason,
 )
+from ..storage.store import Committed, StoreUnavailable
+from .claim import ClaimMismatched, ClaimOwned, ClaimResponseTooLarge
+from .outcome import Outcome, ReplyToCaller
 from .request import Request, RequestAction, RequestState
-from .request_message import (
-    AgentAttached,
-    AgentDetached,
-    RequestReceived,
-    RetryDue,
-)
-from .store import Committed, StoreUnavailable
+from .request_message import AgentAttached, AgentDetached, RequestReceived, RetryDue
 
 
 class ReportCompleted(RequestAction):
--- a/packages/wasabispur-core/src/wasabispur_core/request_store.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_store.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from .claim import claim_key, claim_status, fingerprint
-from .command import Command
-from .request import decide, handle_request_event, Request, RequestState
-from .store import (
+from ..command import Command
+from ..storage.store import (
     Committed,
     Conflicted,
     RowsRead,
@@ -13,6 +11,8 @@
     StoreResult,
     SUPERSEDED,
 )
+from .claim import claim_key, claim_status, fingerprint
+from .request import decide, handle_request_event, Request, RequestState
 
 
 @decide.register
--- a/packages/wasabispur-core/src/wasabispur_core/tombstone.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/tombstone.py
@@ -6,14 +6,8 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from .message import Message
-from .protocol import (
-    AttemptCompleted,
-    AttemptNotRun,
-    AttemptUnknown,
-    PermitId,
-    Reason,
-)
+from ..message import Message
+from ..protocol import AttemptCompleted, AttemptNotRun, AttemptUnknown, PermitId, Reason
 
 TOMBSTONE_LIMIT = 10_000
 """Tombstones that an agent keeps."""
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which entry instance owns a shard, and fence its writes."""
--- a/packages/wasabispur-core/src/wasabispur_core/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
@@ -13,11 +13,11 @@
 from math import inf
 from typing import Any
 
-from .action import Action, Guard
-from .chart import Lifecycle
-from .command import Command
-from .message import Message
-from .store import ABSENT, Row, RowsRead, StoreResult, Transaction
+from ..action import Action, Guard
+from ..chart import Lifecycle
+from ..command import Command
+from ..message import Message
+from ..storage.store import ABSENT, Row, RowsRead, StoreResult, Transaction
 
 SHARD_LEASE = 6.0
 SHARD_RENEWAL_INTERVAL = 2.0
--- a/packages/wasabispur-core/src/wasabispur_core/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_action.py
@@ -8,11 +8,22 @@
 from dataclasses import replace
 from math import inf
 
-from .action import holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import Command, ReadRows, Transact, WriteLog
-from .log_event import ROW_LEFT_OUT, SHARD_CLAIMED, SHARD_ROW_REJECTED
-from .message import Message
+from ..action import holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command, ReadRows, Transact, WriteLog
+from ..log_event import ROW_LEFT_OUT, SHARD_CLAIMED, SHARD_ROW_REJECTED
+from ..message import Message
+from ..storage.store import (
+    ABSENT,
+    Committed,
+    Condition,
+    ROW_LIMIT_BYTES,
+    row_size,
+    StoreUnavailable,
+    SUPERSEDED,
+    Transaction,
+    Write,
+)
 from .ownership import (
     BATCH_LIMIT,
     BATCH_LIMIT_BYTES,
@@ -32,17 +43,6 @@
     ShardRowRead,
     WriteRow,
 )
-from .store import (
-    ABSENT,
-    Committed,
-    Condition,
-    ROW_LIMIT_BYTES,
-    row_size,
-    StoreUnavailable,
-    SUPERSEDED,
-    Transaction,
-    Write,
-)
 
 
 class RecordVersion(OwnershipAction):
--- a/packages/wasabispur-core/src/wasabispur_core/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/shard.py
@@ -12,11 +12,12 @@
 from functools import singledispatch
 from typing import Any
 
+from ..command import Command, SetTimer, WriteLog
+from ..error import UnhandledMessageError
+from ..log_event import SCHEDULER_FAILED, SCHEDULER_RELOADED
+from ..message import event_name, Message
+from ..storage.store import RowsRead, RowsUnavailable, StoreResult
 from . import ownership
-from .command import Command, SetTimer, WriteLog
-from .error import UnhandledMessageError
-from .log_event import SCHEDULER_FAILED, SCHEDULER_RELOADED
-from .message import event_name, Message
 from .ownership import (
     NotifyScheduler,
     Ownership,
@@ -26,7 +27,6 @@
     ShardLost,
     WriteRow,
 )
-from .store import RowsRead, RowsUnavailable, StoreResult
 
 TICK_INTERVAL = 0.5
 """Seconds between two checks of leases and queues."""
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how the table service and the object store are called."""
--- a/packages/wasabispur-core/src/wasabispur_core/circuit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/circuit.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue, Lifecycle
-from .command import Command, SetTimer
-from .message import Message
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue, Lifecycle
+from ..command import Command, SetTimer
+from ..message import Message
 
 FAILURE_LIMIT = 5
 """Consecutive failures that open the circuit."""
--- a/packages/wasabispur-core/src/wasabispur_core/feed.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/feed.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue, Lifecycle
-from .command import Command, SetTimer, WriteLog
-from .log_event import FEED_HISTORY_GONE, FEED_LOST, FEED_STALE, TABLE_READ
-from .message import Message
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue, Lifecycle
+from ..command import Command, SetTimer, WriteLog
+from ..log_event import FEED_HISTORY_GONE, FEED_LOST, FEED_STALE, TABLE_READ
+from ..message import Message
 from .store import Row
 
 LONG_POLL_TIMEOUT = 1.0
--- a/packages/wasabispur-core/src/wasabispur_core/object_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/object_access.py
@@ -8,10 +8,10 @@
 from hashlib import sha256
 from random import Random
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import Command
-from .message import Message
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command
+from ..message import Message
 from .store_access import (
     BackOff,
     CALL_DEADLINE,
@@ -23,12 +23,7 @@
     start_call,
     StoreAccess,
 )
-from .store_call import (
-    Call,
-    CallAnswer,
-    CallMessage,
-    SendCall,
-)
+from .store_call import Call, CallAnswer, CallMessage, SendCall
 from .store_decision import decide_call
 
 OBJECT_LIMIT_BYTES = 16 * 1024 * 1024
--- a/packages/wasabispur-core/src/wasabispur_core/row_read.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/row_read.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import Command
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command
 from .store import RowsRead, RowsUnavailable
 from .store_access import (
     BackOff,
--- a/packages/wasabispur-core/src/wasabispur_core/store.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/store.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .message import Message
+from ..message import Message
 
 ABSENT = 0
 """Version of a row that does not exist."""
--- a/packages/wasabispur-core/src/wasabispur_core/store_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/store_access.py
@@ -11,8 +11,10 @@
 from functools import singledispatch
 from random import Random
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import CancelTimer, Command, SetTimer
+from ..message import Message
 from .circuit import (
     CallFailed,
     CallSucceeded,
@@ -26,8 +28,6 @@
     TrialDue,
     TrialTiming,
 )
-from .command import CancelTimer, Command, SetTimer
-from .message import Message
 from .store_call import (
     Call,
     CallAnswer,
--- a/packages/wasabispur-core/src/wasabispur_core/store_call.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/store_call.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from .chart import Lifecycle
-from .command import Command
-from .message import Message
+from ..chart import Lifecycle
+from ..command import Command
+from ..message import Message
 from .store import Row, Transaction
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/store_decision.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/store_decision.py
@@ -5,10 +5,10 @@
 from functools import singledispatch
 from typing import Any
 
+from ..command import Command
+from ..error import UnhandledMessageError
+from ..message import Message
 from .circuit import ServiceReachable, ServiceUnreachable, TrialDue
-from .command import Command
-from .error import UnhandledMessageError
-from .message import Message
 from .store_access import (
     handle_answer,
     handle_call_timer,
--- a/packages/wasabispur-core/src/wasabispur_core/table_access.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/table_access.py
@@ -5,10 +5,10 @@
 from functools import singledispatch
 from random import Random
 
-from .chart import ChartCatalogue
+from ..chart import ChartCatalogue
+from ..command import Command
+from ..message import Message
 from .circuit import TrialTiming
-from .command import Command
-from .message import Message
 from .row_read import row_read_chart
 from .store_access import (
     CALL_DEADLINE,
@@ -17,12 +17,7 @@
     start_call,
     StoreAccess,
 )
-from .store_call import (
-    ReadCall,
-    RowsRequested,
-    TransactionCall,
-    TransactionRequested,
-)
+from .store_call import ReadCall, RowsRequested, TransactionCall, TransactionRequested
 from .store_decision import decide_call
 from .transaction import transaction_chart
 
--- a/packages/wasabispur-core/src/wasabispur_core/transaction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/transaction.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-from .action import Action, Guard, holds, perform
-from .chart import Chart, ChartCatalogue
-from .command import Command
+from ..action import Action, Guard, holds, perform
+from ..chart import Chart, ChartCatalogue
+from ..command import Command
 from .store import (
     ABSENT,
     Committed,
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Decide at an agent which runs its worker starts and what is reported."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/announcement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/announcement.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import WORKER_ANNOUNCED
+from ...command import Command, WriteLog
+from ...log_event import WORKER_ANNOUNCED
+from ..workers.worker import is_later_incarnation, WorkerInfo, WorkerState
 from .lease_clock import former_lease_end
 from .runner_message import WorkerAnnounced
 from .runner_state import LocalWorker, RunnerState
-from .worker import is_later_incarnation, WorkerInfo, WorkerState
 
 
 def new_worker(info: WorkerInfo, state: RunnerState, now: float) -> LocalWorker:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/former_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/former_run.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from ..command import Command
+from ...command import Command
+from ..workers.worker import is_later_incarnation, RunOrder, WorkerState
 from .run_action import is_prompt, recent_starts
 from .run_dispatch import handle_run_event
 from .runner_message import RunAnswer, StartAccepted, StartUnanswered
 from .runner_state import LocalWorker, OrderedRun, RunnerState, StopOrdered
-from .worker import is_later_incarnation, RunOrder, WorkerState
 
 FORMER_RUN = "ordered for a former incarnation"
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/health_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/health_check.py
@@ -9,12 +9,12 @@
 
 from dataclasses import dataclass
 
-from ..command import Command, SetTimer, WriteLog
-from ..log_event import WORKER_HEALTH_ANSWERED
-from ..message import Message
+from ...command import Command, SetTimer, WriteLog
+from ...log_event import WORKER_HEALTH_ANSWERED
+from ...message import Message
+from ..workers.worker import HealthAnswer
 from .runner_message import WorkerCall
 from .runner_state import HealthCheck, LocalWorker, RunnerState
-from .worker import HealthAnswer
 
 UNANSWERED_LIMIT = 2
 """Successive checks without a valid answer after which a worker counts as unanswered.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/report_writer.py
@@ -10,14 +10,14 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from ..command import Command, ReadRows, Transact
-from ..store import ABSENT, Condition, row_size, Transaction, Write
+from ...command import Command, ReadRows, Transact
+from ...storage.store import ABSENT, Condition, row_size, Transaction, Write
+from ..rows import pack, report_key
+from ..workers.worker import listed_keys, RefusedRun, WorkerInfo, WorkerReport
 from .health_check import reported_health
 from .lease_clock import CONTACT_LIMIT
-from .rows import pack, report_key
 from .runner_cordon import is_cordoned
 from .runner_state import LocalWorker, ReportState, RunnerState
-from .worker import listed_keys, RefusedRun, WorkerInfo, WorkerReport
 
 T = TypeVar("T")
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/run_action.py
@@ -9,11 +9,12 @@
 from math import inf
 from typing import Any
 
-from ..action import Action, Guard, holds, perform
-from ..chart import Chart, ChartCatalogue
-from ..command import Command, SetTimer, WriteLog
-from ..log_event import RUN_ORDERED, RUN_REFUSED, RUN_STOP_ORDERED
-from .cordon import CORDONED
+from ...action import Action, Guard, holds, perform
+from ...chart import Chart, ChartCatalogue
+from ...command import Command, SetTimer, WriteLog
+from ...log_event import RUN_ORDERED, RUN_REFUSED, RUN_STOP_ORDERED
+from ..policies.cordon import CORDONED
+from ..workers.worker import WorkerState
 from .lease_clock import lease_end
 from .runner_message import (
     ListRuns,
@@ -26,7 +27,6 @@
     StopRun,
 )
 from .runner_state import LeaseTimes, LocalWorker, OrderedRun, ReportState, RunMissing
-from .worker import WorkerState
 
 RETRY_DELAY = 0.1
 RETRY_DELAY_LIMIT = 1.0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_dispatch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/run_dispatch.py
@@ -9,9 +9,10 @@
 
 from math import inf
 
-from ..command import Command, WriteLog
-from ..log_event import RUN_CONCLUDED, RUNS_ABANDONED
-from ..message import Message
+from ...command import Command, WriteLog
+from ...log_event import RUN_CONCLUDED, RUNS_ABANDONED
+from ...message import Message
+from ..workers.worker import listed_keys, RunOrder, WorkerOrders, WorkerReport
 from .report_writer import write_report
 from .run_action import list_runs_command, RunContext
 from .runner_cordon import is_cordoned, may_start_orders
@@ -25,12 +26,6 @@
     RunSeen,
     StopOrdered,
 )
-from .worker import (
-    listed_keys,
-    RunOrder,
-    WorkerOrders,
-    WorkerReport,
-)
 
 
 def apply_orders(worker: LocalWorker, state: RunnerState, now: float) -> list[Command]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner.py
@@ -11,14 +11,11 @@
 from functools import singledispatch
 from math import inf
 
-from ..command import Command, SetTimer, WriteLog
-from ..error import UnhandledMessageError
-from ..log_event import (
-    REPORT_FAILED,
-    WORKER_UNREACHABLE,
-)
-from ..message import Message
-from ..store import (
+from ...command import Command, SetTimer, WriteLog
+from ...error import UnhandledMessageError
+from ...log_event import REPORT_FAILED, WORKER_UNREACHABLE
+from ...message import Message
+from ...storage.store import (
     ABSENT,
     Committed,
     RowsRead,
@@ -26,9 +23,12 @@
     StoreResult,
     StoreUnavailable,
 )
+from ..owner.fleet_state import ClocksRead, TableReady
+from ..policies.cordon import CordonsChanged
+from ..policies.policy import PolicyChanged, PolicyHealth
+from ..rows import order_table, report_key, unpack
+from ..workers.worker import OrdersArrived, WorkerReport, WorkerState
 from .announcement import announcement_log, is_newer, is_other_offer, new_worker
-from .cordon import CordonsChanged
-from .fleet_state import ClocksRead, TableReady
 from .former_run import bar_former_runs, inherit, learn_former_start
 from .health_check import (
     begin_checks,
@@ -38,7 +38,6 @@
     HealthCheckDue,
 )
 from .lease_clock import is_lease_over
-from .policy import PolicyChanged, PolicyHealth
 from .report_writer import (
     delete_report,
     find_report_write,
@@ -46,7 +45,6 @@
     run_snapshot,
     write_report,
 )
-from .rows import order_table, report_key, unpack
 from .run_action import list_runs_command
 from .run_dispatch import (
     abandon_runs,
@@ -68,16 +66,7 @@
     WorkerAnnounced,
     WorkerLeft,
 )
-from .runner_state import (
-    ClockReading,
-    ReportState,
-    RunnerState,
-)
-from .worker import (
-    OrdersArrived,
-    WorkerReport,
-    WorkerState,
-)
+from .runner_state import ClockReading, ReportState, RunnerState
 from .worker_contact import (
     advance,
     is_dead,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_cordon.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_cordon.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import CORDONS_READ, CORDONS_UNREAD
-from .cordon import CordonsChanged
+from ...command import Command, WriteLog
+from ...log_event import CORDONS_READ, CORDONS_UNREAD
+from ..policies.cordon import CordonsChanged
 from .runner_state import LocalWorker, ReportState, RunnerState
 
 UNREAD_LIMIT = 5.0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_message.py
@@ -7,9 +7,9 @@
 
 from dataclasses import dataclass
 
-from ..command import Command
-from ..message import Message
-from .worker import EndedRun, ListedRun, WorkerInfo
+from ...command import Command
+from ...message import Message
+from ..workers.worker import EndedRun, ListedRun, WorkerInfo
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_state.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from ..chart import Chart, Lifecycle
-from ..message import Message
-from .policy import FleetPolicy
-from .worker import (
+from ...chart import Chart, Lifecycle
+from ...message import Message
+from ..policies.policy import FleetPolicy
+from ..workers.worker import (
     EndedRun,
     HealthAnswer,
     ListedRun,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker_contact.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/worker_contact.py
@@ -7,8 +7,8 @@
 
 from math import inf
 
-from ..command import Command, SetTimer, WriteLog
-from ..log_event import WORKER_REACHABLE
+from ...command import Command, SetTimer, WriteLog
+from ...log_event import WORKER_REACHABLE
 from .lease_clock import CONTACT_LIMIT, is_lease_over
 from .report_writer import delete_report, write_report
 from .run_action import list_runs_command
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Accept callers' jobs and answer what became of them."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
@@ -12,11 +12,11 @@
 from functools import singledispatch
 from math import inf
 
-from ..command import Command, ReadRows, WriteLog
-from ..error import UnhandledMessageError
-from ..log_event import CORDONS_READ, JOB_REFUSED, POLICY_IN_FORCE
-from ..message import Message
-from ..store import (
+from ...command import Command, ReadRows, WriteLog
+from ...error import UnhandledMessageError
+from ...log_event import CORDONS_READ, JOB_REFUSED, POLICY_IN_FORCE
+from ...message import Message
+from ...storage.store import (
     ABSENT,
     Condition,
     RowsRead,
@@ -25,8 +25,16 @@
     text_size,
     Write,
 )
-from .cordon import CordonsChanged
-from .fleet_state import ClocksRead
+from ..jobs.spec import (
+    JOB_ID_PATTERN,
+    JobSpec,
+    LASTING_TASKS_LIMIT,
+    PAYLOAD_LIMIT_BYTES,
+)
+from ..owner.fleet_state import ClocksRead
+from ..policies.cordon import CordonsChanged
+from ..policies.policy import PolicyChanged, PolicyHealth, Queue
+from ..rows import job_key, pack, progress_key, queue_counts_key
 from .intake_message import (
     AnswerCaller,
     CallOutcome,
@@ -36,9 +44,6 @@
     SubmitJob,
 )
 from .intake_state import conditional_write, IntakeState, PendingCall
-from .policy import PolicyChanged, PolicyHealth, Queue
-from .rows import job_key, pack, progress_key, queue_counts_key
-from .spec import JOB_ID_PATTERN, JobSpec, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
 
 POLICY_AGE_LIMIT = 5.0
 """Seconds for which an unconfirmed configuration still admits callers."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_action.py
@@ -11,18 +11,18 @@
 
 from returns.result import Failure, Result, Success
 
-from ..action import Action, Guard, holds, perform
-from ..chart import Chart, ChartCatalogue
-from ..command import Command, WriteLog
-from ..log_event import (
+from ...action import Action, Guard, holds, perform
+from ...chart import Chart, ChartCatalogue
+from ...command import Command, WriteLog
+from ...log_event import (
     CALL_UNANSWERED,
     CANCELLATION_ANSWERED,
     JOB_ACCEPTED,
     JOB_REFUSED,
     JOB_UNCERTAIN,
 )
-from ..message import Message
-from ..store import (
+from ...message import Message
+from ...storage.store import (
     ABSENT,
     Condition,
     Conflicted,
@@ -32,10 +32,10 @@
     StoreUnavailable,
     Write,
 )
+from ..jobs.progress import JobProgress, JobState
+from ..rows import cancel_key, job_key, progress_key, queue_counts_key, unpack
 from .intake_message import AnswerCaller, CallOutcome
 from .intake_state import conditional_write, IntakeState, PendingCall
-from .progress import JobProgress, JobState
-from .rows import cancel_key, job_key, progress_key, queue_counts_key, unpack
 
 UNCERTAIN_LIMIT = 1_000
 """Largest number of jobs of unknown acceptance that an entry instance remembers."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_message.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..command import Command
-from ..message import Message
-from .progress import JobState
-from .spec import StepSpec
+from ...command import Command
+from ...message import Message
+from ..jobs.progress import JobState
+from ..jobs.spec import StepSpec
 
 
 class CallOutcome(StrEnum):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_state.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from ..chart import Chart, Lifecycle
-from ..command import Command, Transact
-from ..store import Condition, Row, Transaction, Write
+from ...chart import Chart, Lifecycle
+from ...command import Command, Transact
+from ...storage.store import Condition, Row, Transaction, Write
+from ..policies.policy import FleetPolicy, Queue
 from .intake_message import IntakeRequest
-from .policy import FleetPolicy, Queue
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Follow jobs, their steps and their units from acceptance to the end."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/crash_attribution.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_attribution.py
@@ -9,9 +9,9 @@
 from dataclasses import replace
 from math import inf
 
-from .fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState, Worker
+from ..workers.worker import EndKind, WorkerReport
 from .unit import RunEnded, UnitMember
-from .worker import EndKind, WorkerReport
 
 START_SPREAD = 0.25
 """Seconds by which a run must precede the last start for that to be likelier the cause."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState, Job
 from .occurrence import StepState
 from .spec import StepSpec
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_restore.py
@@ -5,21 +5,14 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from ..command import Command, WriteLog
-from ..log_event import JOB_HELD
-from .fleet_state import FleetState, Job, StoredProgress
+from ...command import Command, WriteLog
+from ...log_event import JOB_HELD
+from ..owner.fleet_state import FleetState, Job, StoredProgress
+from ..rows import pack
 from .job_lifecycle import cancel_units, create_unit
 from .job_steps import begin_steps, close_if_completed, drop_page, ready_steps
-from .occurrence import (
-    Occurrence,
-    page_of,
-    PAGE_UNITS,
-    PageId,
-    StepState,
-    unit_count,
-)
+from .occurrence import Occurrence, page_of, PAGE_UNITS, PageId, StepState, unit_count
 from .progress import JobProgress, MemberRecord, UnitPage, UnitRecord
-from .rows import pack
 from .unit import (
     ACTIVE,
     BLOCKED,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_start.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_start.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from ..command import Command
-from .fleet_state import FleetState, Job
+from ...command import Command
+from ..owner.fleet_state import FleetState, Job
 from .job_lifecycle import (
     add_occurrence,
     cancel,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/job_steps.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_steps.py
@@ -5,17 +5,10 @@
 from collections.abc import Iterable
 from functools import singledispatch
 
-from ..message import Message
-from .fleet_state import FleetState, Job
-from .occurrence import (
-    Occurrence,
-    page_count,
-    page_of,
-    PageId,
-    StepState,
-    unit_count,
-)
-from .rows import unit_page_key
+from ...message import Message
+from ..owner.fleet_state import FleetState, Job
+from ..rows import unit_page_key
+from .occurrence import Occurrence, page_count, page_of, PageId, StepState, unit_count
 from .unit import RunEnded, Unit, UnitPlaced, UnknownEndLearned
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..store import text_size
+from ...storage.store import text_size
 
 STEPS_LIMIT = 100
 """Maximum number of steps of a job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/stop_account.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/stop_account.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import EVICTION_ACCOUNTED, STOP_ACCOUNTED
-from .fleet_state import FleetState
+from ...command import Command, WriteLog
+from ...log_event import EVICTION_ACCOUNTED, STOP_ACCOUNTED
+from ..owner.fleet_state import FleetState
+from ..workers.worker import EndKind
 from .stop_times import START_TIME, StopTimes
 from .unit import (
     ACTIVE,
@@ -22,7 +23,6 @@
     UnitMember,
 )
 from .unit_stop import EvictionAccount, UnitStop, WasteCause
-from .worker import EndKind
 
 CAUSES_BY_KIND = {
     EndKind.FAILED: WasteCause.FAILED,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit.py
@@ -11,15 +11,15 @@
 from math import inf
 from typing import Any, NamedTuple
 
-from ..chart import Lifecycle
-from ..message import Message
+from ...chart import Lifecycle
+from ...message import Message
+from ..run_times.run_progress import RunProgress
+from ..workers.worker import EndKind
 from .crash_history import CrashHistory, NO_CRASHES
 from .occurrence import PAGE_UNITS
 from .progress import MemberRecord, UnitRecord, UnknownEnd
-from .run_progress import RunProgress
 from .spec import Resources, StepSpec, TaskId
 from .unit_stop import UnitStop
-from .worker import EndKind
 
 BLOCKED = "blocked"
 WAITING = "waiting"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_action.py
@@ -8,12 +8,12 @@
 from math import inf
 from typing import Any
 
-from ..action import Action, Guard, holds, perform
-from ..chart import Chart, ChartCatalogue
-from ..command import Command
+from ...action import Action, Guard, holds, perform
+from ...chart import Chart, ChartCatalogue
+from ...command import Command
+from ..workers.worker import EndKind
 from .progress import UnknownEnd
 from .unit import RunEnded, Unit, UnitMember, UnitPlaced, UnknownEndLearned
-from .worker import EndKind
 
 COUNTED_FAILURES = frozenset((EndKind.FAILED,))
 """Ends that count as failed attempts; the system itself causes all others."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
@@ -9,8 +9,8 @@
 import sys
 from collections.abc import Iterable
 
-from ..message import Message
-from .fleet_state import FleetState, Job
+from ...message import Message
+from ..owner.fleet_state import FleetState, Job
 from .job_steps import changed_pages, complete_unit, pages_of
 from .unit import COMPLETED, ENDED_STATES, FAILED, RunEnded, Unit, WAITING
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_lifecycle.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import (
+from ...command import Command, WriteLog
+from ...log_event import (
     LogEvent,
     RUN_ENDED,
     UNIT_EVACUATED,
@@ -17,11 +17,12 @@
     UNIT_PLACED,
     UNIT_PREEMPTED,
 )
-from .cordon import CORDONED
-from .fleet_state import FleetState
+from ..owner.fleet_state import FleetState
+from ..planning.plan import Decision, Evacuate, Move, Preempt
+from ..policies.cordon import CORDONED
+from ..run_times.run_forecast import record_run, step_forecast
+from ..workers.worker import EndKind
 from .job_lifecycle import count_placement, update_job
-from .plan import Decision, Evacuate, Move, Preempt
-from .run_forecast import record_run, step_forecast
 from .stop_account import (
     account_for_end,
     account_for_start,
@@ -43,7 +44,6 @@
 )
 from .unit_event import handle_unit_event
 from .unit_stop import WasteCause
-from .worker import EndKind
 
 LEARNED_LATER = "the end was unknown until now"
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_list.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_list.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ..command import Command, WriteLog
-from ..log_event import UNITS_LISTED
-from .allocation_log import log_allocation
-from .fleet_state import FleetState, Job
+from ...command import Command, WriteLog
+from ...log_event import UNITS_LISTED
+from ..owner.fleet_state import FleetState, Job
+from ..planning.allocation_log import log_allocation
 from .occurrence import unit_count, UNPLACED_UNITS_LIMIT
 from .unit import ACTIVE, CANCELLING, ENDED_STATES, STOPPING, Unit, UnitId, WAITING
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/decision_effect.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/decision_effect.py
@@ -4,13 +4,13 @@
 
 from functools import singledispatch
 
-from ..command import Command
+from ...command import Command
+from ..jobs.job_lifecycle import update_job
+from ..jobs.unit import WAITING
+from ..jobs.unit_lifecycle import evacuate, move, place, preempt
+from ..planning.plan import Decision, Evacuate, Move, Place, Preempt, Wait
+from ..planning.wait_log import log_wait
 from .fleet_state import FleetState
-from .job_lifecycle import update_job
-from .plan import Decision, Evacuate, Move, Place, Preempt, Wait
-from .unit import WAITING
-from .unit_lifecycle import evacuate, move, place, preempt
-from .wait_log import log_wait
 
 
 @singledispatch
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -4,10 +4,10 @@
 
 from math import inf
 
+from ..planning.fleet_view import FleetView
+from ..planning.planner import Planner
+from ..run_times.run_time import RunTimeModel
 from .fleet_state import FleetState
-from .fleet_view import FleetView
-from .planner import Planner
-from .run_time import RunTimeModel
 
 
 def reset_state(state: FleetState) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -10,24 +10,24 @@
 from math import inf
 from typing import Any, NamedTuple
 
-from ..chart import Chart
-from ..message import Message
-from .cordon import OwnerCordons
-from .fleet_view import FleetView
-from .occurrence import Occurrence, PageId
-from .plan import DEFAULT_REMOTE_FACTOR
-from .planner import Planner
-from .policy import FleetPolicy, Queue
-from .progress import JobProgress, JobState, UnitPage
-from .run_time import JobForecast, RunTimeModel
-from .spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
-from .step_graph import StepGraph
-from .stop_times import DEFAULT_STOP_TIMES, StopTimes
+from ...chart import Chart
+from ...message import Message
+from ..jobs.occurrence import Occurrence, PageId
+from ..jobs.progress import JobProgress, JobState, UnitPage
+from ..jobs.spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
+from ..jobs.step_graph import StepGraph
+from ..jobs.stop_times import DEFAULT_STOP_TIMES, StopTimes
+from ..jobs.unit import Unit, UnitId
+from ..jobs.unit_stop import EvictionAccount
+from ..planning.fleet_view import FleetView
+from ..planning.plan import DEFAULT_REMOTE_FACTOR
+from ..planning.planner import Planner
+from ..policies.cordon import OwnerCordons
+from ..policies.policy import FleetPolicy, Queue
+from ..run_times.run_time import JobForecast, RunTimeModel
+from ..workers.worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
+from ..workers.worker_health import WorkerHealth
 from .takeover import Takeover
-from .unit import Unit, UnitId
-from .unit_stop import EvictionAccount
-from .worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
-from .worker_health import WorkerHealth
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
@@ -11,14 +11,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from ..command import Command
-from ..ownership import WriteRow
-from .fleet_state import FleetState, Job, RemovedJob
-from .job_steps import drop_page
-from .occurrence import PAGE_UNITS, PageId
-from .orders import orders_for
-from .progress import JobProgress, JobState, UnitPage
-from .rows import (
+from ...command import Command
+from ...sharding.ownership import WriteRow
+from ..jobs.job_steps import drop_page
+from ..jobs.occurrence import PAGE_UNITS, PageId
+from ..jobs.progress import JobProgress, JobState, UnitPage
+from ..jobs.unit import UnitId
+from ..rows import (
     cancel_key,
     job_key,
     order_key,
@@ -27,8 +26,9 @@
     queue_counts_key,
     unit_page_key,
 )
-from .run_time_row import run_times_key, run_times_row
-from .unit import UnitId
+from ..run_times.run_time_row import run_times_key, run_times_row
+from ..workers.orders import orders_for
+from .fleet_state import FleetState, Job, RemovedJob
 
 ENDED_JOB_RETENTION = 300.0
 """Seconds for which callers can look up an ended job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -10,23 +10,44 @@
 from functools import singledispatch
 from math import inf
 
-from ..chart import ChartCatalogue
-from ..command import Command, SetTimer, WriteLog
-from ..error import UnhandledMessageError
-from ..feed import FeedHealth
-from ..log_event import (
+from ...chart import ChartCatalogue
+from ...command import Command, SetTimer, WriteLog
+from ...error import UnhandledMessageError
+from ...log_event import (
     CANCELLATION_READ_BY_OWNER,
     FLEET_LOADED,
     JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
     RUN_TIMES_READ,
 )
-from ..message import Message
-from ..ownership import RowCommitted, RowRejected, ShardAcquired, ShardLost
-from .cordon import cordon_chart, CordonsChanged, OwnerCordons
-from .cordon_control import apply_cordons, follow_cordons
+from ...message import Message
+from ...sharding.ownership import RowCommitted, RowRejected, ShardAcquired, ShardLost
+from ...storage.feed import FeedHealth
+from ..jobs.job_lifecycle import cancel, fail_job, learn_terms
+from ..jobs.job_start import start_due_occurrences, start_job
+from ..jobs.spec import JobSpec
+from ..jobs.stop_times import DEFAULT_STOP_TIMES, StopTimes
+from ..jobs.unit_action import unit_chart
+from ..jobs.unit_list import log_lists
+from ..planning.plan import DEFAULT_REMOTE_FACTOR
+from ..planning.snapshot import take_snapshot
+from ..policies.cordon import cordon_chart, CordonsChanged, OwnerCordons
+from ..policies.policy import PolicyChanged, PolicyHealth
+from ..rows import job_of_row, JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE, UNIT_TABLE
+from ..run_times.run_time import EstimateUse, RunTimeModel
+from ..run_times.run_time_row import ESTIMATE_TABLE, restore_run_times, RunTimesArrived
+from ..watch import StopWatching, WatchTables
+from ..workers.cordon_control import apply_cordons, follow_cordons
+from ..workers.fleet_health import check_fleet
+from ..workers.lost_run import (
+    end_broken_gangs,
+    reconcile_recorded_runs,
+    remove_report,
+    remove_silent_workers,
+)
+from ..workers.report_reconciliation import apply_report
+from ..workers.worker import ReportArrived, WorkerState
 from .decision_effect import apply_decision
-from .fleet_health import check_fleet
 from .fleet_reset import reset_state
 from .fleet_state import (
     CancelArrived,
@@ -49,38 +70,7 @@
     write_queue_counts,
     write_run_times,
 )
-from .job_lifecycle import (
-    cancel,
-    fail_job,
-    learn_terms,
-)
-from .job_start import start_due_occurrences, start_job
-from .lost_run import (
-    end_broken_gangs,
-    reconcile_recorded_runs,
-    remove_report,
-    remove_silent_workers,
-)
-from .plan import DEFAULT_REMOTE_FACTOR
-from .policy import PolicyChanged, PolicyHealth
-from .report_reconciliation import apply_report
-from .rows import (
-    job_of_row,
-    JOB_TABLE,
-    PROGRESS_TABLE,
-    REPORT_TABLE,
-    UNIT_TABLE,
-)
-from .run_time import EstimateUse, RunTimeModel
-from .run_time_row import ESTIMATE_TABLE, restore_run_times, RunTimesArrived
-from .snapshot import take_snapshot
-from .spec import JobSpec
-from .stop_times import DEFAULT_STOP_TIMES, StopTimes
 from .takeover import begin_takeover, log_first_pass, log_pending, log_step
-from .unit_action import unit_chart
-from .unit_list import log_lists
-from .watch import StopWatching, WatchTables
-from .worker import ReportArrived, WorkerState
 
 PASS_DELAY = 0.005
 """Seconds by which a planning pass is delayed to combine several changes."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/takeover.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/takeover.py
@@ -5,8 +5,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from ..command import WriteLog
-from ..log_event import FIRST_PLANNING_PASS, TAKEOVER_PENDING, TAKEOVER_STEP
+from ...command import WriteLog
+from ...log_event import FIRST_PLANNING_PASS, TAKEOVER_PENDING, TAKEOVER_STEP
 
 PENDING_INTERVAL = 3.0
 """Seconds between two lines about what an owner has yet to read."""
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Plan which waiting units run on which workers."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
@@ -9,15 +9,15 @@
 
 from collections.abc import Iterator
 
-from ..command import Command, WriteLog
-from ..log_event import CAPACITY_ALLOCATED
-from .cordon import CORDONED
-from .fleet_state import FleetState, Worker
+from ...command import Command, WriteLog
+from ...log_event import CAPACITY_ALLOCATED
+from ..jobs.spec import NO_RESOURCES, Resources
+from ..jobs.unit import ACTIVE, Unit, UnitId
+from ..owner.fleet_state import FleetState, Worker
+from ..policies.cordon import CORDONED
+from ..workers.worker import WorkerState
 from .plan import IN_DOUBT, Trust
 from .snapshot import is_fresh
-from .spec import NO_RESOURCES, Resources
-from .unit import ACTIVE, Unit, UnitId
-from .worker import WorkerState
 
 Shares = dict[str, list[int]]
 """Thousandths of a core, MB and accelerators by cause, as log records have them."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/doubt_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/doubt_wait.py
@@ -10,10 +10,10 @@
 from collections.abc import Mapping, Sequence
 from math import inf
 
+from ..jobs.unit import UnitId
+from ..workers.worker_health import RECOVERY_TIME
 from .plan import IN_DOUBT, Trust, WaitingUnit, WorkerSnapshot
 from .rack_wait import GUARANTEED_WAIT, IDLE_JOB_WAIT, RackWait
-from .unit import UnitId
-from .worker_health import RECOVERY_TIME
 
 SLACK_SHARE = 0.5
 """Share of a job's slack for which it waits for workers that are not in doubt.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
+from ..jobs.spec import Resources
 from .eviction_bound import least_cost, least_task_costs, usable_cores
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
-from .spec import Resources
 from .unit_placement import count_fitting
 from .victim import Victim, VictimIndex
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/eviction_bound.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction_bound.py
@@ -10,8 +10,8 @@
 from heapq import nsmallest
 from math import inf
 
+from ..jobs.spec import Resources
 from .plan import WaitingUnit, WorkerSnapshot
-from .spec import Resources
 from .unit_placement import count_fitting
 from .victim import unit_weight, VictimIndex
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_view.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/fleet_view.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass, field
 
+from ..jobs.unit import UnitId
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
-from .unit import UnitId
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -4,6 +4,7 @@
 
 from copy import copy
 
+from ..jobs.unit import UnitId
 from .doubt_wait import DoubtWait
 from .plan import (
     Decision,
@@ -20,7 +21,6 @@
 )
 from .planner_memory import Need, PlannerMemory, UnmetNeed
 from .rack_wait import RackWait
-from .unit import UnitId
 from .unit_placement import host_groups, host_key, HostGroups, reserve
 from .victim import VictimIndex
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -11,10 +11,10 @@
 from enum import Enum, StrEnum
 from math import inf
 
-from .run_time_fit import Forecast
-from .spec import NO_RESOURCES, Resources, used_share
-from .step_graph import DEFAULT_ESTIMATE
-from .unit import UnitId, WorkerRef
+from ..jobs.spec import NO_RESOURCES, Resources, used_share
+from ..jobs.step_graph import DEFAULT_ESTIMATE
+from ..jobs.unit import UnitId, WorkerRef
+from ..run_times.run_time_fit import Forecast
 
 DEFAULT_REMOTE_FACTOR = 2.0
 """Factor on run times away from the preferred rack, if the settings don't tell it."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planner_memory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner_memory.py
@@ -6,9 +6,9 @@
 from math import inf
 from typing import Any
 
+from ..jobs.unit import UnitId
 from .plan import Wait, WaitingUnit, WaitReason
 from .rack_wait import CheckKey, RackCheck
-from .unit import UnitId
 from .unit_placement import host_key, HostGroups, step_key
 
 Need = tuple[Any, ...]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_forecast.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_forecast.py
@@ -10,10 +10,10 @@
 from math import ceil, inf
 from operator import itemgetter
 
+from ..jobs.spec import NO_RESOURCES, Resources
+from ..jobs.unit import WorkerRef
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
 from .relocation import EVACUATION_TIME
-from .spec import NO_RESOURCES, Resources
-from .unit import WorkerRef
 from .unit_placement import step_key
 
 SLOTS_LIMIT = 10_000
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_wait.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from ..jobs.spec import NO_RESOURCES
+from ..jobs.unit import UnitId
 from .plan import Snapshot, used_share_of, WaitingUnit, WorkerSnapshot
 from .rack_forecast import Group, RackForecast
-from .spec import NO_RESOURCES
-from .unit import UnitId
 
 IDLE_JOB_WAIT = 2.0
 """Seconds for which a job that runs nothing waits for a rack in a quiet service.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -8,17 +8,11 @@
 
 from math import inf
 
-from .fleet_state import FleetState, Job, Worker
-from .guaranteed_jobs import guaranteed_jobs
-from .orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
-from .plan import (
-    ON_TRIAL,
-    RunningUnit,
-    Snapshot,
-    WaitingUnit,
-    WorkerSnapshot,
-)
-from .run_forecast import (
+from ..jobs.guaranteed_jobs import guaranteed_jobs
+from ..jobs.spec import QueueTerms
+from ..jobs.unit import ACTIVE, CANCELLING, STOPPING, Unit, UnitId, WAITING, WorkerRef
+from ..owner.fleet_state import FleetState, Job, Worker
+from ..run_times.run_forecast import (
     is_remote,
     job_forecast,
     objective_path,
@@ -27,20 +21,12 @@
     saved_work,
     step_forecast,
 )
-from .run_time_fit import Forecast
-from .spec import QueueTerms
-from .unit import (
-    ACTIVE,
-    CANCELLING,
-    STOPPING,
-    Unit,
-    UnitId,
-    WAITING,
-    WorkerRef,
-)
+from ..run_times.run_time_fit import Forecast
+from ..workers.orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
+from ..workers.worker import WorkerState
+from ..workers.worker_trust import stalled_for, trust_level
+from .plan import ON_TRIAL, RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
 from .unit_placement import has_job
-from .worker import WorkerState
-from .worker_trust import stalled_for, trust_level
 
 REPORT_AGE_LIMIT = 3.0
 """Seconds after its last report for which a worker still gets new runs."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..jobs.spec import Resources
 from .plan import IN_DOUBT, Trust, WaitingUnit, WorkerSnapshot
-from .spec import Resources
 
 ORDERS_LIMIT_BYTES = 60_000
 """Size of the orders and payloads in one orders row; the store takes 64 KiB."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/victim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/victim.py
@@ -7,9 +7,9 @@
 from functools import cached_property
 from math import inf
 
+from ..jobs.spec import Resources
+from ..jobs.unit import UnitId
 from .plan import RunningUnit
-from .spec import Resources
-from .unit import UnitId
 
 RESTART_COST = 0.3
 """Seconds of a unit's resources that a restart costs in addition to lost work.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/wait_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/wait_log.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import UNIT_WAITING
-from .fleet_state import FleetState, LoggedWait
+from ...command import Command, WriteLog
+from ...log_event import UNIT_WAITING
+from ..jobs.unit import Unit, unit_name
+from ..owner.fleet_state import FleetState, LoggedWait
 from .plan import used_share_of, Wait, WorkerSnapshot
-from .unit import Unit, unit_name
 
 MAX_LOGGED_COST = 1e6
 """Core-seconds that stand in a log record for infinity, which JSON lacks."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/waiting_order.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/waiting_order.py
@@ -9,8 +9,8 @@
 from operator import attrgetter
 from typing import Any
 
+from ..jobs.unit import UnitId
 from .plan import Snapshot, WaitingUnit
-from .unit import UnitId
 from .unit_placement import step_key
 
 LATENESS_FACTOR_LIMIT = 3.0
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Define what operators configure: queues, organisations and cordons."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/cordon.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/cordon.py
@@ -10,11 +10,11 @@
 from math import inf
 from typing import Any
 
-from ..action import Action, perform
-from ..chart import Chart, ChartCatalogue, Lifecycle
-from ..command import Command, WriteLog
-from ..log_event import CORDON_IN_FORCE, CORDON_WITHDRAWN
-from ..message import Message
+from ...action import Action, perform
+from ...chart import Chart, ChartCatalogue, Lifecycle
+from ...command import Command, WriteLog
+from ...log_event import CORDON_IN_FORCE, CORDON_WITHDRAWN
+from ...message import Message
 
 CORDONED = "cordoned"
 """Reason with which an agent refuses a run, and the owner withdraws an order."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from hashlib import sha256
 
-from ..message import Message
-from .spec import QueueTerms
+from ...message import Message
+from ..jobs.spec import QueueTerms
 
 KEY_DIGEST_BYTES = 16
 """Length in bytes of the digest that identifies an organisation's API key."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_check.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 from itertools import permutations
 
-from ..config_check import check_configuration, duplicates, Finding, Severity
+from ...bundles.config_check import check_configuration, duplicates, Finding, Severity
+from ..jobs.spec import JOB_ID_PATTERN
 from .policy import Organisation, Queue
 from .policy_draft import PolicyCheckInput, PolicyDraft
-from .spec import JOB_ID_PATTERN
 
 URGENT = 0
 """Priority of the jobs that a guarantee covers."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policy_difference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_difference.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from ..config_check import (
+from ...bundles.config_check import (
     compare_configurations,
     compare_entries,
     Difference,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/row_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/row_check.py
@@ -10,8 +10,8 @@
 from math import isfinite
 from typing import Any
 
-from .spec import JobSpec, Resources, STEPS_LIMIT, StepSpec, TASKS_LIMIT
-from .worker import WorkerReport
+from .jobs.spec import JobSpec, Resources, STEPS_LIMIT, StepSpec, TASKS_LIMIT
+from .workers.worker import WorkerReport
 
 AMOUNT_LIMIT = 1_000_000_000
 """Largest amount of one resource: thousandths of a core, MB or devices."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/rows.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from ..error import ProtocolError
-from .occurrence import PageId
+from .jobs.occurrence import PageId
 from .row_check import row_problem
 
 SHARD = "main"
--- /dev/null
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/__init__.py
@@ -0,0 +1,1 @@
+"""Learn how long tasks run, and forecast it."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_forecast.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_forecast.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from .fleet_state import FleetState, Job
+from ..jobs.step_graph import run_estimate
+from ..jobs.unit import RunEnded, Unit, UnitMember
+from ..owner.fleet_state import FleetState, Job
+from ..workers.worker import EndKind
 from .run_time import EstimateUse, JobForecast, run_kind, RunKind, RunOutcome
 from .run_time_fit import Forecast
-from .step_graph import run_estimate
-from .unit import RunEnded, Unit, UnitMember
-from .worker import EndKind
 
 REFRESH_INTERVAL = 1.0
 """Seconds between two times that the forecasts of all jobs follow the ended runs."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_time.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time.py
@@ -15,9 +15,9 @@
 from statistics import median
 from typing import Any, NamedTuple, TypeVar
 
+from ..jobs.spec import StepSpec
+from ..jobs.step_graph import DEFAULT_ESTIMATE
 from .run_time_fit import Fit, Forecast, Observation, shared_summary, summarise, Summary
-from .spec import StepSpec
-from .step_graph import DEFAULT_ESTIMATE
 
 OBSERVATION_LIMIT = 16
 """Steps of jobs that a group remembers; a change shows after about half of them."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_time_fit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time_fit.py
@@ -14,7 +14,7 @@
 from statistics import fmean, median, NormalDist
 from typing import NamedTuple
 
-from .step_graph import DEFAULT_ESTIMATE
+from ..jobs.step_graph import DEFAULT_ESTIMATE
 
 PRIOR_WEIGHT = 3
 """Number of observations as which the parent group counts in a group."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_time_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time_row.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..message import Message
-from ..store import encode_json
-from .row_check import COUNTER_LIMIT, row_problem
-from .rows import pack, SHARD
+from ...message import Message
+from ...storage.store import encode_json
+from ..row_check import COUNTER_LIMIT, row_problem
+from ..rows import pack, SHARD
 from .run_time import OBSERVATION_LIMIT, RunGroup, RunTimeModel
 from .run_time_fit import Observation
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/watch.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/watch.py
@@ -10,7 +10,7 @@
 
 from ..command import Command
 from ..message import Message
-from ..store import Row
+from ..storage.store import Row
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/cordon_control.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/cordon_control.py
@@ -6,9 +6,15 @@
 
 from __future__ import annotations
 
-from ..command import Command, WriteLog
-from ..log_event import CORDON_REQUESTED, CORDON_RUNS, ORDER_WITHDRAWN
-from .cordon import (
+from ...command import Command, WriteLog
+from ...log_event import CORDON_REQUESTED, CORDON_RUNS, ORDER_WITHDRAWN
+from ..jobs.stop_account import begin_stop
+from ..jobs.unit import ACTIVE, Unit, unit_name, UnitPreempted
+from ..jobs.unit_event import handle_unit_event
+from ..jobs.unit_stop import WasteCause
+from ..owner.fleet_state import FleetState, Worker
+from ..planning.snapshot import is_fresh, REPORT_AGE_LIMIT
+from ..policies.cordon import (
     Cordon,
     cordon_fields,
     CORDONED,
@@ -16,12 +22,6 @@
     CordonsChanged,
     CordonShown,
 )
-from .fleet_state import FleetState, Worker
-from .snapshot import is_fresh, REPORT_AGE_LIMIT
-from .stop_account import begin_stop
-from .unit import ACTIVE, Unit, unit_name, UnitPreempted
-from .unit_event import handle_unit_event
-from .unit_stop import WasteCause
 from .worker import listed_keys
 
 ORDER_WITHDRAWAL_TIME = 2.5
--- a/packages/wasabispur-core/src/wasabispur_core/workload/fleet_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
@@ -9,16 +9,16 @@
 
 from collections import Counter
 
-from ..command import Command, WriteLog
-from ..log_event import (
+from ...command import Command, WriteLog
+from ...log_event import (
     HEALTH_ANSWERS_COUNTED,
     HEALTH_SIGNAL_DISREGARDED,
     HEALTH_SIGNAL_USED,
     WORKER_TRUST_CHANGED,
 )
-from .fleet_state import FleetState, Worker
-from .plan import Trust
-from .unit import Unit
+from ..jobs.unit import Unit
+from ..owner.fleet_state import FleetState, Worker
+from ..planning.plan import Trust
 from .worker import HealthAnswer, WorkerReport, WorkerState
 from .worker_health import FLAP_WINDOW, WorkerHealth
 from .worker_trust import restore_trust, trust_level
--- a/packages/wasabispur-core/src/wasabispur_core/workload/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -8,15 +8,15 @@
 
 from dataclasses import replace
 
-from ..command import Command, WriteLog
-from ..log_event import WORKER_LOST
-from .crash_attribution import attribute_crash
-from .fleet_state import FleetState, Worker
-from .progress import UnknownEnd
-from .snapshot import REPORT_AGE_LIMIT
-from .unit import RunEnded, Unit, UnknownEndLearned
-from .unit_event import attempt_limit
-from .unit_lifecycle import end_run, learn_end
+from ...command import Command, WriteLog
+from ...log_event import WORKER_LOST
+from ..jobs.crash_attribution import attribute_crash
+from ..jobs.progress import UnknownEnd
+from ..jobs.unit import RunEnded, Unit, UnknownEndLearned
+from ..jobs.unit_event import attempt_limit
+from ..jobs.unit_lifecycle import end_run, learn_end
+from ..owner.fleet_state import FleetState, Worker
+from ..planning.snapshot import REPORT_AGE_LIMIT
 from .worker import EndKind, incarnation_sort_key, is_later_incarnation, WorkerState
 
 RESTARTED = "the worker restarted"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
@@ -8,9 +8,9 @@
 
 from itertools import islice
 
-from ..store import text_size
-from .fleet_state import FleetState, Worker
-from .unit import ACTIVE, Unit
+from ...storage.store import text_size
+from ..jobs.unit import ACTIVE, Unit
+from ..owner.fleet_state import FleetState, Worker
 from .worker import RunOrder, WorkerOrders
 
 RUN_ORDER_BYTES = 160
--- a/packages/wasabispur-core/src/wasabispur_core/workload/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
@@ -8,20 +8,20 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from ..command import Command, WriteLog
-from ..log_event import REPORT_IGNORED, WORKER_STATE_READ
-from .crash_attribution import attribute_crash, begun_runs_in
+from ...command import Command, WriteLog
+from ...log_event import REPORT_IGNORED, WORKER_STATE_READ
+from ..jobs.crash_attribution import attribute_crash, begun_runs_in
+from ..jobs.spec import TaskId
+from ..jobs.unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
+from ..jobs.unit_lifecycle import end_run, learn_end
+from ..owner.fleet_state import FleetState, new_worker, Worker
+from ..run_times.run_forecast import compare_progress
 from .fleet_health import apply_health, apply_restart, note_progress
-from .fleet_state import FleetState, new_worker, Worker
 from .lost_run import (
     apply_recorded_incarnation,
     end_runs_of_former_incarnations,
     remove_replaced_workers,
 )
-from .run_forecast import compare_progress
-from .spec import TaskId
-from .unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
-from .unit_lifecycle import end_run, learn_end
 from .unlisted_run import learn_unlisted_ends
 from .worker import (
     EndedRun,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/unlisted_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/unlisted_run.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from ..command import Command
-from .fleet_state import FleetState, Worker
+from ...command import Command
+from ..jobs.unit import UnknownEndLearned
+from ..jobs.unit_lifecycle import learn_end
+from ..owner.fleet_state import FleetState, Worker
 from .lost_run import unknown_ends_on
-from .unit import UnknownEndLearned
-from .unit_lifecycle import learn_end
 from .worker import EndKind, WorkerReport
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ..message import Message
-from .spec import NO_RESOURCES, Resources
+from ...message import Message
+from ..jobs.spec import NO_RESOURCES, Resources
 
 CHECKPOINT_LIMIT_BYTES = 256
 """Maximum size of a checkpoint, encoded as JSON, so that it fits into each row."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from .plan import Trust
+from ..planning.plan import Trust
 from .worker import HealthAnswer
 
 RECOVERY_TIME = 2.0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
@@ -9,13 +9,13 @@
 
 from math import inf
 
-from ..command import Command, WriteLog
-from ..log_event import WORKER_STALLED, WORKER_SUSPECTED
-from .cordon import CORDONED
-from .fleet_state import FleetState, Job, Worker
-from .plan import Trust
-from .run_action import FORMER_ORDERS, LEAVING, UNREACHABLE
-from .unit import ACTIVE, Unit
+from ...command import Command, WriteLog
+from ...log_event import WORKER_STALLED, WORKER_SUSPECTED
+from ..agent.run_action import FORMER_ORDERS, LEAVING, UNREACHABLE
+from ..jobs.unit import ACTIVE, Unit
+from ..owner.fleet_state import FleetState, Job, Worker
+from ..planning.plan import Trust
+from ..policies.cordon import CORDONED
 from .worker import EndKind
 
 FAILURE_LIMIT = 2
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/bundle_codec.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/bundle_codec.py
@@ -6,12 +6,12 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wasabispur_core.bundle import (
+from wasabispur_core.bundles.bundle import (
     BundleContent,
     canonical_json,
     InvalidBundleError,
 )
-from wasabispur_core.bundle_record import (
+from wasabispur_core.bundles.bundle_record import (
     ChangeRecord,
     PointerRecord,
     RECORD_SCHEMA,
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/object_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/object_client.py
@@ -8,7 +8,7 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.message import Message
-from wasabispur_core.object_access import (
+from wasabispur_core.storage.object_access import (
     decide,
     digest_matches,
     new_object_access,
@@ -18,7 +18,7 @@
     ObjectRequested,
     SendObjectCall,
 )
-from wasabispur_core.store_call import CallAnswer, CallLost
+from wasabispur_core.storage.store_call import CallAnswer, CallLost
 from wasabispur_core.timer import TimerService
 
 from .http_call import CALL_TIMEOUT, HttpClient, HttpResponse
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/policy_watcher.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/policy_watcher.py
@@ -8,14 +8,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from wasabispur_core.circuit import ServiceReachable, ServiceUnreachable
-from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.message import Message
-from wasabispur_core.store import Row
+from wasabispur_core.storage.circuit import ServiceReachable, ServiceUnreachable
+from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.storage.store import Row
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.cordon import CordonsChanged
-from wasabispur_core.workload.fleet_state import ClocksRead
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged, PolicyHealth
+from wasabispur_core.workload.owner.fleet_state import ClocksRead
+from wasabispur_core.workload.policies.cordon import CordonsChanged
+from wasabispur_core.workload.policies.policy import (
+    FleetPolicy,
+    PolicyChanged,
+    PolicyHealth,
+)
 
 from .actor import Actor
 from .table_feed import TableFeed
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/store_actor.py
@@ -15,8 +15,8 @@
     STORE_UNAVAILABLE,
 )
 from wasabispur_core.message import event_name, Message
-from wasabispur_core.store_access import StoreAccess, THREAD_LIMIT
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.store_access import StoreAccess, THREAD_LIMIT
+from wasabispur_core.storage.store_call import (
     CallAnswer,
     CallLost,
     CallRefused,
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_client.py
@@ -11,12 +11,12 @@
 from pydantic import ValidationError
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import TrialTiming
 from wasabispur_core.command import ReadRows, Transact
 from wasabispur_core.message import Message
-from wasabispur_core.store import Row, Transaction
-from wasabispur_core.store_access import CALL_DEADLINE, DEFAULT_TRIAL_TIMING
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.circuit import TrialTiming
+from wasabispur_core.storage.store import Row, Transaction
+from wasabispur_core.storage.store_access import CALL_DEADLINE, DEFAULT_TRIAL_TIMING
+from wasabispur_core.storage.store_call import (
     CallAnswer,
     CallLost,
     ConditionsFailed,
@@ -29,7 +29,7 @@
     TransactionApplied,
     TransactionRequested,
 )
-from wasabispur_core.table_access import decide, new_table_access
+from wasabispur_core.storage.table_access import decide, new_table_access
 from wasabispur_core.timer import TimerService
 
 from .decision_actor import execute
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_feed.py
@@ -12,7 +12,10 @@
 from typing import Any
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.feed import (
+from wasabispur_core.log_event import FEED_CALL_ABANDONED
+from wasabispur_core.message import Message
+from wasabispur_core.metric import FEED_FAILURES
+from wasabispur_core.storage.feed import (
     decide,
     FeedAnswer,
     FeedDue,
@@ -25,9 +28,6 @@
     RowsChanged,
     TableDelivered,
 )
-from wasabispur_core.log_event import FEED_CALL_ABANDONED
-from wasabispur_core.message import Message
-from wasabispur_core.metric import FEED_FAILURES
 from wasabispur_core.timer import TimerService
 
 from .actor import Close
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/table_protocol.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/table_protocol.py
@@ -6,7 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from wasabispur_core.store import KEY_LIMIT, Row, Transaction
+from wasabispur_core.storage.store import KEY_LIMIT, Row, Transaction
 
 
 class _Body(BaseModel):
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -40,9 +40,9 @@
     WORKERS_BY_HEALTH,
     WORKERS_IN_DOUBT,
 )
-from wasabispur_core.workload.intake_message import AnswerCaller
-from wasabispur_core.workload.unit_stop import WasteCause
-from wasabispur_core.workload.worker import HealthAnswer
+from wasabispur_core.workload.intake.intake_message import AnswerCaller
+from wasabispur_core.workload.jobs.unit_stop import WasteCause
+from wasabispur_core.workload.workers.worker import HealthAnswer
 
 from .log import RecordSink
 from .metrics import MetricRegistry, Series
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_case.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_case.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wasabispur_core.request_message import DeadlineReached
+from wasabispur_core.requests.request_message import DeadlineReached
 from wasabispur_core.work_class import default_classes
 
 from .bench_world import RequestRecord, SLOTS, World
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_policy.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_policy.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wasabispur_core.admission import Admission, QueueKey, Rejection
 from wasabispur_core.chart import Chart
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request import RequestState
-from wasabispur_core.routing import EndpointView, serving_endpoints
+from wasabispur_core.requests.admission import Admission, QueueKey, Rejection
+from wasabispur_core.requests.request import RequestState
+from wasabispur_core.requests.routing import EndpointView, serving_endpoints
 from wasabispur_core.work_class import WorkClass
 
 QUEUE_LIMIT = 10_000
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_request.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_request.py
@@ -6,7 +6,7 @@
 
 import click
 
-from wasabispur_core.outcome import Outcome
+from wasabispur_core.requests.outcome import Outcome
 
 from .bench_case import CaseResult, CASES, run_case
 from .bench_policy import POLICIES
--- a/packages/wasabispur-standins/src/wasabispur_standins/bench_world.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/bench_world.py
@@ -10,7 +10,6 @@
 from functools import singledispatch
 from random import Random
 
-from wasabispur_core import permit, request
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import (
     CancelTimer,
@@ -20,15 +19,21 @@
     SetTimer,
     Transact,
 )
-from wasabispur_core.member import FromAgent
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.message import Message
-from wasabispur_core.outcome import Outcome, ReplyToCaller
-from wasabispur_core.permit import CallEndpoint, FromEntry, PermitState, SendToEntryLink
-from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import AttemptCompleted, AttemptNotRun, Reason
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_message import AgentAttached, RequestReceived
-from wasabispur_core.store import Committed
+from wasabispur_core.requests import permit, request
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.permit import (
+    CallEndpoint,
+    FromEntry,
+    PermitState,
+    SendToEntryLink,
+)
+from wasabispur_core.requests.permit_action import attempt_chart
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_message import AgentAttached, RequestReceived
+from wasabispur_core.storage.store import Committed
 from wasabispur_core.timer import FakeTimerService, Subscription
 
 from .bench_policy import build_state
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -7,7 +7,7 @@
 import click
 from loguru import logger
 
-from wasabispur_core.workload.run_time import EstimateUse
+from wasabispur_core.workload.run_times.run_time import EstimateUse
 
 from .fleet_experiment import add_results, play_load, QueueResult
 from .fleet_forecast import ForecastErrors
--- a/packages/wasabispur-standins/src/wasabispur_standins/fault.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fault.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from wasabispur_core.token_bucket import TokenBucket
+from wasabispur_core.storage.token_bucket import TokenBucket
 
 Seconds = Annotated[float, Field(ge=0, le=3600)]
 Status = Annotated[int, Field(ge=400, le=599)]
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -15,17 +15,8 @@
 from random import Random
 
 from wasabispur_core.message import Message
-from wasabispur_core.workload.fleet_state import (
-    ClocksRead,
-    FleetTick,
-    JobArrived,
-    PlanningPassDue,
-)
-from wasabispur_core.workload.policy import Organisation
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.run_time import EstimateUse
-from wasabispur_core.workload.scheduler import decide
-from wasabispur_core.workload.unit import (
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.jobs.unit import (
     ACTIVE,
     ENDED_STATES,
     STOPPING,
@@ -33,7 +24,16 @@
     unit_name,
     UnitId,
 )
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.owner.fleet_state import (
+    ClocksRead,
+    FleetTick,
+    JobArrived,
+    PlanningPassDue,
+)
+from wasabispur_core.workload.owner.scheduler import decide
+from wasabispur_core.workload.policies.policy import Organisation
+from wasabispur_core.workload.run_times.run_time import EstimateUse
+from wasabispur_core.workload.workers.worker import EndKind
 
 from .fleet_forecast import ForecastErrors
 from .fleet_load import (
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_forecast.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_forecast.py
@@ -7,7 +7,7 @@
 from math import exp, log
 from statistics import median
 
-from wasabispur_core.workload.run_time import run_kind, RunTimeModel
+from wasabispur_core.workload.run_times.run_time import run_kind, RunTimeModel
 
 from .fleet_load import GeneratedJob
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
@@ -7,8 +7,8 @@
 from math import exp
 from random import Random
 
-from wasabispur_core.workload.policy import Queue
-from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
+from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
+from wasabispur_core.workload.policies.policy import Queue
 
 from .simulated_owner import rack_name, simulated_queue
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_baseline.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_baseline.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wasabispur_core.jobs.placement import GangSize
 from wasabispur_core.message import Message
-from wasabispur_core.placement import GangSize
 from wasabispur_core.timer import FakeTimerService
 
 from .job_load import FleetModel, GeneratedJob
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_bench.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_bench.py
@@ -9,14 +9,14 @@
 
 import click
 
-from wasabispur_core import job_placement
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.fleet import WorkerAttached
-from wasabispur_core.job import AgentClock, decide, SchedulerState
-from wasabispur_core.job_action import job_chart
-from wasabispur_core.job_queue import JobsRead
-from wasabispur_core.job_record import JobRecord
-from wasabispur_core.ownership import ShardLease
+from wasabispur_core.jobs import job_placement
+from wasabispur_core.jobs.fleet import WorkerAttached
+from wasabispur_core.jobs.job import AgentClock, decide, SchedulerState
+from wasabispur_core.jobs.job_action import job_chart
+from wasabispur_core.jobs.job_queue import JobsRead
+from wasabispur_core.jobs.job_record import JobRecord
+from wasabispur_core.sharding.ownership import ShardLease
 
 from .job_baseline import BaselineScheduler, best_fit, first_fit
 from .job_load import (
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_load.py
@@ -6,9 +6,9 @@
 from math import log
 from random import Random
 
-from wasabispur_core.fleet import Worker
-from wasabispur_core.guarantee import Adjacency, Guarantee, GuaranteedShape
-from wasabispur_core.job_record import JobSpec
+from wasabispur_core.jobs.fleet import Worker
+from wasabispur_core.jobs.guarantee import Adjacency, Guarantee, GuaranteedShape
+from wasabispur_core.jobs.job_record import JobSpec
 
 DATA_CENTRE = "dc1"
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_measure.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_measure.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from wasabispur_core.placement import GangSize
+from wasabispur_core.jobs.placement import GangSize
 
 from .job_load import GeneratedJob, TASK_ACCELERATORS
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/job_model.py
@@ -13,11 +13,11 @@
 from random import Random
 from unittest.mock import patch
 
-from wasabispur_core import job_placement, task_report as task_report
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import CancelTimer, Command, SendToAgent, SetTimer
-from wasabispur_core.fleet import WorkerAttached
-from wasabispur_core.job import (
+from wasabispur_core.jobs import job_placement, task_report as task_report
+from wasabispur_core.jobs.fleet import WorkerAttached
+from wasabispur_core.jobs.job import (
     AgentClock,
     decide,
     handle_job_event,
@@ -25,14 +25,13 @@
     ReclaimRequested,
     SchedulerState,
 )
-from wasabispur_core.job_action import job_chart
-from wasabispur_core.job_placement import PolicyChanged
-from wasabispur_core.job_queue import JobsRead, JobTick
-from wasabispur_core.job_record import JobRecord
-from wasabispur_core.member import FromAgent
+from wasabispur_core.jobs.job_action import job_chart
+from wasabispur_core.jobs.job_placement import PolicyChanged
+from wasabispur_core.jobs.job_queue import JobsRead, JobTick
+from wasabispur_core.jobs.job_record import JobRecord
+from wasabispur_core.jobs.placement import free_capacity, GangSize, place_gang
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.message import Message
-from wasabispur_core.ownership import RowCommitted, ShardLease, WriteRow
-from wasabispur_core.placement import free_capacity, GangSize, place_gang
 from wasabispur_core.protocol import (
     Reason,
     ReserveTask,
@@ -43,6 +42,7 @@
     TaskStarted,
     TaskStopped,
 )
+from wasabispur_core.sharding.ownership import RowCommitted, ShardLease, WriteRow
 from wasabispur_core.timer import FakeSubscription, FakeTimerService
 
 from .job_load import DATA_CENTRE, FleetModel, GeneratedJob, worker_list
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_object.py
@@ -10,11 +10,15 @@
 from typing import Any
 
 from wasabispur_core.chart import Chart, ChartCatalogue
-from wasabispur_core.fleet import Fleet, Worker
-from wasabispur_core.job_record import JobRecord, JobSpec
+from wasabispur_core.jobs.fleet import Fleet, Worker
+from wasabispur_core.jobs.job_record import JobRecord, JobSpec
+from wasabispur_core.jobs.placement import (
+    Assignment,
+    free_capacity,
+    GangSize,
+    place_gang,
+)
 from wasabispur_core.message import Message
-from wasabispur_core.permit_action import attempt_chart
-from wasabispur_core.placement import Assignment, free_capacity, GangSize, place_gang
 from wasabispur_core.protocol import (
     AttemptNotRun,
     Heartbeat,
@@ -25,10 +29,11 @@
     TaskInventory,
     TaskStatus,
 )
-from wasabispur_core.request import Request
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_message import RequestReceived
-from wasabispur_core.tombstone import TombstoneStore
+from wasabispur_core.requests.permit_action import attempt_chart
+from wasabispur_core.requests.request import Request
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_message import RequestReceived
+from wasabispur_core.requests.tombstone import TombstoneStore
 from wasabispur_core.work_class import default_classes
 from wasabispur_runtime.codec import FROM_AGENT, MessageSchema, TO_AGENT
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_odd_job.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_odd_job.py
@@ -8,20 +8,20 @@
 
 import click
 
-from wasabispur_core.workload.fleet_state import (
-    FleetTick,
-    JobArrived,
-    PlanningPassDue,
-)
-from wasabispur_core.workload.spec import (
+from wasabispur_core.workload.jobs.spec import (
     JobSpec,
     Resources,
     STEPS_LIMIT,
     StepSpec,
     TASKS_LIMIT,
 )
-from wasabispur_core.workload.unit import ACTIVE
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.jobs.unit import ACTIVE
+from wasabispur_core.workload.owner.fleet_state import (
+    FleetTick,
+    JobArrived,
+    PlanningPassDue,
+)
+from wasabispur_core.workload.workers.worker import EndKind
 
 from .simulated_owner import simulated_queue, SimulatedOwner
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -8,14 +8,14 @@
 from random import Random
 from statistics import mean
 
-from wasabispur_core.workload.fleet_state import JobArrived, PlanningPassDue
-from wasabispur_core.workload.plan import Snapshot
-from wasabispur_core.workload.planner import plan
-from wasabispur_core.workload.policy import Organisation
-from wasabispur_core.workload.snapshot import take_snapshot
-from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
-from wasabispur_core.workload.unit import ACTIVE, STOPPING, Unit
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
+from wasabispur_core.workload.jobs.unit import ACTIVE, STOPPING, Unit
+from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.planning.plan import Snapshot
+from wasabispur_core.workload.planning.planner import plan
+from wasabispur_core.workload.planning.snapshot import take_snapshot
+from wasabispur_core.workload.policies.policy import Organisation
+from wasabispur_core.workload.workers.worker import EndKind
 
 from .measure_fit import fit, Line, Sample
 from .simulated_owner import simulated_queue, SimulatedOwner
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
@@ -6,8 +6,8 @@
 from functools import partial
 from random import Random
 
-from wasabispur_core.workload.unit import ENDED_STATES, Unit, UnitId
-from wasabispur_core.workload.worker import EndKind, HealthAnswer
+from wasabispur_core.workload.jobs.unit import ENDED_STATES, Unit, UnitId
+from wasabispur_core.workload.workers.worker import EndKind, HealthAnswer
 
 from .fleet_experiment import (
     FleetExperiment,
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/sick_worker.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from random import Random
 
-from wasabispur_core.workload.worker import EndKind, HealthAnswer
+from wasabispur_core.workload.workers.worker import EndKind, HealthAnswer
 
 SICK_FROM = 10.0
 WELL_AT = 50.0
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -7,23 +7,23 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.message import Message
-from wasabispur_core.ownership import ShardAcquired
-from wasabispur_core.workload.fleet_state import FleetState, TableReady
-from wasabispur_core.workload.policy import (
+from wasabispur_core.sharding.ownership import ShardAcquired
+from wasabispur_core.workload.jobs.spec import Resources
+from wasabispur_core.workload.jobs.unit import Unit
+from wasabispur_core.workload.owner.fleet_state import FleetState, TableReady
+from wasabispur_core.workload.owner.scheduler import (
+    decide,
+    LOADED_TABLES,
+    new_fleet_state,
+)
+from wasabispur_core.workload.policies.policy import (
     FleetPolicy,
     Organisation,
     PolicyChanged,
     Queue,
 )
-from wasabispur_core.workload.run_time_row import ESTIMATE_TABLE
-from wasabispur_core.workload.scheduler import (
-    decide,
-    LOADED_TABLES,
-    new_fleet_state,
-)
-from wasabispur_core.workload.spec import Resources
-from wasabispur_core.workload.unit import Unit
-from wasabispur_core.workload.worker import (
+from wasabispur_core.workload.run_times.run_time_row import ESTIMATE_TABLE
+from wasabispur_core.workload.workers.worker import (
     EndedRun,
     EndKind,
     HealthAnswer,
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     ABSENT,
     Committed,
     Conflicted,
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from wasabispur_core.workload.spec import NO_RESOURCES, Resources, TaskId
-from wasabispur_core.workload.worker import (
+from wasabispur_core.workload.jobs.spec import NO_RESOURCES, Resources, TaskId
+from wasabispur_core.workload.workers.worker import (
     EndedRun,
     EndKind,
     HealthAnswer,
--- a/packages/wasabispur-standins/src/wasabispur_standins/stop_waste.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/stop_waste.py
@@ -13,7 +13,7 @@
 
 from wasabispur_core.command import Command, WriteLog
 from wasabispur_core.log_event import UNIT_PREEMPTED
-from wasabispur_core.workload.stop_times import StopTimes
+from wasabispur_core.workload.jobs.stop_times import StopTimes
 
 SHORTEST_STOP = 0.2
 LONGEST_STOP = 0.9
--- a/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/table_service.py
@@ -12,7 +12,7 @@
 from wasabispur.bridge import Bridge
 from wasabispur.http_error import BadRequestError
 from wasabispur.http_request import read_model
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     ABSENT,
     Condition,
     Row,
--- a/packages/wasabispur-standins/src/wasabispur_standins/table_state.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/table_state.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from wasabispur_core.message import Message
-from wasabispur_core.store import ABSENT, Row, Transaction
-from wasabispur_core.token_bucket import TokenBucket
+from wasabispur_core.storage.store import ABSENT, Row, Transaction
+from wasabispur_core.storage.token_bucket import TokenBucket
 
 from .stand_in import handle
 
--- a/packages/wasabispur/src/wasabispur/agent_session.py
+++ b/packages/wasabispur/src/wasabispur/agent_session.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wasabispur_core.heartbeat_policy import heartbeat_interval, HeartbeatIntervals
-from wasabispur_core.member import FromAgent
+from wasabispur_core.membership.heartbeat_policy import (
+    heartbeat_interval,
+    HeartbeatIntervals,
+)
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, Leaving, Welcome
 from wasabispur_core.timer import TimerService
--- a/packages/wasabispur/src/wasabispur/bundle_command.py
+++ b/packages/wasabispur/src/wasabispur/bundle_command.py
@@ -9,7 +9,7 @@
 
 import click
 
-from wasabispur_core.bundle import digest_of, signature_payload
+from wasabispur_core.bundles.bundle import digest_of, signature_payload
 from wasabispur_runtime.signature import load_key
 
 from .api_client import ApiClient, ApiNotFoundError, ApiRefusedError
--- a/packages/wasabispur/src/wasabispur/bundle_manager.py
+++ b/packages/wasabispur/src/wasabispur/bundle_manager.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wasabispur_core import bundle_change, bundle_version
-from wasabispur_core.bundle_operation import (
+from wasabispur_core.bundles import bundle_change, bundle_version
+from wasabispur_core.bundles.bundle_operation import (
     BundleAccepted,
     BundleChangeState,
     BundleQuery,
@@ -15,7 +15,7 @@
     OperationEnded,
     OperationFailed,
 )
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     ApplyBundle,
     BundleOffered,
     BundleVersionState,
--- a/packages/wasabispur/src/wasabispur/bundle_resource.py
+++ b/packages/wasabispur/src/wasabispur/bundle_resource.py
@@ -11,9 +11,9 @@
 import cherrypy
 from pydantic import BaseModel, ConfigDict, Field
 
-from wasabispur_core.bundle import BundleError
-from wasabispur_core.bundle_change import OPERATION_TIMEOUT
-from wasabispur_core.bundle_operation import (
+from wasabispur_core.bundles.bundle import BundleError
+from wasabispur_core.bundles.bundle_change import OPERATION_TIMEOUT
+from wasabispur_core.bundles.bundle_operation import (
     AcceptBundle,
     BundleConflictError,
     BundleOrderError,
@@ -32,7 +32,7 @@
     UnknownChangeError,
     UntrustedSignatureError,
 )
-from wasabispur_core.bundle_record import row_value, VERSION_DIGITS
+from wasabispur_core.bundles.bundle_record import row_value, VERSION_DIGITS
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import SignedBundle
 from wasabispur_runtime.bundle_codec import parse_content
--- a/packages/wasabispur/src/wasabispur/check_command.py
+++ b/packages/wasabispur/src/wasabispur/check_command.py
@@ -10,9 +10,9 @@
 
 import click
 
-from wasabispur_core import bundle_check  # noqa: F401 (registers the checks)
-from wasabispur_core.bundle import InvalidBundleError
-from wasabispur_core.config_check import check_against, CheckReport
+from wasabispur_core.bundles import bundle_check  # noqa: F401 (registers the checks)
+from wasabispur_core.bundles.bundle import InvalidBundleError
+from wasabispur_core.bundles.config_check import check_against, CheckReport
 from wasabispur_core.error import SettingsError
 from wasabispur_runtime.bundle_codec import parse_content
 from wasabispur_runtime.process import EXIT_CODES, ExitCode
--- a/packages/wasabispur/src/wasabispur/entry_actors.py
+++ b/packages/wasabispur/src/wasabispur/entry_actors.py
@@ -9,21 +9,21 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wasabispur_core.bundle_action import bundle_change_chart
-from wasabispur_core.bundle_operation import BundleChangeState
-from wasabispur_core.bundle_version import BundleVersionState, ProcessKind
+from wasabispur_core.bundles.bundle_action import bundle_change_chart
+from wasabispur_core.bundles.bundle_operation import BundleChangeState
+from wasabispur_core.bundles.bundle_version import BundleVersionState, ProcessKind
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.error import StoreError
-from wasabispur_core.fleet import Fleet
-from wasabispur_core.member import member_chart, MemberState
-from wasabispur_core.peer_directory import (
+from wasabispur_core.jobs.fleet import Fleet
+from wasabispur_core.membership.member import member_chart, MemberState
+from wasabispur_core.membership.peer_directory import (
     ENTRY_SCHEMA,
     EntryRecord,
     PeerDirectoryState,
 )
 from wasabispur_core.protocol import MemberStatus, PeerHello
-from wasabispur_core.request import RequestState
-from wasabispur_core.request_chart import request_chart
+from wasabispur_core.requests.request import RequestState
+from wasabispur_core.requests.request_chart import request_chart
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -6,7 +6,7 @@
 
 from pydantic import Field
 
-from wasabispur_core.heartbeat_policy import HeartbeatIntervals
+from wasabispur_core.membership.heartbeat_policy import HeartbeatIntervals
 from wasabispur_runtime.settings import Settings
 from wasabispur_runtime.signature import OperatorKeys
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -8,19 +8,19 @@
 from uuid import uuid4
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import FREQUENT_TRIALS, OPEN
 from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
-from wasabispur_core.ownership import Ownership, ReleaseOwnership
-from wasabispur_core.ownership_action import ownership_chart
-from wasabispur_core.shard import Shard
+from wasabispur_core.sharding.ownership import Ownership, ReleaseOwnership
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.sharding.shard import Shard
+from wasabispur_core.storage.circuit import FREQUENT_TRIALS, OPEN
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.fleet_state import FleetTick
-from wasabispur_core.workload.intake_action import call_charts
-from wasabispur_core.workload.intake_state import IntakeState
-from wasabispur_core.workload.lease_clock import owner_horizon
+from wasabispur_core.workload.agent.lease_clock import owner_horizon
+from wasabispur_core.workload.agent.runner_state import LeaseTimes
+from wasabispur_core.workload.intake.intake_action import call_charts
+from wasabispur_core.workload.intake.intake_state import IntakeState
+from wasabispur_core.workload.owner.fleet_state import FleetTick
+from wasabispur_core.workload.owner.scheduler import decide, new_fleet_state
 from wasabispur_core.workload.rows import ROWS_SCHEMA, SHARD
-from wasabispur_core.workload.runner_state import LeaseTimes
-from wasabispur_core.workload.scheduler import decide, new_fleet_state
 from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.loop_monitor import LoopMonitor
 from wasabispur_runtime.metrics import registry
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -9,15 +9,16 @@
 
 from wasabispur_core.log_event import ROW_REFUSED
 from wasabispur_core.message import Message
-from wasabispur_core.store import Row
-from wasabispur_core.workload.fleet_state import (
+from wasabispur_core.storage.store import Row
+from wasabispur_core.workload.jobs.progress import JobProgress, UnitPage
+from wasabispur_core.workload.jobs.spec import JobSpec
+from wasabispur_core.workload.owner.fleet_state import (
     CancelArrived,
     JobArrived,
     ProgressArrived,
     ReportRemoved,
     UnitPageArrived,
 )
-from wasabispur_core.workload.progress import JobProgress, UnitPage
 from wasabispur_core.workload.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
@@ -27,14 +28,13 @@
     UNIT_TABLE,
     unpack,
 )
-from wasabispur_core.workload.run_time_row import (
+from wasabispur_core.workload.run_times.run_time_row import (
     ESTIMATE_TABLE,
     run_times_key,
     RunTimesArrived,
     StoredRunTimes,
 )
-from wasabispur_core.workload.spec import JobSpec
-from wasabispur_core.workload.worker import ReportArrived, WorkerReport
+from wasabispur_core.workload.workers.worker import ReportArrived, WorkerReport
 from wasabispur_runtime.log import log
 
 T = TypeVar("T")
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -4,12 +4,12 @@
 
 import time
 
-from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.log_event import SHARD_OWNED, SHARD_OWNERSHIP_LOST
 from wasabispur_core.message import Message
-from wasabispur_core.shard import decide, Shard, ShardTick
+from wasabispur_core.sharding.shard import decide, Shard, ShardTick
+from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.fleet_state import ClocksRead, TableReady
+from wasabispur_core.workload.owner.fleet_state import ClocksRead, TableReady
 from wasabispur_core.workload.rows import (
     job_prefix,
     JOB_TABLE,
@@ -20,7 +20,10 @@
     unit_page_prefix,
     UNIT_TABLE,
 )
-from wasabispur_core.workload.run_time_row import ESTIMATE_TABLE, run_times_prefix
+from wasabispur_core.workload.run_times.run_time_row import (
+    ESTIMATE_TABLE,
+    run_times_prefix,
+)
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from wasabispur_core.workload.plan import DEFAULT_REMOTE_FACTOR
-from wasabispur_core.workload.run_time import EstimateUse
-from wasabispur_core.workload.runner_state import LeaseTimes
-from wasabispur_core.workload.stop_times import DEFAULT_STOP_TIMES, StopTimes
+from wasabispur_core.workload.agent.runner_state import LeaseTimes
+from wasabispur_core.workload.jobs.stop_times import DEFAULT_STOP_TIMES, StopTimes
+from wasabispur_core.workload.planning.plan import DEFAULT_REMOTE_FACTOR
+from wasabispur_core.workload.run_times.run_time import EstimateUse
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur/src/wasabispur/job_actors.py
+++ b/packages/wasabispur/src/wasabispur/job_actors.py
@@ -7,7 +7,7 @@
 from uuid import uuid4
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.job_shard import new_shard
+from wasabispur_core.jobs.job_shard import new_shard
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 
--- a/packages/wasabispur/src/wasabispur/job_frontend.py
+++ b/packages/wasabispur/src/wasabispur/job_frontend.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from wasabispur_core.command import SendToEntry
-from wasabispur_core.job_call import (
+from wasabispur_core.jobs.job_call import (
     AnswerCall,
     decide,
     JobCall,
@@ -14,7 +14,7 @@
     NotifyOwner,
     RecordsRead,
 )
-from wasabispur_core.store import RowsRead
+from wasabispur_core.storage.store import RowsRead
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/job_intake.py
+++ b/packages/wasabispur/src/wasabispur/job_intake.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.intake import decide
-from wasabispur_core.workload.intake_message import AnswerCaller, IntakeRequest
-from wasabispur_core.workload.intake_state import IntakeState
+from wasabispur_core.workload.intake.intake import decide
+from wasabispur_core.workload.intake.intake_message import AnswerCaller, IntakeRequest
+from wasabispur_core.workload.intake.intake_state import IntakeState
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 
--- a/packages/wasabispur/src/wasabispur/job_resource.py
+++ b/packages/wasabispur/src/wasabispur/job_resource.py
@@ -13,8 +13,8 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from wasabispur_core.error import WasabispurError
-from wasabispur_core.explain import remedy_of
-from wasabispur_core.job_call import (
+from wasabispur_core.jobs.explain import remedy_of
+from wasabispur_core.jobs.job_call import (
     AnswerCall,
     CancelJob,
     JobCall,
@@ -22,7 +22,7 @@
     ShowJob,
     SubmitJob,
 )
-from wasabispur_core.job_record import JobRecord, JobSpec, new_job_id
+from wasabispur_core.jobs.job_record import JobRecord, JobSpec, new_job_id
 
 from .bridge import Bridge
 from .http_error import BadRequestError, http_status, NotFoundError
--- a/packages/wasabispur/src/wasabispur/job_rows.py
+++ b/packages/wasabispur/src/wasabispur/job_rows.py
@@ -6,11 +6,11 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from wasabispur_core.job_call import GuaranteeStatus
-from wasabispur_core.job_queue import JobsRead
-from wasabispur_core.job_record import job_prefix, JOB_SCHEMA, JobRecord
+from wasabispur_core.jobs.job_call import GuaranteeStatus
+from wasabispur_core.jobs.job_queue import JobsRead
+from wasabispur_core.jobs.job_record import job_prefix, JOB_SCHEMA, JobRecord
 from wasabispur_core.log_event import JOB_ROW_MALFORMED
-from wasabispur_core.store import Row, RowsRead
+from wasabispur_core.storage.store import Row, RowsRead
 from wasabispur_runtime.log import log
 
 RECORD = TypeAdapter(JobRecord)
--- a/packages/wasabispur/src/wasabispur/job_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/job_scheduler.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce
-from wasabispur_core.job_policy import policy_for_data_centre
+from wasabispur_core.bundles.bundle_version import ApplyBundle, NoBundleInForce
+from wasabispur_core.jobs.job_policy import policy_for_data_centre
 from wasabispur_core.log_event import SHARD_OWNED, SHARD_OWNERSHIP_LOST
 from wasabispur_core.message import Message
-from wasabispur_core.shard import decide, Shard, ShardTick
-from wasabispur_core.store import RowsRead, RowsUnavailable
+from wasabispur_core.sharding.shard import decide, Shard, ShardTick
+from wasabispur_core.storage.store import RowsRead, RowsUnavailable
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor
--- a/packages/wasabispur/src/wasabispur/member_routing.py
+++ b/packages/wasabispur/src/wasabispur/member_routing.py
@@ -6,16 +6,16 @@
 from functools import singledispatch
 from typing import Any
 
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     BundleOffered,
     ProcessKind,
     RemoteProcess,
     VersionReported,
 )
 from wasabispur_core.command import SendToAgent, SendToEntry
-from wasabispur_core.fleet import WorkerLeaving
+from wasabispur_core.jobs.fleet import WorkerLeaving
 from wasabispur_core.log_event import AGENT_LEAVING, MESSAGE_UNROUTED
-from wasabispur_core.member import (
+from wasabispur_core.membership.member import (
     FromAgent,
     FromPeer,
     MemberAlive,
@@ -41,7 +41,7 @@
     TaskStarted,
     TaskStopped,
 )
-from wasabispur_core.request_message import AgentLeaving
+from wasabispur_core.requests.request_message import AgentLeaving
 from wasabispur_runtime.decision_actor import execute
 from wasabispur_runtime.log import log
 
--- a/packages/wasabispur/src/wasabispur/member_worker.py
+++ b/packages/wasabispur/src/wasabispur/member_worker.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from wasabispur_core.fleet import (
+from wasabispur_core.jobs.fleet import (
     Worker,
     WorkerAttached,
     WorkerDetached,
--- a/packages/wasabispur/src/wasabispur/membership.py
+++ b/packages/wasabispur/src/wasabispur/membership.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     ApplyBundle,
     NoBundleInForce,
     ProcessKind,
@@ -13,7 +13,7 @@
     VersionReported,
 )
 from wasabispur_core.command import SendToAgent, SendToEntry
-from wasabispur_core.fleet import WorkerDetached
+from wasabispur_core.jobs.fleet import WorkerDetached
 from wasabispur_core.log_event import (
     AGENT_ATTACHED,
     AGENT_DETACHED,
@@ -21,7 +21,7 @@
     PEER_CONNECTED,
     PEER_LOST,
 )
-from wasabispur_core.member import (
+from wasabispur_core.membership.member import (
     decide,
     DigestDue,
     DisconnectMember,
@@ -35,7 +35,7 @@
 )
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import Announce, MemberStatus, PeerHello, Role
-from wasabispur_core.request_message import AgentAttached, AgentDetached
+from wasabispur_core.requests.request_message import AgentAttached, AgentDetached
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/organisation_resource.py
+++ b/packages/wasabispur/src/wasabispur/organisation_resource.py
@@ -8,8 +8,8 @@
 
 import cherrypy
 
-from wasabispur_core.job_call import AnswerCall, ExplainOrganisation
-from wasabispur_core.job_record import JobState
+from wasabispur_core.jobs.job_call import AnswerCall, ExplainOrganisation
+from wasabispur_core.jobs.job_record import JobState
 
 from .http_error import NotFoundError
 from .job_resource import JobResource, require_method, write_json
--- a/packages/wasabispur/src/wasabispur/peer_link.py
+++ b/packages/wasabispur/src/wasabispur/peer_link.py
@@ -9,8 +9,7 @@
 
 from grpclib.client import Channel, StreamStreamMethod
 
-from wasabispur_core.message import Message
-from wasabispur_core.peer_directory import (
+from wasabispur_core.membership.peer_directory import (
     decide,
     DialPeer,
     DropPeer,
@@ -20,16 +19,14 @@
     WithdrawEntry,
     WriteDue,
 )
+from wasabispur_core.message import Message
 from wasabispur_core.protocol import PeerHello
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.codec import BETWEEN_ENTRIES
 from wasabispur_runtime.decision_actor import DecisionActor, execute
 from wasabispur_runtime.link import Link, WELCOME_TIMEOUT
-from wasabispur_runtime.stream import (
-    enforce_frame_limit,
-    PEER_METHOD,
-)
+from wasabispur_runtime.stream import enforce_frame_limit, PEER_METHOD
 from wasabispur_runtime.timer_service import time_limit
 
 from .peer_session import PeerContext
--- a/packages/wasabispur/src/wasabispur/peer_session.py
+++ b/packages/wasabispur/src/wasabispur/peer_session.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wasabispur_core.member import FromPeer
+from wasabispur_core.membership.member import FromPeer
 from wasabispur_core.message import Message
 from wasabispur_core.protocol import PeerHello
 from wasabispur_core.timer import TimerService
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -9,16 +9,16 @@
 from functools import singledispatch
 from typing import Any
 
-from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce
+from wasabispur_core.bundles.bundle_version import ApplyBundle, NoBundleInForce
 from wasabispur_core.log_event import REQUEST_ANSWERED, REQUEST_RECEIVED
 from wasabispur_core.message import Message
-from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request import decide, RequestState
-from wasabispur_core.request_class import ClassesChanged
-from wasabispur_core.request_history import LookUpRequest, ReplyToLookup
-from wasabispur_core.request_message import RequestReceived
-from wasabispur_core.store import RowsUnavailable, StoreUnavailable
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.request import decide, RequestState
+from wasabispur_core.requests.request_class import ClassesChanged
+from wasabispur_core.requests.request_history import LookUpRequest, ReplyToLookup
+from wasabispur_core.requests.request_message import RequestReceived
+from wasabispur_core.storage.store import RowsUnavailable, StoreUnavailable
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
--- a/packages/wasabispur/src/wasabispur/request_metrics.py
+++ b/packages/wasabispur/src/wasabispur/request_metrics.py
@@ -11,9 +11,9 @@
 from wasabispur_core.command import Command, SendToAgent
 from wasabispur_core.message import Message
 from wasabispur_core.metric import ATTEMPTS, REQUEST_TIME, REQUESTS, START_WAIT
-from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import RequestPermit, StartAttempt
-from wasabispur_core.request_message import RequestReceived
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.request_message import RequestReceived
 from wasabispur_runtime.metrics import MetricRegistry
 
 
--- a/packages/wasabispur/src/wasabispur/request_resource.py
+++ b/packages/wasabispur/src/wasabispur/request_resource.py
@@ -8,7 +8,7 @@
 
 import cherrypy
 
-from wasabispur_core.request_history import LookUpRequest, RequestStatus
+from wasabispur_core.requests.request_history import LookUpRequest, RequestStatus
 
 from .bridge import Bridge
 from .http_error import NotFoundError
--- a/packages/wasabispur/src/wasabispur/service_resource.py
+++ b/packages/wasabispur/src/wasabispur/service_resource.py
@@ -9,9 +9,9 @@
 import cherrypy
 
 from wasabispur_core.error import MailboxFullError, WasabispurError
-from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request_message import RequestReceived
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.request_message import RequestReceived
 
 from .bridge import Bridge, ReplyTimeoutError
 from .http_error import BadRequestError, error_body
--- a/tests/actor/test_full_mailbox.py
+++ b/tests/actor/test_full_mailbox.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabispur_core.command import ReadRows, Transact
-from wasabispur_core.store import RowsUnavailable, Transaction
+from wasabispur_core.storage.store import RowsUnavailable, Transaction
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import execute
--- a/tests/actor/test_table_feed.py
+++ b/tests/actor/test_table_feed.py
@@ -10,7 +10,8 @@
 import pytest
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.feed import (
+from wasabispur_core.log_event import FEED_CALL_ABANDONED, FEED_LOST, FEED_STALE
+from wasabispur_core.storage.feed import (
     ChangesDelivered,
     decide,
     FeedAnswer,
@@ -25,8 +26,7 @@
     STALE_LOG_INTERVAL,
     TableDelivered,
 )
-from wasabispur_core.log_event import FEED_CALL_ABANDONED, FEED_LOST, FEED_STALE
-from wasabispur_core.store import Row
+from wasabispur_core.storage.store import Row
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_platform.store_wire import send_feed_call
 from wasabispur_runtime import table_feed
--- a/tests/actor/test_thread_call.py
+++ b/tests/actor/test_thread_call.py
@@ -10,8 +10,8 @@
 
 from wasabispur_agent.worker_caller import WorkerCaller
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.feed import FeedHealth
-from wasabispur_core.workload.runner_message import ListFailed, ListRuns
+from wasabispur_core.storage.feed import FeedHealth
+from wasabispur_core.workload.agent.runner_message import ListFailed, ListRuns
 from wasabispur_runtime.table_feed import FeedSource, TableFeed
 from wasabispur_runtime.timer_service import LoopTimerService
 
--- a/tests/adapter/test_build.py
+++ b/tests/adapter/test_build.py
@@ -13,7 +13,7 @@
 ROOT = Path(__file__).parent.parent.parent
 SOURCES = ("packages", "platform", "deploy", "constraints.txt")
 KEPT = Path("target/deps/wasabispur_core/timer.py")
-CHANGED = Path("wasabispur_core/workload/planner.py")
+CHANGED = Path("wasabispur_core/workload/planning/planner.py")
 
 
 @pytest.fixture
--- a/tests/adapter/test_cordon_rows.py
+++ b/tests/adapter/test_cordon_rows.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from wasabispur_core.feed import (
+from wasabispur_core.storage.feed import (
     FetchChanges,
     FetchPage,
     RowsChanged,
     TableDelivered,
 )
-from wasabispur_core.store import encode_json
+from wasabispur_core.storage.store import encode_json
 from wasabispur_core.timer import FakeTimerService
-from wasabispur_core.workload.cordon import CordonsChanged
-from wasabispur_core.workload.policy import PolicyChanged
+from wasabispur_core.workload.policies.cordon import CordonsChanged
+from wasabispur_core.workload.policies.policy import PolicyChanged
 from wasabispur_platform.node_settings import (
     agent_settings,
     entry_settings,
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -14,11 +14,11 @@
 
 from wasabispur.fleet_rows import decode_row
 from wasabispur_core.error import WasabispurError
-from wasabispur_core.feed import FetchChanges, FetchPage
 from wasabispur_core.message import Message
-from wasabispur_core.store import Row
-from wasabispur_core.store_call import SendLookup, SendPageRead
-from wasabispur_core.workload.policy import FleetPolicy
+from wasabispur_core.storage.feed import FetchChanges, FetchPage
+from wasabispur_core.storage.store import Row
+from wasabispur_core.storage.store_call import SendLookup, SendPageRead
+from wasabispur_core.workload.policies.policy import FleetPolicy
 from wasabispur_core.workload.rows import job_key, order_key, progress_key, report_key
 from wasabispur_platform.front import decode_job
 from wasabispur_platform.policy_wire import CONFIGURATION_KEY, decode_policy
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -9,8 +9,8 @@
 from pydantic import ValidationError
 
 from wasabispur.fleet_rows import decode_row
-from wasabispur_core.feed import ChangesDelivered, FetchChanges
-from wasabispur_core.store import Row
+from wasabispur_core.storage.feed import ChangesDelivered, FetchChanges
+from wasabispur_core.storage.store import Row
 from wasabispur_core.workload.rows import job_key, report_key
 from wasabispur_platform.store_wire import encode_value, send_feed_call
 from wasabispur_platform.worker_wire import HeartbeatBody
--- a/tests/adapter/test_policy_and_job_wire.py
+++ b/tests/adapter/test_policy_and_job_wire.py
@@ -8,10 +8,10 @@
 
 from wasabispur.http_error import BadRequestError
 from wasabispur_core.error import SettingsError
-from wasabispur_core.store import Row
-from wasabispur_core.workload.policy import key_digest
-from wasabispur_core.workload.spec import Resources
-from wasabispur_core.workload.stop_times import StopTimes
+from wasabispur_core.storage.store import Row
+from wasabispur_core.workload.jobs.spec import Resources
+from wasabispur_core.workload.jobs.stop_times import StopTimes
+from wasabispur_core.workload.policies.policy import key_digest
 from wasabispur_platform.front import bearer_key_digest, decode_job
 from wasabispur_platform.node_settings import (
     agent_settings,
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -14,8 +14,8 @@
 
 import pytest
 
-from wasabispur_core.workload.spec import Resources
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.jobs.spec import Resources
+from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_platform_standin.relays import RelayLoop
 from wasabispur_platform_standin.soak import JobAnswers, Soak
 from wasabispur_standins.process import ProcessGroup
--- a/tests/adapter/test_store_wire.py
+++ b/tests/adapter/test_store_wire.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from wasabispur_core.feed import (
+from wasabispur_core.storage.feed import (
     ChangesDelivered,
     FeedFailed,
     FetchChanges,
@@ -15,8 +15,8 @@
     HistoryGone,
     PageDelivered,
 )
-from wasabispur_core.store import ABSENT, Condition, Transaction, Write
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.store import ABSENT, Condition, Transaction, Write
+from wasabispur_core.storage.store_call import (
     CallLost,
     CallRefused,
     CallRejected,
--- a/tests/adapter/test_worker_wire.py
+++ b/tests/adapter/test_worker_wire.py
@@ -7,8 +7,8 @@
 import pytest
 from pydantic import ValidationError
 
-from wasabispur_core.workload.health_check import CheckHealth
-from wasabispur_core.workload.runner_message import (
+from wasabispur_core.workload.agent.health_check import CheckHealth
+from wasabispur_core.workload.agent.runner_message import (
     ListFailed,
     ListRuns,
     RunsListed,
@@ -20,7 +20,7 @@
     StopRun,
     StopUnanswered,
 )
-from wasabispur_core.workload.worker import EndKind, HealthAnswer, WorkerState
+from wasabispur_core.workload.workers.worker import EndKind, HealthAnswer, WorkerState
 from wasabispur_platform.worker_wire import HeartbeatBody, send_worker_call
 from wasabispur_runtime.http_call import HttpResponse, RequestNotSent, ResponseLost
 
--- a/tests/bundle/bundle_machine.py
+++ b/tests/bundle/bundle_machine.py
@@ -8,26 +8,26 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, precondition, rule, RuleBasedStateMachine
 
-from wasabispur_core.bundle import canonical_json, digest_of
-from wasabispur_core.bundle_operation import (
+from wasabispur_core.bundles.bundle import canonical_json, digest_of
+from wasabispur_core.bundles.bundle_operation import (
     AcceptBundle,
     BundleConflictError,
     BundleStoreError,
 )
-from wasabispur_core.bundle_record import (
+from wasabispur_core.bundles.bundle_record import (
     change_key,
     ChangeRecord,
     ChangeState,
     row_value,
     version_key,
 )
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_version import (
     BundleOffered,
     BundleVersionState,
     ProcessKind,
     refusal,
 )
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Committed,
     Conflicted,
     Row,
--- a/tests/bundle/cluster.py
+++ b/tests/bundle/cluster.py
@@ -11,18 +11,18 @@
 from functools import singledispatch
 from random import Random
 
-from wasabispur_core import bundle_change, bundle_version, member
-from wasabispur_core.bundle import BundleError
-from wasabispur_core.bundle_action import bundle_change_chart
-from wasabispur_core.bundle_operation import (
+from wasabispur_core.bundles import bundle_change, bundle_version
+from wasabispur_core.bundles.bundle import BundleError
+from wasabispur_core.bundles.bundle_action import bundle_change_chart
+from wasabispur_core.bundles.bundle_operation import (
     BundleAccepted,
     BundleChangeState,
     ChangeOperation,
     OperationEnded,
     OperationFailed,
 )
-from wasabispur_core.bundle_record import change_key, ChangeRecord, POINTER_KEY
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_record import change_key, ChangeRecord, POINTER_KEY
+from wasabispur_core.bundles.bundle_version import (
     ApplyBundle,
     BundleOffered,
     BundleVersionState,
@@ -44,7 +44,8 @@
     Transact,
     WriteLog,
 )
-from wasabispur_core.member import (
+from wasabispur_core.membership import member
+from wasabispur_core.membership.member import (
     DigestDue,
     member_chart,
     MemberAlive,
@@ -63,7 +64,7 @@
     MemberStatus,
     OfferBundle,
 )
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Committed,
     Conflicted,
     Row,
--- a/tests/bundle/operators.py
+++ b/tests/bundle/operators.py
@@ -6,7 +6,7 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from wasabispur_core.bundle import (
+from wasabispur_core.bundles.bundle import (
     BundleContent,
     canonical_json,
     digest_of,
@@ -14,8 +14,8 @@
     Quota,
     signature_payload,
 )
-from wasabispur_core.bundle_record import ChangeRecord
-from wasabispur_core.guarantee import Adjacency, GuaranteedShape
+from wasabispur_core.bundles.bundle_record import ChangeRecord
+from wasabispur_core.jobs.guarantee import Adjacency, GuaranteedShape
 from wasabispur_core.protocol import SignedBundle
 from wasabispur_core.work_class import DEFAULT_CLASSES
 from wasabispur_runtime.signature import OperatorKey, public_key_of
--- a/tests/bundle/test_bundle_change.py
+++ b/tests/bundle/test_bundle_change.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from wasabispur_core.bundle import InvalidBundleError
-from wasabispur_core.bundle_change import decide, OPERATION_LIMIT
-from wasabispur_core.bundle_operation import (
+from wasabispur_core.bundles.bundle import InvalidBundleError
+from wasabispur_core.bundles.bundle_change import decide, OPERATION_LIMIT
+from wasabispur_core.bundles.bundle_operation import (
     AcceptBundle,
     BundleConflictError,
     BundleOrderError,
@@ -25,10 +25,10 @@
     UnknownChangeError,
     UntrustedSignatureError,
 )
-from wasabispur_core.bundle_packing import UnpackableGuaranteeError
-from wasabispur_core.bundle_record import ChangeState
-from wasabispur_core.fleet import Fleet, Worker, WorkerAttached, WorkerDetached
-from wasabispur_core.store import RowsRead
+from wasabispur_core.bundles.bundle_packing import UnpackableGuaranteeError
+from wasabispur_core.bundles.bundle_record import ChangeState
+from wasabispur_core.jobs.fleet import Fleet, Worker, WorkerAttached, WorkerDetached
+from wasabispur_core.storage.store import RowsRead
 from wasabispur_runtime.signature import Ed25519Verifier
 
 from .cluster import Cluster
--- a/tests/bundle/test_bundle_content.py
+++ b/tests/bundle/test_bundle_content.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from wasabispur_core.bundle import (
+from wasabispur_core.bundles.bundle import (
     canonical_json,
     check_content,
     CONTENT_LIMIT_BYTES,
@@ -18,7 +18,7 @@
     Organisation,
     signature_payload,
 )
-from wasabispur_core.bundle_record import (
+from wasabispur_core.bundles.bundle_record import (
     block_prefix,
     change_key,
     ChangeRecord,
@@ -29,7 +29,7 @@
     version_record,
 )
 from wasabispur_core.error import SettingsError, StoreError
-from wasabispur_core.store import ROW_LIMIT_BYTES, row_size
+from wasabispur_core.storage.store import ROW_LIMIT_BYTES, row_size
 from wasabispur_runtime.bundle_codec import BundleRecords, parse_content
 from wasabispur_runtime.signature import (
     check_operator_keys,
--- a/tests/bundle/test_bundle_effect.py
+++ b/tests/bundle/test_bundle_effect.py
@@ -7,14 +7,18 @@
 from random import Random
 
 from wasabispur.job_scheduler import JobScheduler
-from wasabispur_core.bundle_version import ApplyBundle, NoBundleInForce, POLL_INTERVAL
+from wasabispur_core.bundles.bundle_version import (
+    ApplyBundle,
+    NoBundleInForce,
+    POLL_INTERVAL,
+)
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import OPEN_TIME_LIMIT
-from wasabispur_core.job_policy import policy_for_data_centre
-from wasabispur_core.job_shard import new_shard
-from wasabispur_core.request import decide, RequestState
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_class import ClassesChanged
+from wasabispur_core.jobs.job_policy import policy_for_data_centre
+from wasabispur_core.jobs.job_shard import new_shard
+from wasabispur_core.requests.request import decide, RequestState
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_class import ClassesChanged
+from wasabispur_core.storage.circuit import OPEN_TIME_LIMIT
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_core.work_class import default_classes
 from wasabispur_runtime.actor import Actor
--- a/tests/bundle/test_bundle_machine.py
+++ b/tests/bundle/test_bundle_machine.py
@@ -10,7 +10,8 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from wasabispur_core import bundle_change, bundle_version, member
+from wasabispur_core.bundles import bundle_change, bundle_version
+from wasabispur_core.membership import member
 
 from .bundle_machine import BundleMachine
 from .cluster import Cluster
--- a/tests/bundle/test_command_line.py
+++ b/tests/bundle/test_command_line.py
@@ -15,8 +15,8 @@
 from click.testing import CliRunner, Result
 
 from wasabispur.cli import main
-from wasabispur_core.bundle import canonical_json, digest_of
-from wasabispur_core.bundle_record import ChangeRecord, ChangeState, row_value
+from wasabispur_core.bundles.bundle import canonical_json, digest_of
+from wasabispur_core.bundles.bundle_record import ChangeRecord, ChangeState, row_value
 from wasabispur_runtime.process import ExitCode
 from wasabispur_runtime.signature import generate_key
 
--- a/tests/bundle/test_config_check.py
+++ b/tests/bundle/test_config_check.py
@@ -8,9 +8,9 @@
 from click.testing import CliRunner
 
 from wasabispur.cli import main
-from wasabispur_core.bundle import BundleContent, canonical_json, Objective
-from wasabispur_core.bundle_check import ENTRY_KINDS
-from wasabispur_core.config_check import check_against, Severity
+from wasabispur_core.bundles.bundle import BundleContent, canonical_json, Objective
+from wasabispur_core.bundles.bundle_check import ENTRY_KINDS
+from wasabispur_core.bundles.config_check import check_against, Severity
 from wasabispur_runtime.process import ExitCode
 
 from .operators import content
--- a/tests/bundle/test_unknown_bundle.py
+++ b/tests/bundle/test_unknown_bundle.py
@@ -8,8 +8,8 @@
 from wasabispur import member_routing as member_routing
 from wasabispur.bridge import Ask
 from wasabispur.request_dispatcher import RequestDispatcher
-from wasabispur_core.bundle_record import POINTER_KEY
-from wasabispur_core.bundle_version import (
+from wasabispur_core.bundles.bundle_record import POINTER_KEY
+from wasabispur_core.bundles.bundle_version import (
     ApplyBundle,
     BundleVersionState,
     decide as decide_version,
@@ -18,12 +18,12 @@
     ProcessKind,
 )
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request import RequestState
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_message import AgentAttached, RequestReceived
-from wasabispur_core.store import Row, RowsRead, RowsUnavailable
+from wasabispur_core.requests.outcome import Outcome
+from wasabispur_core.requests.request import RequestState
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_message import AgentAttached, RequestReceived
+from wasabispur_core.storage.store import Row, RowsRead, RowsUnavailable
 from wasabispur_core.timer import FakeTimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.bundle_codec import BundleRecords
--- a/tests/chart/test_chart.py
+++ b/tests/chart/test_chart.py
@@ -15,11 +15,11 @@
 from wasabispur_core.chart import Chart, CHART_DIRECTORY, ChartCatalogue
 from wasabispur_core.error import ChartError, UnexpectedEventError
 from wasabispur_core.message import Message, snake_case
-from wasabispur_core.outcome import ReplyToCaller
 from wasabispur_core.protocol import PermitGranted, PermitId
-from wasabispur_core.request import decide, RequestState
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_message import AgentAttached, RequestReceived
+from wasabispur_core.requests.outcome import ReplyToCaller
+from wasabispur_core.requests.request import decide, RequestState
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_message import AgentAttached, RequestReceived
 
 CATALOGUE = ChartCatalogue()
 
--- a/tests/job/test_explain.py
+++ b/tests/job/test_explain.py
@@ -5,10 +5,10 @@
 import pytest
 
 from wasabispur.job_rows import read_guarantees
-from wasabispur_core.explain import remedy_of
-from wasabispur_core.guarantee import Adjacency
-from wasabispur_core.job_placement import PolicyChanged
-from wasabispur_core.job_record import Cause, guarantee_key, job_key
+from wasabispur_core.jobs.explain import remedy_of
+from wasabispur_core.jobs.guarantee import Adjacency
+from wasabispur_core.jobs.job_placement import PolicyChanged
+from wasabispur_core.jobs.job_record import Cause, guarantee_key, job_key
 
 from .world import guarantee, SHARD, World
 
--- a/tests/job/test_guarantee.py
+++ b/tests/job/test_guarantee.py
@@ -7,10 +7,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wasabispur_core import job_placement
-from wasabispur_core.buddy import find_block, find_blocks
-from wasabispur_core.fleet import Fleet, Worker
-from wasabispur_core.guarantee import Adjacency, unsatisfiable_guarantees
+from wasabispur_core.jobs import job_placement
+from wasabispur_core.jobs.buddy import find_block, find_blocks
+from wasabispur_core.jobs.fleet import Fleet, Worker
+from wasabispur_core.jobs.guarantee import Adjacency, unsatisfiable_guarantees
 from wasabispur_core.log_event import GUARANTEE_LOST, GUARANTEE_MET, SHARD_CLAIMED
 
 from .world import guarantee, World
--- a/tests/job/test_job_call.py
+++ b/tests/job/test_job_call.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabispur_core.command import ReadRows, Transact
-from wasabispur_core.job_call import (
+from wasabispur_core.jobs.job_call import (
     AnswerCall,
     CancelJob,
     decide,
@@ -16,8 +16,8 @@
     ShowJob,
     SubmitJob,
 )
-from wasabispur_core.job_record import JobRecord, JobSpec, JobState
-from wasabispur_core.store import Committed, Conflicted, StoreUnavailable
+from wasabispur_core.jobs.job_record import JobRecord, JobSpec, JobState
+from wasabispur_core.storage.store import Committed, Conflicted, StoreUnavailable
 
 SPEC = JobSpec(organisation="peachtree", work_class="urgent", command="{}")
 JOB = JobRecord(job_id="dc1-a", shard="dc1", spec=SPEC)
--- a/tests/job/test_job_machine.py
+++ b/tests/job/test_job_machine.py
@@ -3,14 +3,9 @@
 from __future__ import annotations
 
 from hypothesis import settings, strategies as st
-from hypothesis.stateful import (
-    initialize,
-    precondition,
-    rule,
-    RuleBasedStateMachine,
-)
+from hypothesis.stateful import initialize, precondition, rule, RuleBasedStateMachine
 
-from wasabispur_core.guarantee import Adjacency
+from wasabispur_core.jobs.guarantee import Adjacency
 
 from .world import guarantee, World
 
--- a/tests/job/test_job_mechanism.py
+++ b/tests/job/test_job_mechanism.py
@@ -10,20 +10,20 @@
 
 import pytest
 
-from wasabispur_core import (
+from wasabispur_core.action import holds, perform
+from wasabispur_core.jobs import (
     gang,
     job_action,
     job_guard,
     job_queue,
-    ownership_action,
     task,
     task_action,
 )
-from wasabispur_core.action import holds, perform
-from wasabispur_core.fleet import Fleet
-from wasabispur_core.job import Job
-from wasabispur_core.permit import FromEntry
+from wasabispur_core.jobs.fleet import Fleet
+from wasabispur_core.jobs.job import Job
 from wasabispur_core.protocol import JobSubmitted, Reason, StopTask
+from wasabispur_core.requests.permit import FromEntry
+from wasabispur_core.sharding import ownership_action
 
 from .world import SHARD, World
 
--- a/tests/job/test_job_path.py
+++ b/tests/job/test_job_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.permit import FromEntry
+from wasabispur_core.requests.permit import FromEntry
 
 from .world import World
 
--- a/tests/job/test_lost_start.py
+++ b/tests/job/test_lost_start.py
@@ -6,17 +6,13 @@
 
 import pytest
 
-from wasabispur_agent.worker_client import (
-    ErrorResponse,
-    NoResponse,
-    TaskList,
-)
+from wasabispur_agent.worker_client import ErrorResponse, NoResponse, TaskList
 from wasabispur_agent.worker_runner import ClockReading, POLL_INTERVAL, WorkerRunner
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.permit import FromEntry
+from wasabispur_core.jobs.task import TaskState
+from wasabispur_core.jobs.task_action import task_chart
 from wasabispur_core.protocol import Reason, ReserveTask, StartTask, StopTask
-from wasabispur_core.task import TaskState
-from wasabispur_core.task_action import task_chart
+from wasabispur_core.requests.permit import FromEntry
 from wasabispur_core.timer import FakeTimerService
 
 TASK = "job-1.1.0"
--- a/tests/job/test_queue.py
+++ b/tests/job/test_queue.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from wasabispur_core import backfill
-from wasabispur_core.job_placement import PolicyChanged
-from wasabispur_core.job_record import job_key, JobRecord, JobSpec
-from wasabispur_core.job_run_time import (
+from wasabispur_core.jobs import backfill
+from wasabispur_core.jobs.job_placement import PolicyChanged
+from wasabispur_core.jobs.job_record import job_key, JobRecord, JobSpec
+from wasabispur_core.jobs.job_run_time import (
     job_kind,
     new_run_times,
     record_job,
     UNKNOWN_RUN_TIME,
 )
-from wasabispur_core.worker_health import HealthTracker, QUARANTINE_TIME
+from wasabispur_core.jobs.worker_health import HealthTracker, QUARANTINE_TIME
 
 from .world import SHARD, World
 
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -16,10 +16,10 @@
     Transact,
     WriteLog,
 )
-from wasabispur_core.fleet import Worker, WorkerAttached, WorkerDetached
-from wasabispur_core.guarantee import Adjacency, Guarantee, GuaranteedShape
-from wasabispur_core.job_placement import PolicyChanged
-from wasabispur_core.job_record import (
+from wasabispur_core.jobs.fleet import Worker, WorkerAttached, WorkerDetached
+from wasabispur_core.jobs.guarantee import Adjacency, Guarantee, GuaranteedShape
+from wasabispur_core.jobs.job_placement import PolicyChanged
+from wasabispur_core.jobs.job_record import (
     cancel_key,
     ended_key,
     job_key,
@@ -27,10 +27,19 @@
     JobSpec,
     to_value,
 )
-from wasabispur_core.job_shard import new_shard
+from wasabispur_core.jobs.job_shard import new_shard
+from wasabispur_core.jobs.task import (
+    decide as decide_task,
+    former_lease_end,
+    RenewAtWorker,
+    RunAtWorker,
+    StopAtWorker,
+    TasksListed,
+    TaskState,
+)
+from wasabispur_core.jobs.task_action import task_chart
 from wasabispur_core.log_event import SCHEDULER_FAILED
-from wasabispur_core.member import FromAgent
-from wasabispur_core.permit import FromEntry, SendToEntryLink
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.protocol import (
     Heartbeat,
     Reason,
@@ -40,8 +49,9 @@
     TaskStopped,
     Welcome,
 )
-from wasabispur_core.shard import decide as decide_shard, ShardTick
-from wasabispur_core.store import (
+from wasabispur_core.requests.permit import FromEntry, SendToEntryLink
+from wasabispur_core.sharding.shard import decide as decide_shard, ShardTick
+from wasabispur_core.storage.store import (
     Committed,
     Conflicted,
     Row,
@@ -49,16 +59,6 @@
     RowsUnavailable,
     StoreUnavailable,
 )
-from wasabispur_core.task import (
-    decide as decide_task,
-    former_lease_end,
-    RenewAtWorker,
-    RunAtWorker,
-    StopAtWorker,
-    TasksListed,
-    TaskState,
-)
-from wasabispur_core.task_action import task_chart
 
 SHARD = "dc1"
 CATALOGUE = ChartCatalogue()
--- a/tests/member/test_member.py
+++ b/tests/member/test_member.py
@@ -9,7 +9,7 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import CancelTimer, Command, SendToEntry, SetTimer
-from wasabispur_core.member import (
+from wasabispur_core.membership.member import (
     decide,
     DigestDue,
     DisconnectMember,
--- a/tests/member/test_peer_directory.py
+++ b/tests/member/test_peer_directory.py
@@ -10,7 +10,7 @@
 from wasabispur.entry_actors import read_entry
 from wasabispur_core.command import Transact, WriteLog
 from wasabispur_core.error import StoreError
-from wasabispur_core.peer_directory import (
+from wasabispur_core.membership.peer_directory import (
     decide,
     DialPeer,
     DRIFT_MARGIN,
@@ -23,7 +23,7 @@
     WithdrawEntry,
     WriteDue,
 )
-from wasabispur_core.store import Row, RowsRead, RowsUnavailable
+from wasabispur_core.storage.store import Row, RowsRead, RowsUnavailable
 
 LEASE = ENTRY_LEASE * (1 + DRIFT_MARGIN)
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -14,9 +14,9 @@
     REQUESTS,
     START_WAIT,
 )
-from wasabispur_core.outcome import Outcome, ReplyToCaller
 from wasabispur_core.protocol import RequestPermit, StartAttempt
-from wasabispur_core.request_message import RequestReceived
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.request_message import RequestReceived
 from wasabispur_runtime.metrics import LABEL_VALUE_LIMIT, MetricRegistry, OVERFLOW_LABEL
 
 
--- a/tests/platform/test_object_contract.py
+++ b/tests/platform/test_object_contract.py
@@ -8,7 +8,7 @@
 import pytest
 from tests.platform.harness import connected_client, running_stand_in, set_faults
 
-from wasabispur_core.object_access import (
+from wasabispur_core.storage.object_access import (
     digest_key,
     OBJECT_LIMIT_BYTES,
     ObjectDone,
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -14,7 +14,7 @@
     set_faults,
 )
 
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Committed,
     Condition,
     Conflicted,
--- a/tests/platform/test_transaction.py
+++ b/tests/platform/test_transaction.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings, strategies as st
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import Circuit, FAILURE_LIMIT, OPEN_TIME_LIMIT
 from wasabispur_core.command import CancelTimer, SetTimer
-from wasabispur_core.store import (
+from wasabispur_core.storage.circuit import Circuit, FAILURE_LIMIT, OPEN_TIME_LIMIT
+from wasabispur_core.storage.store import (
     ABSENT,
     Committed,
     Condition,
@@ -21,12 +21,8 @@
     Transaction,
     Write,
 )
-from wasabispur_core.store_access import (
-    CALL_DEADLINE,
-    CallQueue,
-    StoreAccess,
-)
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.store_access import CALL_DEADLINE, CallQueue, StoreAccess
+from wasabispur_core.storage.store_call import (
     CallLost,
     CallRefused,
     CallThrottled,
@@ -38,8 +34,8 @@
     TransactionApplied,
     TransactionRequested,
 )
-from wasabispur_core.table_access import decide, new_table_access
-from wasabispur_core.token_bucket import TokenBucket
+from wasabispur_core.storage.table_access import decide, new_table_access
+from wasabispur_core.storage.token_bucket import TokenBucket
 
 ACCESS_TEMPLATE = new_table_access(ChartCatalogue(), Random(0))
 """Provides the charts, so that their files are parsed only once."""
--- a/tests/process/test_bundle_processes.py
+++ b/tests/process/test_bundle_processes.py
@@ -12,7 +12,7 @@
 from grpclib.client import Channel, StreamStreamMethod
 from tests.bundle.operators import content
 
-from wasabispur_core.bundle import canonical_json
+from wasabispur_core.bundles.bundle import canonical_json
 from wasabispur_core.protocol import (
     Heartbeat,
     HeartbeatAck,
--- a/tests/request/agent_probe.py
+++ b/tests/request/agent_probe.py
@@ -5,13 +5,6 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import Command
 from wasabispur_core.message import Message
-from wasabispur_core.permit import (
-    decide,
-    FromEntry,
-    PermitState,
-    SendToEntryLink,
-)
-from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import (
     AttemptCompleted,
     PermitGranted,
@@ -20,6 +13,13 @@
     ResolveAttempt,
     StartAttempt,
 )
+from wasabispur_core.requests.permit import (
+    decide,
+    FromEntry,
+    PermitState,
+    SendToEntryLink,
+)
+from wasabispur_core.requests.permit_action import attempt_chart
 
 ENTRY = "entry"
 
--- a/tests/request/fake_table.py
+++ b/tests/request/fake_table.py
@@ -4,7 +4,7 @@
 
 from wasabispur_core.command import ReadRows, Transact
 from wasabispur_core.message import Message
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     ABSENT,
     Committed,
     Conflicted,
--- a/tests/request/network.py
+++ b/tests/request/network.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 from random import Random
 
-from wasabispur_core import permit, request
 from wasabispur_core.chart import Chart, ChartCatalogue
 from wasabispur_core.command import (
     CancelTimer,
@@ -19,11 +18,8 @@
     SetTimer,
     Transact,
 )
-from wasabispur_core.member import FromAgent
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.message import Message
-from wasabispur_core.outcome import Outcome, ReplyToCaller
-from wasabispur_core.permit import CallEndpoint, FromEntry, PermitState, SendToEntryLink
-from wasabispur_core.permit_action import attempt_chart
 from wasabispur_core.protocol import (
     AttemptCompleted,
     AttemptNotRun,
@@ -31,9 +27,18 @@
     Reason,
     StartAttempt,
 )
-from wasabispur_core.request import RequestState
-from wasabispur_core.request_chart import request_chart
-from wasabispur_core.request_message import (
+from wasabispur_core.requests import permit, request
+from wasabispur_core.requests.outcome import Outcome, ReplyToCaller
+from wasabispur_core.requests.permit import (
+    CallEndpoint,
+    FromEntry,
+    PermitState,
+    SendToEntryLink,
+)
+from wasabispur_core.requests.permit_action import attempt_chart
+from wasabispur_core.requests.request import RequestState
+from wasabispur_core.requests.request_chart import request_chart
+from wasabispur_core.requests.request_message import (
     AgentAttached,
     AgentDetached,
     RequestReceived,
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from wasabispur_core.admission import Admission, QueueKey
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import Reason
+from wasabispur_core.requests.admission import Admission, QueueKey
+from wasabispur_core.requests.outcome import Outcome
 from wasabispur_core.work_class import default_classes, WorkClass
 
 from .network import Network
--- a/tests/request/test_request_claim.py
+++ b/tests/request/test_request_claim.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from wasabispur_core.claim import claim_key
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import Reason
+from wasabispur_core.requests.claim import claim_key
+from wasabispur_core.requests.outcome import Outcome
 
 from .fake_table import FakeTable
 from .network import Network, response_to
--- a/tests/request/test_request_machine.py
+++ b/tests/request/test_request_machine.py
@@ -17,17 +17,17 @@
     run_state_machine_as_test,
 )
 
-from wasabispur_core import permit, request, tombstone
 from wasabispur_core.chart import CHART_DIRECTORY
-from wasabispur_core.member import FromAgent
-from wasabispur_core.outcome import Outcome
+from wasabispur_core.membership.member import FromAgent
 from wasabispur_core.protocol import (
     AttemptCompleted,
     AttemptNotRun,
     Reason,
     StartAttempt,
 )
-from wasabispur_core.tombstone import TombstoneStore
+from wasabispur_core.requests import permit, request, tombstone
+from wasabispur_core.requests.outcome import Outcome
+from wasabispur_core.requests.tombstone import TombstoneStore
 
 from .network import Network, Packet, response_to
 
--- a/tests/request/test_request_outcome.py
+++ b/tests/request/test_request_outcome.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from wasabispur_core import request, request_history
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import Reason
-from wasabispur_core.request_history import LookUpRequest
-from wasabispur_core.request_message import RequestReceived
+from wasabispur_core.requests import request, request_history
+from wasabispur_core.requests.outcome import Outcome
+from wasabispur_core.requests.request_history import LookUpRequest
+from wasabispur_core.requests.request_message import RequestReceived
 
 from .network import Network, response_to
 
--- a/tests/request/test_request_resolution.py
+++ b/tests/request/test_request_resolution.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from wasabispur_core import permit, tombstone
-from wasabispur_core.permit import CallEndpoint, PERMIT_LIFETIME
 from wasabispur_core.protocol import (
     AttemptNotRun,
     AttemptRunning,
     AttemptUnknown,
     Reason,
 )
+from wasabispur_core.requests import permit, tombstone
+from wasabispur_core.requests.permit import CallEndpoint, PERMIT_LIFETIME
 
 from .agent_probe import AgentProbe, completed
 
--- a/tests/request/test_request_retry.py
+++ b/tests/request/test_request_retry.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import RequestPermit
-from wasabispur_core.retry import backoff, BACKOFF_LIMIT, RetryBudget
+from wasabispur_core.requests.outcome import Outcome
+from wasabispur_core.requests.retry import backoff, BACKOFF_LIMIT, RetryBudget
 
 from .network import Network
 
--- a/tests/request/test_request_routing.py
+++ b/tests/request/test_request_routing.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from wasabispur_core.routing import (
+from wasabispur_core.requests.routing import (
     choose_endpoint,
     EndpointView,
     healthy_endpoints,
--- a/tests/request/test_request_targets.py
+++ b/tests/request/test_request_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.outcome import Outcome
+from wasabispur_core.requests.outcome import Outcome
 from wasabispur_core.work_class import default_classes
 from wasabispur_standins.bench_case import run_case
 from wasabispur_standins.bench_request import completion_times, percentile, start_waits
--- a/tests/request/test_restarted_agent.py
+++ b/tests/request/test_restarted_agent.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wasabispur_core.outcome import Outcome
 from wasabispur_core.protocol import RequestPermit, StartAttempt
+from wasabispur_core.requests.outcome import Outcome
 
 from .network import Network
 
--- a/tests/stream/test_heartbeat_policy.py
+++ b/tests/stream/test_heartbeat_policy.py
@@ -8,8 +8,8 @@
 from hypothesis import given, strategies as st
 from tests.stream.harness import Rig, run, until
 
-from wasabispur_core.heartbeat_policy import near_entries
 from wasabispur_core.log_event import STREAM_SILENT
+from wasabispur_core.membership.heartbeat_policy import near_entries
 from wasabispur_core.protocol import Role
 from wasabispur_standins.relay import RelayFault
 
--- a/tests/stream/test_link_faults.py
+++ b/tests/stream/test_link_faults.py
@@ -11,8 +11,8 @@
     STREAM_OPENED,
     STREAM_SILENT,
 )
-from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import AttemptCompleted, RequestPermit
+from wasabispur_core.requests.permit import SendToEntryLink
 from wasabispur_runtime.stream import Outgoing
 from wasabispur_standins.relay import RelayFault
 
--- a/tests/stream/test_stream_bounds.py
+++ b/tests/stream/test_stream_bounds.py
@@ -15,9 +15,9 @@
     SESSIONS_FULL,
     STREAM_FAILED,
 )
-from wasabispur_core.permit import SendToEntryLink
 from wasabispur_core.protocol import AttemptRunning, Leaving, RequestPermit
-from wasabispur_core.request_message import AgentDetached
+from wasabispur_core.requests.permit import SendToEntryLink
+from wasabispur_core.requests.request_message import AgentDetached
 from wasabispur_runtime.stream import Outgoing, RECEIVE_BACKLOG_LIMIT
 
 
--- a/tests/workload/test_allocated_capacity.py
+++ b/tests/workload/test_allocated_capacity.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from wasabispur_core.workload.spec import Resources, TaskId
+from wasabispur_core.workload.jobs.spec import Resources, TaskId
 
 from .world import started_world, tasks
 
--- a/tests/workload/test_broken_gang.py
+++ b/tests/workload/test_broken_gang.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
-from wasabispur_core.feed import FeedHealth
-from wasabispur_core.store import Row
-from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.progress import JobState
+from wasabispur_core.storage.feed import FeedHealth
+from wasabispur_core.storage.store import Row
+from wasabispur_core.workload.agent.lease_clock import owner_horizon
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.jobs.unit import Unit
 from wasabispur_core.workload.rows import report_key, REPORT_TABLE
-from wasabispur_core.workload.unit import Unit
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.workers.worker import EndKind
 
 from .world import Agent, COMPLETED, gang, TIMES, World
 
--- a/tests/workload/test_capacity.py
+++ b/tests/workload/test_capacity.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wasabispur_core.workload.spec import Resources
+from wasabispur_core.workload.jobs.spec import Resources
 
 from .world import CAPACITY, CAPACITY_NOTICE, COMPLETED, gang, tasks, World
 
--- a/tests/workload/test_crash_restart.py
+++ b/tests/workload/test_crash_restart.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.runner_message import StartUnanswered
+from wasabispur_core.workload.agent.runner_message import StartUnanswered
+from wasabispur_core.workload.jobs.progress import JobState
 
 from .test_crashes import deadly_job
 from .test_planner import decide, placed, waiting, worker
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.workload.progress import JobState
+from wasabispur_core.workload.jobs.progress import JobState
 
 from .world import COMPLETED, gang, started_world, tasks, World
 
--- a/tests/workload/test_former_knowledge.py
+++ b/tests/workload/test_former_knowledge.py
@@ -4,10 +4,10 @@
 
 from dataclasses import replace
 
-from wasabispur_core.workload.lease_clock import CONTACT_LIMIT
+from wasabispur_core.workload.agent.lease_clock import CONTACT_LIMIT
+from wasabispur_core.workload.agent.runner_message import WorkerAnnounced, WorkerLeft
+from wasabispur_core.workload.agent.runner_state import LeaseTimes, ReportState
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner_message import WorkerAnnounced, WorkerLeft
-from wasabispur_core.workload.runner_state import LeaseTimes, ReportState
 
 from .test_restarted_agent import RUN_TIME, world_with_run
 from .world import started_world, tasks, TIMES, World
--- a/tests/workload/test_health_checks.py
+++ b/tests/workload/test_health_checks.py
@@ -9,18 +9,18 @@
     WORKER_HEALTH_ANSWERED,
     WORKER_TRUST_CHANGED,
 )
-from wasabispur_core.workload.health_check import (
+from wasabispur_core.workload.agent.health_check import (
     CheckHealth,
     HealthAnswered,
     HealthCheckDue,
 )
-from wasabispur_core.workload.plan import Trust
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
+from wasabispur_core.workload.agent.runner import decide
+from wasabispur_core.workload.planning.plan import Trust
+from wasabispur_core.workload.policies.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.rows import pack, report_key, unpack
-from wasabispur_core.workload.runner import decide
-from wasabispur_core.workload.worker import EndKind, HealthAnswer, WorkerReport
-from wasabispur_core.workload.worker_health import UNKNOWN_TIME
-from wasabispur_core.workload.worker_trust import trust_level, update_trust
+from wasabispur_core.workload.workers.worker import EndKind, HealthAnswer, WorkerReport
+from wasabispur_core.workload.workers.worker_health import UNKNOWN_TIME
+from wasabispur_core.workload.workers.worker_trust import trust_level, update_trust
 
 from .world import gang, POLICY, started_world, tasks, World
 
--- a/tests/workload/test_kept_back.py
+++ b/tests/workload/test_kept_back.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from wasabispur_core.workload import job_lifecycle
-from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.occurrence import PageId
+from wasabispur_core.workload.agent.lease_clock import owner_horizon
+from wasabispur_core.workload.jobs import job_lifecycle
+from wasabispur_core.workload.jobs.occurrence import PageId
+from wasabispur_core.workload.jobs.unit import FAILED, STOPPING, Unit, WAITING
+from wasabispur_core.workload.jobs.unit_list import count_units, UnitList
 from wasabispur_core.workload.rows import unit_page_key
-from wasabispur_core.workload.unit import FAILED, STOPPING, Unit, WAITING
-from wasabispur_core.workload.unit_list import count_units, UnitList
-from wasabispur_core.workload.worker import EndedRun, EndKind
+from wasabispur_core.workload.workers.worker import EndedRun, EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .world import COMPLETED, gang, started_world, tasks, TIMES, World
