--- a/tests/workload/test_large_jobs.py
+++ b/tests/workload/test_large_jobs.py
@@ -8,7 +8,7 @@
 import pytest
 
 from wasabispur_core.command import Transact
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Condition,
     Row,
     ROW_LIMIT_BYTES,
@@ -16,18 +16,29 @@
     Transaction,
     Write,
 )
-from wasabispur_core.workload.crash_history import CrashHistory
-from wasabispur_core.workload.fleet_write import ENDED_JOB_RETENTION
-from wasabispur_core.workload.intake_message import CallOutcome, SubmitJob
-from wasabispur_core.workload.occurrence import OPEN_UNITS_LIMIT, PAGE_UNITS
-from wasabispur_core.workload.progress import (
+from wasabispur_core.workload.agent.report_writer import write_report
+from wasabispur_core.workload.agent.runner_state import (
+    LocalWorker,
+    OrderedRun,
+    RunnerState,
+)
+from wasabispur_core.workload.intake.intake_message import CallOutcome, SubmitJob
+from wasabispur_core.workload.jobs.crash_history import CrashHistory
+from wasabispur_core.workload.jobs.occurrence import OPEN_UNITS_LIMIT, PAGE_UNITS
+from wasabispur_core.workload.jobs.progress import (
     JobState,
     MemberRecord,
     UnitPage,
     UnitRecord,
     UnknownEnd,
 )
-from wasabispur_core.workload.report_writer import write_report
+from wasabispur_core.workload.jobs.spec import (
+    Resources,
+    STEPS_LIMIT,
+    StepSpec,
+    TASKS_LIMIT,
+)
+from wasabispur_core.workload.owner.fleet_write import ENDED_JOB_RETENTION
 from wasabispur_core.workload.rows import (
     order_prefix,
     pack,
@@ -36,13 +47,7 @@
     ROWS_SCHEMA,
     unit_page_prefix,
 )
-from wasabispur_core.workload.runner_state import (
-    LocalWorker,
-    OrderedRun,
-    RunnerState,
-)
-from wasabispur_core.workload.spec import Resources, STEPS_LIMIT, StepSpec, TASKS_LIMIT
-from wasabispur_core.workload.worker import (
+from wasabispur_core.workload.workers.worker import (
     CHECKPOINT_LIMIT_BYTES,
     EndedRun,
     EndKind,
--- a/tests/workload/test_late_start.py
+++ b/tests/workload/test_late_start.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from wasabispur_core.workload.lease_clock import CONTACT_LIMIT
+from wasabispur_core.workload.agent.lease_clock import CONTACT_LIMIT
+from wasabispur_core.workload.agent.runner_message import WorkerAnnounced
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner_message import WorkerAnnounced
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .world import started_world, tasks, World
--- a/tests/workload/test_odd_jobs.py
+++ b/tests/workload/test_odd_jobs.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from wasabispur_core.workload import step_graph
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.spec import STEPS_LIMIT, StepSpec
+from wasabispur_core.workload.jobs import step_graph
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.jobs.spec import STEPS_LIMIT, StepSpec
 
 from .world import started_world, tasks
 
--- a/tests/workload/test_operator_report.py
+++ b/tests/workload/test_operator_report.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from wasabispur_core.workload.policy import PolicyChanged
+from wasabispur_core.workload.policies.policy import PolicyChanged
 
 from .world import COMPLETED, started_world, tasks, World
 
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -8,15 +8,15 @@
 import pytest
 
 from wasabispur_core.log_event import JOB_HELD, REPORT_IGNORED
-from wasabispur_core.store import Condition, Transaction, Write
-from wasabispur_core.workload.fleet_state import JobArrived
-from wasabispur_core.workload.fleet_write import ENDED_JOB_RETENTION
-from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged
-from wasabispur_core.workload.progress import JobState
+from wasabispur_core.storage.store import Condition, Transaction, Write
+from wasabispur_core.workload.agent.lease_clock import owner_horizon
+from wasabispur_core.workload.agent.runner_message import WorkerAnnounced
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.owner.fleet_state import JobArrived
+from wasabispur_core.workload.owner.fleet_write import ENDED_JOB_RETENTION
+from wasabispur_core.workload.policies.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.rows import progress_key, report_key
-from wasabispur_core.workload.runner_message import WorkerAnnounced
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .world import started_world, tasks, TIMES, World
--- a/tests/workload/test_planner.py
+++ b/tests/workload/test_planner.py
@@ -7,8 +7,10 @@
 
 from hypothesis import given, strategies as st
 
-from wasabispur_core.workload import pass_eviction, planning_pass
-from wasabispur_core.workload.plan import (
+from wasabispur_core.workload.jobs.spec import Resources
+from wasabispur_core.workload.jobs.unit import UnitId, WorkerRef
+from wasabispur_core.workload.planning import pass_eviction, planning_pass
+from wasabispur_core.workload.planning.plan import (
     Evacuate,
     Move,
     Place,
@@ -21,10 +23,8 @@
     WaitReason,
     WorkerSnapshot,
 )
-from wasabispur_core.workload.planner import plan
-from wasabispur_core.workload.spec import Resources
-from wasabispur_core.workload.unit import UnitId, WorkerRef
-from wasabispur_core.workload.unit_placement import ORDERS_LIMIT_BYTES
+from wasabispur_core.workload.planning.planner import plan
+from wasabispur_core.workload.planning.unit_placement import ORDERS_LIMIT_BYTES
 
 CAPACITY = Resources(cpu=64_000, memory=128_000, accelerators=8)
 
--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from wasabispur_core.workload import pass_eviction, rack_wait, scheduler
-from wasabispur_core.workload.fleet_state import FleetState
-from wasabispur_core.workload.fleet_view import FleetView
-from wasabispur_core.workload.plan import (
+from wasabispur_core.workload.owner import scheduler
+from wasabispur_core.workload.owner.fleet_state import FleetState
+from wasabispur_core.workload.planning import pass_eviction, rack_wait
+from wasabispur_core.workload.planning.fleet_view import FleetView
+from wasabispur_core.workload.planning.plan import (
     Evacuate,
     Move,
     Place,
@@ -19,9 +20,9 @@
     Snapshot,
     WorkerSnapshot,
 )
-from wasabispur_core.workload.planner import Planner
-from wasabispur_core.workload.snapshot import take_snapshot
-from wasabispur_core.workload.worker import HealthAnswer
+from wasabispur_core.workload.planning.planner import Planner
+from wasabispur_core.workload.planning.snapshot import take_snapshot
+from wasabispur_core.workload.workers.worker import HealthAnswer
 
 from .world import gang, ORGANISATIONS, tasks, World
 
--- a/tests/workload/test_policy_watcher.py
+++ b/tests/workload/test_policy_watcher.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from wasabispur_core.circuit import ServiceReachable, ServiceUnreachable
-from wasabispur_core.feed import FeedHealth, RowsChanged, TableDelivered
-from wasabispur_core.store import Row
+from wasabispur_core.storage.circuit import ServiceReachable, ServiceUnreachable
+from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
+from wasabispur_core.storage.store import Row
 from wasabispur_core.timer import FakeTimerService
-from wasabispur_core.workload.intake import POLICY_AGE_LIMIT
-from wasabispur_core.workload.policy import FleetPolicy, PolicyChanged, PolicyHealth
+from wasabispur_core.workload.intake.intake import POLICY_AGE_LIMIT
+from wasabispur_core.workload.policies.policy import (
+    FleetPolicy,
+    PolicyChanged,
+    PolicyHealth,
+)
 from wasabispur_runtime.policy_watcher import PolicyWatcher
 
 from .world import started_world, tasks
--- a/tests/workload/test_rack_review.py
+++ b/tests/workload/test_rack_review.py
@@ -9,7 +9,10 @@
 import pytest
 from hypothesis import assume, given, settings, strategies as st
 
-from wasabispur_core.workload.plan import (
+from wasabispur_core.workload.jobs.spec import NO_RESOURCES, used_share
+from wasabispur_core.workload.jobs.unit import UnitId
+from wasabispur_core.workload.owner.scheduler import PAUSE_LIMIT
+from wasabispur_core.workload.planning.plan import (
     Place,
     Preempt,
     RunningUnit,
@@ -18,12 +21,9 @@
     WaitingUnit,
     WorkerSnapshot,
 )
-from wasabispur_core.workload.planner import Planner
-from wasabispur_core.workload.preference import relaxed_units
-from wasabispur_core.workload.scheduler import PAUSE_LIMIT
-from wasabispur_core.workload.spec import NO_RESOURCES, used_share
-from wasabispur_core.workload.unit import UnitId
-from wasabispur_core.workload.unit_placement import host_groups, host_key
+from wasabispur_core.workload.planning.planner import Planner
+from wasabispur_core.workload.planning.preference import relaxed_units
+from wasabispur_core.workload.planning.unit_placement import host_groups, host_key
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
 from .world import gang, started_world, tasks
--- a/tests/workload/test_rack_wait.py
+++ b/tests/workload/test_rack_wait.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from wasabispur_core.workload.plan import Snapshot, Wait, WaitReason
-from wasabispur_core.workload.planner import Planner
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.unit import UnitId
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.jobs.unit import UnitId
+from wasabispur_core.workload.planning.plan import Snapshot, Wait, WaitReason
+from wasabispur_core.workload.planning.planner import Planner
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
 from .world import gang, started_world, tasks
--- a/tests/workload/test_reachability.py
+++ b/tests/workload/test_reachability.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from wasabispur_core.log_event import RUN_REFUSED, WORKER_UNREACHABLE
-from wasabispur_core.workload.runner_message import ListRuns, StartRun, WorkerCall
-from wasabispur_core.workload.worker_contact import DEAD_AFTER_REFUSALS
+from wasabispur_core.workload.agent.runner_message import ListRuns, StartRun, WorkerCall
+from wasabispur_core.workload.agent.worker_contact import DEAD_AFTER_REFUSALS
 
 from .test_restarted_agent import records
 from .world import Process, started_world, tasks, World
--- a/tests/workload/test_rejected_row.py
+++ b/tests/workload/test_rejected_row.py
@@ -6,10 +6,10 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import Command, Transact
-from wasabispur_core.job import decide as decide_jobs
+from wasabispur_core.jobs.job import decide as decide_jobs
 from wasabispur_core.log_event import JOB_NOT_STORED
 from wasabispur_core.message import Message
-from wasabispur_core.ownership import (
+from wasabispur_core.sharding.ownership import (
     BATCH_LIMIT_BYTES,
     decide,
     NotifyScheduler,
@@ -19,14 +19,14 @@
     ShardRowRead,
     WriteRow,
 )
-from wasabispur_core.ownership_action import ownership_chart
-from wasabispur_core.store import (
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.storage.store import (
     Committed,
     ROW_LIMIT_BYTES,
     StoreUnavailable,
     Transaction,
 )
-from wasabispur_core.workload.progress import JobState
+from wasabispur_core.workload.jobs.progress import JobState
 from wasabispur_core.workload.rows import unit_page_prefix
 
 from .world import started_world, tasks
--- a/tests/workload/test_rejected_shard_row.py
+++ b/tests/workload/test_rejected_shard_row.py
@@ -3,19 +3,15 @@
 from __future__ import annotations
 
 from wasabispur_core.command import Command, ReadRows, WriteLog
-from wasabispur_core.log_event import (
-    JOB_NOT_STORED,
-    ROW_LEFT_OUT,
-    SHARD_ROW_REJECTED,
-)
-from wasabispur_core.ownership import (
+from wasabispur_core.log_event import JOB_NOT_STORED, ROW_LEFT_OUT, SHARD_ROW_REJECTED
+from wasabispur_core.sharding.ownership import (
     decide,
     NotifyScheduler,
     OwnershipTick,
     read_id,
     ShardLost,
 )
-from wasabispur_core.store import Row, RowsRead, StoreUnavailable, Transaction
+from wasabispur_core.storage.store import Row, RowsRead, StoreUnavailable, Transaction
 from wasabispur_standins.simulated_store import rejected
 
 from .test_rejected_row import Owner, rejected_keys, rows
--- a/tests/workload/test_removed_queue.py
+++ b/tests/workload/test_removed_queue.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from wasabispur_core.store import Transaction, Write
-from wasabispur_core.workload.policy import FleetPolicy, Queue
-from wasabispur_core.workload.progress import JobState
+from wasabispur_core.storage.store import Transaction, Write
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.policies.policy import FleetPolicy, Queue
 from wasabispur_core.workload.rows import job_key, progress_key
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.workers.worker import EndKind
 
 from .world import POLICY, queue, started_world, tasks, World
 
--- a/tests/workload/test_replaced_row.py
+++ b/tests/workload/test_replaced_row.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Committed,
     Condition,
     Row,
@@ -13,8 +13,8 @@
     Transaction,
     Write,
 )
-from wasabispur_core.store_access import SendAllowed
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.store_access import SendAllowed
+from wasabispur_core.storage.store_call import (
     CallLost,
     ConditionsFailed,
     RowsFound,
--- a/tests/workload/test_report_deletion.py
+++ b/tests/workload/test_report_deletion.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from wasabispur_core.workload.agent.runner_message import RunnerTick, WorkerAnnounced
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner_message import RunnerTick, WorkerAnnounced
 
 from .test_restarted_agent import world_with_run
 from .test_worker_removal import has_report
--- a/tests/workload/test_reservation.py
+++ b/tests/workload/test_reservation.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from wasabispur_core.workload.plan import Snapshot
-from wasabispur_core.workload.planner import Planner
+from wasabispur_core.workload.planning.plan import Snapshot
+from wasabispur_core.workload.planning.planner import Planner
 
 from .test_planner import demand, placed, running, stopped, waiting, worker
 
--- a/tests/workload/test_restarted_agent.py
+++ b/tests/workload/test_restarted_agent.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from wasabispur_core.log_event import RUN_ENDED, RUNS_ABANDONED
-from wasabispur_core.workload.lease_clock import CLOCK_DRIFT, lease_end
-from wasabispur_core.workload.runner import LEASE_EXPIRED
-from wasabispur_core.workload.runner_state import (
+from wasabispur_core.workload.agent.lease_clock import CLOCK_DRIFT, lease_end
+from wasabispur_core.workload.agent.runner import LEASE_EXPIRED
+from wasabispur_core.workload.agent.runner_state import (
     ClockReading,
     LocalWorker,
     ReportState,
 )
-from wasabispur_core.workload.worker import WorkerInfo
+from wasabispur_core.workload.workers.worker import WorkerInfo
 
 from .world import started_world, tasks, TIMES, World
 
--- a/tests/workload/test_restarted_agent_crash.py
+++ b/tests/workload/test_restarted_agent_crash.py
@@ -7,10 +7,10 @@
 import pytest
 
 from wasabispur_core.log_event import RUN_ENDED
-from wasabispur_core.store import Row
+from wasabispur_core.storage.store import Row
+from wasabispur_core.workload.agent.runner_message import WorkerAnnounced
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner_message import WorkerAnnounced
-from wasabispur_core.workload.worker import EndKind, WorkerState
+from wasabispur_core.workload.workers.worker import EndKind, WorkerState
 
 from .test_restarted_agent import records, restart_agent_unanswered, world_with_run
 from .world import HEARTBEAT_INTERVAL, tasks, World
--- a/tests/workload/test_resume.py
+++ b/tests/workload/test_resume.py
@@ -6,9 +6,9 @@
 
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import Transact
-from wasabispur_core.ownership import decide, Ownership, OwnershipTick, read_id
-from wasabispur_core.ownership_action import ownership_chart
-from wasabispur_core.store import Row, RowsRead
+from wasabispur_core.sharding.ownership import decide, Ownership, OwnershipTick, read_id
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.storage.store import Row, RowsRead
 
 
 def claims(entry_id: str, owner: str, resumes: bool) -> bool:
--- a/tests/workload/test_run_times.py
+++ b/tests/workload/test_run_times.py
@@ -10,27 +10,27 @@
 
 from wasabispur.fleet_rows import decode_row
 from wasabispur_core.log_event import RUN_TIMES_READ
-from wasabispur_core.store import encode_json, Row
-from wasabispur_core.workload.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.storage.store import encode_json, Row
+from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
+from wasabispur_core.workload.jobs.unit import UnitId
+from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.planning.snapshot import take_snapshot
 from wasabispur_core.workload.rows import unpack
-from wasabispur_core.workload.run_time import (
+from wasabispur_core.workload.run_times.run_time import (
     EstimateUse,
     OVERHEAD_LIMIT,
     run_kind,
     RunOutcome,
     RunTimeModel,
 )
-from wasabispur_core.workload.run_time_row import (
+from wasabispur_core.workload.run_times.run_time_row import (
     restore_run_times,
     ROW_BYTES_LIMIT,
     run_times_key,
     run_times_row,
     StoredRunTimes,
 )
-from wasabispur_core.workload.snapshot import take_snapshot
-from wasabispur_core.workload.spec import JobSpec, Resources, StepSpec
-from wasabispur_core.workload.unit import UnitId
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_standins.simulated_owner import simulated_queue, SimulatedOwner
 
 from .world import started_world, tasks
--- a/tests/workload/test_scattered_room.py
+++ b/tests/workload/test_scattered_room.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wasabispur_core.workload.plan import Preempt
+from wasabispur_core.workload.planning.plan import Preempt
 
 from .test_planner import decide, running, stopped, waiting, worker
 from .world import COMPLETED, gang, started_world, tasks
--- a/tests/workload/test_scheduler_failure.py
+++ b/tests/workload/test_scheduler_failure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wasabispur_core.log_event import SCHEDULER_FAILED, SCHEDULER_RELOADED
-from wasabispur_core.workload import scheduler
+from wasabispur_core.workload.owner import scheduler
 
 from .world import tasks, World
 
--- a/tests/workload/test_simulated_store.py
+++ b/tests/workload/test_simulated_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wasabispur_core.store import (
+from wasabispur_core.storage.store import (
     Condition,
     StoreUnavailable,
     SUPERSEDED,
--- a/tests/workload/test_store_trial.py
+++ b/tests/workload/test_store_trial.py
@@ -5,17 +5,17 @@
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.circuit import (
+from wasabispur_core.message import Message
+from wasabispur_core.storage.circuit import (
     CLOSED,
     HALF_OPEN,
     ServiceReachable,
     ServiceUnreachable,
     TrialDue,
 )
-from wasabispur_core.message import Message
-from wasabispur_core.store import ABSENT, Condition, Transaction, Write
-from wasabispur_core.store_access import SendAllowed, TRIAL_TIMEOUTS
-from wasabispur_core.store_call import (
+from wasabispur_core.storage.store import ABSENT, Condition, Transaction, Write
+from wasabispur_core.storage.store_access import SendAllowed, TRIAL_TIMEOUTS
+from wasabispur_core.storage.store_call import (
     CallExpired,
     CallLost,
     CallRefused,
@@ -27,7 +27,7 @@
     SendTransaction,
     TransactionRequested,
 )
-from wasabispur_core.table_access import decide, new_table_access
+from wasabispur_core.storage.table_access import decide, new_table_access
 from wasabispur_runtime.http_call import CALL_TIMEOUT
 
 
--- a/tests/workload/test_superseded_owner.py
+++ b/tests/workload/test_superseded_owner.py
@@ -7,7 +7,7 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.command import Command, ReadRows, Transact
 from wasabispur_core.log_event import JOB_NOT_STORED, ROW_LEFT_OUT
-from wasabispur_core.ownership import (
+from wasabispur_core.sharding.ownership import (
     decide,
     NotifyScheduler,
     Ownership,
@@ -18,8 +18,8 @@
     ShardRowRead,
     WriteRow,
 )
-from wasabispur_core.ownership_action import ownership_chart
-from wasabispur_core.store import (
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.storage.store import (
     Committed,
     Conflicted,
     Row,
--- a/tests/workload/test_takeover.py
+++ b/tests/workload/test_takeover.py
@@ -13,10 +13,10 @@
     TAKEOVER_STEP,
 )
 from wasabispur_core.metric import TAKEOVER_TIME
-from wasabispur_core.ownership import ShardAcquired
-from wasabispur_core.workload import scheduler
-from wasabispur_core.workload.fleet_state import FleetTick, TableReady
-from wasabispur_core.workload.policy import PolicyChanged
+from wasabispur_core.sharding.ownership import ShardAcquired
+from wasabispur_core.workload.owner import scheduler
+from wasabispur_core.workload.owner.fleet_state import FleetTick, TableReady
+from wasabispur_core.workload.policies.policy import PolicyChanged
 from wasabispur_core.workload.rows import JOB_TABLE, REPORT_TABLE
 from wasabispur_runtime.log import RecordSink
 from wasabispur_runtime.metrics import MetricRegistry
--- a/tests/workload/test_unit_list.py
+++ b/tests/workload/test_unit_list.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wasabispur_core.log_event import CAPACITY_ALLOCATED, UNITS_LISTED
-from wasabispur_core.workload.unit_list import count_units, UnitList
+from wasabispur_core.workload.jobs.unit_list import count_units, UnitList
 
 from .world import started_world, tasks
 
--- a/tests/workload/test_wait_log.py
+++ b/tests/workload/test_wait_log.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from wasabispur_core.workload.plan import Wait, WaitReason
-from wasabispur_core.workload.unit import UnitId
-from wasabispur_core.workload.wait_log import (
+from wasabispur_core.workload.jobs.unit import UnitId
+from wasabispur_core.workload.planning.plan import Wait, WaitReason
+from wasabispur_core.workload.planning.wait_log import (
     log_wait,
     REPEATS_PER_SECOND,
     STEP_LINES_LIMIT,
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -7,18 +7,18 @@
 
 import pytest
 
-from wasabispur_core.workload.crash_history import NO_CRASHES
-from wasabispur_core.workload.plan import Snapshot, Trust, Wait, WaitReason
-from wasabispur_core.workload.planner import Planner
-from wasabispur_core.workload.rack_forecast import RackForecast
-from wasabispur_core.workload.snapshot import (
+from wasabispur_core.workload.jobs.crash_history import NO_CRASHES
+from wasabispur_core.workload.planning.plan import Snapshot, Trust, Wait, WaitReason
+from wasabispur_core.workload.planning.planner import Planner
+from wasabispur_core.workload.planning.rack_forecast import RackForecast
+from wasabispur_core.workload.planning.snapshot import (
     ISOLATION_TIME,
     ISOLATION_WAIT_TIME,
     RACK_WAIT_TIME,
     REPORT_AGE_LIMIT,
     REPORT_WAIT_TIME,
 )
-from wasabispur_core.workload.worker import EndKind
+from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_standins.simulated_worker import SimulatedWorker
 
 from .test_planner import decide, placed, running, stopped, waiting, worker
--- a/tests/workload/test_worker_health.py
+++ b/tests/workload/test_worker_health.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from wasabispur_core.workload.doubt_wait import doubt_limit
-from wasabispur_core.workload.plan import Snapshot, Trust
-from wasabispur_core.workload.planner import Planner
-from wasabispur_core.workload.worker import HealthAnswer
-from wasabispur_core.workload.worker_health import (
+from wasabispur_core.workload.planning.doubt_wait import doubt_limit
+from wasabispur_core.workload.planning.plan import Snapshot, Trust
+from wasabispur_core.workload.planning.planner import Planner
+from wasabispur_core.workload.workers.worker import HealthAnswer
+from wasabispur_core.workload.workers.worker_health import (
     AVOID_TIME,
     FLAP_RECOVERY_TIME,
     RECOVERY_TIME,
--- a/tests/workload/test_worker_removal.py
+++ b/tests/workload/test_worker_removal.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from wasabispur_core.workload.lease_clock import CONTACT_LIMIT, owner_horizon
+from wasabispur_core.workload.agent.lease_clock import CONTACT_LIMIT, owner_horizon
+from wasabispur_core.workload.agent.runner_message import WorkerLeft
+from wasabispur_core.workload.agent.runner_state import LeaseTimes
 from wasabispur_core.workload.rows import report_key
-from wasabispur_core.workload.runner_message import WorkerLeft
-from wasabispur_core.workload.runner_state import LeaseTimes
 
 from .test_restarted_agent import world_with_run
 from .world import HEARTBEAT_INTERVAL, started_world, tasks, TIMES, World
--- a/tests/workload/test_worker_trust.py
+++ b/tests/workload/test_worker_trust.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from wasabispur_core.workload.fleet_state import Worker
-from wasabispur_core.workload.unit import UnitId
-from wasabispur_core.workload.worker import EndKind
-from wasabispur_core.workload.worker_trust import (
+from wasabispur_core.workload.jobs.unit import UnitId
+from wasabispur_core.workload.owner.fleet_state import Worker
+from wasabispur_core.workload.workers.worker import EndKind
+from wasabispur_core.workload.workers.worker_trust import (
     FAILURE_LIMIT,
     SUSPICION_TIMEOUT,
     update_trust,
--- a/tests/workload/test_workload_machine.py
+++ b/tests/workload/test_workload_machine.py
@@ -17,8 +17,8 @@
     run_state_machine_as_test,
 )
 
-from wasabispur_core.workload.spec import TaskId
-from wasabispur_core.workload.worker import HealthAnswer
+from wasabispur_core.workload.jobs.spec import TaskId
+from wasabispur_core.workload.workers.worker import HealthAnswer
 
 from .world import CALM_TIME, gang, ORGANISATIONS, tasks, World
 
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -6,19 +6,19 @@
 from dataclasses import replace
 from math import inf
 
-from wasabispur_core.feed import FeedHealth
 from wasabispur_core.log_event import (
     CALL_UNANSWERED,
     CANCELLATION_ANSWERED,
     REPORT_FAILED,
     UNIT_WAITING,
 )
-from wasabispur_core.workload.intake_message import CallOutcome
-from wasabispur_core.workload.plan import Wait, WaitReason
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.run_progress import RunProgress
-from wasabispur_core.workload.wait_log import log_wait
-from wasabispur_core.workload.worker import ReportArrived, WorkerReport
+from wasabispur_core.storage.feed import FeedHealth
+from wasabispur_core.workload.intake.intake_message import CallOutcome
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.planning.plan import Wait, WaitReason
+from wasabispur_core.workload.planning.wait_log import log_wait
+from wasabispur_core.workload.run_times.run_progress import RunProgress
+from wasabispur_core.workload.workers.worker import ReportArrived, WorkerReport
 
 from .world import COMPLETED, gang, started_world, tasks, World
 
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -24,13 +24,13 @@
     Transact,
     WriteLog,
 )
-from wasabispur_core.feed import RowsChanged, TableDelivered
 from wasabispur_core.log_event import SCHEDULER_FAILED
 from wasabispur_core.message import Message
-from wasabispur_core.ownership import Ownership, ReleaseOwnership
-from wasabispur_core.ownership_action import ownership_chart
-from wasabispur_core.shard import decide as decide_shard, Shard, ShardTick
-from wasabispur_core.store import (
+from wasabispur_core.sharding.ownership import Ownership, ReleaseOwnership
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.sharding.shard import decide as decide_shard, Shard, ShardTick
+from wasabispur_core.storage.feed import RowsChanged, TableDelivered
+from wasabispur_core.storage.store import (
     ABSENT,
     Committed,
     Row,
@@ -41,37 +41,11 @@
     Write,
 )
 from wasabispur_core.timer import FakeTimerService
-from wasabispur_core.workload import intake, runner, scheduler
-from wasabispur_core.workload.cordon import CordonsChanged
-from wasabispur_core.workload.fleet_state import ClocksRead, FleetTick, TableReady
-from wasabispur_core.workload.health_check import CheckHealth, HealthAnswered
-from wasabispur_core.workload.intake_action import call_charts
-from wasabispur_core.workload.intake_message import (
-    AnswerCaller,
-    CallOutcome,
-    CancelJob,
-    ReadJob,
-    SubmitJob,
-)
-from wasabispur_core.workload.intake_state import IntakeState
-from wasabispur_core.workload.lease_clock import owner_horizon
-from wasabispur_core.workload.policy import (
-    FleetPolicy,
-    Organisation,
-    PolicyChanged,
-    PolicyHealth,
-    Queue,
-    Service,
-)
-from wasabispur_core.workload.progress import JobState
-from wasabispur_core.workload.rows import (
-    order_prefix,
-    order_table,
-    ROWS_SCHEMA,
-    unpack,
-)
-from wasabispur_core.workload.run_action import ordered_run_chart
-from wasabispur_core.workload.runner_message import (
+from wasabispur_core.workload.agent import runner
+from wasabispur_core.workload.agent.health_check import CheckHealth, HealthAnswered
+from wasabispur_core.workload.agent.lease_clock import owner_horizon
+from wasabispur_core.workload.agent.run_action import ordered_run_chart
+from wasabispur_core.workload.agent.runner_message import (
     ListFailed,
     ListRuns,
     RunnerTick,
@@ -86,11 +60,38 @@
     WorkerAnnounced,
     WorkerCall,
 )
-from wasabispur_core.workload.runner_state import HealthTimes, LeaseTimes, RunnerState
-from wasabispur_core.workload.spec import Resources, StepSpec, TaskId
-from wasabispur_core.workload.unit_list import count_units
+from wasabispur_core.workload.agent.runner_state import (
+    HealthTimes,
+    LeaseTimes,
+    RunnerState,
+)
+from wasabispur_core.workload.intake import intake
+from wasabispur_core.workload.intake.intake_action import call_charts
+from wasabispur_core.workload.intake.intake_message import (
+    AnswerCaller,
+    CallOutcome,
+    CancelJob,
+    ReadJob,
+    SubmitJob,
+)
+from wasabispur_core.workload.intake.intake_state import IntakeState
+from wasabispur_core.workload.jobs.progress import JobState
+from wasabispur_core.workload.jobs.spec import Resources, StepSpec, TaskId
+from wasabispur_core.workload.jobs.unit_list import count_units
+from wasabispur_core.workload.owner import scheduler
+from wasabispur_core.workload.owner.fleet_state import ClocksRead, FleetTick, TableReady
+from wasabispur_core.workload.policies.cordon import CordonsChanged
+from wasabispur_core.workload.policies.policy import (
+    FleetPolicy,
+    Organisation,
+    PolicyChanged,
+    PolicyHealth,
+    Queue,
+    Service,
+)
+from wasabispur_core.workload.rows import order_prefix, order_table, ROWS_SCHEMA, unpack
 from wasabispur_core.workload.watch import StopWatching, WatchTables
-from wasabispur_core.workload.worker import EndKind, OrdersArrived, WorkerOrders
+from wasabispur_core.workload.workers.worker import EndKind, OrdersArrived, WorkerOrders
 from wasabispur_runtime.policy_watcher import PolicyWatcher
 from wasabispur_standins.simulated_store import SimulatedStore, unavailable
 from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
