--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -6,7 +6,6 @@
 import contextlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from functools import singledispatch
 
 from wasabispur_core.jobs.task import (
@@ -15,7 +14,6 @@
     RunAtWorker,
     stop_all,
     StopAtWorker,
-    TasksListed,
     TaskState,
 )
 from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
@@ -28,7 +26,6 @@
     TaskStopped,
 )
 from wasabispur_core.requests.permit import SendToEntryLink
-from wasabispur_core.sharding.ownership import CLOCK_DRIFT
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.decision_actor import DecisionActor, execute
@@ -36,6 +33,16 @@
 from wasabispur_runtime.timer_service import sleep, time_limit
 
 from .worker_client import Answer, ErrorResponse, NoResponse, TaskView, WorkerClient
+from .worker_message import (
+    ClockReading,
+    PollDue,
+    RepeatDue,
+    StartAnswered,
+    StopAnswered,
+    TasksRead,
+    WorkerRead,
+)
+from .worker_report import end_report, list_report, running_tasks, stop_report
 
 THREAD_LIMIT = 8
 """Calls to the worker in progress at once."""
@@ -47,72 +54,6 @@
 """Seconds that a planned stop waits for the worker to stop its tasks."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PollDue(Message):
-    """Request the next read of the worker's tasks."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClockReading:
-    """Describe the worker's clock at a time, both in seconds.
-
-    read_at is on the agent's clock, and not before the worker read its own.
-    """
-
-    time: float
-    read_at: float
-
-    def lease_end(self, expiry: float) -> float:
-        """Return a time on the worker's clock that isn't after the agent's expiry.
-
-        A call that the worker executes late prolongs nothing, as the end of its lease
-        is a time and not a duration. The worker's clock may be slow.
-        """
-        return self.time + (expiry - self.read_at) * (1 - CLOCK_DRIFT)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TasksRead(Message):
-    """Deliver the worker's tasks, or None in read if the worker did not answer.
-
-    polled are the ids of the tasks that had been started before the read was sent.
-    """
-
-    polled: frozenset[str]
-    read: WorkerRead | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerRead:
-    """Represent the worker's tasks by id, and its clock with them."""
-
-    views: dict[str, TaskView]
-    clock: ClockReading
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StartAnswered(Message):
-    """Deliver the worker's answer to a start."""
-
-    command: RunAtWorker
-    answer: Answer
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StopAnswered(Message):
-    """Deliver the worker's answer to a stop."""
-
-    task_id: str
-    answer: Answer
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RepeatDue(Message):
-    """Request that a start is repeated."""
-
-    command: RunAtWorker
-
-
 class WorkerRunner(DecisionActor):
     """Execute the decisions on tasks at the worker, on a bounded number of threads."""
 
@@ -360,42 +301,6 @@
     runner.set_timer(timer_id, POLL_INTERVAL, RepeatDue(command=command))
 
 
-def end_report(view: TaskView) -> TaskFinished | TaskStopped:
-    """Return the report of a task that ended at the worker."""
-    if view.state in ("finished", "failed"):
-        return TaskFinished(
-            task_id=view.task_id,
-            gang_epoch=0,
-            succeeded=view.state == "finished",
-            result=view.result,
-        )
-    reason = Reason.LEASE_EXPIRED if view.state == "expired" else Reason.CANCELLED
-    return TaskStopped(
-        task_id=view.task_id,
-        gang_epoch=0,
-        reason=reason,
-        checkpoint=view.checkpoint,
-    )
-
-
-def stop_report(task_id: str, reason: Reason) -> TaskStopped:
-    """Return the report of a task that the worker does not run."""
-    return TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
-
-
-def running_tasks(views: dict[str, TaskView]) -> tuple[str, ...]:
-    """Return the ids of the listed tasks that run."""
-    return tuple(task_id for task_id, view in views.items() if not view.ended)
-
-
-def list_report(views: dict[str, TaskView]) -> TasksListed:
-    """Return the report of all tasks that the worker lists."""
-    return TasksListed(
-        running=running_tasks(views),
-        ended=tuple(end_report(view) for view in views.values() if view.ended),
-    )
-
-
 def stop_tasks(client: WorkerClient, task_ids: tuple[str, ...]) -> None:
     """Ask the worker to stop some tasks."""
     for task_id in task_ids:
--- a/tests/job/test_lost_start.py
+++ b/tests/job/test_lost_start.py
@@ -7,7 +7,8 @@
 import pytest
 
 from wasabispur_agent.worker_client import ErrorResponse, NoResponse, TaskList
-from wasabispur_agent.worker_runner import ClockReading, POLL_INTERVAL, WorkerRunner
+from wasabispur_agent.worker_message import ClockReading
+from wasabispur_agent.worker_runner import POLL_INTERVAL, WorkerRunner
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.jobs.task import TaskState
 from wasabispur_core.jobs.task_action import task_chart
--- a/tests/job/test_worker_drain.py
+++ b/tests/job/test_worker_drain.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from wasabispur_agent.worker_client import TaskList, TaskView
-from wasabispur_agent.worker_runner import ClockReading, DRAIN_TIMEOUT, WorkerRunner
+from wasabispur_agent.worker_message import ClockReading
+from wasabispur_agent.worker_runner import DRAIN_TIMEOUT, WorkerRunner
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.jobs.task import TaskState
 from wasabispur_core.jobs.task_action import task_chart
