End the runs on replaced workers when a new owner begins

What callers saw: after a loss of all power, jobs that had been running stood for 14 s before any of their tasks ran again, beside idle workers.

Cause: the machines come back with other workers, whose reports are in the table when the next owner reads it. While it was still reading, it removed the former workers as replaced, but ended no runs, as it knew none yet. Restored afterwards, these runs were on workers without a report, and ended after the lease horizon of 12 s.

Change: the workers are removed once the owner knows all runs. As nobody saw the workers end, such a crash counts as uncertain; four losses of power in a row use up no job.

Test seen failing: test_runs_on_workers_replaced_in_a_power_loss_are_restarted_at_once, "assert RUNNING is COMPLETED". tests/workload pass otherwise.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -46,11 +46,13 @@
     now: float,
     kind: EndKind = EndKind.LOST,
     keep: str = "",
+    uncertain: bool = False,
 ) -> list[Command]:
     """End the runs on a worker, except those of the incarnation to keep.
 
     The reason is logged with each of them. Former runs there whose end is unknown will
-    not be listed any more, and ended in the same way.
+    not be listed any more, and ended in the same way. uncertain is set if something
+    else than a run may have ended the worker's process.
     """
     commands: list[Command] = []
     worker = state.workers.get(worker_id)
@@ -71,7 +73,8 @@
                 index=member.index,
                 kind=kind,
                 reason=reason,
-                uncertain=not begun and member.progress.listed_at is None,
+                uncertain=uncertain
+                or (not begun and member.progress.listed_at is None),
             )
             ended = attribute_crash(ended, member, worker, state, now)
             commands += end_run(unit, ended, worker_id, state, now)
@@ -112,12 +115,13 @@
 
     Nothing tells whether such a worker had announced that it leaves, so that its end
     counts as a crash: a task that crashes each worker must not gain attempts from the
-    loss of an owner. A worker without a report may be alive: the row may be invalid, or
+    loss of an owner. It counts less for a worker that was replaced, since its machine
+    may have lost its power with all others. A worker without a report may be alive: the row may be invalid, or
     its agent has yet to write it again. Its runs end after the lease horizon.
     """
     for worker in state.workers.values():
         apply_recorded_incarnation(worker, state)
-    commands = remove_replaced_workers(state, now)
+    commands = remove_replaced_workers(state, now, uncertain=True)
     crashed = EndKind.CRASHED
     for worker in state.workers.values():
         worker_id, incarnation = worker.worker_id, worker.info.incarnation
@@ -168,8 +172,13 @@
     return commands
 
 
-def remove_replaced_workers(state: FleetState, now: float) -> list[Command]:
-    """Remove the workers that a later one replaced at the same agent and address."""
+def remove_replaced_workers(
+    state: FleetState, now: float, uncertain: bool = False
+) -> list[Command]:
+    """Remove the workers that a later one replaced at the same agent and address.
+
+    uncertain is set if something else than a run may have ended their processes.
+    """
     latest: dict[tuple[str, str], Worker] = {}
     commands: list[Command] = []
     for worker in list(state.workers.values()):
@@ -180,7 +189,7 @@
         replaced, latest[location] = sorted((other, worker), key=_age_order)
         if _age_order(replaced) < _age_order(latest[location]):
             kind = replaced.end_of_process
-            commands += _remove_worker(replaced, kind, REPLACED, state, now)
+            commands += _remove_worker(replaced, kind, REPLACED, state, now, uncertain)
     return commands
 
 
@@ -230,12 +239,17 @@
 
 
 def _remove_worker(
-    worker: Worker, kind: EndKind, reason: str, state: FleetState, now: float
+    worker: Worker,
+    kind: EndKind,
+    reason: str,
+    state: FleetState,
+    now: float,
+    uncertain: bool = False,
 ) -> list[Command]:
     """Remove a worker, and end its runs in the given way."""
-    commands: list[Command] = []
-    if state.active:
-        commands += end_lost_runs(worker.worker_id, reason, state, now, kind)
+    commands = end_lost_runs(
+        worker.worker_id, reason, state, now, kind, uncertain=uncertain
+    )
     del state.workers[worker.worker_id]
     state.dirty_workers.discard(worker.worker_id)
     silent = round(now - worker.seen_at, 1)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
@@ -97,7 +97,9 @@
     worker.runs = report.runs
     worker.begun_runs = begun_runs_in(report)
     if replacement_possible:
-        commands += remove_replaced_workers(state, now)
+        if state.active:
+            # A new owner waits until it knows which runs end with the former worker.
+            commands += remove_replaced_workers(state, now)
         # The worker's row may still contain orders for a former incarnation.
         state.dirty_workers.add(worker_id)
     if not state.active or worker_id not in state.workers:
--- a/tests/workload/test_takeover.py
+++ b/tests/workload/test_takeover.py
@@ -22,7 +22,7 @@
 from wasabispur_runtime.metrics import MetricRegistry
 from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
-from .world import CATALOGUE, POLICY, started_world, tasks
+from .world import CATALOGUE, COMPLETED, POLICY, started_world, tasks
 
 STEPS = (
     SHARD_CLAIMED.number,
@@ -117,3 +117,46 @@
     assert [(one.count, one.value) for one in series] == [(1, 2.5)]
     os.close(reader)
     os.close(writer)
+
+
+def test_runs_on_workers_replaced_in_a_power_loss_are_restarted_at_once():
+    """Guard against work that waits for the lease horizon after a loss of all power.
+
+    The machines are back with other workers before the next owner reads the reports.
+    Until then it took the former workers out and forgot to end their runs.
+    """
+    world = started_world()
+    job = world.submit(tasks(3), duration=3.0)
+    world.advance(1)
+    lose_power(world)
+    world.advance(8)
+    assert world.state_of(job).job_state is COMPLETED
+
+
+def test_losses_of_all_power_do_not_use_up_the_crash_limit():
+    """Guard against a job that is given up because its workers lost their power.
+
+    No task is the cause if its workers were replaced while nobody owned the shard.
+    """
+    world = started_world()
+    job = world.submit(tasks(3), duration=20.0)
+    for _ in range(4):
+        world.advance(4)
+        lose_power(world)
+        world.advance(4)
+    world.advance(40)
+    assert world.state_of(job).job_state is COMPLETED
+
+
+def lose_power(world):
+    """Restart all processes, and replace all workers before an entry runs again."""
+    for index in range(len(world.entries)):
+        world.kill_entry(index)
+        world.entries[index].paused = True
+    for worker_id in list(world.workers):
+        world.replace_worker(worker_id, worker_id + "x")
+    for index in range(len(world.agents)):
+        world.kill_agent(index)
+    world.advance(1)
+    for entry in world.entries:
+        entry.resume()
