Let no urgent job overtake one that waits for its organisation's guarantee

Cause: a guarantee covered each job that fitted beside those before it, so that a later small job was covered only until one of the earlier jobs ended.

Change: coverage ends at the first job that the guarantee could cover by itself, but not beside those before it. What all jobs within a guarantee are promised is unchanged.

Test seen failing: test_job_does_not_overtake_one_that_waits_for_its_guarantee.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
@@ -15,9 +15,12 @@
     """Return the ids of the urgent jobs that their organisation's guarantee covers.
 
     A guarantee covers whole jobs in the order of their acceptance, as long as their
-    total demand does not exceed the guaranteed accelerators.
+    total demand does not exceed the guaranteed accelerators. No job overtakes one that
+    the guarantee could cover by itself: it would lose its cover to that one as soon as
+    another job ends, after work has been stopped for it.
     """
     needed: dict[str, int] = {}
+    blocked: set[str] = set()
     covered: set[str] = set()
     for job in sorted(state.jobs.values(), key=lambda job: job.spec.accepted_at):
         terms = state.terms(job)
@@ -25,10 +28,15 @@
             continue
         name = job.spec.organisation
         guarantee = _guarantee(name, state)
-        total = needed.get(name, 0) + _accelerators_needed(job, guarantee)
+        need = _accelerators_needed(job, guarantee)
+        if name in blocked or need > guarantee:
+            continue
+        total = needed.get(name, 0) + need
         if total <= guarantee:
             needed[name] = total
             covered.add(job.spec.job_id)
+        else:
+            blocked.add(name)
     return covered
 
 
