Cordon data centres by the bundle in force

Cause: a data centre could be cordoned only by the platform's row. The product's own job plane knew no cordon.

Change: a bundle may have the entries "cordons", by name of data centre. Without them the field is left out of the canonical text, so that digests and signatures are as before. The agent refuses reservations with the reason CORDONED and ends reserved tasks instead of starting them (task chart). The cause of waiting names the cordon. check-config compares cordons.

Tests: the job machine cordons entries and agents separately, and its world checks that no agent starts a task after it has read a cordon.

--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -39,6 +39,7 @@
     )
     runner = WorkerRunner(timers, state, WorkerClient(settings.local_url))
     bundles = build_bundle_actor(settings, timers, runner.links)
+    bundles.listeners.append(runner)
     router = EntryMessageRouter(runner=runner, bundles=bundles)
     bundle_state = bundles.state
     for address in settings.entries:
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from wasabispur_core.bundles.bundle_version import ApplyBundle
 from wasabispur_core.jobs.task import (
+    CordonChanged,
     decide,
     RenewAtWorker,
     RunAtWorker,
     stop_all,
     StopAtWorker,
-    TasksListed,
     TaskState,
 )
 from wasabispur_core.log_event import TASK_ENDED, TASK_STARTED
@@ -36,6 +37,7 @@
 from wasabispur_runtime.timer_service import sleep, time_limit
 
 from .worker_client import Answer, ErrorResponse, NoResponse, TaskView, WorkerClient
+from .worker_report import end_report, list_report, running_tasks, stop_report
 
 THREAD_LIMIT = 8
 """Calls to the worker in progress at once."""
@@ -159,6 +161,11 @@
         self.clock = read.clock
         self.on_message(list_report(read.views))
 
+    def on_apply_bundle(self, message: ApplyBundle) -> None:
+        """Obey the cordons of the bundle that came into force."""
+        cordoned = message.content.is_cordoned(self.state.data_centre)
+        self.on_message(CordonChanged(cordoned=cordoned))
+
     def read_tasks(self) -> WorkerRead | None:
         """Return the worker's tasks and clock, or None if it did not answer."""
         answer = self.client.tasks()
@@ -360,42 +367,6 @@
     runner.set_timer(timer_id, POLL_INTERVAL, RepeatDue(command=command))
 
 
-def end_report(view: TaskView) -> TaskFinished | TaskStopped:
-    """Return the report of a task that ended at the worker."""
-    if view.state in ("finished", "failed"):
-        return TaskFinished(
-            task_id=view.task_id,
-            gang_epoch=0,
-            succeeded=view.state == "finished",
-            result=view.result,
-        )
-    reason = Reason.LEASE_EXPIRED if view.state == "expired" else Reason.CANCELLED
-    return TaskStopped(
-        task_id=view.task_id,
-        gang_epoch=0,
-        reason=reason,
-        checkpoint=view.checkpoint,
-    )
-
-
-def stop_report(task_id: str, reason: Reason) -> TaskStopped:
-    """Return the report of a task that the worker does not run."""
-    return TaskStopped(task_id=task_id, gang_epoch=0, reason=reason)
-
-
-def running_tasks(views: dict[str, TaskView]) -> tuple[str, ...]:
-    """Return the ids of the listed tasks that run."""
-    return tuple(task_id for task_id, view in views.items() if not view.ended)
-
-
-def list_report(views: dict[str, TaskView]) -> TasksListed:
-    """Return the report of all tasks that the worker lists."""
-    return TasksListed(
-        running=running_tasks(views),
-        ended=tuple(end_report(view) for view in views.values() if view.ended),
-    )
-
-
 def stop_tasks(client: WorkerClient, task_ids: tuple[str, ...]) -> None:
     """Ask the worker to stop some tasks."""
     for task_id in task_ids:
--- a/packages/wasabispur-core/src/wasabispur_core/bundles/bundle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle.py
@@ -71,6 +71,13 @@
     threshold: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CordonedDataCentre:
+    """Request that no task of a job be started in a data centre."""
+
+    name: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BundleContent:
     """Define all settings of one bundle version.
@@ -84,12 +91,21 @@
     classes: tuple[WorkClass, ...] = ()
     reclaim_bound: float
     objectives: tuple[Objective, ...] = ()
+    cordons: tuple[CordonedDataCentre, ...] = ()
+
+    def is_cordoned(self, data_centre: str) -> bool:
+        """Return whether the content cordons a data centre."""
+        return any(cordon.name == data_centre for cordon in self.cordons)
 
 
 def canonical_json(content: BundleContent) -> str:
     """Return the canonical JSON text of the content: equal content has equal text."""
+    value = asdict(content)
+    if not content.cordons:
+        # Releases without cordons refuse a text with a field that they don't know.
+        del value["cordons"]
     return json.dumps(
-        asdict(content),
+        value,
         sort_keys=True,
         separators=(",", ":"),
         allow_nan=False,
@@ -123,6 +139,7 @@
     _require(bool(content.classes), "no classes", "define at least one")
     _check_unique("class", (item.name for item in content.classes))
     _check_unique("objective", (item.name for item in content.objectives))
+    _check_unique("cordon", (item.name for item in content.cordons))
     _require(content.reclaim_bound > 0, "reclaim_bound", "set it above 0 s")
     for organisation in content.organisations:
         _check_organisation(organisation)
--- a/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_check.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from math import isclose
 
 from .bundle import BundleContent, check_content, InvalidBundleError
@@ -42,6 +42,12 @@
         removed="the burn report no longer includes it",
         changed="the burn report uses it from then on",
     ),
+    EntryKind(
+        name="cordon",
+        entries="cordons",
+        added="no task is started in the data centre; running tasks continue",
+        removed="tasks are started in the data centre again",
+    ),
 )
 
 
@@ -106,6 +112,26 @@
             )
 
 
+def unmatched_cordons(
+    content: BundleContent, data_centres: Collection[str]
+) -> list[Finding]:
+    """Return the cordons of data centres that are not among those with workers."""
+    return [
+        Finding(
+            severity=Severity.WARNING,
+            subject=f"cordon {cordon.name}",
+            field="name",
+            value=cordon.name,
+            problem="no worker is known in this data centre, so that the cordon has no "
+            "effect",
+            remedy="name one of the data centres with workers: "
+            + (", ".join(sorted(data_centres)) or "none is known"),
+        )
+        for cordon in content.cordons
+        if cordon.name not in data_centres
+    ]
+
+
 @compare_configurations.register
 def _(content: BundleContent, former: BundleContent) -> list[Difference]:
     differences: list[Difference] = []
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/explain.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/explain.py
@@ -19,6 +19,10 @@
 REMEDIES = {
     Cause.NEW: "wait some seconds; if it stays, look for an owner of the shard",
     Cause.QUOTA: "wait for the organisation's own jobs, or raise its quota",
+    Cause.CORDONED: (
+        "wait until operators withdraw the cordon with wasabispur uncordon, or submit "
+        "the job to another data centre"
+    ),
     Cause.RECLAIMING: "wait; the reclaim bound holds",
     Cause.RESERVED: "wait, or declare a shorter estimate if it is true",
     Cause.RECALLED: "wait, or ask for a guarantee of the organisation's own",
@@ -59,6 +63,8 @@
 def waiting_cause(scheduler: SchedulerState, job: Job, now: float) -> Cause:
     """Return why a queued job is not placed."""
     spec = job.record.spec
+    if scheduler.cordoned:
+        return Cause.CORDONED
     if not within_quota(scheduler, spec):
         return Cause.QUOTA
     if choose_assignments(scheduler, job, now) is not None:
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job.py
@@ -92,6 +92,11 @@
     gang_epoch: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DataCentreCordoned(Message):
+    """Report that a gang whose start was not ordered yet must not start."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MemberLost(Message):
     """Report that a member passed its deadline, or that its agent lost the task."""
@@ -178,7 +183,8 @@
 
     The scheduler has jobs only while the entry owns the shard, and has all of them once
     jobs_read is set. ended lists the ids of jobs that ended since it gained the shard.
-    reclaiming lists the organisations whose guarantees are not lent at present.
+    reclaiming lists the organisations whose guarantees are not lent at present. While
+    cordoned is set, no job is placed.
     last_pass and next_pass decide whether a scheduling pass over the queue is due. All
     times are in seconds on the owner's clock.
     """
@@ -201,6 +207,7 @@
     reclaiming: frozenset[str] = frozenset()
     urgent_classes: frozenset[str] = frozenset()
     quotas: dict[str, int] = field(default_factory=dict)
+    cordoned: bool = False
     reservations: list[Any] = field(default_factory=list)
     last_pass: tuple[Any, ...] = ()
     next_pass: float = 0.0
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_action.py
@@ -31,6 +31,7 @@
     write_record,
 )
 from .job import (
+    DataCentreCordoned,
     GangPlaced,
     Job,
     JobAction,
@@ -336,6 +337,8 @@
         return Reason.TASK_FAILED.value
     if isinstance(message, MemberLost):
         return Reason.LEASE_EXPIRED.value
+    if isinstance(message, DataCentreCordoned):
+        return Reason.CORDONED.value
     if isinstance(message, ReclaimRequested):
         reclaimer = f"{message.organisation} for job {message.job_id}"
         return f"{Reason.RECLAIMED.value}: {reclaimer}"
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_placement.py
@@ -18,6 +18,7 @@
 from .fleet import Fleet
 from .guarantee import Guarantee, GuaranteePlan, repack
 from .job import (
+    DataCentreCordoned,
     decide,
     GangPlaced,
     handle_job_event,
@@ -26,6 +27,7 @@
     ReclaimRequested,
     SchedulerState,
 )
+from .job_cordon import cordon_log
 from .job_record import guarantee_key, JobRecord, JobSpec
 from .placement import Assignment, free_capacity, impossible_reason, place_gang
 from .reclaim import (
@@ -49,17 +51,22 @@
 )
 """States of the job state chart in which a job can be preempted."""
 
+UNORDERED_STATES = frozenset(("placing", "reserving", "recording_start"))
+"""States of the job state chart in which a gang is placed and no start was sent."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PolicyChanged(Message):
     """Report the job policy in the bundle of settings in force.
 
     quotas maps an organisation to the number of accelerators that it may use at once.
+    cordoned tells that no task may be started in the data centre.
     """
 
     guarantees: tuple[Guarantee, ...] = ()
     quotas: dict[str, int] = field(default_factory=dict)
     urgent_classes: frozenset[str] = frozenset()
+    cordoned: bool = False
 
 
 @decide.register
@@ -69,7 +76,26 @@
     scheduler.urgent_classes = message.urgent_classes
     scheduler.plan_stale = True
     scheduler.last_pass = ()
-    return place_queued_jobs(scheduler, now) if scheduler.owning else []
+    commands = apply_cordon(scheduler, message.cordoned, now)
+    if scheduler.owning:
+        commands += place_queued_jobs(scheduler, now)
+    return commands
+
+
+def apply_cordon(
+    scheduler: SchedulerState, cordoned: bool, now: float
+) -> list[Command]:
+    """Begin or end a cordon, which stops the gangs whose start was not ordered yet."""
+    if cordoned == scheduler.cordoned:
+        return []
+    scheduler.cordoned = cordoned
+    commands = [cordon_log(scheduler.shard, cordoned)]
+    if not cordoned:
+        return commands
+    for job in list(scheduler.jobs.values()):
+        if job.lifecycle.state in UNORDERED_STATES:
+            commands += handle_job_event(DataCentreCordoned(), scheduler, job, now)
+    return commands
 
 
 def place_queued_jobs(scheduler: SchedulerState, now: float) -> list[Command]:
@@ -173,7 +199,7 @@
     reason = rejection_reason(scheduler, spec, now)
     if reason:
         return handle_job_event(JobRejected(reason=reason), scheduler, job, now)
-    if not within_quota(scheduler, spec):
+    if scheduler.cordoned or not within_quota(scheduler, spec):
         return []
     assignments = choose_assignments(scheduler, job, now)
     if assignments is not None:
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job_policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_policy.py
@@ -11,7 +11,7 @@
 
 
 def policy_for_data_centre(content: BundleContent, data_centre: str) -> PolicyChanged:
-    """Return the guarantees, quotas and urgent classes for a data centre."""
+    """Return the guarantees, quotas, urgent classes and cordon of a data centre."""
     quotas = {
         organisation.name: quota.accelerators
         for organisation in content.organisations
@@ -22,4 +22,5 @@
         guarantees=guarantees_in(content, data_centre),
         quotas=quotas,
         urgent_classes=frozenset(rule.name for rule in content.classes if rule.urgent),
+        cordoned=content.is_cordoned(data_centre),
     )
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job_record.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_record.py
@@ -51,6 +51,7 @@
     NEW = "the shard's owner has not looked at the job yet"
     QUOTA = "the organisation's quota is in use"
     RECLAIMING = "borrowed work is being stopped in the guarantee"
+    CORDONED = "the data centre is cordoned by the bundle in force"
     RESERVED = "free accelerators are reserved for gangs that wait longer"
     RECALLED = "free accelerators are called back by their organisation"
     FRAGMENTED = "enough accelerators are free, but not in aligned blocks"
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/task.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/task.py
@@ -31,6 +31,7 @@
     Welcome,
 )
 from ..requests.permit import FromEntry, SendToEntryLink
+from .job_cordon import cordon_log
 
 TASK_TOMBSTONE_LIMIT = 10_000
 """Maximum number of ended tasks that an agent remembers."""
@@ -45,6 +46,13 @@
     task_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CordonChanged(Message):
+    """Report whether the bundle in force cordons the worker's data centre."""
+
+    cordoned: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TasksListed(Message):
     """Report the ids of the worker's running tasks, and how its other tasks ended."""
@@ -106,7 +114,8 @@
 
     tombstones maps an ended task to the report of its end. epochs and owners give the
     latest epoch and owner of each shard. Until former_lease_end, on the agent's clock,
-    the worker may still execute a start that an earlier agent process sent.
+    the worker may still execute a start that an earlier agent process sent. While
+    cordoned is set, no task is started.
     """
 
     data_centre: str
@@ -114,6 +123,7 @@
     chart: Chart
     former_lease_end: float
     leaving: bool = False
+    cordoned: bool = False
     tasks: dict[str, Task] = field(default_factory=dict)
     tombstones: OrderedDict[str, Message] = field(default_factory=OrderedDict)
     epochs: dict[str, int] = field(default_factory=dict)
@@ -169,6 +179,14 @@
     return task.lifecycle.handle(message, state, task, now)
 
 
+@decide.register
+def _(message: CordonChanged, state: TaskState, now: float) -> list[Command]:
+    if message.cordoned == state.cordoned:
+        return []
+    state.cordoned = message.cordoned
+    return [cordon_log(state.data_centre, message.cordoned)]
+
+
 @decide.register
 def _(message: TasksListed, state: TaskState, now: float) -> list[Command]:
     # A task may have ended while no agent ran, or under an earlier agent process. Only
--- a/packages/wasabispur-core/src/wasabispur_core/jobs/task_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/task_action.py
@@ -31,6 +31,7 @@
     StopAtWorker,
     TaskAction,
     TaskGuard,
+    TaskState,
     to_owner,
 )
 
@@ -95,6 +96,12 @@
     __slots__ = ()
 
 
+class RecordCordoned(TaskAction):
+    """Record that a reserved task is not started because of a cordon."""
+
+    __slots__ = ()
+
+
 class RecordWorkerEnd(TaskAction):
     """Record the end of a task as the worker reported it."""
 
@@ -102,7 +109,13 @@
 
 
 class CapacityFree(TaskGuard):
-    """Check whether the agent isn't leaving and the accelerators are free."""
+    """Check whether the agent takes new tasks and the accelerators are free."""
+
+    __slots__ = ()
+
+
+class Cordoned(TaskGuard):
+    """Check whether the bundle in force cordons the worker's data centre."""
 
     __slots__ = ()
 
@@ -125,13 +138,18 @@
 @holds.register
 def _(guard: CapacityFree) -> bool:
     state, reserve = guard.state, guard.subject.reserve
-    if state.leaving or guard.now >= guard.subject.expiry:
+    if state.leaving or state.cordoned or guard.now >= guard.subject.expiry:
         return False
     indices = reserve.accelerator_ids
     known = all(index < state.accelerators for index in indices)
     return known and not any(state.holder(index) for index in indices)
 
 
+@holds.register
+def _(guard: Cordoned) -> bool:
+    return guard.state.cordoned
+
+
 @holds.register
 def _(guard: LeaseValid) -> bool:
     return guard.now < guard.subject.expiry
@@ -157,7 +175,7 @@
     refused = TaskRefused(
         task_id=reserve.task_id,
         gang_epoch=reserve.gang_epoch,
-        reason=Reason.LEAVING if action.state.leaving else Reason.NO_CAPACITY,
+        reason=_refusal_reason(action.state),
     )
     # The tombstone keeps a duplicate of the refused command from reserving later.
     stopped = TaskStopped(
@@ -235,6 +253,21 @@
     return _end(action, end)
 
 
+@perform.register
+def _(action: RecordCordoned) -> list[Command]:
+    reserve = action.subject.reserve
+    stopped = TaskStopped(
+        task_id=reserve.task_id, gang_epoch=reserve.gang_epoch, reason=Reason.CORDONED
+    )
+    return _end(action, stopped)
+
+
+def _refusal_reason(state: TaskState) -> Reason:
+    if state.leaving:
+        return Reason.LEAVING
+    return Reason.CORDONED if state.cordoned else Reason.NO_CAPACITY
+
+
 def _end(action: TaskAction, end: TaskFinished | TaskStopped) -> list[Command]:
     reserve = action.subject.reserve
     action.state.tasks.pop(reserve.task_id, None)
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -281,6 +281,14 @@
     "workers by health: {healthy} healthy, {unhealthy} unhealthy, {unanswered} without"
     " an answer, {unknown} unknown, {doubtful} doubtful",
 )
+BUNDLE_CORDON_BEGUN = LogEvent(
+    485,
+    "INFO",
+    "the bundle in force cordons {data_centre}: no task is started there from now on",
+)
+BUNDLE_CORDON_ENDED = LogEvent(
+    486, "INFO", "the bundle in force no longer cordons {data_centre}"
+)
 STOP_ACCOUNTED = LogEvent(
     495,
     "INFO",
--- a/packages/wasabispur-core/src/wasabispur_core/protocol/reason.py
+++ b/packages/wasabispur-core/src/wasabispur_core/protocol/reason.py
@@ -30,6 +30,7 @@
     UNKNOWN_CLASS = "class is not in the bundle"
     LENGTH_UNDECLARED = "response without a declared length"
     LEAVING = "agent is leaving"
+    CORDONED = "data centre is cordoned"
     PERMIT_EXPIRED = "start permit expired"
     PERMIT_UNKNOWN = "start permit unknown"
     CANCELLED = "cancelled before the start"
--- a/tests/job/test_job_machine.py
+++ b/tests/job/test_job_machine.py
@@ -112,6 +112,11 @@
     def cut_store(self, names):
         self.world.store_cut = set(names)
 
+    @rule(cordoned=st.booleans(), entries=st.booleans(), agent=INDEX)
+    def cordon_or_uncordon(self, cordoned, entries, agent):
+        agents = [self.pick(self.world.agents.values(), agent)]
+        self.world.cordon(cordoned, self.world.entries.values() if entries else agents)
+
     @rule()
     def lose_answer(self):
         self.world.lose_answers += 1
--- a/tests/job/world.py
+++ b/tests/job/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -29,6 +30,7 @@
 )
 from wasabispur_core.jobs.job_shard import new_shard
 from wasabispur_core.jobs.task import (
+    CordonChanged,
     decide as decide_task,
     former_lease_end,
     RenewAtWorker,
@@ -232,6 +234,15 @@
             self.post(process, message)
         self.run()
 
+    def cordon(self, cordoned: bool, processes: Iterable[Process]) -> None:
+        """Put a bundle with or without a cordon into force in some processes."""
+        for process in processes:
+            message: object = CordonChanged(cordoned=cordoned)
+            if isinstance(process, Entry):
+                message = PolicyChanged(guarantees=self.guarantees, cordoned=cordoned)
+            self.post(process, message)
+        self.run()
+
     # Links
 
     def attach(self, entry: str, agent: str) -> None:
@@ -554,6 +565,7 @@
         return tasks
 
     def check_start(self, reserve: object, agent: Agent) -> None:
+        assert not agent.state.cordoned, "cordon: an agent that has read it starts"
         job_id, epoch, _ = reserve.task_id.rsplit(".", 2)
         spec = self.accepted[job_id]
         gang = {f"{job_id}.{epoch}.{index}" for index in range(spec.tasks)}
@@ -663,6 +675,7 @@
     def settle(self) -> None:
         """Clear all faults, and check that every accepted job ends or is held."""
         self.clear_faults()
+        self.cordon(False, [*self.entries.values(), *self.agents.values()])
         for _ in range(60):
             self.advance(2.0)
             self.finish_all()
