Add the commands cordon, uncordon and cordons

Cause: a cordon in a bundle had to be written by hand into a copy of the newest version.

Change: wasabispur cordon and uncordon read the newest accepted bundle, add or remove one cordon, and propose the result with the calls of wasabispur bundle; sign-off stays with another operator.

--- a/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/bundle_check.py
@@ -115,16 +115,19 @@
 def unmatched_cordons(
     content: BundleContent, data_centres: Collection[str]
 ) -> list[Finding]:
-    """Return the cordons of data centres that are not among those with workers."""
+    """Return a finding for each cordon of a data centre without agents.
+
+    data_centres contains those with agents, of which each worker has one.
+    """
     return [
         Finding(
             severity=Severity.WARNING,
             subject=f"cordon {cordon.name}",
             field="name",
             value=cordon.name,
-            problem="no worker is known in this data centre, so that the cordon has no "
+            problem="no agent is known in this data centre, so that the cordon has no "
             "effect",
-            remedy="name one of the data centres with workers: "
+            remedy="name one of the data centres with agents: "
             + (", ".join(sorted(data_centres)) or "none is known"),
         )
         for cordon in content.cordons
--- a/packages/wasabispur/src/wasabispur/check_command.py
+++ b/packages/wasabispur/src/wasabispur/check_command.py
@@ -4,14 +4,15 @@
 
 import json
 import sys
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any
 
 import click
 
-from wasabispur_core.bundles import bundle_check  # noqa: F401 (registers the checks)
+from wasabispur_core.bundles import bundle_check
 from wasabispur_core.bundles.bundle import InvalidBundleError
+from wasabispur_core.bundles.bundle_version import ProcessKind
 from wasabispur_core.bundles.config_check import check_against, CheckReport
 from wasabispur_core.error import SettingsError
 from wasabispur_runtime.bundle_codec import parse_content
@@ -20,6 +21,7 @@
 from .api_client import ApiClient
 from .bundle_command import fetch_content, fetch_newest_version
 from .command_line import format_table, output_option, run_with_exit_code
+from .cordon_command import fetch_data_centres
 
 STANDARD_INPUT = "-"
 
@@ -59,12 +61,18 @@
         if against is not None and url is not None:
             raise click.UsageError("use --against or --entry, not both")
         former = None
+        client = None if url is None else ApiClient(url)
         if against is not None:
             former = parse_content(read_configuration(against))
-        elif url is not None:
-            former = newest_content(ApiClient(url))
+        elif client is not None:
+            former = newest_content(client)
         checked = parse_content(read_configuration(content))
-        print_report(check_against(checked, former), output)
+        report = check_against(checked, former)
+        if client is not None and checked.cordons:
+            known = fetch_data_centres(client, ProcessKind.AGENT.value)
+            unmatched = bundle_check.unmatched_cordons(checked, known)
+            report = replace(report, findings=(*report.findings, *unmatched))
+        print_report(report, output)
 
     run_with_exit_code(run)
 
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -14,6 +14,7 @@
 from .bundle_command import bundle_group
 from .check_command import check_config
 from .command_line import CONTEXT_SETTINGS
+from .cordon_command import cordon, cordons, uncordon
 from .entry import run_entry
 from .entry_settings import EntrySettings
 from .job_command import job
@@ -52,11 +53,14 @@
     bundle_group,
     check_config,
     check_settings,
+    cordon,
+    cordons,
     job,
     key_group,
     member_group,
     report,
     request_group,
     status,
+    uncordon,
 ):
     main.add_command(command)
--- a/tests/bundle/test_command_line.py
+++ b/tests/bundle/test_command_line.py
@@ -48,6 +48,8 @@
         super().__init__(("127.0.0.1", 0), StubHandler)
         self.status = 200
         self.reply: object = {}
+        self.post_status: int | None = None
+        self.post_reply: object = None
         self.received: list[tuple[str, str, bytes]] = []
 
     @property
@@ -64,12 +66,15 @@
         length = int(self.headers.get("Content-Length", 0))
         body = self.rfile.read(length)
         self.server.received.append((self.command, self.path, body))
-        if self.server.status == LOSE_REPLY:
+        status, reply = self.server.status, self.server.reply
+        if self.command == "POST" and self.server.post_status is not None:
+            status, reply = self.server.post_status, self.server.post_reply
+        if status == LOSE_REPLY:
             self.connection.close()
             return
-        self.send_response(self.server.status)
+        self.send_response(status)
         self.end_headers()
-        self.wfile.write(json.dumps(self.server.reply).encode())
+        self.wfile.write(json.dumps(reply).encode())
 
     do_POST = do_GET
 
@@ -87,8 +92,8 @@
     server.server_close()
 
 
-def run(*arguments: str) -> Result:
-    return CliRunner().invoke(main, list(arguments))
+def run(*arguments: str, input: str | None = None) -> Result:
+    return CliRunner().invoke(main, list(arguments), input=input)
 
 
 def accept(url: str) -> Result:
--- a/tests/process/job_system.py
+++ b/tests/process/job_system.py
@@ -41,6 +41,7 @@
         self.directory = directory
         self.pool = urllib3.PoolManager(timeout=5.0, retries=False)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.operators: list[dict[str, Any]] = []
 
     def start(self, entries: int = 2, workers: int = 2) -> None:
         """Start all processes; close() stops them, also after a failed start."""
@@ -79,6 +80,7 @@
             "control_port": self.control[name],
             "http_threads": 8,
             "table_url": f"http://127.0.0.1:{self.table}",
+            "operators": self.operators,
         }
         self.spawn(
             name, "wasabispur", "entry", "--settings", self.write(name, settings)
@@ -95,6 +97,7 @@
             "local_url": f"http://127.0.0.1:{self.workers[name]}",
             "accelerators": 4,
             "cores": 8,
+            "operators": self.operators,
         }
         self.spawn(name, "wasabispur_agent", "--settings", self.write(name, settings))
 
--- /dev/null
+++ b/tests/process/test_bundle_cordon.py
@@ -0,0 +1,111 @@
+"""Test a cordon by the command line on real processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tests.bundle.operators import content
+
+from wasabispur_core.bundles.bundle import canonical_json
+from wasabispur_runtime.process import ExitCode
+
+from .job_system import JobSystem, wait_for
+
+COMMAND_TIMEOUT = 30.0
+IN_FORCE_WITHIN = 5.0
+"""Seconds within which G8 requires an accepted bundle in every process."""
+
+WAITED = 6.0
+"""Seconds for which a job of the test runs, longer than the owner takes to place it."""
+
+
+class Operators:
+    """Run commands of three operators against one entry."""
+
+    def __init__(self, folder: Path, system: JobSystem) -> None:
+        self.folder = folder
+        self.system = system
+        for name in ("ada", "ben", "cleo"):
+            path = str(folder / f"{name}.pem")
+            system.operators.append(
+                self.run("key", "generate", path, "--operator", name)
+            )
+
+    def call(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "wasabispur", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT,
+            check=False,
+        )
+
+    def run(self, *arguments: str) -> dict[str, Any]:
+        done = self.call(*arguments)
+        assert done.returncode == 0, done.stderr
+        value: dict[str, Any] = json.loads(done.stdout)
+        return value
+
+    def ask(self, *arguments: str) -> dict[str, Any]:
+        return self.run(*arguments, *self.entry())
+
+    def entry(self) -> tuple[str, ...]:
+        url = f"http://127.0.0.1:{self.system.http['e0']}"
+        return ("--entry", url, "--output", "json")
+
+    def accept(self, change: dict[str, Any]) -> None:
+        """Review, sign off and accept a change of ada."""
+        change_id = change["change_id"]
+        key = str(self.folder / "ben.pem")
+        self.ask("bundle", "review", change_id, "--operator", "cleo")
+        self.ask("bundle", "sign-off", change_id, "--operator", "ben", "--key", key)
+        self.ask("bundle", "accept", change_id, "--operator", "ada")
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[JobSystem]:
+    jobs = JobSystem(tmp_path)
+    try:
+        yield jobs
+    finally:
+        jobs.close()
+
+
+def test_cordoned_data_centre_finishes_its_runs_and_starts_none(system, tmp_path):
+    """Guard against a cordon that one of the processes doesn't pass on or obey."""
+    operators = Operators(tmp_path, system)
+    system.start(entries=1, workers=2)
+    path = tmp_path / "content.json"
+    path.write_text(canonical_json(content()))
+    running = system.submit("e0", WAITED, tasks=2, accelerators=4)
+    ada = ("--operator", "ada")
+    operators.accept(operators.ask("bundle", "propose", str(path), *ada))
+    system.wait_state("e0", running, "running", 30)
+    operators.accept(operators.ask("cordon", "dc1", *ada))
+    wait_for(
+        lambda: (
+            operators.ask("cordons")["cordons"]
+            == [{"data_centre": "dc1", "processes": 3, "behind": 0}]
+        ),
+        IN_FORCE_WITHIN,
+        "the cordon in all processes",
+    )
+    again = operators.call("cordon", "dc1", *ada, *operators.entry())
+    assert again.returncode == ExitCode.CONFLICT
+    waiting = system.submit("e0", 0.5, tasks=2, accelerators=4)
+    system.wait_state("e0", running, "completed", WAITED + 20)
+    wait_for(
+        lambda: "cordoned" in operators.ask("job", "explain", waiting)["cause"],
+        20,
+        "the explanation",
+    )
+    assert system.starts(waiting) == []
+    operators.accept(operators.ask("uncordon", "dc1", *ada))
+    system.wait_state("e0", waiting, "completed", 40)
+    assert len(system.starts(waiting)) == 2
