Let gangs wait for warm workers if that is short

Cause: a gang that had no room on warm workers started on cold ones at once, also if warm ones were free a second later; a rack with cold workers was chosen before a warm one with more room. A gang ends with its slowest member.

Racks without cold workers come first.

Tests: the simulated worker can be slow while cold, and its cold time now passes.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -5,6 +5,7 @@
 from copy import copy
 
 from ..jobs.unit import UnitId
+from .cold_wait import cold_wait_pays
 from .doubt_wait import DoubtWait
 from .plan import (
     Decision,
@@ -70,6 +71,17 @@
             if unit.stopping and self.now - unit.stopping_since < STOP_LIMIT:
                 self._add_releasing(unit)
 
+    def _waits_for_warm(
+        self, unit: WaitingUnit, placement: list[WorkerSnapshot]
+    ) -> bool:
+        """Return whether a gang waits for warm workers, with nothing stopped for it."""
+        if unit.size == 1 or not any(worker.cold for worker in placement):
+            return False
+        if unit.unit_id in self.last_reservations:
+            return False
+        groups = self._groups(self._hosts(unit))
+        return cold_wait_pays(unit, placement, groups, self.rack_wait, self.workers)
+
     def all_unmet(self) -> dict[Need, UnmetNeed]:
         """Return the needs that the pass could not place."""
         return self.unmet_before_eviction | self.unmet
@@ -79,6 +91,8 @@
     ) -> list[Decision]:
         if self.doubt_wait.pays(unit, placement, self.workers):
             return [Wait(unit_id=unit.unit_id, reason=WaitReason.SUSPICION)]
+        if self._waits_for_warm(unit, placement):
+            return [Wait(unit_id=unit.unit_id, reason=WaitReason.COLD)]
         self._reserve(unit, placement)
         chosen = tuple(worker.worker_ref for worker in placement)
         return [Place(unit_id=unit.unit_id, placement=chosen)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -48,7 +48,7 @@
     The planner works on copies that it updates while it places units. awaiting_report
     is set for a worker that accepts runs but whose last report is too old, and cordoned
     for one whose data centre is cordoned, which is not ready. A cold worker has just
-    started and is slow for a while. releasing is the amount of resources held by units
+    started and is slow until cold_until, in monotonic seconds. releasing is the amount of resources held by units
     that are being stopped. orders_bytes is the size of the worker's orders row, and
     tasks_of_step counts its tasks by job, occurrence and step. suspects counts its
     units under which a worker has crashed, and closed is set while a dangerous one has
@@ -66,6 +66,7 @@
     awaiting_report: bool = False
     cordoned: bool = False
     cold: bool = False
+    cold_until: float = -inf
     releasing: Resources = NO_RESOURCES
     trust: Trust = Trust.FULL
     orders_bytes: int = 0
@@ -229,6 +230,7 @@
     NO_ROOM = "no room"
     RACK = "no room in its rack yet"
     SUSPICION = "no room on unsuspected workers yet"
+    COLD = "no room on warm workers yet"
     STOPPING = "room is being freed"
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -219,6 +219,7 @@
         awaiting_report=not (ready or cordoned) and info.state is WorkerState.READY,
         cordoned=cordoned,
         cold=is_cold(worker, now),
+        cold_until=worker.cold_until,
         trust=trust_level(worker, now),
         closed=_is_closed(worker, state, now),
     )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -173,15 +173,15 @@
 ) -> list[WorkerSnapshot] | None:
     """Return a worker for each task of the unit, or None if they do not all fit.
 
-    One of the groups has to run the whole unit. Prefers the workers with the least
-    free resources that suffice, so that tasks with a large demand find idle workers.
+    One of the groups has to run the whole unit. Prefers warm workers, and then those with
+    the least free resources that suffice, so that tasks with a large demand find idle workers.
     """
     found = [
         placement
         for members in groups
         if (placement := _pack(unit, members)) is not None
     ]
-    return min(found, key=_free_accelerators, default=None)
+    return min(found, key=_group_order, default=None)
 
 
 def _needs_rack(unit: WaitingUnit) -> bool:
@@ -332,6 +332,8 @@
     return max(fitting, 0)
 
 
-def _free_accelerators(placement: list[WorkerSnapshot]) -> int:
+def _group_order(placement: list[WorkerSnapshot]) -> tuple[bool, int]:
+    """Return the sort key of a placement: a single cold worker delays all of a gang."""
     distinct = {worker.worker_ref.worker_id: worker for worker in placement}
-    return sum(worker.free.accelerators for worker in distinct.values())
+    free = sum(worker.free.accelerators for worker in distinct.values())
+    return any(worker.cold for worker in placement), free
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -54,8 +54,9 @@
     task that may not start again. Expirations counts how often the lease expired, and
     expirations_at_end has that count by the number of an end. Noted lists the tasks
     whose successful end was acknowledged before the lease expired: only these must
-    never run again. cold_left is how long it announces to be slow, in seconds, and
-    health its answer to health checks. A worker that guards its capacity rejects starts
+    never run again. cold_left is how long it announces to be slow, in seconds,
+    cold_speed its speed meanwhile relative to that of a warm worker, and health its
+    answer to health checks. A worker that guards its capacity rejects starts
     that exceed it.
     """
 
@@ -74,6 +75,7 @@
     stop_delay: float = STOP_DELAY
     stalled: bool = False
     cold_left: float = 0.0
+    cold_speed: float = 1.0
     health: HealthAnswer = HealthAnswer.HEALTHY
     sequence: int = 0
     next_heartbeat: float = 0.0
@@ -104,6 +106,11 @@
             sequence=self.sequence,
         )
 
+    @property
+    def speed(self) -> float:
+        """Return the progress of its runs per second."""
+        return self.cold_speed if self.cold_left > 0 else 1.0
+
     def free_resources(self) -> Resources:
         """Return the free resources."""
         used = NO_RESOURCES
@@ -180,6 +187,7 @@
     def pass_time(self, seconds: float) -> None:
         """Advance the clock and end runs that were stopped or have no valid lease."""
         lease_held = self.clock < self.expiry
+        self.cold_left = max(self.cold_left - seconds, 0.0)
         self.clock += seconds * self.rate
         self.expirations += lease_held and self.clock >= self.expiry
         for run in list(self.runs.values()):
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -534,9 +534,10 @@
                 continue
             if any(worker.stalled for worker, _ in members):
                 continue
+            speed = min(worker.speed for worker, _ in members)
             for worker, run in members:
                 # Runs on a faulty worker fail early, so that it is soon free again.
-                run.remaining_work -= 10 * seconds if worker.sick else seconds
+                run.remaining_work -= 10 * seconds if worker.sick else speed * seconds
             if all(run.remaining_work <= 0 for _, run in members):
                 self._end(members)
 
