--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -8,7 +8,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatch
 
+from wasabispur_core.bundles.bundle_version import ApplyBundle
 from wasabispur_core.jobs.task import (
+    CordonChanged,
     decide,
     RenewAtWorker,
     RunAtWorker,
@@ -100,6 +102,11 @@
         self.clock = read.clock
         self.on_message(list_report(read.views))
 
+    def on_apply_bundle(self, message: ApplyBundle) -> None:
+        """Obey the cordons of the bundle that came into force."""
+        cordoned = message.content.is_cordoned(self.state.data_centre)
+        self.on_message(CordonChanged(cordoned=cordoned))
+
     def read_tasks(self) -> WorkerRead | None:
         """Return the worker's tasks and clock, or None if it did not answer."""
         answer = self.client.tasks()
