Test that an owner with a slow store goes on planning

Transactions of 3 s that take effect last longer than the owner's lease of 2 s, so that each confirmation comes when the lease is over.

The simulated world gets transaction_time, the seconds until a transaction that took effect at once is answered; its default is the former constant.

The test allows 3.25 s.

--- a/tests/workload/test_lease_over.py
+++ b/tests/workload/test_lease_over.py
@@ -4,7 +4,7 @@
 
 from wasabispur_core.log_event import UNIT_PLACED
 
-from .world import COMPLETED, started_world, tasks
+from .world import COMPLETED, started_world, STORE_LATENCY, tasks
 
 
 def test_owner_that_wakes_up_after_its_lease_places_nothing():
@@ -49,3 +49,30 @@
     world.clear_faults()
     world.advance(10)
     assert all(world.ended(job) for job in (blocked, waiting))
+
+
+SLOW_TRANSACTION = 3.0
+"""Seconds until a slow store answers a transaction, more than the owner's lease."""
+
+
+def test_owner_with_a_slow_store_goes_on_planning():
+    """Guard against an owner that waits for a lease which is over at each confirmation.
+
+    Jobs would run nothing beside idle workers until the store is faster. A placement
+    waits for the transaction in flight, and no longer.
+    """
+    world = started_world(entries=1)
+    world.transaction_time = SLOW_TRANSACTION
+    world.advance(2 * SLOW_TRANSACTION)
+    jobs = []
+    for _ in range(8):
+        job = world.submit(tasks(2), duration=1.0)
+        jobs.append((world.timers.now(), job))
+        world.advance(0.7)
+    world.advance(3 * SLOW_TRANSACTION)
+    begun = {task.partition(".")[0]: now for now, task, _, _ in reversed(world.starts)}
+    waits = [begun[job] - submitted for submitted, job in jobs]
+    assert max(waits) < SLOW_TRANSACTION + 0.25
+    world.transaction_time = STORE_LATENCY
+    world.advance(10)
+    assert all(world.ended(job) for _, job in jobs)
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -445,6 +445,8 @@
         self.crash_recovery_time = CRASH_RECOVERY_TIME
         self.start_delay = 4.0
         self.looks_up = False
+        # Seconds until a transaction that took effect at once is answered.
+        self.transaction_time = STORE_LATENCY
         self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
@@ -579,7 +581,7 @@
             self._answer_lost(process, transaction)
             return
         result = store.apply(transaction)
-        process.post_later(STORE_LATENCY, result)
+        process.post_later(self.transaction_time, result)
 
     def _answer_lost(self, process: Process, transaction: Transaction) -> None:
         """Deliver what becomes of a transaction whose answer was lost.
