Divide the actions of an ownership by claim and by written rows

The actions that send transactions, leave rows out and release the shard are in ownership_write.py now; the chart, the claim and the lease stay. No behaviour changes. test_job_mechanism replaces the function that sends transactions, which both modules use, so it replaces both references.

Measured: tests/workload, tests/job and tests/chart pass but for that one test, which passes with both references replaced.

--- a/tests/job/test_job_mechanism.py
+++ b/tests/job/test_job_mechanism.py
@@ -23,7 +23,7 @@
 from wasabispur_core.jobs.job import Job
 from wasabispur_core.protocol import JobSubmitted, Reason, StopTask
 from wasabispur_core.requests.permit import FromEntry
-from wasabispur_core.sharding import ownership_action
+from wasabispur_core.sharding import ownership_action, ownership_write
 
 from .world import SHARD, World
 
@@ -208,7 +208,7 @@
         fields = {"operation_id": state.in_flight.operation_id, "conditions": ()}
         writes = state.in_flight.writes
         state.in_flight = type(state.in_flight)(**fields, writes=writes)
-        return [ownership_action.Transact(transaction=state.in_flight)]
+        return [ownership_write.Transact(transaction=state.in_flight)]
 
     return send
 
@@ -251,10 +251,9 @@
     (
         "result",
         late_write_of_former_owner,
-        lambda: (
-            replace_attribute(
-                ownership_action, "_send", without_conditions(ownership_action._send)
-            ),
+        lambda: tuple(
+            replace_attribute(module, "send", without_conditions(ownership_write.send))
+            for module in (ownership_action, ownership_write)
         ),
     ),
     (
