Hold planning back until the store confirms an owner whose lease is over

What callers saw: nothing, as no such decision is stored. Operators saw two entries log placements (426) of one job, and placements for as long as the store was away.

Cause: the scheduler plans while it is owning, which ends only with an answer of the store. Planning only under the lease was taken back: the lease counts from the sending of a transaction, so that an owner whose transactions take 3 s would plan nothing.

Change: a pass that is due while the lease is over is held back (416), and is made as soon as the store confirms the owner's transaction, before the next one is sent, which takes its rows. Rows of an earlier pass would have waited for the same confirmation. For one renewal interval after a confirmation passes are made at once. A lease that is ended early ends now, and not at minus infinity, which a log record can't hold.

--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job.py
@@ -17,7 +17,12 @@
 from ..command import Command
 from ..error import UnhandledMessageError
 from ..message import Message
-from ..sharding.ownership import RowCommitted, RowRejected, ShardLease
+from ..sharding.ownership import (
+    OwnershipConfirmed,
+    RowCommitted,
+    RowRejected,
+    ShardLease,
+)
 from ..workload.run_times.run_time import RunTimeModel
 from .fleet import Fleet, WorkerAttached, WorkerDetached, WorkerLeaving
 from .guarantee import GuaranteePlan
@@ -302,6 +307,14 @@
     return []
 
 
+@decide.register
+def _(
+    message: OwnershipConfirmed, scheduler: SchedulerState, now: float
+) -> list[Command]:
+    # Each start looks at the lease itself.
+    return []
+
+
 @decide.register
 def _(message: RowCommitted, scheduler: SchedulerState, now: float) -> list[Command]:
     for job in list(scheduler.jobs.values()):
--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -117,6 +117,12 @@
     "the store rejects {key} by itself, so no other row is at fault: {reason};"
     " {waiting} rows wait, the lease ends in {lease_left} s",
 )
+PLANNING_HELD_BACK = LogEvent(
+    416,
+    "INFO",
+    "a planning pass in epoch {epoch} waits for the store's next confirmation: the lease"
+    " of the shard ended {over} s ago",
+)
 
 JOB_ACCEPTED = LogEvent(420, "INFO", "job {job} of {organisation} accepted")
 JOB_REFUSED = LogEvent(421, "INFO", "job {job} of {organisation} refused: {reason}")
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
@@ -17,7 +17,15 @@
 from ..chart import Lifecycle
 from ..command import Command
 from ..message import Message
-from ..storage.store import ABSENT, Row, RowsRead, StoreResult, Transaction
+from ..storage.store import (
+    ABSENT,
+    Committed,
+    Row,
+    RowsRead,
+    StoreResult,
+    SUPERSEDED,
+    Transaction,
+)
 
 SHARD_LEASE = 6.0
 SHARD_RENEWAL_INTERVAL = 2.0
@@ -109,6 +117,14 @@
     claim_time: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipConfirmed(Message):
+    """Report that the store has just confirmed the transaction in flight.
+
+    It is sent before the next transaction, which takes the rows that it causes.
+    """
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardLost(Message):
     """Report that this entry no longer owns the shard."""
@@ -126,18 +142,28 @@
     """Represent the owner's lease of the shard, on the owner's clock.
 
     held_until is the end of the last confirmed lease. During an outage of the table
-    service the owner renews running tasks until grace_until.
+    service the owner renews running tasks until grace_until. recent_until is the time
+    until which the last confirmation is recent: the next transaction is due by then.
     """
 
     epoch: int = 0
     held_until: float = -inf
     grace_until: float = -inf
+    recent_until: float = -inf
     outage: bool = False
 
     def may_start(self, now: float) -> bool:
         """Return whether the owner may reserve and start tasks."""
         return now < self.held_until
 
+    def may_plan(self, now: float) -> bool:
+        """Return whether decisions that only take effect as fenced writes may be made.
+
+        If each transaction takes longer than the lease, a confirmation comes when the
+        lease is over. It still shows that this entry was the owner just now.
+        """
+        return self.may_start(now) or now < self.recent_until
+
     def may_renew(self, now: float) -> bool:
         """Return whether the owner may renew tasks that run."""
         return self.may_start(now) or (self.outage and now < self.grace_until)
@@ -211,6 +237,23 @@
     return state.lifecycle.handle(event, state, state, now) if event else []
 
 
+def confirms(message: Message, state: Ownership) -> bool:
+    """Return whether a message shows that the owner's transaction took effect last."""
+    if state.in_flight is None or state.releasing:
+        return False
+    operation_id = state.in_flight.operation_id
+    if isinstance(message, RowsRead):
+        own = any(
+            row.key == state.key and row.operation_id == operation_id
+            for row in message.rows
+        )
+        return own and message.read_id == read_id(state)
+    if isinstance(message, Committed):
+        own = message.operation_id == operation_id
+        return own and message.versions[state.key] != SUPERSEDED
+    return False
+
+
 def _translate(message: Message, state: Ownership) -> Message | None:
     if isinstance(message, RowsRead):
         # A read sent for an earlier transaction says nothing about the current one.
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_action.py
@@ -209,7 +209,7 @@
     message = action.message
     if not isinstance(message, Committed):
         return []
-    return _accept(action.state, message.versions[action.state.key])
+    return _accept(action.state, message.versions[action.state.key], action.now)
 
 
 @holds.register
@@ -222,7 +222,7 @@
 
 @perform.register
 def _(action: EndLease) -> list[Command]:
-    _end_lease(action.state)
+    _end_lease(action.state, action.now)
     return []
 
 
@@ -231,7 +231,7 @@
     message = action.message
     if not isinstance(message, ShardRowRead) or message.row is None:
         return []
-    return _accept(action.state, message.row.version)
+    return _accept(action.state, message.row.version, action.now)
 
 
 @perform.register
@@ -251,7 +251,7 @@
 @perform.register
 def _(action: DiscardClaim) -> list[Command]:
     state = action.state
-    _end_lease(state)
+    _end_lease(state, action.now)
     state.in_flight = state.observed = None
     state.in_flight_rows, state.pending, state.refused = [], [], []
     state.sent_alone = 0
@@ -270,17 +270,21 @@
     return guard.state.lease.may_start(guard.now)
 
 
-def _end_lease(state: Ownership) -> None:
-    state.lease.held_until = state.lease.grace_until = -inf
+def _end_lease(state: Ownership, now: float) -> None:
+    lease = state.lease
+    lease.held_until = min(lease.held_until, now)
+    lease.grace_until = min(lease.grace_until, now)
+    lease.recent_until = min(lease.recent_until, now)
 
 
-def _accept(state: Ownership, version: int) -> list[Command]:
+def _accept(state: Ownership, version: int, now: float) -> list[Command]:
     rows, state.in_flight, state.in_flight_rows = state.in_flight_rows, None, []
     state.version = version
     state.lease.outage = False
     # The lease starts when the write was first sent, before the service applied it.
     state.lease.held_until = state.first_sent + state.lease_time
     state.lease.grace_until = state.first_sent + OUTAGE_GRACE
+    state.lease.recent_until = now + state.renewal_interval
     return [
         NotifyScheduler(message=RowCommitted(key=r.key, number=r.number)) for r in rows
     ]
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/shard.py
@@ -21,6 +21,7 @@
 from .ownership import (
     NotifyScheduler,
     Ownership,
+    OwnershipConfirmed,
     OwnershipTick,
     ReleaseOwnership,
     ShardAcquired,
@@ -40,6 +41,13 @@
     """Report to a shard that time has passed."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApplyStoreAnswer(Command):
+    """Pass a store's answer to the ownership, after the rows queued before it."""
+
+    message: Message
+
+
 @dataclass(slots=True)
 class Shard:
     """Represent one entry's claim to a shard and its scheduler for the shard.
@@ -83,7 +91,10 @@
 def _(
     message: StoreResult | RowsRead | RowsUnavailable, state: Shard, now: float
 ) -> list[Command]:
-    return ownership.decide(message, state.ownership, now)
+    if not ownership.confirms(message, state.ownership):
+        return ownership.decide(message, state.ownership, now)
+    commands = _decide_jobs(OwnershipConfirmed(), state, now)
+    return [*commands, ApplyStoreAnswer(message=message)]
 
 
 @route.register
@@ -115,6 +126,11 @@
     return _decide_jobs(command.message, state, now)
 
 
+@handle_internally.register
+def _(command: ApplyStoreAnswer, state: Shard, now: float) -> list[Command]:
+    return ownership.decide(command.message, state.ownership, now)
+
+
 @handle_internally.register
 def _(command: WriteRow, state: Shard, now: float) -> list[Command]:
     return ownership.decide(command, state.ownership, now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -36,4 +36,5 @@
     state.loading = set()
     state.takeover = None
     state.pass_scheduled = False
+    state.planning_lease.held_back = False
     state.reports_since = inf
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -27,6 +27,7 @@
 from ..run_times.run_time import JobForecast, RunTimeModel
 from ..workers.worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
 from ..workers.worker_health import WorkerHealth
+from .planning_lease import PlanningLease
 from .takeover import Takeover
 
 
@@ -252,6 +253,7 @@
     health_counted_at: float = -inf
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
     evictions: dict[UnitId, EvictionAccount] = field(default_factory=dict)
+    planning_lease: PlanningLease = field(default_factory=PlanningLease)
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -21,7 +21,14 @@
     RUN_TIMES_READ,
 )
 from ...message import Message
-from ...sharding.ownership import RowCommitted, RowRejected, ShardAcquired, ShardLost
+from ...sharding.ownership import (
+    OwnershipConfirmed,
+    RowCommitted,
+    RowRejected,
+    ShardAcquired,
+    ShardLease,
+    ShardLost,
+)
 from ...storage.feed import FeedHealth
 from ..jobs.job_lifecycle import cancel, fail_job, learn_terms
 from ..jobs.job_start import start_due_occurrences, start_job
@@ -70,6 +77,7 @@
     write_queue_counts,
     write_run_times,
 )
+from .planning_lease import PlanningLease
 from .takeover import begin_takeover, log_first_pass, log_pending, log_step
 
 PASS_DELAY = 0.005
@@ -90,12 +98,13 @@
     remote_factor: float = DEFAULT_REMOTE_FACTOR,
     estimate_use: EstimateUse = EstimateUse.ALL,
     stop_times: StopTimes = DEFAULT_STOP_TIMES,
+    lease: ShardLease | None = None,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
     task takes away from the rack that it prefers. estimate_use tells for what learned
-    run times are used, and stop_times how long stops take.
+    run times are used, and stop_times how long stops take. lease is that of the shard.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -104,6 +113,7 @@
         remote_factor=remote_factor,
         run_times=RunTimeModel(use=estimate_use),
         stop_times=stop_times,
+        planning_lease=PlanningLease(lease),
     )
 
 
@@ -327,9 +337,24 @@
 @handle_message.register
 def _(message: PlanningPassDue, state: FleetState, now: float) -> list[Command]:
     state.pass_scheduled = False
-    state.capacity_changed = False
     if not state.active:
+        state.capacity_changed = False
         return []
+    if not state.planning_lease.may_plan(now):
+        return state.planning_lease.hold_back(now)
+    return _make_pass(state, now)
+
+
+@handle_message.register
+def _(message: OwnershipConfirmed, state: FleetState, now: float) -> list[Command]:
+    if not state.planning_lease.release() or not state.active:
+        return []
+    return _make_pass(state, now)
+
+
+def _make_pass(state: FleetState, now: float) -> list[Command]:
+    """Decide about the waiting units, and apply the decisions."""
+    state.capacity_changed = False
     commands: list[Command] = []
     if state.takeover is not None:
         commands += log_first_pass(state.takeover, len(state.waiting), now)
@@ -340,7 +365,8 @@
 
 
 def _schedule_pass(state: FleetState) -> list[Command]:
-    if state.pass_scheduled or not state.capacity_changed:
+    held_back = state.planning_lease.held_back
+    if state.pass_scheduled or held_back or not state.capacity_changed:
         return []
     if not state.waiting and not _relocation_possible(state):
         return []
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -191,6 +191,7 @@
                 self.settings.remote_factor,
                 self.settings.estimate_use,
                 self.settings.stop_times,
+                ownership.lease,
             ),
             decide_jobs=decide,
             tick=FleetTick(),
--- a/tests/workload/test_lease_over.py
+++ b/tests/workload/test_lease_over.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wasabispur_core.log_event import UNIT_PLACED
+from wasabispur_core.log_event import PLANNING_HELD_BACK, UNIT_PLACED
 
 from .world import COMPLETED, started_world, STORE_LATENCY, tasks
 
@@ -46,6 +46,8 @@
     for worker in world.workers.values():
         assert not worker.runs
     assert owner.logs.count(UNIT_PLACED.number) == placed
+    (line,) = [one for one in owner.records if one.number == PLANNING_HELD_BACK.number]
+    assert 0 <= line.fields["over"] < 1.0
     world.clear_faults()
     world.advance(10)
     assert all(world.ended(job) for job in (blocked, waiting))
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -271,7 +271,9 @@
             renewal_interval=0.5,
             schema=ROWS_SCHEMA,
         )
-        state = scheduler.new_fleet_state(CATALOGUE, owner_horizon(TIMES))
+        state = scheduler.new_fleet_state(
+            CATALOGUE, owner_horizon(TIMES), lease=ownership.lease
+        )
         self.shard = Shard(
             ownership, state, scheduler.decide, FleetTick(), tick_interval=0.25
         )
