Let a suspected worker run what would run nothing in a quiet service

What callers saw: a job whose label only one worker with room offers ran nothing for up to 8 s in a quiet service, after two units of other jobs had failed there, also by their own fault. The users count a job as lost after 3 s.

Cause: a suspicion was a constraint, while each other caution is a preference with a bound.

Change: UnsuspectedWorkers is the last preference that is dropped, only for a job that runs nothing in a quiet service: after the time of one run, 2 s at most, or for a last attempt once the job has no value. The worker runs nothing else, gets one unit at a time, and no work is stopped for it. In a busy service a worker that fails each run would use up the attempts of the backlog, so that nothing changes there.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/caution_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/caution_wait.py
@@ -4,15 +4,20 @@
 loses about the time of one run then, so it waits no longer than that. A unit on its
 last attempt waits as long as its job can still end with some value. A refusal uses up
 no attempt, so that a worker that refuses is soon asked again.
+
+A suspicion ends by itself within seconds, and a worker that fails all it starts is
+always free, so that it would use up the attempts of a whole backlog. So a suspected
+worker is used only where it keeps a job from running at all in a quiet service.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from functools import singledispatch
+from math import inf
 
 from .plan import WaitingUnit, WorkerSnapshot
-from .preference import AcceptingWorkers, Preference
+from .preference import AcceptingWorkers, Preference, UnsuspectedWorkers
 from .rack_wait import IDLE_JOB_WAIT, RackWait
 from .waiting_order import LATENESS_FACTOR_LIMIT
 
@@ -30,14 +35,35 @@
 
     workers contains all workers by their ids.
     """
-    limit = time_at_risk(preference, unit)
     idle = unit.unit_id.job_id not in rack_wait.busy_jobs
-    if unit.long_running or (idle and rack_wait.is_quiet(unit.service, workers)):
-        # The users count a job as lost that runs nothing beside free workers.
-        limit = min(limit, IDLE_JOB_WAIT)
+    quiet = rack_wait.is_quiet(unit.service, workers)
+    limit = wait_limit(preference, unit, idle, quiet)
     return rack_wait.now - unit.ready_at < limit
 
 
+@singledispatch
+def wait_limit(
+    preference: Preference, unit: WaitingUnit, idle: bool, quiet: bool
+) -> float:
+    """Return the seconds for which the unit waits at most.
+
+    idle is set if the unit's job runs nothing, and quiet if little of the service's
+    capacity is in use. The users count such a job as lost beside free workers.
+    """
+    limit = time_at_risk(preference, unit)
+    return min(limit, IDLE_JOB_WAIT) if unit.long_running or (idle and quiet) else limit
+
+
+@wait_limit.register
+def _(
+    preference: UnsuspectedWorkers, unit: WaitingUnit, idle: bool, quiet: bool
+) -> float:
+    if not quiet or not (idle or unit.long_running):
+        return inf
+    limit = time_at_risk(preference, unit)
+    return min(limit, IDLE_JOB_WAIT) if unit.attempts_left > 1 else limit
+
+
 @singledispatch
 def time_at_risk(preference: Preference, unit: WaitingUnit) -> float:
     """Return the seconds that the job may lose by a run without the preference."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -47,6 +47,7 @@
             one.trust is not Trust.FULL and one.trust in IN_DOUBT
             for one in snapshot.workers
         )
+        self.suspicions = any(one.trust is Trust.NONE for one in snapshot.workers)
         self.doubt_wait = DoubtWait(self.rack_wait, self.doubts, memory.doubt_waits)
         self.copied: set[str] = set()
         self.victims = VictimIndex(snapshot.running, snapshot.now)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -24,7 +24,8 @@
     """Define which units a worker gets: any, one at a time as a trial, or none.
 
     A doubtful worker gets one single task at a time as a trial, and an avoided one not
-    even that; both get units that have waited in vain for other workers.
+    even that; both get units that have waited in vain for other workers. A suspected
+    worker, with no trust, gets one of these if its job runs nothing in a quiet service.
     """
 
     FULL = "full"
@@ -34,8 +35,8 @@
     NONE = "none"
 
 
-ON_TRIAL = frozenset((Trust.TRIAL, Trust.DOUBTFUL))
-"""Trust with which a worker gets one unit at a time."""
+ON_TRIAL = frozenset((Trust.TRIAL, Trust.DOUBTFUL, Trust.NONE))
+"""Trust with which a worker gets one unit at a time, if any."""
 
 IN_DOUBT = frozenset((Trust.DOUBTFUL, Trust.AVOIDED))
 """Trust in workers whose health is in doubt."""
@@ -102,7 +103,8 @@
     waits_for_rack, the unit waits for workers of a better rack that are expected to
     report. With accepts_trial, the unit may run on a worker on trial that has other
     units, and make its last attempt there. With accepts_doubt, it may run on workers
-    whose health is in doubt. suspected is set if a worker has crashed under the unit,
+    whose health is in doubt, and with accepts_suspicion on suspected workers that run
+    nothing. suspected is set if a worker has crashed under the unit,
     and dangerous if several have. An isolated unit may only run on workers that run
     nothing else. relaxed is set if a preference for a rack has been dropped. displaces is set if the
     unit may preempt less urgent units whatever its priority, as they fit elsewhere.
@@ -135,6 +137,7 @@
     waits_for_rack: bool = False
     attempts_left: int = 1
     accepts_trial: bool = False
+    accepts_suspicion: bool = False
     accepts_doubt: bool = False
     suspected: bool = False
     dangerous: bool = False
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -80,7 +80,8 @@
         The unit is placed without the preferences that were dropped before others were
         stopped for it.
         """
-        for candidate in (unit, *relaxed_units(unit, self.doubts)):
+        relaxed = relaxed_units(unit, self.doubts, self.suspicions)
+        for candidate in (unit, *relaxed):
             hosts = self._hosts(candidate)
             placement = choose_placement(candidate, self._groups(hosts))
             if placement is not None:
@@ -103,7 +104,7 @@
         """Return the decisions on a unit, without its preferences if it can't wait."""
         found = self._decide_strictly(unit, need)
         candidate = unit
-        for preference in preferences(unit, self.doubts):
+        for preference in preferences(unit, self.doubts, self.suspicions):
             if not _is_unplaced(found[-1]):
                 break
             relaxed = drop(preference, candidate)
@@ -160,7 +161,7 @@
 
     def _decide_strictly(self, unit: WaitingUnit, need: Need) -> list[Decision]:
         loss_limit = eviction_loss_limit(unit, self.now, self.settling)
-        if unit.accepts_doubt and not unit.guaranteed:
+        if unit.accepts_suspicion or (unit.accepts_doubt and not unit.guaranteed):
             # No work is stopped for a run that is likely to fail.
             loss_limit = NO_EVICTION
         unmet = self.unmet.get(need)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/preference.py
@@ -56,10 +56,18 @@
     """Prefer workers that have not refused the unit several times in succession."""
 
 
-def preferences(unit: WaitingUnit, doubts: bool = False) -> list[Preference]:
+@dataclass(frozen=True, slots=True)
+class UnsuspectedWorkers(Caution):
+    """Prefer workers that are not suspected, whatever runs there."""
+
+
+def preferences(
+    unit: WaitingUnit, doubts: bool = False, suspicions: bool = False
+) -> list[Preference]:
     """Return the unit's preferences in the order in which they are dropped.
 
-    doubts is set if the health of some workers is in doubt. Preferences that save
+    doubts is set if the health of some workers is in doubt, and suspicions if some are
+    suspected. Preferences that save
     attempts come last: a run away from its rack only takes longer, and a worker that
     refuses uses up no attempt.
     """
@@ -76,6 +84,8 @@
         found.append(HealthyWorkers())
     if not unit.accepts_trial:
         found.append(TrustedWorkers())
+    if suspicions and not unit.accepts_suspicion:
+        found.append(UnsuspectedWorkers())
     return found
 
 
@@ -107,6 +117,11 @@
     return replace(unit, accepts_trial=True)
 
 
+@drop.register
+def _(preference: UnsuspectedWorkers, unit: WaitingUnit) -> WaitingUnit:
+    return replace(unit, accepts_suspicion=True)
+
+
 @drop.register
 def _(preference: HealthyWorkers, unit: WaitingUnit) -> WaitingUnit:
     return replace(unit, accepts_doubt=True)
@@ -118,10 +133,12 @@
     return replace(unit, refused_by=frozenset(), avoided_workers=avoided)
 
 
-def relaxed_units(unit: WaitingUnit, doubts: bool = False) -> list[WaitingUnit]:
+def relaxed_units(
+    unit: WaitingUnit, doubts: bool = False, suspicions: bool = False
+) -> list[WaitingUnit]:
     """Return the unit with one preference less after the other."""
     relaxed: list[WaitingUnit] = []
-    for preference in preferences(unit, doubts):
+    for preference in preferences(unit, doubts, suspicions):
         unit = drop(preference, unit)
         relaxed.append(unit)
     return relaxed
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -99,7 +99,7 @@
     if worker.trust is Trust.TRIAL:
         alone = unit.attempts_left > 1 and not worker.tasks_of_step
         return alone or unit.accepts_trial
-    return False
+    return unit.accepts_suspicion and not worker.tasks_of_step
 
 
 def needs_cordoned(
@@ -157,6 +157,7 @@
         unit.excluded,
         unit.attempts_left > 1,
         unit.accepts_trial,
+        unit.accepts_suspicion,
         unit.accepts_doubt,
         _needs_rack(unit),
         (unit.size, unit.tasks_per_worker, unit.payload_bytes, unit.order_bytes)
@@ -304,7 +305,7 @@
         unit.suspected and bool(worker.tasks_of_step),
         worker.trust is not Trust.FULL,
         worker.cold,
-        worker.trust is Trust.AVOIDED,
+        worker.trust in (Trust.AVOIDED, Trust.NONE),
         left.accelerators,
         left.cpu,
         worker.worker_ref.worker_id,
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -11,6 +11,7 @@
 from wasabispur_core.workload.planning.plan import Snapshot, Trust, Wait, WaitReason
 from wasabispur_core.workload.planning.planner import Planner
 from wasabispur_core.workload.planning.rack_forecast import RackForecast
+from wasabispur_core.workload.planning.rack_wait import IDLE_JOB_WAIT
 from wasabispur_core.workload.planning.snapshot import (
     ISOLATION_TIME,
     ISOLATION_WAIT_TIME,
@@ -24,6 +25,9 @@
 from .test_planner import decide, placed, running, stopped, waiting, worker
 from .world import HEARTBEAT_INTERVAL, started_world, tasks
 
+LOST_AFTER = 3.0
+"""Seconds without a run, in a service that is half empty, after which a job is lost."""
+
 
 def snapshot(now: float, workers, waiting_units, running_units=()) -> Snapshot:
     return Snapshot(
@@ -124,6 +128,57 @@
     assert placed(decide(workers, [unit], units, now=28.0)) == {"unit": ["w0"]}
 
 
+@pytest.mark.parametrize(
+    ("attempts_left", "latest"),
+    # The last attempt waits until the job, due at 10 s, has no value at 30 s.
+    [(2, IDLE_JOB_WAIT), (1, 28.0)],
+)
+def test_suspected_worker_gets_a_unit_of_an_idle_job_in_a_quiet_service(
+    attempts_left, latest
+):
+    """Guard against a job that runs nothing beside a worker for the whole suspicion.
+
+    Another unit gets nothing there: the run may fail.
+    """
+    workers, units = taken_for_good(worker(0, trust=Trust.NONE))
+    others = [worker(number, labels=("b", "r1-0")) for number in range(3, 8)]
+    fields = {"label": "a", "attempts_left": attempts_left, "run_time": 4.0}
+    waits = [waiting(name, **fields) for name in ("i", "j")]
+    assert placed(decide([*workers, *others], waits, units, now=latest - 0.1)) == {}
+    found = placed(decide([*workers, *others], waits, units, now=latest + 0.1))
+    assert list(found.values()) == [["w0"]]
+
+
+def test_suspected_worker_gets_no_unit_of_a_backlog():
+    """Guard against a worker that uses up the attempts of all waiting units.
+
+    A worker that fails each run is always free, and a backlog waits long.
+    """
+    workers, units = taken_for_good(worker(0, trust=Trust.NONE))
+    unit = waiting("unit", attempts_left=2, run_time=4.0)
+    assert placed(decide(workers, [unit], units, now=100.0)) == {}
+
+
+def test_job_starts_in_time_on_a_worker_that_other_jobs_brought_under_suspicion():
+    """Guard against a job that is lost since others failed by their own fault.
+
+    Two jobs failed on the only worker of their label that wasn't taken for good, and a
+    third one waited there for the 8 s of the suspicion.
+    """
+    world = started_world(workers=8)
+    world.submit(tasks(1, 8, label="r1-0", long_running=True), duration=900)
+    world.advance(1)
+    for _ in range(2):
+        failing = world.submit(tasks(1, 4, label="r1-0"), duration=0.3)
+        world.failing_jobs.add(failing)
+    world.advance(1)
+    fleet = world.owner().fleet
+    assert any(one.suspected_until > fleet.ticked_at for one in fleet.workers.values())
+    job = world.submit(tasks(1, 4, label="r1-0"), duration=1)
+    world.advance(LOST_AFTER)
+    assert any(task.startswith(job) for _, task, _, _ in world.starts)
+
+
 def test_caution_does_not_delay_a_unit_without_another_choice():
     """Guard against a wait for workers that no unit may ever use."""
     unit = waiting("unit", failed_on=frozenset({"w0", "w1"}))
