--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -271,7 +271,9 @@
             renewal_interval=0.5,
             schema=ROWS_SCHEMA,
         )
-        state = scheduler.new_fleet_state(CATALOGUE, owner_horizon(TIMES))
+        state = scheduler.new_fleet_state(
+            CATALOGUE, owner_horizon(TIMES), lease=ownership.lease
+        )
         self.shard = Shard(
             ownership, state, scheduler.decide, FleetTick(), tick_interval=0.25
         )
@@ -445,6 +447,8 @@
         self.crash_recovery_time = CRASH_RECOVERY_TIME
         self.start_delay = 4.0
         self.looks_up = False
+        # Seconds until a transaction that took effect at once is answered.
+        self.transaction_time = STORE_LATENCY
         self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
@@ -580,7 +584,7 @@
             self._answer_lost(process, transaction)
             return
         result = store.apply(transaction)
-        process.post_later(STORE_LATENCY, result)
+        process.post_later(self.transaction_time, result)
 
     def _answer_lost(self, process: Process, transaction: Transaction) -> None:
         """Deliver what becomes of a transaction whose answer was lost.
@@ -672,9 +676,12 @@
         if worker is None or not worker.up:
             self._answer_unreachable(agent, command, refused=True)
             return
-        if str(worker.born) != command.incarnation or self._leaves_unserved(worker):
+        if self._leaves_unserved(worker):
             self._answer_unreachable(agent, command, refused=False)
             return
+        if str(worker.born) != command.incarnation:
+            self._call_later_lifetime(agent, worker, command)
+            return
         if self._is_late(command):
             self.timers.subscribe(
                 self.start_delay,
@@ -696,6 +703,22 @@
             return
         agent.post_later(delay, answer)
 
+    def _call_later_lifetime(
+        self, agent: Process, worker: SimulatedWorker, command: WorkerCall
+    ) -> None:
+        """Make a call that was meant for a former lifetime of the worker.
+
+        The call names the worker's id only, so that the later one carries it out. The
+        lists in its answer tell the agent that they are not those it has asked for.
+        """
+        reaches = self.late_starts_reach_later_lifetimes
+        if reaches and isinstance(command, (StopRun, ListRuns)):
+            answer = self._serve(command, worker, self.timers.now())
+            if isinstance(command, StopRun):
+                agent.post_later(CALL_LATENCY, answer)
+                return
+        self._answer_unreachable(agent, command, refused=False)
+
     def _serve_long_poll(
         self, agent: Process, worker: SimulatedWorker, command: WorkerCall
     ) -> None:
