Name the answer of each request in the tests of outbound calls

Cause: the stand-in of tests/actor/test_http_call.py gave its answers out in the order in which the threads of its connections ran. If a thread started only after its caller had given up (0.5 s), the bad answer meant for it went to the third call, or the third call's good answer came after 0.5 s. Delaying one thread by 0.6 s or 1.1 s gives the recorded failures exactly (cut: 'incomplete answer: ProtocolError'; silent and half: a ReadTimeoutError on the third call). The client was not at fault.

Change: a request names its answer, and calls that must succeed have 30 s, after which every call counts as hung already. The check is as strict: the bad calls keep their 0.5 s, and without release_conn() in http_call.py two cases fail, as before. Without response.close() the tests pass, as they did before this change.

--- a/tests/actor/test_http_call.py
+++ b/tests/actor/test_http_call.py
@@ -38,7 +38,12 @@
 
 
 class Server:
-    """Answer each request by a function: the first ones by those given, then well."""
+    """Answer request /N by the function with that number, and others well.
+
+    Requests name their answers, because a connection's thread may start only after the
+    caller has given up and made its next call; answers in order of arrival would be
+    shifted then.
+    """
 
     def __init__(self, *answers: Answer) -> None:
         self.answers = list(answers)
@@ -60,9 +65,10 @@
         """Answer the requests on one connection."""
         try:
             with connection:
-                while connection.recv(65_536):
-                    answer = self.answers.pop(0) if self.answers else well
-                    answer(connection, self.stopped)
+                while request := connection.recv(65_536):
+                    number = int(request.split()[1].removeprefix(b"/"))
+                    answers = [*self.answers[number : number + 1], well]
+                    answers[0](connection, self.stopped)
         except OSError:
             return
 
@@ -205,18 +211,27 @@
         server.close()
 
 
-def call(client: HttpClient) -> HttpResult:
-    """Return the result of a call, or fail if it hangs."""
+def call(client: HttpClient, number: int, timeout: float = TIMEOUT) -> HttpResult:
+    """Return the result of request /number, or fail if the call hangs."""
     results: list[HttpResult] = []
-    thread = threading.Thread(
-        target=lambda: results.append(client.call("GET", "/", None, LIMIT)), daemon=True
-    )
+
+    def run() -> None:
+        results.append(
+            client.call("GET", f"/{number}", None, LIMIT, timeout=timeout),
+        )
+
+    thread = threading.Thread(target=run, daemon=True)
     thread.start()
     thread.join(PATIENCE)
     assert results, "the call hangs"
     return results[0]
 
 
+def call_well(client: HttpClient, number: int) -> HttpResult:
+    """Return the result of a call whose good answer may be late on a busy machine."""
+    return call(client, number, PATIENCE)
+
+
 def new_client(server: Server, connections: int = 1) -> HttpClient:
     """Return a client with few connections."""
     return HttpClient(f"http://127.0.0.1:{server.port}", connections, TIMEOUT)
@@ -229,9 +244,9 @@
     An entry that was paused applied no configuration any more.
     """
     client = new_client(serve(answer, answer))
-    for _ in range(2):
-        assert isinstance(call(client), ResponseLost)
-    assert call(client) == HttpResponse(200, b"ok")
+    for number in range(2):
+        assert isinstance(call(client, number), ResponseLost)
+    assert call_well(client, 2) == HttpResponse(200, b"ok")
 
 
 @pytest.mark.parametrize("answer", [endless_chunk_size, endless_body, endless_field])
@@ -240,7 +255,7 @@
     client = new_client(serve(answer))
     tracemalloc.start()
     try:
-        assert isinstance(call(client), ResponseLost)
+        assert isinstance(call(client, 0), ResponseLost)
         assert tracemalloc.get_traced_memory()[1] < 4 * LIMIT
     finally:
         tracemalloc.stop()
@@ -249,9 +264,9 @@
 def test_rest_of_an_answer_is_not_taken_for_the_next_one(serve):
     """Guard against a connection that is used again in the middle of a response."""
     client = new_client(serve(half))
-    assert isinstance(call(client), ResponseLost)
-    for _ in range(3):
-        assert call(client) == HttpResponse(200, b"ok")
+    assert isinstance(call(client, 0), ResponseLost)
+    for number in range(1, 4):
+        assert call_well(client, number) == HttpResponse(200, b"ok")
 
 
 def test_chunked_and_large_answers_are_read_whole(serve):
@@ -269,20 +284,20 @@
             connection.sendall(bytes(CHUNK_BYTES))
 
     client = new_client(serve(chunked, large))
-    assert call(client) == HttpResponse(200, 3 * b"abcd")
-    assert call(client) == HttpResponse(200, bytes(5 * CHUNK_BYTES))
-    assert call(client) == HttpResponse(200, b"ok")
+    assert call_well(client, 0) == HttpResponse(200, 3 * b"abcd")
+    assert call_well(client, 1) == HttpResponse(200, bytes(5 * CHUNK_BYTES))
+    assert call_well(client, 2) == HttpResponse(200, b"ok")
 
 
 def test_call_does_not_wait_for_a_connection_without_end(serve):
     """Guard against a thread that hangs while all connections are in use."""
     client = HttpClient(f"http://127.0.0.1:{serve(silent).port}", 1, PATIENCE)
     thread = threading.Thread(
-        target=lambda: client.call("GET", "/", None, LIMIT), daemon=True
+        target=lambda: client.call("GET", "/0", None, LIMIT), daemon=True
     )
     thread.start()
     while client.pool.pool.qsize():
         time.sleep(0.01)
     begun = time.monotonic()
-    assert isinstance(call(client), RequestNotSent)
+    assert isinstance(call(client, 1), RequestNotSent)
     assert time.monotonic() - begun >= POOL_TIMEOUT / 2
