Add settings for the HTTP limits of an entry of the product's own plane

Cause: the entry of the product's own plane ran with default limits (1,024 connections, 32 MiB) that no setting changed and that nothing compared with its descriptors.

Change: sections limits and http of EntrySettings, shared with the platform's settings file (http_settings.py). With limits, the HTTP server gets the descriptors that the control port's session_limit + 64 leave, and eighths of the memory. The entry and check-settings refuse limits that contradict each other. Without them nothing changes.

--- a/packages/wasabispur/src/wasabispur/control_server.py
+++ b/packages/wasabispur/src/wasabispur/control_server.py
@@ -13,11 +13,9 @@
 from wasabispur_runtime.codec import MessageCodec
 from wasabispur_runtime.log import log
 
+from .entry_settings import SPARE_CONNECTIONS
 from .handshake import HANDSHAKE_TIMEOUT
 
-SPARE_CONNECTIONS = 64
-"""Connections beyond the session limit, for peers and for streams being opened."""
-
 
 class ControlServer(Server):
     """Serve control streams on a bounded number of connections."""
--- a/packages/wasabispur/src/wasabispur/entry.py
+++ b/packages/wasabispur/src/wasabispur/entry.py
@@ -37,6 +37,7 @@
     settings: EntrySettings, timers: TimerService, stop: asyncio.Event
 ) -> None:
     """Run an entry instance until stop is set, then shut down gracefully."""
+    http_limits = settings.http_limits
     configure_log(settings.entry_id, settings.log_level)
     registry.configure(settings.entry_id)
     actors = build_actors(settings, timers)
@@ -75,6 +76,7 @@
         settings.host,
         settings.http_port,
         settings.http_threads,
+        http_limits,
     )
     await start_control(control, settings)
     http.start()
--- a/packages/wasabispur/src/wasabispur/entry_settings.py
+++ b/packages/wasabispur/src/wasabispur/entry_settings.py
@@ -6,12 +6,21 @@
 
 from pydantic import Field
 
+from wasabispur_core.http_limits import HttpLimits
 from wasabispur_core.membership.heartbeat_policy import HeartbeatIntervals
 from wasabispur_runtime.settings import Settings
 from wasabispur_runtime.signature import OperatorKeys
 
+from .http_settings import entry_http_limits, HttpSettings, LimitSettings
+
 Port = Annotated[int, Field(ge=1, le=65535)]
 
+SPARE_CONNECTIONS = 64
+"""Connections to the control port beyond the session limit.
+
+They are for peers and for streams being opened.
+"""
+
 
 class EntrySettings(Settings):
     """Define the settings of one entry instance; durations are in seconds."""
@@ -30,6 +39,8 @@
     table_url: Annotated[str, Field(pattern=r"^http://")] | None = None
     shards: list[str] = Field(default_factory=list, max_length=64)
     operators: OperatorKeys = []
+    limits: LimitSettings | None = None
+    http: HttpSettings = HttpSettings()
     advertised_address: str = ""
     log_level: str = "INFO"
 
@@ -38,6 +49,18 @@
         """Return the address at which other processes reach the control port."""
         return self.advertised_address or f"{self.host}:{self.control_port}"
 
+    @property
+    def control_connections(self) -> int:
+        """Return the number of connections that the control port accepts."""
+        return self.session_limit + SPARE_CONNECTIONS
+
+    @property
+    def http_limits(self) -> HttpLimits:
+        """Return the limits of the HTTP server; raise SettingsError."""
+        return entry_http_limits(
+            self.http, self.limits, self.control_connections, self.session_limit
+        )
+
     @property
     def intervals(self) -> HeartbeatIntervals:
         """Return the heartbeat intervals by kind of agent."""
--- a/packages/wasabispur/src/wasabispur/settings_command.py
+++ b/packages/wasabispur/src/wasabispur/settings_command.py
@@ -25,6 +25,7 @@
 
     def run() -> None:
         settings = load_settings(EntrySettings, path)
+        _ = settings.http_limits  # Raises SettingsError if the limits contradict.
         click.echo(f"{path} is valid for entry {settings.entry_id}")
 
     run_with_exit_code(run)
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import resource
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -9,8 +11,13 @@
 from typing import Any
 
 import pytest
+from cherrypy._cplogging import LogManager
+from click.testing import CliRunner
 
+from wasabispur.entry_settings import EntrySettings
+from wasabispur.http_application import new_application
 from wasabispur.http_server import HttpServer, stop_servers
+from wasabispur.settings_command import check_settings
 from wasabispur_core.error import SettingsError
 from wasabispur_core.http_limits import (
     check_limits,
@@ -272,3 +279,56 @@
     """Guard against settings that refuse what clients are told they may send."""
     with pytest.raises(SettingsError, match="header_time"):
         check_limits(HttpLimits(header_time=2.0))
+
+
+ENTRY = {
+    "entry_id": "entry-1",
+    "region": "Atlanta",
+    "data_centre": "a1",
+    "http_port": 8080,
+    "control_port": 8081,
+}
+RESOURCES = {"memory_mb": 200, "max_fds": 4096}
+
+
+@pytest.mark.parametrize(
+    ("values", "problem"),
+    [
+        ({"limits": RESOURCES | {"max_fds": 2100}}, "session_limit"),
+        ({"limits": RESOURCES | {"memory_mb": 100}}, "session_limit"),
+        ({"http": {"header_time": 2.0}}, "header_time"),
+        ({"limits": RESOURCES, "http": {"idle_time": 10.0}}, "idle_time"),
+    ],
+)
+def test_contradictory_limits_of_an_entry_are_found(tmp_path, values, problem):
+    """Guard against an entry that starts and then runs out of its resources."""
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps(ENTRY | values))
+    result = CliRunner().invoke(check_settings, ["--settings", str(path)])
+    assert result.exit_code != 0
+    assert problem in result.output
+
+
+@pytest.mark.parametrize("session_limit", [1, 500])
+def test_limits_of_an_entry_fit_beside_its_control_port(session_limit, monkeypatch):
+    """Guard against budgets of two ports that add up to more than the process has."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (8192, 8192))
+    settings = EntrySettings(**ENTRY, session_limit=session_limit, limits=RESOURCES)
+    limits = settings.http_limits
+    assert limits.connections >= 64
+    assert limits.connections + settings.control_connections <= 4096 - 200 - 64
+    assert limits.connections * 8192 <= 200 * 2**20 / 8
+
+
+def test_entry_without_stated_resources_keeps_its_limits():
+    """Guard against an upgrade that changes the limits of present deployments."""
+    assert EntrySettings(**ENTRY).http_limits == HttpLimits()
+
+
+def test_no_access_log_is_formatted(serve, monkeypatch):
+    """Guard against the cost of a log that nothing reads."""
+    calls = []
+    monkeypatch.setattr(LogManager, "access", lambda log: calls.append(log))
+    server = serve(new_application(None, {}))
+    assert b" 404 " in exchange(server, b"GET / HTTP/1.0\r\n\r\n")
+    assert not calls
