Bound the bytes of responses that clients do not take

Cause: only received bytes had a budget. Clients that request large responses and read nothing held one response each, twice in memory, together with the request.

Change: responses that the operating system does not take at once count against a budget of the size of that for received bytes; the one that has waited for the longest time is closed first. The request and the reply are freed, and the rest is not copied.

--- a/packages/wasabispur-core/src/wasabispur_core/http_connection.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_connection.py
@@ -35,13 +35,15 @@
 class HttpConnection:
     """Represent a connection; held is the number of its buffered bytes.
 
-    close ends it from outside. group is None while a complete request is handled.
+    unsent is the size of a response that its client has not taken. close ends the
+    connection from outside. group is None while a complete request is handled.
     """
 
     address: str
     lifecycle: Lifecycle
     close: Callable[[], None]
     held: int = 0
+    unsent: int = 0
     group: Group | None = None
 
 
@@ -60,6 +62,7 @@
     by_address: Counter[str] = field(default_factory=Counter)
     count: int = 0
     held: int = 0
+    unsent: int = 0
 
     def admit(self, address: str, close: Callable[[], None]) -> HttpConnection | None:
         """Return a new connection, or None if there is no room for it.
@@ -91,9 +94,22 @@
         return True
 
     def release(self, connection: HttpConnection, remaining: int = 0) -> None:
-        """Count only the remaining bytes of a connection."""
+        """Count only the remaining received bytes of a connection."""
         self.held -= connection.held - remaining
         connection.held = remaining
+        self.unsent -= connection.unsent
+        connection.unsent = 0
+
+    def hold_response(self, connection: HttpConnection, size: int) -> None:
+        """Count a response that is not taken at once, and close others to make room.
+
+        A response that exceeds the budget alone is sent as the only one.
+        """
+        while self.unsent and self.unsent + size > self.limits.buffer_bytes:
+            if not self.close_one((Group.RESPONDING,), connection):
+                break
+        self.unsent += size
+        connection.unsent = size
 
     def close_one(
         self, groups: tuple[Group, ...], exempt: HttpConnection | None = None
@@ -156,7 +172,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseReady(Message):
-    """Report that a response is about to be written."""
+    """Report that the client did not take a response of this size at once.
+
+    remaining bytes belong to the next request.
+    """
+
+    size: int
+    remaining: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +221,12 @@
     __slots__ = ()
 
 
+class HoldResponse(_ConnectionAction):
+    """Count the bytes of the response instead of those of its request."""
+
+    __slots__ = ()
+
+
 class CloseAtOnce(_ConnectionAction):
     """Make the connection one of those closed before all others."""
 
@@ -247,6 +275,14 @@
     return []
 
 
+@perform.register
+def _(action: HoldResponse) -> list[Command]:
+    assert isinstance(action.message, ResponseReady)
+    action.state.release(action.subject, action.message.remaining)
+    action.state.hold_response(action.subject, action.message.size)
+    return []
+
+
 @perform.register
 def _(action: CloseAtOnce) -> list[Command]:
     action.state.release(action.subject)
@@ -284,6 +320,7 @@
     CloseNewestFirst,
     CloseMostStalledFirst,
     CloseSlowestReaderFirst,
+    HoldResponse,
     CloseAtOnce,
     KeepOpen,
     ReleaseBytes,
--- a/packages/wasabispur/src/wasabispur/http_exchange.py
+++ b/packages/wasabispur/src/wasabispur/http_exchange.py
@@ -103,24 +103,32 @@
         try:
             if not await self._wait_for_request():
                 return False
-            request = await self._read_request()
-            reply = await self.handle(request, self.endpoints)
+            content = await self._respond()
         except HttpRefusal as refusal:
             await self._refuse(refusal)
             return False
         except h11.RemoteProtocolError as error:
             await self._refuse(malformed(error))
             return False
-        content = self.parser.encode(reply, self.closing or is_chunked(request))
         sent = self._send_at_once(content)
         if sent < len(content):
-            self.notify(ResponseReady())
-            await self._send(content[sent:])
+            pending = self.parser.pending
+            self.notify(ResponseReady(size=len(content), remaining=pending))
+            await self._send(memoryview(content)[sent:])
         if not self.parser.start_next():
             return False
         self.notify(ResponseWritten(remaining=self.parser.pending))
         return True
 
+    async def _respond(self) -> bytes:
+        """Read a request and return the encoded response.
+
+        The request and the reply are not kept while the client takes the response.
+        """
+        request = await self._read_request()
+        reply = await self.handle(request, self.endpoints)
+        return self.parser.encode(reply, self.closing or is_chunked(request))
+
     async def _wait_for_request(self) -> bool:
         """Wait for the first bytes of a request; return False if none arrive."""
         if self.parser.pending:
@@ -217,7 +225,7 @@
         except BlockingIOError:
             return 0
 
-    async def _send(self, content: bytes) -> None:
+    async def _send(self, content: bytes | memoryview) -> None:
         """Write to the client; raise TimeoutError if it reads too slowly."""
         limit = self.limits.grace_time + len(content) / self.limits.min_rate
         async with asyncio.timeout(limit):
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -17,6 +17,7 @@
 from wasabispur.http_server import HttpServer, stop_servers
 from wasabispur.settings_command import check_settings
 from wasabispur_core.error import SettingsError
+from wasabispur_core.http_connection import Group
 from wasabispur_core.http_limits import (
     check_limits,
     HttpLimits,
@@ -321,3 +322,32 @@
 def test_entry_without_stated_resources_keeps_its_limits():
     """Guard against an upgrade that changes the limits of present deployments."""
     assert EntrySettings(**ENTRY).http_limits == HttpLimits()
+
+
+LARGE_BODY = bytes(8 * 1024 * 1024)
+"""A response that the operating system does not take at once."""
+
+
+def test_unread_responses_take_a_bounded_number_of_bytes(serve):
+    """Guard against clients that request large responses and read nothing."""
+    calls: list[None] = []
+
+    def application(environ: Any, start_response: Any) -> list[bytes]:
+        calls.append(None)
+        start_response("200 OK", [])
+        return [LARGE_BODY]
+
+    limits = replace(LIMITS, grace_time=60, buffer_bytes=3 * len(LARGE_BODY))
+    server = serve(application, limits)
+    request = b"GET / HTTP/1.1\r\n" + HOST + b"\r\n"
+    clients = [connect(server) for _ in range(LIMITS.crowded_limit)]
+    for number, client in enumerate(clients, start=1):
+        client.sendall(request)
+        while len(calls) < number or server.in_progress:
+            threading.Event().wait(0.01)
+    responding = server.table.groups[Group.RESPONDING]
+    assert len(responding) * len(LARGE_BODY) <= limits.buffer_bytes
+    seen = exchange(server, b"GET / HTTP/1.0\r\n\r\n")
+    assert seen.endswith(LARGE_BODY)
+    for client in clients:
+        client.close()
