Reject jobs at entries that the fleet's load would delay until they have no value

Cause: jobs that can't be served in time were accepted and waited in the queue, making others late; the intake knew neither the backlog nor an organisation's part of it.

Change: the owner publishes load/main/summary (capacity, open work by service, priority and organisation, quartiles of run times); entries follow it through a feed and a state chart, and a module without I/O decides by processor sharing among organisations, biased towards accepting. A rejection follows a read of the job's row.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -281,6 +281,15 @@
     "workers by health: {healthy} healthy, {unhealthy} unhealthy, {unanswered} without"
     " an answer, {unknown} unknown, {doubtful} doubtful",
 )
+LOAD_KNOWN = LogEvent(
+    487, "INFO", "load {sequence} of owner {epoch} is known, written {age} s ago"
+)
+LOAD_OUTDATED = LogEvent(
+    488,
+    "INFO",
+    "load {sequence} of owner {epoch}, written {age} s ago, rejects no more jobs",
+)
+LOAD_UNREADABLE = LogEvent(489, "WARNING", "the load is not known: {error}")
 STOP_ACCOUNTED = LogEvent(
     495,
     "INFO",
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -87,6 +87,13 @@
     text="answered requests about jobs",
     labels=("outcome",),
 )
+JOB_REJECTIONS = Metric(
+    name="job.rejections",
+    kind=MetricKind.COUNTER,
+    unit="1",
+    text="new jobs that were rejected because of the load",
+    labels=("cause",),
+)
 JOB_TIME = Metric(
     name="job.time",
     kind=MetricKind.HISTOGRAM,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
@@ -16,25 +16,13 @@
 from ...error import UnhandledMessageError
 from ...log_event import CORDONS_READ, JOB_REFUSED, POLICY_IN_FORCE
 from ...message import Message
-from ...storage.store import (
-    ABSENT,
-    Condition,
-    RowsRead,
-    RowsUnavailable,
-    StoreResult,
-    text_size,
-    Write,
-)
-from ..jobs.spec import (
-    JOB_ID_PATTERN,
-    JobSpec,
-    LASTING_TASKS_LIMIT,
-    PAYLOAD_LIMIT_BYTES,
-)
+from ...storage.store import RowsRead, RowsUnavailable, StoreResult, text_size
+from ..admission.load_knowledge import LoadArrived, LoadUnreadable
+from ..jobs.spec import JOB_ID_PATTERN, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
 from ..owner.fleet_state import ClocksRead
 from ..policies.cordon import CordonsChanged
 from ..policies.policy import PolicyChanged, PolicyHealth, Queue
-from ..rows import job_key, pack, progress_key, queue_counts_key
+from ..rows import job_key, progress_key, queue_counts_key
 from .intake_message import (
     AnswerCaller,
     CallOutcome,
@@ -43,7 +31,9 @@
     ReadJob,
     SubmitJob,
 )
-from .intake_state import conditional_write, IntakeState, PendingCall
+from .intake_state import IntakeState, PendingCall
+from .submission import write_job
+from .submission_check import check_load, SUBMISSION_CHECK
 
 POLICY_AGE_LIMIT = 5.0
 """Seconds for which an unconfirmed configuration still admits callers."""
@@ -100,6 +90,14 @@
     return []
 
 
+@decide.register(LoadArrived)
+@decide.register(LoadUnreadable)
+def _(
+    message: LoadArrived | LoadUnreadable, state: IntakeState, now: float
+) -> list[Command]:
+    return [] if state.load is None else state.load.follow(message, now)
+
+
 @decide.register
 def _(message: IntakeRequest, state: IntakeState, now: float) -> list[Command]:
     admitted = _admit(message, state, now)
@@ -137,27 +135,11 @@
     message: SubmitJob, queue: Queue, state: IntakeState, now: float
 ) -> list[Command]:
     call = _open_call("submission", message, queue, state)
-    spec = JobSpec(
-        job_id=call.job_id,
-        queue=queue.name,
-        organisation=call.organisation,
-        payload=message.payload,
-        steps=message.steps,
-        accepted_at=now + state.store_offset,
-        repeats=message.repeats,
-        repeat_interval=message.repeat_interval,
-        start_at=message.start_at,
-        terms=queue.terms,
-    )
-    key = job_key(call.job_id)
-    return [
-        conditional_write(
-            call,
-            state,
-            (Condition(key=key, version=ABSENT),),
-            Write(key=key, value=pack(spec)),
-        )
-    ]
+    commands = check_load(call, message, state, now)
+    if call.rejection is None:
+        return [*commands, write_job(call, message, state, now)]
+    call.lifecycle = state.charts[SUBMISSION_CHECK].start()
+    return [*commands, *_read(call, state, job_key(call.job_id))]
 
 
 @start_call.register
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_state.py
@@ -9,6 +9,8 @@
 from ...chart import Chart, Lifecycle
 from ...command import Command, Transact
 from ...storage.store import Condition, Row, Transaction, Write
+from ..admission.admission import Rejection
+from ..admission.load_knowledge import LoadKnowledge
 from ..policies.policy import FleetPolicy, Queue
 from .intake_message import IntakeRequest
 
@@ -18,7 +20,8 @@
     """Represent a caller's request whose rows are being read or written.
 
     rows_by_key contains the rows that have been read, with an empty tuple for each key
-    whose read is in flight.
+    whose read is in flight. rejection is why the load rejects the call's job, if it
+    does.
     """
 
     request: IntakeRequest
@@ -27,6 +30,7 @@
     job_id: str
     lifecycle: Lifecycle
     rows_by_key: dict[str, tuple[Row, ...]] = field(default_factory=dict)
+    rejection: Rejection | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -38,7 +42,8 @@
     been accepted or cancelled by a write whose answer was lost. store_offset is the
     table service's clock minus this process's clock, in seconds. policy_lost_at is the
     time since which the configuration is not confirmed, in monotonic seconds. cordoned
-    contains the cordoned data centres.
+    contains the cordoned data centres. load is what is known of the fleet's load, or
+    None if jobs are accepted whatever it is.
     """
 
     charts: dict[str, Chart]
@@ -50,6 +55,7 @@
     store_offset: float = 0.0
     policy_lost_at: float = inf
     cordoned: frozenset[str] = frozenset()
+    load: LoadKnowledge | None = None
 
 
 def conditional_write(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -4,6 +4,7 @@
 
 from math import inf
 
+from ..admission.published_load import PublishedLoad
 from ..planning.fleet_view import FleetView
 from ..planning.planner import Planner
 from ..run_times.run_time import RunTimeModel
@@ -31,6 +32,7 @@
     ):
         collection.clear()
     state.run_times = RunTimeModel(use=state.run_times.use)
+    state.published_load = PublishedLoad(enabled=state.published_load.enabled)
     state.view = FleetView()
     state.planner = Planner()
     state.loading = set()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -12,6 +12,7 @@
 
 from ...chart import Chart
 from ...message import Message
+from ..admission.published_load import PublishedLoad
 from ..jobs.occurrence import Occurrence, PageId
 from ..jobs.progress import JobProgress, JobState, UnitPage
 from ..jobs.spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
@@ -211,7 +212,8 @@
     services whose workers' health checks are not reliable, and health_counted_at is the
     time of the last count of their answers. run_times contains what was learned of the
     run times of tasks. stop_times is how long stops take, and evictions contains the
-    stops for each beneficiary that has yet to be placed.
+    stops for each beneficiary that has yet to be placed. published_load is the load as
+    entries know it.
     """
 
     unit_chart: Chart
@@ -252,6 +254,7 @@
     health_counted_at: float = -inf
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
     evictions: dict[UnitId, EvictionAccount] = field(default_factory=dict)
+    published_load: PublishedLoad = field(default_factory=PublishedLoad)
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -23,6 +23,8 @@
 from ...message import Message
 from ...sharding.ownership import RowCommitted, RowRejected, ShardAcquired, ShardLost
 from ...storage.feed import FeedHealth
+from ..admission.load_publication import write_load
+from ..admission.published_load import PublishedLoad
 from ..jobs.job_lifecycle import cancel, fail_job, learn_terms
 from ..jobs.job_start import start_due_occurrences, start_job
 from ..jobs.spec import JobSpec
@@ -90,12 +92,14 @@
     remote_factor: float = DEFAULT_REMOTE_FACTOR,
     estimate_use: EstimateUse = EstimateUse.ALL,
     stop_times: StopTimes = DEFAULT_STOP_TIMES,
+    publishes_load: bool = False,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
     task takes away from the rack that it prefers. estimate_use tells for what learned
-    run times are used, and stop_times how long stops take.
+    run times are used, and stop_times how long stops take. publishes_load is set if
+    entries accept jobs by the load.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -104,6 +108,7 @@
         remote_factor=remote_factor,
         run_times=RunTimeModel(use=estimate_use),
         stop_times=stop_times,
+        published_load=PublishedLoad(enabled=publishes_load),
     )
 
 
@@ -320,6 +325,7 @@
         *log_lists(state, now),
         *write_queue_counts(state),
         *write_run_times(state, now),
+        *write_load(state, now),
     ]
     return [*commands, *remove_ended(state, now)]
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time.py
@@ -217,6 +217,13 @@
         """Return the seconds within which a share of those that still run complete."""
         return self.forecast(kind).remaining(elapsed, share)
 
+    def queue_forecast(self, queue: str) -> Forecast | None:
+        """Return the run time of a queue's tasks without estimates, if any has run."""
+        if self.use is EstimateUse.NOTHING:
+            return None
+        fit = self._queue_fits(queue).queue
+        return None if fit.log_time is None else fit.forecast(0.0)
+
     def _fit(self, group: RunGroup) -> Fit:
         fits = self._queue_fits(group.queue)
         fit = fits.groups.get(group)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -14,6 +14,7 @@
     FLEET_LOADED,
     HEALTH_ANSWERS_COUNTED,
     JOB_ENDED,
+    JOB_REFUSED,
     RUN_ENDED,
     RUN_ORDERED,
     RUN_REFUSED,
@@ -28,6 +29,7 @@
     CORDON_ACTIVE,
     CORDON_ACTIVE_RUNS,
     JOB_CALLS,
+    JOB_REJECTIONS,
     JOB_TIME,
     RECORDS_LOST,
     RUN_ORDERS,
@@ -60,6 +62,7 @@
         self.cordons: dict[str, int] = {}
         self.handlers: dict[int, Callable[[Fields], None]] = {
             JOB_ENDED.number: self._job_ended,
+            JOB_REFUSED.number: self._job_refused,
             UNIT_PLACED.number: self._unit_placed,
             RUN_ENDED.number: self._run_ended,
             UNIT_PREEMPTED.number: lambda f: self._stopped("preemption"),
@@ -99,6 +102,10 @@
         labels = {"class_": fields["queue"], "outcome": fields["state"]}
         self.registry.record(JOB_TIME, fields["took"], **labels)
 
+    def _job_refused(self, fields: Fields) -> None:
+        if "cause" in fields:
+            self.registry.count(JOB_REJECTIONS, cause=fields["cause"])
+
     def _unit_placed(self, fields: Fields) -> None:
         self.registry.record(UNIT_WAIT, fields["waited"])
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -14,13 +14,20 @@
 from wasabispur_core.sharding.shard import Shard
 from wasabispur_core.storage.circuit import FREQUENT_TRIALS, OPEN
 from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.admission.load_knowledge import new_load_knowledge
+from wasabispur_core.workload.admission.load_row import load_prefix, LOAD_TABLE
 from wasabispur_core.workload.agent.lease_clock import owner_horizon
 from wasabispur_core.workload.agent.runner_state import LeaseTimes
 from wasabispur_core.workload.intake.intake_action import call_charts
 from wasabispur_core.workload.intake.intake_state import IntakeState
+from wasabispur_core.workload.intake.submission_check import (
+    SUBMISSION_CHECK,
+    submission_check_chart,
+)
 from wasabispur_core.workload.owner.fleet_state import FleetTick
 from wasabispur_core.workload.owner.scheduler import decide, new_fleet_state
 from wasabispur_core.workload.rows import ROWS_SCHEMA, SHARD
+from wasabispur_runtime.load_watcher import LOAD_LONG_POLL, LoadWatcher
 from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.loop_monitor import LoopMonitor
 from wasabispur_runtime.metrics import registry
@@ -121,6 +128,7 @@
             self.table,
             operator_rows.for_deployment(settings.cordons).cordon_of,
         )
+        self.load = self._load_watcher(feeds)
         self.scheduler.observer = self.intake.observer = self.metrics.observe
         self.monitor = LoopMonitor(timers)
         self.actors = (
@@ -129,6 +137,7 @@
             self.intake,
             self.policy,
             self.monitor,
+            *self.load,
         )
 
     def is_ready(self) -> bool:
@@ -191,6 +200,7 @@
                 self.settings.remote_factor,
                 self.settings.estimate_use,
                 self.settings.stop_times,
+                self.settings.admission_control,
             ),
             decide_jobs=decide,
             tick=FleetTick(),
@@ -198,9 +208,22 @@
         )
 
     def _intake_state(self) -> IntakeState:
-        return IntakeState(
+        state = IntakeState(
             charts=call_charts(self.catalogue), new_operation_id=new_operation_id
         )
+        if self.settings.admission_control:
+            state.charts[SUBMISSION_CHECK] = submission_check_chart(self.catalogue)
+            state.load = new_load_knowledge(self.catalogue)
+        return state
+
+    def _load_watcher(self, feeds: FeedFactory) -> tuple[LoadWatcher, ...]:
+        """Return the watcher of the fleet's load, if new jobs depend on it."""
+        if not self.settings.admission_control:
+            return ()
+        open_feed = partial(
+            feeds.create, LOAD_TABLE, (load_prefix(),), long_poll=LOAD_LONG_POLL
+        )
+        return (LoadWatcher(self.timers, open_feed, self.intake),)
 
 
 def new_operation_id() -> str:
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -17,7 +17,8 @@
     remote_factor is how many times as long a task takes away from its preferred rack,
     and estimate_use for what learned run times are used in place of declared estimates.
     cordons is set if the deployment uses cordons of data centres. stop_times is how long
-    stops and restarts of runs take.
+    stops and restarts of runs take. With admission_control, new jobs are rejected that
+    the load would delay until they have no value.
     """
 
     entry_id: str
@@ -32,4 +33,5 @@
     cordons: bool = False
     estimate_use: EstimateUse = EstimateUse.ALL
     stop_times: StopTimes = DEFAULT_STOP_TIMES
+    admission_control: bool = False
     log_level: str = "INFO"
