--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
@@ -100,12 +100,10 @@
         """Add the work of a priority, if it is as urgent as the job's or more."""
         mine = level.work.get(self.organisation, NO_WORK)
         if level.priority == priority:
-            self.own = mine
-            self.others = {
-                name: work
-                for name, work in level.work.items()
-                if name != self.organisation
-            }
+            self.own = self.own.plus(mine)
+            for name, work in level.work.items():
+                if name != self.organisation:
+                    self.others[name] = self.others.get(name, NO_WORK).plus(work)
         elif level.priority < priority:
             self.own_urgent = self.own_urgent.plus(mine)
             for work in (*level.work.values(), level.worthless):
@@ -167,8 +165,11 @@
         return None
     need = _need(job, times)
     competition = Competition(service, job.organisation, weights)
+    needs_gang = any(step.gang for step in job.steps)
     for level in service.levels:
-        competition.add(level, job.terms.priority)
+        # Single tasks run in the room that is too small for the gangs before them.
+        if needs_gang or not level.gang:
+            competition.add(level, job.terms.priority)
     starts_in = max(competition.seconds() - age, 0.0)
     done_in = competition.seconds(need.work) - age
     ends_in = max(starts_in + need.path, done_in)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
@@ -22,13 +22,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LevelLoad:
-    """Describe the open work of one priority, by organisation.
+    """Describe the open work of one priority, by organisation: of gangs, or of tasks.
 
     worthless is the work of jobs that have lost all value, which is done after the
     other work of the priority.
     """
 
     priority: int
+    gang: bool = False
     work: dict[str, Work] = field(default_factory=dict)
     worthless: Work = NO_WORK
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -30,8 +30,8 @@
 One that can't be reached for the moment is lost only once its report is removed.
 """
 
-Level = tuple[str, int]
-"""A service and a priority."""
+Level = tuple[str, int, bool]
+"""A service, a priority, and whether the work is that of gangs."""
 
 StepKey = tuple[str, int]
 """A job and the position of one of its steps."""
@@ -60,6 +60,7 @@
         return tuple(
             LevelLoad(
                 priority=level[1],
+                gang=level[2],
                 work={
                     name: whole
                     for name, work in sorted(self.work[level].items())
@@ -160,20 +161,20 @@
         terms = state.terms(job)
         if terms is None or job.state.ended or job.held:
             continue
-        work = NO_WORK
-        for amount in _open_steps(job, state, done):
-            work = work.plus(amount)
-        if any(work):
-            level = terms.service, terms.priority
-            worthless = _is_worthless(job, terms, state, now)
+        worthless = _is_worthless(job, terms, state, now)
+        for gang, work in _open_steps(job, state, done):
+            level = terms.service, terms.priority, gang
             open_work.add(level, job.spec.organisation, work, worthless)
     return open_work
 
 
 def _open_steps(
     job: Job, state: FleetState, done: dict[StepKey, float]
-) -> Iterator[Work]:
-    """Return the open work of the job's steps whose run times are known."""
+) -> Iterator[tuple[bool, Work]]:
+    """Return the open work of the job's steps whose run times are known.
+
+    It comes with whether the tasks of the step are a gang.
+    """
     forecasts = job_forecast(job, state).steps
     for number, step in enumerate(job.spec.steps):
         forecast = forecasts[number]
@@ -189,7 +190,7 @@
         seconds = tasks * forecast.quantile(LOWER_QUARTILE)
         left = seconds - done.get((job.spec.job_id, number), 0.0)
         if left > 0.0:
-            yield work_of(step.reserved, left)
+            yield step.gang, work_of(step.reserved, left)
 
 
 def _done_seconds(state: FleetState, now: float) -> dict[StepKey, float]:
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
@@ -11,12 +11,12 @@
 
 from .fleet_experiment import (
     FleetExperiment,
-    QueueResult,
     RACK_SIZE,
     REPORT_DELAY,
     SimulatedRun,
 )
 from .fleet_load import generate_jobs, GeneratedJob
+from .fleet_result import QueueResult
 from .sick_worker import (
     FAILURE_TIME,
     HANGING,
--- a/tests/workload/test_fleet_experiment.py
+++ b/tests/workload/test_fleet_experiment.py
@@ -9,9 +9,10 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 from wasabispur_standins.experiment_command import fleet_experiment
-from wasabispur_standins.fleet_experiment import add_results, FleetExperiment, play_load
+from wasabispur_standins.fleet_experiment import FleetExperiment, play_load
 from wasabispur_standins.fleet_forecast import ForecastErrors
 from wasabispur_standins.fleet_load import generate_jobs
+from wasabispur_standins.fleet_result import add_results
 from wasabispur_standins.sick_fleet import play_sick_load
 from wasabispur_standins.sick_worker import SickKind, SickPlan
 
