--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -8,11 +8,13 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from ..jobs.spec import QueueTerms
+from ..jobs.unit import WAITING
 from ..owner.fleet_state import FleetState, Job
 from ..planning.waiting_order import LATENESS_FACTOR_LIMIT
-from ..run_times.run_forecast import job_forecast, objective_path
+from ..run_times.run_forecast import job_forecast, objective_path, saved_work
 from ..run_times.run_time import RunTimeModel
 from ..workers.worker import WorkerState
 from .load_row import FleetLoad, LevelLoad, ServiceLoad
@@ -37,6 +39,16 @@
 """A job and the position of one of its steps."""
 
 
+class TaskTime(NamedTuple):
+    """Describe the expected time of a task in seconds by two of its quantiles."""
+
+    median: float
+    lower: float
+
+
+UNKNOWN_TIME = TaskTime(0.0, 0.0)
+
+
 class OpenWork:
     """Sum up open work by service, priority and organisation."""
 
@@ -200,24 +212,36 @@
     observed rate leaves.
     """
     done: defaultdict[StepKey, float] = defaultdict(float)
+    expected: dict[StepKey, TaskTime] = {}
     for unit_id, running in state.view.running.items():
-        job = state.jobs.get(unit_id.job_id)
-        if job is None or job.state.ended:
-            continue
-        expected = job_forecast(job, state).steps[unit_id.step]
-        needed = expected.quantile(LOWER_QUARTILE)
+        key = unit_id.job_id, unit_id.step
+        needed = (expected.get(key) or _expect(key, expected, state)).lower
         left = max(needed - (now - running.measured_at), 0.0)
         left = min(left, max(running.observed_end - now, 0.0))
-        done[unit_id.job_id, unit_id.step] += (needed - left) * len(running.placement)
-    for unit_id, waiting in state.view.waiting.items():
-        job = state.jobs.get(unit_id.job_id)
-        if job is None or job.state.ended:
-            continue
-        saved = job_forecast(job, state).steps[unit_id.step].median - waiting.run_time
-        done[unit_id.job_id, unit_id.step] += max(saved, 0.0) * waiting.size
+        done[key] += (needed - left) * len(running.placement)
+    for job in state.jobs.values():
+        if job.begun and any(step.checkpointing for step in job.spec.steps):
+            for unit in job.units.values():
+                if unit.checkpoint and unit.state == WAITING:
+                    key = unit.unit_id.job_id, unit.unit_id.step
+                    median = (expected.get(key) or _expect(key, expected, state)).median
+                    done[key] += saved_work(unit) * median * unit.size
     return done
 
 
+def _expect(
+    key: StepKey, expected: dict[StepKey, TaskTime], state: FleetState
+) -> TaskTime:
+    """Return the expected time of a step's tasks, and keep it for its other units."""
+    job = state.jobs.get(key[0])
+    time = UNKNOWN_TIME
+    if job is not None and not job.state.ended:
+        forecast = job_forecast(job, state).steps[key[1]]
+        time = TaskTime(forecast.median, forecast.quantile(LOWER_QUARTILE))
+    expected[key] = time
+    return time
+
+
 def _is_worthless(job: Job, terms: QueueTerms, state: FleetState, now: float) -> bool:
     """Return whether a job has lost all value."""
     if job.spec.repeats:
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -10,6 +10,7 @@
 import click
 from loguru import logger
 
+from .measure_admission import measure_admission
 from .measure_fit import print_lines
 from .measure_http import measure_http
 from .measure_object import measure_objects
@@ -111,6 +112,18 @@
     print_lines(measure_planner(seed))
 
 
+@measure.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+def admission(seed: int) -> None:
+    """Measure the CPU time of the fleet's load at the owner and at entries."""
+    cost = measure_admission(seed)
+    click.echo(
+        f"{cost.waiting_jobs} waiting jobs, {cost.running_units} running units: summary"
+        f" {cost.summary:.2f} ms, row {cost.row:.2f} ms and {cost.row_bytes} bytes,"
+        f" decoding {cost.decoding:.2f} ms, decision {cost.decision:.3f} ms"
+    )
+
+
 @measure.command("odd-jobs")
 def odd_jobs() -> None:
     """Measure for how long jobs of an odd shape occupy the owner at once."""
