--- a/tests/workload/test_fleet_experiment.py
+++ b/tests/workload/test_fleet_experiment.py
@@ -102,3 +102,14 @@
         _, cost = play_sick_load(30, 4, 1.0, 25.0, 1, 0, plan)
         failed.append(cost.failed)
     assert 0 < failed[1] < failed[0]
+
+
+def test_admission_rejects_only_the_flood():
+    """Guard against admission control that rejects others, or nobody in a flood."""
+    load = (4, 4, 0.06, 90.0, 1)
+    results = play_load(*load, flood=1.0, admission=True)
+    rejected = {queue for queue, result in results.items() if result.rejected}
+    assert rejected
+    assert all(queue.endswith("+") for queue in rejected)
+    calm = play_load(12, 4, 0.1, 40.0, 1, admission=True)
+    assert calm == play_load(12, 4, 0.1, 40.0, 1)
