--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
@@ -27,6 +27,13 @@
 
 CHECKSUM_COUNT = 2**32
 
+DECLARED_LIMIT = 4.0
+"""Multiple of the upper quartile up to which a declared estimate lengthens an objective.
+
+Estimates are off by up to 90%. Without a limit, a caller could avoid any rejection by
+declaring long tasks.
+"""
+
 EQUAL_WEIGHTS: Mapping[str, float] = MappingProxyType({})
 
 
@@ -203,8 +210,13 @@
     """
     lower, upper = times
     graph = StepGraph(job.steps)
-    low = [min(step.estimate or lower, lower) for step in job.steps]
-    high = [max(step.estimate, upper) for step in job.steps]
+    low = [
+        min(step.estimate, lower) if step.estimate > 0.0 else lower
+        for step in job.steps
+    ]
+    high = [
+        min(max(step.estimate, upper), DECLARED_LIMIT * upper) for step in job.steps
+    ]
     work = NO_WORK
     for step, seconds in zip(job.steps, low, strict=True):
         work = work.plus(work_of(step.reserved, seconds), step.count)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -104,7 +104,7 @@
     takes longer than some job of the service's queues can wait.
     """
     run_times = _quartiles(state)
-    open_work = _open_work(state, now)
+    open_work = _open_work(run_times, state, now)
     services = tuple(
         ServiceLoad(
             service=name,
@@ -166,26 +166,30 @@
     )
 
 
-def _open_work(state: FleetState, now: float) -> OpenWork:
+def _open_work(
+    run_times: dict[str, tuple[float, float]], state: FleetState, now: float
+) -> OpenWork:
     done = _done_seconds(state, now)
     open_work = OpenWork()
     for job in state.jobs.values():
         terms = state.terms(job)
-        if terms is None or job.state.ended or job.held:
+        times = run_times.get(job.spec.queue)
+        if terms is None or times is None or job.state.ended or job.held:
             continue
         worthless = _is_worthless(job, terms, state, now)
-        for gang, work in _open_steps(job, state, done):
+        for gang, work in _open_steps(job, times[1], state, done):
             level = terms.service, terms.priority, gang
             open_work.add(level, job.spec.organisation, work, worthless)
     return open_work
 
 
 def _open_steps(
-    job: Job, state: FleetState, done: dict[StepKey, float]
+    job: Job, limit: float, state: FleetState, done: dict[StepKey, float]
 ) -> Iterator[tuple[bool, Work]]:
     """Return the open work of the job's steps whose run times are known.
 
-    It comes with whether the tasks of the step are a gang.
+    It comes with whether the tasks of the step are a gang. limit is that of a task's
+    time in seconds, so that one that declares nonsense is not ahead of all others.
     """
     forecasts = job_forecast(job, state).steps
     for number, step in enumerate(job.spec.steps):
@@ -199,7 +203,7 @@
             begun = occurrence.steps.get(number)
             completed = begun.completed if begun else 0
             tasks += 0 if step.gang and completed else step.count - completed
-        seconds = tasks * forecast.quantile(LOWER_QUARTILE)
+        seconds = tasks * min(forecast.quantile(LOWER_QUARTILE), limit)
         left = seconds - done.get((job.spec.job_id, number), 0.0)
         if left > 0.0:
             yield step.gang, work_of(step.reserved, left)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
@@ -65,7 +65,7 @@
         terms=call.queue.terms,
         steps=message.steps,
         guaranteed=organisation.guaranteed_accelerators if organisation else 0,
-        delayed=bool(message.repeats or message.start_at),
+        delayed=bool(message.repeats),
     )
     call.rejection = find_rejection(candidate, knowledge.load, knowledge.age(now))
     return commands
--- a/tests/workload/test_admission.py
+++ b/tests/workload/test_admission.py
@@ -103,6 +103,16 @@
     assert find_rejection(single, flooded, 0.0) is not None
 
 
+def test_declared_estimates_neither_avoid_nor_cause_rejections():
+    """Guard against callers that declare nonsense."""
+    flooded = load(batch={"a": whole_fleet(900)})
+    (step,) = job("a").steps
+    for estimate in (-5.0, 0.0, 1e-6, 1e8):
+        odd = replace(job("a"), steps=(replace(step, estimate=estimate),))
+        assert find_rejection(odd, flooded, 0.0) is not None
+        assert find_rejection(odd, load(batch={"a": whole_fleet(20)}), 0.0) is None
+
+
 def test_unused_shares_are_left_to_others():
     """Guard against a limit on an organisation that has the fleet nearly to itself."""
     alone = load(batch={"flood": whole_fleet(150), "a": whole_fleet(1)})
--- a/tests/workload/test_load_summary.py
+++ b/tests/workload/test_load_summary.py
@@ -41,9 +41,15 @@
             self.now += RUN_TIME
             self.end(self.state.unit(UnitId("first", 0, 0, 0)), EndKind.DONE)
 
-    def submit(self, job_id: str, tasks: int, organisation: str = "a") -> None:
+    def submit(
+        self,
+        job_id: str,
+        tasks: int,
+        organisation: str = "a",
+        estimate: float = RUN_TIME,
+    ) -> None:
         step = StepSpec(
-            count=tasks, demand=Resources(cpu=1000, accelerators=8), estimate=RUN_TIME
+            count=tasks, demand=Resources(cpu=1000, accelerators=8), estimate=estimate
         )
         spec = JobSpec(
             job_id=job_id,
@@ -90,6 +96,15 @@
     assert done == pytest.approx(3.0 * 8 * WORKERS, rel=0.1)
 
 
+def test_declared_nonsense_is_bounded():
+    """Guard against an organisation whose estimates put it ahead of all others."""
+    owner = LoadedOwner()
+    owner.submit("j", 100, estimate=1e9)
+    owner.plan()
+    _, upper = owner.load().run_times["batch"]
+    assert owner.work().accelerators <= 100 * 8 * upper
+
+
 def test_capacity_is_that_of_usable_workers():
     """Guard against capacity that a cordon has taken."""
     owner = LoadedOwner()
