--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -295,6 +295,15 @@
 BUNDLE_CORDON_ENDED = LogEvent(
     486, "INFO", "the bundle in force no longer cordons {data_centre}"
 )
+LOAD_KNOWN = LogEvent(
+    487, "INFO", "load {sequence} of owner {epoch} is known, written {age} s ago"
+)
+LOAD_OUTDATED = LogEvent(
+    488,
+    "INFO",
+    "load {sequence} of owner {epoch}, written {age} s ago, rejects no more jobs",
+)
+LOAD_UNREADABLE = LogEvent(489, "WARNING", "the load is not known: {error}")
 STOP_ACCOUNTED = LogEvent(
     495,
     "INFO",
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -30,6 +30,8 @@
     ShardLost,
 )
 from ...storage.feed import FeedHealth
+from ..admission.load_publication import write_load
+from ..admission.published_load import PublishedLoad
 from ..jobs.job_lifecycle import cancel, fail_job, learn_terms
 from ..jobs.job_start import start_due_occurrences, start_job
 from ..jobs.spec import JobSpec
@@ -99,12 +101,14 @@
     estimate_use: EstimateUse = EstimateUse.ALL,
     stop_times: StopTimes = DEFAULT_STOP_TIMES,
     lease: ShardLease | None = None,
+    publishes_load: bool = False,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
     task takes away from the rack that it prefers. estimate_use tells for what learned
     run times are used, and stop_times how long stops take. lease is that of the shard.
+    publishes_load is set if entries accept jobs by the load.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -114,6 +118,7 @@
         run_times=RunTimeModel(use=estimate_use),
         stop_times=stop_times,
         planning_lease=PlanningLease(lease),
+        published_load=PublishedLoad(enabled=publishes_load),
     )
 
 
@@ -330,6 +335,7 @@
         *log_lists(state, now),
         *write_queue_counts(state),
         *write_run_times(state, now),
+        *write_load(state, now),
     ]
     return [*commands, *remove_ended(state, now)]
 
--- a/tests/workload/test_fleet_experiment.py
+++ b/tests/workload/test_fleet_experiment.py
@@ -9,9 +9,10 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 from wasabispur_standins.experiment_command import fleet_experiment
-from wasabispur_standins.fleet_experiment import add_results, FleetExperiment, play_load
+from wasabispur_standins.fleet_experiment import FleetExperiment, play_load
 from wasabispur_standins.fleet_forecast import ForecastErrors
 from wasabispur_standins.fleet_load import generate_jobs
+from wasabispur_standins.fleet_result import add_results
 from wasabispur_standins.sick_fleet import play_sick_load
 from wasabispur_standins.sick_worker import SickKind, SickPlan
 
@@ -101,3 +102,14 @@
         _, cost = play_sick_load(30, 4, 1.0, 25.0, 1, 0, plan)
         failed.append(cost.failed)
     assert 0 < failed[1] < failed[0]
+
+
+def test_admission_rejects_only_the_flood():
+    """Guard against admission control that rejects others, or nobody in a flood."""
+    load = (4, 4, 0.06, 90.0, 1)
+    results = play_load(*load, flood=1.0, admission=True)
+    rejected = {queue for queue, result in results.items() if result.rejected}
+    assert rejected
+    assert all(queue.endswith("+") for queue in rejected)
+    calm = play_load(12, 4, 0.1, 40.0, 1, admission=True)
+    assert calm == play_load(12, 4, 0.1, 40.0, 1)
