Leave a slow owner the shard for as long as its transactions take

What callers saw: beside a store that answers each transaction in 2.5 s or more, and reads at once, no job starts for as long as that lasts, if there are several entries.

Cause: observers claim a row that is unchanged for the length of the lease, 2 s, while the owner rewrites it only after each answer. Each claim was overtaken by the next one before it was answered. The lease in the row was written and not read.

Change: the owner announces in the row the time of its last transaction and a renewal interval, at least the lease and at most twice the lease; observers wait for that. A lease that is missing, odd or out of these bounds counts as the nearest bound, or as the lease. What an owner may do under its lease is unchanged.

--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
@@ -20,6 +20,7 @@
 from ..storage.store import (
     ABSENT,
     Committed,
+    Conflicted,
     Row,
     RowsRead,
     StoreResult,
@@ -42,6 +43,14 @@
 OBSERVATION_GAP = 3.0
 """Seconds without a read after which an observer waits for a full lease again."""
 
+LEASE_STRETCH_LIMIT = 2.0
+"""Factor on the lease up to which observers wait for an owner with a slow store.
+
+An owner whose transactions take longer than the lease can't renew within it, so that all
+entries would take the shard from each other without end. A takeover takes longer then,
+and has to end within the recovery bound of 12 s.
+"""
+
 RESEND_DELAY = 1.0
 """Seconds after which an unanswered transaction is sent again."""
 
@@ -185,7 +194,8 @@
     The next sent_alone of these get a transaction each, to find the one that the table
     service rejects. refused are the rows of a rejected transaction while the shard's
     row is sent alone, to find out whether they are at fault, and refusal says why it was
-    rejected. schema is the version of the rows that this entry writes.
+    rejected. schema is the version of the rows that this entry writes. answer_time is
+    the time in seconds until the last transaction was answered.
     """
 
     entry_id: str
@@ -210,6 +220,14 @@
     renewal_interval: float = SHARD_RENEWAL_INTERVAL
     releasing: bool = False
     resumes: bool = False
+    answer_time: float = 0.0
+
+    @property
+    def announced_lease(self) -> float:
+        """Return the seconds without a change for which others leave the row alone."""
+        longest = self.lease_time * LEASE_STRETCH_LIMIT
+        renewed_after = self.answer_time + self.renewal_interval
+        return max(self.lease_time, min(renewed_after, longest))
 
     @property
     def key(self) -> str:
@@ -234,6 +252,8 @@
     if state.lifecycle.final:
         return []
     event = _translate(message, state)
+    if confirms(message, state) or isinstance(event, Conflicted):
+        state.answer_time = now - state.first_sent
     return state.lifecycle.handle(event, state, state, now) if event else []
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_action.py
@@ -11,9 +11,10 @@
 from ..chart import Chart, ChartCatalogue
 from ..command import Command, ReadRows, WriteLog
 from ..log_event import SHARD_CLAIMED
-from ..storage.store import ABSENT, Committed, SUPERSEDED
+from ..storage.store import ABSENT, Committed, Row, SUPERSEDED
 from .ownership import (
     CLOCK_DRIFT,
+    LEASE_STRETCH_LIMIT,
     NotifyScheduler,
     OBSERVATION_GAP,
     OUTAGE_GRACE,
@@ -148,7 +149,15 @@
     )
     steady = guard.now - state.last_read <= OBSERVATION_GAP
     waited = guard.now - state.observed_since
-    return unchanged and steady and waited > state.lease_time * (1 + CLOCK_DRIFT)
+    return unchanged and steady and waited > _lease_of(message.row, state)
+
+
+def _lease_of(row: Row, state: Ownership) -> float:
+    """Return the seconds for which the row has to be unchanged, on any clock."""
+    announced = row.value.get("lease")
+    lease = announced if isinstance(announced, (int, float)) else state.lease_time
+    longest = state.lease_time * LEASE_STRETCH_LIMIT
+    return min(max(lease, state.lease_time), longest) * (1 + CLOCK_DRIFT)
 
 
 @holds.register
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership_write.py
@@ -218,7 +218,7 @@
         "schema": state.schema,
         "owner": "" if state.releasing else state.entry_id,
         "epoch": state.lease.epoch,
-        "lease": state.lease_time,
+        "lease": state.announced_lease,
     }
     # A later write of the same row replaces an earlier one in the batch.
     last = {row.key: row for row in rows}
--- a/tests/workload/test_lease_over.py
+++ b/tests/workload/test_lease_over.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
+from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.log_event import PLANNING_HELD_BACK, UNIT_PLACED
+from wasabispur_core.sharding.ownership import decide, Ownership, ShardRowRead
+from wasabispur_core.sharding.ownership_action import ownership_chart
+from wasabispur_core.storage.store import Row
 
 from .world import COMPLETED, started_world, STORE_LATENCY, tasks
 
@@ -57,15 +63,17 @@
 """Seconds until a slow store answers a transaction, more than the owner's lease."""
 
 
-def test_owner_with_a_slow_store_goes_on_planning():
+@pytest.mark.parametrize(("entries", "settling"), [(1, 6.0), (3, 24.0)])
+def test_owner_with_a_slow_store_goes_on_planning(entries, settling):
     """Guard against an owner that waits for a lease which is over at each confirmation.
 
     Jobs would run nothing beside idle workers until the store is faster. A placement
-    waits for the transaction in flight, and no longer.
+    waits for the transaction in flight, and no longer. Other entries took the shard from
+    each other without end, as each claim was answered later than the next one was made.
     """
-    world = started_world(entries=1)
+    world = started_world(entries=entries)
     world.transaction_time = SLOW_TRANSACTION
-    world.advance(2 * SLOW_TRANSACTION)
+    world.advance(settling)
     jobs = []
     for _ in range(8):
         job = world.submit(tasks(2), duration=1.0)
@@ -78,3 +86,22 @@
     world.transaction_time = STORE_LATENCY
     world.advance(10)
     assert all(world.ended(job) for _, job in jobs)
+
+
+@pytest.mark.parametrize(
+    ("lease", "waits"),
+    [(2.0, 2.0), (3.5, 3.5), (1e9, 4.0), (0.0, 2.0), ("odd", 2.0), (None, 2.0)],
+)
+def test_wait_for_an_announced_lease_is_bounded(lease, waits):
+    """Guard against a takeover that a row delays without end, or allows at once."""
+    state = Ownership(
+        "e1", "main", ownership_chart(ChartCatalogue()).start(), lambda: "op"
+    )
+    state.lease_time = 2.0
+    value = {"owner": "e2", "epoch": 1, "lease": lease}
+    row = Row(key=state.key, version=5, operation_id="other", value=value)
+    now = 0.0
+    while state.lifecycle.state == "observing":
+        now += 0.1
+        decide(ShardRowRead(row=row), state, now)
+    assert waits < now - 0.1 < 1.02 * waits + 0.15
