Split the owner's state and scheduler by what their parts are for

Messages, jobs, reported workers, the schedule of planning passes and the end of a takeover have modules of their own. Moves only; tests/workload and tests/chart pass.

--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_runner.py
@@ -18,7 +18,7 @@
     StopRun,
 )
 from wasabispur_core.workload.agent.runner_state import RunnerState
-from wasabispur_core.workload.owner.fleet_state import TableReady
+from wasabispur_core.workload.owner.fleet_message import TableReady
 from wasabispur_core.workload.rows import order_prefix, order_table, unpack
 from wasabispur_core.workload.workers.worker import OrdersArrived, WorkerOrders
 from wasabispur_runtime.actor import Actor
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from ..jobs.job import Job
 from ..jobs.spec import QueueTerms
 from ..jobs.unit import WAITING
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
 from ..planning.waiting_order import LATENESS_FACTOR_LIMIT
 from ..run_times.run_forecast import job_forecast, objective_path, saved_work
 from ..run_times.run_time import RunTimeModel
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner.py
@@ -23,7 +23,7 @@
     StoreResult,
     StoreUnavailable,
 )
-from ..owner.fleet_state import ClocksRead, TableReady
+from ..owner.fleet_message import ClocksRead, TableReady
 from ..policies.cordon import CordonsChanged
 from ..policies.policy import PolicyChanged, PolicyHealth
 from ..rows import order_table, report_key, unpack
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
@@ -19,7 +19,7 @@
 from ...storage.store import RowsRead, RowsUnavailable, StoreResult, text_size
 from ..admission.load_knowledge import LoadArrived, LoadUnreadable
 from ..jobs.spec import JOB_ID_PATTERN, LASTING_TASKS_LIMIT, PAYLOAD_LIMIT_BYTES
-from ..owner.fleet_state import ClocksRead
+from ..owner.fleet_message import ClocksRead
 from ..policies.cordon import CordonsChanged
 from ..policies.policy import PolicyChanged, PolicyHealth, Queue
 from ..rows import job_key, progress_key, queue_counts_key
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_attribution.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_attribution.py
@@ -9,7 +9,8 @@
 from dataclasses import replace
 from math import inf
 
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
+from ..workers.reported_worker import Worker
 from ..workers.worker import EndKind, WorkerReport
 from .unit import RunEnded, UnitMember
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
+from .job import Job
 from .occurrence import StepState
 from .spec import StepSpec
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_lifecycle.py
@@ -4,7 +4,8 @@
 
 from ...command import Command, WriteLog
 from ...log_event import JOB_ENDED
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
+from .job import Job
 from .job_steps import begin_occurrence, close_if_completed
 from .occurrence import (
     NEW_UNITS_LIMIT,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_restore.py
@@ -7,8 +7,9 @@
 
 from ...command import Command, WriteLog
 from ...log_event import JOB_HELD
-from ..owner.fleet_state import FleetState, Job, StoredProgress
+from ..owner.fleet_state import FleetState
 from ..rows import pack
+from .job import Job, StoredProgress
 from .job_lifecycle import cancel_units, create_unit
 from .job_steps import begin_steps, close_if_completed, drop_page, ready_steps
 from .occurrence import Occurrence, page_of, PAGE_UNITS, PageId, StepState, unit_count
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_start.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_start.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ...command import Command
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
+from .job import Job
 from .job_lifecycle import (
     add_occurrence,
     cancel,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_steps.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_steps.py
@@ -6,8 +6,9 @@
 from functools import singledispatch
 
 from ...message import Message
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
 from ..rows import unit_page_key
+from .job import Job
 from .occurrence import Occurrence, page_count, page_of, PageId, StepState, unit_count
 from .unit import RunEnded, Unit, UnitPlaced, UnknownEndLearned
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 
 from ...message import Message
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
+from .job import Job
 from .job_steps import changed_pages, complete_unit, pages_of
 from .unit import COMPLETED, ENDED_STATES, FAILED, RunEnded, Unit, WAITING
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_list.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_list.py
@@ -13,8 +13,9 @@
 
 from ...command import Command, WriteLog
 from ...log_event import UNITS_LISTED
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
 from ..planning.allocation_log import log_allocation
+from .job import Job
 from .occurrence import unit_count, UNPLACED_UNITS_LIMIT
 from .unit import ACTIVE, CANCELLING, ENDED_STATES, STOPPING, Unit, UnitId, WAITING
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -1,4 +1,4 @@
-"""Define the owner's state of jobs and workers, and the messages that change it.
+"""Define the owner's state of all jobs and workers.
 
 The owner is the entry instance that owns the shard; it alone decides where tasks run.
 """
@@ -8,15 +8,11 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 from math import inf
-from typing import Any, NamedTuple
 
 from ...chart import Chart
-from ...message import Message
 from ..admission.published_load import PublishedLoad
-from ..jobs.occurrence import Occurrence, PageId
-from ..jobs.progress import JobProgress, JobState, UnitPage
-from ..jobs.spec import JobSpec, NO_RESOURCES, QueueTerms, Resources
-from ..jobs.step_graph import StepGraph
+from ..jobs.job import Job, RemovedJob, StoredProgress, WaitLines
+from ..jobs.spec import NO_RESOURCES, QueueTerms, Resources
 from ..jobs.stop_times import DEFAULT_STOP_TIMES, StopTimes
 from ..jobs.unit import Unit, UnitId
 from ..jobs.unit_stop import EvictionAccount
@@ -25,167 +21,12 @@
 from ..planning.planner import Planner
 from ..policies.cordon import OwnerCordons
 from ..policies.policy import FleetPolicy, Queue
-from ..run_times.run_time import JobForecast, RunTimeModel
-from ..workers.worker import EndKind, ListedRun, WorkerInfo, WorkerOrders, WorkerReport
-from ..workers.worker_health import WorkerHealth
+from ..run_times.run_time import RunTimeModel
+from ..workers.reported_worker import Worker
 from .planning_lease import PlanningLease
 from .takeover import Takeover
 
 
-@dataclass(slots=True, kw_only=True)
-class LoggedWait:
-    """Represent what was logged of the waits of one step of an occurrence.
-
-    repeat_at is the monotonic time in seconds from which the wait is logged again.
-    """
-
-    reason: str = ""
-    repeat_at: float = 0.0
-    lines: int = 0
-
-
-@dataclass(slots=True, kw_only=True)
-class WaitLines:
-    """Count the lines of one second about waits that were logged before."""
-
-    second: int = 0
-    count: int = 0
-
-
-@dataclass(slots=True, kw_only=True)
-class Job:
-    """Represent one job.
-
-    arrived_at is in monotonic seconds of the owner, and ended_at in seconds on the
-    store's clock. units contains those that are not completed. occurrences counts the
-    occurrences that have begun, open_occurrences contains those that are not completed,
-    and unfilled the steps, by occurrence, of which not all units have been created.
-    begun is set once a unit has been placed, and failed once one has failed.
-    failed_on contains the workers on which runs of the job failed, and waits what was
-    logged of the waits of an occurrence's step. held is set if the job's stored
-    progress can't be read, so that nothing tells what has run or still runs. pages
-    contains the stored pages, dirty_pages those that have to be written, and
-    stored_progress the job's own row as last written. accepted_terms are those of the
-    job's queue when it was accepted, or was first known, and terms those under
-    terms_version of the configuration. new_units counts the units that were created
-    with the message of the number last_message. forecast contains the expected run
-    times, once they are needed. graph contains the dependencies of the steps, and
-    payload_bytes is the size of the payload in a row.
-    """
-
-    spec: JobSpec
-    arrived_at: float
-    state: JobState = JobState.PENDING
-    ended_at: float = 0.0
-    units: dict[UnitId, Unit] = field(default_factory=dict)
-    occurrences: int = 0
-    open_occurrences: dict[int, Occurrence] = field(default_factory=dict)
-    unfilled: deque[tuple[int, int]] = field(default_factory=deque)
-    begun: bool = False
-    failed: bool = False
-    cancelled: bool = False
-    held: bool = False
-    failed_on: set[str] = field(default_factory=set)
-    waits: dict[tuple[int, int], LoggedWait] = field(default_factory=dict)
-    pages: set[PageId] = field(default_factory=set)
-    dirty_pages: set[PageId] = field(default_factory=set)
-    stored_progress: dict[str, Any] | None = None
-    accepted_terms: QueueTerms | None = None
-    terms: QueueTerms | None = None
-    terms_version: int = -1
-    new_units: int = 0
-    last_message: int = 0
-    forecast: JobForecast | None = None
-    graph: StepGraph = field(init=False)
-    payload_bytes: int = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.accepted_terms = self.spec.terms
-        self.graph = StepGraph(self.spec.steps)
-        self.payload_bytes = self.spec.payload_size
-
-
-@dataclass(slots=True, kw_only=True)
-class StoredProgress:
-    """Represent a job's progress as a former owner stored it.
-
-    progress or a page is None if its row can't be read.
-    """
-
-    progress: JobProgress | None = field(default_factory=JobProgress)
-    pages: dict[PageId, UnitPage | None] = field(default_factory=dict)
-
-
-class RemovedJob(NamedTuple):
-    """Describe a job whose rows were removed; times are on the store's clock."""
-
-    accepted_at: float
-    removed_at: float
-
-
-@dataclass(slots=True, kw_only=True)
-class Worker:
-    """Represent one worker as last reported; times are in monotonic seconds.
-
-    report_version is the version of the row with its last report, and session the
-    agent's session in it. confirmed is set once a report has arrived since this entry
-    became the owner. unknown_runs are listed runs that the owner did not order,
-    written_orders the orders row as last written, and acknowledged the number of the
-    last ended run that has been applied. failed_units contains the units whose runs
-    failed there since the last success. The worker gets no units before
-    suspected_until; health contains what health checks and runs tell of it. leaving is
-    set once it has announced that it leaves. ignored_incarnation is the former
-    incarnation on which a report was ignored last. unlisted_since contains, by task and
-    number, the runs there with an unknown end, and the time since which the worker's
-    lists lack them. begun_runs contains the runs, also of former incarnations, which
-    the last report lists as crashed and begun. cordoned is set if the agent shows a
-    cordon. Until cold_until the worker is slow after its start. last_start_at is the
-    time of the last order of a run.
-    """
-
-    agent_id: str
-    info: WorkerInfo
-    report_version: int = 0
-    session: str = ""
-    seen_at: float = 0.0
-    confirmed: bool = False
-    listing: int = 0
-    runs: tuple[ListedRun, ...] = ()
-    unknown_runs: tuple[ListedRun, ...] = ()
-    acknowledged: int = 0
-    written_orders: WorkerOrders | None = None
-    failed_units: set[UnitId] = field(default_factory=set)
-    suspected_until: float = 0.0
-    health: WorkerHealth = field(default_factory=WorkerHealth)
-    leaving: bool = False
-    ignored_incarnation: str = ""
-    cordoned: bool = False
-    cold_until: float = -inf
-    begun_runs: frozenset[tuple[str, int]] = frozenset()
-    last_start_at: float = -inf
-    unlisted_since: dict[tuple[str, int], float] = field(default_factory=dict)
-
-    @property
-    def worker_id(self) -> str:
-        """Return the id of the worker."""
-        return self.info.worker_id
-
-    @property
-    def identity(self) -> tuple[str, str]:
-        """Return the worker's id and the incarnation that was reported last."""
-        return self.info.worker_id, self.info.incarnation
-
-    @property
-    def end_of_process(self) -> EndKind:
-        """Return how runs end if the worker's process ends now."""
-        return EndKind.LOST if self.leaving else EndKind.CRASHED
-
-    @property
-    def location(self) -> tuple[str, str]:
-        """Return the agent and the address, at which one worker runs at a time."""
-        return self.agent_id, self.info.address
-
-
 @dataclass(slots=True, kw_only=True)
 class FleetState:
     """Represent all jobs and workers while this entry is the owner.
@@ -338,83 +179,8 @@
         return steps[step].reserved if step < len(steps) else NO_RESOURCES
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class JobArrived(Message):
-    """Deliver an accepted job."""
-
-    spec: JobSpec
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CancelArrived(Message):
-    """Deliver the cancellation of a job."""
-
-    job_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ProgressArrived(Message):
-    """Deliver the progress of a job as recorded by a former owner.
-
-    progress is None if the record can't be read.
-    """
-
-    job_id: str
-    progress: JobProgress | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UnitPageArrived(Message):
-    """Deliver a page of a job's units as recorded by a former owner.
-
-    page is None if the record can't be read.
-    """
-
-    job_id: str
-    page_id: PageId
-    page: UnitPage | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReportRemoved(Message):
-    """Report that an agent has removed its report on a worker."""
-
-    worker_id: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TableReady(Message):
-    """Report that all rows of a table have been delivered, and how many there were."""
-
-    table: str
-    rows: int = 0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FleetTick(Message):
-    """Trigger the periodic work of the owner."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClocksRead(Message):
-    """Deliver the store's time and the wall time of the same moment, in seconds."""
-
-    store_time: float
-    wall_time: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlanningPassDue(Message):
-    """Trigger a planning pass over the waiting units."""
-
-
 def _combined(queue: Queue | None, accepted: QueueTerms | None) -> QueueTerms | None:
     if queue is None or accepted is None:
         return queue.terms if queue is not None else accepted
     attempts = max(queue.max_attempts, accepted.max_attempts)
     return replace(queue.terms, max_attempts=attempts)
-
-
-def new_worker(report: WorkerReport) -> Worker:
-    """Return the state of a worker from its first report."""
-    return Worker(agent_id=report.agent_id, info=report.info)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
@@ -13,6 +13,7 @@
 
 from ...command import Command
 from ...sharding.ownership import WriteRow
+from ..jobs.job import Job, RemovedJob
 from ..jobs.job_steps import drop_page
 from ..jobs.occurrence import PAGE_UNITS, PageId
 from ..jobs.progress import JobProgress, JobState, UnitPage
@@ -28,7 +29,7 @@
 )
 from ..run_times.run_time_row import run_times_key, run_times_row
 from ..workers.orders import orders_for
-from .fleet_state import FleetState, Job, RemovedJob
+from .fleet_state import FleetState
 
 ENDED_JOB_RETENTION = 300.0
 """Seconds for which callers can look up an ended job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -11,11 +11,10 @@
 from math import inf
 
 from ...chart import ChartCatalogue
-from ...command import Command, SetTimer, WriteLog
+from ...command import Command, WriteLog
 from ...error import UnhandledMessageError
 from ...log_event import (
     CANCELLATION_READ_BY_OWNER,
-    FLEET_LOADED,
     JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
     RUN_TIMES_READ,
@@ -32,6 +31,7 @@
 from ...storage.feed import FeedHealth
 from ..admission.load_publication import write_load
 from ..admission.published_load import PublishedLoad
+from ..jobs.job import Job, StoredProgress
 from ..jobs.job_lifecycle import cancel, fail_job, learn_terms
 from ..jobs.job_start import start_due_occurrences, start_job
 from ..jobs.spec import JobSpec
@@ -48,30 +48,24 @@
 from ..watch import StopWatching, WatchTables
 from ..workers.cordon_control import apply_cordons, follow_cordons
 from ..workers.fleet_health import check_fleet
-from ..workers.lost_run import (
-    end_broken_gangs,
-    reconcile_recorded_runs,
-    remove_report,
-    remove_silent_workers,
-)
+from ..workers.lost_run import end_broken_gangs, remove_report, remove_silent_workers
 from ..workers.report_reconciliation import apply_report
-from ..workers.worker import ReportArrived, WorkerState
+from ..workers.worker import ReportArrived
 from .decision_effect import apply_decision
-from .fleet_reset import reset_state
-from .fleet_state import (
+from .fleet_message import (
     CancelArrived,
     ClocksRead,
-    FleetState,
     FleetTick,
-    Job,
     JobArrived,
     PlanningPassDue,
     ProgressArrived,
     ReportRemoved,
-    StoredProgress,
     TableReady,
     UnitPageArrived,
 )
+from .fleet_reset import reset_state
+from .fleet_restore import continue_takeover
+from .fleet_state import FleetState
 from .fleet_write import (
     flush,
     remove_ended,
@@ -79,16 +73,13 @@
     write_queue_counts,
     write_run_times,
 )
+from .pass_schedule import schedule_pass
 from .planning_lease import PlanningLease
-from .takeover import begin_takeover, log_first_pass, log_pending, log_step
-
-PASS_DELAY = 0.005
-"""Seconds by which a planning pass is delayed to combine several changes."""
+from .takeover import begin_takeover, log_first_pass, log_pending
 
 PAUSE_LIMIT = 1.0
 """Seconds between two ticks above which the process is assumed to have paused."""
 
-PASS_TIMER = "fleet-pass"
 LOADED_TABLES = (JOB_TABLE, PROGRESS_TABLE, UNIT_TABLE, REPORT_TABLE)
 POLICY = "policy"
 """Name of the configuration among what an owner has yet to read."""
@@ -128,7 +119,7 @@
     commands = handle_message(message, state, now)
     if not state.active:
         return commands
-    return [*commands, *flush(state), *_schedule_pass(state)]
+    return [*commands, *flush(state), *schedule_pass(state)]
 
 
 @singledispatch
@@ -173,7 +164,7 @@
     state.loading.discard(message.table)
     if message.table == REPORT_TABLE:
         state.reports_since = now
-    return _continue_takeover(message.table, message.rows, state, now)
+    return continue_takeover(message.table, message.rows, state, now)
 
 
 @handle_message.register
@@ -264,7 +255,7 @@
     state.capacity_changed = True
     if POLICY in state.loading:
         state.loading.discard(POLICY)
-        return _continue_takeover(POLICY, 1, state, now)
+        return continue_takeover(POLICY, 1, state, now)
     commands: list[Command] = []
     for job in state.jobs.values():
         commands += learn_terms(job, state, now)
@@ -370,52 +361,7 @@
     return commands
 
 
-def _schedule_pass(state: FleetState) -> list[Command]:
-    held_back = state.planning_lease.held_back
-    if state.pass_scheduled or held_back or not state.capacity_changed:
-        return []
-    if not state.waiting and not _relocation_possible(state):
-        return []
-    state.pass_scheduled = True
-    return [SetTimer(timer_id=PASS_TIMER, delay=PASS_DELAY, message=PlanningPassDue())]
-
-
-def _relocation_possible(state: FleetState) -> bool:
-    return any(
-        state.units_by_worker.get(worker.worker_id)
-        for worker in state.workers.values()
-        if worker.info.state is WorkerState.DRAINING
-        or worker.suspected_until > state.ticked_at
-    )
-
-
 def _is_removed(spec: JobSpec, state: FleetState) -> bool:
     """Return whether the job was removed, and not submitted again since."""
     removed = state.removed_jobs.get(spec.job_id)
     return removed is not None and removed.accepted_at == spec.accepted_at
-
-
-def _continue_takeover(
-    step: str, rows: int, state: FleetState, now: float
-) -> list[Command]:
-    """Log that a step of the takeover has ended, and begin after the last one."""
-    commands: list[Command] = []
-    if state.takeover is not None:
-        commands.append(log_step(state.takeover, step, rows, state.loading, now))
-    return commands + _begin(state, now) if state.active else commands
-
-
-def _begin(state: FleetState, now: float) -> list[Command]:
-    """Start or restore all jobs, once the owner has read everything."""
-    commands: list[Command] = []
-    for job in list(state.jobs.values()):
-        commands += start_job(job, state, now)
-    commands += reconcile_recorded_runs(state, now)
-    state.dirty_workers.update(state.workers, state.units_by_worker)
-    fields = {
-        "epoch": state.epoch,
-        "jobs": len(state.jobs),
-        "workers": len(state.workers),
-        "took": state.takeover.age(now) if state.takeover else 0.0,
-    }
-    return [WriteLog(number=FLEET_LOADED.number, fields=fields), *commands]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
@@ -13,8 +13,9 @@
 from ...log_event import CAPACITY_ALLOCATED
 from ..jobs.spec import NO_RESOURCES, Resources
 from ..jobs.unit import ACTIVE, Unit, UnitId
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
 from ..policies.cordon import CORDONED
+from ..workers.reported_worker import Worker
 from ..workers.worker import WorkerState
 from .plan import IN_DOUBT, Trust
 from .snapshot import is_fresh
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -9,9 +9,10 @@
 from math import inf
 
 from ..jobs.guaranteed_jobs import guaranteed_jobs
+from ..jobs.job import Job
 from ..jobs.spec import QueueTerms
 from ..jobs.unit import ACTIVE, CANCELLING, STOPPING, Unit, UnitId, WAITING, WorkerRef
-from ..owner.fleet_state import FleetState, Job, Worker
+from ..owner.fleet_state import FleetState
 from ..run_times.run_forecast import (
     is_remote,
     job_forecast,
@@ -23,6 +24,7 @@
 )
 from ..run_times.run_time_fit import Forecast
 from ..workers.orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
+from ..workers.reported_worker import Worker
 from ..workers.worker import WorkerState
 from ..workers.worker_trust import stalled_for, trust_level
 from .plan import ON_TRIAL, RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/wait_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/wait_log.py
@@ -8,8 +8,9 @@
 
 from ...command import Command, WriteLog
 from ...log_event import UNIT_WAITING
+from ..jobs.job import LoggedWait
 from ..jobs.unit import Unit, unit_name
-from ..owner.fleet_state import FleetState, LoggedWait
+from ..owner.fleet_state import FleetState
 from .plan import used_share_of, Wait, WorkerSnapshot
 
 MAX_LOGGED_COST = 1e6
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_forecast.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_forecast.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from ..jobs.job import Job
 from ..jobs.step_graph import run_estimate
 from ..jobs.unit import RunEnded, Unit, UnitMember
-from ..owner.fleet_state import FleetState, Job
+from ..owner.fleet_state import FleetState
 from ..workers.worker import EndKind
 from .run_time import EstimateUse, JobForecast, run_kind, RunKind, RunOutcome
 from .run_time_fit import Forecast
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/cordon_control.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/cordon_control.py
@@ -12,7 +12,7 @@
 from ..jobs.unit import ACTIVE, Unit, unit_name, UnitPreempted
 from ..jobs.unit_event import handle_unit_event
 from ..jobs.unit_stop import WasteCause
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
 from ..planning.snapshot import is_fresh, REPORT_AGE_LIMIT
 from ..policies.cordon import (
     Cordon,
@@ -22,6 +22,7 @@
     CordonsChanged,
     CordonShown,
 )
+from .reported_worker import Worker
 from .worker import listed_keys
 
 ORDER_WITHDRAWAL_TIME = 2.5
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
@@ -17,8 +17,9 @@
     WORKER_TRUST_CHANGED,
 )
 from ..jobs.unit import Unit
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
 from ..planning.plan import Trust
+from .reported_worker import Worker
 from .worker import HealthAnswer, WorkerReport, WorkerState
 from .worker_health import FLAP_WINDOW, WorkerHealth
 from .worker_trust import restore_trust, trust_level
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -15,8 +15,9 @@
 from ..jobs.unit import RunEnded, Unit, UnknownEndLearned
 from ..jobs.unit_event import attempt_limit
 from ..jobs.unit_lifecycle import end_run, learn_end
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
 from ..planning.snapshot import REPORT_AGE_LIMIT
+from .reported_worker import Worker
 from .worker import EndKind, incarnation_sort_key, is_later_incarnation, WorkerState
 
 RESTARTED = "the worker restarted"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
@@ -10,7 +10,8 @@
 
 from ...storage.store import text_size
 from ..jobs.unit import ACTIVE, Unit
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
+from .reported_worker import Worker
 from .worker import RunOrder, WorkerOrders
 
 RUN_ORDER_BYTES = 160
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
@@ -14,7 +14,7 @@
 from ..jobs.spec import TaskId
 from ..jobs.unit import RunEnded, Unit, UnitId, UnitMember, UnknownEndLearned
 from ..jobs.unit_lifecycle import end_run, learn_end
-from ..owner.fleet_state import FleetState, new_worker, Worker
+from ..owner.fleet_state import FleetState
 from ..run_times.run_forecast import compare_progress
 from .fleet_health import apply_health, apply_restart, note_progress
 from .lost_run import (
@@ -22,6 +22,7 @@
     end_runs_of_former_incarnations,
     remove_replaced_workers,
 )
+from .reported_worker import new_worker, Worker
 from .unlisted_run import learn_unlisted_ends
 from .worker import (
     EndedRun,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/unlisted_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/unlisted_run.py
@@ -9,8 +9,9 @@
 from ...command import Command
 from ..jobs.unit import UnknownEndLearned
 from ..jobs.unit_lifecycle import learn_end
-from ..owner.fleet_state import FleetState, Worker
+from ..owner.fleet_state import FleetState
 from .lost_run import unknown_ends_on
+from .reported_worker import Worker
 from .worker import EndKind, WorkerReport
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
@@ -12,10 +12,12 @@
 from ...command import Command, WriteLog
 from ...log_event import WORKER_STALLED, WORKER_SUSPECTED
 from ..agent.run_action import FORMER_ORDERS, LEAVING, UNREACHABLE
+from ..jobs.job import Job
 from ..jobs.unit import ACTIVE, Unit
-from ..owner.fleet_state import FleetState, Job, Worker
+from ..owner.fleet_state import FleetState
 from ..planning.plan import Trust
 from ..policies.cordon import CORDONED
+from .reported_worker import Worker
 from .worker import EndKind
 
 FAILURE_LIMIT = 2
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/policy_watcher.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/policy_watcher.py
@@ -13,7 +13,7 @@
 from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.storage.store import Row
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.owner.fleet_state import ClocksRead
+from wasabispur_core.workload.owner.fleet_message import ClocksRead
 from wasabispur_core.workload.policies.cordon import CordonsChanged
 from wasabispur_core.workload.policies.policy import (
     FleetPolicy,
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -24,7 +24,7 @@
     unit_name,
     UnitId,
 )
-from wasabispur_core.workload.owner.fleet_state import (
+from wasabispur_core.workload.owner.fleet_message import (
     ClocksRead,
     FleetTick,
     JobArrived,
--- a/packages/wasabispur-standins/src/wasabispur_standins/idle_job.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/idle_job.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from wasabispur_core.workload.jobs.job import Job
 from wasabispur_core.workload.jobs.spec import NO_RESOURCES, Resources
 from wasabispur_core.workload.jobs.unit import Unit, WAITING
-from wasabispur_core.workload.owner.fleet_state import FleetState, Job
+from wasabispur_core.workload.owner.fleet_state import FleetState
 
 LOST_AFTER = 3.0
 """Seconds without a run, beside enough idle workers, after which a job is lost."""
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_admission.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_admission.py
@@ -12,7 +12,7 @@
 from wasabispur_core.workload.admission.load_row import FleetLoad, load_row
 from wasabispur_core.workload.admission.load_summary import summarise_load
 from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
-from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.owner.fleet_message import JobArrived, PlanningPassDue
 from wasabispur_core.workload.policies.policy import Organisation
 from wasabispur_core.workload.rows import unpack
 from wasabispur_core.workload.run_times.run_time import run_kind, RunOutcome
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_odd_job.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_odd_job.py
@@ -16,7 +16,7 @@
     TASKS_LIMIT,
 )
 from wasabispur_core.workload.jobs.unit import ACTIVE
-from wasabispur_core.workload.owner.fleet_state import (
+from wasabispur_core.workload.owner.fleet_message import (
     FleetTick,
     JobArrived,
     PlanningPassDue,
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -10,7 +10,7 @@
 
 from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
 from wasabispur_core.workload.jobs.unit import ACTIVE, STOPPING, Unit
-from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.owner.fleet_message import JobArrived, PlanningPassDue
 from wasabispur_core.workload.planning.plan import Snapshot
 from wasabispur_core.workload.planning.planner import plan
 from wasabispur_core.workload.planning.snapshot import take_snapshot
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -10,7 +10,8 @@
 from wasabispur_core.sharding.ownership import ShardAcquired
 from wasabispur_core.workload.jobs.spec import Resources
 from wasabispur_core.workload.jobs.unit import Unit
-from wasabispur_core.workload.owner.fleet_state import FleetState, TableReady
+from wasabispur_core.workload.owner.fleet_message import TableReady
+from wasabispur_core.workload.owner.fleet_state import FleetState
 from wasabispur_core.workload.owner.scheduler import (
     decide,
     LOADED_TABLES,
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -24,7 +24,7 @@
     SUBMISSION_CHECK,
     submission_check_chart,
 )
-from wasabispur_core.workload.owner.fleet_state import FleetTick
+from wasabispur_core.workload.owner.fleet_message import FleetTick
 from wasabispur_core.workload.owner.scheduler import decide, new_fleet_state
 from wasabispur_core.workload.rows import ROWS_SCHEMA, SHARD
 from wasabispur_runtime.load_watcher import LOAD_LONG_POLL, LoadWatcher
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -12,7 +12,7 @@
 from wasabispur_core.storage.store import Row
 from wasabispur_core.workload.jobs.progress import JobProgress, UnitPage
 from wasabispur_core.workload.jobs.spec import JobSpec
-from wasabispur_core.workload.owner.fleet_state import (
+from wasabispur_core.workload.owner.fleet_message import (
     CancelArrived,
     JobArrived,
     ProgressArrived,
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -9,7 +9,7 @@
 from wasabispur_core.sharding.shard import decide, Shard, ShardTick
 from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.timer import TimerService
-from wasabispur_core.workload.owner.fleet_state import ClocksRead, TableReady
+from wasabispur_core.workload.owner.fleet_message import ClocksRead, TableReady
 from wasabispur_core.workload.rows import (
     job_prefix,
     JOB_TABLE,
--- a/tests/workload/test_load_summary.py
+++ b/tests/workload/test_load_summary.py
@@ -16,7 +16,7 @@
 from wasabispur_core.workload.admission.work import Work
 from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
 from wasabispur_core.workload.jobs.unit import UnitId
-from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.owner.fleet_message import JobArrived, PlanningPassDue
 from wasabispur_core.workload.policies.cordon import CordonsChanged
 from wasabispur_core.workload.run_times.run_forecast import job_forecast
 from wasabispur_core.workload.run_times.run_time import EstimateUse
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -12,7 +12,7 @@
 from wasabispur_core.workload.agent.lease_clock import owner_horizon
 from wasabispur_core.workload.agent.runner_message import WorkerAnnounced
 from wasabispur_core.workload.jobs.progress import JobState
-from wasabispur_core.workload.owner.fleet_state import JobArrived
+from wasabispur_core.workload.owner.fleet_message import JobArrived
 from wasabispur_core.workload.owner.fleet_write import ENDED_JOB_RETENTION
 from wasabispur_core.workload.policies.policy import FleetPolicy, PolicyChanged
 from wasabispur_core.workload.rows import progress_key, report_key
--- a/tests/workload/test_run_times.py
+++ b/tests/workload/test_run_times.py
@@ -13,7 +13,7 @@
 from wasabispur_core.storage.store import encode_json, Row
 from wasabispur_core.workload.jobs.spec import JobSpec, Resources, StepSpec
 from wasabispur_core.workload.jobs.unit import UnitId
-from wasabispur_core.workload.owner.fleet_state import JobArrived, PlanningPassDue
+from wasabispur_core.workload.owner.fleet_message import JobArrived, PlanningPassDue
 from wasabispur_core.workload.planning.snapshot import take_snapshot
 from wasabispur_core.workload.rows import unpack
 from wasabispur_core.workload.run_times.run_time import (
--- a/tests/workload/test_takeover.py
+++ b/tests/workload/test_takeover.py
@@ -15,7 +15,7 @@
 from wasabispur_core.metric import TAKEOVER_TIME
 from wasabispur_core.sharding.ownership import ShardAcquired
 from wasabispur_core.workload.owner import scheduler
-from wasabispur_core.workload.owner.fleet_state import FleetTick, TableReady
+from wasabispur_core.workload.owner.fleet_message import FleetTick, TableReady
 from wasabispur_core.workload.policies.policy import PolicyChanged
 from wasabispur_core.workload.rows import JOB_TABLE, REPORT_TABLE
 from wasabispur_runtime.log import RecordSink
--- a/tests/workload/test_worker_trust.py
+++ b/tests/workload/test_worker_trust.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wasabispur_core.workload.jobs.unit import UnitId
-from wasabispur_core.workload.owner.fleet_state import Worker
+from wasabispur_core.workload.workers.reported_worker import Worker
 from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_core.workload.workers.worker_trust import (
     FAILURE_LIMIT,
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -79,7 +79,11 @@
 from wasabispur_core.workload.jobs.spec import Resources, StepSpec, TaskId
 from wasabispur_core.workload.jobs.unit_list import count_units
 from wasabispur_core.workload.owner import scheduler
-from wasabispur_core.workload.owner.fleet_state import ClocksRead, FleetTick, TableReady
+from wasabispur_core.workload.owner.fleet_message import (
+    ClocksRead,
+    FleetTick,
+    TableReady,
+)
 from wasabispur_core.workload.policies.cordon import CordonsChanged
 from wasabispur_core.workload.policies.policy import (
     FleetPolicy,
