--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_runner.py
@@ -269,6 +269,10 @@
     answer: Answer, command: RunAtWorker, runner: WorkerRunner
 ) -> None:
     """Report or repeat a start, depending on the worker's answer to it."""
+    raise TypeError(
+        f"{type(answer).__name__} is no answer to a start; "
+        "register a function for it with handle_start_answer.register"
+    )
 
 
 @handle_start_answer.register
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_publication.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_publication.py
@@ -16,7 +16,7 @@
 RENEWAL_INTERVAL = 2.0
 """Seconds after which the load is written again while a service is contended.
 
-Entries take a row that isn't renewed for 5 s for that of an owner that is gone.
+It is less than half of LOAD_AGE_LIMIT, after which entries no longer use a load.
 """
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from ..jobs.job import Job
+from ..jobs.occurrence import open_tasks
 from ..jobs.spec import QueueTerms
 from ..jobs.unit import WAITING
 from ..owner.fleet_state import FleetState
@@ -201,9 +202,7 @@
         for occurrence in job.open_occurrences.values():
             if number in occurrence.completed_steps:
                 continue
-            begun = occurrence.steps.get(number)
-            completed = begun.completed if begun else 0
-            tasks += 0 if step.gang and completed else step.count - completed
+            tasks += open_tasks(step, occurrence.steps.get(number))
         seconds = tasks * min(forecast.quantile(LOWER_QUARTILE), limit)
         left = seconds - done.get((job.spec.job_id, number), 0.0)
         if left > 0.0:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/published_load.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/published_load.py
@@ -25,7 +25,7 @@
     written_at: float = -inf
 
     def differs(self, load: FleetLoad) -> bool:
-        """Return whether a figure differs by more than a tenth from what is published."""
+        """Return whether a figure differs by over a tenth from what is published."""
         if self.load is None:
             return True
         old, new = dict(_figures(self.load)), dict(_figures(load))
@@ -46,7 +46,7 @@
         for number, amount in enumerate(service.capacity):
             yield (service.service, "capacity", number), amount
         for level in service.levels:
-            key = (service.service, level.priority)
+            key = (service.service, level.priority, level.gang)
             for number, amount in enumerate(level.worthless):
                 yield (*key, number), amount
             for organisation, work in level.work.items():
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/former_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/former_run.py
@@ -1,7 +1,7 @@
 """Bar the runs of a worker's former incarnations, and keep which of them had begun.
 
-The agent's runner does this when it meets a worker that was restarted. A worker may be
-back before a refused connection shows that it had crashed.
+The agent's runner does this when a worker announces a later incarnation, which may
+happen before a refused connection shows that the former one crashed.
 """
 
 from __future__ import annotations
@@ -51,9 +51,9 @@
     """Stop the starts that a later lifetime of a worker that is gone may carry out.
 
     The owner has these runs started elsewhere at once, as most starts without an answer
-    are never carried out. The next lifetime may serve calls for a while before its first
-    heartbeat. So the stops go out beside each request for the lists, and one of the first
-    calls that it serves bars the runs.
+    are never carried out. The next lifetime may serve calls before its first heartbeat.
+    So the stops are sent with each request for the lists, and one of the first calls
+    that it serves bars the runs.
     """
     if not worker.process_gone:
         return []
@@ -73,7 +73,7 @@
 def bar_former_runs(
     worker: LocalWorker, state: RunnerState, now: float
 ) -> list[Command]:
-    """Stop the runs of former incarnations at a worker that has just been met.
+    """Stop the runs of former incarnations at a worker that was announced just now.
 
     A call names the worker's id only, so that this incarnation may carry out a start
     that was meant for a former one, which it can't tell from the fencing token. The
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
@@ -57,14 +57,13 @@
     commands = knowledge.follow(LoadNeeded(), now)
     if not knowledge.known or _may_be_written(call, state):
         return commands
-    organisation = state.policy.organisations.get(call.organisation)
     candidate = Candidate(
         job_id=call.job_id,
         queue=call.queue.name,
         organisation=call.organisation,
         terms=call.queue.terms,
         steps=message.steps,
-        guaranteed=organisation.guaranteed_accelerators if organisation else 0,
+        guaranteed=state.policy.guaranteed_accelerators(call.organisation),
         delayed=bool(message.repeats),
     )
     call.rejection = find_rejection(candidate, knowledge.load, knowledge.age(now))
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/guaranteed_jobs.py
@@ -8,8 +8,7 @@
 
 from ..owner.fleet_state import FleetState
 from .job import Job
-from .occurrence import StepState
-from .spec import StepSpec
+from .occurrence import open_tasks
 
 
 def guaranteed_jobs(state: FleetState) -> set[str]:
@@ -28,7 +27,7 @@
         if terms is None or terms.priority != 0 or job.state.ended:
             continue
         name = job.spec.organisation
-        guarantee = _guarantee(name, state)
+        guarantee = state.policy.guaranteed_accelerators(name)
         need = _accelerators_needed(job, guarantee)
         if name in blocked or need > guarantee:
             continue
@@ -53,21 +52,11 @@
     ]
     total = 0
     for occurrence in job.open_occurrences.values():
-        needs = (_step_need(step, occurrence.steps.get(n)) for n, step in steps)
+        needs = (
+            open_tasks(step, occurrence.steps.get(number)) * step.demand.accelerators
+            for number, step in steps
+        )
         total += max(needs, default=0)
         if total > limit:
             break
     return total
-
-
-def _step_need(step: StepSpec, begun: StepState | None) -> int:
-    """Return the accelerators that the tasks of a step need that are not completed."""
-    completed = begun.completed if begun else 0
-    if step.gang:
-        return 0 if completed else step.count * step.demand.accelerators
-    return (step.count - completed) * step.demand.accelerators
-
-
-def _guarantee(organisation: str, state: FleetState) -> int:
-    known = state.policy.organisations.get(organisation)
-    return known.guaranteed_accelerators if known else 0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
@@ -72,7 +72,7 @@
     pages: set[PageId] = field(default_factory=set)
     dirty_pages: set[PageId] = field(default_factory=set)
     stored_progress: dict[str, Any] | None = None
-    accepted_terms: QueueTerms | None = None
+    accepted_terms: QueueTerms | None = field(init=False)
     terms: QueueTerms | None = None
     terms_version: int = -1
     new_units: int = 0
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/occurrence.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/occurrence.py
@@ -90,3 +90,11 @@
 
     steps: dict[int, StepState] = field(default_factory=dict)
     completed_steps: set[int] = field(default_factory=set)
+
+
+def open_tasks(step: StepSpec, begun: StepState | None) -> int:
+    """Return the number of tasks of a step that are not completed."""
+    completed = begun.completed if begun else 0
+    if step.gang:
+        return 0 if completed else step.count
+    return step.count - completed
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -12,7 +12,7 @@
 from ...chart import Chart
 from ..admission.published_load import PublishedLoad
 from ..jobs.job import Job, RemovedJob, StoredProgress, WaitLines
-from ..jobs.spec import NO_RESOURCES, QueueTerms, Resources
+from ..jobs.spec import NO_RESOURCES, QueueTerms, Resources, TaskId
 from ..jobs.stop_times import DEFAULT_STOP_TIMES, StopTimes
 from ..jobs.unit import Unit, UnitId
 from ..jobs.unit_stop import EvictionAccount
@@ -42,8 +42,7 @@
     capacity_changed is set if another planning pass may lead to other decisions than
     the last one. horizon is the lease horizon in seconds, and remote_factor how many
     times as long a task takes away from the rack that it prefers. view is what the
-    planner knew
-    in its last pass, with the changes since, and planner keeps what the pass found.
+    planner knew in its last pass, with the changes since, and planner keeps what the pass found.
     reports_since is the time since which reports have arrived without a gap, and
     ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
     contains the jobs whose rows may still be delivered although they were removed.
@@ -169,14 +168,14 @@
         return allocated
 
     def _demand_of(self, task: str) -> Resources:
-        job_id, _, rest = task.partition(".")
-        job = self.jobs.get(job_id)
-        parts = rest.split(".")
-        if job is None or len(parts) != 3 or not parts[1].isdigit():
+        try:
+            task_id = TaskId.parse(task)
+        except ValueError:
             return NO_RESOURCES
-        step = int(parts[1])
-        steps = job.spec.steps
-        return steps[step].reserved if step < len(steps) else NO_RESOURCES
+        job = self.jobs.get(task_id.job_id)
+        if job is None or not 0 <= task_id.step < len(job.spec.steps):
+            return NO_RESOURCES
+        return job.spec.steps[task_id.step].reserved
 
 
 def _combined(queue: Queue | None, accepted: QueueTerms | None) -> QueueTerms | None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/planning_lease.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/planning_lease.py
@@ -1,10 +1,9 @@
 """Hold back planning passes while the owner doesn't know that it still is the owner.
 
-Addresses an owner that was frozen or that can't reach the store. Another entry may have
-taken over, and what this one places is never stored. A pass that was held back is made
-as soon as the store confirms a transaction of the owner, and its rows go into the next
-one. They would have waited for that confirmation anyway, so that a slow store delays
-no placement.
+An owner that was frozen, or that can't reach the store, may have been replaced, and what
+it places is then never stored. A pass that is held back is made once the store confirms
+a transaction of the owner, and its rows go into the next transaction. That transaction
+needs this confirmation in any case, so a slow store delays no placement.
 """
 
 from __future__ import annotations
@@ -20,8 +19,8 @@
 class PlanningLease:
     """Represent the lease under which the owner plans.
 
-    lease is None in a simulation without one. held_back is set while a pass that was due
-    waits for a confirmation.
+    lease is None in a simulation without one. held_back is set while a due pass waits
+    for a confirmation.
     """
 
     lease: ShardLease | None = None
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/caution_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/caution_wait.py
@@ -7,7 +7,8 @@
 
 A suspicion ends by itself within seconds, and a worker that fails all it starts is
 always free, so that it would use up the attempts of a whole backlog. So a suspected
-worker is used only where it keeps a job from running at all in a quiet service.
+worker is used only in a quiet service, for a unit without an end or for a job that
+would otherwise run nothing.
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
     rack_wait: RackWait,
     workers: Mapping[str, WorkerSnapshot],
 ) -> bool:
-    """Return whether the unit waits on for workers that are not suspected.
+    """Return whether the unit keeps waiting for workers that satisfy the preference.
 
     workers contains all workers by their ids.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -49,9 +49,9 @@
     The planner works on copies that it updates while it places units. awaiting_report
     is set for a worker that accepts runs but whose last report is too old, and cordoned
     for one whose data centre is cordoned, which is not ready. A cold worker has just
-    started and is slow until cold_until, in monotonic seconds. releasing is the amount of resources held by units
-    that are being stopped. orders_bytes is the size of the worker's orders row, and
-    tasks_of_step counts its tasks by job, occurrence and step. suspects counts its
+    started and is slow until cold_until, in monotonic seconds. releasing is the amount
+    of resources held by units that are being stopped. orders_bytes is the size of the
+    worker's orders row, and tasks_of_step counts its tasks by job, occurrence and step. suspects counts its
     units under which a worker has crashed, and closed is set while a dangerous one has
     begun there.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -103,7 +103,7 @@
     def _decide_unit(self, unit: WaitingUnit, need: Need) -> list[Decision]:
         """Return the decisions on a unit, without its preferences if it can't wait."""
         found = self._decide_strictly(unit, need)
-        if _waits_for_warm(found[-1]):
+        if _is_cold_wait(found[-1]):
             return found
         candidate = unit
         for preference in preferences(unit, self.doubts, self.suspicions):
@@ -118,7 +118,7 @@
                 return [replace(found[-1], reason=reason)]
             candidate = relaxed
             found = self._decide_strictly(candidate, need_of(candidate))
-            if _waits_for_health(found[-1]) or _waits_for_warm(found[-1]):
+            if _is_suspicion_wait(found[-1]) or _is_cold_wait(found[-1]):
                 return found
         if _is_unplaced(found[-1]) and self._may_displace(unit, candidate):
             candidate = replace(candidate, displaces=True)
@@ -213,11 +213,11 @@
     return isinstance(decision, Wait) and decision.reason is not WaitReason.STOPPING
 
 
-def _waits_for_warm(decision: Decision) -> bool:
+def _is_cold_wait(decision: Decision) -> bool:
     """Return whether the unit would fit if it did not wait for warm workers."""
     return isinstance(decision, Wait) and decision.reason is WaitReason.COLD
 
 
-def _waits_for_health(decision: Decision) -> bool:
+def _is_suspicion_wait(decision: Decision) -> bool:
     """Return whether the unit would fit if it did not wait for healthy workers."""
     return isinstance(decision, Wait) and decision.reason is WaitReason.SUSPICION
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_wait.py
@@ -17,13 +17,14 @@
 IDLE_JOB_WAIT = 2.0
 """Seconds for which a job that runs nothing waits for a rack in a quiet service.
 
-The users count such a job as lost after 3 s; the rest is for reports and the start.
+A job that runs nothing for 3 s beside free workers counts as lost; the rest of that
+time is for reports and the start.
 """
 
 QUIET_SHARE = 0.6
 """Used share of a service's scarcest resource below which the service is quiet.
 
-The users draw the line at a half; the owner's picture is some reports behind.
+The service objective uses 0.5; the margin covers reports that are not up to date.
 """
 
 SCATTER_WAIT = 0.75
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy.py
@@ -81,6 +81,11 @@
     keys: dict[str, str] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
 
+    def guaranteed_accelerators(self, organisation: str) -> int:
+        """Return the number of accelerators that an organisation is guaranteed."""
+        known = self.organisations.get(organisation)
+        return known.guaranteed_accelerators if known else 0
+
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path on the host."""
         matches = [
--- a/packages/wasabispur-core/src/wasabispur_core/workload/row_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/row_check.py
@@ -36,7 +36,7 @@
     info = value.info
     if not is_address(info.address):
         return f"address {info.address[:40]!r} is not host:port"
-    if not info.incarnation.isdigit():
+    if not (info.incarnation.isascii() and info.incarnation.isdigit()):
         return "the incarnation is not a number"
     if len(info.incarnation) > INCARNATION_LENGTH_LIMIT:
         return f"the incarnation has more than {INCARNATION_LENGTH_LIMIT} digits"
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -117,8 +117,9 @@
     Nothing tells whether such a worker had announced that it leaves, so that its end
     counts as a crash: a task that crashes each worker must not gain attempts from the
     loss of an owner. It counts less for a worker that was replaced, since its machine
-    may have lost its power with all others. A worker without a report may be alive: the row may be invalid, or
-    its agent has yet to write it again. Its runs end after the lease horizon.
+    may have lost its power with all others. A worker without a report may be alive:
+    its row may be invalid, or its agent has yet to write it again. Its runs end after
+    the lease horizon.
     """
     for worker in state.workers.values():
         apply_recorded_incarnation(worker, state)
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_entry.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_entry.py
@@ -37,14 +37,14 @@
         self.knowledge.follow(LoadNeeded(), now)
         if not self.knowledge.known:
             return True
-        organisation = policy.organisations.get(spec.organisation)
         candidate = Candidate(
             job_id=spec.job_id,
             queue=spec.queue,
             organisation=spec.organisation,
             terms=policy.queues[spec.queue].terms,
             steps=spec.steps,
-            guaranteed=organisation.guaranteed_accelerators if organisation else 0,
+            guaranteed=policy.guaranteed_accelerators(spec.organisation),
+            delayed=bool(spec.repeats),
         )
         load, age = self.knowledge.load, self.knowledge.age(now)
         return find_rejection(candidate, load, age) is None
--- a/packages/wasabispur/src/wasabispur/http_settings.py
+++ b/packages/wasabispur/src/wasabispur/http_settings.py
@@ -43,7 +43,10 @@
 
     @property
     def descriptors(self) -> int:
-        """Return the number of descriptors for sockets."""
+        """Return the number of descriptors for sockets.
+
+        Only a stated max_fds includes those that are reserved for files.
+        """
         in_force = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         if in_force == resource.RLIM_INFINITY:
             in_force = UNLIMITED_DESCRIPTORS
@@ -95,4 +98,4 @@
             f"suffice for {most} agents",
             "lower session_limit or raise limits.memory_mb",
         )
-    return main_limits(limits, resources.memory_mb, descriptors, 0)
+    return main_limits(limits, resources.memory_mb, descriptors, side_servers=0)
--- a/tests/process/test_bundle_cordon.py
+++ b/tests/process/test_bundle_cordon.py
@@ -21,8 +21,8 @@
 IN_FORCE_WITHIN = 5.0
 """Seconds within which G8 requires an accepted bundle in every process."""
 
-WAITED = 6.0
-"""Seconds for which a job of the test runs, longer than the owner takes to place it."""
+WAITED = 20.0
+"""Seconds for which the running job lasts, longer than the commands that cordon."""
 
 
 class Operators:
@@ -68,6 +68,12 @@
         self.ask("bundle", "accept", change_id, "--operator", "ada")
 
 
+def bundle_versions(system: JobSystem) -> list[int]:
+    """Return the bundle versions in force in the processes that the entry knows."""
+    answer = system.call(system.http["e0"], "GET", "/v1/members") or {"members": []}
+    return [member["bundle_version"] for member in answer["members"]]
+
+
 @pytest.fixture
 def system(tmp_path: Path) -> Iterator[JobSystem]:
     jobs = JobSystem(tmp_path)
@@ -83,19 +89,20 @@
     system.start(entries=1, workers=2)
     path = tmp_path / "content.json"
     path.write_text(canonical_json(content()))
-    running = system.submit("e0", WAITED, tasks=2, accelerators=4)
     ada = ("--operator", "ada")
+    wait_for(lambda: len(bundle_versions(system)) == 3, 30, "all processes")
     operators.accept(operators.ask("bundle", "propose", str(path), *ada))
+    running = system.submit("e0", WAITED, tasks=2, accelerators=4)
     system.wait_state("e0", running, "running", 30)
     operators.accept(operators.ask("cordon", "dc1", *ada))
+    assert system.job("e0", running)["state"] == "running"
     wait_for(
-        lambda: (
-            operators.ask("cordons")["cordons"]
-            == [{"data_centre": "dc1", "processes": 3, "behind": 0}]
-        ),
+        lambda: bundle_versions(system) == [2, 2, 2],
         IN_FORCE_WITHIN,
         "the cordon in all processes",
     )
+    cordons = operators.ask("cordons")["cordons"]
+    assert cordons == [{"data_centre": "dc1", "processes": 3, "behind": 0}]
     again = operators.call("cordon", "dc1", *ada, *operators.entry())
     assert again.returncode == ExitCode.CONFLICT
     waiting = system.submit("e0", 0.5, tasks=2, accelerators=4)
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -6,6 +6,7 @@
 import resource
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from typing import Any
@@ -343,7 +344,9 @@
     clients = [connect(server) for _ in range(LIMITS.crowded_limit)]
     for number, client in enumerate(clients, start=1):
         client.sendall(request)
+        end = time.monotonic() + TIMEOUT
         while len(calls) < number or server.in_progress:
+            assert time.monotonic() < end, "the response is not ready"
             threading.Event().wait(0.01)
     responding = server.table.groups[Group.RESPONDING]
     assert len(responding) * len(LARGE_BODY) <= limits.buffer_bytes
--- a/tests/workload/test_admission.py
+++ b/tests/workload/test_admission.py
@@ -104,7 +104,7 @@
 
 
 def test_declared_estimates_neither_avoid_nor_cause_rejections():
-    """Guard against callers that declare nonsense."""
+    """Guard against wrong estimates that change the decision."""
     flooded = load(batch={"a": whole_fleet(900)})
     (step,) = job("a").steps
     for estimate in (-5.0, 0.0, 1e-6, 1e8):
@@ -314,3 +314,18 @@
     assert not published.differs(load(batch={"a": whole_fleet(10.9)}))
     assert published.differs(load(batch={"a": whole_fleet(11.5)}))
     assert published.differs(load(batch={"a": whole_fleet(10), "b": whole_fleet(1)}))
+
+
+def test_change_of_single_tasks_beside_gangs_is_published():
+    """Guard against a change that the gangs' work of the same priority hides."""
+    published = PublishedLoad(enabled=True)
+
+    def levels(seconds: float) -> FleetLoad:
+        (service,) = load().services
+        tasks = LevelLoad(priority=1, work={"a": whole_fleet(seconds)})
+        gangs = LevelLoad(priority=1, gang=True, work={"a": whole_fleet(10)})
+        return load(services=(replace(service, levels=(tasks, gangs)),))
+
+    published.load = levels(10)
+    assert not published.differs(levels(10.9))
+    assert published.differs(levels(20))
--- a/tests/workload/test_load_summary.py
+++ b/tests/workload/test_load_summary.py
@@ -96,7 +96,7 @@
     assert done == pytest.approx(3.0 * 8 * WORKERS, rel=0.1)
 
 
-def test_declared_nonsense_is_bounded():
+def test_effect_of_wrong_estimates_is_bounded():
     """Guard against an organisation whose estimates put it ahead of all others."""
     owner = LoadedOwner()
     owner.submit("j", 100, estimate=1e9)
@@ -142,7 +142,7 @@
 
 
 def test_row_is_written_on_change_and_while_contended():
-    """Guard against writes in each tick, and against a row that looks forgotten."""
+    """Guard against writes in each tick, and against a row that expires while the owner is alive."""
     owner = LoadedOwner()
     owner.written(PUBLICATION_INTERVAL)
     assert not any(owner.written(1.0) for _ in range(10))
