--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -129,6 +129,9 @@
                 await asyncio.sleep(ACCEPT_PAUSE)
                 continue
             self._serve(client, address[:2])
+            # Accepting a connection that already waits does not suspend this task, and
+            # connections that were closed to make room release their sockets on theirs.
+            await asyncio.sleep(0)
 
     def _serve(self, client: socket.socket, address: tuple[str, int]) -> None:
         """Serve a new connection on a task of its own, or close it if there is no room."""
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -15,7 +15,7 @@
 from click.testing import CliRunner
 
 from wasabispur.entry_settings import EntrySettings
-from wasabispur.http_server import HttpServer, stop_servers
+from wasabispur.http_server import CONNECTION_QUEUE_SIZE, HttpServer, stop_servers
 from wasabispur.settings_command import check_settings
 from wasabispur_core.error import SettingsError
 from wasabispur_core.http_connection import Group
@@ -263,6 +263,41 @@
         client.close()
 
 
+class PeakDict(dict[Any, Any]):
+    """Keep the largest number of items that it has held."""
+
+    peak = 0
+
+    def __setitem__(self, key: Any, value: Any) -> None:
+        super().__setitem__(key, value)
+        self.peak = max(self.peak, len(self))
+
+
+def test_waiting_connections_are_accepted_within_the_limit():
+    """Guard against closed connections that keep their sockets while others wait.
+
+    A closed connection may take a few turns of the event loop to end.
+    """
+    server = HttpServer(echo, "127.0.0.1", free_port(), 1, LIMITS)
+    server.exchanges = PeakDict()
+    waiting: list[socket.socket] = []
+    bind = server.bind
+
+    def bind_and_connect() -> None:
+        bind()
+        waiting.extend(connect(server) for _ in range(CONNECTION_QUEUE_SIZE))
+
+    server.bind = bind_and_connect
+    server.start()
+    try:
+        assert exchange(server, b"GET / HTTP/1.0\r\n\r\n").startswith(b"HTTP/1.1 200")
+        assert server.exchanges.peak <= LIMITS.connections + 4
+    finally:
+        server.stop()
+        for client in waiting:
+            client.close()
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "descriptors"), [(168, 3896), (200, 3900), (552, 7992), (128, 200)]
 )
