Name a client's connection and the groups of connections after what they are

HttpExchange represents a connection of a client with any number of exchanges, and the actions Close...First only put a connection into a group. They are now ClientConnection (client_connection.py, HttpServer.connections) and Join...; KeepOpen is LeaveGroup. test_http_server.py uses the new attribute name; no assertion changes.

--- a/packages/wasabispur-core/src/wasabispur_core/http_connection.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_connection.py
@@ -197,26 +197,32 @@
     __slots__ = ()
 
 
-class CloseLongestIdleFirst(_ConnectionAction):
-    """Make the connection the last of the idle ones."""
+class JoinIdle(_ConnectionAction):
+    """Put the connection at the end of the idle ones."""
 
     __slots__ = ()
 
 
-class CloseNewestFirst(_ConnectionAction):
-    """Make the connection the first of those with an incomplete header."""
+class JoinHeader(_ConnectionAction):
+    """Put the connection at the end of those with an incomplete header.
+
+    These are closed from the end, the newest first.
+    """
 
     __slots__ = ()
 
 
-class CloseMostStalledFirst(_ConnectionAction):
-    """Make the connection the last of those with an incomplete body."""
+class JoinBody(_ConnectionAction):
+    """Put the connection at the end of those with an incomplete body.
+
+    It moves there with each new part, so the first one has waited the longest.
+    """
 
     __slots__ = ()
 
 
-class CloseSlowestReaderFirst(_ConnectionAction):
-    """Make the connection the last of those that take a response."""
+class JoinResponding(_ConnectionAction):
+    """Put the connection at the end of those that take a response."""
 
     __slots__ = ()
 
@@ -227,14 +233,14 @@
     __slots__ = ()
 
 
-class CloseAtOnce(_ConnectionAction):
-    """Make the connection one of those closed before all others."""
+class JoinLingering(_ConnectionAction):
+    """Release the bytes and put the connection among those closed first."""
 
     __slots__ = ()
 
 
-class KeepOpen(_ConnectionAction):
-    """Exempt the connection, as its request is complete."""
+class LeaveGroup(_ConnectionAction):
+    """Exempt the connection from closing, as its request is complete."""
 
     __slots__ = ()
 
@@ -252,25 +258,25 @@
 
 
 @perform.register
-def _(action: CloseLongestIdleFirst) -> list[Command]:
+def _(action: JoinIdle) -> list[Command]:
     action.state.move(action.subject, Group.IDLE)
     return []
 
 
 @perform.register
-def _(action: CloseNewestFirst) -> list[Command]:
+def _(action: JoinHeader) -> list[Command]:
     action.state.move(action.subject, Group.HEADER)
     return []
 
 
 @perform.register
-def _(action: CloseMostStalledFirst) -> list[Command]:
+def _(action: JoinBody) -> list[Command]:
     action.state.move(action.subject, Group.BODY)
     return []
 
 
 @perform.register
-def _(action: CloseSlowestReaderFirst) -> list[Command]:
+def _(action: JoinResponding) -> list[Command]:
     action.state.move(action.subject, Group.RESPONDING)
     return []
 
@@ -284,14 +290,14 @@
 
 
 @perform.register
-def _(action: CloseAtOnce) -> list[Command]:
+def _(action: JoinLingering) -> list[Command]:
     action.state.release(action.subject)
     action.state.move(action.subject, Group.LINGERING)
     return []
 
 
 @perform.register
-def _(action: KeepOpen) -> list[Command]:
+def _(action: LeaveGroup) -> list[Command]:
     action.state.move(action.subject, None)
     return []
 
@@ -316,13 +322,13 @@
 
 
 ACTIONS = (
-    CloseLongestIdleFirst,
-    CloseNewestFirst,
-    CloseMostStalledFirst,
-    CloseSlowestReaderFirst,
+    JoinIdle,
+    JoinHeader,
+    JoinBody,
+    JoinResponding,
     HoldResponse,
-    CloseAtOnce,
-    KeepOpen,
+    JoinLingering,
+    LeaveGroup,
     ReleaseBytes,
     ForgetConnection,
 )
--- a/packages/wasabispur/src/wasabispur/http_exchange.py
+++ b/packages/wasabispur/src/wasabispur/client_connection.py
@@ -50,7 +50,7 @@
 Handler = Callable[[HttpRequest, Endpoints], Awaitable[HttpReply]]
 
 
-class HttpExchange:
+class ClientConnection:
     """Own the socket of one connection, and serve its requests one after another.
 
     The next request is read when the response to the one before has been written.
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -20,7 +20,7 @@
 )
 from wasabispur_core.http_limits import HttpLimits
 
-from .http_exchange import HttpExchange
+from .client_connection import ClientConnection
 from .http_loop import shared_loop
 from .http_refusal import overloaded, RefusalCounter
 from .http_wsgi import call_application, Endpoints, HttpReply, HttpRequest
@@ -79,7 +79,7 @@
         self.pool = ThreadPoolExecutor(max(threads, 1), thread_name_prefix=name)
         self.listener: socket.socket | None = None
         self.table = HttpConnections(self.limits, _connection_chart())
-        self.exchanges: dict[asyncio.Task[None], HttpExchange] = {}
+        self.connections: dict[asyncio.Task[None], ClientConnection] = {}
         self.accepting: asyncio.Task[None] | None = None
         self.in_progress = 0
         self.closing = False
@@ -147,7 +147,7 @@
             self.refusals.count("connections")
             client.close()
             return
-        exchange = HttpExchange(
+        client_connection = ClientConnection(
             connection,
             self.table,
             client,
@@ -155,14 +155,14 @@
             self._handle,
             self.refusals,
         )
-        exchange.closing = self.closing
-        task = asyncio.create_task(exchange.run())
-        self.exchanges[task] = exchange
+        client_connection.closing = self.closing
+        task = asyncio.create_task(client_connection.run())
+        self.connections[task] = client_connection
         task.add_done_callback(self._end)
 
     def _end(self, task: asyncio.Task[None]) -> None:
         """Close the socket of a connection whose task has ended, begun or not."""
-        self.exchanges.pop(task).close()
+        self.connections.pop(task).close()
 
     async def _handle(self, request: HttpRequest, endpoints: Endpoints) -> HttpReply:
         """Pass a complete request to the application; raise HttpRefusal."""
@@ -201,22 +201,22 @@
     async def drain(self) -> None:
         """Stop accepting and finish the requests in progress, on the servers' loop."""
         self.closing = True
-        for exchange in self.exchanges.values():
-            exchange.closing = True
+        for client_connection in self.connections.values():
+            client_connection.closing = True
         if self.accepting is not None:
             await asyncio.sleep(LAST_REQUEST_TIME)
             self.accepting.cancel()
         if self.listener is not None:
             self.listener.close()
-        for task, exchange in self.exchanges.items():
-            if exchange.connection.lifecycle.state in STOPPED_STATES:
+        for task, client_connection in self.connections.items():
+            if client_connection.connection.lifecycle.state in STOPPED_STATES:
                 task.cancel()
-        if self.exchanges:
-            await asyncio.wait(self.exchanges, timeout=SHUTDOWN_TIMEOUT)
-        for task in self.exchanges:
+        if self.connections:
+            await asyncio.wait(self.connections, timeout=SHUTDOWN_TIMEOUT)
+        for task in self.connections:
             task.cancel()
-        if self.exchanges:
-            await asyncio.wait(self.exchanges)
+        if self.connections:
+            await asyncio.wait(self.connections)
         self.pool.shutdown(wait=False)
 
 
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -279,7 +279,7 @@
     A closed connection may take a few turns of the event loop to end.
     """
     server = HttpServer(echo, "127.0.0.1", free_port(), 1, LIMITS)
-    server.exchanges = PeakDict()
+    server.connections = PeakDict()
     waiting: list[socket.socket] = []
     bind = server.bind
 
@@ -291,7 +291,7 @@
     server.start()
     try:
         assert exchange(server, b"GET / HTTP/1.0\r\n\r\n").startswith(b"HTTP/1.1 200")
-        assert server.exchanges.peak <= LIMITS.connections + 4
+        assert server.connections.peak <= LIMITS.connections + 4
     finally:
         server.stop()
         for client in waiting:
