Name the watcher of the operators' rows after what it watches

PolicyWatcher also watches cordons. The class is OperatorRowWatcher and its module operator_row_watcher.py; the actor keeps its name in log records and metrics. The test file is renamed with it; no assertion changes.

test_operator_row_watcher, test_cordon_rows, test_cordon, test_cordon_machine and test_load_summary: 49 passed.

--- a/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/fleet_agent.py
@@ -18,7 +18,7 @@
 from wasabispur_runtime.actor import Actor
 from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.metrics import registry
-from wasabispur_runtime.policy_watcher import OperatorRows, PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRows, OperatorRowWatcher
 from wasabispur_runtime.store_actor import StoreTransport
 from wasabispur_runtime.table_client import TableClient
 from wasabispur_runtime.table_feed import FeedFactory, FeedTransport
@@ -82,14 +82,16 @@
         self.runner.observer = self.metrics.observe
         self.actors: tuple[Actor, ...] = (self.table, self.worker, self.runner)
         if settings.follows_operators:
-            self.actors += (self._policy_watcher(operator_rows, feeds),)
+            self.actors += (self._operator_row_watcher(operator_rows, feeds),)
 
-    def _policy_watcher(self, rows: OperatorRows, feeds: FeedFactory) -> PolicyWatcher:
+    def _operator_row_watcher(
+        self, rows: OperatorRows, feeds: FeedFactory
+    ) -> OperatorRowWatcher:
         cordons = self.settings.cordons
         long_poll = LONG_POLL_TIMEOUT if cordons else HEALTH_LONG_POLL
         # The feed of orders tells the table client whether the store is reachable. If
         # only the operators' rows are not served, reports are written as before.
-        return PolicyWatcher(
+        return OperatorRowWatcher(
             self.timers,
             rows.decode_policy,
             partial(feeds.create, rows.table, (rows.prefix,), long_poll=long_poll),
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/policy_watcher.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/operator_row_watcher.py
@@ -50,7 +50,7 @@
         return self if cordons else replace(self, cordon_of=no_cordon)
 
 
-class PolicyWatcher(Actor):
+class OperatorRowWatcher(Actor):
     """Pass newer configurations and changed cordons to the actors that use them.
 
     cordons maps the cordoned data centres to the versions of their rows, once they have
@@ -66,6 +66,7 @@
         table: Actor | None,
         cordon_of: CordonOf = no_cordon,
     ) -> None:
+        # Log records and metrics have this name of the actor.
         super().__init__("policy-watcher", timers)
         self.decode = decode
         self.listeners = list(listeners)
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -31,7 +31,7 @@
 from wasabispur_runtime.log import configure_output_log, log
 from wasabispur_runtime.loop_monitor import LoopMonitor
 from wasabispur_runtime.metrics import registry
-from wasabispur_runtime.policy_watcher import OperatorRows, PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRows, OperatorRowWatcher
 from wasabispur_runtime.store_actor import StoreTransport
 from wasabispur_runtime.table_client import TableClient
 from wasabispur_runtime.table_feed import FeedFactory, FeedTransport
@@ -120,7 +120,7 @@
         )
         self.scheduler = FleetScheduler(timers, self._shard(), self.table, feeds)
         self.intake = JobIntake(timers, self._intake_state(), self.table)
-        self.policy = PolicyWatcher(
+        self.operator_rows = OperatorRowWatcher(
             timers,
             operator_rows.decode_policy,
             partial(feeds.create, operator_rows.table, (operator_rows.prefix,)),
@@ -135,7 +135,7 @@
             self.table,
             self.scheduler,
             self.intake,
-            self.policy,
+            self.operator_rows,
             self.monitor,
             *self.load,
         )
@@ -149,8 +149,8 @@
         """
         if self.stopping or self.monitor.stalled:
             return False
-        store_reachable = self.policy.connected and self.table.circuit != OPEN
-        return bool(self.policy.version) and store_reachable
+        store_reachable = self.operator_rows.connected and self.table.circuit != OPEN
+        return bool(self.operator_rows.version) and store_reachable
 
     def apply_lease_times(self, times: LeaseTimes) -> None:
         """Apply changed lease times to the wait for workers that stopped reporting.
--- a/tests/adapter/test_cordon_rows.py
+++ b/tests/adapter/test_cordon_rows.py
@@ -24,7 +24,7 @@
 from wasabispur_platform.policy_wire import operator_rows
 from wasabispur_platform.store_wire import send_feed_call
 from wasabispur_platform.worker_wire import HeartbeatBody
-from wasabispur_runtime.policy_watcher import PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRowWatcher
 
 from .test_policy_and_job_wire import BODY
 from .test_store_wire import FakeClient, rows
@@ -58,9 +58,9 @@
         return [set(message.data_centres) for message in found]
 
 
-def watcher(cordons: bool = True) -> tuple[PolicyWatcher, Listener]:
+def watcher(cordons: bool = True) -> tuple[OperatorRowWatcher, Listener]:
     listener, source = Listener(), operator_rows().for_deployment(cordons)
-    made = PolicyWatcher(
+    made = OperatorRowWatcher(
         FakeTimerService(),
         source.decode_policy,
         lambda receiver: None,
@@ -71,7 +71,7 @@
     return made, listener
 
 
-def deliver(made: PolicyWatcher, *found: dict) -> None:
+def deliver(made: OperatorRowWatcher, *found: dict) -> None:
     """Deliver a first read of the table."""
     page = send_feed_call(FetchPage(prefix="op//", after=""), FakeClient(rows(*found)))
     made.on_table_delivered(
@@ -79,7 +79,7 @@
     )
 
 
-def change(made: PolicyWatcher, *found: dict) -> None:
+def change(made: OperatorRowWatcher, *found: dict) -> None:
     """Deliver a change of the table."""
     command = FetchChanges(table="op", after=1, wait=1.0)
     changes = send_feed_call(command, FakeClient(rows(*found)))
--- a/tests/workload/test_policy_watcher.py
+++ b/tests/workload/test_operator_row_watcher.py
@@ -12,7 +12,7 @@
     PolicyChanged,
     PolicyHealth,
 )
-from wasabispur_runtime.policy_watcher import PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRowWatcher
 
 from .world import started_world, tasks
 
@@ -29,9 +29,9 @@
     return Row(key="k", version=version, operation_id="", value={"version": version})
 
 
-def new_watcher() -> tuple[PolicyWatcher, Listener, Listener]:
+def new_watcher() -> tuple[OperatorRowWatcher, Listener, Listener]:
     listener, table = Listener(), Listener()
-    watcher = PolicyWatcher(
+    watcher = OperatorRowWatcher(
         FakeTimerService(),
         lambda found: FleetPolicy(version=found.value["version"]),
         lambda receiver: None,
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -96,7 +96,7 @@
 from wasabispur_core.workload.rows import order_prefix, order_table, ROWS_SCHEMA, unpack
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_core.workload.workers.worker import EndKind, OrdersArrived, WorkerOrders
-from wasabispur_runtime.policy_watcher import PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRowWatcher
 from wasabispur_standins.simulated_store import SimulatedStore, unavailable
 from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
 
@@ -360,7 +360,7 @@
         self.blocked = process.name in world.unserved_operator_feeds
         self.rows: dict[str, Row] = {}
         self.read = False
-        self.watcher = PolicyWatcher(
+        self.watcher = OperatorRowWatcher(
             world.timers,
             lambda row: None,
             lambda receiver: None,  # type: ignore[arg-type, return-value]
