--- a/packages/wasabispur-core/src/wasabispur_core/bundles/config_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/bundles/config_check.py
@@ -63,8 +63,8 @@
     """Define a kind of named entries, and what a change does to callers and jobs.
 
     entries is the configuration's field that contains them. added is a format string
-    with the entry as its argument, and changed is the effect of a change of a field that
-    field_effects doesn't contain.
+    with the entry as its argument, and changed is the effect of a change of a field
+    that field_effects doesn't contain.
     """
 
     name: str
--- a/packages/wasabispur-core/src/wasabispur_core/http_connection.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_connection.py
@@ -183,7 +183,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseWritten(Message):
-    """Report that a response was written; remaining bytes belong to the next request."""
+    """Report a written response; remaining bytes belong to the next request."""
 
     remaining: int
 
--- a/packages/wasabispur-core/src/wasabispur_core/http_limits.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_limits.py
@@ -28,7 +28,10 @@
 """Memory of an idle connection, rounded up; docs/CAPACITY.md has the measured value."""
 
 SIDE_DIVISOR = 16
-"""Divisor of the budgets for a readiness or metrics server; the main one has the rest."""
+"""Divisor of the budgets for a readiness or metrics server.
+
+The main server has the rest.
+"""
 
 MIN_CONNECTIONS = 16
 """Connections that each server can always have."""
--- a/packages/wasabispur-core/src/wasabispur_core/requests/claim_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/claim_action.py
@@ -67,7 +67,7 @@
 
 
 class ReleaseClaim(RequestAction):
-    """Release the claim of a request that did not run, so that its key can be reused."""
+    """Release the claim of a request that did not run, so that its key is reusable."""
 
     __slots__ = ()
 
--- a/packages/wasabispur-core/src/wasabispur_core/requests/tombstone.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/tombstone.py
@@ -66,7 +66,7 @@
         return self.result_bytes > RESULT_LIMIT_BYTES
 
     def drop(self, attempt_id: str) -> None:
-        """Remove the tombstone of an attempt, and record its number if it may have run."""
+        """Remove an attempt's tombstone, and record its number if it may have run."""
         tombstone = self.tombstones.get(attempt_id)
         if tombstone is None:
             return
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/ownership.py
@@ -46,9 +46,9 @@
 LEASE_STRETCH_LIMIT = 2.0
 """Factor on the lease up to which observers wait for an owner with a slow store.
 
-An owner whose transactions take longer than the lease can't renew within it, so that all
-entries would take the shard from each other without end. A takeover takes longer then,
-and has to end within the recovery bound of 12 s.
+An owner whose transactions take longer than the lease can't renew within it, so that
+all entries would take the shard from each other without end. A takeover takes longer
+then, and has to end within the recovery bound of 12 s.
 """
 
 RESEND_DELAY = 1.0
@@ -189,13 +189,13 @@
     the row's version.
 
     observed is the row as an entry that doesn't own the shard last read it, and
-    observed_since the time since which the row has stayed the same. in_flight_rows
-    and pending are the rows in the current transaction and those that wait for one.
-    The next sent_alone of these get a transaction each, to find the one that the table
+    observed_since the time since which the row has stayed the same. in_flight_rows and
+    pending are the rows in the current transaction and those that wait for one. The
+    next sent_alone of these get a transaction each, to find the one that the table
     service rejects. refused are the rows of a rejected transaction while the shard's
-    row is sent alone, to find out whether they are at fault, and refusal says why it was
-    rejected. schema is the version of the rows that this entry writes. answer_time is
-    the time in seconds until the last transaction was answered.
+    row is sent alone, to find out whether they are at fault, and refusal says why it
+    was rejected. schema is the version of the rows that this entry writes. answer_time
+    is the time in seconds until the last transaction was answered.
     """
 
     entry_id: str
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/admission.py
@@ -28,7 +28,7 @@
 CHECKSUM_COUNT = 2**32
 
 DECLARED_LIMIT = 4.0
-"""Multiple of the upper quartile up to which a declared estimate lengthens an objective.
+"""Multiple of the upper quartile up to which an estimate lengthens an objective.
 
 Estimates are off by up to 90%. Without a limit, a caller could avoid any rejection by
 declaring long tasks.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
@@ -14,7 +14,7 @@
 LOAD_TABLE = "load"
 
 ROW_BYTES_LIMIT = 8 * 1024
-"""Maximum size of the row, encoded as JSON; the smallest amounts of work are left out."""
+"""Maximum size of the row as JSON; the smallest amounts of work are left out."""
 
 SECONDS_LIMIT = 1e9
 """Largest run time, and largest amount of work in core-seconds is its multiple."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/work.py
@@ -32,7 +32,8 @@
     def seconds(self, capacity: Work) -> float:
         """Return the seconds that a capacity takes for the resource needed most.
 
-        A resource without capacity is left out, as nothing tells when there will be some.
+        A resource without capacity is left out, as nothing tells when there will be
+        some.
         """
         return max(
             (need / total for need, total in zip(self, capacity, strict=True) if total),
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/health_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/health_check.py
@@ -1,8 +1,9 @@
-"""Check at the agent whether its worker considers itself healthy, and report the answer.
+"""Check at the agent whether its worker considers itself healthy, and report it.
 
 The agent makes one check at a time, at the path that the newest configuration names for
-the worker's service; without a path it makes none. The answer becomes part of the report
-on the worker, and a change is reported at once. What follows from it is up to the owner.
+the worker's service; without a path it makes none. The answer becomes part of the
+report on the worker, and a change is reported at once. What follows from it is up to
+the owner.
 """
 
 from __future__ import annotations
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/report_writer.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/report_writer.py
@@ -115,8 +115,8 @@
         for key, run in sorted(worker.ordered.items())
         if run.lifecycle.state == "barred" or run.abandoned
     )
-    # The owner takes the runs of a former incarnation for crashed or left by itself, but
-    # can't see which of them had begun.
+    # The owner takes the runs of a former incarnation for crashed or left by itself,
+    # but can't see which of them had begun.
     refused += tuple(
         RefusedRun(task=key[0], run=key[1], reason=FORMER_CRASH, crashed=True)
         for key in sorted(worker.former_crashes)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/run_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/run_action.py
@@ -103,7 +103,7 @@
 
 
 class RecordAnswer(RunAction):
-    """Record that the worker answered the only start call, so that none is under way."""
+    """Record that the worker answered the only start call; none is under way."""
 
     __slots__ = ()
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_cordon.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_cordon.py
@@ -1,7 +1,8 @@
 """Apply the operators' cordons at an agent, which needs no owner for that.
 
 An agent that has read a cordon starts nothing at its workers in the data centre, not
-even for an earlier order: it refuses the order, so that the owner places the unit again.
+even for an earlier order: it refuses the order, so that the owner places the unit
+again.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 """
 
 CONFIRMATION_AGE_LIMIT = 3.0
-"""Age in seconds of the last confirmed report below which the store counts as reachable.
+"""Maximum age in seconds of the last confirmed report if the store is reachable.
 
 While it is unreachable, orders may be older than a cordon that the agent can't read.
 """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_state.py
@@ -52,8 +52,8 @@
     answer holds since since, in monotonic seconds. in_flight is set while a check is in
     progress, and unanswered counts the successive ones without a valid answer. changes
     counts the changes of the answer, also of former incarnations, and reason tells why
-    it changed. logged and logged_changes are the answer and the number of changes at the
-    last log line, which was written at logged_at.
+    it changed. logged and logged_changes are the answer and the number of changes at
+    the last log line, which was written at logged_at.
     """
 
     answer: HealthAnswer = HealthAnswer.UNKNOWN
@@ -76,10 +76,10 @@
     process has ended or its lease has expired. refusal_reason is the reason why the run
     did not start, and process_ended is set if the worker's process ended without having
     announced it. start_calls counts the calls that may have started it. begun is set
-    once something shows that the worker began it, and may_have_begun once the connection
-    of such a call broke. stop_accepted_at is the time at
-    which the worker accepted a stop, in monotonic seconds. retries counts the retries
-    of unanswered calls.
+    once something shows that the worker began it, and may_have_begun once the
+    connection of such a call broke. stop_accepted_at is the time at which the worker
+    accepted a stop, in monotonic seconds. retries counts the retries of unanswered
+    calls.
     """
 
     order: RunOrder
@@ -124,17 +124,18 @@
     Times are in the agent's monotonic seconds: list_requested_at is the time of the
     request that returned the newest lists, and lease_until the latest time at which the
     worker may take its lease as valid, whoever granted it. clock is the worker's clock
-    with the newest lists, or None until the first lists arrive. runs and ended are
-    the newest lists, and list_count counts the lists that this process received: until
-    the first, they are the lists that the last report had, and former_listing is its
-    count. ordered contains the ordered runs by task and run number. started contains the
-    times of the last start calls for runs of which one may be without an answer, also of
+    with the newest lists, or None until the first lists arrive. runs and ended are the
+    newest lists, and list_count counts the lists that this process received: until the
+    first, they are the lists that the last report had, and former_listing is its count.
+    ordered contains the ordered runs by task and run number. started contains the times
+    of the last start calls for runs of which one may be without an answer, also of
     calls to former incarnations, and former_runs the runs of those, which this
     incarnation bars before it is reported. former_crashes contains the runs that former
     incarnations had begun when they ended, until the owner has applied a report on the
-    present one. failed_lists counts the recurring requests for the lists that failed in a row, and
-    refused_connections the refused connections. process_gone is set once these showed
-    that the process has ended, until this incarnation answers nevertheless.
+    present one. failed_lists counts the recurring requests for the lists that failed in
+    a row, and refused_connections the refused connections. process_gone is set once
+    these showed that the process has ended, until this incarnation answers
+    nevertheless.
     """
 
     info: WorkerInfo
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_attribution.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_attribution.py
@@ -15,7 +15,7 @@
 from .unit import RunEnded, UnitMember
 
 START_SPREAD = 0.25
-"""Seconds by which a run must precede the last start for that to be likelier the cause."""
+"""Seconds by which a run must precede the last start to be the less likely cause."""
 
 RECENT_START_TIME = 1.0
 """Seconds after the last start within which it is the likely cause of a crash.
@@ -57,7 +57,7 @@
 
 
 def _last_open_start(worker: Worker, state: FleetState) -> float:
-    """Return when the last run was started on a worker that is not known to have ended."""
+    """Return when the last run that may still be on a worker was started there."""
     return max(
         (
             member.started_at
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
@@ -132,7 +132,7 @@
 
     @property
     def reserved(self) -> Resources:
-        """Return the resources that one task reserves; a filling one reserves no cpu."""
+        """Return the resources that one task reserves; a filling one has no cpu."""
         if not self.filling:
             return self.demand
         demand = self.demand
@@ -160,8 +160,8 @@
     """Describe an accepted job.
 
     terms are those of its queue when it was accepted; rows of versions without them
-    have none. accepted_at is on the store's clock and start_at on the wall clock, both in
-    seconds. repeats is the number of occurrences, repeat_interval seconds apart. If
+    have none. accepted_at is on the store's clock and start_at on the wall clock, both
+    in seconds. repeats is the number of occurrences, repeat_interval seconds apart. If
     repeats is zero, the job runs once, starts immediately and ignores start_at.
     """
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
@@ -61,7 +61,7 @@
 
 
 def index_unit(unit: Unit, workers: Iterable[str], state: FleetState) -> None:
-    """Update the indexes of units by state, and by the workers that may have changed."""
+    """Update the indexes of units by state and by workers that may have changed."""
     state.view.changed_units.add(unit.unit_id)
     if unit.state == WAITING:
         state.waiting.add(unit.unit_id)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -36,25 +36,25 @@
     rows have to be written. pending_cancellations contains the jobs whose cancellation
     was read before the job. unreported_since contains the workers with recorded runs
     but without a report, with the time in monotonic seconds. progress contains the
-    progress as a former owner stored it, until the job is restored, and obsolete_rows the
-    keys of rows to remove. store_offset is the store's clock minus this process's
+    progress as a former owner stored it, until the job is restored, and obsolete_rows
+    the keys of rows to remove. store_offset is the store's clock minus this process's
     clock, and wall_offset the wall clock minus this process's clock, both in seconds.
     capacity_changed is set if another planning pass may lead to other decisions than
     the last one. horizon is the lease horizon in seconds, and remote_factor how many
     times as long a task takes away from the rack that it prefers. view is what the
-    planner knew in its last pass, with the changes since, and planner keeps what the pass found.
-    reports_since is the time since which reports have arrived without a gap, and
-    ticked_at the time of the last tick, both in monotonic seconds. removed_jobs
-    contains the jobs whose rows may still be delivered although they were removed.
-    message_number counts the messages that were handled, and wait_lines the lines about
-    long waits. takeover is the takeover in which this entry became the owner, or None.
-    units_listed_at is the time at which the open units were last counted. cordons
-    is what is known of the operators' cordons. disregarded_services contains the
-    services whose workers' health checks are not reliable, and health_counted_at is the
-    time of the last count of their answers. run_times contains what was learned of the
-    run times of tasks. stop_times is how long stops take, and evictions contains the
-    stops for each beneficiary that has yet to be placed. published_load is the load as
-    entries know it.
+    planner knew in its last pass, with the changes since, and planner keeps what the
+    pass found. reports_since is the time since which reports have arrived without a
+    gap, and ticked_at the time of the last tick, both in monotonic seconds.
+    removed_jobs contains the jobs whose rows may still be delivered although they were
+    removed. message_number counts the messages that were handled, and wait_lines the
+    lines about long waits. takeover is the takeover in which this entry became the
+    owner, or None. units_listed_at is the time at which the open units were last
+    counted. cordons is what is known of the operators' cordons. disregarded_services
+    contains the services whose workers' health checks are not reliable, and
+    health_counted_at is the time of the last count of their answers. run_times contains
+    what was learned of the run times of tasks. stop_times is how long stops take, and
+    evictions contains the stops for each beneficiary that has yet to be placed.
+    published_load is the load as entries know it.
     """
 
     unit_chart: Chart
@@ -107,8 +107,8 @@
         """Return what the job's queue grants to it, or None if that is unknown.
 
         A job follows its queue to another service, priority or objective, and keeps at
-        least the attempts with which it was accepted. Once the queue is removed, it goes
-        on as it was accepted.
+        least the attempts with which it was accepted. Once the queue is removed, it
+        goes on as it was accepted.
         """
         if job.terms_version != self.policy.version:
             job.terms_version = self.policy.version
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/planning_lease.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/planning_lease.py
@@ -1,9 +1,9 @@
 """Hold back planning passes while the owner doesn't know that it still is the owner.
 
-An owner that was frozen, or that can't reach the store, may have been replaced, and what
-it places is then never stored. A pass that is held back is made once the store confirms
-a transaction of the owner, and its rows go into the next transaction. That transaction
-needs this confirmation in any case, so a slow store delays no placement.
+An owner that was frozen, or that can't reach the store, may have been replaced, and
+what it places is then never stored. A pass that is held back is made once the store
+confirms a transaction of the owner, and its rows go into the next transaction. That
+transaction needs this confirmation in any case, so a slow store delays no placement.
 """
 
 from __future__ import annotations
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/takeover.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/takeover.py
@@ -1,4 +1,4 @@
-"""Log the steps of a takeover, from the claim of the shard to the first planning pass."""
+"""Log the steps of a takeover, from the claim of the shard to the first pass."""
 
 from __future__ import annotations
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/cold_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/cold_wait.py
@@ -1,9 +1,9 @@
 """Decide whether a gang that only fits with cold workers waits for warm ones.
 
 A gang ends with its slowest member. A worker that has just started is slow for a time
-that it announces; how slow is not known, so that it delays a gang by anything up to that
-time. Half of it is the wait at which the most that the gang can lose by waiting equals
-the most that it can lose on the cold worker.
+that it announces; how slow is not known, so that it delays a gang by anything up to
+that time. Half of it is the wait at which the most that the gang can lose by waiting
+equals the most that it can lose on the cold worker.
 """
 
 from __future__ import annotations
@@ -31,8 +31,8 @@
     workers all workers by their ids.
     """
     if unit.guaranteed or unit.long_running:
-        # A guaranteed gang starts as early as it can, and a gang without an end outlasts
-        # any cold time.
+        # A guaranteed gang starts as early as it can, and a gang without an end
+        # outlasts any cold time.
         return False
     limit = _wait_limit(unit, placement, rack_wait, workers)
     if limit <= 0:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -51,9 +51,9 @@
     for one whose data centre is cordoned, which is not ready. A cold worker has just
     started and is slow until cold_until, in monotonic seconds. releasing is the amount
     of resources held by units that are being stopped. orders_bytes is the size of the
-    worker's orders row, and tasks_of_step counts its tasks by job, occurrence and step. suspects counts its
-    units under which a worker has crashed, and closed is set while a dangerous one has
-    begun there.
+    worker's orders row, and tasks_of_step counts its tasks by job, occurrence and step.
+    suspects counts its units under which a worker has crashed, and closed is set while
+    a dangerous one has begun there.
     """
 
     worker_ref: WorkerRef
@@ -91,10 +91,10 @@
 
     size is the number of its tasks, and demand is per task. guaranteed is set if the
     organisation's guarantee covers the job. objective is the time by which the whole
-    job should end, target_span the time from its start to that objective, and
-    remaining the estimated run time of the unit and of the longest chain of steps that
-    depend on it, both in seconds. run_time is the estimated run time of the unit alone
-    in seconds, on workers that it prefers; a long_running unit has no end of its own.
+    job should end, target_span the time from its start to that objective, and remaining
+    the estimated run time of the unit and of the longest chain of steps that depend on
+    it, both in seconds. run_time is the estimated run time of the unit alone in
+    seconds, on workers that it prefers; a long_running unit has no end of its own.
     data_rack and same_rack are preferences: in other racks, or over several, the unit
     takes several times as long. payload_bytes and order_bytes are the sizes of the
     job's payload and of a run's order in an orders row. failed_on contains the workers
@@ -105,9 +105,9 @@
     report. With accepts_trial, the unit may run on a worker on trial that has other
     units, and make its last attempt there. With accepts_doubt, it may run on workers
     whose health is in doubt, and with accepts_suspicion on suspected workers that run
-    nothing. suspected is set if a worker has crashed under the unit,
-    and dangerous if several have. An isolated unit may only run on workers that run
-    nothing else. relaxed is set if a preference for a rack has been dropped. displaces is set if the
+    nothing. suspected is set if a worker has crashed under the unit, and dangerous if
+    several have. An isolated unit may only run on workers that run nothing else.
+    relaxed is set if a preference for a rack has been dropped. displaces is set if the
     unit may preempt less urgent units whatever its priority, as they fit elsewhere.
     """
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/rack_wait.py
@@ -86,8 +86,8 @@
     ) -> bool:
         """Return whether the unit gains from waiting for one of the groups.
 
-        candidate is the unit with the preferences that it has kept, and workers contains
-        all workers by their ids.
+        candidate is the unit with the preferences that it has kept, and workers
+        contains all workers by their ids.
         """
         key = unit.unit_id, bool(candidate.data_rack)
         check = self.known.get(key)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/victim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/victim.py
@@ -67,7 +67,7 @@
         ]
 
     def least_core_cost(self, worker_id: str, priority: int) -> float:
-        """Return the lowest cost at which one core is freed on a worker, or infinity."""
+        """Return the lowest cost of freeing one core on a worker, or infinity."""
         for victim in self.victims_on(worker_id):
             if victim.unit.priority > priority:
                 return victim.cost / unit_weight(victim.unit)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_draft.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_draft.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PolicyCheckInput:
-    """Combine a draft with the fleet's number of accelerators, which the check needs."""
+    """Combine a draft with the fleet's number of accelerators for the check."""
 
     draft: PolicyDraft
     accelerators: int | None = None
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
@@ -1,7 +1,7 @@
 """Apply the answers to health checks at the shard's owner, and log what follows.
 
-Half of the workers of a service that are down at once are no sign of sick workers but of
-a fault of the checks, or of a common cause: trust in them is not reduced then, as no
+Half of the workers of a service that are down at once are no sign of sick workers but
+of a fault of the checks, or of a common cause: trust in them is not reduced then, as no
 better workers are left.
 """
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
@@ -2,10 +2,10 @@
 
 Designed for 650 workers, 2,200 running tasks and gangs of up to 64, of which one sick
 worker costs a gang all its work. Answers are wrong in both directions: a worker may
-answer as healthy and fail everything, or answer as unhealthy and run everything. Workers
-that flap are down and up in turns of 1.4 to 1.7 s. So an answer only makes a worker
-doubtful, runs there outweigh it, and a worker that was down stays doubtful for longer
-than a turn. A decision costs the same whatever the size of the fleet.
+answer as healthy and fail everything, or answer as unhealthy and run everything.
+Workers that flap are down and up in turns of 1.4 to 1.7 s. So an answer only makes a
+worker doubtful, runs there outweigh it, and a worker that was down stays doubtful for
+longer than a turn. A decision costs the same whatever the size of the fleet.
 """
 
 from __future__ import annotations
@@ -32,7 +32,10 @@
 """Seconds that a run has to last to count as evidence for its worker."""
 
 SURVIVAL_TIME = 4.0
-"""The same on a worker that flaps or has failed; a shorter run may fall between two times down."""
+"""The same on a worker that flaps or has failed.
+
+A shorter run may fall between two times down.
+"""
 
 AVOID_TIME = 4.0
 """Seconds without a trial after a first fault, doubled by each trial that fails."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
@@ -165,7 +165,7 @@
 
 
 def _is_odd_refusal(unit: Unit, kind: EndKind, reason: str) -> bool:
-    """Return whether a start was refused that no stop, lease or lack of room explains."""
+    """Return whether no stop, lease or lack of room explains a refused start."""
     return (
         kind is EndKind.REFUSED
         and unit.state == ACTIVE
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/http_call.py
@@ -97,8 +97,8 @@
         """Return the response, or why there is none.
 
         A response of more than limit bytes counts as lost. A timeout in seconds
-        replaces the client's default. Besides the wait for a free connection, a call ends
-        after twice the timeout at the latest, also if the response trickles in.
+        replaces the client's default. Besides the wait for a free connection, a call
+        ends after twice the timeout at the latest, also if the response trickles in.
         """
         total = timeout or self.timeout
         deadline = time.monotonic() + total
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -279,7 +279,7 @@
         return self.jobs[unit.unit_id.job_id].spec.queue
 
     def _count_job(self, job_id: str) -> None:
-        """Count a job by the multiple of its objective that it took, if it succeeded."""
+        """Count a successful job by the multiple of its objective that it took."""
         generated, job = self.jobs[job_id], self.state.jobs[job_id]
         queue = self.state.policy.queues[generated.spec.queue]
         objective = queue.stretch * generated.run_time + queue.target
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_load.py
@@ -84,7 +84,8 @@
 DEFAULT_LOAD = "mixed"
 CLASSES_BY_LOAD = {
     DEFAULT_LOAD: JOB_CLASSES,
-    # Batch callers whose estimates are nearly useless, and urgent jobs that are shorter.
+    # Batch callers whose estimates are nearly useless, and urgent jobs that are
+    # shorter.
     "misjudged": tuple(
         replace(job_class, run_time=run_time, width=width, estimate_error=error)
         for job_class, run_time, width, error in zip(
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_admission.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_admission.py
@@ -29,7 +29,7 @@
 """Tasks of each job, as single ones that are the dearest to sum up."""
 
 LEARNED_RUNS = 40
-"""Ended runs of each queue before the measurement, so that the run times of each queue are known."""
+"""Ended runs of each queue before the measurement, so that its run times are known."""
 
 RUN_TIME = 17.0
 REPETITIONS = 50
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -16,9 +16,9 @@
 
     remote_factor is how many times as long a task takes away from its preferred rack,
     and estimate_use for what learned run times are used in place of declared estimates.
-    cordons is set if the deployment uses cordons of data centres. stop_times is how long
-    stops and restarts of runs take. With admission_control, new jobs are rejected that
-    the load would delay until they have no value.
+    cordons is set if the deployment uses cordons of data centres. stop_times is how
+    long stops and restarts of runs take. With admission_control, new jobs are rejected
+    that the load would delay until they have no value.
     """
 
     entry_id: str
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -105,7 +105,7 @@
         self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def start(self) -> None:
-        """Bind the port and start to serve; raise AddressInUseError if binding fails."""
+        """Bind the port and start to serve; raise AddressInUseError if that fails."""
         self.bind()
         shared_loop().run(self._open())
 
@@ -134,7 +134,7 @@
             await asyncio.sleep(0)
 
     def _serve(self, client: socket.socket, address: tuple[str, int]) -> None:
-        """Serve a new connection on a task of its own, or close it if there is no room."""
+        """Serve a new connection on its own task, or close it if there is no room."""
         task: asyncio.Task[None] | None = None
 
         def close() -> None:
--- a/packages/wasabispur/src/wasabispur/job_resource.py
+++ b/packages/wasabispur/src/wasabispur/job_resource.py
@@ -129,7 +129,8 @@
             job_id=new_job_id(shard, suffix),
             shard=shard,
             spec=body.spec(),
-            # Wall-clock milliseconds order the queue; no duration is computed from them.
+            # Wall-clock milliseconds order the queue; no duration is computed from
+            # them.
             sequence=time.time_ns() // 1_000_000,
         )
         answer = self.ask(SubmitJob(call_id=uuid4().hex, record=record))
--- a/packages/wasabispur/src/wasabispur/job_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/job_scheduler.py
@@ -59,7 +59,7 @@
             self.on_message(message)
 
     def on_rows_unavailable(self, message: RowsUnavailable) -> None:
-        """Process a failed read of the shard's row; a failed list of jobs is retried."""
+        """Process a failed read of the shard's row; retry a failed list of jobs."""
         if not message.read_id.startswith("job/"):
             self.on_message(message)
 
--- a/packages/wasabispur/src/wasabispur/request_dispatcher.py
+++ b/packages/wasabispur/src/wasabispur/request_dispatcher.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DrainRequested(Message):
-    """Request that the dispatcher stops accepting requests and finishes those it has."""
+    """Request that the dispatcher accepts no more requests and finishes its own."""
 
 
 class MissingTable:
--- a/tests/adapter/test_worker_wire.py
+++ b/tests/adapter/test_worker_wire.py
@@ -82,7 +82,7 @@
     ],
 )
 def test_health_answers(result, expected):
-    """Guard against an answer that is taken for one of this worker although it isn't."""
+    """Guard against another worker's answer that is taken for one of this worker."""
     client = FakeClient(result)
     answered = send_worker_call(CHECK, client, 1.0)
     assert (answered.answer, answered.incarnation) == (expected, "77")
--- a/tests/job/test_bundle_cordon.py
+++ b/tests/job/test_bundle_cordon.py
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize(("entries", "agents"), [(True, False), (False, True)])
 def test_nothing_starts_in_a_cordoned_data_centre(entries, agents):
-    """Guard against a run that one process starts because another has not read the bundle yet."""
+    """Guard against a run that starts as one process has not read the bundle yet."""
     world = World()
     world.advance(8)
     cordon(world, entries=entries, agents=agents)
@@ -63,7 +63,7 @@
 
 @pytest.mark.parametrize("step", [0.0, 0.5, 1.0, 1.5, 2.0])
 def test_gang_is_started_whole_or_not_at_all(step):
-    """Guard against half a gang that runs because its agents read the bundle at different times."""
+    """Guard against half a gang that runs, as agents read the bundle at other times."""
     world = World()
     world.advance(8)
     job_id = world.submit(tasks=2, accelerators=4)
--- a/tests/job/test_takeover.py
+++ b/tests/job/test_takeover.py
@@ -1,4 +1,4 @@
-"""Test what an entry concludes before it knows the jobs of a shard that it took over."""
+"""Test what an entry concludes before it knows the jobs of its new shard."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_table_contract.py
+++ b/tests/platform/test_table_contract.py
@@ -263,7 +263,8 @@
     """Guard against a stand-in that takes the version of a replaced row for valid.
 
     The platform's store refuses such a condition as malformed. A conflict in its place
-    hid an owner that went on with this version after another entry had claimed its shard.
+    hid an owner that went on with this version after another entry had claimed its
+    shard.
     """
 
     async def scenario(stand_in, state, client):
--- a/tests/request/test_restarted_agent.py
+++ b/tests/request/test_restarted_agent.py
@@ -1,4 +1,4 @@
-"""Test what callers hear when the agent of their request is killed and started again."""
+"""Test what callers are told when the agent of their request is restarted."""
 
 from __future__ import annotations
 
--- a/tests/workload/test_cordon.py
+++ b/tests/workload/test_cordon.py
@@ -207,7 +207,7 @@
 
 @pytest.mark.parametrize("withdrawn", [False, True])
 def test_process_that_missed_a_change_of_the_cordon_applies_it_later(withdrawn):
-    """Guard against a change that is lost in an outage, and a cordon that ends in one."""
+    """Guard against a change lost in an outage, and a cordon that ends in one."""
     world = two_centres()
     if withdrawn:
         cordon(world)
--- a/tests/workload/test_health_checks.py
+++ b/tests/workload/test_health_checks.py
@@ -64,7 +64,7 @@
 
 
 def test_change_is_reported_at_once_and_logged_rarely():
-    """Guard against an owner that learns of a sick worker late, and a flood of lines."""
+    """Guard against a late report of an unhealthy worker, and a flood of lines."""
     world = checked_world()
     worker, agent = world.workers["w0"], world.agents["agent-0"]
     world.advance(10)
--- a/tests/workload/test_kept_back.py
+++ b/tests/workload/test_kept_back.py
@@ -80,7 +80,7 @@
 
 
 def test_run_that_begins_late_is_not_taken_for_lost():
-    """Guard against a third run while a former one may still fail as the last attempt."""
+    """Guard against a third run while a former one may fail as the last attempt."""
     world, unit, lost = world_with_unlisted_member()
     end_all(world, EndKind.FAILED)
     world.advance(1)
--- a/tests/workload/test_large_jobs.py
+++ b/tests/workload/test_large_jobs.py
@@ -425,7 +425,7 @@
 
 
 def test_entry_of_an_earlier_version_does_not_own_the_shard():
-    """Guard against an owner that takes jobs in pages for jobs that have not started."""
+    """Guard against an owner that treats jobs in pages as not started."""
     world = started_world()
     world.submit(tasks(2), duration=LONG)
     world.advance(1)
--- a/tests/workload/test_lease_over.py
+++ b/tests/workload/test_lease_over.py
@@ -70,8 +70,9 @@
     """Guard against an owner that waits for a lease which is over at each confirmation.
 
     Jobs would run nothing beside idle workers until the store is faster. A placement
-    waits for the transaction in flight, and no longer. Other entries took the shard from
-    each other without end, as each claim was answered later than the next one was made.
+    waits for the transaction in flight, and no longer. Other entries took the shard
+    from each other without end, as each claim was answered later than the next one was
+    made.
     """
     world = started_world(entries=entries)
     world.transaction_time = SLOW_TRANSACTION
--- a/tests/workload/test_load_summary.py
+++ b/tests/workload/test_load_summary.py
@@ -142,7 +142,7 @@
 
 
 def test_row_is_written_on_change_and_while_contended():
-    """Guard against writes in each tick, and against a row that expires while the owner is alive."""
+    """Guard against writes in each tick, and a row that expires under a live owner."""
     owner = LoadedOwner()
     owner.written(PUBLICATION_INTERVAL)
     assert not any(owner.written(1.0) for _ in range(10))
--- a/tests/workload/test_rack_review.py
+++ b/tests/workload/test_rack_review.py
@@ -403,7 +403,8 @@
     """Guard against a gang that is spread only in the first seconds of its wait.
 
     In these seconds waits_for_rack makes the keys of its hosts differ. A worker that
-    joins later has the hosts derived again, those of the gang that keeps its rack first.
+    joins later has the hosts derived again, those of the gang that keeps its rack
+    first.
     """
     world = started_world(workers=8)
     for rack in range(4):
--- a/tests/workload/test_replaced_row.py
+++ b/tests/workload/test_replaced_row.py
@@ -60,7 +60,7 @@
 
 
 def test_replaced_row_among_several_is_superseded():
-    """Guard against a former owner that isn't told that its shard's row was replaced."""
+    """Guard against a former owner that isn't told of its replaced shard row."""
     client = Client()
     answer_lost(client, ("k", "progress"))
     own = Row(key="progress", version=7, operation_id="op", value={})
--- a/tests/workload/test_superseded_owner.py
+++ b/tests/workload/test_superseded_owner.py
@@ -1,4 +1,4 @@
-"""Test an owner whose transaction took effect before another entry claimed the shard."""
+"""Test an owner whose transaction took effect before another claimed the shard."""
 
 from __future__ import annotations
 
@@ -75,9 +75,9 @@
 def test_owner_whose_row_was_replaced_reads_it_and_loses_the_shard():
     """Guard against an owner that goes on beside the next one.
 
-    It was frozen over a transaction whose answer was lost. It took the version SUPERSEDED
-    for that of its row, had every later transaction refused as malformed, left out 1,338
-    rows, failed 46 jobs and planned for 46 s beside the real owner.
+    It was frozen over a transaction whose answer was lost. It took the version
+    SUPERSEDED for that of its row, had every later transaction refused as malformed,
+    left out 1,338 rows, failed 46 jobs and planned for 46 s beside the real owner.
     """
     state = owner_with_row_in_flight()
     commands = decide(committed(state, SUPERSEDED), state, 1.0)
@@ -124,7 +124,7 @@
 
 
 def test_claimant_whose_claim_was_replaced_observes_again():
-    """Guard against an entry that takes a shard for its own that another one claimed."""
+    """Guard against an entry that considers itself owner of another's shard."""
     state = started()
     commands = decide(committed(state, SUPERSEDED), state, 30.0)
     assert any(isinstance(one, ReadRows) for one in commands)
--- a/tests/workload/test_unit_list.py
+++ b/tests/workload/test_unit_list.py
@@ -16,7 +16,7 @@
 
 
 def test_units_are_counted_by_list():
-    """Guard against a log that can't tell a full fleet from units that are kept back."""
+    """Guard against a log that doesn't tell a full fleet from units kept back."""
     world = started_world(workers=1)
     world.submit(tasks(1, 8), duration=60)
     world.advance(1)
@@ -62,7 +62,7 @@
 
 
 def test_capacity_is_logged_by_cause_while_a_unit_waits():
-    """Guard against "no room" in a log that can't tell a full fleet from silent workers."""
+    """Guard against "no room" in a log for both a full fleet and silent workers."""
     world = started_world(workers=4)
     owner = world.owner()
     world.submit(tasks(3, 8), duration=60)
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -1,4 +1,4 @@
-"""Test that each wait of a unit has an end, and that it lasts no longer than it pays."""
+"""Test that each wait of a unit ends, and lasts no longer than it pays."""
 
 from __future__ import annotations
 
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -453,7 +453,7 @@
 
 
 def test_wait_of_a_guaranteed_unit_is_valid_json():
-    """Guard against a log line that other JSON parsers refuse, for an infinite limit."""
+    """Guard against an infinite limit in a log line, which JSON parsers refuse."""
     world = started_world(workers=1)
     fleet = world.owner().fleet
     job = world.submit(tasks(1, 8), queue_name="urgent", duration=9.0)
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -353,7 +353,7 @@
 
 
 class OperatorFeed:
-    """Represent a process's feed of the operators' rows; a blocked one is not served."""
+    """Represent a process's feed of the operators' rows; a blocked one gets none."""
 
     def __init__(self, world: World, process: Process) -> None:
         self.process = process
@@ -405,8 +405,8 @@
 
     Records each violation of an invariant; advance() raises if there is one.
 
-    The workers in lost_answers execute calls, but their answers are lost. The workers in
-    unserved_calls send heartbeats and execute no call. The workers in late_calls
+    The workers in lost_answers execute calls, but their answers are lost. The workers
+    in unserved_calls send heartbeats and execute no call. The workers in late_calls
     execute every call with a number divisible by late_every start_delay seconds late,
     after newer calls, and do not answer it.
     """
@@ -608,7 +608,7 @@
         self.timers.subscribe(1.0, answer, Message())
 
     def _found_effect(self, transaction: Transaction) -> Committed | None:
-        """Return what a look-up of the written rows tells, or None if there is no sign."""
+        """Return what a look-up of the written rows shows, or None if nothing."""
         rows = self.store.rows
         versions: dict[str, int] = {}
         for write in transaction.writes:
