--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
@@ -81,10 +81,7 @@
 ) -> Iterator[tuple[str, Resources, int]]:
     """Yield the demands and numbers of a worker's runs, with the cause of each."""
     cause = _worker_cause(worker, state, now)
-    for unit_id in state.units_by_worker.get(worker.worker_id, ()):
-        unit = state.unit(unit_id)
-        if unit is None:
-            continue
+    for unit in state.units_on(worker.worker_id):
         members = unit.open_members_on(worker.worker_id)
         if cause or unit.state != ACTIVE:
             yield cause or STOPPING_RUNS, unit.demand, len(members)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -61,10 +61,7 @@
         if not keep or end.incarnation != keep:
             learned = UnknownEndLearned(end=end, kind=kind)
             commands += learn_end(former, learned, state, now)
-    for unit_id in list(state.units_by_worker.get(worker_id, ())):
-        unit = state.unit(unit_id)
-        if unit is None:
-            continue
+    for unit in state.units_on(worker_id):
         for member in unit.open_members_on(worker_id):
             if keep and member.worker_ref.incarnation == keep:
                 continue
@@ -96,11 +93,10 @@
     for worker in state.workers.values():
         if now - worker.seen_at <= REPORT_AGE_LIMIT:
             continue
-        for unit_id in list(state.units_by_worker.get(worker.worker_id, ())):
-            unit = state.unit(unit_id)
-            if unit is None or not unit.shows_end_on(worker.worker_id):
+        for unit in state.units_on(worker.worker_id):
+            if not unit.shows_end_on(worker.worker_id):
                 continue
-            attempts = attempt_limit(state.jobs[unit_id.job_id], state)
+            attempts = attempt_limit(state.jobs[unit.unit_id.job_id], state)
             if not unit.step.long_running and unit.most_failures + 1 >= attempts:
                 continue
             for member in unit.open_members_on(worker.worker_id):
@@ -212,10 +208,7 @@
 
     Its runs may be active even if the last report is on a former incarnation.
     """
-    for unit_id in state.units_by_worker.get(worker.worker_id, ()):
-        unit = state.unit(unit_id)
-        if unit is None:
-            continue
+    for unit in state.units_on(worker.worker_id):
         for member in unit.open_members_on(worker.worker_id):
             recorded = member.worker_ref.incarnation
             if is_later_incarnation(recorded, worker.info.incarnation):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from itertools import islice
+from operator import attrgetter
 
 from ...storage.store import text_size
 from ..jobs.unit import ACTIVE, Unit
@@ -33,14 +34,13 @@
     """Return the runs that the worker should have, and those that it should stop."""
     runs: list[RunOrder] = []
     payloads: dict[str, str] = {}
-    for unit_id in sorted(state.units_by_worker.get(worker.worker_id, ())):
-        unit = state.unit(unit_id)
-        if unit is None:
-            continue
+    units = state.units_on(worker.worker_id)
+    for unit in sorted(units, key=attrgetter("unit_id")):
         wanted = _run_orders(unit, worker)
         runs += wanted
         if any(not order.stop for order in wanted):
-            payloads[unit_id.job_id] = state.jobs[unit_id.job_id].spec.payload
+            job_id = unit.unit_id.job_id
+            payloads[job_id] = state.jobs[job_id].spec.payload
     known = {(order.task, order.run) for order in runs}
     unknown = (
         RunOrder(task=run.task, run=run.run, job_id="", stop=True)
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
@@ -84,10 +84,9 @@
             else:
                 self.unreachable.discard(worker_id)
                 self.incarnations[worker_id] = self.incarnations.get(worker_id, 1) + 1
-        for unit_id in list(self.state.units_by_worker.get(worker_id, ())):
-            unit = self.state.unit(unit_id)
-            run = self.runs.get(unit_id)
-            if unit is None or run is None or run.run != unit.run:
+        for unit in self.state.units_on(worker_id):
+            run = self.runs.get(unit.unit_id)
+            if run is None or run.run != unit.run:
                 continue
             if acts_up:
                 self._afflict(unit, run, worker_id)
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -184,10 +184,6 @@
         self, worker_id: str, ended: EndedRun | None
     ) -> tuple[ListedRun, ...]:
         ended_task = ended.task if ended is not None else ""
-        units = [
-            self.state.unit(unit_id)
-            for unit_id in self.state.units_by_worker.get(worker_id, ())
-        ]
         return tuple(
             ListedRun(
                 task=task,
@@ -195,8 +191,7 @@
                 percent=self.percent(unit),
                 idle=self.is_idle(unit),
             )
-            for unit in units
-            if unit is not None
+            for unit in self.state.units_on(worker_id)
             for member in unit.members
             if member.worker_ref.worker_id == worker_id and not member.ended
             if (task := str(unit.task_id(member.index))) != ended_task
