Select the members of a gang's page by their order

Unit.record looked at all members for each of a gang's pages. Members are ordered by their index, also after a restore, which reads the pages in order, so that a bisection finds those of a page.

--- a/packages/wasabispur-core/src/wasabispur_core/jobs/fleet.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/fleet.py
@@ -92,11 +92,6 @@
         used = len(self.cpu_tasks.get(worker_id, ()))
         return max(self.workers[worker_id].cores - used, 0)
 
-    def is_free(self, worker_id: str, accelerators: Iterable[int]) -> bool:
-        """Return whether no task holds any of the accelerators."""
-        held = self.holders.get(worker_id, {})
-        return not any(index in held for index in accelerators)
-
     def hold(self, worker_id: str, accelerators: Iterable[int], task_id: str) -> None:
         """Record a task as the holder of accelerators.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_history.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/crash_history.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 CRASH_LIMIT = 3
@@ -108,11 +107,11 @@
             longest_run=round(max(known.longest_run, run_time), 2),
         )
 
-    def of_positions(self, included: Callable[[int], bool]) -> CrashHistory:
+    def of_positions(self, positions: range) -> CrashHistory:
         """Return the part of the history that concerns some positions."""
         return CrashHistory(
-            workers={key: n for key, n in self.workers.items() if included(key)},
-            uncertain={key: n for key, n in self.uncertain.items() if included(key)},
+            workers={key: n for key, n in self.workers.items() if key in positions},
+            uncertain={key: n for key, n in self.uncertain.items() if key in positions},
             longest_run=self.longest_run,
         )
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
+from operator import attrgetter
 from typing import Any, NamedTuple
 
 from ...chart import Lifecycle
@@ -209,6 +211,14 @@
             return self.members[offset]
         return next((one for one in self.members if one.index == index), None)
 
+    def _members_in(self, positions: range) -> list[UnitMember]:
+        """Return the members with indices in a range."""
+        first, end = (
+            bisect_left(self.members, bound, key=attrgetter("index"))
+            for bound in (positions.start, positions.stop)
+        )
+        return self.members[first:end]
+
     def open_members_on(self, worker_id: str) -> list[UnitMember]:
         """Return the members on a worker whose runs are not known to have ended."""
         known = self.members_by_worker.get(worker_id, ())
@@ -264,9 +274,13 @@
         page, the record contains the part of a gang whose members that page stores.
         """
 
-        def included(index: int) -> bool:
-            return page is None or index // PAGE_UNITS == page
-
+        stored, crashes, unknown_ends = self.members, self.crashes, self.unknown_ends
+        if page is not None:
+            positions = range(page * PAGE_UNITS, (page + 1) * PAGE_UNITS)
+            stored = self._members_in(positions)
+            unknown_ends = tuple(end for end in unknown_ends if end.index in positions)
+            if crashes.workers:
+                crashes = crashes.of_positions(positions)
         members = tuple(
             MemberRecord(
                 index=member.index,
@@ -276,12 +290,8 @@
                 started_at=round(member.started_at + store_offset, 2),
                 broken=member.broken,
             )
-            for member in self.members
-            if included(member.index)
+            for member in stored
         )
-        crashes = self.crashes
-        if crashes.workers and page is not None:
-            crashes = crashes.of_positions(included)
         return UnitRecord(
             occurrence=self.unit_id.occurrence,
             step=self.unit_id.step,
@@ -293,6 +303,6 @@
             checkpoint=self.checkpoint,
             members=members,
             crashes=crashes,
-            unknown_ends=tuple(end for end in self.unknown_ends if included(end.index)),
+            unknown_ends=unknown_ends,
             preemptions=self.preemptions,
         )
