Divide the state of a job by what its parts are for

Job had over twenty fields. Its rows (JobRows), its terms (JobTerms) and the count of the units created with one message (CreationBudget) are separate data classes; the stored formats stay. JobSpec.payload_size was the value of Job.payload_bytes, which alone remains. test_fleet_write reads the row under its new name.

test_fleet_write, test_large_jobs, test_removed_queue, test_takeover, test_rejected_row, test_odd_jobs, test_resume, test_workload_path and test_policy_and_job_wire: 110 passed.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from ...storage.store import text_size
 from ..run_times.run_time import JobForecast
 from .occurrence import Occurrence, PageId
 from .progress import JobProgress, JobState, UnitPage
@@ -34,6 +35,45 @@
     count: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class JobRows:
+    """Represent the rows of a job's progress.
+
+    pages contains the stored pages, dirty_pages those that have to be written, and
+    progress the job's own row as last written.
+    """
+
+    pages: set[PageId] = field(default_factory=set)
+    dirty_pages: set[PageId] = field(default_factory=set)
+    progress: dict[str, Any] | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class JobTerms:
+    """Represent what the job's queue grants to it.
+
+    accepted are the terms when the job was accepted, or was first known, and current
+    those under a version of the configuration.
+    """
+
+    accepted: QueueTerms | None = None
+    current: QueueTerms | None = None
+    version: int = -1
+
+
+@dataclass(slots=True, kw_only=True)
+class CreationBudget:
+    """Count the units that were created with the message of a number."""
+
+    message_number: int = 0
+    used: int = 0
+
+    def renew(self, message_number: int) -> None:
+        """Begin a new count if this is another message."""
+        if self.message_number != message_number:
+            self.message_number, self.used = message_number, 0
+
+
 @dataclass(slots=True, kw_only=True)
 class Job:
     """Represent one job.
@@ -45,14 +85,10 @@
     begun is set once a unit has been placed, and failed once one has failed.
     failed_on contains the workers on which runs of the job failed, and waits what was
     logged of the waits of an occurrence's step. held is set if the job's stored
-    progress can't be read, so that nothing tells what has run or still runs. pages
-    contains the stored pages, dirty_pages those that have to be written, and
-    stored_progress the job's own row as last written. accepted_terms are those of the
-    job's queue when it was accepted, or was first known, and terms those under
-    terms_version of the configuration. new_units counts the units that were created
-    with the message of the number last_message. forecast contains the expected run
-    times, once they are needed. graph contains the dependencies of the steps, and
-    payload_bytes is the size of the payload in a row.
+    progress can't be read, so that nothing tells what has run or still runs. creation
+    limits the units that are created with one message. forecast contains the expected
+    run times, once they are needed. graph contains the dependencies of the steps, and
+    payload_bytes is the size in bytes that the payload takes in a row.
     """
 
     spec: JobSpec
@@ -69,22 +105,17 @@
     held: bool = False
     failed_on: set[str] = field(default_factory=set)
     waits: dict[tuple[int, int], LoggedWait] = field(default_factory=dict)
-    pages: set[PageId] = field(default_factory=set)
-    dirty_pages: set[PageId] = field(default_factory=set)
-    stored_progress: dict[str, Any] | None = None
-    accepted_terms: QueueTerms | None = field(init=False)
-    terms: QueueTerms | None = None
-    terms_version: int = -1
-    new_units: int = 0
-    last_message: int = 0
+    rows: JobRows = field(default_factory=JobRows)
+    terms: JobTerms = field(init=False)
+    creation: CreationBudget = field(default_factory=CreationBudget)
     forecast: JobForecast | None = None
     graph: StepGraph = field(init=False)
     payload_bytes: int = field(init=False)
 
     def __post_init__(self) -> None:
-        self.accepted_terms = self.spec.terms
+        self.terms = JobTerms(accepted=self.spec.terms)
         self.graph = StepGraph(self.spec.steps)
-        self.payload_bytes = self.spec.payload_size
+        self.payload_bytes = text_size(self.spec.payload)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_lifecycle.py
@@ -65,9 +65,9 @@
 
     Failures that were counted before may have been all of the attempts.
     """
-    if job.accepted_terms is not None or job.held or not state.active:
+    if job.terms.accepted is not None or job.held or not state.active:
         return []
-    job.accepted_terms = terms = state.terms(job)
+    job.terms.accepted = terms = state.terms(job)
     if terms is None:
         return []
     state.dirty_jobs.add(job.spec.job_id)
@@ -95,11 +95,10 @@
 
 def create_units(job: Job, state: FleetState, now: float) -> None:
     """Create units of the steps that have begun, up to the limits."""
-    if job.last_message != state.message_number:
-        job.last_message, job.new_units = state.message_number, 0
+    job.creation.renew(state.message_number)
     while (
         job.unfilled
-        and job.new_units < NEW_UNITS_LIMIT
+        and job.creation.used < NEW_UNITS_LIMIT
         and len(job.units) < OPEN_UNITS_LIMIT
     ):
         number, step = job.unfilled[0]
@@ -116,7 +115,7 @@
             continue
         unit_id = UnitId(job.spec.job_id, number, step, step_state.created)
         step_state.created += 1
-        job.new_units += 1
+        job.creation.used += 1
         create_unit(unit_id, job, state, now)
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_restore.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_restore.py
@@ -38,7 +38,7 @@
 ) -> list[Command]:
     """Restore a job's occurrences and units, or hold the job if that can't be done."""
     progress = stored.progress
-    job.pages = set(stored.pages)
+    job.rows.pages = set(stored.pages)
     pages = _readable_pages(stored, state)
     if progress is None or (pages is None and not progress.state.ended):
         job.held = True
@@ -46,15 +46,15 @@
         return [WriteLog(number=JOB_HELD.number, fields=fields)]
     job.state = progress.state
     job.ended_at = progress.ended_at
-    job.stored_progress = pack(progress)
-    job.accepted_terms = job.spec.terms or progress.terms
+    job.rows.progress = pack(progress)
+    job.terms.accepted = job.spec.terms or progress.terms
     _restore_occurrences(job, progress, pages or {}, state, now)
     for page in sorted(stored.pages):
         if page.occurrence not in job.open_occurrences:
             drop_page(page, job, state)
     if progress.units:
         # The next write of the job's own row leaves out its units.
-        job.dirty_pages.update(
+        job.rows.dirty_pages.update(
             page for page in pages or () if page.occurrence in job.open_occurrences
         )
         state.dirty_jobs.add(job.spec.job_id)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_steps.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_steps.py
@@ -71,9 +71,9 @@
 
 def drop_page(page: PageId, job: Job, state: FleetState) -> None:
     """Remove the row of a page, or leave it unwritten."""
-    job.dirty_pages.discard(page)
-    if page in job.pages:
-        job.pages.discard(page)
+    job.rows.dirty_pages.discard(page)
+    if page in job.rows.pages:
+        job.rows.pages.discard(page)
         state.obsolete_rows.append(unit_page_key(job.spec.job_id, page))
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ...storage.store import text_size
-
 STEPS_LIMIT = 100
 """Maximum number of steps of a job."""
 
@@ -176,11 +174,6 @@
     start_at: float = 0.0
     terms: QueueTerms | None = None
 
-    @property
-    def payload_size(self) -> int:
-        """Return the size in bytes that the payload takes in a row."""
-        return text_size(self.payload)
-
 
 class TaskId(NamedTuple):
     """Identify one task of one occurrence of a job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_event.py
@@ -40,7 +40,7 @@
         # The end of one of many members changes nothing for the others.
         workers = _workers_of_member(unit, message.index)
     index_unit(unit, workers, state)
-    job.dirty_pages.update(pages)
+    job.rows.dirty_pages.update(pages)
     state.dirty_jobs.add(job.spec.job_id)
     if unit.state in ENDED_STATES and terms and terms.priority == 0:
         state.view.guarantees_changed = True
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -110,11 +110,12 @@
         least the attempts with which it was accepted. Once the queue is removed, it
         goes on as it was accepted.
         """
-        if job.terms_version != self.policy.version:
-            job.terms_version = self.policy.version
+        terms = job.terms
+        if terms.version != self.policy.version:
+            terms.version = self.policy.version
             queue = self.policy.queues.get(job.spec.queue)
-            job.terms = _combined(queue, job.accepted_terms)
-        return job.terms
+            terms.current = _combined(queue, terms.accepted)
+        return terms.current
 
     def is_cordoned(self, worker: Worker) -> bool:
         """Return whether a worker gets no units.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
@@ -59,22 +59,22 @@
 
     The first page of a gang, which holds its state, is written after the others.
     """
-    for page in sorted(job.dirty_pages, reverse=True):
+    for page in sorted(job.rows.dirty_pages, reverse=True):
         row = page_row(job, page, store_offset)
         yield WriteRow(key=unit_page_key(job.spec.job_id, page), value=row)
-    job.pages |= job.dirty_pages
-    job.dirty_pages.clear()
+    job.rows.pages |= job.rows.dirty_pages
+    job.rows.dirty_pages.clear()
     progress = pack(
         JobProgress(
             state=job.state,
             ended_at=job.ended_at,
             occurrences=job.occurrences,
             open_occurrences=tuple(sorted(job.open_occurrences)),
-            terms=job.accepted_terms if job.spec.terms is None else None,
+            terms=job.terms.accepted if job.spec.terms is None else None,
         )
     )
-    if progress != job.stored_progress:
-        job.stored_progress = progress
+    if progress != job.rows.progress:
+        job.rows.progress = progress
         yield WriteRow(key=progress_key(job.spec.job_id), value=progress)
 
 
@@ -135,7 +135,7 @@
             continue
         if any(unit.may_be_running for unit in job.units.values()):
             continue
-        for page in sorted(job.pages):
+        for page in sorted(job.rows.pages):
             drop_page(page, job, state)
         if state.obsolete_rows:
             continue
--- a/tests/workload/test_fleet_write.py
+++ b/tests/workload/test_fleet_write.py
@@ -87,7 +87,7 @@
     for job_id, job in fleet.jobs.items():
         progress = world.store.rows[progress_key(job_id)].value
         open_occurrences = list(progress.get("open_occurrences", ()))
-        assert progress == job.stored_progress
+        assert progress == job.rows.progress
         assert open_occurrences == sorted(job.open_occurrences)
         stored, completed = stored_units(world, job_id)
         records = [unit.record(fleet.store_offset) for unit in job.units.values()]
