Build a caller's reply with an endpoint's response in one function

The response of the attempt and the stored one of a claim were encoded alike.

test_request_machine, test_request_claim, test_request_outcome and tests/request/test_restarted_agent passed.

--- a/packages/wasabispur-core/src/wasabispur_core/requests/claim_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/claim_action.py
@@ -26,10 +26,9 @@
     fingerprint,
     RELEASED,
 )
-from .outcome import Outcome, ReplyToCaller
 from .request import Request, RequestAction, RequestGuard
 from .request_message import ClaimCheckDue
-from .request_reply import reply_to_caller
+from .request_reply import reply_with_response
 
 CLAIM_CHECK_BASE_DELAY = 0.2
 CLAIM_CHECK_DELAY_LIMIT = 5.0
@@ -224,14 +223,7 @@
     message = action.message
     if not isinstance(message, ClaimCompleted):
         return []
-    reply = ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=Outcome.COMPLETED,
-        status=message.status,
-        headers=message.headers,
-        body=message.body,
-    )
-    return reply_to_caller(action, reply)
+    return reply_with_response(action, message)
 
 
 def _key(request: Request) -> str:
--- a/packages/wasabispur-core/src/wasabispur_core/requests/request_reply.py
+++ b/packages/wasabispur-core/src/wasabispur_core/requests/request_reply.py
@@ -15,7 +15,12 @@
     Reason,
 )
 from ..storage.store import Committed, StoreUnavailable
-from .claim import ClaimMismatched, ClaimOwned, ClaimResponseTooLarge
+from .claim import (
+    ClaimCompleted,
+    ClaimMismatched,
+    ClaimOwned,
+    ClaimResponseTooLarge,
+)
 from .outcome import Outcome, ReplyToCaller
 from .request import Request, RequestAction, RequestState
 from .request_message import AgentAttached, AgentDetached, RequestReceived, RetryDue
@@ -54,14 +59,7 @@
     if endpoint is not None:
         endpoint.record_success(action.now - action.subject.started)
     action.subject.response = message
-    reply = ReplyToCaller(
-        request_id=action.subject.received.request_id,
-        outcome=Outcome.COMPLETED,
-        status=message.status,
-        headers=message.headers,
-        body=message.body,
-    )
-    return reply_to_caller(action, reply)
+    return reply_with_response(action, message)
 
 
 @perform.register
@@ -146,6 +144,20 @@
     return [*(CancelTimer(timer_id=timer_id) for timer_id in timers), reply]
 
 
+def reply_with_response(
+    action: RequestAction, response: AttemptCompleted | ClaimCompleted
+) -> list[Command]:
+    """Return the commands to reply with an endpoint's response."""
+    reply = ReplyToCaller(
+        request_id=action.subject.received.request_id,
+        outcome=Outcome.COMPLETED,
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+    )
+    return reply_to_caller(action, reply)
+
+
 def release_endpoint(state: RequestState, request: Request) -> None:
     """Release the slot that the request occupies at an endpoint, if any."""
     endpoint = state.endpoints.get(request.agent_id)
