--- a/packages/wasabispur/src/wasabispur/job_command.py
+++ b/packages/wasabispur/src/wasabispur/job_command.py
@@ -8,25 +8,11 @@
 
 import click
 
-from wasabispur_core.error import WasabispurError
-from wasabispur_runtime.process import exit_with_error
-
 from .api_client import ApiClient
+from .command_line import calls_entry
 
 COLUMNS = ("job_id", "state", "organisation", "class", "tasks", "accelerators")
 
-entry_option = click.option(
-    "--entry",
-    "url",
-    envvar="WASABISPUR_ENTRY",
-    default="http://127.0.0.1:8080",
-    show_default=True,
-    help="Address of an entry.",
-)
-output_option = click.option(
-    "--output", type=click.Choice(["table", "json"]), default="table", show_default=True
-)
-
 
 @click.group()
 def job() -> None:
@@ -34,8 +20,6 @@
 
 
 @job.command()
-@entry_option
-@output_option
 @click.option("--organisation", required=True)
 @click.option("--class", "work_class", required=True, help="Workload class.")
 @click.option("--command", required=True, help="Command that the workers run.")
@@ -48,8 +32,9 @@
 )
 @click.option("--estimate", type=float, default=0.0, help="Run time in seconds.")
 @click.option("--data-centre", default=None)
+@calls_entry
 def submit(
-    url: str,
+    client: ApiClient,
     output: str,
     organisation: str,
     work_class: str,
@@ -71,73 +56,63 @@
         "estimate": estimate,
         "data_centre": data_centre,
     }
-    print_reply(url, output, "POST", "/v1/jobs", body)
+    print_reply(client, output, "POST", "/v1/jobs", body)
 
 
 @job.command()
-@entry_option
-@output_option
 @click.argument("job_id")
-def show(url: str, output: str, job_id: str) -> None:
+@calls_entry
+def show(client: ApiClient, output: str, job_id: str) -> None:
     """Show a job."""
-    print_reply(url, output, "GET", f"/v1/jobs/{quote(job_id, safe='')}")
+    print_reply(client, output, "GET", f"/v1/jobs/{quote(job_id, safe='')}")
 
 
 @job.command("list")
-@entry_option
-@output_option
 @click.option("--data-centre", default=None)
-def list_jobs(url: str, output: str, data_centre: str | None) -> None:
+@calls_entry
+def list_jobs(client: ApiClient, output: str, data_centre: str | None) -> None:
     """List the jobs of a data centre."""
     query = f"?{urlencode({'data_centre': data_centre})}" if data_centre else ""
-    print_reply(url, output, "GET", f"/v1/jobs{query}")
+    print_reply(client, output, "GET", f"/v1/jobs{query}")
 
 
 @job.command()
-@entry_option
-@output_option
 @click.argument("job_id")
-def cancel(url: str, output: str, job_id: str) -> None:
+@calls_entry
+def cancel(client: ApiClient, output: str, job_id: str) -> None:
     """Cancel a job."""
-    print_reply(url, output, "DELETE", f"/v1/jobs/{quote(job_id, safe='')}")
+    print_reply(client, output, "DELETE", f"/v1/jobs/{quote(job_id, safe='')}")
 
 
 @job.command()
-@entry_option
-@output_option
 @click.argument("job_id")
-def explain(url: str, output: str, job_id: str) -> None:
+@calls_entry
+def explain(client: ApiClient, output: str, job_id: str) -> None:
     """Explain why a job waits, is placed where it is, or was stopped."""
     path = f"/v1/jobs/{quote(job_id, safe='')}/explanation"
-    print_reply(url, output, "GET", path)
+    print_reply(client, output, "GET", path)
 
 
 @job.command("explain-organisation")
-@entry_option
-@output_option
 @click.option("--data-centre", default=None)
 @click.argument("organisation")
+@calls_entry
 def explain_organisation(
-    url: str, output: str, data_centre: str | None, organisation: str
+    client: ApiClient, output: str, data_centre: str | None, organisation: str
 ) -> None:
     """Explain an organisation's usage, waiting jobs and guarantees."""
     query = f"?{urlencode({'data_centre': data_centre})}" if data_centre else ""
     path = f"/v1/organisations/{quote(organisation, safe='')}/explanation{query}"
-    print_reply(url, output, "GET", path)
+    print_reply(client, output, "GET", path)
 
 
 def print_reply(
-    url: str, output: str, method: str, path: str, body: Any = None
+    client: ApiClient, output: str, method: str, path: str, body: Any = None
 ) -> None:
-    """Call the entry and print its reply, or exit with the error's exit code."""
-    try:
-        client = ApiClient(url)
-        data = None if body is None else json.dumps(body).encode()
-        headers = {"Content-Type": "application/json"}
-        reply = client.read(client.call(method, path, data, headers))
-    except WasabispurError as error:
-        exit_with_error(error)
-        return
+    """Call the entry and print its reply."""
+    data = None if body is None else json.dumps(body).encode()
+    headers = {"Content-Type": "application/json"}
+    reply = client.read(client.call(method, path, data, headers))
     if output == "json":
         click.echo(json.dumps(reply, indent=2))
     elif "jobs" in reply:
