Start and stop the two kinds of agents in one place

Agents of endpoints and of workers started their actors and ended with the same steps, in the same order (agent_lifecycle.py).

--- a/packages/wasabispur-agent/src/wasabispur_agent/agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/agent.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.log_event import PROCESS_STARTED
 from wasabispur_core.membership.heartbeat_policy import near_entries
 from wasabispur_core.protocol import Announce, Heartbeat, Role
 from wasabispur_core.requests.permit import PermitState
@@ -16,6 +16,7 @@
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import configure_log, log
 
+from .agent_lifecycle import start_agent, stop_agent
 from .agent_settings import AgentSettings
 from .bundle_actor import build_announce_callback, build_bundle_actor
 from .endpoint_client import EndpointClient
@@ -60,18 +61,10 @@
             receiver=router.post,
             random=Random(),
         )
-    runner.start()
-    bundles.start()
-    for link in runner.links.values():
-        link.start()
+    start_agent(runner, bundles)
     log(PROCESS_STARTED, process=settings.agent_id)
     await stop.wait()
-    log(PROCESS_DRAINING, process=settings.agent_id)
-    await runner.drain()
-    await runner.close()
-    await bundles.close()
-    await asyncio.gather(*(link.close() for link in runner.links.values()))
-    log(PROCESS_STOPPED, process=settings.agent_id)
+    await stop_agent(settings.agent_id, runner, bundles)
 
 
 def build_announcement(
--- a/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
+++ b/packages/wasabispur-agent/src/wasabispur_agent/worker_agent.py
@@ -9,11 +9,12 @@
 from wasabispur_core.chart import ChartCatalogue
 from wasabispur_core.jobs.task import former_lease_end, TaskState
 from wasabispur_core.jobs.task_action import task_chart
-from wasabispur_core.log_event import PROCESS_DRAINING, PROCESS_STARTED, PROCESS_STOPPED
+from wasabispur_core.log_event import PROCESS_STARTED
 from wasabispur_core.protocol import Announce, Heartbeat
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.log import log
 
+from .agent_lifecycle import start_agent, stop_agent
 from .agent_settings import AgentSettings
 from .bundle_actor import build_announce_callback, build_bundle_actor
 from .entry_link import EntryLink
@@ -63,18 +64,10 @@
         (stopping_previous, stopping), return_when=asyncio.FIRST_COMPLETED
     )
     if stopping_previous.done():
-        runner.start()
-        bundles.start()
-        for link in runner.links.values():
-            link.start()
+        start_agent(runner, bundles)
     await stopping
     stopping_previous.cancel()
-    log(PROCESS_DRAINING, process=settings.agent_id)
-    await runner.drain()
-    await runner.close()
-    await bundles.close()
-    await asyncio.gather(*(link.close() for link in runner.links.values()))
-    log(PROCESS_STOPPED, process=settings.agent_id)
+    await stop_agent(settings.agent_id, runner, bundles)
 
 
 def build_heartbeat(
