--- a/tests/job/test_lost_start.py
+++ b/tests/job/test_lost_start.py
@@ -7,18 +7,12 @@
 import pytest
 
 from wasabispur_agent.worker_client import ErrorResponse, NoResponse, TaskList
-from wasabispur_agent.worker_message import ClockReading
 from wasabispur_agent.worker_runner import POLL_INTERVAL, WorkerRunner
-from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.jobs.task import TaskState
-from wasabispur_core.jobs.task_action import task_chart
-from wasabispur_core.protocol import Reason, ReserveTask, StartTask, StopTask
+from wasabispur_core.protocol import Reason, StopTask
 from wasabispur_core.requests.permit import FromEntry
 from wasabispur_core.timer import FakeTimerService
 
-TASK = "job-1.1.0"
-LEASE = 15.0
-FIELDS = {"task_id": TASK, "shard": "atl-1", "shard_epoch": 1, "gang_epoch": 1}
+from .runner import FIELDS, LEASE, start_task, TASK
 
 
 class SlowWorker:
@@ -55,23 +49,7 @@
 
 async def started(worker) -> tuple[FakeTimerService, WorkerRunner]:
     """Return a runner whose only start has not been answered."""
-    timers = FakeTimerService()
-    chart = task_chart(ChartCatalogue())
-    state = TaskState("atl-1", 8, chart, former_lease_end=0.0)
-    runner = WorkerRunner(timers, state, worker)
-    runner.clock = ClockReading(time=0.0, read_at=0.0)
-    runner.start()
-    lease = {"lease": LEASE, "anchor": 0.0}
-    reserve = ReserveTask(
-        job_id="job-1",
-        accelerators=1,
-        accelerator_ids=(0,),
-        command="{}",
-        **FIELDS,
-        **lease,
-    )
-    for message in (reserve, StartTask(**FIELDS, **lease)):
-        runner.post(FromEntry(entry_id="entry", message=message))
+    timers, runner = start_task(worker)
     await settle(lambda: worker.starts)
     return timers, runner
 
--- a/tests/job/test_worker_drain.py
+++ b/tests/job/test_worker_drain.py
@@ -5,16 +5,10 @@
 import asyncio
 
 from wasabispur_agent.worker_client import TaskList, TaskView
-from wasabispur_agent.worker_message import ClockReading
 from wasabispur_agent.worker_runner import DRAIN_TIMEOUT, WorkerRunner
-from wasabispur_core.chart import ChartCatalogue
-from wasabispur_core.jobs.task import TaskState
-from wasabispur_core.jobs.task_action import task_chart
-from wasabispur_core.protocol import ReserveTask, StartTask
-from wasabispur_core.requests.permit import FromEntry
 from wasabispur_core.timer import FakeTimerService
 
-TASK = "job-1.1.0"
+from .runner import start_task, TASK
 
 
 class FakeWorker:
@@ -43,33 +37,10 @@
 
 
 async def running(worker) -> tuple[FakeTimerService, WorkerRunner]:
-    timers = FakeTimerService()
-    chart = task_chart(ChartCatalogue())
-    state = TaskState("atl-1", 8, chart, former_lease_end=0.0)
-    runner = WorkerRunner(timers, state, worker)
-    runner.clock = ClockReading(time=0.0, read_at=0.0)
-    runner.start()
-    fields = {
-        "task_id": TASK,
-        "shard": "atl-1",
-        "shard_epoch": 1,
-        "gang_epoch": 1,
-        "lease": 15.0,
-        "anchor": 0.0,
-    }
-    reserve = ReserveTask(
-        job_id="job-1",
-        accelerators=1,
-        accelerator_ids=(0,),
-        command="{}",
-        **fields,
-    )
-    for message in (reserve, StartTask(**fields)):
-        runner.post(FromEntry(entry_id="entry", message=message))
+    timers, runner = start_task(worker)
     async with asyncio.timeout(10):
-        while state.tasks.get(TASK) is None or (
-            state.tasks[TASK].lifecycle.state != "running"
-        ):
+        tasks = runner.state.tasks
+        while tasks.get(TASK) is None or (tasks[TASK].lifecycle.state != "running"):
             await asyncio.sleep(0)
     return timers, runner
 
--- a/tests/process/bundle_system.py
+++ b/tests/process/bundle_system.py
@@ -33,6 +33,17 @@
 AGENTS = ("agent-a", "agent-b", "agent-c")
 
 
+def run_command(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run a command of the command line and return its result."""
+    return subprocess.run(
+        [sys.executable, "-m", "wasabispur", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT,
+        check=False,
+    )
+
+
 class BundleSystem:
     """Start the processes of the bundle tests and stop each by its id in close().
 
@@ -137,26 +148,16 @@
     def generate_key(self, operator: str) -> dict[str, Any]:
         """Create an operator's key and return the operator's item for the settings."""
         path = self.folder / f"{operator}.pem"
-        done = self.run("key", "generate", str(path), "--operator", operator)
+        done = run_command("key", "generate", str(path), "--operator", operator)
         entry: dict[str, Any] = json.loads(done.stdout)
         return entry
 
-    def run(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run a command of the command line and return its result."""
-        return subprocess.run(
-            [sys.executable, "-m", "wasabispur", *arguments],
-            capture_output=True,
-            text=True,
-            timeout=COMMAND_TIMEOUT,
-            check=False,
-        )
-
     def bundle(
         self, *arguments: str, entry: str = "entry-a"
     ) -> subprocess.CompletedProcess[str]:
         """Run a bundle command against an entry."""
         url = f"http://127.0.0.1:{self.http_ports[entry]}"
-        return self.run("bundle", *arguments, "--entry", url, "--output", "json")
+        return run_command("bundle", *arguments, "--entry", url, "--output", "json")
 
     def sign_off_change(self, content: dict[str, Any], entry: str = "entry-a") -> str:
         """Propose, review and sign off a change, and return its id."""
--- a/tests/process/test_bundle_cordon.py
+++ b/tests/process/test_bundle_cordon.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import subprocess
-import sys
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -15,9 +13,9 @@
 from wasabispur_core.bundles.bundle import canonical_json
 from wasabispur_runtime.process import ExitCode
 
+from .bundle_system import run_command
 from .job_system import JobSystem, wait_for
 
-COMMAND_TIMEOUT = 30.0
 IN_FORCE_WITHIN = 5.0
 """Seconds within which G8 requires an accepted bundle in every process."""
 
@@ -37,17 +35,8 @@
                 self.run("key", "generate", path, "--operator", name)
             )
 
-    def call(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run(
-            [sys.executable, "-m", "wasabispur", *arguments],
-            capture_output=True,
-            text=True,
-            timeout=COMMAND_TIMEOUT,
-            check=False,
-        )
-
     def run(self, *arguments: str) -> dict[str, Any]:
-        done = self.call(*arguments)
+        done = run_command(*arguments)
         assert done.returncode == 0, done.stderr
         value: dict[str, Any] = json.loads(done.stdout)
         return value
@@ -103,7 +92,7 @@
     )
     cordons = operators.ask("cordons")["cordons"]
     assert cordons == [{"data_centre": "dc1", "processes": 3, "behind": 0}]
-    again = operators.call("cordon", "dc1", *ada, *operators.entry())
+    again = run_command("cordon", "dc1", *ada, *operators.entry())
     assert again.returncode == ExitCode.CONFLICT
     waiting = system.submit("e0", 0.5, tasks=2, accelerators=4)
     system.wait_state("e0", running, "completed", WAITED + 20)
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -135,10 +135,8 @@
     job = world.submit(tasks(1))
     for _ in range(4):
         world.advance(1.5)
-        for agent in world.agents.values():
-            for worker_id, worker in agent.state.workers.items():
-                if worker.ordered:
-                    world.workers[worker_id].up = False
+        for worker_id in world.ordered_workers():
+            world.workers[worker_id].up = False
         world.advance(2)
     for worker in world.workers.values():
         if not worker.up:
--- a/tests/workload/test_late_start.py
+++ b/tests/workload/test_late_start.py
@@ -27,12 +27,7 @@
     world.start_delay = START_DELAY
     world.submit(tasks(1), duration=30.0)
     world.advance(0.2)
-    ordered = [
-        worker_id
-        for agent in world.agents.values()
-        for worker_id, worker in agent.state.workers.items()
-        if worker.ordered
-    ]
+    ordered = world.ordered_workers()
     assert len(ordered) == 1
     world.delayed_starts = False
     return world, world.workers[ordered[0]]
--- a/tests/workload/test_worker_removal.py
+++ b/tests/workload/test_worker_removal.py
@@ -135,12 +135,7 @@
         worker.silent = True
     world.submit(tasks(1), duration=LONG_RUN_TIME)
     world.advance(0.3)
-    ordered = [
-        worker_id
-        for agent in world.agents.values()
-        for worker_id, worker in agent.state.workers.items()
-        if worker.ordered
-    ]
+    ordered = world.ordered_workers()
     assert len(ordered) == 1
     for worker_id, worker in world.workers.items():
         worker.silent = worker_id in ordered
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -1128,6 +1128,15 @@
             born=old.born + 1,
         )
 
+    def ordered_workers(self) -> list[str]:
+        """Return the workers for which their agents have orders."""
+        return [
+            worker_id
+            for agent in self.agents.values()
+            for worker_id, worker in agent.state.workers.items()
+            if worker.ordered
+        ]
+
     def owner(self) -> Entry | None:
         """Return the entry that owns the shard, if there is one."""
         return next((e for e in self.entries if e.fleet.active and e.alive), None)
