Call workers with faults faulty, and their restart a restart

Tests use the new names of the simulated worker; no assertion and no rule name of the state machine changes, as the latter decide what is explored.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/doubt_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/doubt_wait.py
@@ -1,6 +1,6 @@
 """Decide whether a unit that only fits with doubtful workers waits for others.
 
-A gang loses all its work with one sick member. So a unit waits, from the first pass in
+A gang loses all its work with one faulty member. So a unit waits, from the first pass in
 which it would fit with workers whose health is in doubt, for as long as a flap or a
 false answer takes and the objective allows, and then it runs there.
 """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
@@ -1,6 +1,6 @@
 """Apply the answers to health checks at the shard's owner, and log what follows.
 
-Half of the workers of a service that are down at once are no sign of sick workers but
+Half of the workers of a service that are down at once are no sign of faulty workers but
 of a fault of the checks, or of a common cause: trust in them is not reduced then, as no
 better workers are left.
 """
@@ -31,7 +31,7 @@
 """Share below which answers count again; the gap prevents alternation."""
 
 DISREGARD_LEAST = 2
-"""Least number of workers that look down for that to be no sign of sick ones."""
+"""Least number of workers that look down for that to be no sign of faulty ones."""
 
 COUNT_INTERVAL = 5.0
 """Seconds between two counts of the workers by answer."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
@@ -1,6 +1,6 @@
 """Decide how far a worker is trusted, from its health checks and its runs.
 
-Designed for 650 workers, 2,200 running tasks and gangs of up to 64, of which one sick
+Designed for 650 workers, 2,200 running tasks and gangs of up to 64, of which one faulty
 worker costs a gang all its work. Answers are wrong in both directions: a worker may
 answer as healthy and fail everything, or answer as unhealthy and run everything.
 Workers that flap are down and up in turns of 1.4 to 1.7 s. So an answer only makes a
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -9,12 +9,12 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 
+from .faulty_fleet import play_faulty_load
+from .faulty_worker import FaultCost, FaultKind, FaultPlan
 from .fleet_experiment import play_load
 from .fleet_forecast import ForecastErrors
 from .fleet_load import CLASSES_BY_LOAD, DEFAULT_LOAD, JOB_CLASSES
 from .fleet_result import add_results, QueueResult
-from .sick_fleet import play_sick_load
-from .sick_worker import SickKind, SickPlan, SickResult
 from .stop_waste import CAUSES
 
 HEADER = (
@@ -100,12 +100,12 @@
 )
 @click.option("--seeds", type=click.IntRange(1, 100), default=4, show_default=True)
 @click.option(
-    "--sick",
-    type=click.Choice([kind.value for kind in SickKind]),
-    help="What sick workers do; without it, no worker is sick.",
+    "--worker-fault",
+    type=click.Choice([kind.value for kind in FaultKind]),
+    help="What faulty workers do; without it, no worker is faulty.",
 )
 @click.option(
-    "--sick-workers", type=click.IntRange(1, 1000), default=4, show_default=True
+    "--faulty-workers", type=click.IntRange(1, 1000), default=4, show_default=True
 )
 @click.option(
     "--health-checks", is_flag=True, help="Report the workers' health to the owner."
@@ -126,25 +126,27 @@
     admission: bool,
     forecasts: bool,
     seeds: int,
-    sick: str | None,
-    sick_workers: int,
+    worker_fault: str | None,
+    faulty_workers: int,
     health_checks: bool,
     output: str,
 ) -> None:
     """Play loads with wrong estimates, and print what callers of each queue get."""
     logger.remove()
-    if (sick or health_checks) and (errors or forecasts or flood or admission):
+    if (worker_fault or health_checks) and (errors or forecasts or flood or admission):
         raise click.UsageError(
-            "sick workers are played without errors, forecasts, floods and admission"
+            "faulty workers are played without errors, forecasts, floods and admission"
         )
-    plan = SickPlan(SickKind(sick) if sick else None, sick_workers, health_checks)
-    cost, forecast_errors = SickResult(), ForecastErrors()
+    plan = FaultPlan(
+        FaultKind(worker_fault) if worker_fault else None, faulty_workers, health_checks
+    )
+    cost, forecast_errors = FaultCost(), ForecastErrors()
     played: list[dict[str, QueueResult]] = []
     for seed in range(1, seeds + 1):
         load = (workers, organisations, rate, seconds, seed, rack_size)
-        if sick or health_checks:
-            callers, sick_cost = play_sick_load(*load, plan)
-            cost.add(sick_cost)
+        if worker_fault or health_checks:
+            callers, fault_cost = play_faulty_load(*load, plan)
+            cost.add(fault_cost)
         else:
             use = EstimateUse(run_times)
             callers = play_load(
@@ -162,8 +164,8 @@
         rows: dict[str, object] = {
             queue: _row(result) for queue, result in results.items()
         }
-        if sick:
-            rows["sick workers"] = _sick_row(cost)
+        if worker_fault:
+            rows["faulty workers"] = _fault_row(cost)
         if forecasts:
             rows["forecasts"] = forecast_errors.rows()
         click.echo(json.dumps(rows, indent=2))
@@ -172,18 +174,18 @@
     for queue, result in results.items():
         click.echo(_table_line(queue, result))
     click.echo(NOTE)
-    if sick:
+    if worker_fault:
         numbers = ", ".join(
-            f"{key} {value:.2f}" for key, value in _sick_row(cost).items()
+            f"{key} {value:.2f}" for key, value in _fault_row(cost).items()
         )
-        click.echo(f"on sick workers, per worker and minute: {numbers}")
+        click.echo(f"on faulty workers, per worker and minute: {numbers}")
     if forecasts:
         click.echo(FORECAST_HEADER)
         for row in forecast_errors.rows():
             click.echo(_forecast_line(row))
 
 
-def _sick_row(cost: SickResult) -> dict[str, float]:
+def _fault_row(cost: FaultCost) -> dict[str, float]:
     return {
         "failed_units": cost.per_minute(cost.failed),
         "broken_gangs": cost.per_minute(cost.broken),
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/faulty_fleet.py
@@ -1,4 +1,4 @@
-"""Play a load against the shard owner's scheduler while some workers are sick."""
+"""Play a load against the shard owner's scheduler while some workers are faulty."""
 
 from __future__ import annotations
 
@@ -9,6 +9,16 @@
 from wasabispur_core.workload.jobs.unit import ENDED_STATES, Unit, UnitId
 from wasabispur_core.workload.workers.worker import EndKind, HealthAnswer
 
+from .faulty_worker import (
+    FAILURE_TIME,
+    FaultCost,
+    FaultKind,
+    FaultPlan,
+    FAULTY_UNTIL,
+    FaultyWorkers,
+    HANGING,
+    REFUSING,
+)
 from .fleet_experiment import (
     FleetExperiment,
     RACK_SIZE,
@@ -17,23 +27,13 @@
 )
 from .fleet_load import generate_jobs, GeneratedJob
 from .fleet_result import QueueResult
-from .sick_worker import (
-    FAILURE_TIME,
-    HANGING,
-    REFUSING,
-    SickKind,
-    SickPlan,
-    SickResult,
-    SickWorkers,
-    WELL_AT,
-)
 
 CHECK_INTERVAL = 0.5
 """Seconds between two health checks of a worker."""
 
 
-class SickFleetExperiment(FleetExperiment):
-    """Represent an owner and its fleet, of which some workers are sick for a time."""
+class FaultyFleetExperiment(FleetExperiment):
+    """Represent an owner and its fleet, of which some workers are faulty for a time."""
 
     def __init__(
         self,
@@ -41,22 +41,22 @@
         organisations: int,
         jobs: Sequence[GeneratedJob],
         rack_size: int,
-        plan: SickPlan,
+        plan: FaultPlan,
         random: Random,
     ) -> None:
         super().__init__(workers, organisations, jobs, rack_size)
-        self.sick = SickWorkers(plan, list(self.reports), random)
-        self.cost = SickResult()
+        self.faulty = FaultyWorkers(plan, list(self.reports), random)
+        self.cost = FaultCost()
         self.hung: dict[UnitId, tuple[SimulatedRun, float]] = {}
-        turns = self.sick.turns()
+        turns = self.faulty.turns()
         begun = {worker_id: at for at, worker_id, _ in reversed(turns)}
-        self.cost.sick_seconds = sum(WELL_AT - at for at in begun.values())
+        self.cost.faulty_seconds = sum(FAULTY_UNTIL - at for at in begun.values())
         self.random = random
         if plan.health_checks:
             for worker_id in self.reports:
                 self.answers[worker_id] = (HealthAnswer.HEALTHY, self.now)
-        for at, worker_id, acts_up in turns:
-            self._later(at, partial(self._turn, worker_id, acts_up))
+        for at, worker_id, active in turns:
+            self._later(at, partial(self._turn, worker_id, active))
 
     def percent(self, unit: Unit) -> int:
         """Return the completed share of a unit's run; a run that hangs shows 1%."""
@@ -72,14 +72,14 @@
         """Return whether a unit's run uses no cpu, as workers list it."""
         return unit.unit_id in self.hung
 
-    def _turn(self, worker_id: str, acts_up: bool) -> None:
-        """Let a worker begin or cease to act up, with all that runs there."""
-        if acts_up:
-            self.sick.acting.add(worker_id)
+    def _turn(self, worker_id: str, active: bool) -> None:
+        """Begin or end the fault of a worker, with all that runs there."""
+        if active:
+            self.faulty.affected.add(worker_id)
         else:
-            self.sick.acting.discard(worker_id)
-        if self.sick.kind is SickKind.RESTART:
-            if acts_up:
+            self.faulty.affected.discard(worker_id)
+        if self.faulty.kind is FaultKind.RESTART:
+            if active:
                 self.unreachable.add(worker_id)
             else:
                 self.unreachable.discard(worker_id)
@@ -88,8 +88,8 @@
             run = self.runs.get(unit.unit_id)
             if run is None or run.run != unit.run:
                 continue
-            if acts_up:
-                self._afflict(unit, run, worker_id)
+            if active:
+                self._apply_fault(unit, run, worker_id)
             else:
                 self._resume(unit, run)
         self._later(self.now + REPORT_DELAY, lambda: self.report(worker_id))
@@ -98,7 +98,7 @@
 
     def _check(self, worker_id: str) -> None:
         """Make a health check, and report its answer if it changed."""
-        answer = self.sick.answer(worker_id)
+        answer = self.faulty.answer(worker_id)
         if worker_id not in self.answers or self.answers[worker_id][0] is answer:
             return
         self.answers[worker_id] = (answer, self.now)
@@ -108,18 +108,18 @@
     def _start(self, unit: Unit) -> None:
         super()._start(unit)
         self.hung.pop(unit.unit_id, None)
-        for worker_id in self._acting_workers(unit):
-            self._afflict(unit, self.runs[unit.unit_id], worker_id)
+        for worker_id in self._affected_workers(unit):
+            self._apply_fault(unit, self.runs[unit.unit_id], worker_id)
 
-    def _acting_workers(self, unit: Unit) -> list[str]:
+    def _affected_workers(self, unit: Unit) -> list[str]:
         ids = {one.worker_ref.worker_id for one in unit.members if not one.ended}
-        return sorted(ids & self.sick.acting)
+        return sorted(ids & self.faulty.affected)
 
-    def _afflict(self, unit: Unit, run: SimulatedRun, worker_id: str) -> None:
-        """Let a run hang or fail on a worker that acts up."""
-        kind = self.sick.kind
+    def _apply_fault(self, unit: Unit, run: SimulatedRun, worker_id: str) -> None:
+        """Let a run hang or fail on a worker with an active fault."""
+        kind = self.faulty.kind
         started = run.started_at <= self.now
-        if kind is SickKind.FALSE_ALARM or (kind in REFUSING and started):
+        if kind is FaultKind.FALSE_ALARM or (kind in REFUSING and started):
             return
         if kind in HANGING:
             self.hung.setdefault(unit.unit_id, (run, max(self.now, run.started_at)))
@@ -129,7 +129,7 @@
 
     def _resume(self, unit: Unit, run: SimulatedRun) -> None:
         hung = self.hung.get(unit.unit_id)
-        if hung is None or hung[0] is not run or self._acting_workers(unit):
+        if hung is None or hung[0] is not run or self._affected_workers(unit):
             return
         del self.hung[unit.unit_id]
         run.started_at += self.now - hung[1]
@@ -146,7 +146,7 @@
             return
         del self.runs[unit.unit_id]
         self._count_failure(unit, run)
-        self.end(unit, self.sick.end_kind, worker_id)
+        self.end(unit, self.faulty.end_kind, worker_id)
 
     def _finish(self, unit: Unit, run: SimulatedRun, kind: EndKind) -> None:
         hung = self.hung.get(unit.unit_id)
@@ -167,22 +167,22 @@
             self.cost.lost_work += worked * cores
 
 
-def play_sick_load(
+def play_faulty_load(
     workers: int,
     organisations: int,
     rate: float,
     duration: float,
     seed: int,
     rack_size: int,
-    plan: SickPlan,
-) -> tuple[dict[str, QueueResult], SickResult]:
-    """Return what callers get of one load, by queue, and what sick workers cost.
+    plan: FaultPlan,
+) -> tuple[dict[str, QueueResult], FaultCost]:
+    """Return what callers get of one load, by queue, and what faulty workers cost.
 
-    The arguments are those of play_load; the seed also chooses the sick workers.
+    The arguments are those of play_load; the seed also chooses the faulty workers.
     """
     racks = workers // rack_size if rack_size else 0
     jobs = generate_jobs(rate, duration, organisations, Random(seed), racks)
-    experiment = SickFleetExperiment(
+    experiment = FaultyFleetExperiment(
         workers, organisations, jobs, rack_size or RACK_SIZE, plan, Random(seed)
     )
     return experiment.play(duration), experiment.cost
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_worker.py
@@ -70,7 +70,7 @@
     up: bool = True
     silent: bool = False
     draining: bool = False
-    sick: bool = False
+    fails_runs: bool = False
     guards: bool = True
     stop_delay: float = STOP_DELAY
     stalled: bool = False
@@ -196,7 +196,7 @@
             elif self.clock >= self.expiry:
                 self.end(run.task, EndKind.LAPSED)
 
-    def reborn(self) -> None:
+    def restart(self) -> None:
         """Restart the worker under the same id, with a new incarnation and no runs."""
         self.born += 1
         self.runs.clear()
--- a/tests/workload/test_fleet_experiment.py
+++ b/tests/workload/test_fleet_experiment.py
@@ -9,12 +9,12 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 from wasabispur_standins.experiment_command import fleet_experiment
+from wasabispur_standins.faulty_fleet import play_faulty_load
+from wasabispur_standins.faulty_worker import FaultKind, FaultPlan
 from wasabispur_standins.fleet_experiment import FleetExperiment, play_load
 from wasabispur_standins.fleet_forecast import ForecastErrors
 from wasabispur_standins.fleet_load import generate_jobs
 from wasabispur_standins.fleet_result import add_results
-from wasabispur_standins.sick_fleet import play_sick_load
-from wasabispur_standins.sick_worker import SickKind, SickPlan
 
 URGENT_START_TARGET = 3.4
 """Seconds within which urgent work starts, at the size to design for."""
@@ -94,12 +94,12 @@
     assert len(beside["urgent"].waits) == len(alone["urgent"].waits) > 0
 
 
-def test_health_checks_spare_units_on_sick_workers():
-    """Guard against an experiment, or an owner, for which sick workers cost nothing."""
+def test_health_checks_spare_units_on_faulty_workers():
+    """Guard against an experiment or owner for which faulty workers cost nothing."""
     failed = []
     for health_checks in (False, True):
-        plan = SickPlan(SickKind.ERROR, 3, health_checks)
-        _, cost = play_sick_load(30, 4, 1.0, 25.0, 1, 0, plan)
+        plan = FaultPlan(FaultKind.ERROR, 3, health_checks)
+        _, cost = play_faulty_load(30, 4, 1.0, 25.0, 1, 0, plan)
         failed.append(cost.failed)
     assert 0 < failed[1] < failed[0]
 
--- a/tests/workload/test_health_checks.py
+++ b/tests/workload/test_health_checks.py
@@ -94,9 +94,9 @@
 
 
 def test_gang_gets_no_member_on_an_unhealthy_worker():
-    """Guard against a gang that fails with one sick worker beside healthy ones."""
+    """Guard against a gang that fails with one faulty worker beside healthy ones."""
     world = checked_world("w0")
-    world.workers["w0"].sick = True
+    world.workers["w0"].fails_runs = True
     job = world.submit(gang(3, accelerators=8), duration=2.0)
     world.advance(6)
     assert world.ended(job)
@@ -134,7 +134,7 @@
 
 @pytest.mark.parametrize("fault", ["owner", "agent", "store"])
 def test_health_survives_faults(fault):
-    """Guard against trust in a sick worker after a process or the store has failed."""
+    """Guard against trust in a faulty worker after a process or the store failed."""
     world = checked_world("w0")
     if fault == "owner":
         world.kill_entry(world.entries.index(world.owner()))
@@ -172,7 +172,7 @@
         worker.health = HealthAnswer.UNANSWERED
     world.advance(3)
     assert trust(world, "w0") is Trust.FULL
-    world.workers["w0"].sick = True
+    world.workers["w0"].fails_runs = True
     world.submit(tasks(24, 1), duration=4.0)
     world.advance(2)
     assert trust(world, "w0") in (Trust.NONE, Trust.AVOIDED)
@@ -196,7 +196,7 @@
 
 
 def test_job_with_tasks_that_run_elsewhere_is_not_the_cause():
-    """Guard against sick workers that are trusted again as each job fails on several.
+    """Guard against faulty workers that are trusted again as each job fails on several.
 
     Each failure on a second worker cleared the first one, until all jobs had failed.
     """
--- a/tests/workload/test_owner_knowledge.py
+++ b/tests/workload/test_owner_knowledge.py
@@ -106,7 +106,7 @@
     for other in world.workers.values():
         if other is not worker:
             other.up = False
-    worker.reborn()
+    worker.restart()
     worker.born = 1
     world.kill_agent(index_of_agent(world, worker))
     world.advance(20)
--- a/tests/workload/test_planner_memory.py
+++ b/tests/workload/test_planner_memory.py
@@ -116,7 +116,7 @@
     """Make one random change of the load or of the workers."""
     worker = world.workers[random.choice(sorted(world.workers))]
     kind = random.choice(
-        ["job"] * 6 + ["cancel", "restart", "drain", "sick", "stalled", "silent"]
+        ["job"] * 6 + ["cancel", "restart", "drain", "faulty", "stalled", "silent"]
     )
     if kind == "job":
         step = random.choice([gang, tasks])
@@ -139,8 +139,8 @@
         world.restart_worker(worker)
     elif kind == "drain":
         worker.draining = not worker.draining
-    elif kind == "sick":
-        worker.sick = not worker.sick
+    elif kind == "faulty":
+        worker.fails_runs = not worker.fails_runs
     elif kind == "stalled":
         worker.stalled = not worker.stalled
     elif kind == "silent":
--- a/tests/workload/test_rack_review.py
+++ b/tests/workload/test_rack_review.py
@@ -378,10 +378,10 @@
         if begun:
             break
     first = world.workers[begun[0]]
-    first.sick = True
+    first.fails_runs = True
     while not any(task.startswith(job) for task in world.failures):
         world.advance(0.05)
-    first.sick = False
+    first.fails_runs = False
 
 
 def runs_of(world, job: str) -> set[int]:
--- a/tests/workload/test_waits.py
+++ b/tests/workload/test_waits.py
@@ -195,11 +195,11 @@
     world.advance(1)
     (busy,) = [one.worker_id for one in world.workers.values() if one.runs]
     (free,) = [one for one in world.workers.values() if one.worker_id != busy]
-    free.sick = True
+    free.fails_runs = True
     job = world.submit(tasks(1, 8), duration=4)
     world.advance(1)
     assert any(task.startswith(job) for task in world.failures)
-    free.sick = False
+    free.fails_runs = False
     world.advance(10)
     assert world.ended(job)
 
--- a/tests/workload/test_worker_health.py
+++ b/tests/workload/test_worker_health.py
@@ -31,11 +31,11 @@
 
 def test_unhealthy_worker_is_doubtful_until_it_has_recovered():
     """Guard against gang members on a worker that answers as unhealthy, or just did."""
-    sick = health((UNHEALTHY, 100.0))
-    assert sick.trust(100.0) is Trust.DOUBTFUL
-    sick.answered(HEALTHY, 120.0)
-    assert sick.trust(120.0 + RECOVERY_TIME - 0.1) is Trust.DOUBTFUL
-    assert sick.trust(120.0 + RECOVERY_TIME + 0.1) is Trust.FULL
+    unhealthy = health((UNHEALTHY, 100.0))
+    assert unhealthy.trust(100.0) is Trust.DOUBTFUL
+    unhealthy.answered(HEALTHY, 120.0)
+    assert unhealthy.trust(120.0 + RECOVERY_TIME - 0.1) is Trust.DOUBTFUL
+    assert unhealthy.trust(120.0 + RECOVERY_TIME + 0.1) is Trust.FULL
 
 
 def test_unanswered_check_counts_only_with_a_fault():
@@ -93,7 +93,7 @@
 
 
 def test_failed_trials_become_rarer():
-    """Guard against a steady stream of units that fail on a sick worker."""
+    """Guard against a steady stream of units that fail on a faulty worker."""
     hidden = health()
     hidden.fault(started_at=90.0, now=100.0)
     hidden.fault(started_at=95.0, now=100.1)
--- a/tests/workload/test_workload_machine.py
+++ b/tests/workload/test_workload_machine.py
@@ -151,7 +151,7 @@
 
     @rule(index=INDEX, sick=st.booleans())
     def sicken_worker(self, index, sick):
-        self.worker(index).sick = sick
+        self.worker(index).fails_runs = sick
 
     @rule(down=st.booleans())
     def store_down(self, down):
--- a/tests/workload/test_workload_path.py
+++ b/tests/workload/test_workload_path.py
@@ -91,7 +91,7 @@
     twice each on one worker within 0.8 s.
     """
     world = started_world(workers=4)
-    next(iter(world.workers.values())).sick = True
+    next(iter(world.workers.values())).fails_runs = True
     jobs = [
         world.submit(tasks(4, 8), queue_name="bulk", duration=2.0) for _ in range(4)
     ]
@@ -273,7 +273,7 @@
     job = world.submit(tasks(1), duration=5)
     world.advance(1)
     busy = next(w for w in world.workers.values() if w.runs)
-    busy.reborn()
+    busy.restart()
     world.advance(8)
     assert world.state_of(job).job_state is COMPLETED
 
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -545,12 +545,14 @@
             speed = min(worker.speed for worker, _ in members)
             for worker, run in members:
                 # Runs on a faulty worker fail early, so that it is soon free again.
-                run.remaining_work -= 10 * seconds if worker.sick else speed * seconds
+                run.remaining_work -= (
+                    10 * seconds if worker.fails_runs else speed * seconds
+                )
             if all(run.remaining_work <= 0 for _, run in members):
                 self._end(members)
 
     def _end(self, members: list[tuple[SimulatedWorker, Running]]) -> None:
-        failed = any(run.fails or worker.sick for worker, run in members)
+        failed = any(run.fails or worker.fails_runs for worker, run in members)
         for worker, run in members:
             worker.end(run.task, EndKind.FAILED if failed else EndKind.DONE)
             if failed:
@@ -1099,7 +1101,7 @@
             known = end.task in self.acknowledged or end.task in self.listed
             if end.kind is EndKind.DONE and not known:
                 self.succeeded.discard(end.task)
-        worker.reborn()
+        worker.restart()
 
     def _forget_unacknowledged(self, worker: SimulatedWorker, expirations: int) -> None:
         """Allow further runs of tasks whose ends have not been acknowledged in time.
@@ -1152,7 +1154,7 @@
             if process.paused:
                 process.resume()
         for worker in self.workers.values():
-            worker.silent = worker.sick = False
+            worker.silent = worker.fails_runs = False
             if not worker.up:
                 self.restart_worker(worker)
         self.deliver_missed_rows()
