Replace figures of speech in comments and in texts of the development tools

Values don't tell anything and loads aren't played; comments say what is known, shown or stated. Names, log events and stored texts stay.

--- a/packages/wasabispur-core/src/wasabispur_core/jobs/job_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/jobs/job_placement.py
@@ -60,7 +60,7 @@
     """Report the job policy in the bundle of settings in force.
 
     quotas maps an organisation to the number of accelerators that it may use at once.
-    cordoned tells that no task may be started in the data centre.
+    cordoned is set if no task may be started in the data centre.
     """
 
     guarantees: tuple[Guarantee, ...] = ()
--- a/packages/wasabispur-core/src/wasabispur_core/sharding/shard.py
+++ b/packages/wasabispur-core/src/wasabispur_core/sharding/shard.py
@@ -52,8 +52,8 @@
 class Shard:
     """Represent one entry's claim to a shard and its scheduler for the shard.
 
-    decide_jobs is the decision function of the scheduler, which acts under the
-    shard's lease. tick is the message that tells the scheduler that time has passed.
+    decide_jobs is the decision function of the scheduler, which acts under the shard's
+    lease. tick is the message by which the scheduler learns that time has passed.
     failures counts the consecutive messages on which the scheduler failed.
     """
 
--- a/packages/wasabispur-core/src/wasabispur_core/storage/circuit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/circuit.py
@@ -133,7 +133,7 @@
 
 
 class SentBeforeTrial(CircuitGuard):
-    """Check whether a failed call tells nothing about the present trial."""
+    """Check whether a failed call gives no information on the present trial."""
 
     __slots__ = ()
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_knowledge.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_knowledge.py
@@ -1,7 +1,7 @@
 """Follow what an entry instance knows of the fleet's load.
 
 The actions and guards belong to the state chart load_knowledge. A load may only lead to
-rejections while it is known: a row that is not renewed tells that its owner may be
+rejections while it is known: a row that is not renewed shows that its owner may be
 gone.
 """
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
@@ -104,7 +104,7 @@
     """Return the row of a load, without the smallest amounts of work if it is too long.
 
     What is left out counts as no work, so that more jobs are accepted. A configuration
-    with too many services or queues leaves a row that tells nothing.
+    with too many services or queues leaves a row without information.
     """
     while len(encode_json(row := pack(load))) > ROW_BYTES_LIMIT:
         amounts = sorted(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/work.py
@@ -32,7 +32,7 @@
     def seconds(self, capacity: Work) -> float:
         """Return the seconds that a capacity takes for the resource needed most.
 
-        A resource without capacity is left out, as nothing tells when there will be
+        A resource without capacity is left out, as it is unknown when there will be
         some.
         """
         return max(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/agent/runner_state.py
@@ -51,7 +51,7 @@
 
     answer holds since since, in monotonic seconds. in_flight is set while a check is in
     progress, and unanswered counts the successive ones without a valid answer. changes
-    counts the changes of the answer, also of former incarnations, and reason tells why
+    counts the changes of the answer, also of former incarnations, and reason states why
     it changed. logged and logged_changes are the answer and the number of changes at
     the last log line, which was written at logged_at.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_action.py
@@ -66,7 +66,7 @@
 class AnswerNotAccepted(CallAction):
     """Answer that the job was not accepted and never runs.
 
-    The answer tells whether the same job can be accepted later.
+    The answer states whether the same job can be accepted later.
     """
 
     __slots__ = ()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job.py
@@ -85,7 +85,7 @@
     begun is set once a unit has been placed, and failed once one has failed.
     failed_on contains the workers on which runs of the job failed, and waits what was
     logged of the waits of an occurrence's step. held is set if the job's stored
-    progress can't be read, so that nothing tells what has run or still runs. creation
+    progress can't be read, so that it is unknown what has run or still runs. creation
     limits the units that are created with one message. forecast contains the expected
     run times, once they are needed. graph contains the dependencies of the steps, and
     payload_bytes is the size in bytes that the payload takes in a row.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_list.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_list.py
@@ -28,7 +28,7 @@
 
     OFFERED: the planner decides on it in each pass. CHANGED: the next pass offers it.
     BACKOFF: a worker has refused it a moment ago. UNKNOWN_END: a former run may have
-    been its last attempt, and its worker has yet to tell how it ended. NO_TERMS: the
+    been its last attempt, and its worker has yet to report how it ended. NO_TERMS: the
     job's queue has never been known. HELD: the job's stored progress can't be read.
     NOT_CREATED: it is created once others of its step or job have been placed or
     completed. UNLISTED: it is in no other list, which is a fault.
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -97,7 +97,7 @@
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
-    task takes away from the rack that it prefers. estimate_use tells for what learned
+    task takes away from the rack that it prefers. estimate_use states for what learned
     run times are used, and stop_times how long stops take. lease is that of the shard.
     publishes_load is set if entries accept jobs by the load.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
@@ -1,8 +1,8 @@
 """Log which share of a service's capacity the owner counts as used, and why.
 
-While a unit waits, this tells a full service from one whose resources the owner takes
-for used: by runs on silent workers, by ends that it has yet to learn of, by workers
-that get no units.
+While a unit waits, this distinguishes a full service from one whose resources the owner
+takes for used: by runs on silent workers, by ends that have yet to be reported, by
+workers that get no units.
 """
 
 from __future__ import annotations
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/doubt_wait.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/doubt_wait.py
@@ -1,7 +1,7 @@
 """Decide whether a unit that only fits with doubtful workers waits for others.
 
-A gang loses all its work with one faulty member. So a unit waits, from the first pass in
-which it would fit with workers whose health is in doubt, for as long as a flap or a
+A gang loses all its work with one faulty member. So a unit waits, from the first pass
+in which it would fit with workers whose health is in doubt, for as long as a flap or a
 false answer takes and the objective allows, and then it runs there.
 """
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/loss_limit.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/loss_limit.py
@@ -25,9 +25,9 @@
 def eviction_loss_limit(unit: WaitingUnit, now: float, settling: bool) -> float:
     """Return the limit of lost work in core-seconds for an eviction.
 
-    While workers have yet to report, which settling tells, one of them may have room.
-    Away from its rack a unit takes several times as long, so that stopping others for
-    it is worth little.
+    While workers have yet to report, in which case settling is set, one of them may
+    have room. Away from its rack a unit takes several times as long, so that stopping
+    others for it is worth little.
     """
     if settling:
         return NO_EVICTION
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -111,7 +111,8 @@
                 break
             relaxed = drop(preference, candidate)
             if self._hosts(relaxed) == self._hosts(candidate):
-                # The preference is void, as no rack could hold the unit, for example.
+                # The preference has no effect, as no rack could hold the unit, for
+                # example.
                 continue
             reason = self._reason_to_wait(preference, unit, candidate)
             if reason is not None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_difference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy_difference.py
@@ -1,4 +1,4 @@
-"""Compare two versions of the configuration, and tell what changes for jobs."""
+"""Compare two versions of the configuration, and describe what changes for jobs."""
 
 from __future__ import annotations
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/fleet_health.py
@@ -38,7 +38,7 @@
 
 
 def apply_health(worker: Worker, report: WorkerReport, now: float) -> None:
-    """Apply the answer in a report, and what the report tells of the worker's contact.
+    """Apply the answer in a report, and what the report shows about the contact.
 
     worker still has the state of the last report.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/lost_run.py
@@ -110,7 +110,7 @@
 def reconcile_recorded_runs(state: FleetState, now: float) -> list[Command]:
     """End the recorded runs on workers that restarted or were replaced meanwhile.
 
-    Nothing tells whether such a worker had announced that it leaves, so that its end
+    It is unknown whether such a worker had announced that it leaves, so that its end
     counts as a crash: a task that crashes each worker must not gain attempts from the
     loss of an owner. It counts less for a worker that was replaced, since its machine
     may have lost its power with all others. A worker without a report may be alive:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/orders.py
@@ -19,7 +19,7 @@
 """Size of the longest order in an orders row, without its checkpoint."""
 
 UNKNOWN_RUNS_LIMIT = 100
-"""Runs that nobody ordered which a worker is told to stop at a time.
+"""Runs without an order that a worker is instructed to stop at a time.
 
 More of them would not leave enough room for orders in the worker's row.
 """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/reported_worker.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/reported_worker.py
@@ -20,8 +20,8 @@
     written_orders the orders row as last written, and acknowledged the number of the
     last ended run that has been applied. failed_units contains the units whose runs
     failed there since the last success. The worker gets no units before
-    suspected_until; health contains what health checks and runs tell of it. leaving is
-    set once it has announced that it leaves. ignored_incarnation is the former
+    suspected_until; health contains what health checks and runs show about it. leaving
+    is set once it has announced that it leaves. ignored_incarnation is the former
     incarnation on which a report was ignored last. unlisted_since contains, by task and
     number, the runs there with an unknown end, and the time since which the worker's
     lists lack them. begun_runs contains the runs, also of former incarnations, which
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/unlisted_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/unlisted_run.py
@@ -1,7 +1,7 @@
 """Take former runs for lost that their workers list neither as active nor as ended.
 
 The start of a member may never have reached its worker, although the ends of the other
-members show that the gang's run is over. No list will ever tell how such a run ended.
+members show that the gang's run is over. No list will contain how such a run ended.
 """
 
 from __future__ import annotations
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
@@ -101,7 +101,7 @@
         self.checked = True
         before = self.former if self.answer is HealthAnswer.UNKNOWN else self.answer
         if answer is self.answer and changes == self.changes:
-            # A report that is read late would make the answer appear younger.
+            # A report that is read late would make the answer appear more recent.
             self.since = min(self.since, since)
             return
         self.changes = changes
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
@@ -38,7 +38,7 @@
 COMMON_REFUSALS = frozenset(
     ("room", "old", "late", "fence", CORDONED, LEAVING, UNREACHABLE, FORMER_ORDERS)
 )
-"""Reasons for which a sound worker, or its agent, refuses a start."""
+"""Reasons for which a healthy worker, or its agent, refuses a start."""
 
 FAULTY_JOB_WORKERS = 2
 """Number of workers with failed runs at which the job is taken as the cause."""
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/operator_row_watcher.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/operator_row_watcher.py
@@ -54,7 +54,7 @@
     """Pass newer configurations and changed cordons to the actors that use them.
 
     cordons maps the cordoned data centres to the versions of their rows, once they have
-    been read. table is told whether the store answers the feed, if it is set.
+    been read. table is notified whether the store answers the feed, if it is set.
     """
 
     def __init__(
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/thread_call.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/thread_call.py
@@ -1,4 +1,4 @@
-"""Make blocking calls on threads, and tell a stopped actor from a call that failed."""
+"""Make blocking calls on threads; a stopped actor is not a failed call."""
 
 from __future__ import annotations
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -1,4 +1,4 @@
-"""Define the command that plays loads against the shard owner's scheduler."""
+"""Define the command that runs loads against the shard owner's scheduler."""
 
 from __future__ import annotations
 
@@ -93,7 +93,7 @@
     help="Jobs a second of one more organisation, in rows of their own.",
 )
 @click.option(
-    "--admission", is_flag=True, help="Reject jobs that the load would make worthless."
+    "--admission", is_flag=True, help="Reject jobs that would lose all value."
 )
 @click.option(
     "--forecasts", is_flag=True, help="Print how far off learned run times are."
@@ -131,11 +131,11 @@
     health_checks: bool,
     output: str,
 ) -> None:
-    """Play loads with wrong estimates, and print what callers of each queue get."""
+    """Run loads with wrong estimates, and print what callers of each queue get."""
     logger.remove()
     if (worker_fault or health_checks) and (errors or forecasts or flood or admission):
         raise click.UsageError(
-            "faulty workers are played without errors, forecasts, floods and admission"
+            "faulty workers exclude errors, forecasts, floods and admission"
         )
     plan = FaultPlan(
         FaultKind(worker_fault) if worker_fault else None, faulty_workers, health_checks
--- a/packages/wasabispur-standins/src/wasabispur_standins/faulty_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/faulty_fleet.py
@@ -1,4 +1,4 @@
-"""Play a load against the shard owner's scheduler while some workers are faulty."""
+"""Run a load against the shard owner's scheduler while some workers are faulty."""
 
 from __future__ import annotations
 
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -1,8 +1,8 @@
-"""Play a load against the shard owner's scheduler on simulated time.
+"""Run a load against the shard owner's scheduler on simulated time.
 
 The scheduler and its planner are the product's; workers, their agents and the table
 service are replaced by delays. It shows what callers of each queue get, and how much
-work is thrown away.
+work is lost.
 """
 
 from __future__ import annotations
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -84,7 +84,7 @@
 class FleetEntry:
     """Build and run the actors of one entry of the workload plane.
 
-    operator_rows tells where the operators' configuration and cordons are.
+    operator_rows states where the operators' configuration and cordons are.
     """
 
     def __init__(
--- a/packages/wasabispur/src/wasabispur/http_loop.py
+++ b/packages/wasabispur/src/wasabispur/http_loop.py
@@ -15,7 +15,7 @@
     """Run an event loop on a thread of its own.
 
     It serves clients also while the process's main loop is busy, so that a readiness
-    check learns of a stall.
+    check detects a stall.
     """
 
     def __init__(self) -> None:
--- a/packages/wasabispur/src/wasabispur/http_settings.py
+++ b/packages/wasabispur/src/wasabispur/http_settings.py
@@ -20,7 +20,7 @@
 
 DEFAULT_LIMITS = HttpLimits()
 DEFAULT_MEMORY_MB = 200
-"""Memory of a process in MB if the settings file does not tell it."""
+"""Memory of a process in MB if the settings file does not state it."""
 
 UNLIMITED_DESCRIPTORS = 65_536
 """Descriptors that are assumed where the operating system sets no limit."""
