--- a/tests/workload/test_broken_gang.py
+++ b/tests/workload/test_broken_gang.py
@@ -272,7 +272,7 @@
 
 
 def test_crash_of_a_worker_with_an_unknown_end_is_counted():
-    """Guard against a deadly task that gains attempts from the silence of agents."""
+    """Guard against a crashing task that gains attempts while agents are silent."""
     world, job = world_with_gang()
     crashed = world.workers[world.starts[0][3]]
     agent = world.agents[crashed.agent_id]
--- a/tests/workload/test_crash_restart.py
+++ b/tests/workload/test_crash_restart.py
@@ -7,7 +7,7 @@
 from wasabispur_core.workload.agent.runner_message import StartUnanswered
 from wasabispur_core.workload.jobs.progress import JobState
 
-from .test_crashes import deadly_job
+from .test_crashes import crashing_job
 from .test_planner import decide, placed, waiting, worker
 from .world import COMPLETED, gang, started_world, tasks, World
 
@@ -30,7 +30,7 @@
 ):
     """Guard against crashes that count less because the worker was back at once."""
     world = world_of_fast_restarts(workers, recovery_time)
-    job = deadly_job(world, tasks(1))
+    job = crashing_job(world, tasks(1))
     world.advance(30)
     assert world.state_of(job).job_state is JobState.FAILED
     assert len(starts_of(world, job)) == 3
@@ -40,7 +40,7 @@
 def test_gang_whose_workers_are_back_at_once_is_given_up(recovery_time):
     """Guard against a gang that crashes its workers more often than a single task."""
     world = world_of_fast_restarts(2, recovery_time)
-    job = deadly_job(world, gang(4, 4), positions=(2,))
+    job = crashing_job(world, gang(4, 4), positions=(2,))
     world.advance(40)
     assert world.state_of(job).job_state is JobState.FAILED
     assert len(starts_of(world, job, 2)) == 3
@@ -51,7 +51,7 @@
 def test_change_of_the_owner_adds_no_crash(workers, recovery_time):
     """Guard against a new owner that takes crashes for less certain."""
     world = world_of_fast_restarts(workers, recovery_time)
-    job = deadly_job(world, tasks(1))
+    job = crashing_job(world, tasks(1))
     for _ in range(8):
         count = len(starts_of(world, job))
         for _ in range(100):
@@ -68,7 +68,7 @@
 def test_task_does_not_return_to_the_worker_that_it_has_just_crashed():
     """Guard against a task that crashes one worker again while another one is free."""
     world = world_of_fast_restarts(2, 0.007)
-    job = deadly_job(world, tasks(1))
+    job = crashing_job(world, tasks(1))
     world.advance(30)
     used = [where for _, where in starts_of(world, job)]
     assert all(one != other for one, other in zip(used, used[1:], strict=False))
@@ -77,7 +77,7 @@
 def test_retries_on_the_only_worker_are_delayed_more_and_more():
     """Guard against a worker that is crashed again as soon as it is back."""
     world = world_of_fast_restarts(1, 0.007)
-    job = deadly_job(world, tasks(1))
+    job = crashing_job(world, tasks(1))
     for _ in range(400):
         # The worker announces itself as soon as it is back.
         world.workers["w0"].next_heartbeat = 0.0
@@ -89,13 +89,13 @@
 
 
 def test_other_units_of_a_worker_that_crashes_at_once_again_complete():
-    """Guard against innocent tasks that are given up on a single worker."""
+    """Guard against unrelated tasks that are given up on a single worker."""
     world = world_of_fast_restarts(1, 0.007)
     job = world.submit(tasks(3), duration=6.0)
     world.advance(1)
-    deadly = deadly_job(world, tasks(1), organisation="prairie")
+    crashing = crashing_job(world, tasks(1), organisation="prairie")
     world.advance(60)
-    assert world.state_of(deadly).job_state is JobState.FAILED
+    assert world.state_of(crashing).job_state is JobState.FAILED
     assert world.state_of(job).job_state is COMPLETED
 
 
--- a/tests/workload/test_crashes.py
+++ b/tests/workload/test_crashes.py
@@ -9,18 +9,18 @@
 from .world import COMPLETED, gang, started_world, tasks, World
 
 
-def deadly_job(world: World, *steps, positions=(0,), **fields) -> str:
+def crashing_job(world: World, *steps, positions=(0,), **fields) -> str:
     """Submit a job in which some tasks crash each worker that starts them."""
     job = world.submit(*steps, **fields)
     for position in positions:
-        world.deadly_tasks.add(f"{job}.0.0.{position}")
+        world.crashing_tasks.add(f"{job}.0.0.{position}")
     return job
 
 
 def test_task_that_crashes_each_worker_is_given_up():
     """Guard against a task that crashes one worker after the other."""
     world = started_world()
-    job = deadly_job(world, tasks(2))
+    job = crashing_job(world, tasks(2))
     world.advance(60)
     assert world.state_of(job).job_state is JobState.FAILED
 
@@ -28,7 +28,7 @@
 def test_crashes_are_counted_for_each_member_of_a_gang():
     """Guard against a gang that is restarted forever because of one member."""
     world = started_world()
-    job = deadly_job(world, gang(4, 4), positions=(2,))
+    job = crashing_job(world, gang(4, 4), positions=(2,))
     world.advance(60)
     assert world.state_of(job).job_state is JobState.FAILED
 
@@ -37,7 +37,7 @@
 def test_count_of_crashes_survives_the_loss_of_all_entries_and_agents(step):
     """Guard against a count that begins again with each owner."""
     world = started_world()
-    job = deadly_job(world, step)
+    job = crashing_job(world, step)
     for _ in range(20):
         world.advance(1.5)
         for index in range(3):
@@ -49,25 +49,25 @@
     assert world.state_of(job).job_state is JobState.FAILED
 
 
-def test_neighbours_of_a_deadly_task_complete():
-    """Guard against innocent tasks that are given up with the one beside them."""
+def test_neighbours_of_a_crashing_task_complete():
+    """Guard against unrelated tasks that are given up with the one beside them."""
     world = started_world()
     jobs = [world.submit(tasks(8), duration=12.0) for _ in range(2)]
     world.advance(1)
-    deadly = deadly_job(world, tasks(1), organisation="prairie")
+    crashing = crashing_job(world, tasks(1), organisation="prairie")
     world.advance(120)
-    assert world.state_of(deadly).job_state is JobState.FAILED
+    assert world.state_of(crashing).job_state is JobState.FAILED
     for job in jobs:
         assert world.state_of(job).job_state is COMPLETED
 
 
 def test_suspected_task_runs_alone_on_its_worker():
-    """Guard against the third crash of a task that takes innocent work with it."""
+    """Guard against the third crash of a task that takes unrelated work with it."""
     world = started_world()
-    deadly = deadly_job(world, tasks(1))
+    crashing = crashing_job(world, tasks(1))
     job = world.submit(tasks(12), duration=20.0)
     world.advance(60)
-    starts = [(at, where) for at, task, _, where in world.starts if deadly in task]
+    starts = [(at, where) for at, task, _, where in world.starts if crashing in task]
     assert len(starts) == 3
     assert world.state_of(job).job_state is COMPLETED
     last_worker = starts[-1][1]
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -436,7 +436,7 @@
         self.cancelled: dict[str, float] = {}
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
-        self.deadly_tasks: set[str] = set()
+        self.crashing_tasks: set[str] = set()
         self.crashes: dict[str, set[tuple[str, int]]] = {}
         self.starts_after_crashes: dict[str, int] = {}
         self.capacities: dict[str, list[tuple[float, Resources]]] = {}
@@ -866,7 +866,7 @@
             return StartRejected(**worker_fields, **run, reason=reason)
         if not known:
             self._note_start(command, worker)
-            if command.task in self.deadly_tasks:
+            if command.task in self.crashing_tasks:
                 self.crash_worker(worker)
         return StartAccepted(**worker_fields, **run)
 
@@ -1082,7 +1082,7 @@
     def crash_worker(self, worker: SimulatedWorker) -> None:
         """Crash a worker, which is back after a while with empty state."""
         for task in worker.runs:
-            if task in self.deadly_tasks:
+            if task in self.crashing_tasks:
                 crashed = self.crashes.setdefault(task, set())
                 crashed.add((worker.worker_id, worker.born))
         worker.up = False
