--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_row.py
@@ -14,7 +14,7 @@
 LOAD_TABLE = "load"
 
 ROW_BYTES_LIMIT = 8 * 1024
-"""Maximum size of the row, encoded as JSON; the smallest amounts of work are left out."""
+"""Maximum size of the row as JSON; the smallest amounts of work are left out."""
 
 SECONDS_LIMIT = 1e9
 """Largest run time, and largest amount of work in core-seconds is its multiple."""
@@ -104,7 +104,7 @@
     """Return the row of a load, without the smallest amounts of work if it is too long.
 
     What is left out counts as no work, so that more jobs are accepted. A configuration
-    with too many services or queues leaves a row that tells nothing.
+    with too many services or queues leaves a row without information.
     """
     while len(encode_json(row := pack(load))) > ROW_BYTES_LIMIT:
         amounts = sorted(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/spec.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ...storage.store import text_size
-
 STEPS_LIMIT = 100
 """Maximum number of steps of a job."""
 
@@ -132,7 +130,7 @@
 
     @property
     def reserved(self) -> Resources:
-        """Return the resources that one task reserves; a filling one reserves no cpu."""
+        """Return the resources that one task reserves; a filling one has no cpu."""
         if not self.filling:
             return self.demand
         demand = self.demand
@@ -160,8 +158,8 @@
     """Describe an accepted job.
 
     terms are those of its queue when it was accepted; rows of versions without them
-    have none. accepted_at is on the store's clock and start_at on the wall clock, both in
-    seconds. repeats is the number of occurrences, repeat_interval seconds apart. If
+    have none. accepted_at is on the store's clock and start_at on the wall clock, both
+    in seconds. repeats is the number of occurrences, repeat_interval seconds apart. If
     repeats is zero, the job runs once, starts immediately and ignores start_at.
     """
 
@@ -176,11 +174,6 @@
     start_at: float = 0.0
     terms: QueueTerms | None = None
 
-    @property
-    def payload_size(self) -> int:
-        """Return the size in bytes that the payload takes in a row."""
-        return text_size(self.payload)
-
 
 class TaskId(NamedTuple):
     """Identify one task of one occurrence of a job."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/allocation_log.py
@@ -1,8 +1,8 @@
 """Log which share of a service's capacity the owner counts as used, and why.
 
-While a unit waits, this tells a full service from one whose resources the owner takes
-for used: by runs on silent workers, by ends that it has yet to learn of, by workers
-that get no units.
+While a unit waits, this distinguishes a full service from one whose resources the owner
+takes for used: by runs on silent workers, by ends that have yet to be reported, by
+workers that get no units.
 """
 
 from __future__ import annotations
@@ -81,10 +81,7 @@
 ) -> Iterator[tuple[str, Resources, int]]:
     """Yield the demands and numbers of a worker's runs, with the cause of each."""
     cause = _worker_cause(worker, state, now)
-    for unit_id in state.units_by_worker.get(worker.worker_id, ()):
-        unit = state.unit(unit_id)
-        if unit is None:
-            continue
+    for unit in state.units_on(worker.worker_id):
         members = unit.open_members_on(worker.worker_id)
         if cause or unit.state != ACTIVE:
             yield cause or STOPPING_RUNS, unit.demand, len(members)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_health.py
@@ -1,11 +1,11 @@
 """Decide how far a worker is trusted, from its health checks and its runs.
 
-Designed for 650 workers, 2,200 running tasks and gangs of up to 64, of which one sick
+Designed for 650 workers, 2,200 running tasks and gangs of up to 64, of which one faulty
 worker costs a gang all its work. Answers are wrong in both directions: a worker may
-answer as healthy and fail everything, or answer as unhealthy and run everything. Workers
-that flap are down and up in turns of 1.4 to 1.7 s. So an answer only makes a worker
-doubtful, runs there outweigh it, and a worker that was down stays doubtful for longer
-than a turn. A decision costs the same whatever the size of the fleet.
+answer as healthy and fail everything, or answer as unhealthy and run everything.
+Workers that flap are down and up in turns of 1.4 to 1.7 s. So an answer only makes a
+worker doubtful, runs there outweigh it, and a worker that was down stays doubtful for
+longer than a turn. A decision costs the same whatever the size of the fleet.
 """
 
 from __future__ import annotations
@@ -32,7 +32,10 @@
 """Seconds that a run has to last to count as evidence for its worker."""
 
 SURVIVAL_TIME = 4.0
-"""The same on a worker that flaps or has failed; a shorter run may fall between two times down."""
+"""The same on a worker that flaps or has failed.
+
+A shorter run may fall between two times down.
+"""
 
 AVOID_TIME = 4.0
 """Seconds without a trial after a first fault, doubled by each trial that fails."""
@@ -98,7 +101,7 @@
         self.checked = True
         before = self.former if self.answer is HealthAnswer.UNKNOWN else self.answer
         if answer is self.answer and changes == self.changes:
-            # A report that is read late would make the answer appear younger.
+            # A report that is read late would make the answer appear more recent.
             self.since = min(self.since, since)
             return
         self.changes = changes
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/worker_trust.py
@@ -38,7 +38,7 @@
 COMMON_REFUSALS = frozenset(
     ("room", "old", "late", "fence", CORDONED, LEAVING, UNREACHABLE, FORMER_ORDERS)
 )
-"""Reasons for which a sound worker, or its agent, refuses a start."""
+"""Reasons for which a healthy worker, or its agent, refuses a start."""
 
 FAULTY_JOB_WORKERS = 2
 """Number of workers with failed runs at which the job is taken as the cause."""
@@ -165,7 +165,7 @@
 
 
 def _is_odd_refusal(unit: Unit, kind: EndKind, reason: str) -> bool:
-    """Return whether a start was refused that no stop, lease or lack of room explains."""
+    """Return whether no stop, lease or lack of room explains a refused start."""
     return (
         kind is EndKind.REFUSED
         and unit.state == ACTIVE
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -1,8 +1,8 @@
-"""Play a load against the shard owner's scheduler on simulated time.
+"""Run a load against the shard owner's scheduler on simulated time.
 
 The scheduler and its planner are the product's; workers, their agents and the table
 service are replaced by delays. It shows what callers of each queue get, and how much
-work is thrown away.
+work is lost.
 """
 
 from __future__ import annotations
@@ -279,7 +279,7 @@
         return self.jobs[unit.unit_id.job_id].spec.queue
 
     def _count_job(self, job_id: str) -> None:
-        """Count a job by the multiple of its objective that it took, if it succeeded."""
+        """Count a successful job by the multiple of its objective that it took."""
         generated, job = self.jobs[job_id], self.state.jobs[job_id]
         queue = self.state.policy.queues[generated.spec.queue]
         objective = queue.stretch * generated.run_time + queue.target
--- a/tests/workload/test_rack_review.py
+++ b/tests/workload/test_rack_review.py
@@ -378,10 +378,10 @@
         if begun:
             break
     first = world.workers[begun[0]]
-    first.sick = True
+    first.fails_runs = True
     while not any(task.startswith(job) for task in world.failures):
         world.advance(0.05)
-    first.sick = False
+    first.fails_runs = False
 
 
 def runs_of(world, job: str) -> set[int]:
@@ -403,7 +403,8 @@
     """Guard against a gang that is spread only in the first seconds of its wait.
 
     In these seconds waits_for_rack makes the keys of its hosts differ. A worker that
-    joins later has the hosts derived again, those of the gang that keeps its rack first.
+    joins later has the hosts derived again, those of the gang that keeps its rack
+    first.
     """
     world = started_world(workers=8)
     for rack in range(4):
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -96,7 +96,7 @@
 from wasabispur_core.workload.rows import order_prefix, order_table, ROWS_SCHEMA, unpack
 from wasabispur_core.workload.watch import StopWatching, WatchTables
 from wasabispur_core.workload.workers.worker import EndKind, OrdersArrived, WorkerOrders
-from wasabispur_runtime.policy_watcher import PolicyWatcher
+from wasabispur_runtime.operator_row_watcher import OperatorRowWatcher
 from wasabispur_standins.simulated_store import SimulatedStore, unavailable
 from wasabispur_standins.simulated_worker import gang_of, Running, SimulatedWorker
 
@@ -353,14 +353,14 @@
 
 
 class OperatorFeed:
-    """Represent a process's feed of the operators' rows; a blocked one is not served."""
+    """Represent a process's feed of the operators' rows; a blocked one gets none."""
 
     def __init__(self, world: World, process: Process) -> None:
         self.process = process
         self.blocked = process.name in world.unserved_operator_feeds
         self.rows: dict[str, Row] = {}
         self.read = False
-        self.watcher = PolicyWatcher(
+        self.watcher = OperatorRowWatcher(
             world.timers,
             lambda row: None,
             lambda receiver: None,  # type: ignore[arg-type, return-value]
@@ -405,8 +405,8 @@
 
     Records each violation of an invariant; advance() raises if there is one.
 
-    The workers in lost_answers execute calls, but their answers are lost. The workers in
-    unserved_calls send heartbeats and execute no call. The workers in late_calls
+    The workers in lost_answers execute calls, but their answers are lost. The workers
+    in unserved_calls send heartbeats and execute no call. The workers in late_calls
     execute every call with a number divisible by late_every start_delay seconds late,
     after newer calls, and do not answer it.
     """
@@ -436,7 +436,7 @@
         self.cancelled: dict[str, float] = {}
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
-        self.deadly_tasks: set[str] = set()
+        self.crashing_tasks: set[str] = set()
         self.crashes: dict[str, set[tuple[str, int]]] = {}
         self.starts_after_crashes: dict[str, int] = {}
         self.capacities: dict[str, list[tuple[float, Resources]]] = {}
@@ -545,12 +545,14 @@
             speed = min(worker.speed for worker, _ in members)
             for worker, run in members:
                 # Runs on a faulty worker fail early, so that it is soon free again.
-                run.remaining_work -= 10 * seconds if worker.sick else speed * seconds
+                run.remaining_work -= (
+                    10 * seconds if worker.fails_runs else speed * seconds
+                )
             if all(run.remaining_work <= 0 for _, run in members):
                 self._end(members)
 
     def _end(self, members: list[tuple[SimulatedWorker, Running]]) -> None:
-        failed = any(run.fails or worker.sick for worker, run in members)
+        failed = any(run.fails or worker.fails_runs for worker, run in members)
         for worker, run in members:
             worker.end(run.task, EndKind.FAILED if failed else EndKind.DONE)
             if failed:
@@ -608,7 +610,7 @@
         self.timers.subscribe(1.0, answer, Message())
 
     def _found_effect(self, transaction: Transaction) -> Committed | None:
-        """Return what a look-up of the written rows tells, or None if there is no sign."""
+        """Return what a look-up of the written rows shows, or None if nothing."""
         rows = self.store.rows
         versions: dict[str, int] = {}
         for write in transaction.writes:
@@ -864,7 +866,7 @@
             return StartRejected(**worker_fields, **run, reason=reason)
         if not known:
             self._note_start(command, worker)
-            if command.task in self.deadly_tasks:
+            if command.task in self.crashing_tasks:
                 self.crash_worker(worker)
         return StartAccepted(**worker_fields, **run)
 
@@ -1080,7 +1082,7 @@
     def crash_worker(self, worker: SimulatedWorker) -> None:
         """Crash a worker, which is back after a while with empty state."""
         for task in worker.runs:
-            if task in self.deadly_tasks:
+            if task in self.crashing_tasks:
                 crashed = self.crashes.setdefault(task, set())
                 crashed.add((worker.worker_id, worker.born))
         worker.up = False
@@ -1099,7 +1101,7 @@
             known = end.task in self.acknowledged or end.task in self.listed
             if end.kind is EndKind.DONE and not known:
                 self.succeeded.discard(end.task)
-        worker.reborn()
+        worker.restart()
 
     def _forget_unacknowledged(self, worker: SimulatedWorker, expirations: int) -> None:
         """Allow further runs of tasks whose ends have not been acknowledged in time.
@@ -1128,6 +1130,15 @@
             born=old.born + 1,
         )
 
+    def ordered_workers(self) -> list[str]:
+        """Return the workers for which their agents have orders."""
+        return [
+            worker_id
+            for agent in self.agents.values()
+            for worker_id, worker in agent.state.workers.items()
+            if worker.ordered
+        ]
+
     def owner(self) -> Entry | None:
         """Return the entry that owns the shard, if there is one."""
         return next((e for e in self.entries if e.fleet.active and e.alive), None)
@@ -1143,7 +1154,7 @@
             if process.paused:
                 process.resume()
         for worker in self.workers.values():
-            worker.silent = worker.sick = False
+            worker.silent = worker.fails_runs = False
             if not worker.up:
                 self.restart_worker(worker)
         self.deliver_missed_rows()
