Divide wasted work into lost work and overhead

It also counted the time of stops, of restores and from the order to the start, left out the time for which members of a gang waited for the others, and rounded each record to whole core-seconds.

Change: workload/jobs/wasted_work.py divides the cost of an end into lost work and overhead. Events 428 (in place of wasted) and 495 carry both; the metric work.wasted has the label part and is fed by a command, CountWaste, with unrounded figures. A cancelled unit is not restored, a run that was never listed and whose worker was lost has done no work, and a run that its worker no longer lists counts until its last list.

test_labels_stay_few allows the label part, which has two values. The simulated process of tests/workload/world.py records the new command.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -307,8 +307,8 @@
 STOP_ACCOUNTED = LogEvent(
     495,
     "INFO",
-    "stop of run {run} of {job}.{unit} ({cause}) wasted {wasted} core-seconds;"
-    " estimated {estimated}",
+    "stop of run {run} of {job}.{unit} ({cause}) wasted {wasted} core-seconds, {lost} of"
+    " them lost work; estimated {estimated}",
 )
 EVICTION_ACCOUNTED = LogEvent(
     496,
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -128,7 +128,7 @@
     kind=MetricKind.COUNTER,
     unit="s",
     text="core-seconds of work that was stopped or lost, and of freed room until its use",
-    labels=("cause",),
+    labels=("cause", "part"),
 )
 RUN_ORDERS = Metric(
     name="run.orders",
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/stop_account.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/stop_account.py
@@ -16,15 +16,20 @@
     CANCELLING,
     ENDED_STATES,
     RunEnded,
-    STOPPING,
     Unit,
     unit_name,
     UnitId,
-    UnitMember,
 )
-from .unit_stop import EvictionAccount, UnitStop, WasteCause
+from .unit_stop import (
+    CountWaste,
+    EvictionAccount,
+    UnitStop,
+    WasteCause,
+    WastedWork,
+)
 
 CAUSES_BY_KIND = {
+    EndKind.DONE: WasteCause.LATE_ORDER,
     EndKind.FAILED: WasteCause.FAILED,
     EndKind.STOPPED: WasteCause.BROKEN,
     EndKind.BROKEN: WasteCause.BROKEN,
@@ -70,7 +75,12 @@
 
 
 def cause_of_end(unit: Unit, kind: EndKind) -> WasteCause:
-    """Return why the work of a member is wasted whose run has ended."""
+    """Return why the work of a member is wasted whose run has ended.
+
+    Members of a completed gang waited for the one that began last.
+    """
+    if kind is EndKind.DONE:
+        return CAUSES_BY_KIND[kind]
     if unit.state == CANCELLING:
         return WasteCause.CANCELLED
     if unit.stop is not None:
@@ -78,33 +88,8 @@
     return CAUSES_BY_KIND[kind]
 
 
-def wasted_work(
-    unit: Unit, member: UnitMember, kind: EndKind, times: StopTimes, now: float
-) -> float:
-    """Return what the end of one member's run wastes, before it is recorded.
-
-    The work since the last checkpoint counts, the time of the stop, and the time to
-    restore. A run that was told to stop has saved a checkpoint then. Of a run that was
-    refused, the time for which its room was reserved counts. A long-running step loses
-    no work, only the time of the stop.
-    """
-    if kind is EndKind.DONE:
-        return 0.0
-    if kind is EndKind.REFUSED:
-        return unit.step.demand.weight * max(now - member.started_at, 0.0)
-    ordered = unit.state in (STOPPING, CANCELLING)
-    worked_until = unit.state_since if ordered else now
-    lost = max(worked_until - member.started_at, 0.0)
-    if unit.step.long_running or (unit.step.checkpointing and kind is EndKind.STOPPED):
-        lost = 0.0
-    elif unit.step.checkpointing and unit.checkpoint != unit.start_checkpoint:
-        lost = min(lost, times.checkpoint_interval / 2)
-    restore = times.restore if unit.step.checkpointing else 0.0
-    return unit.step.demand.weight * (lost + now - worked_until + restore)
-
-
 def account_for_end(
-    unit: Unit, ended: RunEnded, wasted: float, state: FleetState, now: float
+    unit: Unit, ended: RunEnded, wasted: WastedWork, state: FleetState, now: float
 ) -> list[Command]:
     """Add the waste of one member to its unit's stop, and log the stop at its end."""
     stop = unit.stop
@@ -115,7 +100,7 @@
     if stop.beneficiary is not None:
         account = state.evictions.get(stop.beneficiary)
     if account is not None:
-        account.wasted += wasted
+        account.wasted += wasted.total
         account.freed.append((now, unit.step.demand.weight))
     if unit.may_be_running and unit.state not in ENDED_STATES:
         return []
@@ -126,7 +111,9 @@
         "run": unit.run,
         "cause": stop.cause.value,
         "estimated": round(stop.estimated, 1),
-        "wasted": round(stop.wasted, 1),
+        "wasted": round(stop.wasted.total, 1),
+        "lost": round(stop.wasted.lost, 1),
+        "overhead": round(stop.wasted.overhead, 1),
         "how": ended.kind.value,
     }
     return [WriteLog(number=STOP_ACCOUNTED.number, fields=fields)]
@@ -137,17 +124,19 @@
     account = state.evictions.pop(unit_id, None)
     if account is None:
         return []
+    idle = account.idle(now)
     fields = {
         "job": unit_id.job_id,
         "unit": unit_name(unit_id),
         "victims": account.victims,
         "estimated": round(account.estimated, 1),
         "wasted": round(account.wasted, 1),
-        "idle": round(account.idle(now), 1),
+        "idle": round(idle, 1),
         "estimated_idle": round(account.estimated_idle, 1),
         "waited": round(now - account.begun_at, 3),
     }
-    return [WriteLog(number=EVICTION_ACCOUNTED.number, fields=fields)]
+    count = CountWaste(cause=WasteCause.IDLE, work=WastedWork(overhead=idle))
+    return [WriteLog(number=EVICTION_ACCOUNTED.number, fields=fields), count]
 
 
 def _remove_obsolete(state: FleetState) -> None:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_lifecycle.py
@@ -28,7 +28,6 @@
     account_for_start,
     begin_stop,
     cause_of_end,
-    wasted_work,
 )
 from .unit import (
     ACTIVE,
@@ -43,7 +42,8 @@
     WorkerRef,
 )
 from .unit_event import handle_unit_event
-from .unit_stop import WasteCause
+from .unit_stop import CountWaste, NO_WASTE, WasteCause
+from .wasted_work import wasted_work
 
 LEARNED_LATER = "the end was unknown until now"
 
@@ -121,10 +121,11 @@
     expected = step_forecast(job, unit.unit_id.step, state).median
     record_run(unit, ended, state, now)
     member = unit.member(ended.index)
-    wasted, cause = 0.0, ""
-    if member is not None and not member.ended and ended.kind is not EndKind.DONE:
-        wasted = wasted_work(unit, member, ended.kind, state.stop_times, now)
-        cause = cause_of_end(unit, ended.kind).value
+    wasted, counts = NO_WASTE, []
+    if member is not None and not member.ended:
+        wasted = wasted_work(unit, member, ended, state, now)
+    if wasted != NO_WASTE:
+        counts = [CountWaste(cause=cause_of_end(unit, ended.kind), work=wasted)]
     handle_unit_event(unit, ended, state, now)
     # Workers in failed_on are excluded while others remain, and those in
     # avoided_workers are only used last.
@@ -148,12 +149,13 @@
         "failures": unit.failures,
         "crashes": unit.crashes.most,
         "state": unit.state,
-        "cause": cause,
-        "wasted": round(wasted, 1),
+        "cause": counts[0].cause.value if counts else "",
+        "lost": round(wasted.lost, 1),
+        "overhead": round(wasted.overhead, 1),
     }
     log = WriteLog(number=RUN_ENDED.number, fields=fields)
     accounts = account_for_end(unit, ended, wasted, state, now)
-    return [log, *accounts, *_after_end(unit, state, now)]
+    return [log, *counts, *accounts, *_after_end(unit, state, now)]
 
 
 def _count_refusal(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_stop.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_stop.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from ...command import Command
+
 if TYPE_CHECKING:
     from .unit import UnitId
 
@@ -15,8 +17,8 @@
 
     CORDONED: an order was withdrawn because of a cordon. BROKEN: another member of the
     gang ended. WORKER_GONE: the worker crashed or was lost. LAPSED: the lease ran out.
-    LATE_ORDER: a member of a gang began too late, so that the others gave up. IDLE:
-    freed room stood idle until the unit for which it was freed was placed.
+    LATE_ORDER: a member of a gang began late, so that the others waited or gave up.
+    IDLE: freed room stood idle until the unit for which it was freed was placed.
     """
 
     PREEMPTED = "preempted"
@@ -33,18 +35,53 @@
     IDLE = "idle"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WastedWork:
+    """Represent wasted core-seconds.
+
+    lost is work that was not saved, and time for which members waited for the others of
+    an incomplete gang. overhead is the time from the order to the start, of the stop
+    until the owner knows of the end, and of the restore.
+    """
+
+    lost: float = 0.0
+    overhead: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Return all wasted core-seconds."""
+        return self.lost + self.overhead
+
+    def __add__(self, other: WastedWork) -> WastedWork:
+        """Return the sum of both parts."""
+        return WastedWork(
+            lost=self.lost + other.lost, overhead=self.overhead + other.overhead
+        )
+
+
+NO_WASTE = WastedWork()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CountWaste(Command):
+    """Add wasted work to the metric; the log has it too, but rounded."""
+
+    cause: WasteCause
+    work: WastedWork
+
+
 @dataclass(slots=True, kw_only=True)
 class UnitStop:
     """Represent a stop that the owner has decided on.
 
-    estimated is what it was expected to cost and wasted what it has cost so far, both
-    in core-seconds. beneficiary is the unit for which the unit stops, if it is
+    estimated is what it was expected to cost, in core-seconds, and wasted what it has
+    cost so far. beneficiary is the unit for which the unit stops, if it is
     preempted.
     """
 
     cause: WasteCause
     estimated: float
-    wasted: float = 0.0
+    wasted: WastedWork = NO_WASTE
     beneficiary: UnitId | None = None
 
 
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/metrics.py
@@ -58,7 +58,7 @@
         for name, metric in metric_catalogue().items():
             self.instruments[name] = self.meter.create(metric)
 
-    def count(self, metric: Metric, amount: int = 1, **labels: str) -> None:
+    def count(self, metric: Metric, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
         if self.meter is not None:
             self.instruments[metric.name].add(
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -10,7 +10,6 @@
 from wasabispur_core.log_event import (
     CORDON_RUNS,
     CORDONS_READ,
-    EVICTION_ACCOUNTED,
     FLEET_LOADED,
     HEALTH_ANSWERS_COUNTED,
     JOB_ENDED,
@@ -43,7 +42,7 @@
     WORKERS_IN_DOUBT,
 )
 from wasabispur_core.workload.intake.intake_message import AnswerCaller
-from wasabispur_core.workload.jobs.unit_stop import WasteCause
+from wasabispur_core.workload.jobs.unit_stop import CountWaste
 from wasabispur_core.workload.workers.worker import HealthAnswer
 
 from .log import RecordSink
@@ -51,6 +50,10 @@
 
 Fields = dict[str, Any]
 
+LOST = "lost"
+OVERHEAD = "overhead"
+"""Values of the label part of the metric work.wasted."""
+
 
 class WorkloadMetrics:
     """Record metrics from the commands of the workload plane's decisions."""
@@ -68,9 +71,6 @@
             UNIT_PREEMPTED.number: lambda f: self._stopped("preemption"),
             UNIT_EVACUATED.number: lambda f: self._stopped("drain"),
             UNIT_MOVED.number: lambda f: self._stopped("stall"),
-            EVICTION_ACCOUNTED.number: lambda f: self._wasted(
-                WasteCause.IDLE, f["idle"]
-            ),
             FLEET_LOADED.number: self._taken_over,
             RUN_ORDERED.number: lambda f: self._ordered("start"),
             RUN_STOP_ORDERED.number: lambda f: self._ordered("stop"),
@@ -111,11 +111,6 @@
 
     def _run_ended(self, fields: Fields) -> None:
         self.registry.count(RUNS_ENDED, outcome=fields["how"])
-        if fields.get("wasted"):
-            self._wasted(fields["cause"], fields["wasted"])
-
-    def _wasted(self, cause: str, core_seconds: float) -> None:
-        self.registry.count(WORK_WASTED, round(core_seconds), cause=str(cause))
 
     def _stopped(self, cause: str) -> None:
         self.registry.count(RUNS_STOPPED, cause=cause)
@@ -159,6 +154,16 @@
     metrics.registry.count(JOB_CALLS, outcome=command.outcome.value)
 
 
+@record_command.register
+def _(command: CountWaste, metrics: WorkloadMetrics) -> None:
+    parts = {LOST: command.work.lost, OVERHEAD: command.work.overhead}
+    for part, core_seconds in parts.items():
+        if core_seconds:
+            metrics.registry.count(
+                WORK_WASTED, core_seconds, cause=command.cause.value, part=part
+            )
+
+
 def format_series(series: Iterable[Series]) -> list[str]:
     """Return series as lines of text; a histogram has buckets, a sum and a count."""
     lines: list[str] = []
--- a/packages/wasabispur/src/wasabispur/fleet_scheduler.py
+++ b/packages/wasabispur/src/wasabispur/fleet_scheduler.py
@@ -9,6 +9,7 @@
 from wasabispur_core.sharding.shard import decide, Shard, ShardTick
 from wasabispur_core.storage.feed import FeedHealth, RowsChanged, TableDelivered
 from wasabispur_core.timer import TimerService
+from wasabispur_core.workload.jobs.unit_stop import CountWaste
 from wasabispur_core.workload.owner.fleet_message import ClocksRead, TableReady
 from wasabispur_core.workload.rows import (
     job_prefix,
@@ -126,3 +127,8 @@
 @execute.register
 def _(command: StopWatching, actor: FleetScheduler) -> None:
     actor.stop_watching()
+
+
+@execute.register
+def _(command: CountWaste, actor: FleetScheduler) -> None:
+    """Do nothing more: the actor's observer has recorded the metric."""
--- a/tests/metrics/test_catalogues.py
+++ b/tests/metrics/test_catalogues.py
@@ -56,6 +56,7 @@
 
 def test_labels_stay_few():
     """Guard against labels with an unbounded number of values, such as ids."""
-    allowed = {"class", "organisation", "outcome", "cause", "actor", "data_centre"}
+    allowed = {"class", "organisation", "outcome", "cause", "part", "actor"}
+    allowed |= {"data_centre"}
     for one in metric.metric_catalogue().values():
         assert set(one.labels) <= allowed
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -78,6 +78,7 @@
 from wasabispur_core.workload.jobs.progress import JobState
 from wasabispur_core.workload.jobs.spec import Resources, StepSpec, TaskId
 from wasabispur_core.workload.jobs.unit_list import count_units
+from wasabispur_core.workload.jobs.unit_stop import CountWaste
 from wasabispur_core.workload.owner import scheduler
 from wasabispur_core.workload.owner.fleet_message import (
     ClocksRead,
@@ -227,6 +228,10 @@
         if command.number == SCHEDULER_FAILED.number:
             assert self.world.scheduler_may_fail, command.fields
 
+    @execute.register
+    def _(self, command: CountWaste) -> None:
+        self.world.waste.append(command)
+
     @execute.register
     def _(self, command: Transact) -> None:
         self.world.transact(self, command)
@@ -456,6 +461,7 @@
         self.scheduler_may_fail = False
         self.list_calls = 0
         self.starts: list[tuple[float, str, int, str]] = []
+        self.waste: list[CountWaste] = []
         self.done: dict[str, float] = {}
         self.succeeded: set[str] = set()
         self.failures: dict[str, int] = {}
