Add wasabispur job-report, a report of the service that callers received

Change: job_report/ parses log lines with validated records (log_record), merges the logs of several processes by time (log_reader), holds a job until its end was read (open_job), and sums up queues, organisations and data centres (service_account, service_group); the command prints tables or JSON. Event 430 names the worker's data centre, which no record did; the other fields existed. Exit code 10: no line is a log record.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
@@ -290,6 +290,7 @@
         "worker": info.worker_id,
         "incarnation": info.incarnation,
         "agent": report.agent_id,
+        "data_centre": info.data_centre,
         "state": info.state.value,
     }
     return WriteLog(number=WORKER_STATE_READ.number, fields=fields)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/process.py
@@ -32,6 +32,7 @@
     REFUSED = 7
     NOT_FOUND = 8
     OUTCOME_UNKNOWN = 9
+    NO_RECORD = 10
 
 
 EXIT_CODES: dict[type[WasabispurError], ExitCode] = {
--- a/packages/wasabispur/src/wasabispur/cli.py
+++ b/packages/wasabispur/src/wasabispur/cli.py
@@ -18,6 +18,7 @@
 from .entry import run_entry
 from .entry_settings import EntrySettings
 from .job_command import job
+from .job_report_command import job_report
 from .key_command import key_group
 from .member_command import member_group, status
 from .report_command import report
@@ -56,6 +57,7 @@
     cordon,
     cordons,
     job,
+    job_report,
     key_group,
     member_group,
     report,
