Derive the start of a run from its order, not from its first list

Cause: agents have a list call in progress that is answered after a second, so that a first list follows the start by up to that. The account took it for the start and counted 1.3 core-seconds of lost work for each of two tasks that ran for 2.1 s on real processes.

Change: a run counts as begun 0.03 s after its order, unless a first list that came more than 1.25 s later shows a late start, or its progress an earlier one.

Measured: the same two tasks count 2.0 core-seconds each (tests/adapter/test_job_report_process.py).

--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
@@ -15,14 +15,20 @@
 from .unit import CANCELLING, RunEnded, STOPPING, Unit, UnitMember
 from .unit_stop import WastedWork
 
-START_PRECISION = 0.1
-"""Seconds within which a run is listed after its start, as its agent asks for it then.
+START_DELAY = 0.03
+"""Seconds from the order to the start of a run, in the usual case."""
 
-Shorter waits of gangs can't be told from it.
+LISTING_INTERVAL = 1.0
+"""Seconds between two lists of a worker's runs."""
+
+LATE_LISTING = 1.25
+"""Seconds from the order to the first list, beyond which the start was late.
+
+A start in the usual time is listed after one interval, and the report takes a moment.
 """
 
-LISTING_INTERVAL = 1.0
-"""Seconds between two lists of a run."""
+SHORTEST_WAIT = 0.25
+"""Seconds that a member of a gang waits at least for the wait to be told from noise."""
 
 UNLISTED_ENDS = frozenset((EndKind.CRASHED, EndKind.LOST, EndKind.UNKNOWN))
 """Ends that the worker does not list; the owner learns of them later."""
@@ -43,7 +49,7 @@
     held = max(now - member.started_at, 0.0)
     if not _has_begun(member, ended):
         return WastedWork(overhead=weight * held)
-    begun = _begun_at(unit, member)
+    begun = min(_begun_at(unit, member), now)
     worked_until = max(_worked_until(unit, member, ended.kind, state, now), begun)
     lost = worked_until - begun
     saves = unit.step.checkpointing or unit.step.long_running
@@ -67,22 +73,22 @@
 def _begun_at(unit: Unit, member: UnitMember) -> float:
     """Return the time at which the run was on its worker, as far as the owner can tell.
 
-    It is listed as soon as it has begun. A new owner reads a list later: the run had
-    begun earlier, at its rate, or at the order if the rate is not known.
+    A run without progress in a late first list had just begun. One with progress had
+    begun at its rate before, or in the usual time if the rate is not known: a new owner
+    reads a first list that is late for that reason only.
     """
     progress = member.progress
+    usual = member.started_at + START_DELAY
     if progress.listed_at is None:
-        return member.started_at
+        return usual
+    if progress.first_at - member.started_at <= LATE_LISTING:
+        return min(usual, progress.first_at)
     if not progress.first_percent:
-        return max(progress.first_at, member.started_at)
-    if not unit.start_checkpoint:
-        rate = _seconds_per_percent(progress)
-        if rate is not None:
-            begun = progress.first_at - progress.first_percent * rate
-            return max(begun, member.started_at)
-    if progress.first_at - member.started_at > LISTING_INTERVAL:
-        return member.started_at
-    return max(progress.first_at, member.started_at)
+        return progress.first_at - LISTING_INTERVAL / 2
+    rate = _seconds_per_percent(progress)
+    if rate is None or unit.start_checkpoint:
+        return usual
+    return max(progress.first_at - progress.first_percent * rate, usual)
 
 
 def _seconds_per_percent(progress: RunProgress) -> float | None:
@@ -140,7 +146,7 @@
 
 
 def _noticeable(waited: float) -> float:
-    return waited if waited > START_PRECISION else 0.0
+    return waited if waited > SHORTEST_WAIT else 0.0
 
 
 def _unsaved(unit: Unit, kind: EndKind, worked: float, times: StopTimes) -> float:
