Count runs of the job report that end after their job

Cause: a cancelled job ends before its runs have stopped. The report dropped its state at once and lost the runs' waste; the logs of real processes showed it.

Change: the state is dropped 60 s of log time after the job's end. The effects of records are in a module of their own (record_effect).

Measured: tests/job_report (24 tests) and tests/adapter/test_job_report_process.py (3 tests on the logs of real processes: 3 accepted, 2 completed, 1 cancelled, 1 rejected, 6 runs, 4.0 core-seconds lost by the cancelled job) pass. Before the change the cancelled job had no lost work.

--- a/packages/wasabispur/src/wasabispur/job_report/open_job.py
+++ b/packages/wasabispur/src/wasabispur/job_report/open_job.py
@@ -1,4 +1,4 @@
-"""Hold what the logs tell of a job until its end has been read.
+"""Hold what the logs tell of a job until it has ended.
 
 Records are held by run, so that the logs of two owners that overlap count a run once.
 """
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class OpenJob:
-    """Represent a job whose end has not been read.
+    """Represent a job that is open, or has ended a moment ago.
 
     Times are in seconds since the epoch. accepted is set once its acceptance was read;
     accepted_at is its time on the entry's clock and owner_accepted_at on the owner's,
--- a/packages/wasabispur/src/wasabispur/job_report/service_account.py
+++ b/packages/wasabispur/src/wasabispur/job_report/service_account.py
@@ -2,38 +2,29 @@
 
 The load behind this: a day's logs of some 70 processes, of which several were owner in
 turn, that don't show by themselves who waited, who was rejected, where work ran, and
-which organisations and queues bore the cost. A job's state is dropped once its end has
-been read, so that memory stays bounded on a log of any length.
+which organisations and queues bore the cost. A job's state is dropped soon after its end was
+read, so that memory stays bounded on a log of any length.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
-from functools import singledispatch
-from typing import TypeVar
 
-from .log_record import (
-    JobAccepted,
-    JobEnded,
-    JobRead,
-    JobRecord,
-    JobRefused,
-    JobTermsRecord,
-    JobUncertain,
-    LogRecord,
-    RecordsDropped,
-    RoomIdled,
-    RunEnded,
-    UnitPlaced,
-    UnitStopped,
-    WorkerRead,
-)
-from .open_job import OpenJob, RunKey
+from .log_record import JobRecord, JobTermsRecord
+from .open_job import OpenJob
 from .service_group import count_name, OTHER_NAME, ServiceGroup
 
 OPEN_JOB_LIMIT = 100_000
-"""Jobs whose end has not been read; the oldest ones beyond it are closed as open."""
+"""Jobs whose state is held; the oldest ones beyond it are closed early."""
+
+SETTLING_TIME = 60.0
+"""Seconds of log time after a job's end until its state is dropped.
+
+Runs of a cancelled job end after it: once they have stopped, or after the lease horizon
+if their worker was lost.
+"""
 
 HELD_RECORD_LIMIT = 1_000_000
 """Records of open jobs; a job that runs without end would collect them otherwise."""
@@ -47,13 +38,8 @@
 GROUP_LIMIT = 1000
 """Distinct queues or organisations; others are summed up."""
 
-SUBMISSION = "SubmitJob"
-"""Name of the request of a refusal that concerns a new job."""
-
 UNKNOWN = "unknown"
 
-Value = TypeVar("Value")
-
 
 class Grouping(StrEnum):
     """Define by what the report is grouped."""
@@ -65,7 +51,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class ClosedJob:
-    """Represent a job whose end has been read; accepted as in OpenJob."""
+    """Represent a job whose state was dropped; accepted is as in OpenJob."""
 
     queue: str
     organisation: str
@@ -76,9 +62,10 @@
 class ServiceAccount:
     """Represent the account of the records that were read so far.
 
-    closed_early counts jobs that were closed before their end because of a limit, late
-    the records on jobs after that or after their end, and dropped the records that
-    processes report as not written.
+    settling contains the jobs whose end was read, with its time in seconds since the
+    epoch. closed_early counts jobs that were closed before their end because of a limit,
+    late the records on closed jobs, and dropped the records that processes report as not
+    written.
     """
 
     groups: dict[Grouping, dict[str, ServiceGroup]] = field(
@@ -87,17 +74,21 @@
     jobs: dict[str, OpenJob] = field(default_factory=dict)
     closed: dict[str, ClosedJob] = field(default_factory=dict)
     data_centres: dict[str, str] = field(default_factory=dict)
+    settling: deque[tuple[float, str]] = field(default_factory=deque)
     held: int = 0
     closed_early: int = 0
     late: int = 0
     dropped: int = 0
 
-    def add(self, record: LogRecord) -> None:
-        """Add one record."""
-        apply_record(record, self)
+    def settle(self, now: float) -> None:
+        """Close the jobs that had ended a while before a time of the logs."""
+        while self.settling and self.settling[0][0] < now - SETTLING_TIME:
+            _, job_id = self.settling.popleft()
+            if job_id in self.jobs:
+                self.close(self.jobs[job_id])
 
     def finish(self) -> None:
-        """Close all jobs whose end has not been read."""
+        """Close all jobs."""
         while self.jobs:
             self.close(next(iter(self.jobs.values())))
 
@@ -126,8 +117,9 @@
     def limit(self) -> None:
         """Close the oldest jobs beyond the limits."""
         while len(self.jobs) > OPEN_JOB_LIMIT or self.held > HELD_RECORD_LIMIT:
-            self.closed_early += 1
-            self.close(next(iter(self.jobs.values())))
+            oldest = next(iter(self.jobs.values()))
+            self.closed_early += not oldest.end_state
+            self.close(oldest)
 
     def accept_closed(self, job: ClosedJob) -> None:
         """Count the acceptance of a closed job, if it was not counted."""
@@ -177,124 +169,3 @@
         """Return the distinct data centres of workers."""
         names = {self.data_centres.get(worker) or UNKNOWN for worker in workers}
         return sorted(names) or [UNKNOWN]
-
-
-@singledispatch
-def apply_record(record: LogRecord, account: ServiceAccount) -> None:
-    """Add one record to an account; most events tell nothing of the service."""
-
-
-@apply_record.register
-def _(record: RecordsDropped, account: ServiceAccount) -> None:
-    account.dropped += record.count
-
-
-@apply_record.register
-def _(record: WorkerRead, account: ServiceAccount) -> None:
-    if record.data_centre and (
-        record.worker in account.data_centres
-        or len(account.data_centres) < WORKER_LIMIT
-    ):
-        account.data_centres[record.worker] = record.data_centre
-
-
-@apply_record.register
-def _(record: JobAccepted, account: ServiceAccount) -> None:
-    job = _accept(record, account)
-    if job is not None and job.accepted_at is None:
-        job.accepted_at = record.time.timestamp()
-
-
-@apply_record.register
-def _(record: JobRead, account: ServiceAccount) -> None:
-    job = _accept(record, account)
-    if job is not None and job.owner_accepted_at is None:
-        job.owner_accepted_at = record.time.timestamp() - record.age
-
-
-def _accept(record: JobTermsRecord, account: ServiceAccount) -> OpenJob | None:
-    closed = account.closed.get(record.job)
-    if closed is not None:
-        account.accept_closed(closed)
-        return None
-    job = account.open_job(record)
-    if job is not None:
-        job.accepted = True
-        account.limit()
-    return job
-
-
-@apply_record.register
-def _(record: JobRefused, account: ServiceAccount) -> None:
-    if record.request not in ("", SUBMISSION):
-        return
-    job = account.open_job(record)
-    if job is not None:
-        job.refusal = record.cause or _short(record.reason)
-        account.limit()
-
-
-@apply_record.register
-def _(record: JobUncertain, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is not None:
-        job.uncertain = True
-        account.limit()
-
-
-@apply_record.register
-def _(record: UnitPlaced, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is None:
-        return
-    at = record.time.timestamp()
-    if job.first_placed_at is None or at < job.first_placed_at:
-        job.first_placed_at = at
-    _hold(job.placements, (record.unit, record.run), record.workers, account)
-
-
-@apply_record.register
-def _(record: UnitStopped, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is not None:
-        _hold(job.stops, (record.unit, record.run), record.cause.value, account)
-
-
-@apply_record.register
-def _(record: RunEnded, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is not None:
-        _hold(job.ends, (record.task, record.run), record, account)
-
-
-@apply_record.register
-def _(record: RoomIdled, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is not None:
-        if record.unit not in job.idle:
-            account.held += 1
-        job.idle[record.unit] = job.idle.get(record.unit, 0.0) + record.idle
-        account.limit()
-
-
-@apply_record.register
-def _(record: JobEnded, account: ServiceAccount) -> None:
-    job = account.open_job(record)
-    if job is not None:
-        job.end_state = record.state
-        account.close(job)
-
-
-def _hold(
-    held: dict[RunKey, Value], key: RunKey, value: Value, account: ServiceAccount
-) -> None:
-    """Hold a value unless the log of another owner has told the same."""
-    if key not in held:
-        held[key] = value
-        account.held += 1
-    account.limit()
-
-
-def _short(reason: str) -> str:
-    """Return the beginning of a reason, without its details, as a name to count by."""
-    return reason.partition(";")[0].partition(":")[0].strip() or UNKNOWN
--- a/packages/wasabispur/src/wasabispur/job_report_command.py
+++ b/packages/wasabispur/src/wasabispur/job_report_command.py
@@ -16,6 +16,7 @@
 
 from .command_line import output_option, run_with_exit_code
 from .job_report.log_reader import read_records, ReadCounts
+from .job_report.record_effect import add_record
 from .job_report.report_format import format_report, report_value
 from .job_report.service_account import Grouping, ServiceAccount
 
@@ -74,7 +75,7 @@
         try:
             logs = [stack.enter_context(open_log(name)) for name in files]
             for record in read_records(logs, counts):
-                account.add(record)
+                add_record(record, account)
         except OSError as error:
             name = error.filename or "a log"
             raise click.UsageError(f"{name} can't be read: {error.strerror}") from error
