--- a/packages/wasabispur/src/wasabispur/job_report/report_format.py
+++ b/packages/wasabispur/src/wasabispur/job_report/report_format.py
@@ -21,9 +21,9 @@
     "failed",
     "cancelled",
     "open",
-    "median_wait",
-    "high_wait",
-    "longest_wait",
+    "wait_median",
+    "wait_0.95",
+    "wait_maximum",
 )
 WORK_COLUMNS = (
     "runs",
@@ -160,9 +160,9 @@
         waits = group["wait_seconds"]
         row |= {
             "rejected": sum(group["rejected"].values()),
-            "median_wait": _seconds(waits["median"]),
-            "high_wait": _seconds(waits["quantile_0.95"]),
-            "longest_wait": _seconds(waits["maximum"]),
+            "wait_median": _seconds(waits["median"]),
+            "wait_0.95": _seconds(waits["quantile_0.95"]),
+            "wait_maximum": _seconds(waits["maximum"]),
         }
     return row
 
--- a/tests/job_report/test_job_report.py
+++ b/tests/job_report/test_job_report.py
@@ -295,7 +295,7 @@
     log = "\n".join([*worker_lines(), *entry_lines(), *owner_lines()])
     result = CliRunner().invoke(main, ["job-report"], input=log)
     assert result.exit_code == ExitCode.OK
-    for text in ("QUEUE", "ORGANISATION", "MEDIAN WAIT", "preempted", "peachtree"):
+    for text in ("QUEUE", "ORGANISATION", "WAIT MEDIAN", "preempted", "peachtree"):
         assert text in result.stdout
 
 
