--- a/tests/workload/test_wasted_work.py
+++ b/tests/workload/test_wasted_work.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from wasabispur_core.log_event import RUN_ENDED, STOP_ACCOUNTED, UNIT_PREEMPTED
@@ -13,6 +15,9 @@
 from wasabispur_core.workload.workers.worker import EndKind
 from wasabispur_runtime.metrics import MetricRegistry
 from wasabispur_runtime.workload_metrics import WorkloadMetrics
+from wasabispur_standins.fleet_experiment import FleetExperiment
+from wasabispur_standins.fleet_load import CLASSES_BY_LOAD, generate_jobs
+from wasabispur_standins.stop_waste import LOST_WORK
 
 from .test_restarted_agent import records
 from .world import gang, started_world, tasks, World
@@ -64,6 +69,29 @@
     return weight
 
 
+def test_lost_work_agrees_with_the_work_that_a_played_load_loses():
+    """Guard against an account that is right for one stop, and wrong for many."""
+    classes = CLASSES_BY_LOAD["misjudged"]
+    jobs = generate_jobs(1.0, 60, 3, Random(1), 2, classes, ())
+    experiment = FleetExperiment(12, 3, jobs, rack_size=5)
+    counts, observe = [], experiment.waste.observe
+
+    def observe_waste(commands):
+        counts.extend(one for one in commands if isinstance(one, CountWaste))
+        observe(commands)
+
+    experiment.waste.observe = observe_waste
+    experiment.play(60)
+    lost = sum(one.work.lost for one in counts if one.cause is WasteCause.PREEMPTED)
+    users = sum(
+        wasted
+        for (_, cause), wasted in experiment.waste.wasted.items()
+        if cause == LOST_WORK
+    )
+    assert users > 1000
+    assert lost == pytest.approx(users, rel=AGREEMENT)
+
+
 @pytest.mark.parametrize("fields", [{"checkpointing": True}, {"long_running": True}])
 def test_stop_of_saved_work_is_overhead(fields):
     """Guard against stops of units with checkpoints that count as lost work."""
