Harden the job report against odd values in logs

Cause: a run time near zero gave an error of infinity, which is no valid JSON; names from logs could contain control characters; a time without a zone was compared as a local one. A gang whose progress only a former owner had seen could count as incomplete.

Change: numbers are limited, runs shorter than the precision of the records give no error, tables replace characters that aren't printable, and a record needs a time with a zone. Progress in a first list shows that a gang was complete, unless it continued from a checkpoint.

Measured: test_odd_values_are_harmless (12 cases) and the other tests of tests/job_report and tests/workload/test_wasted_work.py pass.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
@@ -124,7 +124,10 @@
         return False
     lists = [member.progress for member in unit.members]
     listed = [one for one in lists if one.listed_at is not None]
-    advanced = any(one.percent > one.first_percent for one in listed)
+    restored = bool(unit.start_checkpoint)
+    advanced = any(
+        one.percent > (one.first_percent if restored else 0) for one in listed
+    )
     return 0 < len(listed) < len(lists) and not advanced
 
 
--- a/packages/wasabispur/src/wasabispur/job_report/log_record.py
+++ b/packages/wasabispur/src/wasabispur/job_report/log_record.py
@@ -9,11 +9,10 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from datetime import datetime
 from enum import Enum
 from typing import Annotated, Any, ClassVar
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import AwareDatetime, Field, TypeAdapter, ValidationError
 
 from wasabispur_core.log_event import (
     EVICTION_ACCOUNTED,
@@ -34,8 +33,11 @@
 )
 from wasabispur_core.workload.jobs.unit_stop import WasteCause
 
-Finite = Annotated[float, Field(allow_inf_nan=False)]
-NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+VALUE_LIMIT = 1e12
+"""Largest number of a record; sums of larger ones might not be finite."""
+
+Finite = Annotated[float, Field(ge=-VALUE_LIMIT, le=VALUE_LIMIT)]
+NotNegative = Annotated[float, Field(ge=0, le=VALUE_LIMIT)]
 Name = Annotated[str, Field(max_length=300)]
 
 
@@ -43,7 +45,7 @@
 class LogRecord:
     """Represent a record of an event that the report doesn't read."""
 
-    time: datetime
+    time: AwareDatetime
     event: int
 
 
--- a/packages/wasabispur/src/wasabispur/job_report/report_format.py
+++ b/packages/wasabispur/src/wasabispur/job_report/report_format.py
@@ -132,14 +132,14 @@
 def _tables(title: str, groups: list[dict[str, Any]], grouping: Grouping) -> list[str]:
     """Return the tables of one grouping: jobs, work, and what has a cause."""
     column = grouping.value.replace("-", "_")
-    rows = [{column: group["name"]} | _row(group) for group in groups]
+    rows = [{column: _printable(group["name"])} | _row(group) for group in groups]
     if not rows:
         return [f"no {title.replace('_', ' ')}"]
     tables = [format_table(rows, (column, *WORK_COLUMNS))]
     if grouping is not Grouping.DATA_CENTRE:
         tables.insert(0, format_table(rows, (column, *JOB_COLUMNS)))
     details = [
-        {column: group["name"]} | detail
+        {column: _printable(group["name"])} | detail
         for group in groups
         for detail in _details(group)
     ]
@@ -176,12 +176,17 @@
         "runs in data centre": group.get("runs_by_data_centre", {}),
     }
     return [
-        {"what": what, "cause": cause, "value": value}
+        {"what": what, "cause": _printable(cause), "value": value}
         for what, values in sources.items()
         for cause, value in values.items()
     ]
 
 
+def _printable(name: str) -> str:
+    """Return a name without characters that would control the terminal."""
+    return "".join(one if one.isprintable() else "?" for one in name)
+
+
 def _percent(value: float | None) -> str:
     return NO_VALUE if value is None else f"{value:.1%}"
 
--- a/packages/wasabispur/src/wasabispur/job_report/service_group.py
+++ b/packages/wasabispur/src/wasabispur/job_report/service_group.py
@@ -23,6 +23,9 @@
 
 HIGH_QUANTILE = 0.95
 
+SHORTEST_RUN = 0.01
+"""Shortest run in seconds whose expected time is compared; records are this precise."""
+
 
 @dataclass(slots=True)
 class Sample:
@@ -109,7 +112,7 @@
         if end.cause:
             self.lost[end.cause] += end.lost
             self.overhead[end.cause] += end.overhead
-        if end.how != EndKind.DONE or end.run != 1 or not end.ran:
+        if end.how != EndKind.DONE or end.run != 1 or end.ran < SHORTEST_RUN:
             return
         if end.expected:
             self.expected_errors.add(abs(end.expected - end.ran) / end.ran)
--- a/tests/job_report/test_job_report.py
+++ b/tests/job_report/test_job_report.py
@@ -246,6 +246,32 @@
     assert value["log"]["records_not_written"] == 4
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        line(0, JOB_ACCEPTED, job="\ud800", **TERMS),
+        line(
+            0, RUN_ENDED, job="j1", task="t", run=1, worker="w", how="done", ran=1e300
+        ),
+        line(0, JOB_READ_BY_OWNER, job="j1", age=float("nan")),
+        line(0, JOB_REFUSED, job="j1", reason="x\x1b[31m\ny", queue="\x1b[2J"),
+        "[" * 60_000,
+        '{"time": "2026-03-02T06:00:00", "event": 420, "job": "j1"}',
+    ],
+)
+@pytest.mark.parametrize("output", ["table", "json"])
+def test_odd_values_are_harmless(text, output):
+    """Guard against a traceback, invalid JSON or control characters on a terminal."""
+    arguments = ["job-report", "--output", output]
+    log = "\n".join([text, *entry_lines("j2")])
+    result = CliRunner().invoke(main, arguments, input=log, color=True)
+    assert result.exit_code == ExitCode.OK
+    assert "\x1b" not in result.stdout
+    if output == "json":
+        assert "Infinity" not in result.stdout
+        assert "NaN" not in result.stdout
+
+
 def test_open_jobs_are_limited(monkeypatch):
     """Guard against memory that grows with the length of the log."""
     monkeypatch.setattr(service_account, "OPEN_JOB_LIMIT", 10)
