Order waiting units by the shares of their organisations

Cause: the organisation is no part of the order of waiting units, so that one that floods the service delays all others.

Change: with the setting fair_shares, the owner sums up what the placed units of each organisation occupy by service and priority. Within a priority, units of organisations over their fair share come after the others, and preempt no units of those below theirs. The capacity of services moves from load_summary to a module of its own.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -295,6 +295,11 @@
 BUNDLE_CORDON_ENDED = LogEvent(
     486, "INFO", "the bundle in force no longer cordons {data_centre}"
 )
+SHARES_COMPARED = LogEvent(
+    499,
+    "INFO",
+    "{organisation} uses the most of its fair share at priority {priority}: {ratio} times",
+)
 LOAD_KNOWN = LogEvent(
     487, "INFO", "load {sequence} of owner {epoch} is known, written {age} s ago"
 )
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -204,6 +204,12 @@
     unit="1",
     text="workers that the owner does not fully trust",
 )
+LARGEST_SHARE_RATIO = Metric(
+    name="share.largest_ratio",
+    kind=MetricKind.GAUGE,
+    unit="1",
+    text="largest ratio of an organisation's use to its fair share, at the owner",
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/admission/load_summary.py
@@ -18,7 +18,7 @@
 from ..planning.waiting_order import LATENESS_FACTOR_LIMIT
 from ..run_times.run_forecast import job_forecast, objective_path, saved_work
 from ..run_times.run_time import RunTimeModel
-from ..workers.worker import WorkerState
+from ..workers.service_capacity import service_capacities
 from .load_row import FleetLoad, LevelLoad, ServiceLoad
 from .work import NO_WORK, Work, work_of
 
@@ -28,12 +28,6 @@
 RUN_TIME_DIGITS = 2
 """Decimal places of the run times in the row, in seconds."""
 
-USABLE_STATES = frozenset((WorkerState.READY, WorkerState.UNREACHABLE))
-"""States of workers that count as capacity.
-
-One that can't be reached for the moment is lost only once its report is removed.
-"""
-
 Level = tuple[str, int, bool]
 """A service, a priority, and whether the work is that of gangs."""
 
@@ -115,7 +109,7 @@
             if open_work.seconds(name, capacity) > _slack(name, run_times, state)
             else (),
         )
-        for name, capacity in sorted(_capacities(state).items())
+        for name, capacity in sorted(service_capacities(state).items())
     )
     return FleetLoad(
         epoch=state.epoch,
@@ -125,15 +119,6 @@
     )
 
 
-def _capacities(state: FleetState) -> dict[str, Work]:
-    capacities: dict[str, Work] = {}
-    for worker in state.workers.values():
-        if worker.info.state in USABLE_STATES and not state.is_cordoned(worker):
-            known = capacities.get(worker.info.service, NO_WORK)
-            capacities[worker.info.service] = known.plus(work_of(worker.info.capacity))
-    return capacities
-
-
 def _quartiles(state: FleetState) -> dict[str, tuple[float, float]]:
     """Return the quartiles of the run times of the queues in which tasks have run."""
     found: dict[str, tuple[float, float]] = {}
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -6,6 +6,7 @@
 
 from ..admission.published_load import PublishedLoad
 from ..planning.fleet_view import FleetView
+from ..planning.organisation_share import LoggedShares
 from ..planning.planner import Planner
 from ..run_times.run_time import RunTimeModel
 from .fleet_state import FleetState
@@ -34,6 +35,7 @@
     state.run_times = RunTimeModel(use=state.run_times.use)
     state.published_load = PublishedLoad(enabled=state.published_load.enabled)
     state.view = FleetView()
+    state.share_log = LoggedShares()
     state.planner = Planner()
     state.loading = set()
     state.takeover = None
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -17,6 +17,7 @@
 from ..jobs.unit import Unit, UnitId
 from ..jobs.unit_stop import EvictionAccount
 from ..planning.fleet_view import FleetView
+from ..planning.organisation_share import LoggedShares
 from ..planning.plan import DEFAULT_REMOTE_FACTOR
 from ..planning.planner import Planner
 from ..policies.cordon import OwnerCordons
@@ -54,7 +55,8 @@
     time of the last count of their answers. run_times contains what was learned of the
     run times of tasks. stop_times is how long stops take, and evictions contains the
     stops for each beneficiary that has yet to be placed. published_load is the load as
-    entries know it.
+    entries know it. fair_shares is set if units wait by the shares of organisations, and
+    share_log is what the log last told of them.
     """
 
     unit_chart: Chart
@@ -97,6 +99,8 @@
     evictions: dict[UnitId, EvictionAccount] = field(default_factory=dict)
     planning_lease: PlanningLease = field(default_factory=PlanningLease)
     published_load: PublishedLoad = field(default_factory=PublishedLoad)
+    fair_shares: bool = False
+    share_log: LoggedShares = field(default_factory=LoggedShares)
 
     @property
     def active(self) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -39,6 +39,7 @@
 from ..jobs.unit_action import unit_chart
 from ..jobs.unit_list import log_lists
 from ..planning.plan import DEFAULT_REMOTE_FACTOR
+from ..planning.share_log import log_shares
 from ..planning.snapshot import take_snapshot
 from ..policies.cordon import cordon_chart, CordonsChanged, OwnerCordons
 from ..policies.policy import PolicyChanged, PolicyHealth
@@ -93,13 +94,15 @@
     stop_times: StopTimes = DEFAULT_STOP_TIMES,
     lease: ShardLease | None = None,
     publishes_load: bool = False,
+    fair_shares: bool = False,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
     task takes away from the rack that it prefers. estimate_use tells for what learned
     run times are used, and stop_times how long stops take. lease is that of the shard.
-    publishes_load is set if entries accept jobs by the load.
+    publishes_load is set if entries accept jobs by the load, and fair_shares if units
+    wait by the shares of their organisations.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -110,6 +113,7 @@
         stop_times=stop_times,
         planning_lease=PlanningLease(lease),
         published_load=PublishedLoad(enabled=publishes_load),
+        fair_shares=fair_shares,
     )
 
 
@@ -327,6 +331,7 @@
         *write_queue_counts(state),
         *write_run_times(state, now),
         *write_load(state, now),
+        *log_shares(state, now),
     ]
     return [*commands, *remove_ended(state, now)]
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction.py
@@ -56,7 +56,7 @@
     if unit.demand.fits(worker.free + worker.releasing):
         return True
     worker_id = worker.worker_ref.worker_id
-    return bool(victims.preemptible_on(worker_id, unit.priority, cost_limit))
+    return bool(victims.preemptible_on(worker_id, unit, cost_limit))
 
 
 def cheapest_eviction(
@@ -192,7 +192,7 @@
     stopped: list[Victim] = []
     if not count_fitting(unit, worker, free, already_placed):
         worker_id = worker.worker_ref.worker_id
-        for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
+        for victim in victims.preemptible_on(worker_id, unit, cost_limit):
             if id(victim.unit) in chosen:
                 continue
             stopped.append(victim)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction_bound.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/eviction_bound.py
@@ -54,7 +54,7 @@
     free = everything = worker.free + worker.releasing
     worker_id = worker.worker_ref.worker_id
     shares: list[tuple[float, float]] = []
-    for victim in victims.preemptible_on(worker_id, unit.priority, cost_limit):
+    for victim in victims.preemptible_on(worker_id, unit, cost_limit):
         everything += victim.freed
         shares.append((victim.freed.weight, victim.cost / unit_weight(victim.unit)))
     additional = count_fitting(unit, worker, everything) - fitting
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/fleet_view.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/fleet_view.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from ..jobs.unit import UnitId
+from .organisation_share import OrganisationUse
 from .plan import RunningUnit, WaitingUnit, WorkerSnapshot
 
 
@@ -20,7 +21,8 @@
     their organisation's guarantee covers. changed_units and changed_workers contain
     the ids whose entries have to be derived again. The entries of aging_units also
     depend on the time. guarantees_changed is set if covered has to be derived again,
-    and policy_changed if all entries have to be.
+    and policy_changed if all entries have to be. use is what organisations occupy with
+    their running units; it is kept only if shares are fair.
     """
 
     workers: dict[str, WorkerSnapshot] = field(default_factory=dict)
@@ -32,3 +34,4 @@
     aging_units: set[UnitId] = field(default_factory=set)
     guarantees_changed: bool = True
     policy_changed: bool = False
+    use: OrganisationUse = field(default_factory=OrganisationUse)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_eviction.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_eviction.py
@@ -61,6 +61,7 @@
             reason=self._unmet_reason(unit, hosts),
             loss_limit=NO_EVICTION,
             hosts=hosts,
+            over_share=unit.over_share,
         )
         if hosts.ids and loss_limit > NO_EVICTION:
             if self._too_costly(unit, hosts, loss_limit, known, unmet):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -7,6 +7,7 @@
 from ..jobs.unit import UnitId
 from .cold_wait import cold_wait_pays
 from .doubt_wait import DoubtWait
+from .pass_shares import PassShares
 from .plan import (
     Decision,
     IN_DOUBT,
@@ -52,6 +53,12 @@
         self.doubt_wait = DoubtWait(self.rack_wait, self.doubts, memory.doubt_waits)
         self.copied: set[str] = set()
         self.victims = VictimIndex(snapshot.running, snapshot.now)
+        self.shares: PassShares | None = None
+        self.exposed: set[str] = set()
+        if snapshot.use is not None:
+            self.shares = PassShares(snapshot.use, snapshot.waiting, memory.protected)
+            self.victims.shares = self.shares
+            self.exposed = self.shares.newly_exposed(snapshot.running)
         self.known: dict[Need, UnmetNeed] = {}
         self.changed: set[str] = set()
         self.hosts_by_key = memory.hosts_by_key
@@ -100,7 +107,10 @@
 
     def _changed_hosts(self, known: UnmetNeed) -> frozenset[str]:
         """Return the workers on which what the last pass found may not hold."""
-        return (known.hosts.ids & self.changed) | known.unsearched
+        changed = self.changed
+        if known.over_share and self.exposed:
+            changed = changed | self.exposed
+        return (known.hosts.ids & changed) | known.unsearched
 
     def _hosts(self, unit: WaitingUnit) -> HostGroups:
         """Return the workers that may host the unit, loaded or not."""
@@ -125,6 +135,8 @@
     def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
         workers = [self._writable(worker) for worker in placement]
         reserve(unit, workers)
+        if self.shares is not None:
+            self.shares.place(unit)
         self.rack_wait.begin(unit, workers)
         if any(
             one.trust is not Trust.FULL and one.trust in ON_TRIAL for one in workers
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -15,6 +15,7 @@
 from ..jobs.step_graph import DEFAULT_ESTIMATE
 from ..jobs.unit import UnitId, WorkerRef
 from ..run_times.run_time_fit import Forecast
+from .organisation_share import Level, OrganisationUse
 
 DEFAULT_REMOTE_FACTOR = 2.0
 """Factor on run times away from the preferred rack, if the settings don't tell it."""
@@ -108,7 +109,8 @@
     nothing. suspected is set if a worker has crashed under the unit,
     and dangerous if several have. An isolated unit may only run on workers that run
     nothing else. relaxed is set if a preference for a rack has been dropped. displaces is set if the
-    unit may preempt less urgent units whatever its priority, as they fit elsewhere.
+    unit may preempt less urgent units whatever its priority, as they fit elsewhere, and
+    over_share if the share of its organisation limits which ones.
     """
 
     unit_id: UnitId
@@ -145,6 +147,12 @@
     isolated: bool = False
     relaxed: bool = False
     displaces: bool = False
+    over_share: bool = False
+
+    @property
+    def level(self) -> Level:
+        """Return the level at which the unit competes by share."""
+        return Level(self.service, self.priority)
 
     @property
     def work(self) -> float:
@@ -187,6 +195,17 @@
     leaves_in: float = inf
     checkpointing: bool = False
     stalled_for: float = 0.0
+    service: str = ""
+
+    @property
+    def level(self) -> Level:
+        """Return the level at which the unit competes by share."""
+        return Level(self.service, self.priority)
+
+    @property
+    def occupied(self) -> Resources:
+        """Return what the unit occupies on all its workers."""
+        return self.demand.times(len(self.placement))
 
     def lost_work_at(self, now: float) -> float:
         """Return the work in core-seconds that is lost if the unit stops now."""
@@ -213,7 +232,8 @@
     None if results of earlier passes don't hold, because a worker was added or removed
     or may now host other units than before. settling is set if some workers have yet to
     report after a takeover or an outage. remote_factor is how many times as long a task
-    takes away from the rack that it prefers.
+    takes away from the rack that it prefers. use is what organisations occupy, or None
+    if their shares don't matter.
     """
 
     now: float
@@ -223,6 +243,7 @@
     changed: frozenset[str] | None = None
     settling: bool = False
     remote_factor: float = DEFAULT_REMOTE_FACTOR
+    use: OrganisationUse | None = None
 
 
 class WaitReason(StrEnum):
@@ -280,7 +301,9 @@
     loss_limit is the work in core-seconds that an eviction for the unit may lose, and
     least_cost a lower bound on the cost of making room, known for urgent units that
     begin to wait. hosts is the number of workers that were considered, and ahead the
-    number of decisions to wait that precede this one in the order of placement.
+    number of decisions to wait that precede this one in the order of placement. shares
+    contains the share of the unit's organisation and its fair share if units of others
+    precede the unit because of them.
     """
 
     reason: WaitReason
@@ -288,3 +311,4 @@
     least_cost: float | None = None
     hosts: int = 0
     ahead: int = 0
+    shares: tuple[float, float] | None = None
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
@@ -32,12 +32,13 @@
             chosen = [group for group in groups if group[0].guaranteed is guaranteed]
             for group in chosen:
                 decisions += planning_pass.keep_reservations(group)
-            for group in chosen:
-                decisions += planning_pass.decide(group)
+            decisions += planning_pass.decide_all(chosen)
         self.unmet = {} if planning_pass.trial_begun else planning_pass.all_unmet()
         self.reservations = planning_pass.reservations
         self.unfinished = planning_pass.unfinished
         self.rack_checks = planning_pass.rack_wait.checks
+        if planning_pass.shares is not None:
+            self.protected = planning_pass.shares.protected
         self.doubt_waits = planning_pass.doubt_wait.kept(snapshot.waiting)
         return _count_ahead(decisions)
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner_memory.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner_memory.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..jobs.unit import UnitId
+from .pass_shares import Protected
 from .plan import Wait, WaitingUnit, WaitReason
 from .rack_wait import CheckKey, RackCheck
 from .unit_placement import host_key, HostGroups, step_key
@@ -25,7 +26,7 @@
     units, and task_costs lower bounds on the costs of a unit's tasks there. searched_at
     is the time of the last search in monotonic seconds. least_cost is a lower bound on
     the cost of making room when the first unit began to wait, if that was an urgent
-    one.
+    one. over_share is as for the units.
     """
 
     reason: WaitReason
@@ -35,6 +36,7 @@
     task_costs: list[float] = field(default_factory=list)
     searched_at: float = -inf
     least_cost: float | None = None
+    over_share: bool = False
 
     def wait(self, unit: WaitingUnit, loss_limit: float) -> Wait:
         """Return the decision to keep a unit with this need waiting."""
@@ -56,7 +58,8 @@
     preempted units to stop, the ids of the workers that will run its tasks. unfinished
     is set if that pass reached its limit of searches. rack_checks contains which units
     wait for a rack, and doubt_waits since when units that would fit with doubtful
-    workers wait for others.
+    workers wait for others. protected contains the organisations whose units those of
+    organisations over their share did not preempt.
     """
 
     unmet: dict[Need, UnmetNeed] = field(default_factory=dict)
@@ -65,6 +68,7 @@
     unfinished: bool = False
     rack_checks: dict[CheckKey, RackCheck] = field(default_factory=dict)
     doubt_waits: dict[UnitId, float] = field(default_factory=dict)
+    protected: Protected = frozenset()
 
 
 def need_of(unit: WaitingUnit) -> Need:
@@ -78,4 +82,5 @@
         unit.priority,
         unit.isolated,
         step_key(unit) if unit.tasks_per_worker else None,
+        unit.over_share,
     )
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -10,12 +10,14 @@
 from collections import Counter
 from dataclasses import replace
 from functools import singledispatchmethod
+from itertools import groupby
 from typing import TypeGuard
 
 from .caution_wait import caution_pays
 from .eviction import can_free_room, Eviction
 from .loss_limit import eviction_loss_limit, NO_EVICTION
 from .pass_eviction import PassEvictions
+from .pass_shares import PassShares
 from .plan import Decision, Wait, WaitingUnit, WaitReason
 from .planner_memory import Need, need_of, UnmetNeed
 from .preference import (
@@ -26,27 +28,79 @@
     preferences,
     relaxed_units,
 )
+from .share_order import ShareOrder
 from .unit_placement import choose_placement, count_fitting
 
 
 class PlanningPass(PassEvictions):
     """Represent the decisions of one pass on the waiting units."""
 
-    def decide(self, group: list[WaitingUnit]) -> list[Decision]:
-        """Return the decisions on identical units, and the preemptions for them."""
-        need = need_of(group[0])
+    def decide_all(self, groups: list[list[WaitingUnit]]) -> list[Decision]:
+        """Return the decisions on groups of units in their order of placement."""
+        decisions: list[Decision] = []
+        if self.shares is None or not groups or groups[0][0].guaranteed:
+            for group in groups:
+                decisions += self.decide(group)
+            return decisions
+        for _, level in groupby(groups, key=lambda group: group[0].priority):
+            decisions += self._decide_by_share(list(level), self.shares)
+        return decisions
+
+    def _decide_by_share(
+        self, groups: list[list[WaitingUnit]], shares: PassShares
+    ) -> list[Decision]:
+        """Return the decisions on the groups of one priority."""
+        decisions: list[Decision] = []
+        order = ShareOrder(groups, shares)
+        while (entry := order.next()) is not None:
+            number, group = entry
+            found = self.decide(group, one_placement=True)
+            if found and takes_room(found[-1]):
+                last = [unit.unit_id for unit in group].index(found[-1].unit_id)
+                order.put_back(number, group[last + 1 :])
+            elif found and group[0].organisation in order.overtaken:
+                told = shares.share(group[0])
+                found = [
+                    replace(one, shares=told) if isinstance(one, Wait) else one
+                    for one in found
+                ]
+            decisions += found
+        return decisions
+
+    def decide(
+        self, group: list[WaitingUnit], one_placement: bool = False
+    ) -> list[Decision]:
+        """Return the decisions on identical units, and the preemptions for them.
+
+        With one_placement, the first unit that gets room ends the decisions.
+        """
+        first = self._limited(group[0])
+        need = need_of(first)
         decisions: list[Decision] = []
         for unit in group:
             if unit.unit_id in self.decided:
                 continue
+            if first.over_share:
+                unit = replace(unit, over_share=True)
             found = self._decide_unit(unit, need)
             decisions += found
+            if one_placement and takes_room(found[-1]):
+                break
             if self._blocks_group(found[-1], need):
                 # The tasks of a step are identical: if one of them can't be placed,
                 # neither can another one.
                 break
         return decisions
 
+    def _limited(self, unit: WaitingUnit) -> WaitingUnit:
+        """Return the unit, marked if its share limits which units it may preempt."""
+        if self.shares is None:
+            return unit
+        if eviction_loss_limit(unit, self.now, self.settling) <= NO_EVICTION:
+            # The mark would only make the needs of units that preempt none differ.
+            return unit
+        return self.shares.limited(unit)
+
     def _blocks_group(self, decision: Decision, need: Need) -> bool:
         """Return whether units with the same need get the same decision.
 
@@ -121,7 +175,7 @@
             if _is_suspicion_wait(found[-1]) or _is_cold_wait(found[-1]):
                 return found
         if _is_unplaced(found[-1]) and self._may_displace(unit, candidate):
-            candidate = replace(candidate, displaces=True)
+            candidate = self._limited(replace(candidate, displaces=True))
             found = self._decide_strictly(candidate, need_of(candidate))
         return found
 
@@ -208,6 +262,13 @@
         return [known.wait(unit, loss_limit)]
 
 
+def takes_room(decision: Decision) -> bool:
+    """Return whether a unit is placed, or room is being freed for it."""
+    if isinstance(decision, Wait):
+        return decision.reason is WaitReason.STOPPING
+    return True
+
+
 def _is_unplaced(decision: Decision) -> TypeGuard[Wait]:
     """Return whether the decision is to wait, with no room being freed."""
     return isinstance(decision, Wait) and decision.reason is not WaitReason.STOPPING
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -25,6 +25,7 @@
 from ..run_times.run_time_fit import Forecast
 from ..workers.orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
 from ..workers.reported_worker import Worker
+from ..workers.service_capacity import service_capacities
 from ..workers.worker import WorkerState
 from ..workers.worker_trust import stalled_for, trust_level
 from .plan import ON_TRIAL, RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
@@ -65,6 +66,9 @@
     refresh_forecasts(state, now)
     changed_workers = _update_workers(state, now)
     _update_guarantees(state)
+    if state.fair_shares and (changed_workers is None or view.policy_changed):
+        weights = {one.name: one.weight for one in state.policy.organisations.values()}
+        view.use.configure(service_capacities(state), weights)
     if view.policy_changed:
         view.policy_changed = False
         for job in state.jobs.values():
@@ -82,6 +86,7 @@
         settling=now - state.reports_since < REPORT_WAIT_TIME
         and any(worker.awaiting_report for worker in view.workers.values()),
         remote_factor=state.remote_factor,
+        use=view.use if state.fair_shares else None,
     )
 
 
@@ -152,6 +157,9 @@
     view.aging_units.discard(unit_id)
     view.waiting.pop(unit_id, None)
     known = view.running.pop(unit_id, None)
+    if known is not None and state.fair_shares:
+        occupied = known.occupied.times(-1)
+        view.use.add(known.level, known.organisation, occupied)
     unit = state.unit(unit_id)
     if unit is None:
         return set()
@@ -164,6 +172,8 @@
         _update_waiting(unit, job, terms, state, now)
     elif unit.state in (ACTIVE, STOPPING, CANCELLING) and unit.may_be_running:
         running = view.running[unit_id] = _running(unit, job, terms, state, now)
+        if state.fair_shares:
+            view.use.add(running.level, running.organisation, running.occupied)
         if running.stalled_for or running.leaves_in < inf:
             view.aging_units.add(unit_id)
         if known is not None and _costs_less(running, known, now):
@@ -320,6 +330,7 @@
     rest = observed_remaining(unit, now)
     return RunningUnit(
         unit_id=unit.unit_id,
+        service=terms.service if terms else "",
         priority=priority,
         organisation=job.spec.organisation,
         guaranteed=job.spec.job_id in state.view.covered,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/victim.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/victim.py
@@ -9,7 +9,8 @@
 
 from ..jobs.spec import Resources
 from ..jobs.unit import UnitId
-from .plan import RunningUnit
+from .pass_shares import PassShares
+from .plan import RunningUnit, WaitingUnit
 
 RESTART_COST = 0.3
 """Seconds of a unit's resources that a restart costs in addition to lost work.
@@ -35,6 +36,7 @@
         self.now = now
         self.by_worker: dict[str, list[Victim]] = {}
         self.excluded: set[int] = set()
+        self.shares: PassShares | None = None
 
     @cached_property
     def units_by_worker(self) -> dict[str, list[RunningUnit]]:
@@ -55,16 +57,20 @@
         return self.by_worker[worker_id]
 
     def preemptible_on(
-        self, worker_id: str, priority: int, cost_limit: float
+        self, worker_id: str, unit: WaitingUnit, cost_limit: float
     ) -> list[Victim]:
-        """Return the victims on a worker that are less urgent than the priority."""
-        return [
+        """Return the victims on a worker that a unit may preempt, as less urgent."""
+        found = [
             victim
             for victim in self.victims_on(worker_id)
-            if victim.unit.priority > priority
+            if victim.unit.priority > unit.priority
             and victim.cost <= cost_limit
             and id(victim.unit) not in self.excluded
         ]
+        shares = self.shares
+        if shares is None or not unit.over_share:
+            return found
+        return [victim for victim in found if shares.may_stop(victim.unit)]
 
     def least_core_cost(self, worker_id: str, priority: int) -> float:
         """Return the lowest cost at which one core is freed on a worker, or infinity."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/wait_log.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/wait_log.py
@@ -65,6 +65,9 @@
     }
     if decision.least_cost is not None:
         fields["least_cost"] = round(min(decision.least_cost, MAX_LOGGED_COST), 1)
+    if decision.shares is not None:
+        share, fair_share = decision.shares
+        fields |= {"share": round(share, 4), "fair_share": round(fair_share, 4)}
     return [WriteLog(number=UNIT_WAITING.number, fields=fields)]
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/policies/policy.py
@@ -54,10 +54,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
-    """Describe an organisation and its guaranteed number of accelerators."""
+    """Describe an organisation and its guaranteed number of accelerators.
+
+    weight is that of its fair share relative to those of the others.
+    """
 
     name: str
     guaranteed_accelerators: int = 0
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -19,6 +19,7 @@
     RUN_ORDERED,
     RUN_REFUSED,
     RUN_STOP_ORDERED,
+    SHARES_COMPARED,
     UNIT_EVACUATED,
     UNIT_MOVED,
     UNIT_PLACED,
@@ -31,6 +32,7 @@
     JOB_CALLS,
     JOB_REJECTIONS,
     JOB_TIME,
+    LARGEST_SHARE_RATIO,
     RECORDS_LOST,
     RUN_ORDERS,
     RUNS_ENDED,
@@ -78,6 +80,9 @@
             CORDON_RUNS.number: self._cordon_runs,
             RUN_REFUSED.number: lambda f: self._ordered("refused"),
             HEALTH_ANSWERS_COUNTED.number: self._health_counted,
+            SHARES_COMPARED.number: lambda f: self.registry.record(
+                LARGEST_SHARE_RATIO, f["ratio"]
+            ),
         }
 
     def observe(self, message: Message, commands: list[Command], now: float) -> None:
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -95,6 +95,9 @@
 @click.option(
     "--admission", is_flag=True, help="Reject jobs that the load would make worthless."
 )
+@click.option(
+    "--fair-shares", is_flag=True, help="Order waiting units by organisations' shares."
+)
 @click.option(
     "--forecasts", is_flag=True, help="Print how far off learned run times are."
 )
@@ -124,6 +127,7 @@
     errors: tuple[float, ...] | None,
     flood: float,
     admission: bool,
+    fair_shares: bool,
     forecasts: bool,
     seeds: int,
     sick: str | None,
@@ -133,9 +137,11 @@
 ) -> None:
     """Play loads with wrong estimates, and print what callers of each queue get."""
     logger.remove()
-    if (sick or health_checks) and (errors or forecasts or flood or admission):
+    unsupported = errors or forecasts or flood or admission or fair_shares
+    if (sick or health_checks) and unsupported:
         raise click.UsageError(
-            "sick workers are played without errors, forecasts, floods and admission"
+            "sick workers are played without errors, forecasts, floods, admission and"
+            " fair shares"
         )
     plan = SickPlan(SickKind(sick) if sick else None, sick_workers, health_checks)
     cost, forecast_errors = SickResult(), ForecastErrors()
@@ -155,6 +161,7 @@
                 forecast_errors,
                 flood,
                 admission,
+                fair_shares,
             )
         played.append(callers)
     results = add_results(played)
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -96,10 +96,12 @@
         rack_size: int = RACK_SIZE,
         estimate_use: EstimateUse = EstimateUse.ALL,
         admission: bool = False,
+        fair_shares: bool = False,
     ) -> None:
         super().__init__(now=0.0, rack_size=rack_size)
         self.state.run_times.use = estimate_use
         self.state.published_load.enabled = admission
+        self.state.fair_shares = fair_shares
         self.entry = SimulatedEntry()
         self.errors = ForecastErrors()
         self.idle = IdleJobs()
@@ -323,6 +325,7 @@
     forecast_errors: ForecastErrors | None = None,
     flood: float = 0.0,
     admission: bool = False,
+    fair_shares: bool = False,
 ) -> dict[str, QueueResult]:
     """Return what callers get of one load, by queue.
 
@@ -332,7 +335,8 @@
     relative errors of callers' estimates, by class. The errors of learned run times are
     added to forecast_errors. With a flood, which is in jobs a second, one more
     organisation submits so many, which count apart. With admission, jobs are accepted
-    by the load that the owner publishes.
+    by the load that the owner publishes. With fair_shares, units wait by the shares of
+    their organisations.
     """
     racks = workers // rack_size if rack_size else 0
     random = Random(seed)
@@ -344,7 +348,7 @@
         jobs += flood_jobs(flood, duration, random, racks, estimate_errors)
     size = rack_size or RACK_SIZE
     experiment = FleetExperiment(
-        workers, organisations, jobs, size, estimate_use, admission
+        workers, organisations, jobs, size, estimate_use, admission, fair_shares
     )
     results = experiment.play(duration)
     if forecast_errors is not None:
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -202,6 +202,7 @@
                 self.settings.stop_times,
                 ownership.lease,
                 self.settings.admission_control,
+                self.settings.fair_shares,
             ),
             decide_jobs=decide,
             tick=FleetTick(),
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -18,7 +18,8 @@
     and estimate_use for what learned run times are used in place of declared estimates.
     cordons is set if the deployment uses cordons of data centres. stop_times is how long
     stops and restarts of runs take. With admission_control, new jobs are rejected that
-    the load would delay until they have no value.
+    the load would delay until they have no value. With fair_shares, units wait by the
+    shares of their organisations.
     """
 
     entry_id: str
@@ -34,4 +35,5 @@
     estimate_use: EstimateUse = EstimateUse.ALL
     stop_times: StopTimes = DEFAULT_STOP_TIMES
     admission_control: bool = False
+    fair_shares: bool = False
     log_level: str = "INFO"
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -276,7 +276,10 @@
             schema=ROWS_SCHEMA,
         )
         state = scheduler.new_fleet_state(
-            CATALOGUE, owner_horizon(TIMES), lease=ownership.lease
+            CATALOGUE,
+            owner_horizon(TIMES),
+            lease=ownership.lease,
+            fair_shares=world.fair_shares,
         )
         self.shard = Shard(
             ownership, state, scheduler.decide, FleetTick(), tick_interval=0.25
@@ -417,11 +420,13 @@
         entries: int = 3,
         cordons: bool = False,
         health_checks: bool = False,
+        fair_shares: bool = False,
     ) -> None:
         self.timers = FakeTimerService(1000.0)
         self.store = SimulatedStore()
         self.policy = POLICY
         self.cordons = cordons
+        self.fair_shares = fair_shares
         self.operator_feeds: list[OperatorFeed] = []
         self.unserved_operator_feeds: set[str] = set()
         self.health_times = HEALTH_TIMES if health_checks else None
