Compute shares of a pass from groups of units, not from units

Cause: with fair shares, a pass went over all waiting units again, and replaced each decision to wait twice.

Change: the levels come from the first unit of each group, and the shares are recorded with the number of units ahead.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_shares.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_shares.py
@@ -44,10 +44,12 @@
         """Return the workers on which more units may be preempted than before."""
         if not self.released:
             return set()
+        names = {name for _, name in self.released}
         return {
             worker_ref.worker_id
             for unit in running
-            if (unit.level, unit.organisation) in self.released
+            if unit.organisation in names
+            and (unit.level, unit.organisation) in self.released
             for worker_ref in unit.placement
         }
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -7,6 +7,7 @@
 from ..jobs.unit import UnitId
 from .cold_wait import cold_wait_pays
 from .doubt_wait import DoubtWait
+from .organisation_share import OrganisationUse
 from .pass_shares import PassShares
 from .plan import (
     Decision,
@@ -55,10 +56,6 @@
         self.victims = VictimIndex(snapshot.running, snapshot.now)
         self.shares: PassShares | None = None
         self.exposed: set[str] = set()
-        if snapshot.use is not None:
-            self.shares = PassShares(snapshot.use, snapshot.waiting, memory.protected)
-            self.victims.shares = self.shares
-            self.exposed = self.shares.newly_exposed(snapshot.running)
         self.known: dict[Need, UnmetNeed] = {}
         self.changed: set[str] = set()
         self.hosts_by_key = memory.hosts_by_key
@@ -71,6 +68,8 @@
         self.unmet: dict[Need, UnmetNeed] = {}
         self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
         self.last_reservations = memory.reservations
+        self.last_protected = memory.protected
+        self.share_waits: dict[UnitId, tuple[float, float]] = {}
         self.decided: set[UnitId] = set()
         self.reservations: dict[UnitId, tuple[str, ...]] = {}
         self.trial_begun = False
@@ -79,6 +78,13 @@
             if unit.stopping and self.now - unit.stopping_since < STOP_LIMIT:
                 self._add_releasing(unit)
 
+    def share(self, use: OrganisationUse, groups: list[list[WaitingUnit]]) -> None:
+        """Decide by the shares of organisations, of which groups of units wait."""
+        first_units = (group[0] for group in groups)
+        self.shares = PassShares(use, first_units, self.last_protected)
+        self.victims.shares = self.shares
+        self.exposed = self.shares.newly_exposed(self.victims.running)
+
     def _waits_for_warm(
         self, unit: WaitingUnit, placement: list[WorkerSnapshot]
     ) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 
+from ..jobs.unit import UnitId
 from .plan import Decision, Snapshot, Wait
 from .planner_memory import PlannerMemory
 from .planning_pass import PlanningPass
@@ -27,6 +29,8 @@
         planning_pass = PlanningPass(snapshot, self)
         decisions: list[Decision] = relocations(snapshot)
         groups = waiting_groups(snapshot)
+        if snapshot.use is not None:
+            planning_pass.share(snapshot.use, groups)
         # A unit with a guarantee may still take the room kept for one without.
         for guaranteed in (True, False):
             chosen = [group for group in groups if group[0].guaranteed is guaranteed]
@@ -40,15 +44,19 @@
         if planning_pass.shares is not None:
             self.protected = planning_pass.shares.protected
         self.doubt_waits = planning_pass.doubt_wait.kept(snapshot.waiting)
-        return _count_ahead(decisions)
+        return _explain_waits(decisions, planning_pass.share_waits)
 
 
-def _count_ahead(decisions: list[Decision]) -> list[Decision]:
-    """Record in each decision to wait how many others precede it."""
+def _explain_waits(
+    decisions: list[Decision], shares: Mapping[UnitId, tuple[float, float]]
+) -> list[Decision]:
+    """Record in each decision to wait how many others precede it, and by what shares."""
     waits = 0
     for number, decision in enumerate(decisions):
         if isinstance(decision, Wait):
-            decisions[number] = replace(decision, ahead=waits)
+            decisions[number] = replace(
+                decision, ahead=waits, shares=shares.get(decision.unit_id)
+            )
             waits += 1
     return decisions
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -60,10 +60,7 @@
                 order.put_back(number, group[last + 1 :])
             elif found and group[0].organisation in order.overtaken:
                 told = shares.share(group[0])
-                found = [
-                    replace(one, shares=told) if isinstance(one, Wait) else one
-                    for one in found
-                ]
+                self.share_waits |= {one.unit_id: told for one in found}
             decisions += found
         return decisions
 
