--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -25,11 +25,11 @@
 from ..run_times.run_time_fit import Forecast
 from ..workers.orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
 from ..workers.reported_worker import Worker
-from ..workers.service_capacity import service_capacities
 from ..workers.worker import WorkerState
 from ..workers.worker_trust import stalled_for, trust_level
 from .plan import ON_TRIAL, RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
 from .unit_placement import has_job
+from .use_update import configure_use, update_use
 
 REPORT_AGE_LIMIT = 3.0
 """Seconds after its last report for which a worker still gets new runs."""
@@ -67,15 +67,17 @@
     changed_workers = _update_workers(state, now)
     _update_guarantees(state)
     if state.fair_shares and (changed_workers is None or view.policy_changed):
-        weights = {one.name: one.weight for one in state.policy.organisations.values()}
-        view.use.configure(service_capacities(state), weights)
+        configure_use(state)
     if view.policy_changed:
         view.policy_changed = False
         for job in state.jobs.values():
             view.changed_units.update(job.units)
     cheaper: set[str] = set()
     for unit_id in view.changed_units | view.aging_units:
+        known = view.running.get(unit_id)
         cheaper |= _update_unit(unit_id, state, now)
+        if state.fair_shares:
+            update_use(view.use, known, view.running.get(unit_id))
     view.changed_units.clear()
     return Snapshot(
         now=now,
@@ -157,9 +159,6 @@
     view.aging_units.discard(unit_id)
     view.waiting.pop(unit_id, None)
     known = view.running.pop(unit_id, None)
-    if known is not None and state.fair_shares:
-        occupied = known.occupied.times(-1)
-        view.use.add(known.level, known.organisation, occupied)
     unit = state.unit(unit_id)
     if unit is None:
         return set()
@@ -172,8 +171,6 @@
         _update_waiting(unit, job, terms, state, now)
     elif unit.state in (ACTIVE, STOPPING, CANCELLING) and unit.may_be_running:
         running = view.running[unit_id] = _running(unit, job, terms, state, now)
-        if state.fair_shares:
-            view.use.add(running.level, running.organisation, running.occupied)
         if running.stalled_for or running.leaves_in < inf:
             view.aging_units.add(unit_id)
         if known is not None and _costs_less(running, known, now):
