--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -107,9 +107,12 @@
 
 @measure.command()
 @click.option("--seed", type=int, default=1, show_default=True)
-def planner(seed: int) -> None:
+@click.option(
+    "--fair-shares", is_flag=True, help="Order waiting units by organisations' shares."
+)
+def planner(seed: int, fair_shares: bool) -> None:
     """Measure the owner's CPU time for an ended run at several fleet sizes."""
-    print_lines(measure_planner(seed))
+    print_lines(measure_planner(seed, fair_shares))
 
 
 @measure.command()
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -60,8 +60,11 @@
 class PlannerBench(SimulatedOwner):
     """Represent an owner with a full fleet and a backlog, driven by its messages."""
 
-    def __init__(self, size: FleetSize, random: Random) -> None:
+    def __init__(
+        self, size: FleetSize, random: Random, fair_shares: bool = False
+    ) -> None:
         super().__init__(now=1000.0, rack_size=RACK_SIZE)
+        self.state.fair_shares = fair_shares
         self.size = size
         self.random = random
         self.jobs = 0
@@ -99,6 +102,7 @@
                 workers=snapshot.workers,
                 waiting=snapshot.waiting,
                 running=snapshot.running,
+                use=snapshot.use,
             )
         )
         return time.process_time() - begun
@@ -151,12 +155,12 @@
         self.decide(PlanningPassDue())
 
 
-def measure_planner(seed: int) -> Sequence[Line]:
+def measure_planner(seed: int, fair_shares: bool = False) -> Sequence[Line]:
     """Return the CPU time in ms of an ended run and of a full pass, by fleet size."""
     changes: list[Sample] = []
     passes: list[Sample] = []
     for size in SIZES:
-        bench = PlannerBench(size, Random(seed))
+        bench = PlannerBench(size, Random(seed), fair_shares)
         used = [bench.measure_change() for _ in range(CHANGES)]
         full = [bench.measure_full_pass() for _ in range(5)]
         product = size.workers * size.waiting
