--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -7,6 +7,8 @@
 from ..jobs.unit import UnitId
 from .cold_wait import cold_wait_pays
 from .doubt_wait import DoubtWait
+from .organisation_share import OrganisationUse
+from .pass_shares import PassShares
 from .plan import (
     Decision,
     IN_DOUBT,
@@ -52,6 +54,8 @@
         self.doubt_wait = DoubtWait(self.rack_wait, self.doubts, memory.doubt_waits)
         self.copied: set[str] = set()
         self.victims = VictimIndex(snapshot.running, snapshot.now)
+        self.shares: PassShares | None = None
+        self.exposed: set[str] = set()
         self.known: dict[Need, UnmetNeed] = {}
         self.changed: set[str] = set()
         self.hosts_by_key = memory.hosts_by_key
@@ -64,6 +68,8 @@
         self.unmet: dict[Need, UnmetNeed] = {}
         self.unmet_before_eviction: dict[Need, UnmetNeed] = {}
         self.last_reservations = memory.reservations
+        self.last_protected = memory.protected
+        self.share_waits: dict[UnitId, tuple[float, float]] = {}
         self.decided: set[UnitId] = set()
         self.reservations: dict[UnitId, tuple[str, ...]] = {}
         self.trial_begun = False
@@ -72,6 +78,13 @@
             if unit.stopping and self.now - unit.stopping_since < STOP_LIMIT:
                 self._add_releasing(unit)
 
+    def share(self, use: OrganisationUse, groups: list[list[WaitingUnit]]) -> None:
+        """Decide by the shares of organisations, of which groups of units wait."""
+        first_units = (group[0] for group in groups)
+        self.shares = PassShares(use, first_units, self.last_protected)
+        self.victims.shares = self.shares
+        self.exposed = self.shares.newly_exposed(self.victims.running)
+
     def _waits_for_warm(
         self, unit: WaitingUnit, placement: list[WorkerSnapshot]
     ) -> bool:
@@ -100,7 +113,10 @@
 
     def _changed_hosts(self, known: UnmetNeed) -> frozenset[str]:
         """Return the workers on which what the last pass found may not hold."""
-        return (known.hosts.ids & self.changed) | known.unsearched
+        changed = self.changed
+        if known.over_share and self.exposed:
+            changed = changed | self.exposed
+        return (known.hosts.ids & changed) | known.unsearched
 
     def _hosts(self, unit: WaitingUnit) -> HostGroups:
         """Return the workers that may host the unit, loaded or not."""
@@ -125,6 +141,8 @@
     def _reserve(self, unit: WaitingUnit, placement: list[WorkerSnapshot]) -> None:
         workers = [self._writable(worker) for worker in placement]
         reserve(unit, workers)
+        if self.shares is not None:
+            self.shares.place(unit)
         self.rack_wait.begin(unit, workers)
         if any(
             one.trust is not Trust.FULL and one.trust in ON_TRIAL for one in workers
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -29,6 +29,7 @@
 from ..workers.worker_trust import stalled_for, trust_level
 from .plan import ON_TRIAL, RunningUnit, Snapshot, WaitingUnit, WorkerSnapshot
 from .unit_placement import has_job
+from .use_update import configure_use, update_use
 
 REPORT_AGE_LIMIT = 3.0
 """Seconds after its last report for which a worker still gets new runs."""
@@ -65,13 +66,18 @@
     refresh_forecasts(state, now)
     changed_workers = _update_workers(state, now)
     _update_guarantees(state)
+    if state.fair_shares and (changed_workers is None or view.policy_changed):
+        configure_use(state)
     if view.policy_changed:
         view.policy_changed = False
         for job in state.jobs.values():
             view.changed_units.update(job.units)
     cheaper: set[str] = set()
     for unit_id in view.changed_units | view.aging_units:
+        known = view.running.get(unit_id)
         cheaper |= _update_unit(unit_id, state, now)
+        if state.fair_shares:
+            update_use(view.use, known, view.running.get(unit_id))
     view.changed_units.clear()
     return Snapshot(
         now=now,
@@ -82,6 +88,7 @@
         settling=now - state.reports_since < REPORT_WAIT_TIME
         and any(worker.awaiting_report for worker in view.workers.values()),
         remote_factor=state.remote_factor,
+        use=view.use if state.fair_shares else None,
     )
 
 
@@ -320,6 +327,7 @@
     rest = observed_remaining(unit, now)
     return RunningUnit(
         unit_id=unit.unit_id,
+        service=terms.service if terms else "",
         priority=priority,
         organisation=job.spec.organisation,
         guaranteed=job.spec.job_id in state.view.covered,
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -95,6 +95,9 @@
 @click.option(
     "--admission", is_flag=True, help="Reject jobs that would lose all value."
 )
+@click.option(
+    "--fair-shares", is_flag=True, help="Order waiting units by organisations' shares."
+)
 @click.option(
     "--forecasts", is_flag=True, help="Print how far off learned run times are."
 )
@@ -124,6 +127,7 @@
     errors: tuple[float, ...] | None,
     flood: float,
     admission: bool,
+    fair_shares: bool,
     forecasts: bool,
     seeds: int,
     worker_fault: str | None,
@@ -133,9 +137,10 @@
 ) -> None:
     """Run loads with wrong estimates, and print what callers of each queue get."""
     logger.remove()
-    if (worker_fault or health_checks) and (errors or forecasts or flood or admission):
+    unsupported = errors or forecasts or flood or admission or fair_shares
+    if (worker_fault or health_checks) and unsupported:
         raise click.UsageError(
-            "faulty workers exclude errors, forecasts, floods and admission"
+            "faulty workers exclude errors, forecasts, floods, admission and fair shares"
         )
     plan = FaultPlan(
         FaultKind(worker_fault) if worker_fault else None, faulty_workers, health_checks
@@ -157,6 +162,7 @@
                 forecast_errors,
                 flood,
                 admission,
+                fair_shares,
             )
         played.append(callers)
     results = add_results(played)
