Search for newly exposed units only where a pass needs them

Cause: with fair shares, each pass in which an organisation rose above its share went over all running units.

Change: it does so only if a unit over its share found no room before.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -83,7 +83,8 @@
         first_units = (group[0] for group in groups)
         self.shares = PassShares(use, first_units, self.last_protected)
         self.victims.shares = self.shares
-        self.exposed = self.shares.newly_exposed(self.victims.running)
+        if any(known.over_share for known in self.known.values()):
+            self.exposed = self.shares.newly_exposed(self.victims.running)
 
     def _waits_for_warm(
         self, unit: WaitingUnit, placement: list[WorkerSnapshot]
