Learn the speeds of workers, and place units by them

Cause: a gang ends with its slowest member, and nothing reports which workers are slow; with a third of them 1.3 times slower, a gang of five has one with a probability of 0.87. Change: the owner compares ends and progress rates of the runs of a step, keeps a shrunk factor for each worker and one row, divides learned run times by it, expects ends by it, and prefers workers with which a unit meets its objective.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -322,6 +322,15 @@
 RUN_TIMES_READ = LogEvent(
     490, "INFO", "read the run times of {runs} steps in {groups} groups"
 )
+WORKER_SPEED_CHANGED = LogEvent(
+    491,
+    "INFO",
+    "runs on worker {worker} take {factor} times as long as on a typical one, by"
+    " {samples} samples; {slow} workers are slow",
+)
+WORKER_SPEEDS_READ = LogEvent(
+    492, "INFO", "read the speeds of {workers} workers, {slow} of them slow"
+)
 
 BUNDLE_IN_FORCE = LogEvent(
     501, "INFO", "bundle version {version}, signed off by {signer}, is in force"
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -204,6 +204,13 @@
     unit="1",
     text="workers that the owner does not fully trust",
 )
+WORKERS_SLOW = Metric(
+    name="workers.slow",
+    kind=MetricKind.GAUGE,
+    unit="1",
+    text="workers on which runs take more than 1.15 times as long as usual, as the owner"
+    " knows them",
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_lifecycle.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/unit_lifecycle.py
@@ -21,6 +21,7 @@
 from ..planning.plan import Decision, Evacuate, Move, Preempt
 from ..policies.cordon import CORDONED
 from ..run_times.run_forecast import record_run, step_forecast
+from ..run_times.speed_sample import slowest_factor
 from ..workers.worker import EndKind
 from .job_lifecycle import count_placement, update_job
 from .stop_account import (
@@ -69,6 +70,9 @@
         "waited": round(now - unit.ready_at, 3),
         "epoch": state.epoch,
     }
+    factor = slowest_factor(unit, state)
+    if factor != 1.0:
+        fields["factor"] = round(factor, 2)
     log = WriteLog(number=UNIT_PLACED.number, fields=fields)
     return [log, *account_for_start(unit.unit_id, state, now)]
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -8,6 +8,7 @@
 from ..planning.fleet_view import FleetView
 from ..planning.planner import Planner
 from ..run_times.run_time import RunTimeModel
+from ..run_times.worker_speed import WorkerSpeeds
 from .fleet_state import FleetState
 
 
@@ -32,6 +33,7 @@
     ):
         collection.clear()
     state.run_times = RunTimeModel(use=state.run_times.use)
+    state.worker_speeds = WorkerSpeeds(enabled=state.worker_speeds.enabled)
     state.published_load = PublishedLoad(enabled=state.published_load.enabled)
     state.view = FleetView()
     state.planner = Planner()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -22,6 +22,7 @@
 from ..policies.cordon import OwnerCordons
 from ..policies.policy import FleetPolicy, Queue
 from ..run_times.run_time import RunTimeModel
+from ..run_times.worker_speed import WorkerSpeeds
 from ..workers.reported_worker import Worker
 from .planning_lease import PlanningLease
 from .takeover import Takeover
@@ -52,7 +53,7 @@
     is what is known of the operators' cordons. disregarded_services contains the
     services whose workers' health checks are not reliable, and health_counted_at is the
     time of the last count of their answers. run_times contains what was learned of the
-    run times of tasks. stop_times is how long stops take, and evictions contains the
+    run times of tasks, and worker_speeds of those of workers. stop_times is how long stops take, and evictions contains the
     stops for each beneficiary that has yet to be placed. published_load is the load as
     entries know it.
     """
@@ -94,6 +95,7 @@
     disregarded_services: frozenset[str] = frozenset()
     health_counted_at: float = -inf
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
+    worker_speeds: WorkerSpeeds = field(default_factory=WorkerSpeeds)
     evictions: dict[UnitId, EvictionAccount] = field(default_factory=dict)
     planning_lease: PlanningLease = field(default_factory=PlanningLease)
     published_load: PublishedLoad = field(default_factory=PublishedLoad)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -18,6 +18,7 @@
     JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
     RUN_TIMES_READ,
+    WORKER_SPEEDS_READ,
 )
 from ...message import Message
 from ...sharding.ownership import (
@@ -45,6 +46,9 @@
 from ..rows import job_of_row, JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE, UNIT_TABLE
 from ..run_times.run_time import EstimateUse, RunTimeModel
 from ..run_times.run_time_row import ESTIMATE_TABLE, restore_run_times, RunTimesArrived
+from ..run_times.speed_update import follow_speeds, slow_workers
+from ..run_times.worker_speed import WorkerSpeeds
+from ..run_times.worker_speed_row import restore_speeds, WorkerSpeedsArrived
 from ..watch import StopWatching, WatchTables
 from ..workers.cordon_control import apply_cordons, follow_cordons
 from ..workers.fleet_health import check_fleet
@@ -93,13 +97,15 @@
     stop_times: StopTimes = DEFAULT_STOP_TIMES,
     lease: ShardLease | None = None,
     publishes_load: bool = False,
+    worker_speeds: bool = True,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
     horizon is the lease horizon in seconds, and remote_factor how many times as long a
     task takes away from the rack that it prefers. estimate_use tells for what learned
     run times are used, and stop_times how long stops take. lease is that of the shard.
-    publishes_load is set if entries accept jobs by the load.
+    publishes_load is set if entries accept jobs by the load. With worker_speeds, the
+    owner learns how fast workers are, if it learns run times.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -107,6 +113,9 @@
         horizon=horizon,
         remote_factor=remote_factor,
         run_times=RunTimeModel(use=estimate_use),
+        worker_speeds=WorkerSpeeds(
+            enabled=worker_speeds and estimate_use is not EstimateUse.NOTHING
+        ),
         stop_times=stop_times,
         planning_lease=PlanningLease(lease),
         published_load=PublishedLoad(enabled=publishes_load),
@@ -159,6 +168,7 @@
 def _(message: TableReady, state: FleetState, now: float) -> list[Command]:
     if message.table == ESTIMATE_TABLE:
         state.run_times.stored_known = True
+        state.worker_speeds.stored_known = True
     if message.table not in state.loading:
         return []
     state.loading.discard(message.table)
@@ -234,6 +244,18 @@
     return [WriteLog(number=RUN_TIMES_READ.number, fields=fields)]
 
 
+@handle_message.register
+def _(message: WorkerSpeedsArrived, state: FleetState, now: float) -> list[Command]:
+    speeds = state.worker_speeds
+    if not state.owning or not speeds.enabled:
+        return []
+    restore_speeds(speeds, message.stored, now)
+    state.view.changed_workers.update(message.stored.workers)
+    speeds.reported = slow_workers(speeds)
+    fields = {"workers": len(message.stored.workers), "slow": len(speeds.reported)}
+    return [WriteLog(number=WORKER_SPEEDS_READ.number, fields=fields)]
+
+
 @handle_message.register
 def _(message: ReportArrived, state: FleetState, now: float) -> list[Command]:
     return apply_report(message, state, now)
@@ -326,6 +348,7 @@
         *log_lists(state, now),
         *write_queue_counts(state),
         *write_run_times(state, now),
+        *follow_speeds(state, now),
         *write_load(state, now),
     ]
     return [*commands, *remove_ended(state, now)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/plan.py
@@ -53,7 +53,8 @@
     of resources held by units that are being stopped. orders_bytes is the size of the
     worker's orders row, and tasks_of_step counts its tasks by job, occurrence and step. suspects counts its
     units under which a worker has crashed, and closed is set while a dangerous one has
-    begun there.
+    begun there. run_time_factor is how many times as long runs take there as on a typical
+    worker, as far as it is known.
     """
 
     worker_ref: WorkerRef
@@ -74,6 +75,7 @@
     tasks_of_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
     suspects: int = 0
     closed: bool = False
+    run_time_factor: float = 1.0
 
 
 def used_share_of(workers: Iterable[WorkerSnapshot]) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/snapshot.py
@@ -13,8 +13,8 @@
 from ..jobs.spec import QueueTerms
 from ..jobs.unit import ACTIVE, CANCELLING, STOPPING, Unit, UnitId, WAITING, WorkerRef
 from ..owner.fleet_state import FleetState
+from ..run_times.remote_run import remote_factor
 from ..run_times.run_forecast import (
-    is_remote,
     job_forecast,
     objective_path,
     observed_remaining,
@@ -23,6 +23,7 @@
     step_forecast,
 )
 from ..run_times.run_time_fit import Forecast
+from ..run_times.speed_sample import slowest_factor
 from ..workers.orders import order_size, RUN_ORDER_BYTES, UNKNOWN_RUNS_LIMIT
 from ..workers.reported_worker import Worker
 from ..workers.worker import WorkerState
@@ -224,6 +225,7 @@
         cold_until=worker.cold_until,
         trust=trust_level(worker, now),
         closed=_is_closed(worker, state, now),
+        run_time_factor=state.worker_speeds.factor(info.worker_id),
     )
     unknown_runs = min(len(worker.unknown_runs), UNKNOWN_RUNS_LIMIT)
     snapshot.orders_bytes = unknown_runs * RUN_ORDER_BYTES
@@ -317,6 +319,9 @@
     worked = now - begun - stalled
     priority = terms.priority if terms else 0
     forecast = step_forecast(job, unit.unit_id.step, state)
+    slowness = slowest_factor(unit, state)
+    if slowness != 1.0:
+        forecast = Forecast(forecast.median * slowness, forecast.spread)
     rest = observed_remaining(unit, now)
     return RunningUnit(
         unit_id=unit.unit_id,
@@ -348,7 +353,7 @@
     """Return the expected time of the current run, also away from its rack."""
     if unit.step.long_running:
         return inf
-    return forecast.median * (state.remote_factor if is_remote(unit, state) else 1.0)
+    return forecast.median * remote_factor(unit, state)
 
 
 def _leaves_in(worker_ref: WorkerRef, state: FleetState, now: float) -> float:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -8,14 +8,20 @@
 
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
+from functools import partial
+from itertools import chain
 from typing import Any
 
 from ..jobs.spec import Resources
 from .plan import IN_DOUBT, Trust, WaitingUnit, WorkerSnapshot
+from .speed_preference import speed_preference, SpeedPreference
 
 ORDERS_LIMIT_BYTES = 60_000
 """Size of the orders and payloads in one orders row; the store takes 64 KiB."""
 
+NO_RANK = (False, 0.0)
+"""Rank by speed of all workers and placements while no difference is known."""
+
 
 def eligible_workers(
     unit: WaitingUnit, workers: Iterable[WorkerSnapshot]
@@ -170,19 +176,21 @@
 
 
 def choose_placement(
-    unit: WaitingUnit, groups: Iterable[Sequence[WorkerSnapshot]]
+    unit: WaitingUnit, groups: Sequence[Sequence[WorkerSnapshot]], now: float
 ) -> list[WorkerSnapshot] | None:
     """Return a worker for each task of the unit, or None if they do not all fit.
 
-    One of the groups has to run the whole unit. Prefers warm workers, and then those with
-    the least free resources that suffice, so that tasks with a large demand find idle workers.
+    One of the groups has to run the whole unit. Prefers warm workers, then those that
+    are fast enough, and then those with the least free resources that suffice, so that
+    tasks with a large demand find idle workers.
     """
+    speed = speed_preference(unit, chain.from_iterable(groups), now)
     found = [
         placement
         for members in groups
-        if (placement := _pack(unit, members)) is not None
+        if (placement := _pack(unit, members, speed)) is not None
     ]
-    return min(found, key=_group_order, default=None)
+    return min(found, key=partial(_group_order, speed), default=None)
 
 
 def _needs_rack(unit: WaitingUnit) -> bool:
@@ -278,13 +286,15 @@
 
 
 def _pack(
-    unit: WaitingUnit, workers: Iterable[WorkerSnapshot]
+    unit: WaitingUnit,
+    workers: Iterable[WorkerSnapshot],
+    speed: SpeedPreference | None,
 ) -> list[WorkerSnapshot] | None:
     counts = [(count_fitting(unit, worker, worker.free), worker) for worker in workers]
     usable = [(count, worker) for count, worker in counts if count]
     if sum(count for count, _ in usable) < unit.size:
         return None
-    usable.sort(key=lambda item: _packing_order(unit, item[1]))
+    usable.sort(key=lambda item: _packing_order(unit, item[1], speed))
     placement: list[WorkerSnapshot] = []
     for count, worker in usable:
         if len(placement) == unit.size:
@@ -294,8 +304,8 @@
 
 
 def _packing_order(
-    unit: WaitingUnit, worker: WorkerSnapshot
-) -> tuple[bool, bool, bool, bool, bool, bool, float, float, str]:
+    unit: WaitingUnit, worker: WorkerSnapshot, speed: SpeedPreference | None
+) -> tuple[bool, bool, bool, bool, bool, bool, tuple[bool, float], float, float, str]:
     left = worker.free - unit.demand
     return (
         worker.worker_ref.worker_id in unit.avoided_workers | unit.failed_on,
@@ -306,6 +316,7 @@
         worker.trust is not Trust.FULL,
         worker.cold,
         worker.trust in (Trust.AVOIDED, Trust.NONE),
+        speed.rank(worker) if speed is not None else NO_RANK,
         left.accelerators,
         left.cpu,
         worker.worker_ref.worker_id,
@@ -333,8 +344,11 @@
     return max(fitting, 0)
 
 
-def _group_order(placement: list[WorkerSnapshot]) -> tuple[bool, int]:
-    """Return the sort key of a placement: a single cold worker delays all of a gang."""
+def _group_order(
+    speed: SpeedPreference | None, placement: list[WorkerSnapshot]
+) -> tuple[bool, tuple[bool, float], int]:
+    """Return the sort key of a placement: one cold or slow worker delays all of a gang."""
     distinct = {worker.worker_ref.worker_id: worker for worker in placement}
     free = sum(worker.free.accelerators for worker in distinct.values())
-    return any(worker.cold for worker in placement), free
+    rank = speed.rank_of_all(placement) if speed is not None else NO_RANK
+    return any(worker.cold for worker in placement), rank, free
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_forecast.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_forecast.py
@@ -11,8 +11,10 @@
 from ..jobs.unit import RunEnded, Unit, UnitMember
 from ..owner.fleet_state import FleetState
 from ..workers.worker import EndKind
+from .remote_run import remote_factor
 from .run_time import EstimateUse, JobForecast, run_kind, RunKind, RunOutcome
 from .run_time_fit import Forecast
+from .speed_sample import observe_end, slowest_factor
 
 REFRESH_INTERVAL = 1.0
 """Seconds between two times that the forecasts of all jobs follow the ended runs."""
@@ -86,8 +88,10 @@
         return
     if not seconds:
         return
-    if is_remote(unit, state):
-        seconds /= state.remote_factor
+    seconds /= remote_factor(unit, state)
+    if outcome is RunOutcome.COMPLETED:
+        observe_end(unit, member, seconds, state, now)
+    seconds /= slowest_factor(unit, state)
     job = state.jobs[unit.unit_id.job_id]
     state.run_times.record(_kind(job, unit.unit_id.step), seconds, outcome)
     _update_forecast(job, state)
@@ -132,18 +136,6 @@
     return min(least / 100, SAVED_SHARE_LIMIT)
 
 
-def is_remote(unit: Unit, state: FleetState) -> bool:
-    """Return whether a unit runs away from the rack that it prefers, or over several."""
-    racks = {
-        worker.info.rack
-        for member in unit.members
-        if (worker := state.workers.get(member.worker_ref.worker_id)) is not None
-    }
-    wanted = {unit.step.data_rack} if unit.step.data_rack else racks
-    spread = unit.step.gang and unit.step.same_rack and len(racks) > 1
-    return spread or not racks <= wanted
-
-
 def _completed_time(unit: Unit, member: UnitMember, now: float) -> float:
     """Return the seconds that the whole task takes, or 0 if that is unknown.
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_progress.py
@@ -12,6 +12,19 @@
 
 COMPLETE_PERCENT = 100
 
+LEAST_SAMPLE_TIME = 2.0
+LEAST_SAMPLE_PERCENT = 20
+"""Seconds and percentage of observed progress that tell the time of the whole task.
+
+Lists are a second apart and contain whole percentages.
+"""
+
+LARGEST_STEP_SHARE = 0.5
+"""Largest part of the observed progress that one list may add; more is a jump."""
+
+STALL_LIMIT = 1.5
+"""Seconds without progress of an idle run from which its time tells nothing."""
+
 
 @dataclass(slots=True, kw_only=True)
 class RunProgress:
@@ -19,7 +32,10 @@
 
     Times are in monotonic seconds. first_percent was listed at first_at, and
     advanced_at is the time at which percent last increased. idle is set if the run
-    used no cpu according to the last list.
+    used no cpu according to the last list. largest_step is the largest growth from one
+    list to the next, and decreased is set once the percentage has become less.
+    has_stalled is set once the run was idle without progress for a while, and sampled
+    once its progress has told the speed of its worker.
     """
 
     percent: int = 0
@@ -28,6 +44,10 @@
     advanced_at: float = 0.0
     first_at: float = 0.0
     first_percent: int = 0
+    largest_step: int = 0
+    decreased: bool = False
+    has_stalled: bool = False
+    sampled: bool = False
 
     def update(self, percent: int, idle: bool, now: float) -> None:
         """Apply the entry of the run in a new list."""
@@ -36,9 +56,13 @@
             self.first_percent = percent
         elif percent > self.percent:
             self.advanced_at = now
+            self.largest_step = max(self.largest_step, percent - self.percent)
+        elif percent < self.percent:
+            self.decreased = True
         self.percent = percent
         self.idle = idle
         self.listed_at = now
+        self.has_stalled |= idle and self.stalled_for >= STALL_LIMIT
 
     def remaining(self, now: float) -> float | None:
         """Return the remaining seconds at the observed rate, if one is known."""
@@ -49,6 +73,24 @@
         remaining = (COMPLETE_PERCENT - self.percent) * worked / done
         return max(remaining - (now - self.advanced_at), 0.0)
 
+    @property
+    def worked(self) -> float:
+        """Return the seconds over which progress was observed."""
+        return self.advanced_at - self.first_at
+
+    @property
+    def whole_time(self) -> float | None:
+        """Return the seconds that the whole task takes at a steady observed rate.
+
+        Returns None if too little is known, or if the percentages are not plausible.
+        """
+        done = self.percent - self.first_percent
+        if done < LEAST_SAMPLE_PERCENT or self.worked < LEAST_SAMPLE_TIME:
+            return None
+        if self.decreased or self.largest_step > LARGEST_STEP_SHARE * done:
+            return None
+        return COMPLETE_PERCENT * self.worked / done
+
     @property
     def stalled_for(self) -> float:
         """Return the seconds without progress until the last list, if idle."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_time.py
@@ -151,7 +151,7 @@
         runs = self.steps.pop(kind.step_key, None) or deque(maxlen=RUN_LIMIT)
         runs.append(seconds)
         self.steps[kind.step_key] = runs
-        _drop_oldest(self.steps, STEP_LIMIT)
+        drop_oldest(self.steps, STEP_LIMIT)
         self.observe(kind, Observation(kind.declared, median(runs)))
 
     def observe(self, kind: RunKind, observation: Observation) -> None:
@@ -160,10 +160,10 @@
         observations = self.groups.pop(group, {})
         observations.pop(kind.step_key, None)
         observations[kind.step_key] = observation
-        _drop_oldest(observations, OBSERVATION_LIMIT)
+        drop_oldest(observations, OBSERVATION_LIMIT)
         self.groups[group] = observations
         self.summaries.pop(group, None)
-        for dropped in _drop_oldest(self.groups, GROUP_LIMIT):
+        for dropped in drop_oldest(self.groups, GROUP_LIMIT):
             self.summaries.pop(dropped, None)
         self.changed_queues.add(group.queue)
         self.unsaved = True
@@ -171,8 +171,8 @@
     def trim(self) -> None:
         """Drop what is beyond the limits, and derive all fits again."""
         for observations in self.groups.values():
-            _drop_oldest(observations, OBSERVATION_LIMIT)
-        _drop_oldest(self.groups, GROUP_LIMIT)
+            drop_oldest(observations, OBSERVATION_LIMIT)
+        drop_oldest(self.groups, GROUP_LIMIT)
         self.summaries.clear()
         self.fits.clear()
         self.changed_queues.update(group.queue for group in self.groups)
@@ -267,7 +267,7 @@
         return summary
 
 
-def _drop_oldest(items: dict[Key, Any], limit: int) -> list[Key]:
+def drop_oldest(items: dict[Key, Any], limit: int) -> list[Key]:
     """Remove and return the keys that were added first, beyond a limit."""
     dropped = list(islice(items, max(len(items) - limit, 0)))
     for key in dropped:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/workers/report_reconciliation.py
@@ -16,6 +16,7 @@
 from ..jobs.unit_lifecycle import end_run, learn_end
 from ..owner.fleet_state import FleetState
 from ..run_times.run_forecast import compare_progress
+from ..run_times.speed_sample import observe_progress
 from .fleet_health import apply_health, apply_restart, note_progress
 from .lost_run import (
     apply_recorded_incarnation,
@@ -69,6 +70,7 @@
         )
         worker.acknowledged = 0
         apply_restart(worker, now)
+        state.worker_speeds.restart(worker_id, now)
         commands.append(_log_worker(report))
     else:
         location = report.agent_id, report.info.address
@@ -274,6 +276,8 @@
         if listed_before and run.percent > member.progress.percent:
             note_progress(worker, unit, member.started_at, now)
         member.progress.update(run.percent, run.idle, now)
+        if not member.progress.sampled:
+            observe_progress(worker, unit, member, state, now)
         units[unit.unit_id] = unit
         if run.idle:
             state.view.changed_units.add(unit.unit_id)
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -23,6 +23,8 @@
     UNIT_MOVED,
     UNIT_PLACED,
     UNIT_PREEMPTED,
+    WORKER_SPEED_CHANGED,
+    WORKER_SPEEDS_READ,
 )
 from wasabispur_core.message import Message
 from wasabispur_core.metric import (
@@ -41,6 +43,7 @@
     WORK_WASTED,
     WORKERS_BY_HEALTH,
     WORKERS_IN_DOUBT,
+    WORKERS_SLOW,
 )
 from wasabispur_core.workload.intake.intake_message import AnswerCaller
 from wasabispur_core.workload.jobs.unit_stop import WasteCause
@@ -78,6 +81,8 @@
             CORDON_RUNS.number: self._cordon_runs,
             RUN_REFUSED.number: lambda f: self._ordered("refused"),
             HEALTH_ANSWERS_COUNTED.number: self._health_counted,
+            WORKER_SPEED_CHANGED.number: self._speeds_known,
+            WORKER_SPEEDS_READ.number: self._speeds_known,
         }
 
     def observe(self, message: Message, commands: list[Command], now: float) -> None:
@@ -141,6 +146,9 @@
             self.registry.record(WORKERS_BY_HEALTH, count, outcome=answer.value)
         self.registry.record(WORKERS_IN_DOUBT, fields["doubtful"])
 
+    def _speeds_known(self, fields: Fields) -> None:
+        self.registry.record(WORKERS_SLOW, fields["slow"])
+
 
 @singledispatch
 def record_command(command: Command, metrics: WorkloadMetrics) -> None:
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -9,10 +9,11 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 
-from .fleet_experiment import play_load
+from .fleet_experiment import play_load, SLOW_WORKER_FACTOR
 from .fleet_forecast import ForecastErrors
 from .fleet_load import CLASSES_BY_LOAD, DEFAULT_LOAD, JOB_CLASSES
 from .fleet_result import add_results, QueueResult
+from .fleet_speed import SpeedErrors
 from .sick_fleet import play_sick_load
 from .sick_worker import SickKind, SickPlan, SickResult
 from .stop_waste import CAUSES
@@ -36,6 +37,10 @@
     f"{'queue':8} {'finished':>8} {'jobs':>6} {'learned p50':>11} {'learned p90':>11} "
     f"{'declared p50':>12} {'declared p90':>12}  (factors between expected and actual)"
 )
+SPEED_HEADER = "".join(
+    f"{name:>18}"
+    for name in ("ended runs", "workers", "mean error", "with samples", "their error")
+)
 
 
 @click.command("fleet")
@@ -98,6 +103,29 @@
 @click.option(
     "--forecasts", is_flag=True, help="Print how far off learned run times are."
 )
+@click.option(
+    "--worker-speeds/--no-worker-speeds",
+    default=True,
+    show_default=True,
+    help="Learn how fast workers are.",
+)
+@click.option(
+    "--slow-factor",
+    type=click.FloatRange(0.25, 4),
+    default=SLOW_WORKER_FACTOR,
+    show_default=True,
+    help="Factor on the run times of every third worker.",
+)
+@click.option(
+    "--task-spread",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    show_default=True,
+    help="Standard deviation of the logarithms of the run times of a job's units.",
+)
+@click.option(
+    "--speed-errors", is_flag=True, help="Print how far off the learned speeds are."
+)
 @click.option("--seeds", type=click.IntRange(1, 100), default=4, show_default=True)
 @click.option(
     "--sick",
@@ -125,6 +153,10 @@
     flood: float,
     admission: bool,
     forecasts: bool,
+    worker_speeds: bool,
+    slow_factor: float,
+    task_spread: float,
+    speed_errors: bool,
     seeds: int,
     sick: str | None,
     sick_workers: int,
@@ -139,6 +171,7 @@
         )
     plan = SickPlan(SickKind(sick) if sick else None, sick_workers, health_checks)
     cost, forecast_errors = SickResult(), ForecastErrors()
+    errors_of_speeds = SpeedErrors(slow_factor)
     played: list[dict[str, QueueResult]] = []
     for seed in range(1, seeds + 1):
         load = (workers, organisations, rate, seconds, seed, rack_size)
@@ -155,6 +188,10 @@
                 forecast_errors,
                 flood,
                 admission,
+                worker_speeds,
+                slow_factor,
+                task_spread,
+                errors_of_speeds,
             )
         played.append(callers)
     results = add_results(played)
@@ -166,6 +203,8 @@
             rows["sick workers"] = _sick_row(cost)
         if forecasts:
             rows["forecasts"] = forecast_errors.rows()
+        if speed_errors:
+            rows["speeds"] = errors_of_speeds.rows()
         click.echo(json.dumps(rows, indent=2))
         return
     click.echo(HEADER)
@@ -181,6 +220,10 @@
         click.echo(FORECAST_HEADER)
         for row in forecast_errors.rows():
             click.echo(_forecast_line(row))
+    if speed_errors:
+        click.echo(SPEED_HEADER)
+        for speeds in errors_of_speeds.rows():
+            click.echo("".join(f"{value:18.3f}" for value in speeds.values()))
 
 
 def _sick_row(cost: SickResult) -> dict[str, float]:
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
+from math import exp
 from random import Random
 
 from wasabispur_core.message import Message
@@ -46,6 +47,7 @@
     JOB_CLASSES,
 )
 from .fleet_result import QueueResult
+from .fleet_speed import is_slow, SpeedErrors
 from .idle_job import IdleJobs
 from .simulated_entry import FEED_DELAY, published_loads, SimulatedEntry
 from .simulated_owner import CAPACITY, SimulatedOwner
@@ -96,10 +98,19 @@
         rack_size: int = RACK_SIZE,
         estimate_use: EstimateUse = EstimateUse.ALL,
         admission: bool = False,
+        worker_speeds: bool = True,
+        slow_factor: float = SLOW_WORKER_FACTOR,
+        task_spread: float = 0.0,
     ) -> None:
         super().__init__(now=0.0, rack_size=rack_size)
         self.state.run_times.use = estimate_use
         self.state.published_load.enabled = admission
+        self.state.worker_speeds.enabled = (
+            worker_speeds and estimate_use is not EstimateUse.NOTHING
+        )
+        self.slow_factor = slow_factor
+        self.task_spread = task_spread
+        self.speed_errors = SpeedErrors(slow_factor)
         self.entry = SimulatedEntry()
         self.errors = ForecastErrors()
         self.idle = IdleJobs()
@@ -122,6 +133,7 @@
             ],
             workers,
         )
+        self.speed_errors.workers = list(self.reports)
         for job in jobs:
             self._later(job.arrives_at, self._arrival(job))
         self._later(0.0, self._tick)
@@ -202,12 +214,14 @@
 
     def _start(self, unit: Unit) -> None:
         job = self.jobs[unit.unit_id.job_id]
-        left = self.work_left.get(unit.unit_id, job.run_time)
-        slow = any(int(one.worker_ref.worker_id[1:]) % 3 == 2 for one in unit.members)
+        left = self.work_left.get(unit.unit_id)
+        if left is None:
+            left = job.run_time * self._task_factor(unit)
+        slow = any(is_slow(one.worker_ref.worker_id) for one in unit.members)
         run = self.runs[unit.unit_id] = SimulatedRun(
             run=unit.run,
             started_at=self.now + START_DELAY,
-            slowness=SLOW_WORKER_FACTOR if slow else 1.0,
+            slowness=self.slow_factor if slow else 1.0,
             work_left=left,
         )
         queue = self._queue_of(unit)
@@ -252,6 +266,7 @@
             return
         if kind is EndKind.DONE:
             self.errors.count_end(self._queue_of(unit))
+            self.speed_errors.count_end(self.state.worker_speeds)
             if run.run == 1:
                 job = self.jobs[unit.unit_id.job_id]
                 ordered_at = run.started_at - START_DELAY
@@ -263,11 +278,17 @@
         run = self.runs.get(unit.unit_id)
         if run is None or run.run != unit.run:
             return 0
-        total = self.jobs[unit.unit_id.job_id].run_time
+        total = self.jobs[unit.unit_id.job_id].run_time * self._task_factor(unit)
         done = max(self.now - run.started_at, 0.0) / run.slowness
         percent = int(100 * (1 - (run.work_left - done) / total))
         return min(max(percent, 0), 99)
 
+    def _task_factor(self, unit: Unit) -> float:
+        """Return by how much the run time of a unit differs from that of its step."""
+        if not self.task_spread:
+            return 1.0
+        return exp(Random(repr(unit.unit_id)).gauss(0.0, self.task_spread))
+
     def _result(self, job_id: str) -> QueueResult:
         """Return the result to which a job counts."""
         spec = self.jobs[job_id].spec
@@ -323,6 +344,10 @@
     forecast_errors: ForecastErrors | None = None,
     flood: float = 0.0,
     admission: bool = False,
+    worker_speeds: bool = True,
+    slow_factor: float = SLOW_WORKER_FACTOR,
+    task_spread: float = 0.0,
+    speed_errors: SpeedErrors | None = None,
 ) -> dict[str, QueueResult]:
     """Return what callers get of one load, by queue.
 
@@ -332,7 +357,10 @@
     relative errors of callers' estimates, by class. The errors of learned run times are
     added to forecast_errors. With a flood, which is in jobs a second, one more
     organisation submits so many, which count apart. With admission, jobs are accepted
-    by the load that the owner publishes.
+    by the load that the owner publishes. worker_speeds is set if the owner learns how fast
+    workers are; runs take slow_factor times as long on every third worker, and units of a
+    job differ by task_spread. The errors of the learned factors are added to
+    speed_errors.
     """
     racks = workers // rack_size if rack_size else 0
     random = Random(seed)
@@ -344,9 +372,19 @@
         jobs += flood_jobs(flood, duration, random, racks, estimate_errors)
     size = rack_size or RACK_SIZE
     experiment = FleetExperiment(
-        workers, organisations, jobs, size, estimate_use, admission
+        workers,
+        organisations,
+        jobs,
+        size,
+        estimate_use,
+        admission,
+        worker_speeds,
+        slow_factor,
+        task_spread,
     )
     results = experiment.play(duration)
     if forecast_errors is not None:
         forecast_errors.add(experiment.errors)
+    if speed_errors is not None:
+        speed_errors.add(experiment.speed_errors)
     return results
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -202,6 +202,7 @@
                 self.settings.stop_times,
                 ownership.lease,
                 self.settings.admission_control,
+                self.settings.worker_speeds,
             ),
             decide_jobs=decide,
             tick=FleetTick(),
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -34,6 +34,11 @@
     RunTimesArrived,
     StoredRunTimes,
 )
+from wasabispur_core.workload.run_times.worker_speed_row import (
+    StoredSpeeds,
+    worker_speeds_key,
+    WorkerSpeedsArrived,
+)
 from wasabispur_core.workload.workers.worker import ReportArrived, WorkerReport
 from wasabispur_runtime.log import log
 
@@ -65,6 +70,9 @@
     if table == ESTIMATE_TABLE and row.key == run_times_key():
         stored = decode_value(StoredRunTimes, row)
         return RunTimesArrived(stored=stored) if stored else None
+    if table == ESTIMATE_TABLE and row.key == worker_speeds_key():
+        speeds = decode_value(StoredSpeeds, row)
+        return WorkerSpeedsArrived(stored=speeds) if speeds else None
     return None
 
 
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -17,7 +17,8 @@
     remote_factor is how many times as long a task takes away from its preferred rack,
     and estimate_use for what learned run times are used in place of declared estimates.
     cordons is set if the deployment uses cordons of data centres. stop_times is how long
-    stops and restarts of runs take. With admission_control, new jobs are rejected that
+    stops and restarts of runs take. With worker_speeds, the owner learns how fast workers
+    are, if it learns run times. With admission_control, new jobs are rejected that
     the load would delay until they have no value.
     """
 
@@ -34,4 +35,5 @@
     estimate_use: EstimateUse = EstimateUse.ALL
     stop_times: StopTimes = DEFAULT_STOP_TIMES
     admission_control: bool = False
+    worker_speeds: bool = True
     log_level: str = "INFO"
