Let gang members of the experiment progress apart, and measure what speeds cost

Placement keeps a margin of 0.35 of the run time. A new owner derives the units on workers again whose factors it has read.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -247,10 +247,12 @@
 @handle_message.register
 def _(message: WorkerSpeedsArrived, state: FleetState, now: float) -> list[Command]:
     speeds = state.worker_speeds
-    if not state.owning or not speeds.enabled:
+    if not state.owning or not speeds.enabled or speeds.stored_known:
         return []
     restore_speeds(speeds, message.stored, now)
-    state.view.changed_workers.update(message.stored.workers)
+    for worker_id in message.stored.workers:
+        state.view.changed_workers.add(worker_id)
+        state.view.changed_units.update(state.units_by_worker.get(worker_id, ()))
     speeds.reported = slow_workers(speeds)
     fields = {"workers": len(message.stored.workers), "slow": len(speeds.reported)}
     return [WriteLog(number=WORKER_SPEEDS_READ.number, fields=fields)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
@@ -12,10 +12,10 @@
 
 from .plan import WaitingUnit, WorkerSnapshot
 
-SAFETY_SHARE = 0.2
+SAFETY_SHARE = 0.35
 """Part of its run time by which a unit is to end before its objective.
 
-Tasks of one step differ by 15 to 30%, and the order and the report take time.
+Tasks of one step differ by up to 30%, and the order and the report take time.
 """
 
 FACTOR_STEP = 0.2
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -9,11 +9,11 @@
 
 from wasabispur_core.workload.run_times.run_time import EstimateUse
 
-from .fleet_experiment import play_load, SLOW_WORKER_FACTOR
+from .fleet_experiment import play_load
 from .fleet_forecast import ForecastErrors
 from .fleet_load import CLASSES_BY_LOAD, DEFAULT_LOAD, JOB_CLASSES
 from .fleet_result import add_results, QueueResult
-from .fleet_speed import SpeedErrors
+from .fleet_speed import SLOW_WORKER_FACTOR, SpeedErrors, SpeedPlan
 from .sick_fleet import play_sick_load
 from .sick_worker import SickKind, SickPlan, SickResult
 from .stop_waste import CAUSES
@@ -123,6 +123,9 @@
     show_default=True,
     help="Standard deviation of the logarithms of the run times of a job's units.",
 )
+@click.option(
+    "--lockstep", is_flag=True, help="List the same progress of all members of a gang."
+)
 @click.option(
     "--speed-errors", is_flag=True, help="Print how far off the learned speeds are."
 )
@@ -156,6 +159,7 @@
     worker_speeds: bool,
     slow_factor: float,
     task_spread: float,
+    lockstep: bool,
     speed_errors: bool,
     seeds: int,
     sick: str | None,
@@ -171,7 +175,13 @@
         )
     plan = SickPlan(SickKind(sick) if sick else None, sick_workers, health_checks)
     cost, forecast_errors = SickResult(), ForecastErrors()
-    errors_of_speeds = SpeedErrors(slow_factor)
+    speed_plan = SpeedPlan(
+        learned=worker_speeds,
+        slow_factor=slow_factor,
+        task_spread=task_spread,
+        lockstep=lockstep,
+    )
+    errors_of_speeds = SpeedErrors(speed_plan)
     played: list[dict[str, QueueResult]] = []
     for seed in range(1, seeds + 1):
         load = (workers, organisations, rate, seconds, seed, rack_size)
@@ -188,9 +198,7 @@
                 forecast_errors,
                 flood,
                 admission,
-                worker_speeds,
-                slow_factor,
-                task_spread,
+                speed_plan,
                 errors_of_speeds,
             )
         played.append(callers)
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
-from math import exp
 from random import Random
 
 from wasabispur_core.message import Message
@@ -47,7 +46,7 @@
     JOB_CLASSES,
 )
 from .fleet_result import QueueResult
-from .fleet_speed import is_slow, SpeedErrors
+from .fleet_speed import DEFAULT_SPEED_PLAN, SpeedErrors, SpeedPlan
 from .idle_job import IdleJobs
 from .simulated_entry import FEED_DELAY, published_loads, SimulatedEntry
 from .simulated_owner import CAPACITY, SimulatedOwner
@@ -65,9 +64,6 @@
 LIST_INTERVAL = 1.0
 """Seconds between two ticks of the owner, and between two lists of a worker's runs."""
 
-SLOW_WORKER_FACTOR = 1.3
-"""Factor by which runs take longer on every third worker."""
-
 REMOTE_FACTOR = 3.0
 """Factor by which runs take longer away from their data, or over several racks."""
 
@@ -77,12 +73,17 @@
 
 @dataclass(slots=True)
 class SimulatedRun:
-    """Represent a run of a unit: its work in seconds, and the worker's slowness."""
+    """Represent a run of a unit: its work in seconds, and its slowness.
+
+    slowness is that of its slowest worker, times that of its distance from its rack,
+    which is remoteness.
+    """
 
     run: int
     started_at: float
     slowness: float
     work_left: float
+    remoteness: float = 1.0
     stopping: bool = False
     stopped_at: float = 0.0
 
@@ -98,19 +99,16 @@
         rack_size: int = RACK_SIZE,
         estimate_use: EstimateUse = EstimateUse.ALL,
         admission: bool = False,
-        worker_speeds: bool = True,
-        slow_factor: float = SLOW_WORKER_FACTOR,
-        task_spread: float = 0.0,
+        speed_plan: SpeedPlan = DEFAULT_SPEED_PLAN,
     ) -> None:
         super().__init__(now=0.0, rack_size=rack_size)
         self.state.run_times.use = estimate_use
         self.state.published_load.enabled = admission
         self.state.worker_speeds.enabled = (
-            worker_speeds and estimate_use is not EstimateUse.NOTHING
+            speed_plan.learned and estimate_use is not EstimateUse.NOTHING
         )
-        self.slow_factor = slow_factor
-        self.task_spread = task_spread
-        self.speed_errors = SpeedErrors(slow_factor)
+        self.speed_plan = speed_plan
+        self.speed_errors = SpeedErrors(speed_plan)
         self.entry = SimulatedEntry()
         self.errors = ForecastErrors()
         self.idle = IdleJobs()
@@ -216,12 +214,11 @@
         job = self.jobs[unit.unit_id.job_id]
         left = self.work_left.get(unit.unit_id)
         if left is None:
-            left = job.run_time * self._task_factor(unit)
-        slow = any(is_slow(one.worker_ref.worker_id) for one in unit.members)
+            left = job.run_time * self.speed_plan.task_factor(unit)
         run = self.runs[unit.unit_id] = SimulatedRun(
             run=unit.run,
             started_at=self.now + START_DELAY,
-            slowness=self.slow_factor if slow else 1.0,
+            slowness=self.speed_plan.unit_factor(unit),
             work_left=left,
         )
         queue = self._queue_of(unit)
@@ -229,6 +226,7 @@
         if unit.unit_id in self.work_left:
             self.waste.restored(queue, _cores(unit))
         if self._is_remote(unit):
+            run.remoteness = REMOTE_FACTOR
             run.slowness *= REMOTE_FACTOR
             self._result(unit.unit_id.job_id).remote_runs += 1
         if unit.run == 1:
@@ -274,21 +272,31 @@
         self.end(unit, kind)
 
     def percent(self, unit: Unit) -> int:
-        """Return the completed share of a unit's run, as workers list it."""
+        """Return the completed share of a unit's run on its slowest worker."""
+        run = self.runs.get(unit.unit_id)
+        return self._percent(unit, run.slowness) if run is not None else 0
+
+    def member_percent(self, unit: Unit, worker_id: str) -> int:
+        """Return the completed share of a member's run, as its worker lists it.
+
+        In lockstep, all members of a gang proceed at the rate of the slowest one.
+        """
+        run = self.runs.get(unit.unit_id)
+        if self.speed_plan.lockstep or run is None:
+            return self.percent(unit)
+        factor = self.speed_plan.worker_factor(worker_id)
+        return self._percent(unit, factor * run.remoteness)
+
+    def _percent(self, unit: Unit, slowness: float) -> int:
         run = self.runs.get(unit.unit_id)
         if run is None or run.run != unit.run:
             return 0
-        total = self.jobs[unit.unit_id.job_id].run_time * self._task_factor(unit)
-        done = max(self.now - run.started_at, 0.0) / run.slowness
+        total = self.jobs[unit.unit_id.job_id].run_time
+        total *= self.speed_plan.task_factor(unit)
+        done = max(self.now - run.started_at, 0.0) / slowness
         percent = int(100 * (1 - (run.work_left - done) / total))
         return min(max(percent, 0), 99)
 
-    def _task_factor(self, unit: Unit) -> float:
-        """Return by how much the run time of a unit differs from that of its step."""
-        if not self.task_spread:
-            return 1.0
-        return exp(Random(repr(unit.unit_id)).gauss(0.0, self.task_spread))
-
     def _result(self, job_id: str) -> QueueResult:
         """Return the result to which a job counts."""
         spec = self.jobs[job_id].spec
@@ -344,9 +352,7 @@
     forecast_errors: ForecastErrors | None = None,
     flood: float = 0.0,
     admission: bool = False,
-    worker_speeds: bool = True,
-    slow_factor: float = SLOW_WORKER_FACTOR,
-    task_spread: float = 0.0,
+    speed_plan: SpeedPlan = DEFAULT_SPEED_PLAN,
     speed_errors: SpeedErrors | None = None,
 ) -> dict[str, QueueResult]:
     """Return what callers get of one load, by queue.
@@ -357,10 +363,8 @@
     relative errors of callers' estimates, by class. The errors of learned run times are
     added to forecast_errors. With a flood, which is in jobs a second, one more
     organisation submits so many, which count apart. With admission, jobs are accepted
-    by the load that the owner publishes. worker_speeds is set if the owner learns how fast
-    workers are; runs take slow_factor times as long on every third worker, and units of a
-    job differ by task_spread. The errors of the learned factors are added to
-    speed_errors.
+    by the load that the owner publishes. speed_plan tells how
+    fast workers are; the errors of the learned factors are added to speed_errors.
     """
     racks = workers // rack_size if rack_size else 0
     random = Random(seed)
@@ -378,9 +382,7 @@
         size,
         estimate_use,
         admission,
-        worker_speeds,
-        slow_factor,
-        task_spread,
+        speed_plan,
     )
     results = experiment.play(duration)
     if forecast_errors is not None:
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_command.py
@@ -17,6 +17,7 @@
 from .measure_odd_job import print_odd_jobs
 from .measure_planner import measure_planner
 from .measure_request import measure_requests
+from .measure_speed import measure_speeds
 from .measure_stream import AGENT_KINDS, measure_agent, measure_entry
 
 AGENT_LIMIT = 300
@@ -107,9 +108,24 @@
 
 @measure.command()
 @click.option("--seed", type=int, default=1, show_default=True)
-def planner(seed: int) -> None:
+@click.option(
+    "--known-speeds", is_flag=True, help="Let the owner know that a third is slow."
+)
+def planner(seed: int, known_speeds: bool) -> None:
     """Measure the owner's CPU time for an ended run at several fleet sizes."""
-    print_lines(measure_planner(seed))
+    print_lines(measure_planner(seed, known_speeds))
+
+
+@measure.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+def speeds(seed: int) -> None:
+    """Measure the owner's CPU time for the learned speeds of workers."""
+    cost = measure_speeds(seed)
+    click.echo(
+        f"{cost.known_workers} known workers: sample {cost.sample:.1f} us, list of a run"
+        f" {cost.list:.2f} us, update {cost.update:.2f} ms, row {cost.row:.2f} ms and"
+        f" {cost.row_bytes} bytes"
+    )
 
 
 @measure.command()
--- a/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/measure_planner.py
@@ -17,6 +17,7 @@
 from wasabispur_core.workload.policies.policy import Organisation
 from wasabispur_core.workload.workers.worker import EndKind
 
+from .fleet_speed import is_slow, SpeedPlan
 from .measure_fit import fit, Line, Sample
 from .simulated_owner import simulated_queue, SimulatedOwner
 
@@ -26,6 +27,9 @@
 CHANGES = 60
 """Ended runs whose CPU time is averaged for each size."""
 
+KNOWN_WEIGHT = 5.0
+"""Weight of the samples of each worker whose speed is known."""
+
 CHANGE_INTERVAL = 0.05
 """Seconds of simulated time between two ended runs."""
 
@@ -60,7 +64,9 @@
 class PlannerBench(SimulatedOwner):
     """Represent an owner with a full fleet and a backlog, driven by its messages."""
 
-    def __init__(self, size: FleetSize, random: Random) -> None:
+    def __init__(
+        self, size: FleetSize, random: Random, known_speeds: bool = False
+    ) -> None:
         super().__init__(now=1000.0, rack_size=RACK_SIZE)
         self.size = size
         self.random = random
@@ -70,6 +76,11 @@
             for number in range(ORGANISATION_COUNT)
         ]
         self.own(QUEUES, organisations, size.workers)
+        if known_speeds:
+            speeds, plan = self.state.worker_speeds, SpeedPlan()
+            for worker_id in filter(is_slow, self.reports):
+                factor = plan.worker_factor(worker_id)
+                speeds.restore(worker_id, factor, KNOWN_WEIGHT, self.now)
         while len(self.state.waiting) < size.waiting:
             self._submit()
             self._pass()
@@ -151,12 +162,15 @@
         self.decide(PlanningPassDue())
 
 
-def measure_planner(seed: int) -> Sequence[Line]:
-    """Return the CPU time in ms of an ended run and of a full pass, by fleet size."""
+def measure_planner(seed: int, known_speeds: bool = False) -> Sequence[Line]:
+    """Return the CPU time in ms of an ended run and of a full pass, by fleet size.
+
+    With known_speeds, the owner knows that every third worker is slow.
+    """
     changes: list[Sample] = []
     passes: list[Sample] = []
     for size in SIZES:
-        bench = PlannerBench(size, Random(seed))
+        bench = PlannerBench(size, Random(seed), known_speeds)
         used = [bench.measure_change() for _ in range(CHANGES)]
         full = [bench.measure_full_pass() for _ in range(5)]
         product = size.workers * size.waiting
--- a/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/sick_fleet.py
@@ -17,6 +17,7 @@
 )
 from .fleet_load import generate_jobs, GeneratedJob
 from .fleet_result import QueueResult
+from .fleet_speed import SpeedPlan
 from .sick_worker import (
     FAILURE_TIME,
     HANGING,
@@ -44,7 +45,8 @@
         plan: SickPlan,
         random: Random,
     ) -> None:
-        super().__init__(workers, organisations, jobs, rack_size)
+        speed_plan = SpeedPlan(lockstep=True)
+        super().__init__(workers, organisations, jobs, rack_size, speed_plan=speed_plan)
         self.sick = SickWorkers(plan, list(self.reports), random)
         self.cost = SickResult()
         self.hung: dict[UnitId, tuple[SimulatedRun, float]] = {}
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -154,6 +154,10 @@
         """Return the completed share of a unit's run, as workers list it."""
         return 50
 
+    def member_percent(self, unit: Unit, worker_id: str) -> int:
+        """Return the completed share of a unit's run, as one of its workers lists it."""
+        return self.percent(unit)
+
     def is_idle(self, unit: Unit) -> bool:
         """Return whether a unit's run uses no cpu, as workers list it."""
         return False
@@ -192,7 +196,7 @@
             ListedRun(
                 task=task,
                 run=unit.run,
-                percent=self.percent(unit),
+                percent=self.member_percent(unit, worker_id),
                 idle=self.is_idle(unit),
             )
             for unit in units
--- a/tests/workload/test_worker_speed.py
+++ b/tests/workload/test_worker_speed.py
@@ -225,10 +225,12 @@
         self.commands = getattr(self, "commands", [])
         self.commands += decide(message, self.state, self.now)
 
-    def percent(self, unit):
+    def member_percent(self, unit, worker_id):
+        if not self.lists_progress:
+            return 0
         elapsed = self.now - unit.members[0].started_at
-        done = int(100 * elapsed / self.time_of(unit))
-        return min(done, 99) if self.lists_progress else 0
+        seconds = self.seconds * (1.3 if worker_id in self.slow else 1.0)
+        return min(int(100 * elapsed / seconds), 99)
 
     def time_of(self, unit):
         slow = any(one.worker_ref.worker_id in self.slow for one in unit.members)
@@ -341,6 +343,14 @@
     assert not owner.state.worker_speeds.steps
 
 
+def test_progress_of_gang_members_tells_their_speeds():
+    """Guard against gangs, which are most of the load, that teach the owner nothing."""
+    owner = UnequalOwner(slow=(4,))
+    owner.play(12, gang=True)
+    assert owner.state.worker_speeds.factors.keys() == {"w004"}
+    assert 1.1 < owner.state.worker_speeds.factor("w004") < 1.4
+
+
 def test_expected_end_and_learned_times_follow_the_factor():
     """Guard against runs on slow workers that count as overdue, or as longer tasks."""
     owner = UnequalOwner(slow=(4,))
@@ -482,6 +492,7 @@
     owner.state.worker_speeds.enabled = False
     owner.play(8)
     stored = StoredSpeeds(workers=("w002",), factors=(1300,), weights=(4000,))
+    owner.state.worker_speeds.stored_known = False
     owner.decide(WorkerSpeedsArrived(stored=stored))
     assert not owner.state.worker_speeds.estimates
     assert not owner.state.worker_speeds.factors
