Rank workers by speed only in passes in which speeds differ

Cause: each search for a placement looked at all workers to see whether their speeds differ, and ranked them by a tuple. Change: a pass looks once, and the rank is a number.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_state.py
@@ -22,7 +22,13 @@
 )
 from .planner_memory import Need, PlannerMemory, UnmetNeed
 from .rack_wait import RackWait
-from .unit_placement import host_groups, host_key, HostGroups, reserve
+from .speed_preference import speed_preference, SpeedPreference
+from .unit_placement import (
+    host_groups,
+    host_key,
+    HostGroups,
+    reserve,
+)
 from .victim import VictimIndex
 
 STOP_LIMIT = 4.0
@@ -39,6 +45,7 @@
     def __init__(self, snapshot: Snapshot, memory: PlannerMemory) -> None:
         self.now = snapshot.now
         self.rack_wait = RackWait(snapshot, memory.rack_checks)
+        self.speeds_differ = any(one.run_time_factor != 1.0 for one in snapshot.workers)
         self.settling = snapshot.settling
         self.workers = {
             worker.worker_ref.worker_id: worker for worker in snapshot.workers
@@ -87,6 +94,10 @@
         """Return the needs that the pass could not place."""
         return self.unmet_before_eviction | self.unmet
 
+    def _speed(self, unit: WaitingUnit) -> SpeedPreference | None:
+        """Return which speed the unit prefers, or None if the workers don't differ."""
+        return speed_preference(unit, self.now) if self.speeds_differ else None
+
     def _place(
         self, unit: WaitingUnit, placement: list[WorkerSnapshot]
     ) -> list[Decision]:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -83,7 +83,9 @@
         relaxed = relaxed_units(unit, self.doubts, self.suspicions)
         for candidate in (unit, *relaxed):
             hosts = self._hosts(candidate)
-            placement = choose_placement(candidate, self._groups(hosts), self.now)
+            placement = choose_placement(
+                candidate, self._groups(hosts), self._speed(candidate)
+            )
             if placement is not None:
                 return self._place(candidate, placement)
             if any(set(group).issuperset(reserved) for group in hosts.groups):
@@ -176,7 +178,7 @@
         if known is not None:
             return self._decide_again(unit, need, known, loss_limit)
         hosts = self._hosts(unit)
-        placement = choose_placement(unit, self._groups(hosts), self.now)
+        placement = choose_placement(unit, self._groups(hosts), self._speed(unit))
         if placement is not None:
             return self._place(unit, placement)
         return self._evict(unit, need, hosts, loss_limit, None)
@@ -196,7 +198,7 @@
             groups = [roomy]
             if unit.size > 1:
                 groups = self._groups(known.hosts, changed_ids)
-            placement = choose_placement(unit, groups, self.now)
+            placement = choose_placement(unit, groups, self._speed(unit))
             if placement is not None:
                 return self._place(unit, placement)
         limit = max(loss_limit, known.loss_limit)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
@@ -31,7 +31,7 @@
 
     limit: float
 
-    def rank(self, worker: WorkerSnapshot) -> tuple[bool, float]:
+    def rank(self, worker: WorkerSnapshot) -> float:
         """Return the sort key of a worker.
 
         The slowest of those that are fast enough come first, so that the others stay
@@ -39,27 +39,18 @@
         """
         factor = worker.run_time_factor
         step = round(factor / FACTOR_STEP)
-        return (True, step) if factor > self.limit else (False, -step)
+        return step if factor > self.limit else -step
 
-    def rank_of_all(self, workers: Iterable[WorkerSnapshot]) -> tuple[bool, float]:
+    def rank_of_all(self, workers: Iterable[WorkerSnapshot]) -> float:
         """Return the sort key of a placement, whose slowest worker decides its end."""
         slowest = max(one.run_time_factor for one in workers)
-        if slowest <= self.limit:
-            return False, 0.0
-        return True, round(slowest / FACTOR_STEP)
+        return round(slowest / FACTOR_STEP) if slowest > self.limit else 0.0
 
 
-def speed_preference(
-    unit: WaitingUnit, workers: Iterable[WorkerSnapshot], now: float
-) -> SpeedPreference | None:
-    """Return which speed a unit prefers, or None if the workers don't differ.
-
-    A unit without an end of its own has no objective to miss.
-    """
+def speed_preference(unit: WaitingUnit, now: float) -> SpeedPreference | None:
+    """Return which speed a unit prefers, or None if it has no end of its own."""
     if unit.long_running or unit.run_time <= 0.0:
         return None
-    if all(worker.run_time_factor == 1.0 for worker in workers):
-        return None
     later_steps = unit.remaining - unit.run_time
     left = unit.objective - now - later_steps
     return SpeedPreference(limit=left / unit.run_time - SAFETY_SHARE)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -9,17 +9,16 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from functools import partial
-from itertools import chain
 from typing import Any
 
 from ..jobs.spec import Resources
 from .plan import IN_DOUBT, Trust, WaitingUnit, WorkerSnapshot
-from .speed_preference import speed_preference, SpeedPreference
+from .speed_preference import SpeedPreference
 
 ORDERS_LIMIT_BYTES = 60_000
 """Size of the orders and payloads in one orders row; the store takes 64 KiB."""
 
-NO_RANK = (False, 0.0)
+NO_RANK = 0.0
 """Rank by speed of all workers and placements while no difference is known."""
 
 
@@ -176,15 +175,16 @@
 
 
 def choose_placement(
-    unit: WaitingUnit, groups: Sequence[Sequence[WorkerSnapshot]], now: float
+    unit: WaitingUnit,
+    groups: Iterable[Sequence[WorkerSnapshot]],
+    speed: SpeedPreference | None = None,
 ) -> list[WorkerSnapshot] | None:
     """Return a worker for each task of the unit, or None if they do not all fit.
 
     One of the groups has to run the whole unit. Prefers warm workers, then those that
     are fast enough, and then those with the least free resources that suffice, so that
-    tasks with a large demand find idle workers.
+    tasks with a large demand find idle workers. Without speed, all are fast enough.
     """
-    speed = speed_preference(unit, chain.from_iterable(groups), now)
     found = [
         placement
         for members in groups
@@ -305,7 +305,7 @@
 
 def _packing_order(
     unit: WaitingUnit, worker: WorkerSnapshot, speed: SpeedPreference | None
-) -> tuple[bool, bool, bool, bool, bool, bool, tuple[bool, float], float, float, str]:
+) -> tuple[bool, bool, bool, bool, bool, bool, float, float, float, str]:
     left = worker.free - unit.demand
     return (
         worker.worker_ref.worker_id in unit.avoided_workers | unit.failed_on,
@@ -346,7 +346,7 @@
 
 def _group_order(
     speed: SpeedPreference | None, placement: list[WorkerSnapshot]
-) -> tuple[bool, tuple[bool, float], int]:
+) -> tuple[bool, float, int]:
     """Return the sort key of a placement: one cold or slow worker delays all of a gang."""
     distinct = {worker.worker_ref.worker_id: worker for worker in placement}
     free = sum(worker.free.accelerators for worker in distinct.values())
