--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -210,6 +210,13 @@
     unit="1",
     text="largest ratio of an organisation's use to its fair share, at the owner",
 )
+WORKERS_SLOW = Metric(
+    name="workers.slow",
+    kind=MetricKind.GAUGE,
+    unit="1",
+    text="workers on which runs take more than 1.15 times as long as usual, as the owner"
+    " knows them",
+)
 MAILBOX_DEPTH = Metric(
     name="mailbox.depth",
     kind=MetricKind.GAUGE,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_reset.py
@@ -9,6 +9,7 @@
 from ..planning.organisation_share import LoggedShares
 from ..planning.planner import Planner
 from ..run_times.run_time import RunTimeModel
+from ..run_times.worker_speed import WorkerSpeeds
 from .fleet_state import FleetState
 
 
@@ -33,6 +34,7 @@
     ):
         collection.clear()
     state.run_times = RunTimeModel(use=state.run_times.use)
+    state.worker_speeds = WorkerSpeeds(enabled=state.worker_speeds.enabled)
     state.published_load = PublishedLoad(enabled=state.published_load.enabled)
     state.view = FleetView()
     state.share_log = LoggedShares()
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -18,6 +18,7 @@
     JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
     RUN_TIMES_READ,
+    WORKER_SPEEDS_READ,
 )
 from ...message import Message
 from ...sharding.ownership import (
@@ -46,6 +47,9 @@
 from ..rows import job_of_row, JOB_TABLE, PROGRESS_TABLE, REPORT_TABLE, UNIT_TABLE
 from ..run_times.run_time import EstimateUse, RunTimeModel
 from ..run_times.run_time_row import ESTIMATE_TABLE, restore_run_times, RunTimesArrived
+from ..run_times.speed_update import follow_speeds, slow_workers
+from ..run_times.worker_speed import WorkerSpeeds
+from ..run_times.worker_speed_row import restore_speeds, WorkerSpeedsArrived
 from ..watch import StopWatching, WatchTables
 from ..workers.cordon_control import apply_cordons, follow_cordons
 from ..workers.fleet_health import check_fleet
@@ -95,6 +99,7 @@
     lease: ShardLease | None = None,
     publishes_load: bool = False,
     fair_shares: bool = False,
+    worker_speeds: bool = True,
 ) -> FleetState:
     """Return the state of an entry that is not the owner.
 
@@ -102,7 +107,8 @@
     task takes away from the rack that it prefers. estimate_use states for what learned
     run times are used, and stop_times how long stops take. lease is that of the shard.
     publishes_load is set if entries accept jobs by the load, and fair_shares if units
-    wait by the shares of their organisations.
+    wait by the shares of their organisations. With worker_speeds, the owner learns how
+    fast workers are, if it learns run times.
     """
     return FleetState(
         unit_chart=unit_chart(catalogue),
@@ -110,6 +116,9 @@
         horizon=horizon,
         remote_factor=remote_factor,
         run_times=RunTimeModel(use=estimate_use),
+        worker_speeds=WorkerSpeeds(
+            enabled=worker_speeds and estimate_use is not EstimateUse.NOTHING
+        ),
         stop_times=stop_times,
         planning_lease=PlanningLease(lease),
         published_load=PublishedLoad(enabled=publishes_load),
@@ -163,6 +172,7 @@
 def _(message: TableReady, state: FleetState, now: float) -> list[Command]:
     if message.table == ESTIMATE_TABLE:
         state.run_times.stored_known = True
+        state.worker_speeds.stored_known = True
     if message.table not in state.loading:
         return []
     state.loading.discard(message.table)
@@ -238,6 +248,20 @@
     return [WriteLog(number=RUN_TIMES_READ.number, fields=fields)]
 
 
+@handle_message.register
+def _(message: WorkerSpeedsArrived, state: FleetState, now: float) -> list[Command]:
+    speeds = state.worker_speeds
+    if not state.owning or not speeds.enabled or speeds.stored_known:
+        return []
+    restore_speeds(speeds, message.stored, now)
+    for worker_id in message.stored.workers:
+        state.view.changed_workers.add(worker_id)
+        state.view.changed_units.update(state.units_by_worker.get(worker_id, ()))
+    speeds.reported = slow_workers(speeds)
+    fields = {"workers": len(message.stored.workers), "slow": len(speeds.reported)}
+    return [WriteLog(number=WORKER_SPEEDS_READ.number, fields=fields)]
+
+
 @handle_message.register
 def _(message: ReportArrived, state: FleetState, now: float) -> list[Command]:
     return apply_report(message, state, now)
@@ -330,6 +354,7 @@
         *log_lists(state, now),
         *write_queue_counts(state),
         *write_run_times(state, now),
+        *follow_speeds(state, now),
         *write_load(state, now),
         *log_shares(state, now),
     ]
--- a/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/experiment_command.py
@@ -15,6 +15,7 @@
 from .fleet_forecast import ForecastErrors
 from .fleet_load import CLASSES_BY_LOAD, DEFAULT_LOAD, JOB_CLASSES
 from .fleet_result import add_results, QueueResult
+from .fleet_speed import SLOW_WORKER_FACTOR, SpeedErrors, SpeedPlan
 from .stop_waste import CAUSES
 
 HEADER = (
@@ -36,6 +37,10 @@
     f"{'queue':8} {'finished':>8} {'jobs':>6} {'learned p50':>11} {'learned p90':>11} "
     f"{'declared p50':>12} {'declared p90':>12}  (factors between expected and actual)"
 )
+SPEED_HEADER = "".join(
+    f"{name:>18}"
+    for name in ("ended runs", "workers", "mean error", "with samples", "their error")
+)
 
 
 @click.command("fleet")
@@ -101,6 +106,32 @@
 @click.option(
     "--forecasts", is_flag=True, help="Print how far off learned run times are."
 )
+@click.option(
+    "--worker-speeds/--no-worker-speeds",
+    default=True,
+    show_default=True,
+    help="Learn how fast workers are.",
+)
+@click.option(
+    "--slow-factor",
+    type=click.FloatRange(0.25, 4),
+    default=SLOW_WORKER_FACTOR,
+    show_default=True,
+    help="Factor on the run times of every third worker.",
+)
+@click.option(
+    "--task-spread",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    show_default=True,
+    help="Standard deviation of the logarithms of the run times of a job's units.",
+)
+@click.option(
+    "--lockstep", is_flag=True, help="List the same progress of all members of a gang."
+)
+@click.option(
+    "--speed-errors", is_flag=True, help="Print how far off the learned speeds are."
+)
 @click.option("--seeds", type=click.IntRange(1, 100), default=4, show_default=True)
 @click.option(
     "--worker-fault",
@@ -129,6 +160,11 @@
     admission: bool,
     fair_shares: bool,
     forecasts: bool,
+    worker_speeds: bool,
+    slow_factor: float,
+    task_spread: float,
+    lockstep: bool,
+    speed_errors: bool,
     seeds: int,
     worker_fault: str | None,
     faulty_workers: int,
@@ -146,6 +182,13 @@
         FaultKind(worker_fault) if worker_fault else None, faulty_workers, health_checks
     )
     cost, forecast_errors = FaultCost(), ForecastErrors()
+    speed_plan = SpeedPlan(
+        learned=worker_speeds,
+        slow_factor=slow_factor,
+        task_spread=task_spread,
+        lockstep=lockstep,
+    )
+    errors_of_speeds = SpeedErrors(speed_plan)
     played: list[dict[str, QueueResult]] = []
     for seed in range(1, seeds + 1):
         load = (workers, organisations, rate, seconds, seed, rack_size)
@@ -163,6 +206,8 @@
                 flood,
                 admission,
                 fair_shares,
+                speed_plan,
+                errors_of_speeds,
             )
         played.append(callers)
     results = add_results(played)
@@ -174,6 +219,8 @@
             rows["faulty workers"] = _fault_row(cost)
         if forecasts:
             rows["forecasts"] = forecast_errors.rows()
+        if speed_errors:
+            rows["speeds"] = errors_of_speeds.rows()
         click.echo(json.dumps(rows, indent=2))
         return
     click.echo(HEADER)
@@ -189,6 +236,10 @@
         click.echo(FORECAST_HEADER)
         for row in forecast_errors.rows():
             click.echo(_forecast_line(row))
+    if speed_errors:
+        click.echo(SPEED_HEADER)
+        for speeds in errors_of_speeds.rows():
+            click.echo("".join(f"{value:18.3f}" for value in speeds.values()))
 
 
 def _fault_row(cost: FaultCost) -> dict[str, float]:
--- a/packages/wasabispur-standins/src/wasabispur_standins/faulty_fleet.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/faulty_fleet.py
@@ -27,6 +27,7 @@
 )
 from .fleet_load import generate_jobs, GeneratedJob
 from .fleet_result import QueueResult
+from .fleet_speed import SpeedPlan
 
 CHECK_INTERVAL = 0.5
 """Seconds between two health checks of a worker."""
@@ -44,7 +45,8 @@
         plan: FaultPlan,
         random: Random,
     ) -> None:
-        super().__init__(workers, organisations, jobs, rack_size)
+        speed_plan = SpeedPlan(lockstep=True)
+        super().__init__(workers, organisations, jobs, rack_size, speed_plan=speed_plan)
         self.faulty = FaultyWorkers(plan, list(self.reports), random)
         self.cost = FaultCost()
         self.hung: dict[UnitId, tuple[SimulatedRun, float]] = {}
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_experiment.py
@@ -46,6 +46,7 @@
     JOB_CLASSES,
 )
 from .fleet_result import QueueResult
+from .fleet_speed import DEFAULT_SPEED_PLAN, SpeedErrors, SpeedPlan
 from .idle_job import IdleJobs
 from .simulated_entry import FEED_DELAY, published_loads, SimulatedEntry
 from .simulated_owner import CAPACITY, SimulatedOwner
@@ -63,9 +64,6 @@
 LIST_INTERVAL = 1.0
 """Seconds between two ticks of the owner, and between two lists of a worker's runs."""
 
-SLOW_WORKER_FACTOR = 1.3
-"""Factor by which runs take longer on every third worker."""
-
 REMOTE_FACTOR = 3.0
 """Factor by which runs take longer away from their data, or over several racks."""
 
@@ -75,12 +73,17 @@
 
 @dataclass(slots=True)
 class SimulatedRun:
-    """Represent a run of a unit: its work in seconds, and the worker's slowness."""
+    """Represent a run of a unit: its work in seconds, and its slowness.
+
+    slowness is that of its slowest worker, times that of its distance from its rack,
+    which is remoteness.
+    """
 
     run: int
     started_at: float
     slowness: float
     work_left: float
+    remoteness: float = 1.0
     stopping: bool = False
     stopped_at: float = 0.0
 
@@ -97,11 +100,17 @@
         estimate_use: EstimateUse = EstimateUse.ALL,
         admission: bool = False,
         fair_shares: bool = False,
+        speed_plan: SpeedPlan = DEFAULT_SPEED_PLAN,
     ) -> None:
         super().__init__(now=0.0, rack_size=rack_size)
         self.state.run_times.use = estimate_use
         self.state.published_load.enabled = admission
         self.state.fair_shares = fair_shares
+        self.state.worker_speeds.enabled = (
+            speed_plan.learned and estimate_use is not EstimateUse.NOTHING
+        )
+        self.speed_plan = speed_plan
+        self.speed_errors = SpeedErrors(speed_plan)
         self.entry = SimulatedEntry()
         self.errors = ForecastErrors()
         self.idle = IdleJobs()
@@ -124,6 +133,7 @@
             ],
             workers,
         )
+        self.speed_errors.workers = list(self.reports)
         for job in jobs:
             self._later(job.arrives_at, self._arrival(job))
         self._later(0.0, self._tick)
@@ -204,12 +214,13 @@
 
     def _start(self, unit: Unit) -> None:
         job = self.jobs[unit.unit_id.job_id]
-        left = self.work_left.get(unit.unit_id, job.run_time)
-        slow = any(int(one.worker_ref.worker_id[1:]) % 3 == 2 for one in unit.members)
+        left = self.work_left.get(unit.unit_id)
+        if left is None:
+            left = job.run_time * self.speed_plan.task_factor(unit)
         run = self.runs[unit.unit_id] = SimulatedRun(
             run=unit.run,
             started_at=self.now + START_DELAY,
-            slowness=SLOW_WORKER_FACTOR if slow else 1.0,
+            slowness=self.speed_plan.unit_factor(unit),
             work_left=left,
         )
         queue = self._queue_of(unit)
@@ -217,6 +228,7 @@
         if unit.unit_id in self.work_left:
             self.waste.restored(queue, _cores(unit))
         if self._is_remote(unit):
+            run.remoteness = REMOTE_FACTOR
             run.slowness *= REMOTE_FACTOR
             self._result(unit.unit_id.job_id).remote_runs += 1
         if unit.run == 1:
@@ -254,6 +266,7 @@
             return
         if kind is EndKind.DONE:
             self.errors.count_end(self._queue_of(unit))
+            self.speed_errors.count_end(self.state.worker_speeds)
             if run.run == 1:
                 job = self.jobs[unit.unit_id.job_id]
                 ordered_at = run.started_at - START_DELAY
@@ -261,12 +274,28 @@
         self.end(unit, kind)
 
     def percent(self, unit: Unit) -> int:
-        """Return the completed share of a unit's run, as workers list it."""
+        """Return the completed share of a unit's run on its slowest worker."""
+        run = self.runs.get(unit.unit_id)
+        return self._percent(unit, run.slowness) if run is not None else 0
+
+    def member_percent(self, unit: Unit, worker_id: str) -> int:
+        """Return the completed share of a member's run, as its worker lists it.
+
+        In lockstep, all members of a gang proceed at the rate of the slowest one.
+        """
+        run = self.runs.get(unit.unit_id)
+        if self.speed_plan.lockstep or run is None:
+            return self.percent(unit)
+        factor = self.speed_plan.worker_factor(worker_id)
+        return self._percent(unit, factor * run.remoteness)
+
+    def _percent(self, unit: Unit, slowness: float) -> int:
         run = self.runs.get(unit.unit_id)
         if run is None or run.run != unit.run:
             return 0
         total = self.jobs[unit.unit_id.job_id].run_time
-        done = max(self.now - run.started_at, 0.0) / run.slowness
+        total *= self.speed_plan.task_factor(unit)
+        done = max(self.now - run.started_at, 0.0) / slowness
         percent = int(100 * (1 - (run.work_left - done) / total))
         return min(max(percent, 0), 99)
 
@@ -326,6 +355,8 @@
     flood: float = 0.0,
     admission: bool = False,
     fair_shares: bool = False,
+    speed_plan: SpeedPlan = DEFAULT_SPEED_PLAN,
+    speed_errors: SpeedErrors | None = None,
 ) -> dict[str, QueueResult]:
     """Return what callers get of one load, by queue.
 
@@ -336,7 +367,8 @@
     added to forecast_errors. With a flood, which is in jobs a second, one more
     organisation submits so many, which count apart. With admission, jobs are accepted
     by the load that the owner publishes. With fair_shares, units wait by the shares of
-    their organisations.
+    their organisations. speed_plan defines how fast workers are; the errors of the
+    learned factors are added to speed_errors.
     """
     racks = workers // rack_size if rack_size else 0
     random = Random(seed)
@@ -348,9 +380,18 @@
         jobs += flood_jobs(flood, duration, random, racks, estimate_errors)
     size = rack_size or RACK_SIZE
     experiment = FleetExperiment(
-        workers, organisations, jobs, size, estimate_use, admission, fair_shares
+        workers,
+        organisations,
+        jobs,
+        size,
+        estimate_use,
+        admission,
+        fair_shares,
+        speed_plan,
     )
     results = experiment.play(duration)
     if forecast_errors is not None:
         forecast_errors.add(experiment.errors)
+    if speed_errors is not None:
+        speed_errors.add(experiment.speed_errors)
     return results
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -203,6 +203,7 @@
                 ownership.lease,
                 self.settings.admission_control,
                 self.settings.fair_shares,
+                self.settings.worker_speeds,
             ),
             decide_jobs=decide,
             tick=FleetTick(),
--- a/packages/wasabispur/src/wasabispur/fleet_settings.py
+++ b/packages/wasabispur/src/wasabispur/fleet_settings.py
@@ -19,7 +19,8 @@
     cordons is set if the deployment uses cordons of data centres. stop_times is how
     long stops and restarts of runs take. With admission_control, new jobs are rejected
     that the load would delay until they have no value. With fair_shares, units
-    wait by the shares of their organisations.
+    wait by the shares of their organisations. With worker_speeds, the owner learns how
+    fast workers are, if it learns run times.
     """
 
     entry_id: str
@@ -36,4 +37,5 @@
     stop_times: StopTimes = DEFAULT_STOP_TIMES
     admission_control: bool = False
     fair_shares: bool = False
+    worker_speeds: bool = True
     log_level: str = "INFO"
