--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
@@ -1,9 +1,8 @@
 """Divide what the end of a run wastes into lost work and overhead.
 
-The load behind this: a service that stops, loses and breaks runs while users count the
-work that they have to do again. Their count contains no time of stops, of restores or
-from an order to the start, so that a sum of both can't be compared with it. Costs are
-in core-seconds; an accelerator counts as eight cores.
+Lost work has to be done again. Users count only that, so that the time of starts, stops
+and restores is kept apart as overhead. Costs are in core-seconds; an accelerator counts
+as eight cores.
 """
 
 from __future__ import annotations
@@ -54,7 +53,7 @@
     lost = worked_until - begun
     saves = unit.step.checkpointing or unit.step.long_running
     if saves and not _is_incomplete(unit, ended.kind):
-        waited = min(_gang_wait(unit, member), lost)
+        waited = min(_gang_waits(unit)[unit.members.index(member)], lost)
         lost = waited + _unsaved(unit, ended.kind, lost - waited, state.stop_times)
     overhead = max(held - (worked_until - begun), 0.0)
     if _is_restored(unit, ended):
@@ -132,22 +131,14 @@
 
 
 def _gang_waits(unit: Unit) -> list[float]:
-    """Return the seconds for which each member of a complete gang waited for the last."""
+    """Return the seconds for which each member of a gang waited for the last one."""
     if not unit.step.gang:
-        return []
+        return [0.0] * len(unit.members)
     begun = [_begun_at(unit, member) for member in unit.members]
     complete_at = max(begun)
     return [_noticeable(complete_at - at) for at in begun]
 
 
-def _gang_wait(unit: Unit, member: UnitMember) -> float:
-    """Return the seconds for which a member of a complete gang waited for the last."""
-    if not unit.step.gang:
-        return 0.0
-    complete_at = max(_begun_at(unit, one) for one in unit.members)
-    return _noticeable(complete_at - _begun_at(unit, member))
-
-
 def _noticeable(waited: float) -> float:
     return waited if waited > SHORTEST_WAIT else 0.0
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -55,7 +55,8 @@
     contains the services whose workers' health checks are not reliable, and
     health_counted_at is the time of the last count of their answers. run_times contains
     what was learned of the run times of tasks, and worker_speeds of those of workers.
-    stop_times is how long stops take, and evictions contains the stops for each beneficiary that has yet to be placed.
+    stop_times is how long stops take, and evictions contains the stops for each
+    beneficiary that has yet to be placed.
     published_load is the load as entries know it. fair_shares is set if units wait by
     the shares of organisations, and share_log is what the log last told of them.
     """
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/organisation_share.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/organisation_share.py
@@ -69,8 +69,12 @@
             }
 
     def dominant_share(self, level: Level, resources: Resources) -> float:
-        """Return the share of the service's resource of which most is occupied."""
+        """Return the largest part that resources take of any of the service's capacities.
+
+        A resource of which the service has none is left out.
+        """
         capacity = self.capacities.get(level.service, NO_WORK)
+        # The work of one second over the capacity: its seconds are the share.
         return work_of(resources).seconds(capacity)
 
     def weight(self, organisation: str) -> float:
@@ -94,13 +98,17 @@
     def of(
         cls, use: OrganisationUse, level: Level, waiting: Iterable[str]
     ) -> LevelShares:
-        """Return the shares at a level at which some organisations have waiting units."""
+        """Return the shares at a level, with the organisations that have waiting units."""
         shares = dict.fromkeys(waiting, 0.0) | use.shares.get(level, {})
         weights = {name: use.weight(name) for name in shares}
         return cls(shares, weights, sum(shares.values()), sum(weights.values()))
 
     def fair_share(self, organisation: str) -> float:
-        """Return the organisation's part, by weight, of what all of them use."""
+        """Return the organisation's part, by weight, of what all of them use.
+
+        It is a part of the present use, not of the capacity, so that nothing is kept
+        idle.
+        """
         if not self.total_weight:
             # With weights of zero only, all organisations count alike.
             return self.total / len(self.shares)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_shares.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/pass_shares.py
@@ -33,7 +33,6 @@
             for name in use.shares.get(level, ())
             if -shares.excess(name) > EQUAL_SHARE * shares.fair_share(name)
         )
-
         self.released = last_protected - self.protected
 
     def may_stop(self, victim: RunningUnit) -> bool:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planner.py
@@ -50,7 +50,7 @@
 def _explain_waits(
     decisions: list[Decision], shares: Mapping[UnitId, tuple[float, float]]
 ) -> list[Decision]:
-    """Record in each decision to wait how many others precede it, and by what shares."""
+    """Record in each wait how many others precede it, and by what shares."""
     waits = 0
     for number, decision in enumerate(decisions):
         if isinstance(decision, Wait):
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/planning_pass.py
@@ -36,14 +36,17 @@
     """Represent the decisions of one pass on the waiting units."""
 
     def decide_all(self, groups: list[list[WaitingUnit]]) -> list[Decision]:
-        """Return the decisions on groups of units in their order of placement."""
+        """Return the decisions on groups of units in their order of placement.
+
+        Either all groups are guaranteed or none is; shares don't order guaranteed ones.
+        """
         decisions: list[Decision] = []
         if self.shares is None or not groups or groups[0][0].guaranteed:
             for group in groups:
                 decisions += self.decide(group)
             return decisions
-        for _, level in groupby(groups, key=lambda group: group[0].priority):
-            decisions += self._decide_by_share(list(level), self.shares)
+        for _, same_priority in groupby(groups, key=lambda group: group[0].priority):
+            decisions += self._decide_by_share(list(same_priority), self.shares)
         return decisions
 
     def _decide_by_share(
@@ -59,8 +62,8 @@
                 last = [unit.unit_id for unit in group].index(found[-1].unit_id)
                 order.put_back(number, group[last + 1 :])
             elif found and group[0].organisation in order.overtaken:
-                told = shares.share(group[0])
-                self.share_waits |= {one.unit_id: told for one in found}
+                known_shares = shares.share(group[0])
+                self.share_waits |= {one.unit_id: known_shares for one in found}
             decisions += found
         return decisions
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/share_order.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/share_order.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 
 from .pass_shares import PassShares
 from .plan import WaitingUnit
@@ -26,10 +26,10 @@
 
     def __init__(self, groups: Sequence[list[WaitingUnit]], shares: PassShares) -> None:
         self.shares = shares
+        # In order of their numbers, so that the list is a heap.
         self.ready: list[Entry] = list(enumerate(groups))
         self.set_aside: dict[str, list[Entry]] = {}
         self.overtaken: set[str] = set()
-        heapify(self.ready)
 
     def next(self) -> Entry | None:
         """Return the group to decide on now and its number, or None at the end."""
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/speed_preference.py
@@ -1,8 +1,8 @@
 """Prefer workers on which a waiting unit is expected to end by its objective.
 
-The load is that of fleets in which some workers take longer for the same task. An urgent
-gang ends with its slowest member, and its objective leaves room for little more than its
-run time; other units have the time to run on slow workers.
+The load is that of fleets in which some workers take longer for the same task. An
+urgent gang ends with its slowest member, and its objective leaves room for little more
+than its run time; other units have the time to run on slow workers.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 """
 
 FACTOR_STEP = 0.2
-"""Difference of factors that matters to a choice; learned ones are off by half of it."""
+"""Difference of factors that matters to a choice; learned ones are off by half."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/planning/unit_placement.py
@@ -347,7 +347,7 @@
 def _group_order(
     speed: SpeedPreference | None, placement: list[WorkerSnapshot]
 ) -> tuple[bool, float, int]:
-    """Return the sort key of a placement: one cold or slow worker delays all of a gang."""
+    """Return the sort key of a placement; a cold or slow worker delays a whole gang."""
     distinct = {worker.worker_ref.worker_id: worker for worker in placement}
     free = sum(worker.free.accelerators for worker in distinct.values())
     rank = speed.rank_of_all(placement) if speed is not None else NO_RANK
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/remote_run.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/remote_run.py
@@ -12,7 +12,7 @@
 
 
 def is_remote(unit: Unit, state: FleetState) -> bool:
-    """Return whether a unit runs away from the rack that it prefers, or over several."""
+    """Return whether a unit runs away from its preferred rack, or over several."""
     racks = {
         worker.info.rack
         for member in unit.members
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/worker_speed.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/worker_speed.py
@@ -33,9 +33,9 @@
 """
 
 SAMPLE_DECAY = 0.85
-"""Factor on the weight of the earlier samples of a worker for each new one.
+"""Factor on the weight of the earlier samples of a worker for a new one of weight 1.
 
-Four new samples outweigh all earlier ones.
+Five new samples outweigh any number of earlier ones.
 """
 
 HALF_LIFE = 300.0
@@ -145,9 +145,10 @@
     and the row use them. estimates contains the samples of each worker, in the order of
     the last one, steps the sums of logarithms and the numbers of the times of each step
     by worker, and pending the samples to compare, by the time when they are due. typical
-    is the median of the logarithms of all workers' ratios. stored_known is set once the owner
-    has read what a former one learned, and unsaved if there is more to store, which was
-    last done at saved_at. followed_at is the time of the last update. reported contains
+    is the median of the logarithms of all workers' ratios. sequence numbers the pending
+    samples, so that equal times keep their order. stored_known is set once the row of a
+    former owner was read; until then none is written. unsaved is set if factors changed
+    since the last write, which was at saved_at. followed_at is the time of the last update. reported contains
     the workers that the log knows as slow, and reported_at the time of a worker's last
     record. Times are in monotonic seconds.
     """
@@ -183,6 +184,7 @@
         drop_oldest(times, STEP_WORKER_LIMIT)
         self.steps[sample.key] = times
         drop_oldest(self.steps, STEP_LIMIT)
+        # Beyond the limit, a sample still serves as a reference, but is not compared.
         if len(self.pending) < PENDING_LIMIT:
             self.sequence += 1
             due = now + SETTLING_SHARE * worked
@@ -251,7 +253,10 @@
         estimate.replace(factor, min(estimate.weight, 1.0), now)
 
     def restore(self, worker_id: str, factor: float, weight: float, now: float) -> None:
-        """Put a stored factor before what was learned since."""
+        """Add a stored factor as samples older than all that were learned since.
+
+        Each sample learned since counts as a whole one here, whatever its weight.
+        """
         learned = self.estimates.get(worker_id)
         stored = SpeedEstimate()
         stored.replace(factor, weight, now)
@@ -277,6 +282,6 @@
 
 
 def _is_lockstep(times: dict[str, tuple[float, int]]) -> bool:
-    """Return whether the members of a gang seem to proceed together."""
+    """Return whether the workers of a step show the same rate, as in lockstep."""
     means = [total / count for total, count in times.values()]
     return max(means) - min(means) < LOCKSTEP_SPREAD
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/worker_speed_row.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/worker_speed_row.py
@@ -11,11 +11,11 @@
 from .run_time_row import ROW_BYTES_LIMIT, ROW_OVERHEAD_BYTES, run_times_prefix
 from .worker_speed import FACTOR_LIMITS, WORKER_LIMIT, WorkerSpeeds
 
-UNIT = 0.001
-"""Unit in which factors and weights are stored, as whole numbers."""
+STORED_PRECISION = 0.001
+"""Factors and weights are stored as whole multiples of this."""
 
 WEIGHT_LIMIT = 100.0
-"""Largest stored weight; a valid one stays far below it."""
+"""Largest plausible stored weight; SAMPLE_DECAY keeps valid ones below 7."""
 
 NUMBER_BYTES = 12
 """Bytes of the numbers and separators of one worker in the row, at most."""
@@ -47,9 +47,9 @@
     if len(value.workers) > WORKER_LIMIT:
         return f"there are more than {WORKER_LIMIT} workers"
     least, most = FACTOR_LIMITS
-    if not all(least <= one * UNIT <= most for one in value.factors):
+    if not all(least <= one * STORED_PRECISION <= most for one in value.factors):
         return "a factor is out of range"
-    if not all(0 < one * UNIT <= WEIGHT_LIMIT for one in value.weights):
+    if not all(0 < one * STORED_PRECISION <= WEIGHT_LIMIT for one in value.weights):
         return "a weight is out of range"
     return ""
 
@@ -69,13 +69,15 @@
         if size > ROW_BYTES_LIMIT:
             break
         row["workers"].append(worker_id)
-        row["factors"].append(round(speeds.factors[worker_id] / UNIT))
-        row["weights"].append(max(round(weights[worker_id] / UNIT), 1))
+        row["factors"].append(round(speeds.factors[worker_id] / STORED_PRECISION))
+        row["weights"].append(max(round(weights[worker_id] / STORED_PRECISION), 1))
     return dict(row)
 
 
 def restore_speeds(speeds: WorkerSpeeds, stored: StoredSpeeds, now: float) -> None:
-    """Put stored factors before what was learned since."""
+    """Add the stored factors as samples older than those learned since."""
     rows = zip(stored.workers, stored.factors, stored.weights, strict=True)
     for worker_id, factor, weight in rows:
-        speeds.restore(worker_id, factor * UNIT, weight * UNIT, now)
+        speeds.restore(
+            worker_id, factor * STORED_PRECISION, weight * STORED_PRECISION, now
+        )
--- a/packages/wasabispur-standins/src/wasabispur_standins/fleet_speed.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/fleet_speed.py
@@ -87,7 +87,7 @@
                 mine.setdefault(ended, []).extend(errors)
 
     def rows(self) -> list[dict[str, float]]:
-        """Return the mean errors of all workers and of those with samples, as a table."""
+        """Return the mean errors of all workers, and of those with samples."""
         return [
             {
                 "ended_runs": ended,
--- a/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/simulated_owner.py
@@ -155,7 +155,7 @@
         return 50
 
     def member_percent(self, unit: Unit, worker_id: str) -> int:
-        """Return the completed share of a unit's run, as one of its workers lists it."""
+        """Return the completed share of a unit's run, as a worker lists it."""
         return self.percent(unit)
 
     def is_idle(self, unit: Unit) -> bool:
--- a/packages/wasabispur/src/wasabispur/job_report/log_record.py
+++ b/packages/wasabispur/src/wasabispur/job_report/log_record.py
@@ -43,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LogRecord:
-    """Represent a record of an event that the report doesn't read."""
+    """Represent the fields of all log records.
+
+    Records of events that the report doesn't read have only these.
+    """
 
     time: AwareDatetime
     event: int
@@ -145,7 +148,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunEnded(JobRecord):
-    """Tell how a task's run ended, its times in seconds and its waste in core-seconds."""
+    """Tell how a run ended, its times in seconds and its waste in core-seconds."""
 
     task: Name
     run: int
--- a/packages/wasabispur/src/wasabispur/job_report/open_job.py
+++ b/packages/wasabispur/src/wasabispur/job_report/open_job.py
@@ -19,9 +19,10 @@
 
     Times are in seconds since the epoch. accepted is set once its acceptance was read;
     accepted_at is its time on the entry's clock and owner_accepted_at on the owner's,
-    which also gives first_placed_at. refusal is the reason of its last refusal. placements contains the workers of
-    each run of a unit, stops why such a run was stopped, ends the end of each run of a
-    task, and idle the core-seconds for which room stood idle for each unit.
+    which also gives first_placed_at. refusal is the reason of its last refusal.
+    placements contains the workers of each run of a unit, stops why such a run was
+    stopped, ends the end of each run of a task, and idle the core-seconds for which
+    room stood idle for each unit.
     """
 
     job_id: str
--- a/packages/wasabispur/src/wasabispur/job_report/report_format.py
+++ b/packages/wasabispur/src/wasabispur/job_report/report_format.py
@@ -96,10 +96,11 @@
     if grouping is Grouping.DATA_CENTRE:
         return work
     return {
+        # First, so that a state in a log can't replace one of the report's own keys.
+        **{state: group.ended[state] for state in _end_states(group)},
         "accepted": group.accepted,
         "rejected": dict(sorted(group.rejected.items())),
         "uncertain": group.uncertain,
-        **{state: group.ended[state] for state in _end_states(group)},
         "open": group.open,
         "wait_seconds": _wait_value(group.waits),
         **work,
--- a/packages/wasabispur/src/wasabispur/job_report/service_account.py
+++ b/packages/wasabispur/src/wasabispur/job_report/service_account.py
@@ -1,9 +1,8 @@
 """Account for the service that callers of jobs received, from log records.
 
-The load behind this: a day's logs of some 70 processes, of which several were owner in
-turn, that don't show by themselves who waited, who was rejected, where work ran, and
-which organisations and queues bore the cost. A job's state is dropped soon after its end was
-read, so that memory stays bounded on a log of any length.
+Designed for a day's logs of about 70 processes, with several owners in turn. The state of
+a job is dropped soon after its end was read, so that memory is bounded for logs of any
+length.
 """
 
 from __future__ import annotations
@@ -33,10 +32,10 @@
 """Closed jobs that are remembered, so that the log of another process adds nothing."""
 
 WORKER_LIMIT = 100_000
-"""Workers whose data centre is remembered."""
+"""Workers whose data centre is remembered; others count as unknown."""
 
 GROUP_LIMIT = 1000
-"""Distinct queues or organisations; others are summed up."""
+"""Distinct queues, organisations or data centres; further ones are summed up."""
 
 UNKNOWN = "unknown"
 
--- a/packages/wasabispur/src/wasabispur/job_report_command.py
+++ b/packages/wasabispur/src/wasabispur/job_report_command.py
@@ -57,7 +57,7 @@
         if not counts.records:
             raise NoRecordError(
                 f"none of {counts.unread.total()} lines is a log record",
-                "name files with the standard output of entries and agents",
+                "name files with the standard output of entries",
             )
         if output == "json":
             value = report_value(account, counts, groupings)
--- a/tests/job_report/test_job_report.py
+++ b/tests/job_report/test_job_report.py
@@ -246,6 +246,22 @@
     assert value["log"]["records_not_written"] == 4
 
 
+@pytest.mark.parametrize("state", ["accepted", "rejected", "stops", "wait_seconds"])
+@pytest.mark.parametrize("output", ["json", "table"])
+def test_end_state_named_like_a_field_of_the_report(tmp_path, state, output):
+    """Guard against a state in a log that replaces a figure, or stops the report."""
+    log = [
+        line(0, JOB_ACCEPTED, job="j1", **TERMS),
+        line(2, JOB_ENDED, job="j1", **TERMS, state=state),
+    ]
+    path = tmp_path / "entry.log"
+    path.write_text("\n".join(log), "utf-8")
+    done = CliRunner().invoke(main, ["job-report", str(path), "--output", output])
+    assert done.exit_code == 0, done.output
+    if output == "json":
+        assert json.loads(done.output)["queues"][0]["accepted"] == 1
+
+
 @pytest.mark.parametrize(
     "text",
     [
