Compute a run's observed progress and mark changed speeds in one place

RunProgress.remaining and wasted_work computed the observed time and percentage that RunProgress.worked and whole_time computed too; the scheduler and speed_update marked a worker and its units by the same two lines. No behaviour changes.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/wasted_work.py
@@ -91,8 +91,7 @@
 
 
 def _seconds_per_percent(progress: RunProgress) -> float | None:
-    done = progress.percent - progress.first_percent
-    worked = progress.advanced_at - progress.first_at
+    done, worked = progress.observed_percent, progress.worked
     return worked / done if done > 0 and worked >= LISTING_INTERVAL / 2 else None
 
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -147,6 +147,11 @@
         self.dirty_workers.add(worker_id)
         self.view.changed_workers.add(worker_id)
 
+    def mark_speed_changed(self, worker_id: str) -> None:
+        """Mark a worker whose factor changed, so that its units are derived again."""
+        self.view.changed_workers.add(worker_id)
+        self.view.changed_units.update(self.units_by_worker.get(worker_id, ()))
+
     def units_on(self, worker_id: str) -> list[Unit]:
         """Return the known units with open members on a worker."""
         units = map(self.unit, self.units_by_worker.get(worker_id, ()))
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -255,8 +255,7 @@
         return []
     restore_speeds(speeds, message.stored, now)
     for worker_id in message.stored.workers:
-        state.view.changed_workers.add(worker_id)
-        state.view.changed_units.update(state.units_by_worker.get(worker_id, ()))
+        state.mark_speed_changed(worker_id)
     speeds.reported = slow_workers(speeds)
     fields = {"workers": len(message.stored.workers), "slow": len(speeds.reported)}
     return [WriteLog(number=WORKER_SPEEDS_READ.number, fields=fields)]
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_progress.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/run_progress.py
@@ -66,11 +66,10 @@
 
     def remaining(self, now: float) -> float | None:
         """Return the remaining seconds at the observed rate, if one is known."""
-        worked = self.advanced_at - self.first_at
-        done = self.percent - self.first_percent
-        if worked < MIN_RATE_TIME or done <= 0:
+        done = self.observed_percent
+        if self.worked < MIN_RATE_TIME or done <= 0:
             return None
-        remaining = (COMPLETE_PERCENT - self.percent) * worked / done
+        remaining = (COMPLETE_PERCENT - self.percent) * self.worked / done
         return max(remaining - (now - self.advanced_at), 0.0)
 
     @property
@@ -78,13 +77,18 @@
         """Return the seconds over which progress was observed."""
         return self.advanced_at - self.first_at
 
+    @property
+    def observed_percent(self) -> int:
+        """Return the percentage by which the run progressed since its first list."""
+        return self.percent - self.first_percent
+
     @property
     def whole_time(self) -> float | None:
         """Return the seconds that the whole task takes at a steady observed rate.
 
         Returns None if too little is known, or if the percentages are not plausible.
         """
-        done = self.percent - self.first_percent
+        done = self.observed_percent
         if done < LEAST_SAMPLE_PERCENT or self.worked < LEAST_SAMPLE_TIME:
             return None
         if self.decreased or self.largest_step > LARGEST_STEP_SHARE * done:
--- a/packages/wasabispur-core/src/wasabispur_core/workload/run_times/speed_update.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/run_times/speed_update.py
@@ -31,8 +31,7 @@
     speeds.compare_due(now)
     speeds.forget_beyond_limit(state.workers)
     for worker_id in speeds.update(len(state.workers), now):
-        state.view.changed_workers.add(worker_id)
-        state.view.changed_units.update(state.units_by_worker.get(worker_id, ()))
+        state.mark_speed_changed(worker_id)
     return [*_report(speeds, now), *_write(speeds, now)]
 
 
