End the processes of a review script also after a failed start or SIGTERM

Cause: a failed start raised before the processes were ended, and SIGTERM ended the script without ending them.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -124,15 +124,22 @@
         self.executors: list[Executor] = []
 
     async def __aenter__(self) -> Self:
-        for _ in range(START_ATTEMPTS):
-            await self._start_all()
-            if await self._is_ready():
-                self.record("ready")
-                return self
-            self._record_failed_start()
-            self._stop_all()
-        shutil.rmtree(self.folder, ignore_errors=True)
-        raise TimeoutError("the deployment did not become ready")
+        task = asyncio.current_task()
+        if task is not None:
+            # The processes are ended also if the script itself is told to end.
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            for _ in range(START_ATTEMPTS):
+                await self._start_all()
+                if await self._is_ready():
+                    self.record("ready")
+                    return self
+                self._record_failed_start()
+                self._stop_all()
+            raise TimeoutError("the deployment did not become ready")
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
 
     async def __aexit__(
         self,
