Keep a late submission from running a job that was cancelled before it

Cause: the cancelling found no row of the job and answered without a write. The submission's write had only the condition that the job has no row, so that nothing kept the store from doing it afterwards. No log line told of the 410.

Change: the cancelling of a job without a row puts its cancellation row before the answer, on condition that the job has no row, and each submission depends on the absence of that row. The store orders the two transactions, so that one of them sees the other, however late it is. A repeated cancelling renews the row. Organisations and entries have a limit of such rows; the owner removes each 120 s after it has read it, in the version that it has read. A submission that meets the row gets 503. A cancelling of a job that exists takes the calls that it took. Events 417 and 418, more results of 423, gauge job.tombstones.

Related: the cancellation row of a job that was removed between the read and the write stayed for good; the owner removes it like the others.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -139,6 +139,14 @@
 CANCELLATION_READ_BY_OWNER = LogEvent(
     425, "INFO", "the owning entry read the cancellation of job {job}"
 )
+TOMBSTONE_READ = LogEvent(
+    417,
+    "INFO",
+    "the owning entry read the cancellation of the unknown job {job}; {kept} are kept",
+)
+TOMBSTONE_REMOVED = LogEvent(
+    418, "INFO", "the cancellation of the unknown job {job} is gone; {kept} are kept"
+)
 UNIT_PLACED = LogEvent(
     426, "INFO", "run {run} of {job}.{unit} placed on {workers} after {waited} s"
 )
--- a/packages/wasabispur-core/src/wasabispur_core/metric.py
+++ b/packages/wasabispur-core/src/wasabispur_core/metric.py
@@ -94,6 +94,12 @@
     text="new jobs that were rejected because of the load",
     labels=("cause",),
 )
+JOB_TOMBSTONES = Metric(
+    name="job.tombstones",
+    kind=MetricKind.GAUGE,
+    unit="1",
+    text="cancellations of unknown jobs that the owning entry keeps",
+)
 JOB_TIME = Metric(
     name="job.time",
     kind=MetricKind.HISTOGRAM,
--- a/packages/wasabispur-core/src/wasabispur_core/storage/token_bucket.py
+++ b/packages/wasabispur-core/src/wasabispur_core/storage/token_bucket.py
@@ -10,22 +10,28 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """Allow per_second calls a second, in bursts of up to one second's calls."""
+    """Allow per_second calls a second, in bursts of up to burst_time seconds' calls."""
 
     per_second: float
     tokens: float = 0.0
     updated: float = 0.0
+    burst_time: float = 1.0
 
     def refill(self, now: float) -> None:
         """Add the tokens for the time since the last update."""
         earned = (now - self.updated) * self.per_second
-        self.tokens = min(max(self.per_second, 1.0), self.tokens + earned)
+        limit = max(self.per_second * self.burst_time, 1.0)
+        self.tokens = min(limit, self.tokens + earned)
         self.updated = now
 
+    def available(self, now: float) -> bool:
+        """Return whether a token is available, without taking it."""
+        self.refill(now)
+        return self.tokens >= 1
+
     def take(self, now: float) -> bool:
         """Take a token and return whether one was available."""
-        self.refill(now)
-        if self.tokens < 1:
+        if not self.available(now):
             return False
         self.tokens -= 1
         return True
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
@@ -12,7 +12,7 @@
 from functools import singledispatch
 from math import inf
 
-from ...command import Command, ReadRows, WriteLog
+from ...command import Command, WriteLog
 from ...error import UnhandledMessageError
 from ...log_event import CORDONS_READ, JOB_REFUSED, POLICY_IN_FORCE
 from ...message import Message
@@ -23,6 +23,7 @@
 from ..policies.cordon import CordonsChanged
 from ..policies.policy import PolicyChanged, PolicyHealth, Queue
 from ..rows import job_key, progress_key, queue_counts_key
+from .intake_action import read_rows
 from .intake_message import (
     AnswerCaller,
     CallOutcome,
@@ -61,6 +62,7 @@
     if message.policy.version <= state.policy.version:
         return []
     state.policy = message.policy
+    state.tombstones.keep_organisations(message.policy.organisations)
     fields = {"version": message.policy.version, "queues": len(message.policy.queues)}
     return [WriteLog(number=POLICY_IN_FORCE.number, fields=fields)]
 
@@ -139,7 +141,7 @@
     if call.rejection is None:
         return [*commands, write_job(call, message, state, now)]
     call.lifecycle = state.charts[SUBMISSION_CHECK].start()
-    return [*commands, *_read(call, state, job_key(call.job_id))]
+    return [*commands, *read_rows(call, state, job_key(call.job_id))]
 
 
 @start_call.register
@@ -147,16 +149,16 @@
     message: CancelJob, queue: Queue, state: IntakeState, now: float
 ) -> list[Command]:
     call = _open_call("cancellation", message, queue, state)
-    return _read(call, state, job_key(call.job_id))
+    return read_rows(call, state, job_key(call.job_id))
 
 
 @start_call.register
 def _(message: ReadJob, queue: Queue, state: IntakeState, now: float) -> list[Command]:
     if message.path == queue.prefix:
         call = _open_call("queue_lookup", message, queue, state)
-        return _read(call, state, queue_counts_key())
+        return read_rows(call, state, queue_counts_key())
     call = _open_call("job_lookup", message, queue, state)
-    return _read(call, state, job_key(call.job_id), progress_key(call.job_id))
+    return read_rows(call, state, job_key(call.job_id), progress_key(call.job_id))
 
 
 def _admit(
@@ -246,16 +248,6 @@
     return commands
 
 
-def _read(call: PendingCall, state: IntakeState, *keys: str) -> list[Command]:
-    commands: list[Command] = []
-    for key in keys:
-        read_id = f"{call.request.call_id}:{key}"
-        state.operations[read_id] = call.request.call_id
-        call.rows_by_key.setdefault(key, ())
-        commands.append(ReadRows(read_id=read_id, prefix=key))
-    return commands
-
-
 def _refuse(message: IntakeRequest, answer: AnswerCaller) -> list[Command]:
     fields = {
         "job": message.path,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_action.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_action.py
@@ -12,30 +12,25 @@
 from returns.result import Failure, Result, Success
 
 from ...action import Action, Guard, holds, perform
-from ...chart import Chart, ChartCatalogue
-from ...command import Command, WriteLog
+from ...command import Command, ReadRows, WriteLog
 from ...log_event import (
     CALL_UNANSWERED,
-    CANCELLATION_ANSWERED,
     JOB_ACCEPTED,
     JOB_REFUSED,
     JOB_UNCERTAIN,
 )
 from ...message import Message
 from ...storage.store import (
-    ABSENT,
-    Condition,
     Conflicted,
     Row,
     RowsRead,
     RowsUnavailable,
     StoreUnavailable,
-    Write,
 )
 from ..jobs.progress import JobProgress, JobState
-from ..rows import cancel_key, job_key, progress_key, queue_counts_key, unpack
+from ..rows import job_key, progress_key, queue_counts_key, unpack
 from .intake_message import AnswerCaller, CallOutcome
-from .intake_state import conditional_write, IntakeState, PendingCall
+from .intake_state import IntakeState, PendingCall
 
 UNCERTAIN_LIMIT = 1_000
 """Largest number of jobs of unknown acceptance that an entry instance remembers."""
@@ -108,18 +103,6 @@
     __slots__ = ()
 
 
-class WriteCancellation(CallAction):
-    """Write the row that cancels the job."""
-
-    __slots__ = ()
-
-
-class AnswerCancelled(CallAction):
-    """Answer that the job is cancelled."""
-
-    __slots__ = ()
-
-
 class Uncertain(CallGuard):
     """Hold if this or an earlier write of the job may have taken effect."""
 
@@ -138,48 +121,21 @@
     __slots__ = ()
 
 
-def call_charts(catalogue: ChartCatalogue) -> dict[str, Chart]:
-    """Return the charts of callers' requests by name, bound to actions and guards."""
-    return {
-        chart.name: chart
-        for chart in (
-            submission_chart(catalogue),
-            cancellation_chart(catalogue),
-            job_lookup_chart(catalogue),
-            queue_lookup_chart(catalogue),
-        )
-    }
-
-
-def submission_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the chart of a job's submission."""
-    return _bind(catalogue, "submission")
-
-
-def cancellation_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the chart of a job's cancellation."""
-    return _bind(catalogue, "cancellation")
-
-
-def job_lookup_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the chart of a read of a job's state."""
-    return _bind(catalogue, "job_lookup")
+def read_rows(call: PendingCall, state: IntakeState, *keys: str) -> list[Command]:
+    """Return the commands that read the rows whose keys begin with the given ones."""
+    commands: list[Command] = []
+    for key in keys:
+        read_id = f"{call.request.call_id}:{key}"
+        state.operations[read_id] = call.request.call_id
+        call.rows_by_key.setdefault(key, ())
+        commands.append(ReadRows(read_id=read_id, prefix=key))
+    return commands
 
 
-def queue_lookup_chart(catalogue: ChartCatalogue) -> Chart:
-    """Return the chart of a read of a queue's length."""
-    return _bind(catalogue, "queue_lookup")
-
-
-def _bind(catalogue: ChartCatalogue, name: str) -> Chart:
-    return catalogue.bind(
-        name, actions=CallAction.__subclasses__(), guards=CallGuard.__subclasses__()
-    )
-
-
-def _find_row(call: PendingCall, key: str) -> Row | None:
-    """Return the row with the key; a read by prefix may return longer keys too."""
-    return next((row for row in call.rows_by_key.get(key, ()) if row.key == key), None)
+def find_row(call: PendingCall, key: str) -> Row | None:
+    """Return the row with the key, which a read by a prefix of it may have found."""
+    rows = (row for found in call.rows_by_key.values() for row in found)
+    return next((row for row in rows if row.key == key), None)
 
 
 def _requested_key(message: Message) -> str:
@@ -213,7 +169,7 @@
 def _(action: AnswerAccepted) -> list[Command]:
     call = action.subject
     action.state.uncertain.pop(call.job_id, None)
-    fields = _job_fields(call) | {
+    fields = job_fields(call) | {
         "repeated": isinstance(action.message, Conflicted),
         "policy": action.state.policy.version,
     }
@@ -235,7 +191,7 @@
         reason=reason,
         retry_after=0.0 if permanent else STORE_DOWN_RETRY_AFTER,
     )
-    fields = _job_fields(call) | {"reason": reason}
+    fields = job_fields(call) | {"reason": reason}
     return [WriteLog(number=JOB_REFUSED.number, fields=fields), answer]
 
 
@@ -252,7 +208,7 @@
         reason=reason,
         retry_after=UNCERTAIN_RETRY_AFTER,
     )
-    fields = _job_fields(call) | {"reason": reason}
+    fields = job_fields(call) | {"reason": reason}
     return [WriteLog(number=JOB_UNCERTAIN.number, fields=fields), answer]
 
 
@@ -266,12 +222,12 @@
 @perform.register
 def _(action: AnswerState) -> list[Command]:
     call = action.subject
-    row = _find_row(call, progress_key(call.job_id))
+    row = find_row(call, progress_key(call.job_id))
     progress: Result[JobProgress, Exception] = Success(JobProgress())
     if row is not None:
         progress = unpack(JobProgress, row.value)
     if isinstance(progress, Failure):
-        return _unavailable(call, str(progress.failure()))
+        return answer_unavailable(call, str(progress.failure()))
     job_state: JobState = progress.unwrap().state
     return [
         AnswerCaller(
@@ -283,7 +239,7 @@
 @perform.register
 def _(action: AnswerQueueLength) -> list[Command]:
     call = action.subject
-    row = _find_row(call, queue_counts_key())
+    row = find_row(call, queue_counts_key())
     waiting = row.value.get(call.queue.name, 0) if row else 0
     return [
         AnswerCaller(
@@ -300,43 +256,31 @@
 
 @perform.register
 def _(action: AnswerUnavailable) -> list[Command]:
-    return _unavailable(action.subject, _reason(action.message))
-
-
-@perform.register
-def _(action: WriteCancellation) -> list[Command]:
-    call = action.subject
-    key = cancel_key(call.job_id)
-    write = Write(key=key, value={"job_id": call.job_id})
-    absent = Condition(key=key, version=ABSENT)
-    return [conditional_write(call, action.state, (absent,), write)]
-
+    return answer_unavailable(action.subject, _reason(action.message))
 
-@perform.register
-def _(action: AnswerCancelled) -> list[Command]:
-    call = action.subject
-    fields = _job_fields(call) | {"result": "cancelled"}
-    return [
-        WriteLog(number=CANCELLATION_ANSWERED.number, fields=fields),
-        AnswerCaller(call_id=call.request.call_id, outcome=CallOutcome.DONE),
-    ]
 
+def answer_unavailable(
+    call: PendingCall, reason: str, retry_after: float = STORE_DOWN_RETRY_AFTER
+) -> list[Command]:
+    """Return the commands that answer that the request can't be served now.
 
-def _unavailable(call: PendingCall, reason: str) -> list[Command]:
+    retry_after is in seconds.
+    """
     answer = AnswerCaller(
         call_id=call.request.call_id,
         outcome=CallOutcome.UNAVAILABLE,
         reason=reason,
-        retry_after=STORE_DOWN_RETRY_AFTER,
+        retry_after=retry_after,
     )
-    fields = _job_fields(call) | {
+    fields = job_fields(call) | {
         "request": type(call.request).__name__,
         "reason": reason,
     }
     return [WriteLog(number=CALL_UNANSWERED.number, fields=fields), answer]
 
 
-def _job_fields(call: PendingCall) -> dict[str, str]:
+def job_fields(call: PendingCall) -> dict[str, str]:
+    """Return the log fields that name the job of a request."""
     return {
         "job": call.job_id,
         "queue": call.queue.name,
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake_state.py
@@ -13,6 +13,7 @@
 from ..admission.load_knowledge import LoadKnowledge
 from ..policies.policy import FleetPolicy, Queue
 from .intake_message import IntakeRequest
+from .tombstone_limit import TombstoneLimit
 
 
 @dataclass(slots=True, kw_only=True)
@@ -43,7 +44,8 @@
     table service's clock minus this process's clock, in seconds. policy_lost_at is the
     time since which the configuration is not confirmed, in monotonic seconds. cordoned
     contains the cordoned data centres. load is what is known of the fleet's load, or
-    None if jobs are accepted whatever it is.
+    None if jobs are accepted whatever it is. tombstones limits the cancellations of
+    unknown jobs.
     """
 
     charts: dict[str, Chart]
@@ -56,6 +58,7 @@
     policy_lost_at: float = inf
     cordoned: frozenset[str] = frozenset()
     load: LoadKnowledge | None = None
+    tombstones: TombstoneLimit = field(default_factory=TombstoneLimit)
 
 
 def conditional_write(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/submission_check.py
@@ -12,6 +12,7 @@
 from ...log_event import JOB_REFUSED
 from ..admission.admission import Candidate, find_rejection, Rejection
 from ..admission.load_knowledge import LoadNeeded
+from .call_chart import bind_call
 from .intake_action import CallAction, CallGuard
 from .intake_message import AnswerCaller, CallOutcome, SubmitJob
 from .intake_state import IntakeState, PendingCall
@@ -40,11 +41,7 @@
 
 def submission_check_chart(catalogue: ChartCatalogue) -> Chart:
     """Return the chart of a submission for which there may be no room."""
-    return catalogue.bind(
-        SUBMISSION_CHECK,
-        actions=CallAction.__subclasses__(),
-        guards=CallGuard.__subclasses__(),
-    )
+    return bind_call(catalogue, SUBMISSION_CHECK)
 
 
 def check_load(
--- a/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_start.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/jobs/job_start.py
@@ -26,9 +26,7 @@
     if stored is not None:
         commands += restore_job(job, stored, state, now)
     commands += learn_terms(job, state, now)
-    cancelled = job.spec.job_id in state.pending_cancellations
-    state.pending_cancellations.discard(job.spec.job_id)
-    if cancelled:
+    if state.pending_cancellations.pop(job.spec.job_id):
         return commands + cancel(job, state, now)
     return commands + start_due_occurrences(job, state, now)
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_message.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_message.py
@@ -19,7 +19,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CancelArrived(Message):
-    """Deliver the cancellation of a job."""
+    """Deliver the cancellation of a job, and the version of its row."""
+
+    job_id: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CancellationRemoved(Message):
+    """Report that the row of a cancellation was removed."""
 
     job_id: str
 
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_state.py
@@ -25,6 +25,7 @@
 from ..run_times.run_time import RunTimeModel
 from ..run_times.worker_speed import WorkerSpeeds
 from ..workers.reported_worker import Worker
+from .pending_cancellation import PendingCancellations
 from .planning_lease import PlanningLease
 from .takeover import Takeover
 
@@ -35,8 +36,8 @@
 
     loading contains the tables that have yet to be read, and the configuration if this
     process has read none so far. dirty_jobs and dirty_workers contain the ids whose
-    rows have to be written. pending_cancellations contains the jobs whose cancellation
-    was read before the job. unreported_since contains the workers with recorded runs
+    rows have to be written. pending_cancellations contains the cancellations
+    whose job is not known. unreported_since contains the workers with recorded runs
     but without a report, with the time in monotonic seconds. progress contains the
     progress as a former owner stored it, until the job is restored, and obsolete_rows
     the keys of rows to remove. store_offset is the store's clock minus this process's
@@ -76,7 +77,9 @@
     units_by_worker: dict[str, set[UnitId]] = field(default_factory=dict)
     dirty_jobs: set[str] = field(default_factory=set)
     dirty_workers: set[str] = field(default_factory=set)
-    pending_cancellations: set[str] = field(default_factory=set)
+    pending_cancellations: PendingCancellations = field(
+        default_factory=PendingCancellations
+    )
     progress: dict[str, StoredProgress] = field(default_factory=dict)
     obsolete_rows: deque[str] = field(default_factory=deque)
     waiting: set[UnitId] = field(default_factory=set)
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/scheduler.py
@@ -18,6 +18,8 @@
     JOB_NOT_STORED,
     JOB_READ_BY_OWNER,
     RUN_TIMES_READ,
+    TOMBSTONE_READ,
+    TOMBSTONE_REMOVED,
     WORKER_SPEEDS_READ,
 )
 from ...message import Message
@@ -59,6 +61,7 @@
 from .decision_effect import apply_decision
 from .fleet_message import (
     CancelArrived,
+    CancellationRemoved,
     ClocksRead,
     FleetTick,
     JobArrived,
@@ -173,6 +176,8 @@
     if message.table == ESTIMATE_TABLE:
         state.run_times.stored_known = True
         state.worker_speeds.stored_known = True
+    if message.table == JOB_TABLE:
+        state.pending_cancellations.drop_removed()
     if message.table not in state.loading:
         return []
     state.loading.discard(message.table)
@@ -208,9 +213,13 @@
 def _(message: CancelArrived, state: FleetState, now: float) -> list[Command]:
     job = state.jobs.get(message.job_id)
     if job is None or not state.active:
-        # The cancellation was read before its job; it is applied once the job arrives.
-        state.pending_cancellations.add(message.job_id)
-        return []
+        # If the cancellation was read before its job, it is applied once that arrives.
+        known = state.pending_cancellations
+        is_new = known.add(message.job_id, message.version, now)
+        if not is_new or not state.active:
+            return []
+        fields = {"job": message.job_id, "kept": len(known.by_job)}
+        return [WriteLog(number=TOMBSTONE_READ.number, fields=fields)]
     if job.state.ended:
         return []
     log = WriteLog(
@@ -219,6 +228,15 @@
     return [log, *cancel(job, state, now)]
 
 
+@handle_message.register
+def _(message: CancellationRemoved, state: FleetState, now: float) -> list[Command]:
+    if not state.pending_cancellations.pop(message.job_id):
+        return []
+    kept = len(state.pending_cancellations.by_job)
+    fields = {"job": message.job_id, "kept": kept}
+    return [WriteLog(number=TOMBSTONE_REMOVED.number, fields=fields)]
+
+
 @handle_message.register
 def _(message: ProgressArrived, state: FleetState, now: float) -> list[Command]:
     if state.active:
@@ -356,6 +374,7 @@
         *follow_speeds(state, now),
         *write_load(state, now),
         *log_shares(state, now),
+        *state.pending_cancellations.remove_due(state.epoch, now),
     ]
     return [*commands, *remove_ended(state, now)]
 
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/workload_metrics.py
@@ -19,6 +19,8 @@
     RUN_REFUSED,
     RUN_STOP_ORDERED,
     SHARES_COMPARED,
+    TOMBSTONE_READ,
+    TOMBSTONE_REMOVED,
     UNIT_EVACUATED,
     UNIT_MOVED,
     UNIT_PLACED,
@@ -33,6 +35,7 @@
     JOB_CALLS,
     JOB_REJECTIONS,
     JOB_TIME,
+    JOB_TOMBSTONES,
     LARGEST_SHARE_RATIO,
     RECORDS_LOST,
     RUN_ORDERS,
@@ -86,6 +89,8 @@
             SHARES_COMPARED.number: lambda f: self.registry.record(
                 LARGEST_SHARE_RATIO, f["ratio"]
             ),
+            TOMBSTONE_READ.number: self._tombstones_counted,
+            TOMBSTONE_REMOVED.number: self._tombstones_counted,
             WORKER_SPEED_CHANGED.number: self._speeds_known,
             WORKER_SPEEDS_READ.number: self._speeds_known,
         }
@@ -146,6 +151,9 @@
             self.registry.record(WORKERS_BY_HEALTH, count, outcome=answer.value)
         self.registry.record(WORKERS_IN_DOUBT, fields["doubtful"])
 
+    def _tombstones_counted(self, fields: Fields) -> None:
+        self.registry.record(JOB_TOMBSTONES, fields["kept"])
+
     def _speeds_known(self, fields: Fields) -> None:
         self.registry.record(WORKERS_SLOW, fields["slow"])
 
--- a/packages/wasabispur/src/wasabispur/fleet_entry.py
+++ b/packages/wasabispur/src/wasabispur/fleet_entry.py
@@ -18,7 +18,7 @@
 from wasabispur_core.workload.admission.load_row import load_prefix, LOAD_TABLE
 from wasabispur_core.workload.agent.lease_clock import owner_horizon
 from wasabispur_core.workload.agent.runner_state import LeaseTimes
-from wasabispur_core.workload.intake.intake_action import call_charts
+from wasabispur_core.workload.intake.call_chart import call_charts
 from wasabispur_core.workload.intake.intake_state import IntakeState
 from wasabispur_core.workload.intake.submission_check import (
     SUBMISSION_CHECK,
--- a/packages/wasabispur/src/wasabispur/fleet_rows.py
+++ b/packages/wasabispur/src/wasabispur/fleet_rows.py
@@ -14,6 +14,7 @@
 from wasabispur_core.workload.jobs.spec import JobSpec
 from wasabispur_core.workload.owner.fleet_message import (
     CancelArrived,
+    CancellationRemoved,
     JobArrived,
     ProgressArrived,
     ReportRemoved,
@@ -56,7 +57,8 @@
     table, _, rest = row.key.partition("/")
     name = rest.partition("/")[2]
     if table == JOB_TABLE and name.endswith(CANCEL_SUFFIX):
-        return CancelArrived(job_id=name.removesuffix(CANCEL_SUFFIX))
+        job_id = name.removesuffix(CANCEL_SUFFIX)
+        return CancelArrived(job_id=job_id, version=row.version)
     if table == JOB_TABLE:
         spec = decode_value(JobSpec, row)
         return JobArrived(spec=spec) if spec else None
@@ -89,8 +91,11 @@
 def decode_removal(key: str) -> Message | None:
     """Return the scheduler's message for a removed row, or None if there is none."""
     table, _, rest = key.partition("/")
+    name = rest.partition("/")[2]
     if table == REPORT_TABLE:
-        return ReportRemoved(worker_id=rest.partition("/")[2])
+        return ReportRemoved(worker_id=name)
+    if table == JOB_TABLE and name.endswith(CANCEL_SUFFIX):
+        return CancellationRemoved(job_id=name.removesuffix(CANCEL_SUFFIX))
     return None
 
 
--- a/tests/workload/test_workload_machine.py
+++ b/tests/workload/test_workload_machine.py
@@ -293,3 +293,30 @@
     run_state_machine_as_test(
         seed(1)(CheckedMachine), settings=settings(SETTINGS, max_examples=20)
     )
+
+
+def test_cancelled_jobs_never_run_if_their_submission_is_late():
+    """Guard against a submission that takes effect after its job's cancellation.
+
+    The cancellation was answered "no such job", as the submission's write was late.
+    """
+
+    class CancellingMachine(WorkloadMachine):
+        @rule(
+            entry=INDEX,
+            other=INDEX,
+            late=st.booleans(),
+            seconds=st.sampled_from([0.1, 0.9, 1.7]),
+        )
+        def cancel_unanswered_submission(self, entry, other, late, seconds):
+            self.world.store.losing, self.world.store.late = True, late
+            job = self.world.submit(tasks(1), entry=entry)
+            self.world.advance(0.1)
+            self.world.store.losing = False
+            self.world.advance(seconds)
+            self.world.cancel(job, other)
+            self.world.advance(0.1)
+
+    run_state_machine_as_test(
+        seed(1)(CancellingMachine), settings=settings(SETTINGS, max_examples=30)
+    )
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from functools import singledispatchmethod
 from itertools import count
+from math import inf
 from typing import Any
 
 from wasabispur.fleet_rows import decode_removal, decode_rows
@@ -66,7 +67,7 @@
     RunnerState,
 )
 from wasabispur_core.workload.intake import intake
-from wasabispur_core.workload.intake.intake_action import call_charts
+from wasabispur_core.workload.intake.call_chart import call_charts
 from wasabispur_core.workload.intake.intake_message import (
     AnswerCaller,
     CallOutcome,
@@ -85,6 +86,7 @@
     FleetTick,
     TableReady,
 )
+from wasabispur_core.workload.owner.pending_cancellation import TOMBSTONE_RETENTION
 from wasabispur_core.workload.policies.cordon import CordonsChanged
 from wasabispur_core.workload.policies.policy import (
     FleetPolicy,
@@ -307,7 +309,10 @@
         now = self.world.timers.now()
         asks = (SubmitJob, CancelJob, ReadJob)
         if isinstance(message, asks) or _is_for(message, self.intake.operations):
-            return intake.decide(message, self.intake, now)
+            commands = intake.decide(message, self.intake, now)
+            calls = (isinstance(one, (ReadRows, Transact)) for one in commands)
+            self.world.intake_calls += sum(calls)
+            return commands
         commands = decide_shard(message, self.shard, now)
         if isinstance(
             message, (PolicyChanged, PolicyHealth, ClocksRead, CordonsChanged)
@@ -444,6 +449,10 @@
         self.refusals: dict[str, int] = {}
         self.attempt_limits: dict[str, int] = {}
         self.cancelled: dict[str, float] = {}
+        # Jobs whose cancellation was answered "no such job", and the time of the answer.
+        self.cancelled_unseen: dict[str, float] = {}
+        # Reads and transactions of all intakes.
+        self.intake_calls = 0
         self.durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
         self.crashing_tasks: set[str] = set()
@@ -905,6 +914,8 @@
         # attempts were refused must the job not run.
         if self.refusals.get(job_id, 0) == self.attempts[job_id]:
             self.violations.append(f"{task} started although its job was refused")
+        if job_id in self.cancelled_unseen:
+            self.violations.append(f"{task} started after its job was cancelled")
         if command.payload != self.specs[job_id].payload:
             self.violations.append(f"{task} started with another payload")
         if task in self.done:
@@ -981,6 +992,10 @@
             **fields,
         )
         self.specs.setdefault(job_id, request)
+        unseen_since = self.cancelled_unseen.get(job_id, inf)
+        if self.timers.now() - unseen_since > TOMBSTONE_RETENTION:
+            # Its id may be used for a new job.
+            del self.cancelled_unseen[job_id]
         self.attempts[job_id] = self.attempts.get(job_id, 0) + 1
         limit = self.policy.queues[queue_name].max_attempts
         self.attempt_limits.setdefault(job_id, limit)
@@ -996,20 +1011,26 @@
         for entry in self.entries:
             entry.post(PolicyChanged(policy=policy))
 
-    def cancel(self, job_id: str, entry: int = 0) -> None:
-        """Request the cancellation of a job."""
+    def cancel(
+        self, job_id: str, entry: int = 0, organisation: str = "peachtree"
+    ) -> str:
+        """Request the cancellation of a job, and return the id of the call."""
+        spec = self.specs.get(job_id)
         request = CancelJob(
             call_id=self.new_operation_id(),
             host="host",
-            path=self.specs[job_id].path,
-            key_digest="peachtree",
+            path=spec.path if spec else f"/batch/{job_id}",
+            key_digest=organisation,
         )
 
         def note(outcome: CallOutcome) -> None:
             if outcome is CallOutcome.DONE:
                 self.cancelled.setdefault(job_id, self.timers.now())
+            if outcome is CallOutcome.NO_JOB:
+                self.cancelled_unseen[job_id] = self.timers.now()
 
         self._post_request(request, entry, note)
+        return request.call_id
 
     def state_of(self, job_id: str, entry: int = 0) -> AnswerCaller:
         """Return an entry's answer to a look-up of the job."""
