--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -80,3 +80,16 @@
             assert soak.run(SECONDS_OF_DISTURBED_EXECUTORS) == []
     finally:
         relays.close()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cancelled_jobs_never_run_if_their_write_is_late(tmp_path, seed):
+    """Guard against a run of a job whose cancellation was answered "no such job"."""
+    relays = RelayLoop()
+    try:
+        with ProcessGroup(tmp_path) as group:
+            soak = Soak(group, relays, seed, late_writes=True)
+            assert soak.run(SECONDS_OF_DISTURBED_EXECUTORS) == []
+            assert any(one.cancelled_unseen for one in soak.answers.values())
+    finally:
+        relays.close()
