Answer at once that a name which no job can have is unknown

Cause: only submissions checked the form of an id. A look-up or a cancelling read and wrote whatever row the name led to: a job's id and ".cancel" is the key of its cancellation, which was shown as a pending job and could be cancelled; an empty name read all jobs. A tombstone would have been written for each such name, and its key can be longer than the store takes.

--- a/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/intake/intake.py
@@ -148,6 +148,8 @@
 def _(
     message: CancelJob, queue: Queue, state: IntakeState, now: float
 ) -> list[Command]:
+    if not _names_job(message, queue):
+        return [_no_job(message)]
     call = _open_call("cancellation", message, queue, state)
     return read_rows(call, state, job_key(call.job_id))
 
@@ -157,6 +159,8 @@
     if message.path == queue.prefix:
         call = _open_call("queue_lookup", message, queue, state)
         return read_rows(call, state, queue_counts_key())
+    if not _names_job(message, queue):
+        return [_no_job(message)]
     call = _open_call("job_lookup", message, queue, state)
     return read_rows(call, state, job_key(call.job_id), progress_key(call.job_id))
 
@@ -210,7 +214,7 @@
 
 def job_problem(message: SubmitJob, queue: Queue) -> str:
     """Return why a job can never be carried out, or an empty string."""
-    if not JOB_ID_PATTERN.fullmatch(message.path.removeprefix(queue.prefix)):
+    if not _names_job(message, queue):
         return "the job's id is not valid; use up to 32 letters and digits"
     if text_size(message.payload) > PAYLOAD_LIMIT_BYTES:
         return f"the payload exceeds {PAYLOAD_LIMIT_BYTES} bytes; shorten it"
@@ -223,6 +227,19 @@
     return ""
 
 
+def _names_job(message: IntakeRequest, queue: Queue) -> bool:
+    """Return whether the path names a job that can exist.
+
+    The rows of other names may be those of something else, such as a cancellation.
+    """
+    job_id = message.path.removeprefix(queue.prefix)
+    return JOB_ID_PATTERN.fullmatch(job_id) is not None
+
+
+def _no_job(message: IntakeRequest) -> AnswerCaller:
+    return AnswerCaller(call_id=message.call_id, outcome=CallOutcome.NO_JOB)
+
+
 def _open_call(
     chart: str, message: IntakeRequest, queue: Queue, state: IntakeState
 ) -> PendingCall:
--- a/tests/workload/test_cancelled_submission.py
+++ b/tests/workload/test_cancelled_submission.py
@@ -259,3 +259,18 @@
     before = world.intake_calls
     cancel(world, job)
     assert world.intake_calls - before == 2
+
+
+@pytest.mark.parametrize("suffix", [".cancel", "/1", "x" * 300])
+def test_name_that_no_job_can_have_is_unknown(suffix):
+    """Guard against showing or writing the rows of something else.
+
+    The name of a job and ".cancel" is that of its cancellation.
+    """
+    world = started_world()
+    job = unknown_job(world)
+    assert cancel(world, job).outcome is CallOutcome.NO_JOB
+    before = world.intake_calls
+    assert cancel(world, job + suffix).outcome is CallOutcome.NO_JOB
+    assert world.state_of(job + suffix).outcome is CallOutcome.NO_JOB
+    assert world.intake_calls == before
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -1015,11 +1015,10 @@
         self, job_id: str, entry: int = 0, organisation: str = "peachtree"
     ) -> str:
         """Request the cancellation of a job, and return the id of the call."""
-        spec = self.specs.get(job_id)
         request = CancelJob(
             call_id=self.new_operation_id(),
             host="host",
-            path=spec.path if spec else f"/batch/{job_id}",
+            path=self.path_of(job_id),
             key_digest=organisation,
         )
 
@@ -1032,12 +1031,17 @@
         self._post_request(request, entry, note)
         return request.call_id
 
+    def path_of(self, job_id: str) -> str:
+        """Return the path of a job, which may never have been submitted."""
+        spec = self.specs.get(job_id)
+        return spec.path if spec else f"/batch/{job_id}"
+
     def state_of(self, job_id: str, entry: int = 0) -> AnswerCaller:
         """Return an entry's answer to a look-up of the job."""
         request = ReadJob(
             call_id=self.new_operation_id(),
             host="host",
-            path=self.specs[job_id].path,
+            path=self.path_of(job_id),
             key_digest="peachtree",
         )
         self._post_request(request, entry, lambda outcome: None)
