--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/fleet_write.py
@@ -144,7 +144,8 @@
         state.removed_jobs[job_id] = RemovedJob(
             accepted_at=job.spec.accepted_at, removed_at=store_time
         )
-        # While the job has its row, a cancellation is no tombstone of a later job.
+        # Once the job's row is gone, a tombstone may be written for its id, which has to
+        # stay; so the cancellation goes first.
         for key in (cancel_key(job_id), job_key(job_id), progress_key(job_id)):
             commands.append(WriteRow(key=key, value=None))
     return commands
--- a/packages/wasabispur-core/src/wasabispur_core/workload/owner/pending_cancellation.py
+++ b/packages/wasabispur-core/src/wasabispur_core/workload/owner/pending_cancellation.py
@@ -1,8 +1,8 @@
-"""Keep the cancellations without a job, and remove their rows after a while.
+"""Keep the cancellations whose job is not known, and remove their rows after a while.
 
-Such a cancellation is a tombstone, on whose absence the submissions of its job depend,
-or its job has yet to be read. Several entries write these rows, so that a row is removed
-only in the version that was seen to be old.
+The job of such a cancellation has yet to be read, or it has no row: the cancellation is
+a tombstone then, on whose absence submissions of the job depend. Any entry may renew a
+tombstone, so that the owner removes only the version that it has known for long enough.
 """
 
 from __future__ import annotations
@@ -31,8 +31,9 @@
 class PendingCancellation:
     """Represent a cancellation row without a job.
 
-    remove_at is in monotonic seconds of this process. The row is at least as old as it
-    takes to read it, so that neither another clock nor a pause makes it expire early.
+    remove_at is in monotonic seconds of this process. It counts from when the owner
+    read the row, so that no other clock and no pause of the owner makes it too early.
+    removing is set while a removal is under way.
     """
 
     version: int
@@ -61,7 +62,7 @@
         return self.by_job.pop(job_id, None) is not None
 
     def drop_removed(self) -> None:
-        """Drop what was being removed and is not among the rows read since."""
+        """Drop what is being removed, and was not among the rows of a complete read."""
         for job_id in [one for one, row in self.by_job.items() if row.removing]:
             del self.by_job[job_id]
 
