Move the simulated processes of the tests into a module of their own

Change: world_process.py has the entries, agents and operator feeds of the simulated world; world.py keeps its workers, store, callers and faults. Nothing else changes; one test imports the chart catalogue from its new place.

--- a/tests/workload/test_takeover.py
+++ b/tests/workload/test_takeover.py
@@ -22,7 +22,8 @@
 from wasabispur_runtime.metrics import MetricRegistry
 from wasabispur_runtime.workload_metrics import WorkloadMetrics
 
-from .world import CATALOGUE, COMPLETED, POLICY, started_world, tasks
+from .world import COMPLETED, POLICY, started_world, tasks
+from .world_process import CATALOGUE
 
 STEPS = (
     SHARD_CLAIMED.number,
