Name a test of cancellations for what it shows

Cause: the submission in progress is accepted and its job cancelled; the name said that it is refused. The assertions are the same.

Checked: formatter, linter, types and the 20 tests of the file.

--- a/tests/workload/test_cancelled_submission.py
+++ b/tests/workload/test_cancelled_submission.py
@@ -80,7 +80,7 @@
     assert world.starts == []
 
 
-def test_submission_in_progress_at_the_same_entry_is_refused():
+def test_submission_in_progress_at_the_same_entry_is_cancelled():
     """Guard against a cancellation that overlooks a submission still under way."""
     world = started_world()
     world.transaction_time = 1.0
