Count what the kernel holds for clients in the memory of a process

Callers saw: a process of 200 MB was ended for lack of memory by clients whose chunked bodies stopped short, although each kept to the limits.

Cause: a connection has a receive buffer of 64 KiB, of which the kernel allots twice as much, also before it is accepted. The platform counts what it holds as memory of the process, and no budget did: connections were derived from 8 KiB each, so that 700 of them held 69 MB beside the budgets' sum.

Change: http_budget.py divides the memory between everything that clients can make a process hold: the process, the queues of connections that are not yet accepted, one decoded body, connections with their unread bytes, held bytes, and responses. A test checks the sum for each machine in force, another what the kernel holds of one connection (13,792 bytes at most in a trial, 16 KiB are counted).

An entry of 200 MB admits 2,048 connections instead of 3,200; an own entry whose settings state 200 MB for 2,000 agents has 70 HTTP connections left.

--- a/packages/wasabispur-core/src/wasabispur_core/http_limits.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_limits.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass, replace
 
 from .error import SettingsError
+from .http_budget import http_budget, LEAST_BUFFER_BYTES, MIB
 from .limit import BODY_LIMIT_BYTES
 
-MIB = 1024 * 1024
-
 PUBLISHED_HEADER_BYTES = 16_384
 PUBLISHED_BODY_BYTES = 262_144
 PUBLISHED_HEADER_TIME = 3.0
@@ -18,15 +17,6 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that a deployment reserves for files."""
 
-CLIENT_DESCRIPTORS = 64
-"""Descriptors for the calls of the process itself, its event loops and its logs."""
-
-MEMORY_DIVISOR = 8
-"""Divisor of the memory for idle connections; as much is for buffered bytes."""
-
-IDLE_CONNECTION_BYTES = 8 * 1024
-"""Memory of an idle connection, rounded up; docs/CAPACITY.md has the measured value."""
-
 SIDE_DIVISOR = 16
 """Divisor of the budgets for a readiness or metrics server.
 
@@ -36,13 +26,6 @@
 MIN_CONNECTIONS = 16
 """Connections that each server can always have."""
 
-LEAST_CONNECTIONS = 64
-LEAST_BUFFER_BYTES = 10 * MIB
-"""Budgets of a process that is said to have very few descriptors or little memory.
-
-It starts nevertheless, because it may still work under light load.
-"""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpLimits:
@@ -52,9 +35,10 @@
     one) is kept for addresses with fewer than few_connections. buffer_bytes bounds the
     received bytes of all requests without a response. waiting is the number of complete
     requests that wait for a thread. header_bytes, fields and body_bytes bound one
-    request. header_time is the time for a header, grace_time that for a body or a
-    response beside its bytes at min_rate (bytes per second), idle_time the lifetime of
-    an idle connection. linger_time and linger_bytes bound what is read after a refusal.
+    request. header_time is the time for a
+    header, grace_time that for a body or a response beside its bytes at min_rate (bytes
+    per second), idle_time the lifetime of an idle connection. linger_time and
+    linger_bytes bound what is read after a refusal.
     """
 
     connections: int = 1024
@@ -104,40 +88,35 @@
 
 
 def main_limits(
-    limits: HttpLimits, memory_mb: int, descriptors: int, side_servers: int
+    limits: HttpLimits,
+    memory_mb: int,
+    descriptors: int,
+    side_servers: int,
+    least_buffer_bytes: int = LEAST_BUFFER_BYTES,
 ) -> HttpLimits:
     """Return the limits of a process's main server; raise SettingsError.
 
     descriptors is the number of those for sockets.
     """
-    connections, buffer_bytes = _budget(memory_mb, descriptors)
+    budget = http_budget(memory_mb, descriptors, least_buffer_bytes)
     side = side_limits(limits, memory_mb, descriptors)
     return check_limits(
         replace(
             limits,
-            connections=connections - side_servers * side.connections,
-            buffer_bytes=buffer_bytes - side_servers * side.buffer_bytes,
+            connections=budget.connections - side_servers * side.connections,
+            buffer_bytes=budget.buffer_bytes - side_servers * side.buffer_bytes,
         )
     )
 
 
 def side_limits(limits: HttpLimits, memory_mb: int, descriptors: int) -> HttpLimits:
     """Return the limits of a server for readiness checks or metrics."""
-    connections, buffer_bytes = _budget(memory_mb, descriptors)
+    budget = http_budget(memory_mb, descriptors)
     return check_limits(
         replace(
             limits,
-            connections=max(connections // SIDE_DIVISOR, MIN_CONNECTIONS),
-            buffer_bytes=buffer_bytes // SIDE_DIVISOR,
+            connections=max(budget.connections // SIDE_DIVISOR, MIN_CONNECTIONS),
+            buffer_bytes=budget.buffer_bytes // SIDE_DIVISOR,
             body_bytes=PUBLISHED_BODY_BYTES,
         )
     )
-
-
-def _budget(memory_mb: int, descriptors: int) -> tuple[int, int]:
-    """Return the connections and the buffered bytes of a process's servers."""
-    memory_share = memory_mb * MIB // MEMORY_DIVISOR
-    connections = min(
-        descriptors - CLIENT_DESCRIPTORS, memory_share // IDLE_CONNECTION_BYTES
-    )
-    return max(connections, LEAST_CONNECTIONS), max(memory_share, LEAST_BUFFER_BYTES)
--- a/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
+++ b/packages/wasabispur-standins/src/wasabispur_standins/stand_in.py
@@ -18,8 +18,8 @@
 from wasabispur.bridge import Ask, Bridge
 from wasabispur.http_api import CONFIGURATION
 from wasabispur.http_request import read_model
-from wasabispur.http_server import CONNECTION_QUEUE_SIZE
 from wasabispur_core.error import AddressInUseError
+from wasabispur_core.http_budget import CONNECTION_QUEUE_SIZE
 from wasabispur_core.message import Message
 from wasabispur_core.timer import TimerService
 from wasabispur_runtime.actor import Actor
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -13,6 +13,7 @@
 
 from wasabispur_core.chart import Chart, ChartCatalogue
 from wasabispur_core.error import AddressInUseError
+from wasabispur_core.http_budget import CONNECTION_QUEUE_SIZE, RECEIVE_BUFFER_BYTES
 from wasabispur_core.http_connection import (
     Group,
     http_connection_chart,
@@ -34,19 +35,6 @@
 ACCEPT_PAUSE = 0.1
 """Seconds until the next attempt after a connection could not be accepted."""
 
-CONNECTION_QUEUE_SIZE = 128
-"""Connections that the operating system holds until the server accepts them.
-
-Beyond that it drops the first packet of a connection, which its client sends again
-only after a second.
-"""
-
-RECEIVE_BUFFER_BYTES = 64 * 1024
-"""Bytes of a connection that the operating system holds until the server reads them.
-
-By default this grows to megabytes for each client that sends without reading.
-"""
-
 STOPPED_STATES = frozenset(("idle", "lingering"))
 """States in which a connection has no request that a planned stop has to finish."""
 
--- a/packages/wasabispur/src/wasabispur/http_settings.py
+++ b/packages/wasabispur/src/wasabispur/http_settings.py
@@ -8,12 +8,11 @@
 from pydantic import Field
 
 from wasabispur_core.error import SettingsError
+from wasabispur_core.http_budget import CLIENT_DESCRIPTORS, LEAST_CONNECTIONS
 from wasabispur_core.http_limits import (
     check_limits,
-    CLIENT_DESCRIPTORS,
     FILE_DESCRIPTORS,
     HttpLimits,
-    LEAST_CONNECTIONS,
     main_limits,
 )
 from wasabispur_runtime.settings import Settings
@@ -98,4 +97,10 @@
             f"suffice for {most} agents",
             "lower session_limit or raise limits.memory_mb",
         )
-    return main_limits(limits, resources.memory_mb, descriptors, side_servers=0)
+    return main_limits(
+        limits,
+        resources.memory_mb - int(session_limit * SESSION_MB),
+        descriptors,
+        side_servers=0,
+        least_buffer_bytes=2 * (limits.body_bytes + limits.header_bytes),
+    )
