Free the bytes of a closed connection at once

Callers saw: 120 clients that send past the limit of a body and connect again took a front of 200 MB to 340 MB, while the table of connections counted 22 MB.

Cause: the budget was released when a connection was chosen to be closed, but its memory was not. The task ended as cancelled, so that it kept the exception, whose traceback kept the frames with the body; the function that closes a connection referred to the task; both waited for the garbage collector, which counts objects and not bytes. A refusal's exception kept the body while the client lingered. And sock_recv reads before the task runs: up to 16 KiB of each readable connection waited in no budget.

Change: a closed or refused connection drops its parser at that moment; its task ends normally; the exception is dropped before the client may linger; the table forgets the closing function; a task waits until its socket is readable and then reads. No collection is forced.

Evidence: test_closed_connections_need_no_garbage_collection failed before (the closed connections were alive).

--- a/packages/wasabispur-core/src/wasabispur_core/http_connection.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_connection.py
@@ -123,8 +123,9 @@
             ]
             if candidates:
                 victim = next(filter(self._is_crowded, candidates), candidates[0])
+                close = victim.close
                 self.handle(victim, ConnectionEnded())
-                victim.close()
+                close()
                 return True
         return False
 
@@ -314,6 +315,7 @@
     table = action.state
     table.release(action.subject)
     table.move(action.subject, None)
+    action.subject.close = _already_closed
     table.count -= 1
     table.by_address[action.subject.address] -= 1
     if not table.by_address[action.subject.address]:
@@ -321,6 +323,13 @@
     return []
 
 
+def _already_closed() -> None:
+    """Replace the function that refers to the objects of a closed connection.
+
+    They would wait for the garbage collector otherwise.
+    """
+
+
 ACTIONS = (
     JoinIdle,
     JoinHeader,
--- a/packages/wasabispur/src/wasabispur/client_connection.py
+++ b/packages/wasabispur/src/wasabispur/client_connection.py
@@ -81,6 +81,10 @@
         try:
             while await self._serve_request():
                 pass
+        except asyncio.CancelledError:
+            # A task that ends as cancelled keeps the exception, whose frames would
+            # keep the connection's objects until a garbage collection.
+            pass
         except TimeoutError:
             self.counter.count("slow-response")
         except OSError:
@@ -92,8 +96,13 @@
     def close(self) -> None:
         """Close the socket and release the connection's share of the budgets."""
         self.notify(ConnectionEnded())
+        self.release()
         self.socket.close()
 
+    def release(self) -> None:
+        """Free the received bytes at once, not when the task has ended."""
+        self.parser = RequestParser(self.limits)
+
     def notify(self, message: Message) -> None:
         """Report an event of the connection to the table of connections."""
         self.table.handle(self.connection, message)
@@ -105,11 +114,17 @@
                 return False
             content = await self._respond()
         except HttpRefusal as refusal:
-            await self._refuse(refusal)
-            return False
+            content = self._encode_refusal(refusal)
         except h11.RemoteProtocolError as error:
-            await self._refuse(malformed(error))
-            return False
+            content = self._encode_refusal(malformed(error))
+        else:
+            return await self._deliver(content)
+        # The client may linger, but the exception and its frames are not kept.
+        await self._send_refusal(content)
+        return False
+
+    async def _deliver(self, content: bytes) -> bool:
+        """Send a response and return whether another request may follow."""
         sent = self._send_at_once(content)
         if sent < len(content):
             pending = self.parser.pending
@@ -137,7 +152,7 @@
         else:
             try:
                 async with asyncio.timeout(self.limits.idle_time):
-                    data = await self.loop.sock_recv(self.socket, READ_BYTES)
+                    data = await self._read()
             except TimeoutError:
                 return False
             if not data:
@@ -145,6 +160,40 @@
             self._feed(data)
         return True
 
+    async def _read(self) -> bytes:
+        """Return the next bytes from the socket, or none at its end.
+
+        The bytes are read by the task that takes them, so that bytes of many
+        connections don't wait in memory for their tasks. A client that always has more
+        to read must not keep others waiting.
+        """
+        waited = False
+        while True:
+            try:
+                data = self.socket.recv(READ_BYTES)
+            except BlockingIOError:
+                await self._wait_until_readable()
+                waited = True
+                continue
+            if not waited:
+                await asyncio.sleep(0)
+            return data
+
+    async def _wait_until_readable(self) -> None:
+        readable = self.loop.create_future()
+        self.loop.add_reader(self.socket, self._stop_waiting, readable)
+        try:
+            await readable
+        finally:
+            if not readable.done() or readable.cancelled():
+                self.loop.remove_reader(self.socket)
+
+    def _stop_waiting(self, readable: asyncio.Future[None]) -> None:
+        # The socket stays readable until its task runs, and would be reported again.
+        self.loop.remove_reader(self.socket)
+        if not readable.done():
+            readable.set_result(None)
+
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser; raise HttpRefusal if there is no room."""
         if not self.table.reserve(self.connection, len(data)):
@@ -213,7 +262,7 @@
 
         A client that has closed only its sending side still reads the reason.
         """
-        data = await self.loop.sock_recv(self.socket, READ_BYTES)
+        data = await self._read()
         if not data:
             raise incomplete()
         self._feed(data)
@@ -231,11 +280,11 @@
         async with asyncio.timeout(limit):
             await self.loop.sock_sendall(self.socket, content)
 
-    async def _refuse(self, refusal: HttpRefusal) -> None:
-        """Send the reason, and wait until the client has read it."""
+    def _encode_refusal(self, refusal: HttpRefusal) -> bytes:
+        """Return the encoded reason, and keep nothing else of the request."""
         self.counter.count(refusal.cause)
         if not self.parser.can_refuse:
-            return
+            return b""
         body = refusal.body()
         reply = HttpReply(
             status=refusal.status,
@@ -244,11 +293,15 @@
             body=b"" if self.parser.method == b"HEAD" else body,
         )
         content = self.parser.encode(reply, close=True)
-        # Nothing of the connection is kept while it lingers.
-        self.parser = RequestParser(self.limits)
+        self.release()
         self.notify(RequestRefused())
-        await self._send(content)
-        await self._linger()
+        return content
+
+    async def _send_refusal(self, content: bytes) -> None:
+        """Send the reason, and wait until the client has read it."""
+        if content:
+            await self._send(content)
+            await self._linger()
 
     async def _linger(self) -> None:
         """Read and drop what the client still sends, within bounds.
@@ -261,7 +314,7 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(self.limits.linger_time):
                 while dropped < self.limits.linger_bytes:
-                    data = await self.loop.sock_recv(self.socket, READ_BYTES)
+                    data = await self._read()
                     if not data:
                         return
                     dropped += len(data)
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -123,12 +123,11 @@
 
     def _serve(self, client: socket.socket, address: tuple[str, int]) -> None:
         """Serve a new connection on its own task, or close it if there is no room."""
-        task: asyncio.Task[None] | None = None
 
         def close() -> None:
             self.refusals.count("closed")
-            if task is not None:
-                task.cancel()
+            client_connection.release()
+            task.cancel()
 
         connection = self.table.admit(address[0], close)
         if connection is None:
--- a/tests/request/test_http_server.py
+++ b/tests/request/test_http_server.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from wasabispur.client_connection import ClientConnection
 from wasabispur.http_server import HttpServer, stop_servers
 from wasabispur_core.http_budget import (
     CONNECTION_QUEUE_SIZE,
@@ -318,6 +321,33 @@
     raise AssertionError("no such connection")
 
 
+def test_closed_connections_need_no_garbage_collection(serve):
+    """Guard against closed connections whose objects wait for the collector.
+
+    It counts objects and not bytes, so that many large ones may wait.
+    """
+    server = serve()
+    head = b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+    gc.collect()
+    gc.disable()
+    try:
+        clients = [connect(server) for _ in range(4 * LIMITS.connections)]
+        for client in clients:
+            with suppress(OSError):
+                client.sendall(head + b"4000\r\n" + bytes(10_000))
+        for client in clients:
+            with suppress(OSError):
+                read_all(client)
+            client.close()
+        end = time.monotonic() + TIMEOUT
+        while server.connections and time.monotonic() < end:
+            threading.Event().wait(0.01)
+        alive = [o for o in gc.get_objects() if type(o) is ClientConnection]
+        assert not alive
+    finally:
+        gc.enable()
+
+
 LARGE_BODY = bytes(8 * 1024 * 1024)
 """A response that the operating system does not take at once."""
 
