Close the request that uses the most, and bound framing

Callers saw: beside many bodies that stop short, an ordinary body in pieces could be closed, because the rule asked which had been silent for the longest time, and clients that send a byte now and then are never silent. A client could also send chunk sizes, extensions and trailers without end until the time for its body was over.

Cause: nothing compared what requests use, and framing was in no limit.

Change: incomplete requests are ordered by what they hold and what framing they have sent, which stands for the processor's time, in ranks of doubled size. For bytes, the highest rank gives way, never a lower one than that of the request that needs room; within a rank, silence decides as before. A chunked body may have 32 KiB (setting http.framing_bytes) and 16 bytes for each byte of content beside its content, and an incomplete trailer of 32 KiB; above it is refused with 400, nothing ran. A chunk of a byte has 5.

Evidence: with the parent's code and interface, the two new tests of the order fail ("small" and "stalled" are closed) and bodies with too much framing are read to the end; all pass now.

--- a/packages/wasabispur-core/src/wasabispur_core/http_connection.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -11,6 +11,7 @@
 from .action import Action, perform
 from .chart import Chart, ChartCatalogue, Lifecycle
 from .command import Command
+from .connection_order import ConnectionOrder, RANKS, usage_rank
 from .http_limits import HttpLimits
 from .message import Message
 
@@ -35,29 +36,38 @@
 class HttpConnection:
     """Represent a connection; held is the memory of its request in bytes.
 
-    unsent is the size of a response that its client has not taken. close ends the
-    connection from outside. group is None while a complete request is handled.
+    framing is the number of bytes of the present body beside its content. unsent is the
+    size of a response that its client has not taken. close ends the connection from
+    outside. group is None while a complete request is handled. rank is the place within
+    the group.
     """
 
     address: str
     lifecycle: Lifecycle
     close: Callable[[], None]
     held: int = 0
+    framing: int = 0
     unsent: int = 0
     group: Group | None = None
+    rank: int = 0
+
+    @property
+    def usage_rank(self) -> int:
+        """Return the rank by what the present request holds and has cost."""
+        return usage_rank(self.held + self.framing)
 
 
 @dataclass(slots=True)
 class HttpConnections:
     """Hold the connections of one server and the budgets that they share.
 
-    Each group is in the order in which its connections entered it.
+    Each group is ordered by what its connections use, then by when they entered it.
     """
 
     limits: HttpLimits
     chart: Chart
-    groups: dict[Group, OrderedDict[HttpConnection, None]] = field(
-        default_factory=lambda: {group: OrderedDict() for group in Group}
+    groups: dict[Group, ConnectionOrder[HttpConnection]] = field(
+        default_factory=lambda: {group: ConnectionOrder() for group in Group}
     )
     by_address: Counter[str] = field(default_factory=Counter)
     count: int = 0
@@ -71,7 +81,7 @@
         """
         few = self.by_address[address] < self.limits.few_connections
         limit = self.limits.connections if few else self.limits.crowded_limit
-        if self.count >= limit and not self.close_one(tuple(Group)):
+        if self.count >= limit and not self.close_one():
             return None
         connection = HttpConnection(
             address=address, lifecycle=self.chart.start(), close=close
@@ -84,20 +94,25 @@
     def hold(self, connection: HttpConnection, size: int) -> bool:
         """Count the bytes that a request holds, or return False if there is no room.
 
-        Close other connections with incomplete requests if that makes room.
+        Close others with incomplete requests that use as much or more if that makes
+        room.
         """
         growth = size - connection.held
         while growth > 0 and self.held + growth > self.limits.buffer_bytes:
-            if not self.close_one((Group.BODY, Group.HEADER), connection):
+            least = usage_rank(size + connection.framing)
+            if not self._close_largest_request(connection, least):
                 return False
         self.held += growth
         connection.held = size
+        if connection.group is not None and connection.rank != connection.usage_rank:
+            self.move(connection, connection.group)
         return True
 
     def release(self, connection: HttpConnection, remaining: int = 0) -> None:
         """Count only the remaining received bytes of a connection."""
         self.held -= connection.held - remaining
         connection.held = remaining
+        connection.framing = 0
         self.unsent -= connection.unsent
         connection.unsent = 0
 
@@ -107,28 +122,42 @@
         A response that exceeds the budget alone is sent as the only one.
         """
         while self.unsent and self.unsent + size > self.limits.buffer_bytes:
-            if not self.close_one((Group.RESPONDING,), connection):
+            if not self._close_in_group(Group.RESPONDING, connection):
                 break
         self.unsent += size
         connection.unsent = size
 
-    def close_one(
-        self, groups: tuple[Group, ...], exempt: HttpConnection | None = None
+    def close_one(self) -> bool:
+        """Close one connection to make room and return whether there was one."""
+        return any(self._close_in_group(group) for group in Group)
+
+    def _close_in_group(
+        self, group: Group, exempt: HttpConnection | None = None
+    ) -> bool:
+        ranks = reversed(range(RANKS))
+        return any(self._close_in_rank(group, rank, exempt) for rank in ranks)
+
+    def _close_largest_request(self, exempt: HttpConnection, least: int) -> bool:
+        """Close an incomplete request of the highest rank, at least the given one."""
+        return any(
+            self._close_in_rank(group, rank, exempt)
+            for rank in range(RANKS - 1, least - 1, -1)
+            for group in (Group.BODY, Group.HEADER)
+        )
+
+    def _close_in_rank(
+        self, group: Group, rank: int, exempt: HttpConnection | None
     ) -> bool:
-        """Close the first connection of the groups and return whether there was one."""
-        for group in groups:
-            members = self.groups[group]
-            ordered = reversed(members) if group is Group.HEADER else iter(members)
-            candidates = [
-                one for one in islice(ordered, CANDIDATES) if one is not exempt
-            ]
-            if candidates:
-                victim = next(filter(self._is_crowded, candidates), candidates[0])
-                close = victim.close
-                self.handle(victim, ConnectionEnded())
-                close()
-                return True
-        return False
+        newest_first = group is Group.HEADER
+        ordered = self.groups[group].in_rank(rank, newest_first)
+        candidates = [one for one in islice(ordered, CANDIDATES) if one is not exempt]
+        if not candidates:
+            return False
+        victim = next(filter(self._is_crowded, candidates), candidates[0])
+        close = victim.close
+        self.handle(victim, ConnectionEnded())
+        close()
+        return True
 
     def handle(self, connection: HttpConnection, message: Message) -> None:
         """Follow the connection's chart; ignore events after its end."""
@@ -138,10 +167,11 @@
     def move(self, connection: HttpConnection, group: Group | None) -> None:
         """Put a connection at the end of a group, or into none."""
         if connection.group is not None:
-            del self.groups[connection.group][connection]
+            self.groups[connection.group].remove(connection, connection.rank)
         connection.group = group
         if group is not None:
-            self.groups[group][connection] = None
+            connection.rank = connection.usage_rank
+            self.groups[group].add(connection, connection.rank)
 
     def _is_crowded(self, connection: HttpConnection) -> bool:
         return self.by_address[connection.address] > self.limits.few_connections
@@ -159,7 +189,9 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyBytesRead(Message):
-    """Report that a part of a body arrived."""
+    """Report that a part of a body arrived; framing bytes of it are not content."""
+
+    framing: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +247,7 @@
 
 
 class JoinBody(_ConnectionAction):
-    """Put the connection at the end of those with an incomplete body.
+    """Put the connection at the end of the incomplete bodies that use as much.
 
     It moves there with each new part, so the first one has waited the longest.
     """
@@ -223,6 +255,12 @@
     __slots__ = ()
 
 
+class CountFraming(_ConnectionAction):
+    """Count the bytes of a body beside its content as used by the connection."""
+
+    __slots__ = ()
+
+
 class JoinResponding(_ConnectionAction):
     """Put the connection at the end of those that take a response."""
 
@@ -277,6 +315,13 @@
     return []
 
 
+@perform.register
+def _(action: CountFraming) -> list[Command]:
+    assert isinstance(action.message, BodyBytesRead)
+    action.subject.framing = action.message.framing
+    return []
+
+
 @perform.register
 def _(action: JoinResponding) -> list[Command]:
     action.state.move(action.subject, Group.RESPONDING)
@@ -335,6 +380,7 @@
     JoinIdle,
     JoinHeader,
     JoinBody,
+    CountFraming,
     JoinResponding,
     HoldResponse,
     JoinLingering,
--- a/packages/wasabispur-core/src/wasabispur_core/http_limits.py
+++ b/packages/wasabispur-core/src/wasabispur_core/http_limits.py
@@ -23,6 +23,12 @@
 The main server has the rest.
 """
 
+FRAMING_PER_BYTE = 16
+"""Bytes beside its content that a chunked body may have for each byte of content.
+
+A chunk of one byte has at least five.
+"""
+
 MIN_CONNECTIONS = 16
 """Connections that each server can always have."""
 
@@ -35,7 +41,8 @@
     one) is kept for addresses with fewer than few_connections. buffer_bytes bounds the
     received bytes of all requests without a response. waiting is the number of complete
     requests that wait for a thread. header_bytes, fields and body_bytes bound one
-    request. header_time is the time for a
+    request. framing_bytes bounds what a chunked body has beside its content, together
+    with FRAMING_PER_BYTE for each byte of content. header_time is the time for a
     header, grace_time that for a body or a response beside its bytes at min_rate (bytes
     per second), idle_time the lifetime of an idle connection. linger_time and
     linger_bytes bound what is read after a refusal.
@@ -49,6 +56,7 @@
     header_bytes: int = 20 * 1024
     fields: int = 256
     body_bytes: int = BODY_LIMIT_BYTES
+    framing_bytes: int = 32 * 1024
     header_time: float = 5.0
     grace_time: float = 10.0
     min_rate: float = 16 * 1024
@@ -68,6 +76,7 @@
         "connections": MIN_CONNECTIONS,
         "header_bytes": PUBLISHED_HEADER_BYTES,
         "body_bytes": PUBLISHED_BODY_BYTES,
+        "framing_bytes": PUBLISHED_HEADER_BYTES,
         "header_time": PUBLISHED_HEADER_TIME,
         "grace_time": PUBLISHED_HEADER_TIME,
         "idle_time": PUBLISHED_IDLE_TIME,
--- a/packages/wasabispur/src/wasabispur/client_connection.py
+++ b/packages/wasabispur/src/wasabispur/client_connection.py
@@ -240,7 +240,7 @@
         if interim := self.parser.encode_continue():
             await self._send(interim)
         while not self.parser.read_body():
-            self.notify(BodyBytesRead())
+            self.notify(BodyBytesRead(framing=self.parser.framing))
             earned = self.parser.body_size / self.limits.min_rate
             deadline.reschedule(begun + self.limits.grace_time + earned)
             await self._receive()
--- a/packages/wasabispur/src/wasabispur/http_body.py
+++ b/packages/wasabispur/src/wasabispur/http_body.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from wasabispur_core.http_limits import HttpLimits
+from wasabispur_core.http_limits import FRAMING_PER_BYTE, HttpLimits
 
 from .http_refusal import HttpRefusal
 
@@ -78,13 +78,15 @@
 class ChunkedFraming:
     """Read a chunked body.
 
-    The parser calls the methods whose names begin with "on_". retained is the number of
-    bytes after the latest content that the parser may keep: a trailer that is not
-    complete.
+    The parser calls the methods whose names begin with "on_". total is the number of
+    bytes that are not content. retained is the number of bytes after the latest content
+    that the parser may keep: a trailer that is not complete.
     """
 
+    limits: HttpLimits
     content: BodyContent
     parser: httptools.HttpRequestParser | None = None
+    total: int = 0
     retained: int = 0
     in_content: bool = False
     complete: bool = False
@@ -145,7 +147,7 @@
 def chunked_body(limits: HttpLimits) -> Body:
     """Return a chunked body."""
     content = BodyContent()
-    framing = ChunkedFraming(content)
+    framing = ChunkedFraming(limits, content)
     framing.parser = _chunk_parser(framing)
     return Body(framing, limits, content)
 
@@ -200,12 +202,34 @@
     if framing.complete:
         return True
     read = content.size - before
+    framing.total += len(piece) - read
     framing.retained = (
         0 if framing.in_content else len(piece) + (0 if read else framing.retained)
     )
+    limit = framing.limits.framing_bytes
+    if framing.retained > limit:
+        raise excessive_framing()
+    if framing.total > limit + FRAMING_PER_BYTE * content.size:
+        raise excessive_framing()
     return False
 
 
+@singledispatch
+def framing_bytes(framing: Framing) -> int:
+    """Return the number of received bytes that are not content."""
+    raise NotImplementedError(type(framing).__name__)
+
+
+@framing_bytes.register
+def _(framing: LengthFraming) -> int:
+    return 0
+
+
+@framing_bytes.register
+def _(framing: ChunkedFraming) -> int:
+    return framing.total
+
+
 @singledispatch
 def retained_bytes(framing: Framing) -> int:
     """Return the number of bytes beside the content that the parser may keep."""
@@ -257,3 +281,14 @@
         f"the chunked body is malformed: {reason}; the request was not run",
         "correct the request",
     )
+
+
+def excessive_framing() -> HttpRefusal:
+    """Return the refusal of a body with much more framing than content."""
+    return HttpRefusal(
+        400,
+        "framing",
+        "the chunked body has too many bytes beside its content; "
+        "the request was not run",
+        "send larger chunks without extensions, and short trailers",
+    )
--- a/packages/wasabispur/src/wasabispur/http_parser.py
+++ b/packages/wasabispur/src/wasabispur/http_parser.py
@@ -8,7 +8,7 @@
 
 from wasabispur_core.http_limits import HttpLimits
 
-from .http_body import Body, body_too_large, chunked_body, length_body
+from .http_body import Body, body_too_large, chunked_body, framing_bytes, length_body
 from .http_refusal import HttpRefusal
 from .http_wsgi import HttpReply, HttpRequest
 
@@ -52,6 +52,11 @@
         body = self.body.memory if self.body is not None else 0
         return len(self.received) + self.header_memory + body
 
+    @property
+    def framing(self) -> int:
+        """Return the number of bytes of the body that are not content."""
+        return framing_bytes(self.body.framing) if self.body is not None else 0
+
     @property
     def body_size(self) -> int:
         """Return the number of bytes of content that the body has so far."""
--- a/packages/wasabispur/src/wasabispur/http_server.py
+++ b/packages/wasabispur/src/wasabispur/http_server.py
@@ -14,11 +14,7 @@
 from wasabispur_core.chart import Chart, ChartCatalogue
 from wasabispur_core.error import AddressInUseError
 from wasabispur_core.http_budget import CONNECTION_QUEUE_SIZE, RECEIVE_BUFFER_BYTES
-from wasabispur_core.http_connection import (
-    Group,
-    http_connection_chart,
-    HttpConnections,
-)
+from wasabispur_core.http_connection import http_connection_chart, HttpConnections
 from wasabispur_core.http_limits import HttpLimits
 
 from .client_connection import ClientConnection
@@ -113,7 +109,7 @@
             except OSError:
                 # The process is probably out of descriptors.
                 self.refusals.count("accept")
-                self.table.close_one(tuple(Group))
+                self.table.close_one()
                 await asyncio.sleep(ACCEPT_PAUSE)
                 continue
             self._serve(client, address[:2])
--- a/packages/wasabispur/src/wasabispur/http_settings.py
+++ b/packages/wasabispur/src/wasabispur/http_settings.py
@@ -60,6 +60,7 @@
     waiting: int = DEFAULT_LIMITS.waiting
     header_bytes: int = DEFAULT_LIMITS.header_bytes
     fields: int = DEFAULT_LIMITS.fields
+    framing_bytes: int = DEFAULT_LIMITS.framing_bytes
     header_time: float = DEFAULT_LIMITS.header_time
     grace_time: float = DEFAULT_LIMITS.grace_time
     min_rate: float = DEFAULT_LIMITS.min_rate
--- a/tests/request/test_http_body.py
+++ b/tests/request/test_http_body.py
@@ -51,6 +51,10 @@
 @pytest.mark.parametrize(
     ("status", "cause", "content"),
     [
+        (400, "framing", (b"1;" + b"e" * 15_000 + b"\r\nx\r\n") * 10),
+        (400, "framing", SMALL_CHUNK + b"0\r\n" + b"t: v\r\n" * 20_000),
+        (400, "framing", SMALL_CHUNK * 20_000 + b"0\r\nt: " + b"v" * 100_000),
+        (400, "framing", b"1;" + b"e" * 100_000),
         (400, "malformed", b"zz\r\n"),
         (413, "body-size", b"200000\r\n" + bytes(0x200000)),
     ],
@@ -61,7 +65,7 @@
     with pytest.raises(HttpRefusal) as caught:
         read_all(body, content)
     assert (caught.value.status, caught.value.cause) == (status, cause)
-    assert body.memory <= LIMITS.body_bytes + 3 * READ_BYTES
+    assert body.memory <= LIMITS.framing_bytes + LIMITS.body_bytes + 2 * READ_BYTES
 
 
 def test_incomplete_trailer_counts_as_memory():
--- a/tests/request/test_http_connection.py
+++ b/tests/request/test_http_connection.py
@@ -81,7 +81,45 @@
     for connection in stalled.values():
         assert connections.table.hold(connection, 30)
         connections.table.handle(connection, HeaderRead())
-    connections.table.handle(stalled["first"], BodyBytesRead())
+    connections.table.handle(stalled["first"], BodyBytesRead(framing=0))
     assert connections.table.hold(connections.admit("new"), 40)
     assert connections.closed == ["second"]
     assert connections.table.held == 100
+
+
+def test_largest_request_makes_room_for_smaller_ones():
+    """Guard against an ordinary body that gives way because others send more often."""
+    limits = HttpLimits(connections=8, buffer_bytes=300_000)
+    table = HttpConnections(limits, http_connection_chart(ChartCatalogue()))
+    closed: list[str] = []
+
+    def begin(name: str, size: int) -> HttpConnection:
+        connection = table.admit(name, lambda: closed.append(name))
+        assert table.hold(connection, size)
+        table.handle(connection, HeaderRead())
+        return connection
+
+    begin("small", 1_000)
+    large = [begin(f"large{n}", 140_000) for n in range(2)]
+    for connection in large:
+        table.handle(connection, BodyBytesRead(framing=0))
+    begin("other", 30_000)
+    assert closed == ["large0"]
+    refused = table.admit("excessive", lambda: closed.append("excessive"))
+    assert not table.hold(refused, 400_000)
+    assert "small" not in closed
+
+
+def test_framing_counts_as_used():
+    """Guard against a client whose framing costs much and that holds little."""
+    limits = HttpLimits(connections=16, few_connections=16)
+    table = HttpConnections(limits, http_connection_chart(ChartCatalogue()))
+    closed: list[str] = []
+    for name in ("stalled", "framing"):
+        connection = table.admit(name, lambda name=name: closed.append(name))
+        assert table.hold(connection, 5_000)
+        table.handle(connection, HeaderRead())
+        framing = 100_000 if name == "framing" else 0
+        table.handle(connection, BodyBytesRead(framing=framing))
+    assert table.close_one()
+    assert closed == ["framing"]
