Bound what streams hold before their first message

Cause: anyone who reaches the port may send a first message of 1.1 MB on each of any number of streams, and each connection may have 4 MiB that no stream has read.

Not bounded: what attached agents send; they are part of the system.

--- a/packages/wasabispur-core/src/wasabispur_core/log_event.py
+++ b/packages/wasabispur-core/src/wasabispur_core/log_event.py
@@ -64,6 +64,9 @@
     223, "ERROR", "refused a connection: {limit} connections are already open"
 )
 CONNECTION_UNUSED = LogEvent(224, "WARNING", "closed a connection without a stream")
+STREAMS_FULL = LogEvent(
+    225, "ERROR", "closed a connection with more than {limit} streams"
+)
 REQUEST_RECEIVED = LogEvent(301, "DEBUG", "request {request} received")
 REQUEST_ANSWERED = LogEvent(302, "INFO", "request {request} ended as {outcome}")
 ATTEMPT_STARTED = LogEvent(303, "DEBUG", "attempt {attempt} started")
--- a/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
+++ b/packages/wasabispur-runtime/src/wasabispur_runtime/stream.py
@@ -256,21 +256,23 @@
                     self.receiver(message.message)
 
 
-def enforce_frame_limit(stream: Any) -> None:
+def enforce_frame_limit(stream: Any, limit: int = FRAME_LIMIT_BYTES) -> None:
     """Make the stream reject a frame over the limit before reading it.
 
-    grpclib buffers a frame of any announced length, up to 4 GiB, in memory.
+    A later call replaces the limit. grpclib buffers a frame of any announced length,
+    up to 4 GiB, in memory.
     """
     transport = stream._stream
+    transport.frame_limit = limit
     if "recv_data" in vars(transport):
         return
     receive = transport.recv_data
 
     async def receive_limited(size: int) -> bytes:
-        if size > FRAME_LIMIT_BYTES:
+        if size > transport.frame_limit:
             raise ProtocolError(
                 f"the peer announced a frame of {size} bytes, over the limit of "
-                f"{FRAME_LIMIT_BYTES}",
+                f"{transport.frame_limit}",
                 "send a smaller body",
             )
         data: bytes = await receive(size)
--- a/packages/wasabispur/src/wasabispur/handshake.py
+++ b/packages/wasabispur/src/wasabispur/handshake.py
@@ -15,6 +15,13 @@
 HANDSHAKE_TIMEOUT = 5.0
 """Seconds within which a new stream has to deliver its first message."""
 
+HANDSHAKE_LIMIT_BYTES = 16 * 1024
+"""Largest first message; an Announce has a few short names.
+
+Anyone who reaches the control port can send one, and its bytes are held until it is
+complete.
+"""
+
 MessageT = TypeVar("MessageT", bound=Message)
 
 
@@ -26,7 +33,7 @@
     Logs a message that is late, malformed or of another class, and returns None.
     """
     try:
-        enforce_frame_limit(stream)
+        enforce_frame_limit(stream, HANDSHAKE_LIMIT_BYTES)
         async with time_limit(timers, HANDSHAKE_TIMEOUT):
             first = await stream.recv_message()
     except TimeoutError:
