Let others run before a connection is read again, not after

A task that had read at once gave others their turn with the bytes in hand: up to 16 KiB of each connection that always has more to read waited in no budget, which is the fault that mended for waiting tasks. It gives them their turn before the next read now. Found by reading; the crowd tests passed with it.

--- a/packages/wasabispur/src/wasabispur/client_connection.py
+++ b/packages/wasabispur/src/wasabispur/client_connection.py
@@ -67,6 +67,7 @@
         self.counter = counter
         self.loop = asyncio.get_running_loop()
         self.parser = RequestParser(self.limits)
+        self.read_at_once = False
         self.closing = False
 
     async def run(self) -> None:
@@ -157,20 +158,18 @@
         """Return the next bytes from the socket, or none at its end.
 
         The bytes are read by the task that takes them, so that bytes of many
-        connections don't wait in memory for their tasks. A client that always has more
-        to read must not keep others waiting.
+        connections don't wait in memory for their tasks.
         """
-        waited = False
+        if self.read_at_once:
+            # A client that always has more to read must not keep others waiting.
+            await asyncio.sleep(0)
+        self.read_at_once = True
         while True:
             try:
-                data = self.socket.recv(READ_BYTES)
+                return self.socket.recv(READ_BYTES)
             except BlockingIOError:
                 await self._wait_until_readable()
-                waited = True
-                continue
-            if not waited:
-                await asyncio.sleep(0)
-            return data
+                self.read_at_once = False
 
     async def _wait_until_readable(self) -> None:
         readable = self.loop.create_future()
