--- a/review/standins_3/executor3.py
+++ b/review/standins_3/executor3.py
@@ -69,7 +69,8 @@
     """Represent one executor; shed makes it answer starts with status 503.
 
     late makes it carry out some calls late, maybe in its next life: a call names the
-    id only, which that has too.
+    id only, which that has too. holds_start makes it keep the next start, which its
+    next life carries out as soon as it serves calls.
     """
 
     name: str
@@ -87,6 +88,8 @@
     shed: bool = False
     silent: bool = False
     late: LateCalls | None = None
+    holds_start: bool = False
+    held_start: dict[str, Any] | None = None
     server: Server | None = None
     runs: dict[str, Run] = field(default_factory=dict)
     ended: list[list[Any]] = field(default_factory=list)
@@ -116,6 +119,9 @@
         self.up = True
         self.log("executor", name=self.name, event="starts", born=self.born)
         self.tasks = [asyncio.create_task(one()) for one in (self._beat, self._tick)]
+        if self.held_start is not None:
+            self._catch_up("run-start", self.held_start)
+            self.held_start = None
 
     def crash(self) -> None:
         """End at once, with all runs and all connections."""
@@ -138,6 +144,10 @@
             return Answer(421, {})
         name = request.path.rpartition("/")[2]
         body = request.body or {}
+        if name == "run-start" and self.holds_start:
+            self.holds_start, self.held_start = False, body
+            self.log("held", task=body["task"], run=body["run_id"], on=self.name)
+            return None
         if name in ORDERS and self.late is not None:
             delay = self.late.delay()
             if delay:
--- a/review/standins_3/site3.py
+++ b/review/standins_3/site3.py
@@ -27,6 +27,7 @@
 SERVICE = "planner"
 ROUTE_HOST = "planner.example"
 PORTS = 15_000, 32_000
+MEMORY_MB = 300
 START_LIMIT = 40.0
 """Seconds within which the deployment has to be ready."""
 
@@ -112,6 +113,7 @@
     ) -> None:
         self.record = record
         self.gpu = gpu
+        self.memory = MEMORY_MB
         self.folder = Path(tempfile.mkdtemp(prefix="wasabispur-case-"))
         self.store = Store()
         self.config = config
@@ -200,7 +202,7 @@
             "[listen_addrs]",
             *(f'{key} = "{value}"' for key, value in listen.items()),
             "[limits]",
-            "memory_mb = 300",
+            f"memory_mb = {self.memory}",
             "max_fds = 4100",
             "[bounds]",
             *(f"{key} = {value}" for key, value in BOUNDS.items()),
