--- a/review/standins_3/site3.py
+++ b/review/standins_3/site3.py
@@ -334,8 +334,13 @@
 
 async def _play(record: Record, trouble: bool, play: Play) -> list[str]:
     sites: list[Site] = []
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await play(record, trouble, sites)
+    except asyncio.CancelledError as error:
+        raise CannotRunError("the script was ended") from error
     finally:
         for site in sites:
             site.close()
