--- a/review/standins_3/site3.py
+++ b/review/standins_3/site3.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import random
 import shlex
 import signal
 import socket
@@ -14,7 +13,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -27,6 +26,9 @@
 SERVICE = "planner"
 ROUTE_HOST = "planner.example"
 PORTS = 15_000, 32_000
+PORT_BLOCK = 100
+"""Ports from which a script takes its own, and how far apart scripts begin."""
+
 MEMORY_MB = 300
 START_LIMIT = 40.0
 """Seconds within which the deployment has to be ready."""
@@ -91,13 +93,30 @@
         ]
 
 
+def free_ports() -> Iterator[int]:
+    """Yield free ports, each once; processes begin at different ones."""
+    first, end = PORTS
+    blocks = (end - first) // PORT_BLOCK
+    begin = first + os.getpid() % blocks * PORT_BLOCK
+    for port in [*range(begin, end), *range(first, begin)]:
+        if is_free(port):
+            yield port
+
+
+def is_free(port: int) -> bool:
+    """Return whether nothing is bound to a port on loopback."""
+    with socket.socket() as probe, suppress(OSError):
+        probe.bind((HOST, port))
+        return True
+    return False
+
+
+NEXT_PORTS = free_ports()
+
+
 def free_port() -> int:
     """Return a free port on loopback, below those of outgoing connections."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((HOST, port))
-            return port
+    return next(NEXT_PORTS)
 
 
 class Site:
